--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+
+.PHONY: build test demo up down faults measure slopes lint
+build:
+	$(GO) build -o bin/ ./cmd/... ./examples/...
+
+# The tests, with the race detector.
+test:
+	$(GO) test -race -count=1 $(TESTFLAGS) ./...
+
+# The main job: the example fleet answers and is checked.
+demo: build
+	bash scripts/demo
+
+up: build
+	bash scripts/up
+
+down:
+	bash scripts/down
+
+lint:
+	test -z "$$($(GO) tool gofumpt -l .)"
+	$(GO) vet ./...
+	$(GO) tool revive -set_exit_status ./...
--- /dev/null
+++ b/boxes/boxes.go
@@ -0,0 +1,67 @@
+// Package boxes reads the platform's list of live and leaving boxes.
+//
+// The list lags: a box that is gone may still be listed as live.
+package boxes
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/dghubble/sling"
+	"github.com/gravitational/trace"
+)
+
+// The roles a box may have.
+const (
+	// RoleEntry boxes run this system's daemons.
+	RoleEntry = "entry"
+	// RoleEngine boxes run model engines.
+	RoleEngine = "engine"
+	// RoleStore boxes keep KV cache.
+	RoleStore = "store"
+	// RoleService boxes run plain services.
+	RoleService = "service"
+)
+
+// Box is one box as the platform lists it.
+type Box struct {
+	// Name is unique among live boxes.
+	Name    string         `json:"name"`
+	Role    string         `json:"role"`
+	Address netip.AddrPort `json:"address"`
+	// Peer is where an entry box's daemon talks to its peers.
+	Peer netip.AddrPort `json:"peer,omitzero"`
+	// Domain is the failure domain.
+	Domain string `json:"domain"`
+	// Pool names the pool a target belongs to.
+	Pool string `json:"pool,omitempty"`
+	// Leaving says that the box is about to go.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// List reads the platform's list. Set the exported fields before first use.
+type List struct {
+	// Base is the platform's URL without a trailing slash.
+	Base string
+	HTTP *http.Client
+}
+
+// Read returns the boxes listed now.
+func (l *List) Read(ctx context.Context) ([]Box, error) {
+	var answer struct {
+		Boxes []Box `json:"boxes"`
+	}
+	request, err := sling.New().Base(l.Base).Get("/v1/boxes").Request()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	response, err := sling.New().Client(l.HTTP).Do(request.WithContext(ctx), &answer, nil)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "the list of boxes can't be read")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "the list of boxes answers status %d", response.StatusCode)
+	}
+	return answer.Boxes, nil
+}
--- /dev/null
+++ b/build.go
@@ -0,0 +1,145 @@
+package thymewind
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/caller"
+	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/relay"
+	"github.com/thymewind/thymewind/resume"
+	"github.com/thymewind/thymewind/retry"
+	"github.com/thymewind/thymewind/table"
+)
+
+// The daemon's fixed bounds.
+const (
+	attempts       = 3
+	resumes        = 2
+	dialPatience   = time.Second
+	tablePatience  = 2 * time.Second
+	cancelPatience = 500 * time.Millisecond
+	claimForget    = 30 * time.Second
+	resumeFor      = 30 * time.Second
+	loadBound      = 1.25
+	retryShare     = 0.1
+	retryBurst     = 20
+	backlog        = 1024
+)
+
+// parts are the packages that the daemon is put together from.
+type parts struct {
+	now     func() time.Time
+	random  func() uint64
+	systems []system
+	chooser placement.Chooser
+	boxes   boxes.List
+	table   table.Client
+	rows    configuration.Rows
+	engines engine.Client
+	claims  claim.Book
+	budget  retry.Budget
+	peers   peer.Node
+	signer  resume.Signer
+	relay   relay.Relay
+	forward forward.Forwarder
+	front   caller.Front
+}
+
+// build puts the parts together.
+func (d *Daemon) build() error {
+	d.now = time.Now
+	d.random = rand.Uint64
+	d.messages = make(chan message, backlog)
+	d.counts = newCounters(d.Registry)
+	d.records = decision.Ring{Size: d.Settings.Limits.Records, Box: d.Settings.Name}
+	d.tables = tables{configuration: &configuration.Configuration{}, pending: make(map[string]bool)}
+	d.chooser = placement.Chooser{Bound: loadBound, Random: d.random}
+	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
+	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.count}
+	d.buildPlatform()
+	d.buildPeers()
+	d.buildRequests()
+	return nil
+}
+
+func (d *Daemon) buildPlatform() {
+	client := &http.Client{Timeout: tablePatience}
+	d.boxes = boxes.List{Base: d.Settings.Platform, HTTP: client}
+	d.table = table.Client{Base: d.Settings.Platform, HTTP: client}
+	d.rows = configuration.Rows{
+		Commit: d.table.Commit, Read: d.table.Read, List: d.table.List, ListAll: d.table.ListAll, Wait: wait,
+	}
+	d.claims = claim.Book{
+		Commit: d.table.Commit, Read: d.table.Read, Nonce: newID, Now: d.now,
+		Box: d.Settings.Name, Patience: tablePatience, Forget: claimForget,
+	}
+}
+
+func (d *Daemon) buildPeers() {
+	d.peers = peer.Node{
+		Credential: d.Settings.PeerCredential, Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
+		Sent:     func(n int) { d.counts.peerBytes.WithLabelValues("sent").Add(float64(n)) },
+		Received: func(n int) { d.counts.peerBytes.WithLabelValues("received").Add(float64(n)) },
+	}
+}
+
+func (d *Daemon) buildRequests() {
+	dialer := net.Dialer{Timeout: dialPatience}
+	d.engines = engine.Client{HTTP: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true,
+	}}}
+	for _, key := range d.Settings.TokenKeys {
+		d.signer.Keys = append(d.signer.Keys, []byte(key))
+	}
+	comeBack := func() time.Duration { return d.jitter(time.Second) }
+	d.relay = relay.Relay{
+		Place: d.askPlace, Generate: d.engines.Generate, Resume: d.engines.Resume, Cancel: d.engines.Cancel,
+		Ended: d.tellEnded, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
+		CancelPatience: cancelPatience, ComeBack: comeBack,
+	}
+	sender := forward.Sender{Dial: dialer.DialContext}
+	d.forward = forward.Forwarder{
+		Place: d.askPlace, Ended: d.tellEnded, Take: d.claims.Take, Release: d.claims.Release, Finish: d.claims.Finish,
+		Send: sender.Send, Retry: d.spendRetry, Record: d.records.Add, Now: d.now,
+		Attempts: attempts, Patience: tablePatience, ComeBack: comeBack,
+	}
+	d.front = caller.Front{
+		Configuration: d.current.Load, Run: d.relay.Run, Forward: d.forward.Serve, Resume: d.resumeStream,
+		Sign: d.signer.Sign, Check: d.signer.Check, Refused: d.recordRefused, RequestID: newID, Now: d.now,
+		BodyBytes: d.Settings.Limits.BodyBytes, Timeout: d.Settings.Timing.Request, ResumeFor: resumeFor,
+	}
+}
+
+// newID returns an ID that no other process returns.
+func newID() string { return ulid.Make().String() }
+
+// jitter spreads a duration between half and one and a half of it.
+func (d *Daemon) jitter(mean time.Duration) time.Duration {
+	if mean <= 0 {
+		return 0
+	}
+	return mean/2 + time.Duration(d.random()%uint64(mean))
+}
+
+// wait pauses unless ctx ends first.
+func wait(ctx context.Context, pause time.Duration) error {
+	select {
+	case <-time.After(pause):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,194 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/resume"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// answer writes one completion in the API's shape.
+type answer struct {
+	*call
+	chat  bool
+	model string
+	// streamed sends the text as it comes; otherwise it is collected.
+	streamed bool
+	// usage adds a last chunk with the usage.
+	usage bool
+	// begun says that something was written to the caller.
+	begun bool
+	text  strings.Builder
+}
+
+// chunk is one completion or one piece of a streamed one.
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index   int          `json:"index"`
+	Message *chatMessage `json:"message,omitempty"`
+	Delta   *chatMessage `json:"delta,omitempty"`
+	Text    *string      `json:"text,omitempty"`
+	Finish  *string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	Prompt     int          `json:"prompt_tokens"`
+	Completion int          `json:"completion_tokens"`
+	Total      int          `json:"total_tokens"`
+	Details    usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	Cached int `json:"cached_tokens"`
+}
+
+func usageOf(u stream.Usage) *usage {
+	return &usage{
+		Prompt: u.Prompt, Completion: u.Completion, Total: u.Prompt + u.Completion,
+		Details: usageDetails{Cached: u.Reused + u.Imported},
+	}
+}
+
+// open sets the headers, once the run that answers has been checked.
+func (a *answer) open(placed route.Placed) {
+	h := a.w.Header()
+	h.Set(HeaderRule, placed.Rule+": "+placed.Target)
+	h.Set(HeaderResume, a.token(placed, a.model, a.chat))
+	a.begin()
+}
+
+// resumed sets the headers of a stream that is taken up again.
+func (a *answer) resumed(token resume.Token) {
+	a.id = token.Request
+	a.w.Header().Set(HeaderRequest, a.id)
+}
+
+func (a *answer) begin() {
+	if !a.streamed || a.begun {
+		return
+	}
+	a.begun = true
+	h := a.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	a.w.WriteHeader(http.StatusOK)
+}
+
+// moved gives the caller the token of the attempt that goes on, in a comment
+// line that clients of the API pass over.
+func (a *answer) moved(placed route.Placed) {
+	if a.streamed {
+		fmt.Fprintf(a.w, ": resume %s\n\n", a.token(placed, a.model, a.chat))
+	}
+}
+
+// write takes the next text; offset is behind it.
+func (a *answer) write(text string, offset int) error {
+	if !a.streamed {
+		a.text.WriteString(text)
+		return nil
+	}
+	a.begin()
+	return a.event(offset, a.chunk(a.delta(text), nil))
+}
+
+func (a *answer) delta(text string) choice {
+	if a.chat {
+		return choice{Delta: &chatMessage{Role: "assistant", Content: text}}
+	}
+	return choice{Text: &text}
+}
+
+func (a *answer) chunk(c choice, u *usage) chunk {
+	out := chunk{ID: a.prefix() + a.id, Object: a.object(), Created: a.Now().Unix(), Model: a.model, Usage: u}
+	out.Choices = append(out.Choices, c)
+	return out
+}
+
+func (a *answer) prefix() string {
+	if a.chat {
+		return "chatcmpl-"
+	}
+	return "cmpl-"
+}
+
+func (a *answer) object() string {
+	switch {
+	case a.chat && a.streamed:
+		return "chat.completion.chunk"
+	case a.chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+// event writes one server-sent event. Its ID is the offset to resume at.
+func (a *answer) event(offset int, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(a.w, "id: %d\ndata: %s\n\n", offset, data); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.w).Flush()
+}
+
+// close ends a whole answer.
+func (a *answer) close(end stream.Frame) {
+	if !a.streamed {
+		a.whole(end)
+		return
+	}
+	a.begin()
+	last := a.delta("")
+	last.Finish = &end.Finish
+	_ = a.event(end.Total, a.chunk(last, nil))
+	if a.usage {
+		closing := a.chunk(choice{}, usageOf(end.Usage))
+		closing.Choices = []choice{}
+		_ = a.event(end.Total, closing)
+	}
+	_, _ = fmt.Fprint(a.w, "data: [DONE]\n\n")
+}
+
+func (a *answer) whole(end stream.Frame) {
+	text := a.text.String()
+	c := choice{Finish: &end.Finish}
+	if a.chat {
+		c.Message = &chatMessage{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	a.writeJSON(a.chunk(c, usageOf(end.Usage)))
+}
+
+// broken ends an answer that is not whole. A stream that has begun gets an
+// error event and no [DONE]; anything else the typed error itself.
+func (a *answer) broken(err error) error {
+	if !a.begun {
+		return err
+	}
+	r := refusal.Of(err, refusal.Unknown, http.StatusBadGateway)
+	a.Refused(a.id, a.account.Name, r)
+	_, _ = fmt.Fprintf(a.w, "data: %s\n\n", errorBody(a.id, r))
+	return nil
+}
--- /dev/null
+++ b/caller/ask.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// The bounds of what a caller may ask for, in tokens.
+const (
+	defaultTokens = 64
+	largestTokens = 32768
+)
+
+// ask is the body of a chat or text completion; fields that don't matter here
+// are passed over, as the API allows.
+type ask struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       streamOptions   `json:"stream_options"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// part is one part of a message's content.
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func bad(code, format string, args ...any) *refusal.Refusal {
+	return refusal.New(refusal.DidNotRun, http.StatusBadRequest, code, format, args...)
+}
+
+// decode reads the body and checks what both kinds of completion share.
+func (c *call) decode() (ask, error) {
+	var a ask
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return a, refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the body has over %d bytes", c.BodyBytes)
+	case err != nil:
+		return a, bad("body_cut", "the body did not arrive whole")
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, bad("invalid_json", "the body is not the JSON of a completion: %v", err)
+	}
+	if a.N != nil && *a.N != 1 {
+		return a, bad("unsupported", "n must be 1")
+	}
+	if n := a.tokens(); n < 1 || n > largestTokens {
+		return a, bad("invalid_max_tokens", "max_tokens must be 1 to %d", largestTokens)
+	}
+	m, ok := c.config.Models[a.Model]
+	if !ok || !c.allowed(m.Pool) {
+		return a, refusal.New(refusal.DidNotRun, http.StatusNotFound, "model_not_found", "the model %q does not exist or is not yours to use", a.Model)
+	}
+	return a, nil
+}
+
+// tokens returns the largest number of tokens that the caller wants.
+func (a ask) tokens() int {
+	switch {
+	case a.MaxCompletionTokens != nil:
+		return *a.MaxCompletionTokens
+	case a.MaxTokens != nil:
+		return *a.MaxTokens
+	}
+	return defaultTokens
+}
+
+// canonical returns the messages' text in the one form that prefixes are named
+// by: the same messages give the same bytes.
+func canonical(messages []message) (string, error) {
+	if len(messages) == 0 {
+		return "", bad("messages_missing", "messages must not be empty")
+	}
+	var b strings.Builder
+	for i, m := range messages {
+		if m.Role == "" {
+			return "", bad("role_missing", "messages[%d] has no role", i)
+		}
+		text, err := contentText(m.Content)
+		if err != nil {
+			return "", bad("invalid_content", "messages[%d].content must be text", i)
+		}
+		b.WriteString("<|")
+		b.WriteString(m.Role)
+		b.WriteString("|>")
+		b.WriteString(text)
+		b.WriteByte('\n')
+	}
+	return b.String(), nil
+}
+
+// contentText reads content that is a string or a list of text parts.
+func contentText(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", nil
+	}
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var parts []part
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", trace.Wrap(err)
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", trace.BadParameter("only text is served")
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,142 @@
+// Package caller is the HTTP front for callers: the OpenAI-compatible API for
+// models, a path prefix per pool for plain services, and the resuming of cut
+// streams.
+//
+//	f := caller.Front{Configuration: current, Run: relay.Run, ...}
+//	http.Serve(listener, f.Handler())
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/thymewind/thymewind/account"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/relay"
+	"github.com/thymewind/thymewind/resume"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// The headers that this system adds to the API.
+const (
+	// HeaderRequest carries the request ID.
+	HeaderRequest = "X-Request-Id"
+	// HeaderResume carries the resume token, both ways.
+	HeaderResume = "Thymewind-Resume"
+	// HeaderOffset is the offset behind the last text that the caller has, if
+	// it does not send Last-Event-ID.
+	HeaderOffset = "Thymewind-Offset"
+	// HeaderOutcome tells what became of a refused request.
+	HeaderOutcome = "Thymewind-Outcome"
+	// HeaderRule says why the target was chosen.
+	HeaderRule = "Thymewind-Rule"
+	// HeaderTimeout bounds the request, as a duration such as 5s.
+	HeaderTimeout = "Thymewind-Timeout"
+)
+
+// servicePrefix is the path before a pool's name.
+const servicePrefix = "/services/"
+
+// Front serves callers. Set the exported fields before Handler; it is safe for
+// concurrent use after that.
+type Front struct {
+	// Configuration returns the revision in force; nil before the first.
+	Configuration func() *configuration.Configuration
+	Run           func(ctx context.Context, request relay.Request) (stream.Frame, error)
+	Forward       func(w http.ResponseWriter, r *http.Request, call forward.Call) error
+	// Resume reads a run again from an offset.
+	Resume func(ctx context.Context, token resume.Token, offset int, write func(text string, offset int) error) (stream.Frame, error)
+	Sign   func(resume.Token) (string, error)
+	Check  func(text, account string, now time.Time) (resume.Token, error)
+	// Refused hears of every refusal, for counters and records.
+	Refused func(request, account string, r *refusal.Refusal)
+	// RequestID returns a new request ID each time.
+	RequestID func() string
+	Now       func() time.Time
+	// BodyBytes bounds a request's body.
+	BodyBytes int64
+	// Timeout bounds a request that names no bound of its own.
+	Timeout time.Duration
+	// ResumeFor is how long engines keep a run for resuming.
+	ResumeFor time.Duration
+}
+
+// call is one request of a known account.
+type call struct {
+	*Front
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	account account.Account
+	config  *configuration.Configuration
+}
+
+// Handler returns the routes.
+func (f *Front) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/chat/completions", f.known(http.MethodPost, (*call).chat))
+	mux.HandleFunc("/v1/completions", f.known(http.MethodPost, (*call).completion))
+	mux.HandleFunc("/v1/models", f.known(http.MethodGet, (*call).models))
+	mux.HandleFunc("/v1/models/{name...}", f.known(http.MethodGet, (*call).model))
+	mux.HandleFunc("/v1/resume", f.known(http.MethodPost, (*call).resume))
+	mux.HandleFunc(servicePrefix+"{pool}/{path...}", f.known("", (*call).service))
+	mux.HandleFunc("/", f.known("", func(*call) error {
+		return refusal.New(refusal.DidNotRun, http.StatusNotFound, "unknown_path", "there is nothing at this path")
+	}))
+	return mux
+}
+
+// known wraps what is served to callers with a good key.
+func (f *Front) known(method string, serve func(*call) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &call{Front: f, w: w, r: r, id: f.RequestID(), config: f.Configuration()}
+		w.Header().Set(HeaderRequest, c.id)
+		if err := c.serve(method, serve); err != nil {
+			c.refuse(refusal.Of(err, refusal.Unknown, http.StatusInternalServerError))
+		}
+	}
+}
+
+func (c *call) serve(method string, serve func(*call) error) error {
+	if c.config == nil || c.config.Revision == 0 {
+		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "not_ready", "this box has no configuration yet").After(time.Second)
+	}
+	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	if c.account, ok = c.config.Account(key); !ok {
+		return refusal.New(refusal.DidNotRun, http.StatusUnauthorized, "invalid_api_key", "the API key is missing or unknown")
+	}
+	if method != "" && c.r.Method != method {
+		c.w.Header().Set("Allow", method)
+		return refusal.New(refusal.DidNotRun, http.StatusMethodNotAllowed, "wrong_method", "use %s here", method)
+	}
+	return serve(c)
+}
+
+// timeout returns how long the caller gives the request.
+func (c *call) timeout() (time.Duration, error) {
+	text := c.r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return c.Timeout, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, refusal.New(refusal.DidNotRun, http.StatusBadRequest, "bad_timeout", "%s must be a duration such as 5s", HeaderTimeout)
+	}
+	return min(d, c.Timeout), nil
+}
+
+func (c *call) allowed(pool string) bool {
+	if len(c.account.Pools) == 0 {
+		return true
+	}
+	for _, name := range c.account.Pools {
+		if name == pool {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/caller/complete.go
@@ -0,0 +1,178 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/relay"
+	"github.com/thymewind/thymewind/resume"
+	"github.com/thymewind/thymewind/route"
+)
+
+func (c *call) chat() error {
+	a, err := c.decode()
+	if err != nil {
+		return err
+	}
+	prompt, err := canonical(a.Messages)
+	if err != nil {
+		return err
+	}
+	return c.complete(a, prompt, true)
+}
+
+func (c *call) completion() error {
+	a, err := c.decode()
+	if err != nil {
+		return err
+	}
+	var prompt string
+	if json.Unmarshal(a.Prompt, &prompt) != nil || prompt == "" {
+		return bad("invalid_prompt", "prompt must be a string that is not empty")
+	}
+	return c.complete(a, prompt, false)
+}
+
+// complete runs a model request and writes its answer, streamed or whole.
+func (c *call) complete(a ask, prompt string, chat bool) error {
+	timeout, err := c.timeout()
+	if err != nil {
+		return err
+	}
+	// A caller that leaves before the answer begins ends the request. After
+	// that it may take the stream up at another box, so the run goes on.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), timeout)
+	defer cancel()
+	release := context.AfterFunc(c.r.Context(), cancel)
+	out := &answer{call: c, chat: chat, model: a.Model, streamed: a.Stream, usage: a.StreamOptions.IncludeUsage}
+	end, err := c.Run(ctx, relay.Request{
+		ID: c.id, Account: c.account.Name, Model: a.Model, Pool: c.config.Models[a.Model].Pool,
+		Prompt: prompt, MaxTokens: a.tokens(), Once: c.r.Header.Get(forward.HeaderNotRepeatable) != "",
+		Open: func(placed route.Placed) {
+			release()
+			out.open(placed)
+		},
+		Moved: out.moved,
+		Write: out.write,
+	})
+	if err != nil {
+		return out.broken(err)
+	}
+	out.close(end)
+	return nil
+}
+
+// resume takes a cut stream up again.
+func (c *call) resume() error {
+	token, err := c.Check(c.r.Header.Get(HeaderResume), c.account.Name, c.Now())
+	if err != nil {
+		return refusal.New(refusal.Unknown, http.StatusForbidden, "bad_resume_token", "the resume token is not good")
+	}
+	offset, err := c.offset()
+	if err != nil {
+		return err
+	}
+	timeout, err := c.timeout()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), timeout)
+	defer cancel()
+	out := &answer{call: c, chat: token.Chat, model: token.Model, streamed: true, usage: true}
+	out.resumed(token)
+	end, err := c.Resume(ctx, token, offset, out.write)
+	if err != nil {
+		return out.broken(err)
+	}
+	out.close(end)
+	return nil
+}
+
+func (c *call) offset() (int, error) {
+	text := c.r.Header.Get("Last-Event-ID")
+	if text == "" {
+		text = c.r.Header.Get(HeaderOffset)
+	}
+	if text == "" {
+		return 0, nil
+	}
+	offset, err := strconv.Atoi(text)
+	if err != nil || offset < 0 {
+		return 0, bad("bad_offset", "the offset must be a number of bytes")
+	}
+	return offset, nil
+}
+
+// token returns a resume token for an attempt.
+func (c *call) token(placed route.Placed, model string, chat bool) string {
+	text, err := c.Sign(resume.Token{
+		Account: c.account.Name, Request: c.id, Target: placed.Address, Attempt: placed.Attempt,
+		Version: placed.Version, Scope: placed.Scope.String(), Model: model, Chat: chat,
+		Until: c.Now().Add(c.Timeout + c.ResumeFor),
+	})
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
+func (c *call) models() error {
+	type entry struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []entry `json:"data"`
+	}{Object: "list", Data: []entry{}}
+	for name, m := range c.config.Models {
+		if c.allowed(m.Pool) {
+			list.Data = append(list.Data, entry{ID: name, Object: "model", OwnedBy: "thymewind"})
+		}
+	}
+	c.writeJSON(list)
+	return nil
+}
+
+func (c *call) model() error {
+	name := c.r.PathValue("name")
+	m, ok := c.config.Models[name]
+	if !ok || !c.allowed(m.Pool) {
+		return refusal.New(refusal.DidNotRun, http.StatusNotFound, "model_not_found", "the model %q does not exist", name)
+	}
+	c.writeJSON(struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}{name, "model", 0, "thymewind"})
+	return nil
+}
+
+func (c *call) writeJSON(body any) {
+	c.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(c.w).Encode(body)
+}
+
+// service passes a request on to a plain service.
+func (c *call) service() error {
+	name := c.r.PathValue("pool")
+	p, ok := c.config.Pools[name]
+	if !ok || !c.allowed(name) || p.Kind == "model" {
+		return refusal.New(refusal.DidNotRun, http.StatusNotFound, "unknown_pool", "there is no service %q", name)
+	}
+	timeout, err := c.timeout()
+	if err != nil {
+		return err
+	}
+	return c.Forward(c.w, c.r, forward.Call{
+		Request: c.id, Account: c.account.Name, Pool: name, Path: "/" + c.r.PathValue("path"),
+		BodyBytes: c.BodyBytes, Timeout: timeout, OnceByTarget: p.OnceByTarget,
+	})
+}
--- /dev/null
+++ b/cmd/thymewind/main.go
@@ -0,0 +1,51 @@
+// Command thymewind is the daemon of an entry box:
+//
+//	thymewind -settings entry-1.yaml
+//	thymewind -settings entry-1.yaml -check
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/thymewind/thymewind"
+	"github.com/thymewind/thymewind/settings"
+)
+
+func main() {
+	file := flag.String("settings", "", "settings file, YAML")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Parse()
+	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	data, err := os.ReadFile(*file)
+	if err != nil {
+		logger.Fatal("can't read the settings", "err", err)
+	}
+	s, err := settings.Parse(*file, data)
+	if err != nil {
+		logger.Fatal("the settings are not good", "findings", err)
+	}
+	if *check {
+		return
+	}
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		logger.Fatal("the settings are not good", "err", err)
+	}
+	logger.SetLevel(level)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d := thymewind.Daemon{Settings: s, Log: logger.With("box", s.Name), Registry: registry}
+	if err := d.Run(ctx); err != nil {
+		logger.Fatal("stopped with an error", "err", err)
+	}
+}
--- /dev/null
+++ b/decision/decision.go
@@ -0,0 +1,104 @@
+// Package decision keeps the records that explain what the system did: each
+// holds the inputs seen, the candidates with their scores, the rule and the
+// result.
+//
+//	var r decision.Ring // with r.Size set
+//	r.Add(decision.Record{Kind: decision.Placed, Request: "r1", Result: "engine-2"})
+//	for _, record := range r.Of("r1") { ... }
+package decision
+
+import (
+	"sync"
+	"time"
+)
+
+// The kinds of record.
+const (
+	Placed   = "placed"
+	Reused   = "reused"
+	Kept     = "kept"
+	Dropped  = "dropped"
+	Refused  = "refused"
+	Retried  = "retried"
+	Resumed  = "resumed"
+	Claimed  = "claimed"
+	Ordered  = "ordered"
+	Changed  = "changed"
+	Finished = "finished"
+)
+
+// Record explains one decision.
+type Record struct {
+	At   time.Time `json:"at"`
+	Box  string    `json:"box"`
+	Kind string    `json:"kind"`
+	// Request is the request ID, if the decision is about one.
+	Request string `json:"request,omitempty"`
+	// Account is the client account the request belongs to.
+	Account string `json:"account,omitempty"`
+	Pool    string `json:"pool,omitempty"`
+	// Rule names what decided.
+	Rule string `json:"rule"`
+	// Inputs says what was seen, such as loads and predicted times.
+	Inputs     string      `json:"inputs,omitempty"`
+	Candidates []Candidate `json:"candidates,omitempty"`
+	Result     string      `json:"result"`
+}
+
+// Candidate is one of the things that could have been chosen.
+type Candidate struct {
+	Name  string  `json:"name"`
+	Score float64 `json:"score"`
+	Note  string  `json:"note,omitempty"`
+}
+
+// Ring keeps the latest records. Set the exported fields before first use; it
+// is safe for concurrent use after that.
+type Ring struct {
+	// Size bounds the records kept. It is at least 1.
+	Size int
+	// Box is written into each record.
+	Box string
+
+	mu sync.Mutex
+	// records holds at most Size records; next is where the next one goes.
+	records []Record
+	next    int
+}
+
+// Add keeps a record and forgets the oldest one when the ring is full.
+func (r *Ring) Add(record Record) {
+	record.Box = r.Box
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.records) < r.Size {
+		r.records = append(r.records, record)
+		return
+	}
+	r.records[r.next] = record
+	r.next = (r.next + 1) % r.Size
+}
+
+// Of returns the records of one request, oldest first.
+func (r *Ring) Of(request string) []Record {
+	return r.filter(func(record Record) bool { return record.Request == request })
+}
+
+// Last returns up to n of the latest records, oldest first.
+func (r *Ring) Last(n int) []Record {
+	all := r.filter(func(Record) bool { return true })
+	return all[max(0, len(all)-n):]
+}
+
+func (r *Ring) filter(keep func(Record) bool) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Record
+	for i := range r.records {
+		record := r.records[(r.next+i)%len(r.records)]
+		if keep(record) {
+			found = append(found, record)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/effect.go
@@ -0,0 +1,101 @@
+package thymewind
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/peer"
+)
+
+// effect is something to do outside the tables. Its result, if any, comes back
+// as a message.
+type effect any
+
+// readBoxes reads the platform's list.
+type readBoxes struct{}
+
+// readConfiguration reads what is newer than the revision at hand.
+type readConfiguration struct {
+	have *configuration.Configuration
+	// peer is asked if the table service does not answer; it may be unset.
+	peer netip.AddrPort
+	name string
+}
+
+// readLoad reads one target's report.
+type readLoad struct {
+	target  string
+	address netip.AddrPort
+}
+
+// tellPeer sends a peer a message and takes its answer in.
+type tellPeer struct {
+	name    string
+	address netip.AddrPort
+	message peer.Message
+}
+
+// run performs effects, each on a goroutine of its own.
+func (d *Daemon) run(ctx context.Context, effects []effect) {
+	for _, e := range effects {
+		d.effects.Go(func() {
+			if m := d.perform(ctx, e); m != nil {
+				_ = d.send(ctx, m)
+			}
+		})
+	}
+}
+
+// perform is the one place where effects touch the network.
+func (d *Daemon) perform(ctx context.Context, e effect) message {
+	const patience = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	switch e := e.(type) {
+	case readBoxes:
+		list, err := d.boxes.Read(ctx)
+		return boxesRead{list, err}
+	case readConfiguration:
+		return d.readConfiguration(ctx, e)
+	case readLoad:
+		load, err := d.engines.Load(ctx, e.address)
+		return loadRead{e.target, load, err}
+	case tellPeer:
+		answer, err := d.peers.Call(ctx, e.address, e.message)
+		return peerAnswered{name: e.name, message: answer, err: err}
+	}
+	return nil
+}
+
+// readConfiguration asks the table service and, if that does not answer, the
+// peer.
+func (d *Daemon) readConfiguration(ctx context.Context, e readConfiguration) message {
+	next, err := d.newer(ctx, e.have)
+	if err == nil || !e.peer.IsValid() {
+		return configurationRead{configuration: next, err: trace.Wrap(err)}
+	}
+	answer, err := d.peers.Call(ctx, e.peer, peer.Message{Kind: peer.KindConfiguration, From: d.Settings.Name})
+	if err != nil || answer.Revision <= e.have.Revision {
+		return configurationRead{err: trace.Wrap(err)}
+	}
+	held := new(configuration.Configuration)
+	err = json.Unmarshal(answer.Body, held)
+	return configurationRead{configuration: held, err: trace.Wrap(err), from: e.name}
+}
+
+// newer returns the revision in force if it is higher than the one at hand.
+func (d *Daemon) newer(ctx context.Context, have *configuration.Configuration) (*configuration.Configuration, error) {
+	if have.Revision == 0 {
+		return d.rows.Load(ctx)
+	}
+	head, err := d.rows.Head(ctx)
+	if err != nil || head <= have.Revision {
+		return nil, trace.Wrap(err)
+	}
+	return d.rows.CatchUp(ctx, have)
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/dghubble/sling"
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// HeaderStarted is "no" on answers by which an engine says that the run has
+// not started and never will.
+const HeaderStarted = "Engine-Started"
+
+// HeaderLeaving is set on every answer of a target that takes no new work.
+const HeaderLeaving = "Target-Leaving"
+
+// maxFrame bounds one line of a stream, in bytes.
+const maxFrame = 1 << 20
+
+// Client calls engines. Set the exported fields before first use.
+type Client struct {
+	// HTTP carries the calls. Its transport must not retry by itself.
+	HTTP *http.Client
+}
+
+// ErrNotSent says that nothing was written to the engine.
+var ErrNotSent = errors.New("nothing was sent to the engine")
+
+// Frames reads the frames of one stream.
+type Frames struct {
+	// Next returns the next frame, or io.EOF behind the last.
+	Next func() (stream.Frame, error)
+	// Close ends the reading; the engine keeps the run for a while.
+	Close func() error
+}
+
+// framesOf reads frames from the lines of a body.
+func framesOf(body io.ReadCloser) *Frames {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxFrame)
+	next := func() (stream.Frame, error) {
+		var frame stream.Frame
+		if !lines.Scan() {
+			if err := lines.Err(); err != nil {
+				return frame, trace.ConnectionProblem(err, "the stream was cut")
+			}
+			return frame, io.EOF
+		}
+		err := json.Unmarshal(lines.Bytes(), &frame)
+		return frame, trace.Wrap(err)
+	}
+	return &Frames{Next: next, Close: body.Close}
+}
+
+// Generate starts a run and returns its frames. It fails with *Refusal when
+// the engine says that it did not start, and with ErrNotSent when nothing was
+// written.
+func (c *Client) Generate(ctx context.Context, at netip.AddrPort, run Run) (*Frames, error) {
+	frames, err := c.open(ctx, at, "/v1/generate", run)
+	return frames, trace.Wrap(err)
+}
+
+// Resume reads a run again from an offset in bytes.
+func (c *Client) Resume(ctx context.Context, at netip.AddrPort, request string, attempt, offset int) (*Frames, error) {
+	body := struct {
+		Request string `json:"request"`
+		Attempt int    `json:"attempt"`
+		Offset  int    `json:"offset"`
+	}{request, attempt, offset}
+	frames, err := c.open(ctx, at, "/v1/resume", body)
+	return frames, trace.Wrap(err)
+}
+
+// Cancel stops a run. It returns false only if the engine confirms that the
+// run has never started and will not.
+func (c *Client) Cancel(ctx context.Context, at netip.AddrPort, request string, attempt int) (started bool, err error) {
+	body := struct {
+		Request string `json:"request"`
+		Attempt int    `json:"attempt"`
+	}{request, attempt}
+	answer := struct {
+		Started bool `json:"started"`
+	}{Started: true}
+	err = c.call(ctx, c.to(at).Post("/v1/cancel").BodyJSON(body), &answer)
+	return answer.Started || err != nil, trace.Wrap(err)
+}
+
+// Load reads the engine's report.
+func (c *Client) Load(ctx context.Context, at netip.AddrPort) (Load, error) {
+	var load Load
+	err := c.call(ctx, c.to(at).Get("/v1/load"), &load)
+	return load, trace.Wrap(err)
+}
+
+// Send gives an order. It fails with trace.CompareFailed when the engine has
+// seen a higher epoch.
+func (c *Client) Send(ctx context.Context, at netip.AddrPort, order Order) error {
+	return trace.Wrap(c.call(ctx, c.to(at).Post("/v1/orders").BodyJSON(order), nil))
+}
+
+// Export has the engine write the cache of one run's prompt to a store box and
+// returns the pieces, all of which are written whole.
+func (c *Client) Export(ctx context.Context, at netip.AddrPort, request, scope string, store netip.AddrPort) ([]kept.Piece, error) {
+	body := struct {
+		Request string         `json:"request"`
+		Scope   string         `json:"scope"`
+		Store   netip.AddrPort `json:"store"`
+	}{request, scope, store}
+	var answer struct {
+		Pieces []kept.Piece `json:"pieces"`
+	}
+	err := c.call(ctx, c.to(at).Post("/v1/export").BodyJSON(body), &answer)
+	return answer.Pieces, trace.Wrap(err)
+}
+
+func (c *Client) to(at netip.AddrPort) *sling.Sling {
+	return sling.New().Client(c.HTTP).Base("http://" + at.String())
+}
+
+func (c *Client) open(ctx context.Context, at netip.AddrPort, path string, body any) (*Frames, error) {
+	request, err := c.to(at).Post(path).BodyJSON(body).Request()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request = request.WithContext(ctx)
+	// Without a way to read the body again the transport never resends it.
+	request.GetBody = nil
+	response, err := c.HTTP.Do(request)
+	if err != nil && !connected.Load() {
+		return nil, trace.Wrap(ErrNotSent, "engine %v: %v", at, err)
+	}
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "engine %v", at)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		return nil, refusal(response)
+	}
+	return framesOf(response.Body), nil
+}
+
+// refusal turns an answer that is not a stream into an error.
+func refusal(response *http.Response) error {
+	reason, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	if response.Header.Get(HeaderStarted) != "no" {
+		return trace.Errorf("the engine answers status %d: %s", response.StatusCode, reason)
+	}
+	return &Refusal{
+		Status:  response.StatusCode,
+		Reason:  string(reason),
+		Leaving: response.Header.Get(HeaderLeaving) != "",
+	}
+}
+
+func (c *Client) call(ctx context.Context, call *sling.Sling, success any) error {
+	request, err := call.Request()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := call.Do(request.WithContext(ctx), success, nil)
+	if err != nil {
+		return trace.ConnectionProblem(err, "engine %s", request.URL.Host)
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return trace.CompareFailed("engine %s has seen a higher epoch", request.URL.Host)
+	case http.StatusNotFound:
+		return trace.NotFound("engine %s does not know it", request.URL.Host)
+	}
+	return trace.Errorf("engine %s answers status %d", request.URL.Host, response.StatusCode)
+}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,79 @@
+// Package engine is the client of model engines.
+//
+//	c := engine.Client{HTTP: httpClient}
+//	body, err := c.Generate(ctx, address, engine.Run{Request: "r1", Attempt: 1, Prompt: prompt})
+//	var refused *engine.Refusal
+//	if errors.As(err, &refused) { // it did not start; another target may serve
+//	}
+package engine
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/kept"
+)
+
+// Run asks an engine for one answer.
+type Run struct {
+	Request string `json:"request"`
+	// Attempt counts from 1 for each request; (Request, Attempt) is unique.
+	Attempt int    `json:"attempt"`
+	Model   string `json:"model"`
+	// Version is the weight version; an engine with another one refuses.
+	Version string `json:"version"`
+	// Scope separates the engine's prefix cache by client account and version.
+	Scope  string `json:"scope"`
+	Prompt string `json:"prompt"`
+	// Generated is the part of the answer that the caller already has; the
+	// engine goes on behind it.
+	Generated string `json:"generated,omitempty"`
+	MaxTokens int    `json:"max_tokens"`
+	// Priority orders waiting runs; lower goes first.
+	Priority int `json:"priority"`
+	// PieceBytes is the prompt bytes between two cache boundaries.
+	PieceBytes int `json:"piece_bytes"`
+	// Import names kept cache to fetch before prefill.
+	Import *Import `json:"import,omitempty"`
+}
+
+// Import names kept cache and the store box that holds it.
+type Import struct {
+	Store    netip.AddrPort `json:"store"`
+	Manifest kept.Manifest  `json:"manifest"`
+}
+
+// Load is what an engine reports of itself, with a lag.
+type Load struct {
+	Name    string    `json:"name"`
+	Version string    `json:"version"`
+	Slots   int       `json:"slots"`
+	Running int       `json:"running"`
+	Waiting int       `json:"waiting"`
+	Leaving bool      `json:"leaving"`
+	Epoch   uint64    `json:"epoch"`
+	At      time.Time `json:"at"`
+}
+
+// Order changes what an engine is. Engines that check the fence refuse an
+// Epoch below the highest they have seen.
+type Order struct {
+	ID    string `json:"id"`
+	Epoch uint64 `json:"epoch"`
+	// Version is the weight version to load.
+	Version string `json:"version,omitempty"`
+	// Deadline is when the order lapses, by the sender's clock; engines that
+	// don't check the fence ignore it.
+	Deadline time.Time `json:"deadline,omitzero"`
+}
+
+// Refusal says that the engine itself refused before starting the run.
+type Refusal struct {
+	Status int
+	Reason string
+	// Leaving says that the engine takes no new work any more.
+	Leaving bool
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "the engine refused: " + r.Reason }
--- /dev/null
+++ b/finding/finding.go
@@ -0,0 +1,25 @@
+// Package finding collects what is wrong with an input, each with its place,
+// so that all of it is reported together.
+//
+//	var l finding.List
+//	l.Add("settings.yaml:3:9", "address %q has no port", text)
+//	return l.Err()
+package finding
+
+import "github.com/gravitational/trace"
+
+// List collects findings. The zero value is ready for use.
+type List struct {
+	errors []error
+}
+
+// Add records one finding at a place such as file:line:column or a field name.
+func (l *List) Add(place, format string, args ...any) {
+	l.errors = append(l.errors, trace.BadParameter(place+": "+format, args...))
+}
+
+// Len counts the findings.
+func (l *List) Len() int { return len(l.errors) }
+
+// Err returns all findings as one error, or nil when there are none.
+func (l *List) Err() error { return trace.NewAggregate(l.errors...) }
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,261 @@
+// Package engine stands in for a model engine: finite slots, a prefix cache in
+// limited memory, streams that can be resumed and cancelled, KV import and
+// export, a lagged load report and fenced orders. Its answers are a function of
+// the prompt, so that a caller can check them.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/zeebo/blake3"
+
+	api "github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/internal/standin/fault"
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/prefix"
+)
+
+// bytesPerToken is the stand-in's tokenizer.
+const bytesPerToken = 4
+
+// linger is how long a finished or abandoned run can be resumed.
+const linger = 30 * time.Second
+
+// Engine is the stand-in. Set the exported fields before Handler.
+type Engine struct {
+	Name  string
+	Fault *fault.Switch
+	// Version is the weight version loaded at the start.
+	Version string
+	// Slots is how many runs are served at once.
+	Slots int
+	// CachePieces bounds the prefix cache.
+	CachePieces int
+	// PieceKV is the size of one piece's KV cache, in bytes.
+	PieceKV int
+	// Prefill is the prompt tokens computed a second, Decode the time between
+	// two tokens.
+	Prefill float64
+	Decode  time.Duration
+	// LoadWeights is how long new weights take to load.
+	LoadWeights time.Duration
+	// Lag is how late the load report follows.
+	Lag time.Duration
+	// ChecksFence refuses orders of a lower epoch.
+	ChecksFence bool
+
+	mu sync.Mutex
+	// cache maps prefix keys to the scope they were computed in.
+	cache   *simplelru.LRU[string, struct{}]
+	runs    map[string]*run
+	running int
+	queue   []*run
+	version string
+	loading bool
+	epoch   uint64
+	reports []api.Load
+	events  []event
+	log     []Ran
+	store   kept.Store
+}
+
+// event is one change of the prefix cache.
+type event struct {
+	Sequence int       `json:"sequence"`
+	Added    bool      `json:"added"`
+	Key      string    `json:"key"`
+	At       time.Time `json:"-"`
+}
+
+// Ran tells of one run, for checks from outside.
+type Ran struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Version string `json:"version"`
+	Scope   string `json:"scope"`
+}
+
+// Handler returns the service and starts its reports.
+func (e *Engine) Handler(ctx context.Context) http.Handler {
+	e.version = e.Version
+	e.runs = make(map[string]*run)
+	e.cache, _ = simplelru.NewLRU(max(e.CachePieces, 1), func(key string, _ struct{}) { e.note(false, key) })
+	e.store = kept.Store{HTTP: &http.Client{Timeout: 10 * time.Second}}
+	go e.report(ctx)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.generate)
+	mux.HandleFunc("POST /v1/resume", e.resume)
+	mux.HandleFunc("POST /v1/cancel", e.cancel)
+	mux.HandleFunc("GET /v1/load", e.load)
+	mux.HandleFunc("GET /v1/events", e.cacheEvents)
+	mux.HandleFunc("POST /v1/orders", e.order)
+	mux.HandleFunc("POST /v1/export", e.export)
+	mux.HandleFunc("GET /runs", e.ran)
+	return e.Fault.Wrap(mux)
+}
+
+// Answer returns the text that a prompt is answered with.
+func Answer(prompt string, tokens int) string {
+	sum := blake3.Sum256([]byte(prompt))
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, "%x-%d ", sum[i%16:i%16+2], i)
+	}
+	return b.String()
+}
+
+// report keeps old load reports, so that the latest can be served late.
+func (e *Engine) report(ctx context.Context) {
+	const every = 50 * time.Millisecond
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.mu.Lock()
+			e.reports = append(e.reports, e.now(now))
+			for len(e.reports) > 1 && now.Sub(e.reports[1].At) >= e.Lag {
+				e.reports = e.reports[1:]
+			}
+			for key, r := range e.runs {
+				if r.done && now.Sub(r.touched) > linger {
+					delete(e.runs, key)
+				}
+			}
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *Engine) now(at time.Time) api.Load {
+	return api.Load{
+		Name: e.Name, Version: e.version, Slots: e.Slots, Running: e.running, Waiting: len(e.queue),
+		Leaving: e.Fault.State().Leaving, Epoch: e.epoch, At: at,
+	}
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.reports) == 0 {
+		fault.Answer(w, http.StatusOK, e.now(time.Now()))
+		return
+	}
+	fault.Answer(w, http.StatusOK, e.reports[0])
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, _ *http.Request) {
+	var answer struct {
+		Events []event `json:"events"`
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, ev := range e.events {
+		if time.Since(ev.At) > e.Lag {
+			answer.Events = append(answer.Events, ev)
+		}
+	}
+	fault.Answer(w, http.StatusOK, answer)
+}
+
+// note records a cache event; old ones are forgotten, which leaves a gap.
+func (e *Engine) note(added bool, key string) {
+	const remembered = 1000
+	sequence := 1
+	if n := len(e.events); n > 0 {
+		sequence = e.events[n-1].Sequence + 1
+	}
+	e.events = append(e.events, event{Sequence: sequence, Added: added, Key: key, At: time.Now()})
+	if len(e.events) > remembered {
+		e.events = e.events[len(e.events)-remembered:]
+	}
+}
+
+func (e *Engine) ran(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fault.Answer(w, http.StatusOK, e.log)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o api.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFence && o.Epoch < e.epoch {
+		http.Error(w, "a higher epoch was seen", http.StatusConflict)
+		return
+	}
+	e.epoch = max(e.epoch, o.Epoch)
+	if o.Version == "" || o.Version == e.version || e.loading {
+		return
+	}
+	e.loading = true
+	go func() {
+		time.Sleep(e.LoadWeights)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loading = false
+		e.version = o.Version
+	}()
+}
+
+// export writes the cached pieces of a run's prompt to a store box.
+func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Request string `json:"request"`
+		Scope   string `json:"scope"`
+		Store   address
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	var keys []prefix.Key
+	tokens := 0
+	for _, run := range e.runs {
+		if run.ask.Request == order.Request && run.ask.Scope == order.Scope {
+			keys = run.keys
+			tokens = run.ask.PieceBytes / bytesPerToken
+		}
+	}
+	e.mu.Unlock()
+	if len(keys) == 0 {
+		http.NotFound(w, r)
+		return
+	}
+	var answer struct {
+		Pieces []kept.Piece `json:"pieces"`
+	}
+	for _, key := range keys {
+		data := e.kv(key)
+		if err := e.store.PutPiece(r.Context(), order.Store, data); err != nil {
+			http.Error(w, err.Error(), http.StatusInsufficientStorage)
+			return
+		}
+		answer.Pieces = append(answer.Pieces, kept.Piece{Digest: kept.Digest(data), Bytes: len(data), Tokens: tokens})
+	}
+	fault.Answer(w, http.StatusOK, answer)
+}
+
+// kv returns a piece's KV cache, a function of account, version and tokens.
+func (e *Engine) kv(key prefix.Key) []byte {
+	h := blake3.New()
+	_, _ = h.Write(key[:])
+	data := make([]byte, e.PieceKV)
+	_, _ = h.Digest().Read(data)
+	return data
+}
--- /dev/null
+++ b/internal/standin/engine/run.go
@@ -0,0 +1,269 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	api "github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/internal/standin/fault"
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/stream"
+)
+
+type address = netip.AddrPort
+
+// run is one answer in the making. Its fields are guarded by Engine.mu.
+type run struct {
+	ask     api.Run
+	keys    []prefix.Key
+	usage   stream.Usage
+	text    string
+	started bool
+	// done says that no more text comes; failed that the answer is not whole.
+	done, failed, cancelled bool
+	changed                 chan struct{}
+	touched                 time.Time
+}
+
+// wake tells all readers that the run changed.
+func (r *run) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func runKey(request string, attempt int) string { return fmt.Sprintf("%s/%d", request, attempt) }
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var ask api.Run
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+		e.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	state := e.Fault.State()
+	e.mu.Lock()
+	switch {
+	case state.Leaving:
+		e.mu.Unlock()
+		e.refuse(w, http.StatusServiceUnavailable, "leaving")
+		return
+	case e.loading || ask.Version != e.version:
+		e.mu.Unlock()
+		e.refuse(w, http.StatusConflict, "another weight version is loaded")
+		return
+	case len(e.queue) >= 8*e.Slots:
+		e.mu.Unlock()
+		e.refuse(w, http.StatusTooManyRequests, "too many runs wait")
+		return
+	}
+	x := &run{ask: ask, changed: make(chan struct{}), touched: time.Now()}
+	x.keys = prefix.Chain(scopeOf(ask.Scope), []byte(ask.Prompt), max(ask.PieceBytes, 1))
+	e.runs[runKey(ask.Request, ask.Attempt)] = x
+	e.queue = append(e.queue, x)
+	slices.SortStableFunc(e.queue, func(a, b *run) int { return a.ask.Priority - b.ask.Priority })
+	e.mu.Unlock()
+	e.admit()
+	e.stream(w, r, x, len(ask.Generated), state.Crossed)
+}
+
+// scopeOf turns the scope's text back into a chain seed of its own.
+func scopeOf(scope string) prefix.Key { return prefix.Scope("engine", scope) }
+
+func (e *Engine) refuse(w http.ResponseWriter, status int, why string) {
+	w.Header().Set(api.HeaderStarted, "no")
+	if e.Fault.State().Leaving {
+		w.Header().Set(api.HeaderLeaving, "1")
+	}
+	http.Error(w, why, status)
+}
+
+// admit starts waiting runs while slots are free.
+func (e *Engine) admit() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.running < e.Slots && len(e.queue) > 0 {
+		x := e.queue[0]
+		e.queue = e.queue[1:]
+		x.started = true
+		e.running++
+		e.log = append(e.log, Ran{x.ask.Request, x.ask.Attempt, x.ask.Version, x.ask.Scope})
+		go e.work(x)
+	}
+}
+
+// work imports or computes the prompt's cache and then decodes.
+func (e *Engine) work(x *run) {
+	defer e.admit()
+	defer func() {
+		e.mu.Lock()
+		e.running--
+		x.done = true
+		x.touched = time.Now()
+		x.wake()
+		e.mu.Unlock()
+	}()
+	e.prefill(x)
+	tokens := x.ask.MaxTokens
+	text := Answer(x.ask.Prompt, tokens)
+	step := max(len(text)/max(tokens, 1), 1)
+	for at := len(x.ask.Generated); at < len(text); {
+		time.Sleep(e.Decode)
+		end := min(at+step, len(text))
+		e.mu.Lock()
+		if x.cancelled {
+			x.failed = true
+			e.mu.Unlock()
+			return
+		}
+		x.text += text[at:end]
+		x.usage.Completion++
+		x.wake()
+		e.mu.Unlock()
+		at = end
+	}
+}
+
+func (e *Engine) prefill(x *run) {
+	piece := x.ask.PieceBytes / bytesPerToken
+	e.mu.Lock()
+	reused := 0
+	for reused < len(x.keys) && e.cache.Contains(x.keys[reused].String()) {
+		e.cache.Get(x.keys[reused].String())
+		reused++
+	}
+	e.mu.Unlock()
+	imported := 0
+	if x.ask.Import != nil && len(x.ask.Import.Manifest.Pieces) > reused {
+		imported = e.importKept(x, reused)
+	}
+	total := (len(x.ask.Prompt) + bytesPerToken - 1) / bytesPerToken
+	left := total - (reused+imported)*piece
+	time.Sleep(time.Duration(float64(left) / (e.Prefill * e.Fault.Scale()) * float64(time.Second)))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, key := range x.keys {
+		if !e.cache.Contains(key.String()) {
+			e.note(true, key.String())
+		}
+		e.cache.Add(key.String(), struct{}{})
+	}
+	x.usage = stream.Usage{Prompt: total, Reused: reused * piece, Imported: imported * piece}
+}
+
+// importKept fetches the pieces behind the reused ones. It uses all or none,
+// each checked by digest and against the prompt itself.
+func (e *Engine) importKept(x *run, reused int) int {
+	m := x.ask.Import.Manifest
+	if len(m.Pieces) > len(x.keys) || kept.Check(m, x.ask.Scope, m.Key) != nil {
+		return 0
+	}
+	ctx, cancel := contextFor(5 * time.Second)
+	defer cancel()
+	for i, p := range m.Pieces[reused:] {
+		data, err := e.store.Piece(ctx, x.ask.Import.Store, p)
+		if err != nil || !bytes.Equal(data, e.kv(x.keys[reused+i])) {
+			return 0
+		}
+	}
+	return len(m.Pieces) - reused
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	var ask struct {
+		Request string `json:"request"`
+		Attempt int    `json:"attempt"`
+		Offset  int    `json:"offset"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	x, ok := e.runs[runKey(ask.Request, ask.Attempt)]
+	e.mu.Unlock()
+	if !ok || ask.Offset < len(x.ask.Generated) {
+		http.NotFound(w, r)
+		return
+	}
+	e.stream(w, r, x, ask.Offset, 0)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var ask struct {
+		Request string `json:"request"`
+		Attempt int    `json:"attempt"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	started := false
+	if x, ok := e.runs[runKey(ask.Request, ask.Attempt)]; ok {
+		started = x.started
+		x.cancelled = true
+		if !started {
+			x.done, x.failed = true, true
+			e.queue = slices.DeleteFunc(e.queue, func(q *run) bool { return q == x })
+			x.wake()
+		}
+	}
+	fault.Answer(w, http.StatusOK, struct {
+		Started bool `json:"started"`
+	}{started})
+}
+
+// stream relays a run from an offset until it is done or the reader leaves.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, x *run, offset int, crossed float64) {
+	out := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	base := stream.Frame{Request: x.ask.Request, Attempt: x.ask.Attempt}
+	first := base
+	first.Kind, first.Version, first.Scope = stream.KindStart, x.ask.Version, x.ask.Scope
+	_ = out.Encode(first)
+	_ = flush.Flush()
+	if fault.Hit(crossed) {
+		_ = out.Encode(stream.Frame{Kind: stream.KindPiece, Request: "another", Attempt: 1, Text: "crossed"})
+	}
+	cut := fault.Hit(e.Fault.State().Cut)
+	for {
+		e.mu.Lock()
+		x.touched = time.Now()
+		text, done, failed, usage, changed := x.text, x.done, x.failed, x.usage, x.changed
+		e.mu.Unlock()
+		begin := len(x.ask.Generated)
+		if offset < begin+len(text) {
+			piece := base
+			piece.Kind, piece.Offset, piece.Text = stream.KindPiece, offset, text[offset-begin:]
+			if out.Encode(piece) != nil || flush.Flush() != nil {
+				return
+			}
+			offset = begin + len(text)
+			if cut && len(text) > 64 {
+				panic(http.ErrAbortHandler)
+			}
+			continue
+		}
+		if done {
+			end := base
+			end.Kind, end.Total, end.Finish, end.Usage = stream.KindEnd, offset, "length", usage
+			if failed {
+				end = base
+				end.Kind, end.Error = stream.KindError, "cancelled"
+			}
+			_ = out.Encode(end)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,207 @@
+// Package platform stands in for the platform: its table service, its object
+// store and its lagging list of boxes.
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/internal/standin/fault"
+	"github.com/thymewind/thymewind/table"
+)
+
+// Platform is the stand-in. Set the exported fields before Handler.
+type Platform struct {
+	// Fault is shared by the three services.
+	Fault *fault.Switch
+	// Lag is how late the list of boxes follows.
+	Lag time.Duration
+	// Silence is how long a box may be silent before the list drops it.
+	Silence time.Duration
+	// Writes and Reads bound what is served, a second.
+	Writes, Reads float64
+
+	mu       sync.Mutex
+	rows     map[string]table.Row
+	revision uint64
+	objects  map[string][]byte
+	listed   map[string]listing
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+}
+
+// listing is one box with the times the lag counts from.
+type listing struct {
+	box     boxes.Box
+	since   time.Time
+	seen    time.Time
+	leaving time.Time
+}
+
+// Handler returns the services.
+func (p *Platform) Handler() http.Handler {
+	p.rows = make(map[string]table.Row)
+	p.objects = make(map[string][]byte)
+	p.listed = make(map[string]listing)
+	p.writes = rate.NewLimiter(rate.Limit(p.Writes), int(p.Writes))
+	p.reads = rate.NewLimiter(rate.Limit(p.Reads), int(p.Reads))
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/transactions", p.transact)
+	mux.HandleFunc("GET /v1/rows", p.read)
+	mux.HandleFunc("PUT /v1/objects/{name...}", p.putObject)
+	mux.HandleFunc("GET /v1/objects/{name...}", p.object)
+	mux.HandleFunc("GET /v1/boxes", p.boxes)
+	root := http.NewServeMux()
+	root.Handle("/", p.Fault.Wrap(mux))
+	// Boxes announce themselves by another way, which no fault strikes.
+	root.HandleFunc("PUT /announce", p.announce)
+	return root
+}
+
+func (p *Platform) transact(w http.ResponseWriter, r *http.Request) {
+	var tx table.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !p.writes.Allow() {
+		http.Error(w, "too many writes", http.StatusTooManyRequests)
+		return
+	}
+	conflict := p.apply(tx)
+	if fault.Hit(p.Fault.State().Lose) {
+		panic(http.ErrAbortHandler)
+	}
+	if conflict != "" {
+		fault.Answer(w, http.StatusConflict, struct {
+			Key string `json:"key"`
+		}{conflict})
+		return
+	}
+	fault.Answer(w, http.StatusOK, struct{}{})
+}
+
+// apply returns the key whose condition failed, if one did.
+func (p *Platform) apply(tx table.Transaction) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range tx.Expect {
+		if p.rows[c.Key].Revision != c.Revision {
+			return c.Key
+		}
+	}
+	p.revision++
+	for _, row := range tx.Put {
+		row.Revision = p.revision
+		p.rows[row.Key] = row
+	}
+	for _, key := range tx.Delete {
+		delete(p.rows, key)
+	}
+	return ""
+}
+
+func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
+	if !p.reads.Allow() {
+		http.Error(w, "too many reads", http.StatusTooManyRequests)
+		return
+	}
+	query := r.URL.Query()
+	var answer struct {
+		Rows []table.Row `json:"rows"`
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if key := query.Get("key"); key != "" {
+		if row, ok := p.rows[key]; ok {
+			answer.Rows = append(answer.Rows, row)
+		}
+		fault.Answer(w, http.StatusOK, answer)
+		return
+	}
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
+			answer.Rows = append(answer.Rows, row)
+		}
+	}
+	sort.Slice(answer.Rows, func(i, j int) bool { return answer.Rows[i].Key < answer.Rows[j].Key })
+	if limit, _ := strconv.Atoi(query.Get("limit")); limit > 0 && len(answer.Rows) > limit {
+		answer.Rows = answer.Rows[:limit]
+	}
+	fault.Answer(w, http.StatusOK, answer)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects[r.PathValue("name")] = data
+}
+
+func (p *Platform) object(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	data, ok := p.objects[r.PathValue("name")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) announce(w http.ResponseWriter, r *http.Request) {
+	var box boxes.Box
+	if err := json.NewDecoder(r.Body).Decode(&box); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, known := p.listed[box.Name]
+	if !known || l.box.Address != box.Address {
+		l = listing{since: now}
+	}
+	if box.Leaving && !l.box.Leaving {
+		l.leaving = now
+	}
+	l.box = box
+	l.seen = now
+	p.listed[box.Name] = l
+}
+
+func (p *Platform) boxes(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	var answer struct {
+		Boxes []boxes.Box `json:"boxes"`
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, l := range p.listed {
+		if now.Sub(l.seen) > p.Silence+p.Lag {
+			delete(p.listed, name)
+			continue
+		}
+		if now.Sub(l.since) < p.Lag {
+			continue
+		}
+		box := l.box
+		box.Leaving = box.Leaving && now.Sub(l.leaving) >= p.Lag
+		answer.Boxes = append(answer.Boxes, box)
+	}
+	sort.Slice(answer.Boxes, func(i, j int) bool { return answer.Boxes[i].Name < answer.Boxes[j].Name })
+	fault.Answer(w, http.StatusOK, answer)
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,201 @@
+// Package store stands in for a store box, with a memory and a disk tier
+// behind one link each.
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thymewind/thymewind/internal/standin/fault"
+	"github.com/thymewind/thymewind/kept"
+)
+
+// pinned is how long a piece that was just read is kept from deletion.
+const pinned = 5 * time.Second
+
+// orphaned is how long a piece without a manifest is kept.
+const orphaned = 30 * time.Second
+
+// Store is the stand-in. Set the exported fields before Handler.
+type Store struct {
+	Fault *fault.Switch
+	// MemoryBytes and DiskBytes are the tiers' sizes.
+	MemoryBytes, DiskBytes int
+	// MemoryRate and DiskRate are the tiers' link rates, in bytes a second.
+	MemoryRate, DiskRate float64
+
+	mu        sync.Mutex
+	pieces    map[string]*piece
+	manifests map[string]kept.Manifest
+	memory    int
+	disk      int
+	busy      [2]time.Time
+}
+
+// piece is one stored block; whole is set once all its bytes came.
+type piece struct {
+	data   []byte
+	onDisk bool
+	used   time.Time
+}
+
+// Handler returns the service.
+func (s *Store) Handler() http.Handler {
+	s.pieces = make(map[string]*piece)
+	s.manifests = make(map[string]kept.Manifest)
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/pieces/{digest}", s.putPiece)
+	mux.HandleFunc("GET /v1/pieces/{digest}", s.piece)
+	mux.HandleFunc("POST /v1/find", s.find)
+	mux.HandleFunc("GET /v1/manifests", s.list)
+	mux.HandleFunc("PUT /v1/manifests/{key}", s.putManifest)
+	mux.HandleFunc("DELETE /v1/manifests/{key}", s.drop)
+	return s.Fault.Wrap(mux)
+}
+
+func (s *Store) putPiece(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil || kept.Digest(data) != r.PathValue("digest") {
+		http.Error(w, "the bytes don't match the digest", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep()
+	if _, known := s.pieces[r.PathValue("digest")]; known {
+		return
+	}
+	p := &piece{data: data, used: time.Now()}
+	switch {
+	case s.Fault.State().Full:
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	case s.memory+len(data) <= s.MemoryBytes:
+		s.memory += len(data)
+	case s.disk+len(data) <= s.DiskBytes:
+		p.onDisk = true
+		s.disk += len(data)
+	default:
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
+	s.pieces[r.PathValue("digest")] = p
+}
+
+func (s *Store) piece(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	p, ok := s.pieces[r.PathValue("digest")]
+	if !ok {
+		s.mu.Unlock()
+		http.NotFound(w, r)
+		return
+	}
+	p.used = time.Now()
+	wait := s.reserve(p)
+	s.mu.Unlock()
+	time.Sleep(wait)
+	_, _ = w.Write(p.data)
+}
+
+// reserve queues the piece on its tier's link and returns how long it takes.
+func (s *Store) reserve(p *piece) time.Duration {
+	tier, bytesPerSecond := 0, s.MemoryRate
+	if p.onDisk {
+		tier, bytesPerSecond = 1, s.DiskRate
+	}
+	now := time.Now()
+	if s.busy[tier].Before(now) {
+		s.busy[tier] = now
+	}
+	seconds := float64(len(p.data)) / (bytesPerSecond * s.Fault.Scale())
+	s.busy[tier] = s.busy[tier].Add(time.Duration(seconds * float64(time.Second)))
+	return s.busy[tier].Sub(now)
+}
+
+func (s *Store) find(w http.ResponseWriter, r *http.Request) {
+	var query struct {
+		Keys []string `json:"keys"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&query); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range query.Keys {
+		if m, ok := s.manifests[key]; ok {
+			m.Used = time.Now()
+			m.Hits++
+			s.manifests[key] = m
+			fault.Answer(w, http.StatusOK, m)
+			return
+		}
+	}
+	http.NotFound(w, r)
+}
+
+func (s *Store) list(w http.ResponseWriter, _ *http.Request) {
+	var answer struct {
+		Manifests []kept.Manifest `json:"manifests"`
+		Room      int             `json:"room"`
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.manifests {
+		answer.Manifests = append(answer.Manifests, m)
+	}
+	answer.Room = s.MemoryBytes + s.DiskBytes - s.memory - s.disk
+	fault.Answer(w, http.StatusOK, answer)
+}
+
+func (s *Store) putManifest(w http.ResponseWriter, r *http.Request) {
+	var m kept.Manifest
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil || m.Key != r.PathValue("key") {
+		http.Error(w, "bad manifest", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range m.Pieces {
+		if stored, ok := s.pieces[p.Digest]; !ok || len(stored.data) != p.Bytes {
+			http.Error(w, "a piece is missing", http.StatusConflict)
+			return
+		}
+	}
+	m.Used = time.Now()
+	s.manifests[m.Key] = m
+	w.WriteHeader(http.StatusCreated)
+}
+
+func (s *Store) drop(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.manifests, r.PathValue("key"))
+	s.sweep()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// sweep deletes pieces that no manifest lists and no import uses.
+func (s *Store) sweep() {
+	listed := make(map[string]bool)
+	for _, m := range s.manifests {
+		for _, p := range m.Pieces {
+			listed[p.Digest] = true
+		}
+	}
+	now := time.Now()
+	for digest, p := range s.pieces {
+		if listed[digest] || now.Sub(p.used) < pinned || now.Sub(p.used) < orphaned {
+			continue
+		}
+		if p.onDisk {
+			s.disk -= len(p.data)
+		} else {
+			s.memory -= len(p.data)
+		}
+		delete(s.pieces, digest)
+	}
+}
--- /dev/null
+++ b/listen.go
@@ -0,0 +1,126 @@
+package thymewind
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/thymewind/thymewind/settings"
+)
+
+// listeners are the daemon's servers.
+type listeners struct {
+	callers, operators, peers *http.Server
+}
+
+// listen opens the three listeners, or none.
+func (d *Daemon) listen() (*listeners, error) {
+	operators := http.NewServeMux()
+	operators.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	operators.HandleFunc("GET /readyz", d.readyz)
+	operators.Handle("GET /metrics", promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
+	operators.HandleFunc("POST /v1/query", d.operator(d.statement))
+	operators.HandleFunc("POST /v1/changes", d.operator(d.changes))
+	peers := http.NewServeMux()
+	peers.Handle("/peer", d.peers.Handler())
+	l := &listeners{}
+	var err error
+	for _, one := range []struct {
+		server  **http.Server
+		address netip.AddrPort
+		pair    settings.Pair
+		handler http.Handler
+	}{
+		{&l.operators, d.Settings.Operators, d.Settings.TLS.Operators, operators},
+		{&l.peers, d.Settings.Peers, d.Settings.TLS.Peers, peers},
+		{&l.callers, d.Settings.Callers, d.Settings.TLS.Callers, d.front.Handler()},
+	} {
+		if *one.server, err = d.serve(one.address, one.pair, one.handler); err != nil {
+			l.close()
+			return nil, trace.Wrap(err)
+		}
+	}
+	return l, nil
+}
+
+// close drops all connections of the servers that were opened.
+func (l *listeners) close() {
+	for _, server := range []*http.Server{l.callers, l.operators, l.peers} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+// serve opens one listener and serves it in the background.
+func (d *Daemon) serve(at netip.AddrPort, pair settings.Pair, handler http.Handler) (*http.Server, error) {
+	const headerPatience = 10 * time.Second
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if pair.Certificate != "" {
+		certificate, err := tls.LoadX509KeyPair(pair.Certificate, pair.Key)
+		if err != nil {
+			_ = listener.Close()
+			return nil, trace.Wrap(err, "key pair of %v", at)
+		}
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
+	}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: headerPatience,
+		ErrorLog: d.Log.StandardLog(),
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.Log.Error("listener failed", "address", at, "err", err)
+		}
+	}()
+	return server, nil
+}
+
+// readyz says whether the balancer should send callers here.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.current.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// peerTLS returns how peers are dialled when their listener has a key pair.
+func peerTLS(s settings.TLS) (*http.Client, error) {
+	authority, err := os.ReadFile(s.PeerAuthority)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, trace.BadParameter("%s holds no certificate", s.PeerAuthority)
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
+}
+
+// drain is the planned stop: not ready first, then no new callers, then the
+// last answer, then what is still to be written.
+func (d *Daemon) drain(ctx context.Context, l *listeners) error {
+	d.stopping.Store(true)
+	d.Log.Info("stopping", "notice", d.Settings.Timing.Notice)
+	_ = wait(ctx, d.Settings.Timing.Notice)
+	// Shutdown waits for the last request, however long its answer takes.
+	err := l.callers.Shutdown(ctx)
+	d.Log.Info("last answer sent")
+	_ = l.operators.Shutdown(ctx)
+	l.close()
+	d.peers.Close()
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,55 @@
+package thymewind
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/route"
+)
+
+// message is something that happened. The loop takes one at a time.
+type message any
+
+// placeAsked asks for a place; the loop answers on reply, which has room.
+type placeAsked struct {
+	ask   route.Ask
+	reply chan<- placeAnswer
+}
+
+// placeAnswer is a place or the refusal.
+type placeAnswer struct {
+	placed route.Placed
+	err    error
+}
+
+// attemptEnded tells how an attempt that was placed went.
+type attemptEnded struct{ route.Ended }
+
+// boxesRead is the platform's list, or why it can't be read.
+type boxesRead struct {
+	list []boxes.Box
+	err  error
+}
+
+// loadRead is one target's own report, or why it gave none.
+type loadRead struct {
+	target string
+	load   engine.Load
+	err    error
+}
+
+// configurationRead is a revision from the table service or from a peer.
+type configurationRead struct {
+	configuration *configuration.Configuration
+	err           error
+	// from names the peer; empty for the table service.
+	from string
+}
+
+// inspected runs a read of the tables inside the loop, for queries.
+type inspected struct {
+	look func(now time.Time, t *tables)
+	done chan<- struct{}
+}
--- /dev/null
+++ b/operate.go
@@ -0,0 +1,164 @@
+package thymewind
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/query"
+	"github.com/thymewind/thymewind/report"
+)
+
+// maxOperation bounds an operator's request body, in bytes.
+const maxOperation = 16 << 20
+
+// operator serves operators that show a good credential.
+func (d *Daemon) operator(serve func(ctx context.Context, name string, body []byte) report.Report) http.HandlerFunc {
+	const patience = 10 * time.Second
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, ok := d.operatorName(r.Header.Get("Authorization"))
+		if !ok {
+			http.Error(w, "the operator credential is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOperation))
+		if err != nil {
+			http.Error(w, "the body is too large or did not arrive whole", http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), patience)
+		defer cancel()
+		answer := serve(ctx, name, body)
+		w.Header().Set("Content-Type", "application/json")
+		if answer.Error != "" {
+			w.WriteHeader(http.StatusUnprocessableEntity)
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+// operatorName compares with every credential, in constant time.
+func (d *Daemon) operatorName(header string) (name string, ok bool) {
+	credential, _ := strings.CutPrefix(header, "Bearer ")
+	sum := sha256.Sum256([]byte(credential))
+	got := []byte(hex.EncodeToString(sum[:]))
+	for _, o := range d.Settings.OperatorCredentials {
+		if subtle.ConstantTimeCompare(got, []byte(strings.ToLower(o.SHA256))) == 1 {
+			name, ok = o.Name, true
+		}
+	}
+	return name, ok
+}
+
+// statement serves one line of the operators' language.
+func (d *Daemon) statement(ctx context.Context, name string, body []byte) report.Report {
+	var in struct {
+		Statement string `json:"statement"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return report.Refused(trace.BadParameter("the body is not the JSON of a statement: %v", err))
+	}
+	s, err := query.Parse(in.Statement)
+	if err != nil {
+		return report.Refused(err)
+	}
+	switch {
+	case s.Help:
+		return report.Report{Text: query.Help}
+	case s.Show != nil && !fansOut(s.Show.Thing):
+		return d.show(ctx, *s.Show)
+	case s.Show != nil, s.Why != nil:
+		return d.everywhere(ctx, in.Statement, s)
+	case s.Who != nil:
+		return d.who(ctx, *s.Who)
+	case s.Leave != nil:
+		return d.leave(ctx, name, *s.Leave)
+	}
+	return d.edit(ctx, name, s)
+}
+
+// fansOut says whether each box holds rows of its own.
+func fansOut(thing string) bool { return thing == "decisions" || thing == "boxes" }
+
+// everywhere asks this box and all peers, and names those that don't answer.
+func (d *Daemon) everywhere(ctx context.Context, text string, s query.Statement) report.Report {
+	const patience = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	all := d.local(ctx, s)
+	var peers []tellPeer
+	d.inspect(ctx, func(_ time.Time, t *tables) {
+		for name, p := range t.peers.All() {
+			message := peer.Message{Kind: peer.KindQuery, From: d.Settings.Name, Statement: text}
+			peers = append(peers, tellPeer{name: name, address: p.address, message: message})
+		}
+	})
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, p := range peers {
+		calls.Go(func() {
+			answer, err := d.peers.Call(ctx, p.address, p.message)
+			var theirs report.Report
+			if err == nil {
+				err = json.Unmarshal(answer.Body, &theirs)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				all.Missing = append(all.Missing, p.name)
+			}
+			all.Rows = append(all.Rows, theirs.Rows...)
+		})
+	}
+	calls.Wait()
+	return all
+}
+
+// answerQuery serves a peer's part of a statement.
+func (d *Daemon) answerQuery(ctx context.Context, text string) []byte {
+	answer := report.Report{}
+	s, err := query.Parse(text)
+	if err != nil {
+		answer = report.Refused(err)
+	} else {
+		answer = d.local(ctx, s)
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// local answers from this box's own state.
+func (d *Daemon) local(ctx context.Context, s query.Statement) report.Report {
+	if s.Why != nil {
+		return d.why(*s.Why)
+	}
+	if s.Show == nil {
+		return report.Report{}
+	}
+	return d.show(ctx, *s.Show)
+}
+
+// inspect runs a read inside the loop.
+func (d *Daemon) inspect(ctx context.Context, look func(now time.Time, t *tables)) {
+	done := make(chan struct{})
+	if d.send(ctx, inspected{look, done}) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,61 @@
+package peer
+
+import "time"
+
+// The kinds of message.
+const (
+	// KindGossip exchanges soft state.
+	KindGossip = "gossip"
+	// KindQuery asks a box a question of the operators.
+	KindQuery = "query"
+	// KindConfiguration asks for the revision that a box holds.
+	KindConfiguration = "configuration"
+)
+
+// Message is what two daemons say to each other; answers have the same shape.
+// Only soft state travels: losing any message breaks no rule.
+type Message struct {
+	Kind string `cbor:"1,keyasint"`
+	// From names the sending box.
+	From string `cbor:"2,keyasint"`
+	// Revision is the sender's configuration revision.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
+	// Loads are reports that the sender read itself or heard of lately.
+	Loads []Load `cbor:"4,keyasint,omitempty"`
+	// Leaving names targets that take no new work.
+	Leaving []Leaving `cbor:"5,keyasint,omitempty"`
+	// Demand is the sender's use of accounts that have limits.
+	Demand []Demand `cbor:"6,keyasint,omitempty"`
+	// Statement is an operator's question.
+	Statement string `cbor:"7,keyasint,omitempty"`
+	// Body is an answer in JSON, or a configuration.
+	Body []byte `cbor:"8,keyasint,omitempty"`
+	// Error says why there is no answer.
+	Error string `cbor:"9,keyasint,omitempty"`
+}
+
+// Load is one target's report as it travels.
+type Load struct {
+	Target  string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Version string `cbor:"3,keyasint,omitempty"`
+	Running int    `cbor:"4,keyasint,omitempty"`
+	Waiting int    `cbor:"5,keyasint,omitempty"`
+	Slots   int    `cbor:"6,keyasint,omitempty"`
+	// Age is how old the report was when the message was sent.
+	Age time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// Leaving names a target at an address; a new one at another address is not
+// meant.
+type Leaving struct {
+	Target  string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// Demand is how many requests of an account a box has under way or refused
+// lately.
+type Demand struct {
+	Account  string `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/report/report.go
@@ -0,0 +1,93 @@
+// Package report is the answer to an operator's statement: rows under columns,
+// or the revision that a change made.
+//
+//	r := report.Report{Columns: []string{"name", "load"}}
+//	r.Add("engine-1", 3)
+//	r.Where("load", ">", "2")
+package report
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Report is the answer to one statement.
+type Report struct {
+	Columns []string `json:"columns,omitempty"`
+	// Rows have one value for each column.
+	Rows [][]string `json:"rows,omitempty"`
+	// Missing names boxes that should have answered but did not.
+	Missing []string `json:"missing,omitempty"`
+	// Revision is the configuration revision that a change made.
+	Revision uint64 `json:"revision,omitempty"`
+	// Change is the ID of a change, by which its outcome can be read back.
+	Change string `json:"change,omitempty"`
+	// Text is an answer in words.
+	Text string `json:"text,omitempty"`
+	// Error is why the statement was refused; empty if it was not.
+	Error string `json:"error,omitempty"`
+}
+
+// Refused returns a report of a refusal.
+func Refused(err error) Report { return Report{Error: trace.Unwrap(err).Error()} }
+
+// Add appends a row.
+func (r *Report) Add(values ...any) {
+	row := make([]string, len(values))
+	for i, v := range values {
+		row[i] = fmt.Sprint(v)
+	}
+	r.Rows = append(r.Rows, row)
+}
+
+// Where keeps the rows whose column compares as demanded; numbers compare as
+// numbers. It fails with trace.NotFound for an unknown column.
+func (r *Report) Where(column, sign, value string) error {
+	at := slices.Index(r.Columns, column)
+	if at < 0 {
+		return trace.NotFound("there is no column %q; there are %s", column, strings.Join(r.Columns, ", "))
+	}
+	r.Rows = slices.DeleteFunc(r.Rows, func(row []string) bool {
+		return !holds(compare(row[at], value), sign)
+	})
+	return nil
+}
+
+// Last keeps the last n rows; zero keeps all.
+func (r *Report) Last(n int) {
+	if n > 0 && len(r.Rows) > n {
+		r.Rows = r.Rows[len(r.Rows)-n:]
+	}
+}
+
+func holds(order int, sign string) bool {
+	switch sign {
+	case "=":
+		return order == 0
+	case "!=":
+		return order != 0
+	case "<":
+		return order < 0
+	case ">":
+		return order > 0
+	}
+	return false
+}
+
+func compare(a, b string) int {
+	x, errA := strconv.ParseFloat(a, 64)
+	y, errB := strconv.ParseFloat(b, 64)
+	switch {
+	case errA != nil || errB != nil:
+		return strings.Compare(a, b)
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,101 @@
+package thymewind
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/resume"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// askPlace asks the loop for a place.
+func (d *Daemon) askPlace(ctx context.Context, ask route.Ask) (route.Placed, error) {
+	reply := make(chan placeAnswer, 1)
+	if err := d.send(ctx, placeAsked{ask, reply}); err != nil {
+		return route.Placed{}, d.late()
+	}
+	select {
+	case answer := <-reply:
+		return answer.placed, answer.err
+	case <-ctx.Done():
+		// The loop may still count the attempt in; take it out again.
+		go func() {
+			if answer := <-reply; answer.err == nil {
+				d.tellEnded(route.Ended{Placed: answer.placed})
+			}
+		}()
+		return route.Placed{}, d.late()
+	}
+}
+
+// late refuses a request whose time was up before it was placed.
+func (d *Daemon) late() error {
+	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "too_late",
+		"the request's time was up before it was placed").After(d.jitter(time.Second))
+}
+
+// tellEnded tells the loop how an attempt ended.
+func (d *Daemon) tellEnded(e route.Ended) {
+	_ = d.send(context.Background(), attemptEnded{e})
+}
+
+// spendRetry asks the budget for one more attempt.
+func (d *Daemon) spendRetry(pool string) bool {
+	if !d.budget.Spend(pool) {
+		d.counts.retrySpent.Inc()
+		return false
+	}
+	d.counts.retries.WithLabelValues(pool).Inc()
+	return true
+}
+
+// recordRefused explains a request that was given up.
+func (d *Daemon) recordRefused(request, account string, r *refusal.Refusal) {
+	d.counts.refused.WithLabelValues(r.Code, r.Outcome).Inc()
+	d.records.Add(decision.Record{
+		At: d.now(), Kind: decision.Refused, Request: request, Account: account, Rule: r.Code,
+		Inputs: "come back after " + r.RetryAfter.String(), Result: r.Outcome + ": " + r.Reason,
+	})
+}
+
+// resumeStream relays a run again from an offset. It is not charged here: the
+// box that placed the run does that if it lives, and a charge may be lost but
+// never doubled.
+func (d *Daemon) resumeStream(ctx context.Context, token resume.Token, offset int, write func(string, int) error) (stream.Frame, error) {
+	d.records.Add(decision.Record{
+		At: d.now(), Kind: decision.Resumed, Request: token.Request, Account: token.Account,
+		Rule: "resume token", Result: token.Target.String(),
+	})
+	frames, err := d.engines.Resume(ctx, token.Target, token.Request, token.Attempt, offset)
+	if err != nil {
+		return stream.Frame{}, refusal.New(refusal.Unknown, http.StatusGone, "not_resumable", "the target has the run no more: %v", trace.Unwrap(err))
+	}
+	defer func() { _ = frames.Close() }()
+	checker := stream.Checker{Request: token.Request, Attempt: token.Attempt, Version: token.Version, Scope: token.Scope}
+	checker.Begin(offset)
+	for !checker.Complete() {
+		frame, err := frames.Next()
+		if errors.Is(err, io.EOF) {
+			err = trace.ConnectionProblem(err, "the stream was cut")
+		}
+		var text string
+		if err == nil {
+			text, err = checker.Accept(frame)
+		}
+		if err == nil && text != "" {
+			err = write(text, checker.Offset())
+		}
+		if err != nil {
+			return stream.Frame{}, refusal.New(refusal.Unknown, http.StatusBadGateway, "cut", "%v", trace.Unwrap(err))
+		}
+	}
+	return checker.End(), nil
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,50 @@
+// Package retry bounds retries to a share of the requests, so that a failing
+// pool is not buried under them.
+//
+//	b := retry.Budget{Share: 0.1, Burst: 10}
+//	b.Request("menu")
+//	if b.Spend("menu") { tryAgain() }
+package retry
+
+import "sync"
+
+// Budget counts for each pool. Set the exported fields before first use; it is
+// safe for concurrent use after that.
+type Budget struct {
+	// Share is how many retries each request earns.
+	Share float64
+	// Burst is how many retries can be saved up. A pool begins with them.
+	Burst float64
+
+	mu sync.Mutex
+	// saved lies between 0 and Burst.
+	saved map[string]float64
+}
+
+// Request notes a request, which earns a part of a retry.
+func (b *Budget) Request(pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved[b.known(pool)] = min(b.Burst, b.saved[pool]+b.Share)
+}
+
+// Spend takes one retry out of the budget, or returns false if none is left.
+func (b *Budget) Spend(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.saved[b.known(pool)] < 1 {
+		return false
+	}
+	b.saved[pool]--
+	return true
+}
+
+func (b *Budget) known(pool string) string {
+	if b.saved == nil {
+		b.saved = make(map[string]float64)
+	}
+	if _, ok := b.saved[pool]; !ok {
+		b.saved[pool] = b.Burst
+	}
+	return pool
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,72 @@
+// Package route holds what a request and the daemon's loop say to each other:
+// a request asks for a place, is placed, and tells how the attempt ended.
+//
+//	placed, err := place(ctx, route.Ask{Request: "r1", Model: "menu", Attempt: 1})
+//	...
+//	ended(route.Ended{Placed: placed})
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// Ask is what the loop needs to admit a request and place one attempt.
+type Ask struct {
+	Request string
+	Account string
+	// Model is what the caller asked for; empty for a plain service.
+	Model string
+	// Pool is the pool of a plain service; a model's follows from Model.
+	Pool    string
+	Attempt int
+	// Prompt bytes to name prefixes by.
+	Prompt string
+	// Tokens is the largest number of tokens the request may use.
+	Tokens int
+	// Exclude names targets that failed this request already.
+	Exclude []string
+	// AvoidDomain is the failure domain of the last failure, avoided if
+	// another one serves.
+	AvoidDomain string
+	// Version pins a further attempt to the first one's weight version.
+	Version string
+}
+
+// Placed is the loop's answer.
+type Placed struct {
+	Request string
+	Account string
+	Pool    string
+	Attempt int
+	Target  string
+	Address netip.AddrPort
+	Domain  string
+	Version string
+	// Scope separates the cache by client account and weight version.
+	Scope      prefix.Key
+	PieceBytes int
+	// Import names kept cache to fetch, if that is thought to be faster.
+	Import *engine.Import
+	// Rule says why this target.
+	Rule string
+}
+
+// Ended tells the loop how one attempt went.
+type Ended struct {
+	Placed Placed
+	// Failed says that the target broke off or could not be reached.
+	Failed bool
+	// Refused says that the target refused before starting.
+	Refused bool
+	// Leaving says that the target says that it is leaving.
+	Leaving bool
+	// FirstToken is the time from sending to the first text; zero if none came.
+	FirstToken time.Duration
+	// End is the accepted end frame of a whole answer.
+	End stream.Frame
+}
--- /dev/null
+++ b/stream/stream.go
@@ -0,0 +1,148 @@
+// Package stream checks an engine's stream of answer pieces, so that only the
+// whole answer to the right request is ever reported as a success.
+//
+//	c := stream.Checker{Request: "r1", Attempt: 1, Version: "v7"}
+//	text, err := c.Accept(frame)
+//	...
+//	if !c.Complete() { // the stream was cut; resume at c.Offset()
+//	}
+package stream
+
+import "github.com/gravitational/trace"
+
+// The kinds of frame.
+const (
+	// KindStart opens a stream and says what the run uses.
+	KindStart = "start"
+	// KindPiece carries text.
+	KindPiece = "piece"
+	// KindEnd closes a complete answer.
+	KindEnd = "end"
+	// KindError closes a run that failed.
+	KindError = "error"
+)
+
+// Frame is one message of an engine's stream, a line of JSON.
+type Frame struct {
+	Kind    string `json:"kind"`
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	// Version is the weight version of the run. Start frames only.
+	Version string `json:"version,omitempty"`
+	// Scope is the cache scope that the run reads and writes. Start frames only.
+	Scope string `json:"scope,omitempty"`
+	// Offset is where Text begins in the answer, in bytes.
+	Offset int    `json:"offset"`
+	Text   string `json:"text,omitempty"`
+	// Total is the answer's length in bytes. End frames only.
+	Total  int    `json:"total,omitempty"`
+	Finish string `json:"finish,omitempty"`
+	Usage  Usage  `json:"usage,omitzero"`
+	Error  string `json:"error,omitempty"`
+}
+
+// Usage is what a run cost by the engine's own count, in tokens.
+type Usage struct {
+	Prompt int `json:"prompt"`
+	// Reused is the part of Prompt that was in the engine's cache already.
+	Reused int `json:"reused"`
+	// Imported is the part of Prompt that came from a store box.
+	Imported   int `json:"imported"`
+	Completion int `json:"completion"`
+}
+
+// Checker accepts the frames of one request. Set the exported fields before
+// the first Accept. It is not safe for concurrent use.
+type Checker struct {
+	Request string
+	Attempt int
+	// Version is the weight version that the request was pinned to.
+	Version string
+	// Scope is the cache scope of the request's client account and Version.
+	Scope string
+
+	// offset is the length of the text accepted so far, over all attempts.
+	offset int
+	// started says that this attempt's start frame was checked.
+	started bool
+	end     Frame
+	ended   bool
+}
+
+// Next begins another attempt, which goes on behind the text accepted so far.
+func (c *Checker) Next(attempt int) {
+	c.Attempt = attempt
+	c.started = false
+}
+
+// Begin sets where a resumed answer goes on.
+func (c *Checker) Begin(offset int) { c.offset = offset }
+
+// Offset returns the length of the text accepted so far.
+func (c *Checker) Offset() int { return c.offset }
+
+// Started says that the current attempt's start frame was accepted.
+func (c *Checker) Started() bool { return c.started }
+
+// Complete says that the end frame was accepted and the text is whole.
+func (c *Checker) Complete() bool { return c.ended }
+
+// End returns the accepted end frame.
+func (c *Checker) End() Frame { return c.end }
+
+// Accept checks one frame and returns the new text in it. Text that was
+// accepted before is cut off; a gap, another run's frame, another weight
+// version or text behind the end is a trace.CompareFailed error, after which
+// nothing of this attempt may be relayed.
+func (c *Checker) Accept(f Frame) (string, error) {
+	if c.ended {
+		return "", trace.CompareFailed("a frame came behind the end of request %s", c.Request)
+	}
+	if f.Request != c.Request || f.Attempt != c.Attempt {
+		return "", trace.CompareFailed("a frame of %s/%d came on the stream of %s/%d", f.Request, f.Attempt, c.Request, c.Attempt)
+	}
+	if f.Kind != KindStart && f.Kind != KindError && !c.started {
+		return "", trace.CompareFailed("a %q frame came before the start", f.Kind)
+	}
+	switch f.Kind {
+	case KindStart:
+		return "", c.start(f)
+	case KindPiece:
+		return c.piece(f)
+	case KindEnd:
+		return "", c.finish(f)
+	case KindError:
+		return "", trace.Errorf("the engine gave up: %s", f.Error)
+	}
+	return "", trace.BadParameter("unknown kind of frame %q", f.Kind)
+}
+
+func (c *Checker) start(f Frame) error {
+	if f.Version != c.Version || f.Scope != c.Scope {
+		return trace.CompareFailed("the run uses version %q and scope %q, want %q and %q", f.Version, f.Scope, c.Version, c.Scope)
+	}
+	c.started = true
+	return nil
+}
+
+func (c *Checker) piece(f Frame) (string, error) {
+	if f.Offset > c.offset {
+		return "", trace.CompareFailed("%d bytes are missing before offset %d", f.Offset-c.offset, f.Offset)
+	}
+	known := c.offset - f.Offset
+	if known >= len(f.Text) {
+		return "", nil
+	}
+	text := f.Text[known:]
+	c.offset += len(text)
+	return text, nil
+}
+
+func (c *Checker) finish(f Frame) error {
+	if f.Total != c.offset {
+		return trace.CompareFailed("the answer has %d bytes, %d came", f.Total, c.offset)
+	}
+	c.end = f
+	c.ended = true
+	return nil
+}
--- /dev/null
+++ b/systems.go
@@ -0,0 +1,99 @@
+package thymewind
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/placement"
+)
+
+// system runs over the tables each tick and returns effects.
+type system func(now time.Time, t *tables) []effect
+
+// The keys of reads under way in tables.pending; targets use their names,
+// which can't hold a space.
+const (
+	pendingBoxes         = "the boxes"
+	pendingConfiguration = "the configuration"
+)
+
+// watchers is how many boxes read each target's load.
+const watchers = 2
+
+// pollPlatform reads the list of boxes and the configuration's head.
+func (d *Daemon) pollPlatform(now time.Time, t *tables) []effect {
+	var effects []effect
+	if !now.Before(t.due.boxes) && !t.pending[pendingBoxes] {
+		t.due.boxes = now.Add(d.jitter(d.Settings.Timing.Poll))
+		t.pending[pendingBoxes] = true
+		effects = append(effects, readBoxes{})
+	}
+	if !now.Before(t.due.configuration) && !t.pending[pendingConfiguration] {
+		t.due.configuration = now.Add(d.jitter(d.Settings.Timing.Poll))
+		t.pending[pendingConfiguration] = true
+		effects = append(effects, readConfiguration{have: t.configuration})
+	}
+	return effects
+}
+
+// pollLoads reads the load of the targets that this box watches.
+func (d *Daemon) pollLoads(now time.Time, t *tables) []effect {
+	if now.Before(t.due.loads) {
+		return nil
+	}
+	t.due.loads = now.Add(d.Settings.Timing.Load)
+	var effects []effect
+	for name, x := range t.targets.All() {
+		p := t.configuration.Pools[x.Pool]
+		if p.Kind != "model" || t.pending[name] || !d.watches(t, x.Hash) {
+			continue
+		}
+		t.pending[name] = true
+		effects = append(effects, readLoad{target: name, address: x.Address})
+	}
+	return effects
+}
+
+// watches says whether this box is one of the watchers of a target, by
+// rendezvous hash over the entry boxes.
+func (d *Daemon) watches(t *tables, hash uint64) bool {
+	mine := placement.Weight(placement.Hash(d.Settings.Name), hash)
+	better := 0
+	for name, p := range t.peers.All() {
+		if !p.leaving && placement.Weight(placement.Hash(name), hash) > mine {
+			better++
+		}
+	}
+	return better < watchers
+}
+
+// count writes the tables' sizes into the metrics.
+func (d *Daemon) count(now time.Time, t *tables) []effect {
+	for name, targets := range t.pools {
+		usable := 0
+		for _, x := range targets {
+			if x.Usable(now) {
+				usable++
+			}
+		}
+		d.counts.usable.WithLabelValues(name).Set(float64(usable))
+		d.counts.inFlight.WithLabelValues(name).Set(float64(t.gate.InFlight(name)))
+	}
+	d.counts.peers.Set(float64(t.peers.Len()))
+	return nil
+}
+
+// randomPeers returns up to n peers that are not leaving.
+func (d *Daemon) randomPeers(t *tables, n int) []string {
+	var names []string
+	for name, p := range t.peers.All() {
+		if !p.leaving {
+			names = append(names, name)
+		}
+	}
+	for i := range min(n, len(names)) {
+		j := i + int(d.random()%uint64(len(names)-i))
+		names[i], names[j] = names[j], names[i]
+	}
+	return slices.Clip(names[:min(n, len(names))])
+}
--- /dev/null
+++ b/tables.go
@@ -0,0 +1,86 @@
+package thymewind
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/admission"
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/entity"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/target"
+)
+
+// tables are the entities that the loop owns. Only the loop touches them.
+type tables struct {
+	configuration *configuration.Configuration
+	targets       entity.Table[string, *target.Target]
+	// pools lists the targets of each pool in name order.
+	pools  map[string][]*target.Target
+	stores entity.Table[string, boxes.Box]
+	peers  entity.Table[string, peerBox]
+	gate   admission.Gate
+	due    due
+	// listed is when the platform's list was last read.
+	listed time.Time
+	// turn is where the next message to peers begins in the targets.
+	turn int
+	// pending marks reads that were sent and not answered yet.
+	pending map[string]bool
+}
+
+// peerBox is another entry box.
+type peerBox struct {
+	address netip.AddrPort
+	domain  string
+	// leaving is set by the list.
+	leaving bool
+	// revision is the configuration revision last heard of.
+	revision uint64
+	// demand is its use of limited accounts.
+	demand []peer.Demand
+	heard  time.Time
+}
+
+// due is when the systems next have something to read or send.
+type due struct {
+	boxes         time.Time
+	configuration time.Time
+	gossip        time.Time
+	loads         time.Time
+}
+
+// capacity is how many requests the pool's usable targets take at once.
+func (t *tables) capacity(now time.Time, pool string) int {
+	perTarget := t.configuration.Pools[pool].Concurrency
+	sum := 0
+	for _, x := range t.pools[pool] {
+		if x.Usable(now) {
+			sum += perTarget
+		}
+	}
+	return sum
+}
+
+// load is the requests thought to be on the pool's usable targets.
+func (t *tables) load(now time.Time, pool string) int {
+	sum := 0
+	for _, x := range t.pools[pool] {
+		if x.Usable(now) {
+			sum += x.Load()
+		}
+	}
+	return sum
+}
+
+// boxCount is how many entry boxes share the work, this one included.
+func (t *tables) boxCount() int {
+	n := 1
+	for _, p := range t.peers.All() {
+		if !p.leaving {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/update.go
@@ -0,0 +1,179 @@
+package thymewind
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/target"
+)
+
+// update changes the tables for one message and returns what to do about it.
+func (d *Daemon) update(now time.Time, m message) []effect {
+	t := &d.tables
+	switch m := m.(type) {
+	case placeAsked:
+		placed, err := d.place(now, t, m.ask)
+		m.reply <- placeAnswer{placed, err}
+	case attemptEnded:
+		return d.ended(now, t, m)
+	case boxesRead:
+		d.boxesRead(now, t, m)
+	case loadRead:
+		d.loadRead(now, t, m)
+	case configurationRead:
+		return d.configurationRead(now, t, m)
+	case peerSaid:
+		effects := d.heard(now, t, m.message)
+		m.reply <- d.state(now, t)
+		return effects
+	case peerAnswered:
+		if m.err == nil && m.message.Error == "" {
+			return d.heard(now, t, m.message)
+		}
+	case inspected:
+		m.look(now, t)
+		close(m.done)
+	}
+	return nil
+}
+
+// boxesRead takes the platform's list over. A target that is not listed gets
+// no new work; one that moved to another address starts afresh.
+func (d *Daemon) boxesRead(now time.Time, t *tables, m boxesRead) {
+	delete(t.pending, pendingBoxes)
+	if m.err != nil {
+		d.counts.platformErrors.WithLabelValues("boxes").Inc()
+		return
+	}
+	t.listed = now
+	listed := make(map[string]bool, len(m.list))
+	for _, b := range m.list {
+		listed[b.Name] = true
+		switch b.Role {
+		case boxes.RoleEntry:
+			if b.Name != d.Settings.Name {
+				d.listPeer(t, b)
+			}
+		case boxes.RoleStore:
+			t.stores.Put(b.Name, b)
+		case boxes.RoleEngine, boxes.RoleService:
+			d.listTarget(t, b)
+		}
+	}
+	d.unlist(t, listed)
+	t.group()
+}
+
+func (d *Daemon) listPeer(t *tables, b boxes.Box) {
+	p, _ := t.peers.Lookup(b.Name)
+	p.address, p.domain, p.leaving = b.Peer, b.Domain, b.Leaving
+	t.peers.Put(b.Name, p)
+}
+
+func (d *Daemon) listTarget(t *tables, b boxes.Box) {
+	x, known := t.targets.Lookup(b.Name)
+	if !known || x.Address != b.Address {
+		x = &target.Target{Name: b.Name, Address: b.Address, Hash: placement.Hash(b.Name)}
+		t.targets.Put(b.Name, x)
+	}
+	x.Pool, x.Domain, x.Listed = b.Pool, b.Domain, true
+	if b.Leaving && !x.Leaving {
+		x.Leaving = true
+		d.Log.Info("target is leaving", "target", x.Name, "heard", "list")
+	}
+}
+
+// unlist marks what the list no longer names. Targets with requests under way
+// are kept until those end.
+func (d *Daemon) unlist(t *tables, listed map[string]bool) {
+	for _, name := range t.targets.Keys() {
+		x, _ := t.targets.Lookup(name)
+		if listed[name] {
+			continue
+		}
+		x.Listed = false
+		if x.InFlight == 0 {
+			t.targets.Delete(name)
+		}
+	}
+	for _, name := range t.stores.Keys() {
+		if !listed[name] {
+			t.stores.Delete(name)
+		}
+	}
+	for _, name := range t.peers.Keys() {
+		if !listed[name] {
+			t.peers.Delete(name)
+		}
+	}
+}
+
+// group lists the targets by pool anew.
+func (t *tables) group() {
+	t.pools = make(map[string][]*target.Target)
+	for _, x := range t.targets.All() {
+		t.pools[x.Pool] = append(t.pools[x.Pool], x)
+	}
+}
+
+// loadRead takes a target's own report over.
+func (d *Daemon) loadRead(now time.Time, t *tables, m loadRead) {
+	delete(t.pending, m.target)
+	x, known := t.targets.Lookup(m.target)
+	if !known {
+		return
+	}
+	if m.err != nil {
+		d.counts.loadErrors.Inc()
+		d.fail(now, x)
+		return
+	}
+	x.Running, x.Waiting, x.Slots = m.load.Running, m.load.Waiting, m.load.Slots
+	x.Version = m.load.Version
+	x.ReportedAt = now
+	x.SentSince = 0
+	if m.load.Leaving {
+		d.markLeaving(x, "load report")
+	}
+}
+
+// markLeaving stops new work to a target for good.
+func (d *Daemon) markLeaving(x *target.Target, heard string) {
+	if x.Leaving {
+		return
+	}
+	x.Leaving = true
+	d.Log.Info("target is leaving", "target", x.Name, "heard", heard)
+}
+
+// fail keeps new work off a target for a while that grows with its failures.
+func (d *Daemon) fail(now time.Time, x *target.Target) {
+	const (
+		first   = 500 * time.Millisecond
+		longest = 8 * time.Second
+	)
+	if x.Failures == 0 {
+		d.Log.Warn("target fails", "target", x.Name)
+	}
+	x.Failures++
+	pause := min(first<<min(x.Failures-1, 10), longest)
+	x.AvoidUntil = now.Add(pause)
+}
+
+// configurationRead puts a revision in force. A lower one is never taken.
+func (d *Daemon) configurationRead(now time.Time, t *tables, m configurationRead) []effect {
+	delete(t.pending, pendingConfiguration)
+	if m.err != nil {
+		d.counts.platformErrors.WithLabelValues("configuration").Inc()
+		return nil
+	}
+	if m.configuration == nil || m.configuration.Revision <= t.configuration.Revision {
+		return nil
+	}
+	t.configuration = m.configuration
+	d.current.Store(m.configuration)
+	d.counts.revision.Set(float64(m.configuration.Revision))
+	d.Log.Info("configuration in force", "revision", m.configuration.Revision, "from", m.from)
+	return d.tell(now, t)
+}
