feat(thymewind): leases, charges, kept cache, weight rollouts

Cause: the thin path only placed and relayed; duties, charges, kept cache and rollouts were missing. Ruled out: one manifest for a whole prompt (a prompt that returns with another ending would find nothing), a manifest for each boundary that lists all pieces before it (grows with the square, and eviction frees less than it counts). Before: none of it.

--- /dev/null
+++ b/bill.go
@@ -0,0 +1,60 @@
+package thymewind
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// The pace of charging. Every box writes now and then; the more boxes there
+// are, the less often, so that all together stay within the table service.
+const (
+	flushShortest = time.Second
+	flushPerBox   = 60 * time.Millisecond
+	applyEvery    = 2 * time.Second
+)
+
+// flushCharges writes this box's charges.
+type flushCharges struct{}
+
+// applyCharges adds all boxes' batches to the accounts, for the duty's holder.
+type applyCharges struct{}
+
+// charged tells that either is done.
+type charged struct {
+	pending string
+	err     error
+}
+
+// bill writes charges and, if this box has the duty, applies them.
+func (d *Daemon) bill(now time.Time, t *tables) []effect {
+	var effects []effect
+	if !now.Before(t.due.flush) && !t.pending[pendingFlush] && d.ledger.Waiting() > 0 {
+		t.due.flush = now.Add(d.jitter(max(flushShortest, time.Duration(t.boxCount())*flushPerBox)))
+		t.pending[pendingFlush] = true
+		effects = append(effects, flushCharges{})
+	}
+	x, known := t.held[dutyCharges]
+	if !known || now.Before(t.due.apply) || t.pending[pendingApply] {
+		return effects
+	}
+	if _, _, ok := x.lease.Held(); ok {
+		t.due.apply = now.Add(applyEvery)
+		t.pending[pendingApply] = true
+		effects = append(effects, applyCharges{})
+	}
+	return effects
+}
+
+func (d *Daemon) charged(t *tables, m charged) {
+	delete(t.pending, m.pending)
+	if m.err != nil {
+		d.counts.platformErrors.WithLabelValues("charges").Inc()
+	}
+}
+
+func (d *Daemon) applyCharges(ctx context.Context) message {
+	_, err := d.ledger.Apply(ctx)
+	return charged{pendingApply, trace.Wrap(err)}
+}
--- a/build.go
+++ b/build.go
@@ -7,17 +7,22 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/caller"
+	"github.com/thymewind/thymewind/charge"
 	"github.com/thymewind/thymewind/claim"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/decision"
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/kept"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/relay"
 	"github.com/thymewind/thymewind/resume"
 	"github.com/thymewind/thymewind/retry"
@@ -37,6 +42,7 @@
 	retryShare     = 0.1
 	retryBurst     = 20
 	backlog        = 1024
+	maxUnwritten   = 10000
 )
 
 // parts are the packages that the daemon is put together from.
@@ -49,6 +55,8 @@
 	table   table.Client
 	rows    configuration.Rows
 	engines engine.Client
+	stores  kept.Store
+	ledger  charge.Ledger
 	claims  claim.Book
 	budget  retry.Budget
 	peers   peer.Node
@@ -65,11 +73,19 @@
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
 	d.records = decision.Ring{Size: d.Settings.Limits.Records, Box: d.Settings.Name}
-	d.tables = tables{configuration: &configuration.Configuration{}, pending: make(map[string]bool)}
+	recent, err := lru.NewLRU[prefix.Key, string](recentPrompts, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.tables = tables{
+		configuration: &configuration.Configuration{}, pending: make(map[string]bool), held: make(map[string]*duty),
+		reuse: make(map[string]*reuseState), storeAvoid: make(map[string]time.Time), recent: recent,
+	}
 	d.chooser = placement.Chooser{Bound: loadBound, Random: d.random}
 	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
-	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.count}
+	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.watchRoom, d.count}
 	d.buildPlatform()
+	d.buildLedger()
 	d.buildPeers()
 	d.buildRequests()
 	return nil
@@ -88,6 +104,14 @@
 	}
 }
 
+// buildLedger starts a ledger of this run's own.
+func (d *Daemon) buildLedger() {
+	d.ledger = charge.Ledger{
+		Incarnation: d.Settings.Name + "-" + newID(), Commit: d.table.Commit, Read: d.table.Read, ListAll: d.table.ListAll,
+		MaxAccounts: maxUnwritten, Lost: func(n int) { d.counts.chargesLost.Add(float64(n)) },
+	}
+}
+
 func (d *Daemon) buildPeers() {
 	d.peers = peer.Node{
 		Credential: d.Settings.PeerCredential, Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
@@ -101,6 +125,7 @@
 	d.engines = engine.Client{HTTP: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true,
 	}}}
+	d.stores = kept.Store{HTTP: d.engines.HTTP}
 	for _, key := range d.Settings.TokenKeys {
 		d.signer.Keys = append(d.signer.Keys, []byte(key))
 	}
--- a/edit.go
+++ b/edit.go
@@ -123,6 +123,7 @@
 func edited(c *configuration.Configuration, e query.Edit, exists bool) (configuration.Entry, error) {
 	entry := configuration.Entry{Kind: e.Kind, Name: e.Name}
 	var err error
+	e.Set = append(e.Set, previousWeights(c, e)...)
 	switch e.Kind {
 	case configuration.KindAccount:
 		entry.After, err = assign(c.Accounts, e, exists, account.Account{Name: e.Name, Weight: 1})
@@ -134,6 +135,18 @@
 	return entry, trace.Wrap(err)
 }
 
+// previousWeights lets targets that are not rolled over yet go on serving the
+// version that a changed pool had before.
+func previousWeights(c *configuration.Configuration, e query.Edit) []query.Assignment {
+	before := c.Pools[e.Name].Weights
+	for _, a := range e.Set {
+		if e.Kind == configuration.KindPool && a.Field == "weights" && before != "" && a.JSON() != quote(before) {
+			return []query.Assignment{{Field: "previous", List: nil, Value: &query.Literal{Text: &before}}}
+		}
+	}
+	return nil
+}
+
 func assign[V any](all map[string]V, e query.Edit, exists bool, fresh V) (json.RawMessage, error) {
 	v, known := all[e.Name]
 	switch {
--- a/effect.go
+++ b/effect.go
@@ -65,6 +65,20 @@
 	case readLoad:
 		load, err := d.engines.Load(ctx, e.address)
 		return loadRead{e.target, load, err}
+	case stepLease:
+		return leaseStepped{e.duty, e.lease.Step(ctx)}
+	case readOrders:
+		return d.readOrders(ctx, e)
+	case sendOrder:
+		_ = d.order(ctx, e) // The record and the target's report tell.
+	case flushCharges:
+		return charged{pendingFlush, d.ledger.Flush(ctx)}
+	case applyCharges:
+		return d.applyCharges(ctx)
+	case exportCache:
+		return d.export(context.WithoutCancel(ctx), e.placed)
+	case makeRoom:
+		return d.makeRoom(ctx, e)
 	case tellPeer:
 		answer, err := d.peers.Call(ctx, e.address, e.message)
 		return peerAnswered{name: e.name, message: answer, err: err}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -39,18 +39,21 @@
 
 // Import names kept cache and the store box that holds it.
 type Import struct {
-	Store    netip.AddrPort `json:"store"`
-	Manifest kept.Manifest  `json:"manifest"`
+	Store netip.AddrPort `json:"store"`
+	// Run are the manifests from the prompt's first boundary on.
+	Run []kept.Manifest `json:"run"`
 }
 
 // Load is what an engine reports of itself, with a lag.
 type Load struct {
-	Name    string    `json:"name"`
-	Version string    `json:"version"`
-	Slots   int       `json:"slots"`
-	Running int       `json:"running"`
-	Waiting int       `json:"waiting"`
-	Leaving bool      `json:"leaving"`
+	Name    string `json:"name"`
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+	Leaving bool   `json:"leaving"`
+	// Loading says that weights are being loaded; no run starts meanwhile.
+	Loading bool      `json:"loading"`
 	Epoch   uint64    `json:"epoch"`
 	At      time.Time `json:"at"`
 }
--- a/gossip.go
+++ b/gossip.go
@@ -80,7 +80,7 @@
 func loadOf(x *target.Target, age time.Duration) peer.Load {
 	return peer.Load{
 		Target: x.Name, Address: x.Address.String(), Version: x.Version,
-		Running: x.Running, Waiting: x.Waiting, Slots: x.Slots, Age: age,
+		Loading: x.Loading, Running: x.Running, Waiting: x.Waiting, Slots: x.Slots, Age: age,
 	}
 }
 
@@ -114,6 +114,7 @@
 		return
 	}
 	x.Running, x.Waiting, x.Slots, x.Version = l.Running, l.Waiting, l.Slots, l.Version
+	x.Loading = l.Loading
 	x.ReportedAt = at
 	x.SentSince = 0
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -139,7 +139,7 @@
 func (e *Engine) now(at time.Time) api.Load {
 	return api.Load{
 		Name: e.Name, Version: e.version, Slots: e.Slots, Running: e.running, Waiting: len(e.queue),
-		Leaving: e.Fault.State().Leaving, Epoch: e.epoch, At: at,
+		Leaving: e.Fault.State().Leaving, Epoch: e.epoch, Loading: e.loading, At: at,
 	}
 }
 
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -138,12 +138,15 @@
 	}
 	e.mu.Unlock()
 	imported := 0
-	if x.ask.Import != nil && len(x.ask.Import.Manifest.Pieces) > reused {
+	began := time.Now()
+	if x.ask.Import != nil && len(x.ask.Import.Run) > reused {
 		imported = e.importKept(x, reused)
 	}
+	importing := time.Since(began)
 	total := (len(x.ask.Prompt) + bytesPerToken - 1) / bytesPerToken
 	left := total - (reused+imported)*piece
-	time.Sleep(time.Duration(float64(left) / (e.Prefill * e.Fault.Scale()) * float64(time.Second)))
+	computing := time.Duration(float64(left) / (e.Prefill * e.Fault.Scale()) * float64(time.Second))
+	time.Sleep(computing)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, key := range x.keys {
@@ -153,24 +156,29 @@
 		e.cache.Add(key.String(), struct{}{})
 	}
 	x.usage = stream.Usage{Prompt: total, Reused: reused * piece, Imported: imported * piece}
+	x.usage.PrefillMillis = float64(computing.Microseconds()) / 1000
+	x.usage.ImportMillis = float64(importing.Microseconds()) / 1000
 }
 
 // importKept fetches the pieces behind the reused ones. It uses all or none,
 // each checked by digest and against the prompt itself.
 func (e *Engine) importKept(x *run, reused int) int {
-	m := x.ask.Import.Manifest
-	if len(m.Pieces) > len(x.keys) || kept.Check(m, x.ask.Scope, m.Key) != nil {
+	run := x.ask.Import.Run
+	if len(run) > len(x.keys) {
 		return 0
 	}
 	ctx, cancel := contextFor(5 * time.Second)
 	defer cancel()
-	for i, p := range m.Pieces[reused:] {
-		data, err := e.store.Piece(ctx, x.ask.Import.Store, p)
+	for i, m := range run[reused:] {
+		if kept.Check(m, x.ask.Scope, m.Key, reused+i) != nil {
+			return 0
+		}
+		data, err := e.store.Piece(ctx, x.ask.Import.Store, m.Piece)
 		if err != nil || !bytes.Equal(data, e.kv(x.keys[reused+i])) {
 			return 0
 		}
 	}
-	return len(m.Pieces) - reused
+	return len(run) - reused
 }
 
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -50,8 +50,9 @@
 	mux.HandleFunc("PUT /v1/pieces/{digest}", s.putPiece)
 	mux.HandleFunc("GET /v1/pieces/{digest}", s.piece)
 	mux.HandleFunc("POST /v1/find", s.find)
+	mux.HandleFunc("GET /v1/room", s.room)
 	mux.HandleFunc("GET /v1/manifests", s.list)
-	mux.HandleFunc("PUT /v1/manifests/{key}", s.putManifest)
+	mux.HandleFunc("PUT /v1/manifests", s.putManifest)
 	mux.HandleFunc("DELETE /v1/manifests/{key}", s.drop)
 	return s.Fault.Wrap(mux)
 }
@@ -125,48 +126,61 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var answer manifests
 	for _, key := range query.Keys {
-		if m, ok := s.manifests[key]; ok {
-			m.Used = time.Now()
-			m.Hits++
-			s.manifests[key] = m
-			fault.Answer(w, http.StatusOK, m)
-			return
+		m, ok := s.manifests[key]
+		if !ok {
+			break
 		}
+		m.Used = time.Now()
+		m.Hits++
+		s.manifests[key] = m
+		answer.Manifests = append(answer.Manifests, m)
 	}
-	http.NotFound(w, r)
+	fault.Answer(w, http.StatusOK, answer)
+}
+
+// manifests is how manifests travel.
+type manifests struct {
+	Manifests []kept.Manifest `json:"manifests"`
 }
 
 func (s *Store) list(w http.ResponseWriter, _ *http.Request) {
-	var answer struct {
-		Manifests []kept.Manifest `json:"manifests"`
-		Room      int             `json:"room"`
-	}
+	var answer manifests
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.manifests {
 		answer.Manifests = append(answer.Manifests, m)
 	}
-	answer.Room = s.MemoryBytes + s.DiskBytes - s.memory - s.disk
 	fault.Answer(w, http.StatusOK, answer)
 }
 
+func (s *Store) room(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := s.MemoryBytes + s.DiskBytes
+	fault.Answer(w, http.StatusOK, struct {
+		Free int `json:"free"`
+		Size int `json:"size"`
+	}{size - s.memory - s.disk, size})
+}
+
 func (s *Store) putManifest(w http.ResponseWriter, r *http.Request) {
-	var m kept.Manifest
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil || m.Key != r.PathValue("key") {
-		http.Error(w, "bad manifest", http.StatusBadRequest)
+	var body manifests
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, "bad manifests", http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range m.Pieces {
-		if stored, ok := s.pieces[p.Digest]; !ok || len(stored.data) != p.Bytes {
+	for _, m := range body.Manifests {
+		if stored, ok := s.pieces[m.Piece.Digest]; !ok || len(stored.data) != m.Piece.Bytes {
 			http.Error(w, "a piece is missing", http.StatusConflict)
 			return
 		}
+		m.Used = time.Now()
+		s.manifests[m.Key] = m
 	}
-	m.Used = time.Now()
-	s.manifests[m.Key] = m
 	w.WriteHeader(http.StatusCreated)
 }
 
@@ -182,9 +196,7 @@
 func (s *Store) sweep() {
 	listed := make(map[string]bool)
 	for _, m := range s.manifests {
-		for _, p := range m.Pieces {
-			listed[p.Digest] = true
-		}
+		listed[m.Piece.Digest] = true
 	}
 	now := time.Now()
 	for digest, p := range s.pieces {
--- /dev/null
+++ b/keep.go
@@ -0,0 +1,272 @@
+package thymewind
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/retention"
+	"github.com/thymewind/thymewind/reuse"
+	"github.com/thymewind/thymewind/route"
+)
+
+// The bounds of finding and keeping cache.
+const (
+	findPatience   = 100 * time.Millisecond
+	exportPatience = 10 * time.Second
+	storePause     = 2 * time.Second
+	roomEvery      = 2 * time.Second
+	roomLeast      = 0.1
+	// recentPrompts bounds the prompts remembered as served lately.
+	recentPrompts = 8192
+)
+
+// reuseState is what the loop knows about one pool's cache.
+type reuseState struct {
+	estimate reuse.Estimate
+	policy   retention.Policy
+	// bytesPerToken is what one token's KV cache takes; zero if not known.
+	bytesPerToken float64
+}
+
+// storeFailed tells that a store box did not answer.
+type storeFailed struct{ store string }
+
+// exportCache has an engine write a prompt's cache to a store box.
+type exportCache struct{ placed route.Placed }
+
+// cacheExported is how that went.
+type cacheExported struct {
+	placed route.Placed
+	run    []kept.Manifest
+	err    error
+}
+
+// makeRoom drops cache from a store box that fills up.
+type makeRoom struct {
+	store   string
+	address netip.AddrPort
+}
+
+// roomMade tells that the store box has been looked at.
+type roomMade struct {
+	store   string
+	dropped int
+	err     error
+}
+
+// storeOf returns the store box that keeps a prompt's cache: the best ranked
+// one that is not failing.
+func (d *Daemon) storeOf(now time.Time, t *tables, home prefix.Key) (boxes.Box, bool) {
+	var best boxes.Box
+	var weight uint64
+	found := false
+	for name, b := range t.stores.All() {
+		w := placement.Weight(home.Rank(), placement.Hash(name))
+		if now.Before(t.storeAvoid[name]) || b.Leaving || (found && w <= weight) {
+			continue
+		}
+		best, weight, found = b, w, true
+	}
+	return best, found
+}
+
+// findKept looks for kept cache of a prompt that was placed and decides whether
+// to import it. It runs on the request's own goroutine.
+func (d *Daemon) findKept(ctx context.Context, placed *route.Placed, prompt string) {
+	placed.Keys = prefix.Chain(placed.Scope, []byte(prompt), max(placed.PieceBytes, 1))
+	if placed.Warm || !placed.Store.IsValid() || len(placed.Keys) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, findPatience)
+	defer cancel()
+	keys := texts(placed.Keys)
+	run, err := d.stores.Find(ctx, placed.Store, keys)
+	if err != nil {
+		_ = d.send(context.WithoutCancel(ctx), storeFailed{placed.StoreName})
+		return
+	}
+	usable := kept.Usable(run, placed.Scope.String(), keys)
+	if len(usable) < len(run) {
+		d.counts.kept.WithLabelValues("wrong").Inc()
+	}
+	if len(usable) == 0 {
+		d.counts.kept.WithLabelValues("missed").Inc()
+		return
+	}
+	d.counts.kept.WithLabelValues("found").Inc()
+	placed.KeptPieces = len(usable)
+	d.decideImport(placed, prompt, usable)
+}
+
+func texts(keys []prefix.Key) []string {
+	all := make([]string, len(keys))
+	for i, key := range keys {
+		all[i] = key.String()
+	}
+	return all
+}
+
+// decideImport imports a run of kept cache if that is predicted to cost less
+// than computing.
+func (d *Daemon) decideImport(placed *route.Placed, prompt string, run []kept.Manifest) {
+	p := d.currentOrEmpty().Pools[placed.Pool]
+	tokens, bytes := kept.Size(run)
+	choice := reuse.Choice{Tokens: len(prompt) / bytesPerToken, Kept: tokens, Bytes: bytes}
+	record := decision.Record{
+		At: d.now(), Kind: decision.Reused, Request: placed.Request, Account: placed.Account, Pool: placed.Pool,
+		Rule:   "import is predicted to cost less",
+		Inputs: fmt.Sprintf("%d tokens kept in %d bytes; prefill %.0f tokens/s, link %.0f bytes/s", choice.Kept, choice.Bytes, placed.Estimate.Prefill, placed.Estimate.Link),
+		Result: "import from " + placed.StoreName,
+	}
+	if placed.Estimate.Better(p.Policy, choice) {
+		placed.Import = &engine.Import{Store: placed.Store, Run: run}
+	} else {
+		record.Rule, record.Result = "computing is predicted to cost less", "compute"
+	}
+	d.records.Add(record)
+}
+
+// learn takes in what a whole answer tells about cache and decides whether the
+// prompt's cache is kept.
+func (d *Daemon) learn(now time.Time, t *tables, m attemptEnded) []effect {
+	p := t.configuration.Pools[m.Placed.Pool]
+	if p.Kind != pool.KindModel || len(m.Placed.Keys) == 0 {
+		return nil
+	}
+	s := t.reuseOf(p.Name)
+	bytes := 0
+	if m.Placed.Import != nil {
+		_, bytes = kept.Size(m.Placed.Import.Run)
+	}
+	s.estimate.Learn(m.End.Usage, bytes)
+	if m.Placed.Import != nil && m.End.Usage.Imported == 0 && m.End.Usage.Reused == 0 {
+		s.estimate.Fail(bytes, m.FirstToken)
+		t.storeAvoid[m.Placed.StoreName] = now.Add(storePause)
+	}
+	s.policy.Saw(m.Placed.Account, m.Placed.Warm || m.Placed.KeptPieces > 0)
+	t.recent.Add(m.Placed.Home, m.Placed.Target+m.Placed.Version)
+	if !p.Stores || !m.Placed.Store.IsValid() || m.Placed.Warm || m.Placed.KeptPieces >= len(m.Placed.Keys) {
+		return nil
+	}
+	tokens := float64(len(m.Placed.Keys) * p.PieceBytes / bytesPerToken)
+	cost := retention.Cost{Prefill: over(tokens, s.estimate.Prefill), Link: over(tokens*s.bytesPerToken, s.estimate.Link)}
+	if s.bytesPerToken > 0 && s.estimate.Link > 0 && !s.policy.Keep(now, m.Placed.Account, p.Policy, cost) {
+		return nil
+	}
+	return []effect{exportCache{m.Placed}}
+}
+
+// over divides, and takes nothing for an unknown rate.
+func over(amount, rate float64) float64 {
+	if rate == 0 {
+		return 0
+	}
+	return amount / rate
+}
+
+// reuseOf returns a pool's state, new if need be.
+func (t *tables) reuseOf(pool string) *reuseState {
+	s, known := t.reuse[pool]
+	if !known {
+		s = &reuseState{policy: retention.Policy{Burst: 5, LinkShare: 0.3}}
+		t.reuse[pool] = s
+	}
+	return s
+}
+
+// export has the pieces written and, when all are, their manifests.
+func (d *Daemon) export(ctx context.Context, placed route.Placed) message {
+	ctx, cancel := context.WithTimeout(ctx, exportPatience)
+	defer cancel()
+	pieces, err := d.engines.Export(ctx, placed.Address, placed.Request, placed.Scope.String(), placed.Store)
+	if err == nil && len(pieces) != len(placed.Keys) {
+		err = trace.CompareFailed("%d pieces were written, want %d", len(pieces), len(placed.Keys))
+	}
+	var run []kept.Manifest
+	for i, piece := range pieces {
+		m := kept.Manifest{Key: placed.Keys[min(i, len(placed.Keys)-1)].String(), Scope: placed.Scope.String(), Depth: i, Piece: piece}
+		run = append(run, kept.Seal(m))
+	}
+	if err == nil {
+		err = d.stores.Put(ctx, placed.Store, run)
+	}
+	return cacheExported{placed, run, trace.Wrap(err)}
+}
+
+func (d *Daemon) cacheExported(now time.Time, t *tables, m cacheExported) {
+	r := decision.Record{
+		At: now, Kind: decision.Kept, Request: m.placed.Request, Account: m.placed.Account, Pool: m.placed.Pool,
+		Rule: "its return is expected to save more than moving it", Result: m.placed.StoreName,
+	}
+	if m.err != nil {
+		r.Rule, r.Result = "not kept", trace.Unwrap(m.err).Error()
+		d.counts.kept.WithLabelValues("export failed").Inc()
+		d.records.Add(r)
+		return
+	}
+	d.counts.kept.WithLabelValues("exported").Inc()
+	if tokens, bytes := kept.Size(m.run); tokens > 0 {
+		t.reuseOf(m.placed.Pool).bytesPerToken = float64(bytes) / float64(tokens)
+	}
+	d.records.Add(r)
+}
+
+// watchRoom has one box look after each store box's room. Two boxes doing so
+// at once, while the list lags, do no harm.
+func (d *Daemon) watchRoom(now time.Time, t *tables) []effect {
+	if now.Before(t.due.room) {
+		return nil
+	}
+	t.due.room = now.Add(d.jitter(roomEvery))
+	var effects []effect
+	for name, b := range t.stores.All() {
+		if !t.pending[pendingRoom+name] && d.better(t, placement.Hash(name)) == 0 {
+			t.pending[pendingRoom+name] = true
+			effects = append(effects, makeRoom{name, b.Address})
+		}
+	}
+	return effects
+}
+
+// makeRoom drops the manifests least worth keeping if the store box is nearly
+// full; twice the least room is made, so that it is not done all the time.
+func (d *Daemon) makeRoom(ctx context.Context, e makeRoom) message {
+	room, size, err := d.stores.Room(ctx, e.address)
+	if err != nil || float64(room) >= roomLeast*float64(size) {
+		return roomMade{store: e.store, err: trace.Wrap(err)}
+	}
+	manifests, err := d.stores.List(ctx, e.address)
+	if err != nil {
+		return roomMade{store: e.store, err: trace.Wrap(err)}
+	}
+	keys := retention.Drop(d.now(), manifests, int(2*roomLeast*float64(size))-room)
+	for _, key := range keys {
+		if err := d.stores.Drop(ctx, e.address, key); err != nil {
+			return roomMade{store: e.store, err: trace.Wrap(err)}
+		}
+	}
+	d.records.Add(decision.Record{
+		At: d.now(), Kind: decision.Dropped, Rule: "least tokens saved a byte, by use and age", Result: e.store,
+		Inputs: fmt.Sprintf("%d of %d bytes free, %d of %d manifests dropped", room, size, len(keys), len(manifests)),
+	})
+	return roomMade{store: e.store, dropped: len(keys)}
+}
+
+func (d *Daemon) roomMade(now time.Time, t *tables, m roomMade) {
+	delete(t.pending, pendingRoom+m.store)
+	d.counts.kept.WithLabelValues("dropped").Add(float64(m.dropped))
+	if m.err != nil {
+		t.storeAvoid[m.store] = now.Add(storePause)
+	}
+}
--- a/kept/manifest.go
+++ b/kept/manifest.go
@@ -1,11 +1,12 @@
 // Package kept holds what is known of KV cache kept on store boxes: the
-// manifest that makes a set of pieces usable, and the checks before its use.
+// manifests that make pieces usable, and the checks before their use.
 //
-// Pieces are written first and the manifest last; a manifest is used only if
+// A piece is written first and its manifest last; a manifest is used only if
 // Check finds it to belong to the very prompt, client account and weight
 // version:
 //
-//	if err := kept.Check(m, scope, key); err != nil { recompute() }
+//	run, err := store.Find(ctx, address, keys)
+//	usable := kept.Usable(run, scope, keys)
 package kept
 
 import (
@@ -25,39 +26,32 @@
 	Tokens int    `json:"tokens"`
 }
 
-// Manifest lists the pieces that together hold the KV cache of one prefix. It
-// is written only after every piece has been written whole.
+// Manifest makes one stored piece usable: it says of which prefix it is the
+// last piece. It is written only after the piece has been written whole. The
+// KV cache of a prompt is the run of manifests from its first boundary on.
 type Manifest struct {
-	// Key is the prefix key at the boundary, in hexadecimal.
+	// Key is the prefix key at the piece's end, in hexadecimal.
 	Key string `json:"key"`
 	// Scope is the cache scope of client account and weight version.
-	Scope  string  `json:"scope"`
-	Pieces []Piece `json:"pieces"`
-	// Sum binds all other fields; see Seal.
+	Scope string `json:"scope"`
+	// Depth is how many pieces come before this one.
+	Depth int   `json:"depth"`
+	Piece Piece `json:"piece"`
+	// Sum binds the fields above; see Seal.
 	Sum string `json:"sum"`
 	// Used is when the manifest was last asked for, by the store box's clock.
-	// It is not bound by Sum.
 	Used time.Time `json:"used,omitzero"`
 	// Hits counts how often the manifest was asked for.
 	Hits int `json:"hits,omitempty"`
 }
 
-// Tokens counts the prompt tokens that the pieces cover.
-func (m Manifest) Tokens() int {
-	n := 0
-	for _, p := range m.Pieces {
-		n += p.Tokens
+// Size returns the tokens that a run of manifests covers and its bytes.
+func Size(run []Manifest) (tokens, bytes int) {
+	for _, m := range run {
+		tokens += m.Piece.Tokens
+		bytes += m.Piece.Bytes
 	}
-	return n
-}
-
-// Bytes counts the stored bytes.
-func (m Manifest) Bytes() int {
-	n := 0
-	for _, p := range m.Pieces {
-		n += p.Bytes
-	}
-	return n
+	return tokens, bytes
 }
 
 // Seal returns the manifest with its Sum set.
@@ -66,21 +60,33 @@
 	return m
 }
 
-// Check says whether the manifest may be used for the prefix key in scope.
-func Check(m Manifest, scope, key string) error {
+// Check says whether the manifest may be used for the prefix key in scope, as
+// the piece at depth.
+func Check(m Manifest, scope, key string, depth int) error {
 	switch {
 	case m.Scope != scope:
 		return trace.AccessDenied("the manifest is of another client account or weight version")
-	case m.Key != key:
+	case m.Key != key || m.Depth != depth:
 		return trace.CompareFailed("the manifest is of another prefix")
-	case len(m.Pieces) == 0:
-		return trace.CompareFailed("the manifest lists no pieces")
+	case m.Piece.Bytes <= 0 || m.Piece.Tokens <= 0:
+		return trace.CompareFailed("the manifest's piece is empty")
 	case m.Sum != sum(m):
 		return trace.CompareFailed("the manifest is damaged")
 	}
 	return nil
 }
 
+// Usable returns the beginning of a run that passes Check for each of the
+// prompt's keys, the shortest prefix first.
+func Usable(run []Manifest, scope string, keys []string) []Manifest {
+	for i, m := range run {
+		if i >= len(keys) || Check(m, scope, keys[i], i) != nil {
+			return run[:i]
+		}
+	}
+	return run
+}
+
 // Digest names a piece by its bytes.
 func Digest(data []byte) string {
 	h := blake3.Sum256(data)
@@ -97,12 +103,11 @@
 	}
 	field(m.Key)
 	field(m.Scope)
-	for _, p := range m.Pieces {
-		field(p.Digest)
-		var counts [16]byte
-		binary.LittleEndian.PutUint64(counts[:8], uint64(p.Bytes))
-		binary.LittleEndian.PutUint64(counts[8:], uint64(p.Tokens))
-		_, _ = h.Write(counts[:])
-	}
+	field(m.Piece.Digest)
+	var counts [24]byte
+	binary.LittleEndian.PutUint64(counts[:8], uint64(m.Depth))
+	binary.LittleEndian.PutUint64(counts[8:16], uint64(m.Piece.Bytes))
+	binary.LittleEndian.PutUint64(counts[16:], uint64(m.Piece.Tokens))
+	_, _ = h.Write(counts[:])
 	return hex.EncodeToString(h.Sum(nil))
 }
--- a/kept/store.go
+++ b/kept/store.go
@@ -16,33 +16,45 @@
 	HTTP *http.Client
 }
 
-// Find returns the manifest of the longest of the keys that the store box
-// holds; the keys come longest first. It fails with trace.NotFound when there
-// is none.
-func (s *Store) Find(ctx context.Context, at netip.AddrPort, keys []string) (Manifest, error) {
+// Find returns the manifests that the store box holds for the keys, shortest
+// prefix first, up to the first one that it lacks.
+func (s *Store) Find(ctx context.Context, at netip.AddrPort, keys []string) ([]Manifest, error) {
 	body := struct {
 		Keys []string `json:"keys"`
 	}{keys}
-	var m Manifest
-	err := s.call(ctx, s.to(at).Post("/v1/find").BodyJSON(body), &m)
-	return m, trace.Wrap(err)
+	var answer manifests
+	err := s.call(ctx, s.to(at).Post("/v1/find").BodyJSON(body), &answer)
+	return answer.Manifests, trace.Wrap(err)
+}
+
+// manifests is how manifests travel.
+type manifests struct {
+	Manifests []Manifest `json:"manifests"`
 }
 
-// Put writes a sealed manifest. The store box refuses it with
-// trace.CompareFailed if it lacks one of the pieces.
-func (s *Store) Put(ctx context.Context, at netip.AddrPort, m Manifest) error {
-	return trace.Wrap(s.call(ctx, s.to(at).Put("/v1/manifests/"+m.Key).BodyJSON(m), nil))
+// Put writes sealed manifests. The store box refuses one whose piece it lacks
+// with trace.CompareFailed; those before it in the list are written.
+func (s *Store) Put(ctx context.Context, at netip.AddrPort, run []Manifest) error {
+	return trace.Wrap(s.call(ctx, s.to(at).Put("/v1/manifests").BodyJSON(manifests{run}), nil))
 }
 
 // List returns all manifests of the store box.
 func (s *Store) List(ctx context.Context, at netip.AddrPort) ([]Manifest, error) {
-	var answer struct {
-		Manifests []Manifest `json:"manifests"`
-	}
+	var answer manifests
 	err := s.call(ctx, s.to(at).Get("/v1/manifests"), &answer)
 	return answer.Manifests, trace.Wrap(err)
 }
 
+// Room returns the free bytes and the size of the store box.
+func (s *Store) Room(ctx context.Context, at netip.AddrPort) (free, size int, err error) {
+	var answer struct {
+		Free int `json:"free"`
+		Size int `json:"size"`
+	}
+	err = s.call(ctx, s.to(at).Get("/v1/room"), &answer)
+	return answer.Free, answer.Size, trace.Wrap(err)
+}
+
 // Drop deletes a manifest. Its pieces go once no manifest lists them and no
 // import has them pinned.
 func (s *Store) Drop(ctx context.Context, at netip.AddrPort, key string) error {
--- a/listen.go
+++ b/listen.go
@@ -110,6 +110,22 @@
 	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
 }
 
+// flushLast writes the charges that wait, for as long as a stop may take.
+func (d *Daemon) flushLast(ctx context.Context) {
+	const (
+		patience = 10 * time.Second
+		pause    = 200 * time.Millisecond
+	)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for d.ledger.Waiting() > 0 {
+		if d.ledger.Flush(ctx) != nil && wait(ctx, pause) != nil {
+			d.Log.Error("charges were lost", "accounts", d.ledger.Waiting())
+			return
+		}
+	}
+}
+
 // drain is the planned stop: not ready first, then no new callers, then the
 // last answer, then what is still to be written.
 func (d *Daemon) drain(ctx context.Context, l *listeners) error {
@@ -119,6 +135,8 @@
 	// Shutdown waits for the last request, however long its answer takes.
 	err := l.callers.Shutdown(ctx)
 	d.Log.Info("last answer sent")
+	d.releaseDuties(ctx)
+	d.flushLast(ctx)
 	_ = l.operators.Shutdown(ctx)
 	l.close()
 	d.peers.Close()
--- a/peer/message.go
+++ b/peer/message.go
@@ -42,6 +42,7 @@
 	Running int    `cbor:"4,keyasint,omitempty"`
 	Waiting int    `cbor:"5,keyasint,omitempty"`
 	Slots   int    `cbor:"6,keyasint,omitempty"`
+	Loading bool   `cbor:"8,keyasint,omitempty"`
 	// Age is how old the report was when the message was sent.
 	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
--- a/place.go
+++ b/place.go
@@ -69,24 +69,21 @@
 
 // choose picks the target of an attempt and counts the attempt on it.
 func (d *Daemon) choose(now time.Time, t *tables, ask route.Ask, p pool.Pool) (route.Placed, error) {
-	version := ask.Version
-	if version == "" {
-		version = p.Weights
-	}
-	scope := prefix.Scope(ask.Account, version)
-	home := prefix.Home(scope, []byte(ask.Prompt), max(p.PieceBytes, 1))
-	if p.Kind == pool.KindService {
-		home = prefix.Scope(ask.Request, p.Name)
-	}
 	targets := t.pools[p.Name]
 	skip := func(x *target.Target) bool {
-		return slices.Contains(ask.Exclude, x.Name) || (p.Kind == pool.KindModel && x.Version != "" && x.Version != version)
+		if slices.Contains(ask.Exclude, x.Name) {
+			return true
+		}
+		if p.Kind != pool.KindModel {
+			return false
+		}
+		return !p.Serves(x.Version) || (ask.Version != "" && x.Version != ask.Version)
 	}
-	choice, err := d.chooser.Choose(now, home.Rank(), targets, func(x *target.Target) bool {
+	choice, err := d.chooser.Choose(now, ask.Home.Rank(), targets, func(x *target.Target) bool {
 		return skip(x) || (ask.AvoidDomain != "" && x.Domain == ask.AvoidDomain)
 	})
 	if err != nil && ask.AvoidDomain != "" {
-		choice, err = d.chooser.Choose(now, home.Rank(), targets, skip)
+		choice, err = d.chooser.Choose(now, ask.Home.Rank(), targets, skip)
 	}
 	if err != nil {
 		return route.Placed{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_target",
@@ -96,11 +93,29 @@
 	x.InFlight++
 	x.SentSince++
 	d.recordPlaced(now, ask, p, targets, choice)
-	return route.Placed{
+	placed := route.Placed{
 		Request: ask.Request, Account: ask.Account, Pool: p.Name, Attempt: ask.Attempt,
-		Target: x.Name, Address: x.Address, Domain: x.Domain, Version: version,
-		Scope: scope, PieceBytes: p.PieceBytes, Rule: choice.Rule,
-	}, nil
+		Target: x.Name, Address: x.Address, Domain: x.Domain, Version: x.Version,
+		Scope: prefix.Scope(ask.Account, x.Version), PieceBytes: p.PieceBytes, Rule: choice.Rule,
+	}
+	if p.Kind == pool.KindModel {
+		d.addCache(now, t, ask, p, &placed)
+	}
+	return placed, nil
+}
+
+// addCache says what the loop knows about the cache of a prompt's beginning.
+func (d *Daemon) addCache(now time.Time, t *tables, ask route.Ask, p pool.Pool, placed *route.Placed) {
+	last, known := t.recent.Get(ask.Home)
+	placed.Warm = known && last == placed.Target+placed.Version
+	placed.Home = ask.Home
+	placed.Estimate = t.reuseOf(p.Name).estimate
+	if !p.Stores {
+		return
+	}
+	if store, ok := d.storeOf(now, t, ask.Home); ok {
+		placed.Store, placed.StoreName = store.Address, store.Name
+	}
 }
 
 func (d *Daemon) recordPlaced(now time.Time, ask route.Ask, p pool.Pool, targets []*target.Target, choice placement.Choice) {
@@ -144,6 +159,7 @@
 	default:
 		x.Failures = 0
 		x.FirstToken = smooth(x.FirstToken, m.FirstToken)
+		return d.learn(now, t, m)
 	}
 	return nil
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -95,7 +95,8 @@
 	choice.Mean = float64(sum+1) / float64(choice.Usable)
 	limit := int(c.Bound*choice.Mean) + 1
 	for rank, i := range choice.Best {
-		if i >= 0 && targets[i].Load() < limit {
+		// A free slot means no waiting, whatever the mean is.
+		if i >= 0 && targets[i].Load() < max(limit, targets[i].Slots) {
 			choice.Index = i
 			choice.Rank = rank
 			choice.Rule = ruleOf(rank)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -17,6 +17,9 @@
 	Kind string `json:"kind"`
 	// Weights is the weight version that new requests use. Model pools only.
 	Weights string `json:"weights,omitempty"`
+	// Previous is the weight version that targets not rolled over yet still
+	// serve. It is set when Weights changes.
+	Previous string `json:"previous,omitempty"`
 	// ChecksFence says that the pool's targets refuse orders with a lower epoch
 	// than one they have seen.
 	ChecksFence bool `json:"checks_fence,omitempty"`
@@ -38,6 +41,11 @@
 	Concurrency int `json:"concurrency"`
 }
 
+// Serves says whether new requests may run on a weight version.
+func (p Pool) Serves(version string) bool {
+	return version != "" && (version == p.Weights || version == p.Previous)
+}
+
 // Policy weighs what the operators measure. Only the ratios matter.
 type Policy struct {
 	// FirstToken weighs a second of waiting for the first token.
--- a/query/query.go
+++ b/query/query.go
@@ -48,20 +48,20 @@
 type Edit struct {
 	Kind string       `parser:"@( 'account' | 'pool' | 'model' )"`
 	Name string       `parser:"@( Word | String )"`
-	Set  []assignment `parser:"( 'set' @@ ( ',' @@ )* )?"`
+	Set  []Assignment `parser:"( 'set' @@ ( ',' @@ )* )?"`
 	// IfRevision, if it is not zero, is the revision the change is for.
 	IfRevision uint64 `parser:"( 'if' 'revision' '=' @Number )?"`
 }
 
-// assignment gives a field a value; List is set for a list.
-type assignment struct {
+// Assignment gives a field a value; List is set for a list.
+type Assignment struct {
 	Field string   `parser:"@Word '='"`
-	Value *literal `parser:"( @@"`
+	Value *Literal `parser:"( @@"`
 	List  []string `parser:"| '[' ( @( Word | String | Number ) ( ',' @( Word | String | Number ) )* )? ']' )"`
 }
 
-// literal is a single value.
-type literal struct {
+// Literal is a single value.
+type Literal struct {
 	Number *string `parser:"  @Number"`
 	Text   *string `parser:"| @( Word | String )"`
 }
@@ -74,7 +74,7 @@
 }
 
 // JSON returns the assigned value as JSON.
-func (a assignment) JSON() string {
+func (a Assignment) JSON() string {
 	if a.Value == nil {
 		quoted := make([]string, len(a.List))
 		for i, text := range a.List {
--- a/relay/run.go
+++ b/relay/run.go
@@ -68,10 +68,18 @@
 	return route.Ask{
 		Request: j.request.ID, Account: j.request.Account, Model: j.request.Model, Attempt: attempt,
 		Prompt: j.request.Prompt, Tokens: j.request.MaxTokens,
-		Exclude: j.exclude, AvoidDomain: j.avoid, Version: j.checker.Version,
+		Exclude: j.exclude, AvoidDomain: j.avoid, Version: j.pinned(),
 	}
 }
 
+// pinned is the weight version that the rest of the answer must come from.
+func (j *job) pinned() string {
+	if j.checker.Offset() == 0 {
+		return ""
+	}
+	return j.checker.Version
+}
+
 // giveUp says what became of the request.
 func (j *job) giveUp(err error) *refusal.Refusal {
 	outcome := refusal.DidNotRun
--- a/request.go
+++ b/request.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/resume"
 	"github.com/thymewind/thymewind/route"
@@ -18,12 +19,16 @@
 
 // askPlace asks the loop for a place.
 func (d *Daemon) askPlace(ctx context.Context, ask route.Ask) (route.Placed, error) {
+	ask.Home = d.homeOf(ask)
 	reply := make(chan placeAnswer, 1)
 	if err := d.send(ctx, placeAsked{ask, reply}); err != nil {
 		return route.Placed{}, d.late()
 	}
 	select {
 	case answer := <-reply:
+		if answer.err == nil && ask.Model != "" {
+			d.findKept(ctx, &answer.placed, ask.Prompt)
+		}
 		return answer.placed, answer.err
 	case <-ctx.Done():
 		// The loop may still count the attempt in; take it out again.
@@ -36,6 +41,18 @@
 	}
 }
 
+// homeOf names what ranks the targets: the account and the prompt's first
+// piece, whatever the weight version, so that a rollout moves no prompts. A
+// plain service's requests have no home.
+func (d *Daemon) homeOf(ask route.Ask) prefix.Key {
+	if ask.Model == "" {
+		return prefix.Scope(ask.Request, ask.Pool)
+	}
+	c := d.currentOrEmpty()
+	p := c.Pools[c.Models[ask.Model].Pool]
+	return prefix.Home(prefix.Scope(ask.Account, ""), []byte(ask.Prompt), max(p.PieceBytes, 1))
+}
+
 // late refuses a request whose time was up before it was placed.
 func (d *Daemon) late() error {
 	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "too_late",
@@ -44,6 +61,9 @@
 
 // tellEnded tells the loop how an attempt ended.
 func (d *Daemon) tellEnded(e route.Ended) {
+	if e.End.Request != "" {
+		d.ledger.Add(e.Placed.Account, e.End.Usage)
+	}
 	_ = d.send(context.Background(), attemptEnded{e})
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/reuse"
 	"github.com/thymewind/thymewind/stream"
 )
 
@@ -33,8 +34,11 @@
 	// AvoidDomain is the failure domain of the last failure, avoided if
 	// another one serves.
 	AvoidDomain string
-	// Version pins a further attempt to the first one's weight version.
+	// Version pins the attempt to the weight version that the answer began
+	// with; empty if it has not begun.
 	Version string
+	// Home ranks the targets: of the account and the prompt's first piece.
+	Home prefix.Key
 }
 
 // Placed is the loop's answer.
@@ -50,6 +54,19 @@
 	// Scope separates the cache by client account and weight version.
 	Scope      prefix.Key
 	PieceBytes int
+	// Home is the asked one.
+	Home prefix.Key
+	// Keys name the prompt's prefixes at the boundaries, the shortest first.
+	Keys []prefix.Key
+	// Store is the store box that keeps the prompt's cache; unset for none.
+	Store     netip.AddrPort
+	StoreName string
+	// Warm says that the target served this prompt's beginning lately.
+	Warm bool
+	// KeptPieces is how many pieces the store box was found to hold.
+	KeptPieces int
+	// Estimate is what is known of the pool's engines and links.
+	Estimate reuse.Estimate
 	// Import names kept cache to fetch, if that is thought to be faster.
 	Import *engine.Import
 	// Rule says why this target.
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -49,6 +49,10 @@
 	// Imported is the part of Prompt that came from a store box.
 	Imported   int `json:"imported"`
 	Completion int `json:"completion"`
+	// PrefillMillis and ImportMillis are the time that computing and importing
+	// the prompt's cache took.
+	PrefillMillis float64 `json:"prefill_ms,omitempty"`
+	ImportMillis  float64 `json:"import_ms,omitempty"`
 }
 
 // Checker accepts the frames of one request. Set the exported fields before
--- a/systems.go
+++ b/systems.go
@@ -15,6 +15,10 @@
 const (
 	pendingBoxes         = "the boxes"
 	pendingConfiguration = "the configuration"
+	pendingFlush         = "the charges"
+	pendingApply         = "the batches"
+	pendingDuty          = "the duty "
+	pendingRoom          = "the room of "
 )
 
 // watchers is how many boxes read each target's load.
@@ -57,14 +61,19 @@
 // watches says whether this box is one of the watchers of a target, by
 // rendezvous hash over the entry boxes.
 func (d *Daemon) watches(t *tables, hash uint64) bool {
+	return d.better(t, hash) < watchers
+}
+
+// better counts the entry boxes ranked before this one for a hash.
+func (d *Daemon) better(t *tables, hash uint64) int {
 	mine := placement.Weight(placement.Hash(d.Settings.Name), hash)
-	better := 0
+	n := 0
 	for name, p := range t.peers.All() {
 		if !p.leaving && placement.Weight(placement.Hash(name), hash) > mine {
-			better++
+			n++
 		}
 	}
-	return better < watchers
+	return n
 }
 
 // count writes the tables' sizes into the metrics.
--- a/tables.go
+++ b/tables.go
@@ -4,11 +4,14 @@
 	"net/netip"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/thymewind/thymewind/admission"
 	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/entity"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/target"
 )
 
@@ -26,6 +29,14 @@
 	listed time.Time
 	// turn is where the next message to peers begins in the targets.
 	turn int
+	// held are the duties by name, held or not.
+	held map[string]*duty
+	// reuse is what is known about cache, by pool.
+	reuse map[string]*reuseState
+	// storeAvoid keeps store boxes that failed out of use for a while.
+	storeAvoid map[string]time.Time
+	// recent maps the first pieces of prompts served here to their targets.
+	recent *lru.LRU[prefix.Key, string]
 	// pending marks reads that were sent and not answered yet.
 	pending map[string]bool
 }
@@ -49,6 +60,8 @@
 	configuration time.Time
 	gossip        time.Time
 	loads         time.Time
+	flush, apply  time.Time
+	room          time.Time
 }
 
 // capacity is how many requests the pool's usable targets take at once.
--- a/target/target.go
+++ b/target/target.go
@@ -17,6 +17,8 @@
 	Domain string
 	// Version is the weight version last reported. Engines only.
 	Version string
+	// Loading says that it loads weights and starts no run meanwhile.
+	Loading bool
 	// Listed says that the platform's list has the target as live.
 	Listed bool
 	// Leaving is set by the list, by the target's own answer or by a peer, and
@@ -44,7 +46,7 @@
 // Usable says whether new work may be sent at now. A target is unusable from
 // the moment anyone says that it is leaving.
 func (t *Target) Usable(now time.Time) bool {
-	return t.Listed && !t.Leaving && !now.Before(t.AvoidUntil)
+	return t.Listed && !t.Leaving && !t.Loading && !now.Before(t.AvoidUntil)
 }
 
 // Load estimates the requests on the target: its report plus what was sent
--- a/update.go
+++ b/update.go
@@ -23,6 +23,18 @@
 		d.loadRead(now, t, m)
 	case configurationRead:
 		return d.configurationRead(now, t, m)
+	case leaseStepped:
+		return d.leaseStepped(now, t, m)
+	case ordersRead:
+		return d.ordersRead(now, t, m)
+	case charged:
+		d.charged(t, m)
+	case storeFailed:
+		t.storeAvoid[m.store] = now.Add(storePause)
+	case cacheExported:
+		d.cacheExported(now, t, m)
+	case roomMade:
+		d.roomMade(now, t, m)
 	case peerSaid:
 		effects := d.heard(now, t, m.message)
 		m.reply <- d.state(now, t)
@@ -130,7 +142,7 @@
 		return
 	}
 	x.Running, x.Waiting, x.Slots = m.load.Running, m.load.Waiting, m.load.Slots
-	x.Version = m.load.Version
+	x.Version, x.Loading = m.load.Version, m.load.Loading
 	x.ReportedAt = now
 	x.SentSince = 0
 	if m.load.Leaving {
