--- a/build.go
+++ b/build.go
@@ -26,7 +26,9 @@
 	"github.com/thymewind/thymewind/relay"
 	"github.com/thymewind/thymewind/resume"
 	"github.com/thymewind/thymewind/retry"
+	"github.com/thymewind/thymewind/stream"
 	"github.com/thymewind/thymewind/table"
+	"github.com/thymewind/thymewind/target"
 )
 
 // The daemon's fixed bounds.
@@ -50,20 +52,26 @@
 	now     func() time.Time
 	random  func() uint64
 	systems []system
-	chooser placement.Chooser
-	boxes   boxes.List
-	table   table.Client
-	rows    configuration.Rows
-	engines engine.Client
-	stores  kept.Store
-	ledger  charge.Ledger
-	claims  claim.Book
-	budget  retry.Budget
-	peers   peer.Node
-	signer  resume.Signer
-	relay   relay.Relay
-	forward forward.Forwarder
-	front   caller.Front
+	// scope names the cache of one client account and weight version.
+	scope func(account, version string) prefix.Key
+	// supersedes says whether a revision may replace the one in force.
+	supersedes func(next, current *configuration.Configuration) bool
+	// shutdown closes a listener and waits for its last request.
+	shutdown func(s *http.Server, ctx context.Context) error
+	chooser  placement.Chooser
+	boxes    boxes.List
+	table    table.Client
+	rows     configuration.Rows
+	engines  engine.Client
+	stores   kept.Store
+	ledger   charge.Ledger
+	claims   claim.Book
+	budget   retry.Budget
+	peers    peer.Node
+	signer   resume.Signer
+	relay    relay.Relay
+	forward  forward.Forwarder
+	front    caller.Front
 }
 
 // build puts the parts together.
@@ -81,7 +89,10 @@
 		configuration: &configuration.Configuration{}, pending: make(map[string]bool), held: make(map[string]*duty),
 		reuse: make(map[string]*reuseState), storeAvoid: make(map[string]time.Time), recent: recent,
 	}
-	d.chooser = placement.Chooser{Bound: loadBound, Random: d.random}
+	d.scope = prefix.Scope
+	d.supersedes = (*configuration.Configuration).Supersedes
+	d.shutdown = (*http.Server).Shutdown
+	d.chooser = placement.Chooser{Bound: loadBound, Usable: (*target.Target).Usable, Random: d.random}
 	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
 	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.watchRoom, d.count}
 	d.buildPlatform()
@@ -132,7 +143,8 @@
 	comeBack := func() time.Duration { return d.jitter(time.Second) }
 	d.relay = relay.Relay{
 		Place: d.askPlace, Generate: d.engines.Generate, Resume: d.engines.Resume, Cancel: d.engines.Cancel,
-		Ended: d.tellEnded, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
+		Accept: (*stream.Checker).Accept,
+		Ended:  d.tellEnded, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
 		CancelPatience: cancelPatience, ComeBack: comeBack,
 	}
 	sender := forward.Sender{Dial: dialer.DialContext}
--- /dev/null
+++ b/charge/charge_test.go
@@ -0,0 +1,102 @@
+package charge_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/charge"
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/stream"
+	"github.com/thymewind/thymewind/table"
+)
+
+type commit func(context.Context, table.Transaction) error
+
+// What a daemon does next.
+const (
+	adds = iota
+	flushes
+	applies
+	dies
+	steps
+)
+
+// settled plays a generated history on three daemons and returns the requests
+// that were charged for, those that ran, and those that died with a daemon
+// before they were written.
+func settled(seam func(*fake.Table) commit, faults, actions []int) (charged, ran, lost int) {
+	rows := &fake.Table{Fault: (&fake.Script{Kinds: faults}).Draw}
+	ctx := context.Background()
+	incarnation := 0
+	start := func() *charge.Ledger {
+		incarnation++
+		return &charge.Ledger{
+			Incarnation: fmt.Sprint(incarnation), Commit: seam(rows), Read: rows.Read, ListAll: rows.ListAll,
+			MaxAccounts: 100, Lost: func(int) {},
+		}
+	}
+	ledgers := []*charge.Ledger{start(), start(), start()}
+	unwritten := make([]int, len(ledgers))
+	for i, action := range actions {
+		at := i % len(ledgers)
+		switch action {
+		case adds:
+			ledgers[at].Add("a", stream.Usage{Prompt: 10, Completion: 1})
+			ran++
+			unwritten[at]++
+		case flushes:
+			if ledgers[at].Flush(ctx) == nil {
+				unwritten[at] = 0
+			}
+		case applies:
+			_, _ = ledgers[at].Apply(ctx)
+		case dies:
+			lost += unwritten[at]
+			unwritten[at] = 0
+			ledgers[at] = start()
+		}
+	}
+	rows.Fault = nil
+	for _, l := range ledgers {
+		_ = l.Flush(ctx)
+	}
+	for range 3 {
+		_, _ = ledgers[0].Apply(ctx)
+	}
+	sums, _ := ledgers[0].Sums(ctx)
+	return sums["a"].Requests, ran, lost
+}
+
+// chargedOnce says that every request that ran is charged once, but for those
+// that died with their daemon, which may be lost.
+func chargedOnce(seam func(*fake.Table) commit) gopter.Prop {
+	return prop.ForAll(func(faults, actions []int) bool {
+		charged, ran, lost := settled(seam, faults, actions)
+		return charged <= ran && charged >= ran-lost
+	}, gen.SliceOfN(13, gen.IntRange(0, int(fake.Kinds)-1)), gen.SliceOfN(60, gen.IntRange(0, steps-1)))
+}
+
+func TestChargedOnce(t *testing.T) {
+	proof.Holds(t, chargedOnce(func(t *fake.Table) commit { return t.Commit }))
+}
+
+func TestChargedOnceNeedsTheConditions(t *testing.T) {
+	proof.Breaks(t, chargedOnce(func(t *fake.Table) commit { return t.Unconditional }))
+}
+
+func TestFullBufferIsCounted(t *testing.T) {
+	lost := 0
+	l := charge.Ledger{MaxAccounts: 2, Lost: func(n int) { lost += n }}
+	for i := range 5 {
+		l.Add(fmt.Sprint(i), stream.Usage{})
+	}
+	if lost != 3 || l.Waiting() != 2 {
+		t.Errorf("lost %d, waiting %d, want 3 and 2", lost, l.Waiting())
+	}
+}
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,208 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/table"
+)
+
+// control is what a sister test removes.
+type control struct {
+	commit func(*fake.Table) func(context.Context, table.Transaction) error
+}
+
+var inForce = control{commit: func(t *fake.Table) func(context.Context, table.Transaction) error { return t.Commit }}
+
+// What a daemon does with the permission.
+const (
+	sends = iota
+	sendsLate
+	diesBefore
+	diesAfter
+	releases
+	actions
+)
+
+// history is what happened to one key.
+type history struct {
+	mu sync.Mutex
+	// ran counts the runs on the target.
+	ran int
+}
+
+// attempt is one caller's try at one daemon.
+func (h *history) attempt(book *claim.Book, digest string, action int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	held, err := book.Take(ctx, claim.Claim{Account: "a", Key: "k", Digest: digest, Request: "r"})
+	if err != nil {
+		return // Refused before anything was sent.
+	}
+	background := context.Background()
+	switch action {
+	case sends, sendsLate:
+		if action == sendsLate {
+			time.Sleep(45 * time.Second) // Frozen, then thawed.
+		}
+		h.run()
+		_ = book.Finish(background, held, claim.Answer{Status: 201})
+	case diesAfter:
+		h.run()
+	case releases:
+		_ = book.Release(background, held)
+	}
+}
+
+func (h *history) run() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ran++
+}
+
+// runs plays one generated history and returns how often the key ran.
+func runs(t *testing.T, c control, daemons int, faults, tries []int) int {
+	h := &history{}
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		rows := &fake.Table{Fault: (&fake.Script{Kinds: faults}).Draw}
+		books := make([]*claim.Book, daemons)
+		var nonce int
+		var mu sync.Mutex
+		for i := range books {
+			books[i] = &claim.Book{
+				Commit: c.commit(rows), Read: rows.Read, Now: time.Now, Box: fmt.Sprint(i),
+				Patience: 2 * time.Second, Forget: 30 * time.Second,
+				Nonce: func() string {
+					mu.Lock()
+					defer mu.Unlock()
+					nonce++
+					return fmt.Sprint(nonce)
+				},
+			}
+			go books[i].Run(ctx)
+		}
+		var callers sync.WaitGroup
+		for i, action := range tries {
+			callers.Go(func() {
+				// Callers that lost their answer come back, at any daemon.
+				time.Sleep(time.Duration(i/3) * 10 * time.Second)
+				h.attempt(books[i%daemons], "same body", action%actions)
+			})
+		}
+		callers.Wait()
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+	})
+	return h.ran
+}
+
+func atMostOnce(t *testing.T, c control) gopter.Prop {
+	return prop.ForAll(func(daemons int, faults, tries []int) bool {
+		return runs(t, c, daemons, faults, tries) <= 1
+	}, gen.IntRange(1, 4), gen.SliceOfN(9, gen.IntRange(0, int(fake.Kinds)-1)), gen.SliceOfN(12, gen.IntRange(0, actions-1)))
+}
+
+func TestAtMostOneRun(t *testing.T) { proof.Holds(t, atMostOnce(t, inForce)) }
+
+func TestAtMostOneRunNeedsTheCondition(t *testing.T) {
+	removed := control{commit: func(t *fake.Table) func(context.Context, table.Transaction) error { return t.Unconditional }}
+	proof.Breaks(t, atMostOnce(t, removed))
+}
+
+// TestTakeAnswers checks what a second caller with the same key is told.
+func TestTakeAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []int
+		// before is done by the first holder.
+		before func(ctx context.Context, b *claim.Book, held claim.Claim) error
+		// want says what the second Take does: an error to match, or none.
+		taken, down bool
+	}{
+		{name: "running", taken: true},
+		{name: "released", before: func(ctx context.Context, b *claim.Book, held claim.Claim) error {
+			return b.Release(ctx, held)
+		}},
+		{name: "finished", taken: true, before: func(ctx context.Context, b *claim.Book, held claim.Claim) error {
+			return b.Finish(ctx, held, claim.Answer{Status: 201})
+		}},
+		{name: "table service down", down: true, faults: []int{int(fake.Down)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				rows := &fake.Table{}
+				n := 0
+				b := &claim.Book{
+					Commit: rows.Commit, Read: rows.Read, Now: time.Now, Patience: time.Second, Forget: time.Second,
+					Nonce: func() string { n++; return fmt.Sprint(n) },
+				}
+				go b.Run(ctx)
+				held, err := b.Take(ctx, claim.Claim{Account: "a", Key: "k"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if tt.before != nil {
+					if err := tt.before(ctx, b, held); err != nil {
+						t.Fatal(err)
+					}
+				}
+				rows.Fault = (&fake.Script{Kinds: tt.faults}).Draw
+				_, err = b.Take(ctx, claim.Claim{Account: "a", Key: "k"})
+				var taken *claim.Taken
+				if errors.As(err, &taken) != tt.taken || errors.Is(err, claim.ErrDown) != tt.down {
+					t.Errorf("Take = %v, want taken %v, down %v", err, tt.taken, tt.down)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestReleaseIsByNonce shows that a release that comes late does not undo a
+// later claim.
+func TestReleaseIsByNonce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		rows := &fake.Table{}
+		n := 0
+		b := &claim.Book{
+			Commit: rows.Commit, Read: rows.Read, Now: time.Now, Patience: time.Second, Forget: time.Second,
+			Nonce: func() string { n++; return fmt.Sprint(n) },
+		}
+		go b.Run(ctx)
+		first, _ := b.Take(ctx, claim.Claim{Account: "a", Key: "k"})
+		if err := b.Release(ctx, first); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.Take(ctx, claim.Claim{Account: "a", Key: "k"}); err != nil {
+			t.Fatal(err)
+		}
+		if b.Release(ctx, first) == nil {
+			t.Error("the first holder released the second one's claim")
+		}
+		time.Sleep(5 * time.Second)
+		var taken *claim.Taken
+		if _, err := b.Take(ctx, claim.Claim{Account: "a", Key: "k"}); !errors.As(err, &taken) {
+			t.Errorf("Take after a late release = %v, want the second claim to stand", err)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -82,6 +82,10 @@
 	return c.Accounts[name], ok
 }
 
+// Supersedes says whether this revision may come into force after another: it
+// must be higher.
+func (c *Configuration) Supersedes(other *Configuration) bool { return c.Revision > other.Revision }
+
 // Fill returns the change with each entry's Before set from this revision and
 // its Revision set to the next.
 func (c *Configuration) Fill(change Change) Change {
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,271 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/route"
+)
+
+// What the fake target does with one exchange.
+const (
+	unreachable = iota
+	runsThenSilent
+	silent
+	answers
+	cutsAnswer
+	sendKinds
+)
+
+var errBroken = errors.New("broken")
+
+// target is a fake plain service.
+type target struct {
+	script fake.Script
+	ran    int
+}
+
+func (t *target) send(request *http.Request, _ netip.AddrPort) (*http.Response, bool, error) {
+	switch kind := int(t.script.Draw()); kind {
+	case unreachable:
+		return nil, false, errBroken
+	case silent:
+		return nil, true, errBroken
+	case runsThenSilent:
+		t.ran++
+		return nil, true, errBroken
+	case cutsAnswer:
+		t.ran++
+		return answerOf(io.MultiReader(strings.NewReader("part"), broken{})), true, nil
+	}
+	t.ran++
+	return answerOf(strings.NewReader("whole")), true, nil
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errBroken }
+
+func answerOf(body io.Reader) *http.Response {
+	return &http.Response{StatusCode: http.StatusCreated, Header: http.Header{}, Body: io.NopCloser(body)}
+}
+
+type send func(*http.Request, netip.AddrPort) (*http.Response, bool, error)
+
+// exchange is one call's outcome.
+type exchange struct {
+	refused *refusal.Refusal
+	cut     bool
+	status  int
+}
+
+// serve runs one call on a forwarder with real claims over a fake table.
+func serve(f *forward.Forwarder, method, key string) (x exchange) {
+	request := httptest.NewRequest(method, "/services/orders/orders", strings.NewReader("2 x adobo"))
+	if key != "" {
+		request.Header.Set(forward.HeaderKey, key)
+		request.Header.Set(forward.HeaderNotRepeatable, "true")
+	}
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			x.cut = true
+		}
+	}()
+	err := f.Serve(recorder, request, forward.Call{Request: "r", Account: "a", Pool: "orders", Path: "/orders", BodyBytes: 1 << 10, Timeout: time.Minute})
+	errors.As(err, &x.refused)
+	x.status = recorder.Code
+	return x
+}
+
+func forwarder(ctx context.Context, rows *fake.Table, placing *fake.Script, send send) *forward.Forwarder {
+	n := 0
+	book := &claim.Book{
+		Commit: rows.Commit, Read: rows.Read, Now: time.Now, Box: "b", Patience: 2 * time.Second, Forget: 30 * time.Second,
+		Nonce: func() string { n++; return fmt.Sprint(n) },
+	}
+	go book.Run(ctx)
+	return &forward.Forwarder{
+		Place: func(context.Context, route.Ask) (route.Placed, error) {
+			if placing.Draw() != fake.None {
+				return route.Placed{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_target", "none")
+			}
+			return route.Placed{Target: "t"}, nil
+		},
+		Ended: func(route.Ended) {}, Take: book.Take, Release: book.Release, Finish: book.Finish, Send: send,
+		Retry: func(string) bool { return true }, Record: func(decision.Record) {}, Now: time.Now,
+		Attempts: 3, Patience: 2 * time.Second, ComeBack: func() time.Duration { return time.Second },
+	}
+}
+
+// toldTheTruth says that a call told did-not-run did not run, and that a
+// marked one ran at most once over all its retries.
+func toldTheTruth(t *testing.T, seam func(send) send) gopter.Prop {
+	return prop.ForAll(func(marked bool, method string, sends, faults, places []int) bool {
+		ok := true
+		synctest.Test(t, func(*testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			x := &target{script: fake.Script{Kinds: sends}}
+			rows := &fake.Table{Fault: (&fake.Script{Kinds: faults}).Draw}
+			f := forwarder(ctx, rows, &fake.Script{Kinds: places}, seam(x.send))
+			key := ""
+			if marked {
+				key = "k"
+			}
+			for range 4 {
+				before := x.ran
+				got := serve(f, method, key)
+				if got.refused != nil && got.refused.Outcome == refusal.DidNotRun && x.ran > before {
+					ok = false
+				}
+				time.Sleep(40 * time.Second)
+			}
+			if marked && x.ran > 1 {
+				ok = false
+			}
+			cancel()
+			synctest.Wait()
+		})
+		return ok
+	}, gen.Bool(), gen.OneConstOf(http.MethodGet, http.MethodPost), gen.SliceOfN(5, gen.IntRange(0, sendKinds-1)),
+		gen.SliceOfN(7, gen.IntRange(0, int(fake.Kinds)-1)), gen.SliceOfN(5, gen.IntRange(0, 1)))
+}
+
+func TestDidNotRunIsTrue(t *testing.T) {
+	proof.Holds(t, toldTheTruth(t, func(s send) send { return s }))
+}
+
+func TestDidNotRunNeedsToKnowWhatWasWritten(t *testing.T) {
+	proof.Breaks(t, toldTheTruth(t, func(s send) send {
+		return func(r *http.Request, at netip.AddrPort) (*http.Response, bool, error) {
+			response, _, err := s(r, at)
+			return response, false, err
+		}
+	}))
+}
+
+func TestServe(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		key     string
+		sends   []int
+		faults  []int
+		outcome string
+		status  int
+	}{
+		{"answered", http.MethodPost, "k", []int{answers}, nil, "", http.StatusCreated},
+		{"next target after nothing was sent", http.MethodPost, "k", []int{unreachable, answers}, nil, "", http.StatusCreated},
+		{"none reachable", http.MethodPost, "k", []int{unreachable}, nil, refusal.DidNotRun, http.StatusBadGateway},
+		{"sent, no answer", http.MethodPost, "k", []int{silent}, nil, refusal.Unknown, http.StatusBadGateway},
+		{"unmarked, sent, no answer", http.MethodPost, "", []int{silent, answers}, nil, refusal.Unknown, http.StatusBadGateway},
+		{"repeatable goes to the next", http.MethodGet, "", []int{silent, answers}, nil, "", http.StatusCreated},
+		{"no permission", http.MethodPost, "k", []int{answers}, []int{int(fake.Down)}, refusal.DidNotRun, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				x := &target{script: fake.Script{Kinds: tt.sends}}
+				rows := &fake.Table{Fault: (&fake.Script{Kinds: tt.faults}).Draw}
+				began := time.Now()
+				got := serve(forwarder(ctx, rows, &fake.Script{}, x.send), tt.method, tt.key)
+				if waited := time.Since(began); waited > 0 {
+					t.Errorf("the final answer was held back for %v", waited)
+				}
+				switch {
+				case tt.outcome == "" && (got.refused != nil || got.status != tt.status):
+					t.Errorf("got %+v, want status %d", got, tt.status)
+				case tt.outcome != "" && (got.refused == nil || got.refused.Outcome != tt.outcome || got.refused.Status != tt.status):
+					t.Errorf("got %+v, want %s and status %d", got, tt.outcome, tt.status)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestReplay shows that a caller that comes back with its key is told the
+// first answer, and with another body is refused.
+func TestReplay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		x := &target{script: fake.Script{Kinds: []int{answers}}}
+		f := forwarder(ctx, &fake.Table{}, &fake.Script{}, x.send)
+		for range 3 {
+			if got := serve(f, http.MethodPost, "k"); got.status != http.StatusCreated {
+				t.Errorf("got %+v", got)
+			}
+		}
+		if x.ran != 1 {
+			t.Errorf("ran %d times", x.ran)
+		}
+		if got := serve(f, http.MethodPut, "k"); got.refused == nil || got.refused.Status != http.StatusUnprocessableEntity {
+			t.Errorf("another request with the key: %+v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestSenderNeverSendsAgain has a target that reads a request and hangs up.
+// The HTTP library would send a request with an idempotency key again on a
+// connection that it had used before.
+func TestSenderNeverSendsAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var requests atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				requests.Add(1)
+			}
+			_ = conn.Close()
+		}
+	}()
+	at := netip.MustParseAddrPort(listener.Addr().String())
+	sender := forward.Sender{Dial: (&net.Dialer{}).DialContext}
+	request, err := http.NewRequest(http.MethodGet, "http://"+at.String()+"/orders", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(forward.HeaderKey, "k")
+	response, wrote, err := sender.Send(request, at)
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatal("there can be no answer")
+	}
+	if !wrote || requests.Load() != 1 {
+		t.Errorf("wrote %v, the target read %d requests, want true and 1", wrote, requests.Load())
+	}
+}
--- /dev/null
+++ b/internal/fake/script.go
@@ -0,0 +1,25 @@
+package fake
+
+import "sync"
+
+// Script draws faults from a list, over and over, so that a generated list
+// decides the whole run.
+type Script struct {
+	// Kinds is the list; an empty one draws None.
+	Kinds []int
+
+	mu   sync.Mutex
+	next int
+}
+
+// Draw returns the next fault.
+func (s *Script) Draw() Kind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.Kinds) == 0 {
+		return None
+	}
+	kind := s.Kinds[s.next%len(s.Kinds)]
+	s.next++
+	return Kind(kind)
+}
--- /dev/null
+++ b/internal/fake/table.go
@@ -0,0 +1,159 @@
+// Package fake holds small fakes for tests.
+//
+//	t := fake.Table{Fault: func() fake.Kind { return fake.Lost }}
+//	book := claim.Book{Commit: t.Commit, Read: t.Read}
+package fake
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/table"
+)
+
+// Kind is what goes wrong with one call.
+type Kind int
+
+// The kinds of fault.
+const (
+	// None lets the call through.
+	None Kind = iota
+	// Down refuses the call.
+	Down
+	// Lost applies the transaction and loses the answer.
+	Lost
+	// Dropped loses the transaction.
+	Dropped
+	// Late loses the answer and applies the transaction some calls later.
+	Late
+	// Kinds counts the kinds.
+	Kinds
+)
+
+// Table is the platform's table service in memory. Set Fault before first use;
+// it is safe for concurrent use after that.
+type Table struct {
+	// Fault draws what goes wrong with the next call; nil means nothing.
+	Fault func() Kind
+
+	mu       sync.Mutex
+	rows     map[string]table.Row
+	revision uint64
+	late     []delayed
+}
+
+// delayed is a transaction under way that is applied after some more calls.
+type delayed struct {
+	tx    table.Transaction
+	calls int
+}
+
+// delay is how many calls a late transaction is under way for.
+const delay = 3
+
+// Commit applies a transaction as the fault drawn lets it.
+func (t *Table) Commit(_ context.Context, tx table.Transaction) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.arrive()
+	switch t.draw() {
+	case Down:
+		return trace.ConnectionProblem(nil, "down")
+	case Lost:
+		_ = t.apply(tx)
+		return trace.Wrap(table.ErrLost)
+	case Dropped:
+		return trace.Wrap(table.ErrLost)
+	case Late:
+		t.late = append(t.late, delayed{tx, delay})
+		return trace.Wrap(table.ErrLost)
+	}
+	return t.apply(tx)
+}
+
+// arrive applies the late transactions whose time has come.
+func (t *Table) arrive() {
+	var waiting []delayed
+	for _, l := range t.late {
+		l.calls--
+		if l.calls < 0 {
+			_ = t.apply(l.tx)
+			continue
+		}
+		waiting = append(waiting, l)
+	}
+	t.late = waiting
+}
+
+// Read returns one row.
+func (t *Table) Read(_ context.Context, key string) (table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draw() == Down {
+		return table.Row{}, trace.ConnectionProblem(nil, "down")
+	}
+	row, ok := t.rows[key]
+	if !ok {
+		return table.Row{}, trace.NotFound("no row %q", key)
+	}
+	return row, nil
+}
+
+// List returns rows under a prefix.
+func (t *Table) List(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draw() == Down {
+		return nil, trace.ConnectionProblem(nil, "down")
+	}
+	var rows []table.Row
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
+			rows = append(rows, t.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+// ListAll returns all rows under a prefix.
+func (t *Table) ListAll(ctx context.Context, prefix string) ([]table.Row, error) {
+	return t.List(ctx, prefix, "", int(^uint(0)>>1))
+}
+
+// Unconditional commits without the conditions: the control removed.
+func (t *Table) Unconditional(ctx context.Context, tx table.Transaction) error {
+	tx.Expect = nil
+	return t.Commit(ctx, tx)
+}
+
+func (t *Table) draw() Kind {
+	if t.Fault == nil {
+		return None
+	}
+	return t.Fault()
+}
+
+func (t *Table) apply(tx table.Transaction) error {
+	for _, c := range tx.Expect {
+		if t.rows[c.Key].Revision != c.Revision {
+			return trace.CompareFailed("row %q", c.Key)
+		}
+	}
+	if t.rows == nil {
+		t.rows = make(map[string]table.Row)
+	}
+	t.revision++
+	for _, row := range tx.Put {
+		row.Revision = t.revision
+		t.rows[row.Key] = row
+	}
+	for _, key := range tx.Delete {
+		delete(t.rows, key)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proof/proof.go
@@ -0,0 +1,46 @@
+// Package proof runs property tests with fixed seeds, and their sister tests,
+// in which the control is removed and the checker must find the violation.
+//
+//	proof.Holds(t, property(control))
+//	proof.Breaks(t, property(removed))
+package proof
+
+import (
+	"testing"
+
+	"github.com/leanovate/gopter"
+)
+
+// The fixed seed and the samples that each property is tried with.
+const (
+	seed    = 20261202
+	samples = 200
+)
+
+// Holds fails the test if the property is violated by any sample.
+func Holds(t *testing.T, property gopter.Prop) {
+	t.Helper()
+	result := property.Check(parameters())
+	if !result.Passed() {
+		t.Fatalf("violated: %v %v, arguments %v", result.Status, result.Error, result.Args)
+	}
+	t.Logf("held for %d samples", result.Succeeded)
+}
+
+// Breaks fails the test unless some sample violates the property.
+func Breaks(t *testing.T, property gopter.Prop) {
+	t.Helper()
+	result := property.Check(parameters())
+	if result.Passed() {
+		t.Fatal("the control was removed and no sample violated the property: it proves nothing")
+	}
+	t.Logf("violated, as it must be, after %d samples: %v", result.Succeeded, result.Labels)
+}
+
+func parameters() *gopter.TestParameters {
+	p := gopter.DefaultTestParametersWithSeed(seed)
+	p.MinSuccessfulTests = samples
+	p.MaxShrinkCount = 0
+	p.Workers = 1
+	return p
+}
--- /dev/null
+++ b/kept/kept_test.go
@@ -0,0 +1,228 @@
+package kept_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/zeebo/blake3"
+
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/internal/standin/fault"
+	"github.com/thymewind/thymewind/internal/standin/store"
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/prefix"
+)
+
+const pieceBytes = 64
+
+var at = netip.MustParseAddrPort("10.0.0.1:7200")
+
+// What goes wrong on the way to a store box.
+const (
+	fine = iota
+	fails
+	truncates
+	flips
+	crosses
+	restarts
+	wireKinds
+)
+
+// wire carries calls to a store box that lives in this process.
+type wire struct {
+	script fake.Script
+	box    http.Handler
+	// last is the latest answer with manifests, to be crossed with others.
+	last []byte
+}
+
+func newBox() http.Handler {
+	s := store.Store{Fault: &fault.Switch{}, MemoryBytes: 4 << 10, DiskBytes: 4 << 10, MemoryRate: 1e6, DiskRate: 1e5}
+	return s.Handler()
+}
+
+// RoundTrip implements http.RoundTripper.
+func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	kind := int(w.script.Draw())
+	switch kind {
+	case fails:
+		return nil, errors.New("connection reset")
+	case restarts:
+		w.box = newBox()
+	}
+	recorder := httptest.NewRecorder()
+	w.box.ServeHTTP(recorder, r)
+	body := recorder.Body.Bytes()
+	switch {
+	case kind == truncates && len(body) > 1:
+		body = body[:len(body)/2]
+	case kind == flips && len(body) > 0:
+		body = bytes.Clone(body)
+		body[len(body)/2] ^= 1
+	case kind == crosses && w.last != nil && strings.HasSuffix(r.URL.Path, "/find"):
+		body = w.last
+	}
+	if strings.HasSuffix(r.URL.Path, "/find") && strings.Contains(recorder.Body.String(), "digest") {
+		w.last = bytes.Clone(recorder.Body.Bytes())
+	}
+	answer := recorder.Result()
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	return answer, nil
+}
+
+// cache is what an engine's KV cache of a piece holds.
+func cache(key string) []byte {
+	sum := blake3.Sum256([]byte(key))
+	return bytes.Repeat(sum[:], 8)
+}
+
+// control is what sister tests remove.
+type control struct {
+	usable func(run []kept.Manifest, scope string, keys []string) []kept.Manifest
+	piece  func(s *kept.Store, p kept.Piece) ([]byte, error)
+}
+
+var inForce = control{
+	usable: kept.Usable,
+	piece: func(s *kept.Store, p kept.Piece) ([]byte, error) {
+		return s.Piece(context.Background(), at, p)
+	},
+}
+
+// prompt is one of a few prompts of one of two accounts and two versions.
+type prompt struct {
+	scope prefix.Key
+	keys  []string
+}
+
+func promptOf(n int) prompt {
+	texts := []string{strings.Repeat("menu ", 60), strings.Repeat("menu ", 40) + strings.Repeat("address ", 20)}
+	accounts := []string{"menu-app", "rider-app"}
+	versions := []string{"v1", "v2"}
+	p := prompt{scope: prefix.Scope(accounts[n%2], versions[n/2%2])}
+	for _, key := range prefix.Chain(p.scope, []byte(texts[n/4%2]), pieceBytes) {
+		p.keys = append(p.keys, key.String())
+	}
+	return p
+}
+
+// write keeps a prompt's cache: each piece first, then the manifests. The
+// writer dies after some pieces if the number given is small.
+func write(s *kept.Store, p prompt, dies int) {
+	ctx := context.Background()
+	var run []kept.Manifest
+	for i, key := range p.keys {
+		if i == dies || s.PutPiece(ctx, at, cache(key)) != nil {
+			return
+		}
+		piece := kept.Piece{Digest: kept.Digest(cache(key)), Bytes: len(cache(key)), Tokens: pieceBytes / 4}
+		run = append(run, kept.Seal(kept.Manifest{Key: key, Scope: p.scope.String(), Depth: i, Piece: piece}))
+	}
+	_ = s.Put(ctx, at, run)
+}
+
+// read imports a prompt's cache and says whether all of it was its own.
+func (c control) read(s *kept.Store, p prompt) bool {
+	run, err := s.Find(context.Background(), at, p.keys)
+	if err != nil {
+		return true
+	}
+	for i, m := range c.usable(run, p.scope.String(), p.keys) {
+		data, err := c.piece(s, m.Piece)
+		if err != nil {
+			return true
+		}
+		if i >= len(p.keys) || !bytes.Equal(data, cache(p.keys[i])) {
+			return false
+		}
+	}
+	return true
+}
+
+// onlyOwnWholePieces has prompts written, dropped and read through faults.
+func onlyOwnWholePieces(t *testing.T, c control) gopter.Prop {
+	return prop.ForAll(func(faults, steps []int) bool {
+		ok := true
+		synctest.Test(t, func(*testing.T) {
+			w := &wire{script: fake.Script{Kinds: faults}, box: newBox()}
+			s := &kept.Store{HTTP: &http.Client{Transport: w}}
+			for i, step := range steps {
+				p := promptOf(step)
+				switch i % 4 {
+				case 0, 1:
+					write(s, p, step%7+1)
+				case 2:
+					ok = ok && c.read(s, p)
+				case 3:
+					_ = s.Drop(context.Background(), at, p.keys[step%len(p.keys)])
+					time.Sleep(time.Duration(step) * 10 * time.Second)
+				}
+				ok = ok && c.read(s, promptOf(step+1))
+			}
+		})
+		return ok
+	}, gen.SliceOfN(19, gen.IntRange(0, wireKinds-1)), gen.SliceOfN(24, gen.IntRange(0, 7)))
+}
+
+func TestOnlyOwnWholePieces(t *testing.T) { proof.Holds(t, onlyOwnWholePieces(t, inForce)) }
+
+func TestOnlyOwnWholePiecesNeedsTheManifestCheck(t *testing.T) {
+	removed := inForce
+	removed.usable = func(run []kept.Manifest, _ string, _ []string) []kept.Manifest { return run }
+	proof.Breaks(t, onlyOwnWholePieces(t, removed))
+}
+
+func TestOnlyOwnWholePiecesNeedsTheDigest(t *testing.T) {
+	removed := inForce
+	removed.piece = func(s *kept.Store, p kept.Piece) ([]byte, error) {
+		response, err := s.HTTP.Get("http://" + at.String() + "/v1/pieces/" + p.Digest)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != http.StatusOK {
+			return nil, errors.New("gone")
+		}
+		return io.ReadAll(response.Body)
+	}
+	proof.Breaks(t, onlyOwnWholePieces(t, removed))
+}
+
+func TestCheck(t *testing.T) {
+	good := kept.Seal(kept.Manifest{Key: "k", Scope: "s", Depth: 1, Piece: kept.Piece{Digest: "d", Bytes: 1, Tokens: 1}})
+	tests := []struct {
+		name   string
+		change func(*kept.Manifest)
+		ok     bool
+	}{
+		{"as sealed", func(*kept.Manifest) {}, true},
+		{"asked for meanwhile", func(m *kept.Manifest) { m.Hits = 9 }, true},
+		{"another scope", func(m *kept.Manifest) { m.Scope = "other" }, false},
+		{"another depth", func(m *kept.Manifest) { m.Depth = 0 }, false},
+		{"another piece", func(m *kept.Manifest) { m.Piece.Digest = "e" }, false},
+		{"more tokens", func(m *kept.Manifest) { m.Piece.Tokens = 2 }, false},
+		{"no bytes", func(m *kept.Manifest) { m.Piece.Bytes = 0; *m = kept.Seal(*m) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := good
+			tt.change(&m)
+			if err := kept.Check(m, "s", "k", 1); (err == nil) != tt.ok {
+				t.Errorf("Check = %v, want ok %v", err, tt.ok)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,157 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/lease"
+	"github.com/thymewind/thymewind/table"
+)
+
+// control is what sister tests remove.
+type control struct {
+	commit func(*fake.Table) func(context.Context, table.Transaction) error
+	read   func(*fake.Table) func(context.Context, string) (table.Row, error)
+	// margin is the lease's.
+	margin time.Duration
+}
+
+var inForce = control{
+	commit: func(t *fake.Table) func(context.Context, table.Transaction) error { return t.Commit },
+	read:   func(t *fake.Table) func(context.Context, string) (table.Row, error) { return t.Read },
+	margin: time.Second,
+}
+
+// watch notes whether two boxes ever act under the lease at once, or under a
+// falling epoch.
+type watch struct {
+	mu     sync.Mutex
+	acting map[int]uint64
+	epoch  uint64
+	wrong  bool
+}
+
+func (w *watch) note(box int, epoch uint64, held bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.acting, box)
+	if !held {
+		return
+	}
+	w.acting[box] = epoch
+	if len(w.acting) > 1 || epoch < w.epoch {
+		w.wrong = true
+	}
+	w.epoch = max(w.epoch, epoch)
+}
+
+// oneHolder has boxes step and freeze as generated. A box's clock runs up to a
+// hundredth fast or slow.
+func oneHolder(t *testing.T, c control) gopter.Prop {
+	return prop.ForAll(func(faults, freezes []int) bool {
+		w := &watch{acting: make(map[int]uint64)}
+		synctest.Test(t, func(*testing.T) {
+			rows := &fake.Table{Fault: (&fake.Script{Kinds: faults}).Draw}
+			began := time.Now()
+			var boxes sync.WaitGroup
+			for box := range 3 {
+				rate := 1 + float64(box-1)/100
+				n := 0
+				l := &lease.Lease{
+					Duty: "orders", Holder: fmt.Sprint(box), Length: 6 * time.Second, Margin: c.margin,
+					Commit: c.commit(rows), Read: c.read(rows),
+					Nonce: func() string { n++; return fmt.Sprint(box, "-", n) },
+					Now:   func() time.Time { return began.Add(time.Duration(float64(time.Since(began)) * rate)) },
+				}
+				boxes.Go(func() { live(l, box, w, freezes) })
+			}
+			boxes.Wait()
+		})
+		return !w.wrong
+	}, gen.SliceOfN(11, gen.IntRange(0, int(fake.Kinds)-1)), gen.SliceOfN(40, gen.IntRange(0, 30)))
+}
+
+// live steps one box's lease. A freeze lies between a step and the next look
+// at the lease; a frozen box does not act.
+func live(l *lease.Lease, box int, w *watch, freezes []int) {
+	for i, freeze := range freezes {
+		if l.Due() {
+			_ = l.Step(context.Background())
+		}
+		epoch, _, held := l.Held()
+		w.note(box, epoch, held)
+		time.Sleep(300 * time.Millisecond)
+		epoch, _, held = l.Held()
+		w.note(box, epoch, held)
+		if (i+box)%4 == 0 {
+			w.note(box, 0, false)
+			time.Sleep(time.Duration(freeze) * time.Second)
+		}
+	}
+	w.note(box, 0, false)
+}
+
+func TestOneHolder(t *testing.T) { proof.Holds(t, oneHolder(t, inForce)) }
+
+func TestOneHolderNeedsTheCondition(t *testing.T) {
+	removed := inForce
+	removed.commit = func(t *fake.Table) func(context.Context, table.Transaction) error { return t.Unconditional }
+	proof.Breaks(t, oneHolder(t, removed))
+}
+
+func TestOneHolderNeedsTheSuccessorsWait(t *testing.T) {
+	removed := inForce
+	removed.read = func(t *fake.Table) func(context.Context, string) (table.Row, error) {
+		return func(ctx context.Context, key string) (table.Row, error) {
+			row, err := t.Read(ctx, key)
+			// Believe that whoever holds the lease has given it back.
+			row.Value = []byte(`{"epoch":1,"nonce":"any"}`)
+			return row, err
+		}
+	}
+	proof.Breaks(t, oneHolder(t, removed))
+}
+
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &fake.Table{}
+		n := 0
+		box := func(name string) *lease.Lease {
+			return &lease.Lease{
+				Duty: "charges", Holder: name, Length: 6 * time.Second, Margin: time.Second, Commit: rows.Commit, Read: rows.Read,
+				Nonce: func() string { n++; return fmt.Sprint(n) }, Now: time.Now,
+			}
+		}
+		first, second := box("a"), box("b")
+		ctx := context.Background()
+		if err := first.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := second.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, ok := second.Held(); ok {
+			t.Error("two hold the lease")
+		}
+		if err := first.Release(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := second.Step(ctx); err != nil {
+			t.Fatal(err)
+		}
+		epoch, _, ok := second.Held()
+		if !ok || epoch != 2 {
+			t.Errorf("after a release: epoch %d, held %v, want 2 and true at once", epoch, ok)
+		}
+	})
+}
--- a/listen.go
+++ b/listen.go
@@ -133,7 +133,7 @@
 	d.Log.Info("stopping", "notice", d.Settings.Timing.Notice)
 	_ = wait(ctx, d.Settings.Timing.Notice)
 	// Shutdown waits for the last request, however long its answer takes.
-	err := l.callers.Shutdown(ctx)
+	err := d.shutdown(l.callers, ctx)
 	d.Log.Info("last answer sent")
 	d.releaseDuties(ctx)
 	d.flushLast(ctx)
--- a/place.go
+++ b/place.go
@@ -10,7 +10,6 @@
 	"github.com/thymewind/thymewind/decision"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/pool"
-	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
 	"github.com/thymewind/thymewind/target"
@@ -96,7 +95,7 @@
 	placed := route.Placed{
 		Request: ask.Request, Account: ask.Account, Pool: p.Name, Attempt: ask.Attempt,
 		Target: x.Name, Address: x.Address, Domain: x.Domain, Version: x.Version,
-		Scope: prefix.Scope(ask.Account, x.Version), PieceBytes: p.PieceBytes, Rule: choice.Rule,
+		Scope: d.scope(ask.Account, x.Version), PieceBytes: p.PieceBytes, Rule: choice.Rule,
 	}
 	if p.Kind == pool.KindModel {
 		d.addCache(now, t, ask, p, &placed)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,7 +5,7 @@
 // is within a bound of the mean takes it. Every box computes the same ranking,
 // so boxes share no index of prompts.
 //
-//	c := placement.Chooser{Bound: 1.25, Random: rand.Uint64}
+//	c := placement.Chooser{Bound: 1.25, Usable: (*target.Target).Usable, Random: rand.Uint64}
 //	choice, err := c.Choose(now, home, targets, nil)
 package placement
 
@@ -40,6 +40,8 @@
 	// Bound is how far above the mean load a ranked target may be, as a
 	// factor. It is over 1.
 	Bound float64
+	// Usable says whether a target takes new work; it is (*target.Target).Usable.
+	Usable func(t *target.Target, now time.Time) bool
 	// Random breaks ties between equally loaded targets, so that boxes with
 	// the same lagged view do not choose alike.
 	Random func() uint64
@@ -80,7 +82,7 @@
 	least := lightest{index: -1}
 	sum := 0
 	for i, t := range targets {
-		if !t.Usable(now) || (skip != nil && skip(t)) {
+		if !c.Usable(t, now) || (skip != nil && skip(t)) {
 			continue
 		}
 		choice.Usable++
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/stream"
 )
 
 // Request is one model request that was admitted.
@@ -42,6 +43,8 @@
 	Generate func(ctx context.Context, at netip.AddrPort, run engine.Run) (*engine.Frames, error)
 	Resume   func(ctx context.Context, at netip.AddrPort, request string, attempt, offset int) (*engine.Frames, error)
 	Cancel   func(ctx context.Context, at netip.AddrPort, request string, attempt int) (started bool, err error)
+	// Accept checks a frame; it is (*stream.Checker).Accept.
+	Accept func(c *stream.Checker, f stream.Frame) (string, error)
 	// Ended hears of every attempt that was placed, exactly once.
 	Ended func(route.Ended)
 	// Retry asks the retry budget for one more attempt and says whether there
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,253 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/relay"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// answer is the text that every engine generates; whole in pieces of a few
+// bytes.
+const answer = "sinigang, adobo and pancit are left tonight"
+
+// What goes wrong with one stream, drawn anew for each frame or call.
+const (
+	fine = iota
+	cut
+	doubled
+	crossed
+	skipped
+	shifted
+	endsEarly
+	failsRun
+	streamKinds
+)
+
+// What goes wrong with opening a stream.
+const (
+	opens = iota
+	notSent
+	refused
+	noAnswer
+	otherVersion
+	openKinds
+)
+
+// engines fakes all engines at once.
+type engines struct {
+	opening, streams fake.Script
+	// started counts runs that began on some engine.
+	started int
+	// queued runs have not started, as Cancel then confirms.
+	queued map[string]bool
+	// versions are the weights that each engine's run uses.
+	versions map[string]string
+}
+
+func (e *engines) generate(_ context.Context, at netip.AddrPort, run engine.Run) (*engine.Frames, error) {
+	switch int(e.opening.Draw()) {
+	case notSent:
+		return nil, trace.Wrap(engine.ErrNotSent)
+	case refused:
+		return nil, &engine.Refusal{Status: http.StatusServiceUnavailable, Reason: "full"}
+	case noAnswer:
+		e.queued[at.String()] = e.started%2 == 0
+		if !e.queued[at.String()] {
+			e.started++
+		}
+		return nil, trace.ConnectionProblem(nil, "reset")
+	case otherVersion:
+		run.Version = "v0"
+	}
+	e.started++
+	e.versions[at.String()] = run.Version
+	return e.frames(run.Request, run.Attempt, run.Version, run.Scope, len(run.Generated)), nil
+}
+
+func (e *engines) resume(_ context.Context, at netip.AddrPort, request string, attempt, offset int) (*engine.Frames, error) {
+	if int(e.opening.Draw()) == refused {
+		return nil, trace.NotFound("gone")
+	}
+	return e.frames(request, attempt, e.versions[at.String()], scope.Scope.String(), offset), nil
+}
+
+func (e *engines) cancel(_ context.Context, at netip.AddrPort, _ string, _ int) (bool, error) {
+	return !e.queued[at.String()], nil
+}
+
+var scope = route.Placed{}
+
+// frames streams the answer from an offset, with faults.
+func (e *engines) frames(request string, attempt int, version, scope string, offset int) *engine.Frames {
+	const piece = 7
+	var queue []stream.Frame
+	base := stream.Frame{Request: request, Attempt: attempt}
+	start := base
+	start.Kind, start.Version, start.Scope = stream.KindStart, version, scope
+	queue = append(queue, start)
+	for at := offset; at < len(answer); at += piece {
+		f := base
+		f.Kind, f.Offset, f.Text = stream.KindPiece, at, answer[at:min(at+piece, len(answer))]
+		queue = append(queue, f)
+	}
+	end := base
+	end.Kind, end.Total, end.Finish = stream.KindEnd, len(answer), "stop"
+	queue = append(queue, end)
+	next := func() (stream.Frame, error) {
+		if len(queue) == 0 {
+			return stream.Frame{}, io.EOF
+		}
+		f := queue[0]
+		queue = queue[1:]
+		switch int(e.streams.Draw()) {
+		case cut:
+			queue = nil
+			return stream.Frame{}, trace.ConnectionProblem(nil, "cut")
+		case doubled:
+			queue = append([]stream.Frame{f}, queue...)
+		case crossed:
+			queue = append([]stream.Frame{f}, queue...)
+			return stream.Frame{Kind: stream.KindPiece, Request: "other", Attempt: 1, Text: "another caller's"}, nil
+		case skipped:
+			if len(queue) > 0 {
+				f = queue[0]
+				queue = queue[1:]
+			}
+		case shifted:
+			f.Offset += 3
+		case endsEarly:
+			f = base
+			f.Kind, f.Total = stream.KindEnd, len(answer)
+			queue = nil
+		case failsRun:
+			f = base
+			f.Kind, f.Error = stream.KindError, "out of memory"
+			queue = nil
+		}
+		return f, nil
+	}
+	return &engine.Frames{Next: next, Close: func() error { return nil }}
+}
+
+// seams are what sister tests replace.
+type seams struct {
+	accept func(*stream.Checker, stream.Frame) (string, error)
+	cancel func(*engines) func(context.Context, netip.AddrPort, string, int) (bool, error)
+}
+
+var inForce = seams{
+	accept: (*stream.Checker).Accept,
+	cancel: func(e *engines) func(context.Context, netip.AddrPort, string, int) (bool, error) { return e.cancel },
+}
+
+// outcome is what the caller got.
+type outcome struct {
+	text    string
+	whole   bool
+	refused *refusal.Refusal
+	opened  int
+	started int
+}
+
+func run(s seams, once bool, opening, streams []int) outcome {
+	e := &engines{opening: fake.Script{Kinds: opening}, streams: fake.Script{Kinds: streams}, queued: make(map[string]bool), versions: make(map[string]string)}
+	var got outcome
+	var text strings.Builder
+	r := relay.Relay{
+		Place: func(_ context.Context, ask route.Ask) (route.Placed, error) {
+			return route.Placed{
+				Request: ask.Request, Attempt: ask.Attempt, Target: "t" + string(rune('0'+ask.Attempt)), Version: "v1",
+				Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(ask.Attempt)),
+			}, nil
+		},
+		Generate: e.generate, Resume: e.resume, Cancel: s.cancel(e), Accept: s.accept,
+		Ended: func(route.Ended) {}, Retry: func(string) bool { return true },
+		Now: func() time.Time { return time.Time{} }, Attempts: 3, Resumes: 2,
+		ComeBack: func() time.Duration { return time.Second },
+	}
+	_, err := r.Run(context.Background(), relay.Request{
+		ID: "r", Once: once, Open: func(route.Placed) { got.opened++ },
+		Write: func(piece string, offset int) error {
+			text.WriteString(piece)
+			if offset != text.Len() {
+				return errors.New("wrong offset")
+			}
+			return nil
+		},
+	})
+	errors.As(err, &got.refused)
+	got.text, got.whole, got.started = text.String(), err == nil, e.started
+	return got
+}
+
+// wholeOrTyped says that a success carries the whole answer, that anything
+// else is a typed refusal, and that all text relayed is the answer's beginning.
+func wholeOrTyped(s seams) gopter.Prop {
+	return prop.ForAll(func(once bool, opening, streams []int) bool {
+		got := run(s, once, opening, streams)
+		if got.whole && got.text != answer {
+			return false
+		}
+		return strings.HasPrefix(answer, got.text) && got.whole == (got.refused == nil) && got.opened <= 1
+	}, gen.Bool(), gen.SliceOfN(5, gen.IntRange(0, openKinds-1)), gen.SliceOfN(23, gen.IntRange(0, streamKinds-1)))
+}
+
+// didNotRunIsTrue says that a request told did-not-run started nowhere, and
+// that one marked once starts at most once.
+func didNotRunIsTrue(s seams) gopter.Prop {
+	return prop.ForAll(func(once bool, opening, streams []int) bool {
+		got := run(s, once, opening, streams)
+		if got.refused != nil && got.refused.Outcome == refusal.DidNotRun && got.started > 0 {
+			return false
+		}
+		return !once || got.started <= 1
+	}, gen.Bool(), gen.SliceOfN(4, gen.IntRange(0, openKinds-1)), gen.SliceOfN(23, gen.IntRange(0, streamKinds-1)))
+}
+
+func TestWholeAnswerOrTypedError(t *testing.T) { proof.Holds(t, wholeOrTyped(inForce)) }
+
+func TestWholeAnswerNeedsTheChecker(t *testing.T) {
+	removed := inForce
+	removed.accept = func(c *stream.Checker, f stream.Frame) (string, error) {
+		// Believe every frame: take it for the one expected.
+		f.Request, f.Attempt, f.Version, f.Scope, f.Offset, f.Total = c.Request, c.Attempt, c.Version, c.Scope, c.Offset(), c.Offset()
+		return c.Accept(f)
+	}
+	proof.Breaks(t, wholeOrTyped(removed))
+}
+
+func TestDidNotRunIsTrue(t *testing.T) { proof.Holds(t, didNotRunIsTrue(inForce)) }
+
+func TestDidNotRunNeedsTheCancelsAnswer(t *testing.T) {
+	removed := inForce
+	removed.cancel = func(*engines) func(context.Context, netip.AddrPort, string, int) (bool, error) {
+		return func(context.Context, netip.AddrPort, string, int) (bool, error) { return false, nil }
+	}
+	proof.Breaks(t, didNotRunIsTrue(removed))
+}
+
+// TestAnotherVersionIsNeverRelayed has every engine answer with other weights.
+func TestAnotherVersionIsNeverRelayed(t *testing.T) {
+	got := run(inForce, false, []int{otherVersion}, nil)
+	if got.text != "" || got.opened != 0 || got.refused == nil {
+		t.Errorf("got %+v, want nothing relayed", got)
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -170,7 +170,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		text, err := j.checker.Accept(frame)
+		text, err := j.Accept(&j.checker, frame)
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/update.go
+++ b/update.go
@@ -180,7 +180,7 @@
 		d.counts.platformErrors.WithLabelValues("configuration").Inc()
 		return nil
 	}
-	if m.configuration == nil || m.configuration.Revision <= t.configuration.Revision {
+	if m.configuration == nil || !d.supersedes(m.configuration, t.configuration) {
 		return nil
 	}
 	t.configuration = m.configuration
