test(thymewind): leaving targets, accounts, versions, stops and resumes through whole daemons

Found on the way: a target that was leaving, fell off the list and was listed again by a list that lags got new work (TestNoNewWorkForLeaving failed); peer TLS was read from the settings but never used. Change: departed targets are remembered for two minutes; peers dial with TLS when their listener has a key pair; an in-process fleet over loopback for tests.

--- a/build.go
+++ b/build.go
@@ -86,7 +86,7 @@
 		return trace.Wrap(err)
 	}
 	d.tables = tables{
-		configuration: &configuration.Configuration{}, pending: make(map[string]bool), held: make(map[string]*duty),
+		configuration: &configuration.Configuration{}, pending: make(map[string]bool), held: make(map[string]*duty), departed: make(map[string]departure),
 		reuse: make(map[string]*reuseState), storeAvoid: make(map[string]time.Time), recent: recent,
 	}
 	d.scope = prefix.Scope
@@ -97,7 +97,9 @@
 	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.watchRoom, d.count}
 	d.buildPlatform()
 	d.buildLedger()
-	d.buildPeers()
+	if err := d.buildPeers(); err != nil {
+		return trace.Wrap(err)
+	}
 	d.buildRequests()
 	return nil
 }
@@ -123,12 +125,18 @@
 	}
 }
 
-func (d *Daemon) buildPeers() {
+func (d *Daemon) buildPeers() error {
 	d.peers = peer.Node{
 		Credential: d.Settings.PeerCredential, Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
 		Sent:     func(n int) { d.counts.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		Received: func(n int) { d.counts.peerBytes.WithLabelValues("received").Add(float64(n)) },
 	}
+	if d.Settings.TLS.Peers.Certificate == "" {
+		return nil
+	}
+	client, err := peerTLS(d.Settings.TLS)
+	d.peers.HTTP, d.peers.Scheme = client, "wss"
+	return trace.Wrap(err)
 }
 
 func (d *Daemon) buildRequests() {
--- a/daemon.go
+++ b/daemon.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	Log      *log.Logger
 	// Registry takes the daemon's metrics.
 	Registry *prometheus.Registry
+	// Listening, if it is set, hears of the addresses once all are open. With
+	// port 0 in the settings it is the way to learn them.
+	Listening func(callers, operators, peers netip.AddrPort)
 
 	parts
 	tables  tables
--- /dev/null
+++ b/daemon_test.go
@@ -0,0 +1,257 @@
+package thymewind
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	standin "github.com/thymewind/thymewind/internal/standin/engine"
+	"github.com/thymewind/thymewind/prefix"
+)
+
+func TestWholeAnswers(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	prompt := strings.Repeat("sinigang, adobo, pancit; ", 20)
+	for i := range 6 {
+		text, _, r := f.chat(i%2, "menu key", prompt, 20)
+		if text != expected(prompt, 20) {
+			t.Fatalf("request %d: %+v", i, r)
+		}
+	}
+	if _, cached, _ := f.chat(0, "menu key", prompt, 5); cached == 0 {
+		t.Error("a returning prompt's cache was not reused")
+	}
+}
+
+// TestCutStreams has engines cut and cross most of their streams; callers
+// still get whole answers or typed errors.
+func TestCutStreams(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+		state := f.faults[name].State()
+		state.Cut, state.Crossed = 0.6, 0.3
+		f.faults[name].Set(state)
+	}
+	whole := 0
+	for i := range 20 {
+		prompt := fmt.Sprintf("address %d near the chapel, behind the big mango tree", i)
+		text, _, r := f.chat(0, "menu key", prompt, 30)
+		switch {
+		case r.err != nil:
+			t.Errorf("request %d: %v", i, r.err)
+		case r.status == http.StatusOK && text != expected(prompt, 30):
+			t.Errorf("request %d: a success with %q", i, text)
+		case r.status == http.StatusOK:
+			whole++
+		case r.header.Get("Thymewind-Outcome") == "":
+			t.Errorf("request %d: status %d without an outcome", i, r.status)
+		}
+	}
+	if whole == 0 {
+		t.Error("no answer was whole")
+	}
+}
+
+// accountsApart has two accounts send the same prompts and the same keys. It
+// returns what crossed between them.
+func accountsApart(t *testing.T, f *fleet) (crossed []string) {
+	for i := range 4 {
+		prompt := fmt.Sprintf("round %d: %s", i, strings.Repeat("the same catalogue for all; ", 20))
+		if _, _, r := f.chat(0, "menu key", prompt, 3); r.status != http.StatusOK {
+			t.Fatalf("%+v", r)
+		}
+		_, cached, _ := f.chat(0, "rider key", prompt, 3)
+		if cached > 0 {
+			crossed = append(crossed, "cache of "+prompt[:8])
+		}
+		header := http.Header{"Idempotency-Key": {fmt.Sprint("order-", i)}, "Thymewind-Not-Repeatable": {"true"}}
+		one := f.post(0, "menu key", "/services/orders/orders", "for the menu", header)
+		two := f.post(0, "rider key", "/services/orders/orders", "for the rider", header)
+		if !strings.Contains(one.body, "for the menu") || !strings.Contains(two.body, "for the rider") {
+			crossed = append(crossed, fmt.Sprintf("answers %q, %q", one.body, two.body))
+		}
+	}
+	return crossed
+}
+
+func TestAccountsApart(t *testing.T) {
+	if crossed := accountsApart(t, newFleet(t, 1, nil)); len(crossed) > 0 {
+		t.Errorf("crossed: %v", crossed)
+	}
+}
+
+func TestAccountsApartNeedsTheScope(t *testing.T) {
+	removed := func(d *Daemon) {
+		d.scope = func(_, version string) prefix.Key { return prefix.Scope("", version) }
+	}
+	if crossed := accountsApart(t, newFleet(t, 1, removed)); len(crossed) == 0 {
+		t.Error("the control was removed and nothing crossed: it proves nothing")
+	}
+}
+
+// stream begins a long streamed answer and returns when some of it came.
+func (f *fleet) stream(daemon int, prompt string, tokens int) (*http.Response, *bufio.Reader, string) {
+	body := fmt.Sprintf(`{"model":"menu-assistant","prompt":%q,"stream":true,"max_tokens":%d}`, prompt, tokens)
+	request, err := http.NewRequest(http.MethodPost, f.daemons[daemon].callers+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer menu key")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	reader := bufio.NewReader(response.Body)
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return response, reader, line
+}
+
+// rest reads a stream to its end and says whether it ended as a whole one does.
+func rest(reader *bufio.Reader) bool {
+	whole := false
+	for {
+		line, err := reader.ReadString('\n')
+		whole = whole || strings.HasPrefix(line, "data: [DONE]")
+		if err != nil {
+			return whole
+		}
+	}
+}
+
+// stopsWhole has a daemon stop while an answer is under way and says whether
+// the answer came whole and the daemon ended well.
+func stopsWhole(t *testing.T, change func(*Daemon)) bool {
+	f := newFleet(t, 1, change)
+	response, reader, _ := f.stream(0, "a long story", 200)
+	defer func() { _ = response.Body.Close() }()
+	f.daemons[0].stop()
+	whole := rest(reader)
+	err := <-f.daemons[0].done
+	if waiting := f.daemons[0].d.ledger.Waiting(); waiting > 0 {
+		t.Errorf("the charges of %d accounts were not written", waiting)
+	}
+	return whole && err == nil
+}
+
+func TestStopCutsNothing(t *testing.T) {
+	if !stopsWhole(t, nil) {
+		t.Error("a planned stop cut an answer")
+	}
+}
+
+func TestStopCutsNothingNeedsTheWait(t *testing.T) {
+	removed := func(d *Daemon) {
+		d.shutdown = func(s *http.Server, _ context.Context) error { return s.Close() }
+	}
+	if stopsWhole(t, removed) {
+		t.Error("the control was removed and nothing was cut: it proves nothing")
+	}
+}
+
+// TestResumeAtAnotherBox takes a stream up at a second daemon.
+func TestResumeAtAnotherBox(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	response, _, first := f.stream(0, "a long story", 100)
+	token := response.Header.Get("Thymewind-Resume")
+	_ = response.Body.Close() // As if the box died.
+	offset := strings.TrimSpace(strings.TrimPrefix(first, "id: "))
+	header := http.Header{"Thymewind-Resume": {token}, "Last-Event-Id": {offset}}
+	r := f.post(1, "menu key", "/v1/resume", "", header)
+	want := standin.Answer("a long story", 100)
+	var at int
+	if _, err := fmt.Sscan(offset, &at); err != nil {
+		t.Fatal(err)
+	}
+	if got := textOf(r.body); r.err != nil || got != want[at:] || !strings.Contains(r.body, "[DONE]") {
+		t.Errorf("from offset %d: got %q, want %q", at, got, want[at:])
+	}
+	if r := f.post(1, "rider key", "/v1/resume", "", header); r.status != http.StatusForbidden {
+		t.Errorf("another account's token: status %d", r.status)
+	}
+}
+
+// textOf collects the text of a completion's events.
+func textOf(events string) string {
+	var b strings.Builder
+	for _, part := range strings.Split(events, `"text":"`)[1:] {
+		text, _, _ := strings.Cut(part, `"`)
+		b.WriteString(text)
+	}
+	return b.String()
+}
+
+// TestRollout rolls the pool over while requests come in. Every answer is
+// whole, no request is refused, and each run's cache scope fits its version.
+func TestRollout(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	ctx := context.Background()
+	response, reader, _ := f.stream(0, "a story across the swap", 150)
+	defer func() { _ = response.Body.Close() }()
+	if answer := f.daemons[0].d.statement(ctx, "tests", []byte(`{"statement":"roll pool menu to v2"}`)); answer.Error != "" {
+		t.Fatal(answer.Error)
+	}
+	n := 0
+	f.eventually("all engines serve v2", func() bool {
+		prompt := fmt.Sprintf("while rolling over, request %d, with enough text for a piece of cache or two", n)
+		n++
+		if text, _, r := f.chat(n%2, "menu key", prompt, 3); text != expected(prompt, 3) {
+			t.Fatalf("request %d: %+v", n, r)
+		}
+		done := true
+		f.daemons[1].d.inspect(ctx, func(_ time.Time, t *tables) {
+			for _, x := range t.pools["menu"] {
+				done = done && x.Version == "v2"
+			}
+		})
+		return done
+	})
+	if !rest(reader) {
+		t.Error("the run under way at the swap was cut")
+	}
+	for _, engine := range []string{"engine-1", "engine-2", "engine-3"} {
+		for _, run := range f.ran(engine) {
+			if want := prefix.Scope("menu-app", run.Version).String(); run.Scope != want {
+				t.Errorf("%s: a run of %s used scope %s", engine, run.Version, run.Scope)
+			}
+		}
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	chat := "/v1/chat/completions"
+	good := `{"model":"menu-assistant","messages":[{"role":"user","content":"hello"}]}`
+	tests := []struct {
+		name, method, key, path, body string
+		status                        int
+	}{
+		{"unknown key", "POST", "nobody", chat, good, 401},
+		{"no body", "POST", "menu key", chat, "", 400},
+		{"not JSON", "POST", "menu key", chat, "{", 400},
+		{"no messages", "POST", "menu key", chat, `{"model":"menu-assistant"}`, 400},
+		{"content of another type", "POST", "menu key", chat, `{"model":"menu-assistant","messages":[{"role":"user","content":7}]}`, 400},
+		{"no tokens", "POST", "menu key", chat, `{"model":"menu-assistant","max_tokens":0,"messages":[{"role":"user","content":"x"}]}`, 400},
+		{"unknown model", "POST", "menu key", chat, `{"model":"x","messages":[]}`, 404},
+		{"wrong method", "GET", "menu key", chat, "", 405},
+		{"too large", "POST", "menu key", chat, `{"model":"` + strings.Repeat("x", 1<<20) + `"}`, 413},
+		{"unknown path", "GET", "menu key", "/v2/x", "", 404},
+		{"unknown service", "GET", "menu key", "/services/none/x", "", 404},
+		{"a model's pool is no service", "GET", "menu key", "/services/menu/x", "", 404},
+		{"resume without token", "POST", "menu key", "/v1/resume", "", 403},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := f.do(tt.method, 0, tt.key, tt.path, tt.body, nil)
+			if r.status != tt.status || !strings.Contains(r.body, `"error"`) || r.header.Get("X-Request-Id") == "" {
+				t.Errorf("status %d, body %.200s, want status %d and a typed error", r.status, r.body, tt.status)
+			}
+		})
+	}
+}
--- a/listen.go
+++ b/listen.go
@@ -19,7 +19,13 @@
 
 // listeners are the daemon's servers.
 type listeners struct {
-	callers, operators, peers *http.Server
+	callers, operators, peers listener
+}
+
+// listener is one server and the address it is bound to.
+type listener struct {
+	server  *http.Server
+	address netip.AddrPort
 }
 
 // listen opens the three listeners, or none.
@@ -35,7 +41,7 @@
 	l := &listeners{}
 	var err error
 	for _, one := range []struct {
-		server  **http.Server
+		into    *listener
 		address netip.AddrPort
 		pair    settings.Pair
 		handler http.Handler
@@ -44,48 +50,55 @@
 		{&l.peers, d.Settings.Peers, d.Settings.TLS.Peers, peers},
 		{&l.callers, d.Settings.Callers, d.Settings.TLS.Callers, d.front.Handler()},
 	} {
-		if *one.server, err = d.serve(one.address, one.pair, one.handler); err != nil {
+		if *one.into, err = d.serve(one.address, one.pair, one.handler); err != nil {
 			l.close()
 			return nil, trace.Wrap(err)
 		}
 	}
+	if d.Listening != nil {
+		d.Listening(l.callers.address, l.operators.address, l.peers.address)
+	}
 	return l, nil
 }
 
 // close drops all connections of the servers that were opened.
 func (l *listeners) close() {
-	for _, server := range []*http.Server{l.callers, l.operators, l.peers} {
-		if server != nil {
-			_ = server.Close()
+	for _, one := range []listener{l.callers, l.operators, l.peers} {
+		if one.server != nil {
+			_ = one.server.Close()
 		}
 	}
 }
 
 // serve opens one listener and serves it in the background.
-func (d *Daemon) serve(at netip.AddrPort, pair settings.Pair, handler http.Handler) (*http.Server, error) {
+func (d *Daemon) serve(at netip.AddrPort, pair settings.Pair, handler http.Handler) (listener, error) {
 	const headerPatience = 10 * time.Second
-	listener, err := net.Listen("tcp", at.String())
+	open, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return listener{}, trace.Wrap(err)
+	}
+	bound, err := netip.ParseAddrPort(open.Addr().String())
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return listener{}, trace.Wrap(err)
 	}
 	if pair.Certificate != "" {
 		certificate, err := tls.LoadX509KeyPair(pair.Certificate, pair.Key)
 		if err != nil {
-			_ = listener.Close()
-			return nil, trace.Wrap(err, "key pair of %v", at)
+			_ = open.Close()
+			return listener{}, trace.Wrap(err, "key pair of %v", at)
 		}
-		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
+		open = tls.NewListener(open, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
 	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: headerPatience,
 		ErrorLog: d.Log.StandardLog(),
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(open); !errors.Is(err, http.ErrServerClosed) {
 			d.Log.Error("listener failed", "address", at, "err", err)
 		}
 	}()
-	return server, nil
+	return listener{server, bound}, nil
 }
 
 // readyz says whether the balancer should send callers here.
@@ -133,11 +146,11 @@
 	d.Log.Info("stopping", "notice", d.Settings.Timing.Notice)
 	_ = wait(ctx, d.Settings.Timing.Notice)
 	// Shutdown waits for the last request, however long its answer takes.
-	err := d.shutdown(l.callers, ctx)
+	err := d.shutdown(l.callers.server, ctx)
 	d.Log.Info("last answer sent")
 	d.releaseDuties(ctx)
 	d.flushLast(ctx)
-	_ = l.operators.Shutdown(ctx)
+	_ = l.operators.server.Shutdown(ctx)
 	l.close()
 	d.peers.Close()
 	return trace.Wrap(err)
--- a/tables.go
+++ b/tables.go
@@ -20,11 +20,14 @@
 	configuration *configuration.Configuration
 	targets       entity.Table[string, *target.Target]
 	// pools lists the targets of each pool in name order.
-	pools  map[string][]*target.Target
-	stores entity.Table[string, boxes.Box]
-	peers  entity.Table[string, peerBox]
-	gate   admission.Gate
-	due    due
+	pools map[string][]*target.Target
+	// departed remembers targets that were leaving when the list dropped them,
+	// as a list that lags may name them again.
+	departed map[string]departure
+	stores   entity.Table[string, boxes.Box]
+	peers    entity.Table[string, peerBox]
+	gate     admission.Gate
+	due      due
 	// listed is when the platform's list was last read.
 	listed time.Time
 	// turn is where the next message to peers begins in the targets.
@@ -54,6 +57,12 @@
 	heard  time.Time
 }
 
+// departure is a leaving target's address and when it was last seen.
+type departure struct {
+	address netip.AddrPort
+	at      time.Time
+}
+
 // due is when the systems next have something to read or send.
 type due struct {
 	boxes         time.Time
--- a/update.go
+++ b/update.go
@@ -70,10 +70,10 @@
 		case boxes.RoleStore:
 			t.stores.Put(b.Name, b)
 		case boxes.RoleEngine, boxes.RoleService:
-			d.listTarget(t, b)
+			d.listTarget(now, t, b)
 		}
 	}
-	d.unlist(t, listed)
+	d.unlist(now, t, listed)
 	t.group()
 }
 
@@ -83,10 +83,12 @@
 	t.peers.Put(b.Name, p)
 }
 
-func (d *Daemon) listTarget(t *tables, b boxes.Box) {
+func (d *Daemon) listTarget(now time.Time, t *tables, b boxes.Box) {
 	x, known := t.targets.Lookup(b.Name)
 	if !known || x.Address != b.Address {
 		x = &target.Target{Name: b.Name, Address: b.Address, Hash: placement.Hash(b.Name)}
+		was, gone := t.departed[b.Name]
+		x.Leaving = gone && was.address == b.Address && now.Sub(was.at) < departedFor
 		t.targets.Put(b.Name, x)
 	}
 	x.Pool, x.Domain, x.Listed = b.Pool, b.Domain, true
@@ -96,15 +98,27 @@
 	}
 }
 
+// departedFor is how long a target that was leaving is remembered when the list
+// has dropped it. It is longer than the list can lag.
+const departedFor = 2 * time.Minute
+
 // unlist marks what the list no longer names. Targets with requests under way
 // are kept until those end.
-func (d *Daemon) unlist(t *tables, listed map[string]bool) {
+func (d *Daemon) unlist(now time.Time, t *tables, listed map[string]bool) {
+	for name, was := range t.departed {
+		if now.Sub(was.at) >= departedFor {
+			delete(t.departed, name)
+		}
+	}
 	for _, name := range t.targets.Keys() {
 		x, _ := t.targets.Lookup(name)
 		if listed[name] {
 			continue
 		}
 		x.Listed = false
+		if x.Leaving {
+			t.departed[name] = departure{x.Address, now}
+		}
 		if x.InFlight == 0 {
 			t.targets.Delete(name)
 		}
--- /dev/null
+++ b/update_test.go
@@ -0,0 +1,157 @@
+package thymewind
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/model"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/settings"
+	"github.com/thymewind/thymewind/target"
+)
+
+// newDaemon returns a daemon whose loop does not run.
+func newDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	d := &Daemon{
+		Settings: settings.Settings{
+			Name: "entry-1", Domain: "zone-a", Limits: settings.Limits{Records: 100},
+			Timing: settings.Timing{Tick: time.Second, Poll: time.Second, Load: time.Second, Gossip: time.Second, Lease: time.Second},
+		},
+		Log: log.New(io.Discard), Registry: prometheus.NewRegistry(),
+	}
+	if err := d.build(); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// inForce is a configuration with one model pool.
+func inForce(revision uint64) *configuration.Configuration {
+	return &configuration.Configuration{
+		Revision: revision,
+		Pools:    map[string]pool.Pool{"menu": {Name: "menu", Kind: pool.KindModel, Weights: "v1", PieceBytes: 64, Concurrency: 100}},
+		Models:   map[string]model.Model{"m": {Name: "m", Pool: "menu"}},
+	}
+}
+
+// What a daemon hears of a target.
+const (
+	listedLive = iota
+	listedLeaving
+	notListed
+	reportsLive
+	reportsLeaving
+	peerSays
+	answersLeaving
+	asked
+	heardKinds
+)
+
+// noNewWork says that from the moment a target is said to be leaving, by
+// anyone, no request is placed on it at that address.
+func noNewWork(t *testing.T, usable func(*target.Target, time.Time) bool) gopter.Prop {
+	return prop.ForAll(func(events []int) bool {
+		d := newDaemon(t)
+		d.chooser.Usable = usable
+		d.update(time.Unix(1000, 0), configurationRead{configuration: inForce(1)})
+		w := world{left: make(map[string]bool)}
+		for i, event := range events {
+			now := time.Unix(1000+int64(i), 0)
+			name := fmt.Sprintf("engine-%d", event/heardKinds%3)
+			if !w.happens(d, now, name, event%heardKinds) {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(60, gen.IntRange(0, 3*heardKinds-1)))
+}
+
+// world is what was said of the targets.
+type world struct{ left map[string]bool }
+
+func address(name string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(7000+int(name[len(name)-1])))
+}
+
+// happens feeds one event in and says whether the rule still holds.
+func (w *world) happens(d *Daemon, now time.Time, name string, event int) bool {
+	switch event {
+	case listedLive, listedLeaving, notListed:
+		var list []boxes.Box
+		for i := range 3 {
+			b := boxes.Box{Name: fmt.Sprintf("engine-%d", i), Role: boxes.RoleEngine, Pool: "menu"}
+			b.Address = address(b.Name)
+			if b.Name == name && event == notListed {
+				continue
+			}
+			b.Leaving = b.Name == name && event == listedLeaving
+			list = append(list, b)
+		}
+		d.update(now, boxesRead{list: list})
+	case reportsLive, reportsLeaving:
+		d.update(now, loadRead{target: name, load: engine.Load{Version: "v1", Slots: 8, Leaving: event == reportsLeaving}})
+	case peerSays:
+		said := peer.Message{Kind: peer.KindGossip, From: "entry-2", Leaving: []peer.Leaving{{Target: name, Address: address(name).String()}}}
+		d.update(now, peerSaid{said, make(chan peer.Message, 1)})
+	case answersLeaving:
+		d.update(now, attemptEnded{route.Ended{Placed: route.Placed{Pool: "menu", Target: name, Address: address(name)}, Refused: true, Leaving: true}})
+	case asked:
+		reply := make(chan placeAnswer, 1)
+		d.update(now, placeAsked{route.Ask{Request: "r", Model: "m", Attempt: 1}, reply})
+		answer := <-reply
+		return answer.err != nil || !w.left[answer.placed.Target]
+	}
+	// A target that this daemon does not know yet can't be noted as leaving.
+	if x, known := d.tables.targets.Lookup(name); known && x.Leaving {
+		w.left[name] = true
+	}
+	return true
+}
+
+func TestNoNewWorkForLeaving(t *testing.T) { proof.Holds(t, noNewWork(t, (*target.Target).Usable)) }
+
+func TestNoNewWorkForLeavingNeedsTheMark(t *testing.T) {
+	proof.Breaks(t, noNewWork(t, func(x *target.Target, _ time.Time) bool { return x.Listed }))
+}
+
+// neverReverts says that whatever revisions arrive, the one in force only
+// grows, and is the highest that arrived.
+func neverReverts(t *testing.T, supersedes func(next, current *configuration.Configuration) bool) gopter.Prop {
+	return prop.ForAll(func(revisions []int) bool {
+		d := newDaemon(t)
+		d.supersedes = supersedes
+		highest := uint64(0)
+		for _, revision := range revisions {
+			d.update(time.Unix(1000, 0), configurationRead{configuration: inForce(uint64(revision)), from: "entry-2"})
+			highest = max(highest, uint64(revision))
+			if d.tables.configuration.Revision != highest || d.currentOrEmpty().Revision != highest {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(20, gen.IntRange(0, 9)))
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	proof.Holds(t, neverReverts(t, (*configuration.Configuration).Supersedes))
+}
+
+func TestConfigurationNeverRevertsNeedsTheComparison(t *testing.T) {
+	proof.Breaks(t, neverReverts(t, func(_, _ *configuration.Configuration) bool { return true }))
+}
