--- a/fleet_test.go
+++ b/fleet_test.go
@@ -133,10 +133,10 @@
 
 func (f *fleet) start(i int, change func(*Daemon)) {
 	name := "entry-" + string(rune('1'+i))
-	any := netip.MustParseAddrPort("127.0.0.1:0")
+	local := netip.MustParseAddrPort("127.0.0.1:0")
 	d := &Daemon{
 		Settings: settings.Settings{
-			Name: name, Domain: "zone-a", Callers: any, Operators: any, Peers: any, Platform: f.platform.URL,
+			Name: name, Domain: "zone-a", Callers: local, Operators: local, Peers: local, Platform: f.platform.URL,
 			TokenKeys: []string{"a token key of the tests"}, PeerCredential: "a peer credential",
 			Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 14, Records: 1000},
 			Timing: settings.Timing{
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -47,7 +47,7 @@
 	ran    int
 }
 
-func (t *target) send(request *http.Request, _ netip.AddrPort) (*http.Response, bool, error) {
+func (t *target) send(_ *http.Request, _ netip.AddrPort) (*http.Response, bool, error) {
 	switch kind := int(t.script.Draw()); kind {
 	case unreachable:
 		return nil, false, errBroken
