--- a/admission/admission.go
+++ b/admission/admission.go
@@ -64,7 +64,7 @@
 func (g *Gate) Admit(a Ask) Verdict {
 	g.init()
 	h := holder{a.Account, a.Pool}
-	if a.Concurrency > 0 && g.account(a.Account) >= a.Concurrency {
+	if a.Concurrency > 0 && g.Account(a.Account) >= a.Concurrency {
 		return Verdict{Reason: "the account's concurrency limit is reached", After: time.Second}
 	}
 	if float64(g.pools[a.Pool])+1 > a.Capacity {
@@ -121,7 +121,8 @@
 	}
 }
 
-func (g *Gate) account(name string) int {
+// Account returns the requests that an account has under way, in all pools.
+func (g *Gate) Account(name string) int {
 	n := 0
 	for h, count := range g.inFlight {
 		if h.account == name {
--- a/build.go
+++ b/build.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/thymewind/thymewind/boxes"
@@ -25,6 +24,7 @@
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/relay"
 	"github.com/thymewind/thymewind/resume"
+	"github.com/thymewind/thymewind/retention"
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/stream"
 	"github.com/thymewind/thymewind/table"
@@ -53,8 +53,6 @@
 	now     func() time.Time
 	random  func() uint64
 	systems []system
-	// scope names the cache of one client account and weight version.
-	scope func(account, version string) prefix.Key
 	// supersedes says whether a revision may replace the one in force.
 	supersedes func(next, current *configuration.Configuration) bool
 	// shutdown closes a listener and waits for its last request.
@@ -82,18 +80,10 @@
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
 	d.records = decision.Ring{Size: d.Settings.Limits.Records, Box: d.Settings.Name}
-	recent, err := lru.NewLRU[prefix.Key, string](recentPrompts, nil)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	d.tables = tables{
-		configuration: &configuration.Configuration{}, pending: make(map[string]bool), held: make(map[string]*duty), departed: make(map[string]departure),
-		reuse: make(map[string]*reuseState), storeAvoid: make(map[string]time.Time), recent: recent,
-	}
-	d.scope = prefix.Scope
+	d.tables = tables{pending: make(map[string]bool), held: make(map[string]*duty), departed: make(map[string]departure)}
 	d.supersedes = (*configuration.Configuration).Supersedes
 	d.shutdown = (*http.Server).Shutdown
-	d.chooser = placement.Chooser{Bound: loadBound, Usable: (*target.Target).Usable, Random: d.random}
+	d.buildBoard()
 	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
 	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.watchRoom, d.count}
 	d.buildPlatform()
@@ -105,6 +95,31 @@
 	return nil
 }
 
+// buildBoard prepares the decisions.
+func (d *Daemon) buildBoard() {
+	d.chooser = placement.Chooser{Bound: loadBound, Usable: (*target.Target).Usable, Random: d.random}
+	b := &d.tables.Board
+	b.Choose = d.countChoice
+	b.Scope = prefix.Scope
+	b.Keep = (*retention.Policy).Keep
+	b.Boxes = d.tables.boxCount
+	b.Limit = func(account string, bound int) int { return d.tables.limit(d.now(), account, bound) }
+	b.Jitter = d.jitter
+	b.Record = d.records.Add
+	b.Failing = func(name string) { d.Log.Warn("target fails", "target", name) }
+	b.Leaving = func(name, heard string) { d.Log.Info("target is leaving", "target", name, "heard", heard) }
+	b.Start()
+}
+
+// countChoice counts choices by their rule.
+func (d *Daemon) countChoice(now time.Time, home uint64, targets []*target.Target, skip func(*target.Target) bool) (placement.Choice, error) {
+	choice, err := d.chooser.Choose(now, home, targets, skip)
+	if err == nil {
+		d.counts.placed.WithLabelValues(targets[choice.Index].Pool, choice.Rule).Inc()
+	}
+	return choice, trace.Wrap(err)
+}
+
 func (d *Daemon) buildPlatform() {
 	client := &http.Client{Timeout: tablePatience}
 	d.boxes = boxes.List{Base: d.Settings.Platform, HTTP: client}
--- a/daemon_test.go
+++ b/daemon_test.go
@@ -88,7 +88,7 @@
 
 func TestAccountsApartNeedsTheScope(t *testing.T) {
 	removed := func(d *Daemon) {
-		d.scope = func(_, version string) prefix.Key { return prefix.Scope("", version) }
+		d.tables.Scope = func(_, version string) prefix.Key { return prefix.Scope("", version) }
 	}
 	if crossed := accountsApart(t, newFleet(t, 1, removed)); len(crossed) == 0 {
 		t.Error("the control was removed and nothing crossed: it proves nothing")
@@ -208,7 +208,7 @@
 		}
 		done := true
 		f.daemons[1].d.inspect(ctx, func(_ time.Time, t *tables) {
-			for _, x := range t.pools["menu"] {
+			for _, x := range t.Pools["menu"] {
 				done = done && x.Version == "v2"
 			}
 		})
--- /dev/null
+++ b/dispatch/board.go
@@ -0,0 +1,144 @@
+// Package dispatch decides: which request is admitted, which target it goes
+// to, whether kept cache is worth moving. It holds the tables that decisions
+// need and does no input or output, so that the daemon and the measuring tool
+// drive the same code.
+//
+//	b := dispatch.Board{Configuration: c, Choose: chooser.Choose, ...}
+//	placed, err := b.Place(now, ask)
+//	...
+//	keep := b.Ended(now, ended)
+package dispatch
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/thymewind/thymewind/admission"
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/entity"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/retention"
+	"github.com/thymewind/thymewind/reuse"
+	"github.com/thymewind/thymewind/target"
+)
+
+// BytesPerToken estimates tokens for throttles; charges come from engines.
+const BytesPerToken = 4
+
+// recentPrompts bounds the prompts remembered as served lately.
+const recentPrompts = 8192
+
+// StorePause keeps a store box out of use after it failed.
+const StorePause = 2 * time.Second
+
+// Board holds what decisions need. Set the exported function fields before
+// Start; it is not safe for concurrent use.
+type Board struct {
+	Configuration *configuration.Configuration
+	Targets       entity.Table[string, *target.Target]
+	// Pools lists the targets of each pool in name order; see Group.
+	Pools  map[string][]*target.Target
+	Stores entity.Table[string, boxes.Box]
+	Gate   admission.Gate
+	// StoreAvoid keeps store boxes that failed out of use for a while.
+	StoreAvoid map[string]time.Time
+
+	// Choose picks a target; it is (*placement.Chooser).Choose.
+	Choose func(now time.Time, home uint64, targets []*target.Target, skip func(*target.Target) bool) (placement.Choice, error)
+	// Scope names the cache of one client account and weight version; it is
+	// prefix.Scope.
+	Scope func(account, version string) prefix.Key
+	// Keep decides whether a prompt is worth its export; it is
+	// (*retention.Policy).Keep.
+	Keep func(p *retention.Policy, k retention.Candidate) bool
+	// Boxes counts the entry boxes that share the work. It is at least 1.
+	Boxes func() int
+	// Limit is this box's part of an account's concurrency limit.
+	Limit  func(account string, limit int) int
+	Jitter func(mean time.Duration) time.Duration
+	Record func(decision.Record)
+	// Failing and Leaving hear when a target begins to fail or to leave.
+	Failing func(name string)
+	Leaving func(name, heard string)
+
+	// recent maps the homes of prompts served here to target and version.
+	recent *lru.LRU[prefix.Key, string]
+	// cache is what is known about cache, by pool.
+	cache map[string]*cache
+}
+
+// cache is what the board knows about one pool's cache.
+type cache struct {
+	estimate reuse.Estimate
+	policy   retention.Policy
+	// bytesPerToken is what one token's KV cache takes; zero if not known.
+	bytesPerToken float64
+}
+
+// Start makes an empty board ready.
+func (b *Board) Start() {
+	b.Configuration = &configuration.Configuration{}
+	b.Pools = make(map[string][]*target.Target)
+	b.StoreAvoid = make(map[string]time.Time)
+	b.cache = make(map[string]*cache)
+	// The size is a positive constant, the only thing that could be refused.
+	b.recent, _ = lru.NewLRU[prefix.Key, string](recentPrompts, nil)
+}
+
+// Group lists the targets by pool anew. Call it when targets came or went.
+func (b *Board) Group() {
+	b.Pools = make(map[string][]*target.Target)
+	for _, x := range b.Targets.All() {
+		b.Pools[x.Pool] = append(b.Pools[x.Pool], x)
+	}
+}
+
+// Capacity is how many requests the pool's usable targets take at once, and
+// load how many are thought to be on them.
+func (b *Board) Capacity(now time.Time, pool string) (capacity, load int) {
+	perTarget := b.Configuration.Pools[pool].Concurrency
+	for _, x := range b.Pools[pool] {
+		if x.Usable(now) {
+			capacity += perTarget
+			load += x.Load()
+		}
+	}
+	return capacity, load
+}
+
+// MarkLeaving stops new work to a target for good.
+func (b *Board) MarkLeaving(x *target.Target, heard string) {
+	if x.Leaving {
+		return
+	}
+	x.Leaving = true
+	b.Leaving(x.Name, heard)
+}
+
+// Fail keeps new work off a target for a while that grows with its failures.
+func (b *Board) Fail(now time.Time, x *target.Target) {
+	const (
+		first   = 500 * time.Millisecond
+		longest = 8 * time.Second
+		doubled = 10
+	)
+	if x.Failures == 0 {
+		b.Failing(x.Name)
+	}
+	x.Failures++
+	x.AvoidUntil = now.Add(min(first<<min(x.Failures-1, doubled), longest))
+}
+
+// cacheOf returns a pool's state, new if need be.
+func (b *Board) cacheOf(pool string) *cache {
+	c, known := b.cache[pool]
+	if !known {
+		c = &cache{policy: retention.Policy{Burst: 5, LinkShare: 0.3}}
+		b.cache[pool] = c
+	}
+	return c
+}
--- /dev/null
+++ b/dispatch/ended.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/retention"
+	"github.com/thymewind/thymewind/route"
+)
+
+// Ended takes back what Place counted and learns from how the attempt went. It
+// returns true if the prompt's cache should be exported to its store box.
+func (b *Board) Ended(now time.Time, e route.Ended) (export bool) {
+	b.Gate.Release(e.Placed.Account, e.Placed.Pool)
+	x, known := b.Targets.Lookup(e.Placed.Target)
+	if !known || x.Address != e.Placed.Address {
+		return false
+	}
+	x.InFlight--
+	if e.Leaving {
+		b.MarkLeaving(x, "its own answer")
+	}
+	switch {
+	case e.Failed:
+		b.Fail(now, x)
+	case e.Refused:
+		// The refusal is newer than the report: think of the target as full.
+		x.Running = max(x.Running, x.Slots)
+	default:
+		x.Failures = 0
+		return b.learn(now, e)
+	}
+	return false
+}
+
+// learn takes in what a whole answer tells about cache and decides whether the
+// prompt's cache is kept.
+func (b *Board) learn(now time.Time, e route.Ended) (export bool) {
+	p := b.Configuration.Pools[e.Placed.Pool]
+	if p.Kind != pool.KindModel || len(e.Placed.Keys) == 0 {
+		return false
+	}
+	c := b.cacheOf(p.Name)
+	bytes := 0
+	if e.Placed.Import != nil {
+		_, bytes = kept.Size(e.Placed.Import.Run)
+	}
+	c.estimate.Learn(e.End.Usage, bytes)
+	if e.Placed.Import != nil && e.End.Usage.Imported == 0 && e.End.Usage.Reused == 0 {
+		c.estimate.Fail(bytes, e.FirstToken)
+		b.StoreAvoid[e.Placed.StoreName] = now.Add(StorePause)
+	}
+	c.policy.Saw(e.Placed.Account, e.Placed.Warm || e.Placed.KeptPieces > 0)
+	b.recent.Add(e.Placed.Home, e.Placed.Target+e.Placed.Version)
+	if !p.Stores || !e.Placed.Store.IsValid() || e.Placed.Warm || e.Placed.KeptPieces >= len(e.Placed.Keys) {
+		return false
+	}
+	if c.bytesPerToken == 0 || c.estimate.Link == 0 {
+		return true // Nothing is known of the links until something is moved.
+	}
+	tokens := float64(len(e.Placed.Keys) * p.PieceBytes / BytesPerToken)
+	return b.Keep(&c.policy, retention.Candidate{
+		At: now, Account: e.Placed.Account, Weights: p.Policy,
+		Prefill: over(tokens, c.estimate.Prefill), Link: tokens * c.bytesPerToken / c.estimate.Link,
+	})
+}
+
+// Exported takes in what an export wrote.
+func (b *Board) Exported(pool string, run []kept.Manifest) {
+	if tokens, bytes := kept.Size(run); tokens > 0 {
+		b.cacheOf(pool).bytesPerToken = float64(bytes) / float64(tokens)
+	}
+}
+
+// over divides, and takes nothing for an unknown rate.
+func over(amount, rate float64) float64 {
+	if rate == 0 {
+		return 0
+	}
+	return amount / rate
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/admission"
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/target"
+)
+
+// Place admits a request and chooses the target of one attempt. The error is a
+// *refusal.Refusal.
+func (b *Board) Place(now time.Time, ask route.Ask) (route.Placed, error) {
+	name := ask.Pool
+	if ask.Model != "" {
+		name = b.Configuration.Models[ask.Model].Pool
+	}
+	p, known := b.Configuration.Pools[name]
+	if !known {
+		return route.Placed{}, refusal.New(refusal.DidNotRun, http.StatusNotFound, "unknown_pool", "pool %q is not configured any more", name)
+	}
+	if ask.Attempt > 1 {
+		b.Gate.Count(ask.Account, name)
+	} else if err := b.admit(now, ask, name); err != nil {
+		return route.Placed{}, err
+	}
+	placed, err := b.choose(now, ask, p)
+	if err != nil {
+		b.Gate.Release(ask.Account, name)
+	}
+	return placed, err
+}
+
+// admit asks the gate and turns a no into a refusal with a time to come back.
+func (b *Board) admit(now time.Time, ask route.Ask, name string) error {
+	a := b.Configuration.Accounts[ask.Account]
+	capacity, load := b.Capacity(now, name)
+	concurrency := 0
+	if a.Concurrency > 0 {
+		concurrency = b.Limit(ask.Account, a.Concurrency)
+	}
+	v := b.Gate.Admit(admission.Ask{
+		Account: ask.Account, Pool: name, Weight: max(a.Weight, 1),
+		WeightOf: func(other string) int { return max(b.Configuration.Accounts[other].Weight, 1) },
+		Capacity: float64(capacity), Load: float64(load), Concurrency: concurrency,
+		TokensPerMinute: float64(a.TokensPerMinute) / float64(b.Boxes()),
+		Tokens:          ask.Tokens + len(ask.Prompt)/BytesPerToken, Now: now,
+	})
+	if v.OK {
+		return nil
+	}
+	return refusal.New(refusal.DidNotRun, http.StatusTooManyRequests, "over_limit", "%s", v.Reason).After(b.Jitter(v.After))
+}
+
+// choose picks the target of an attempt and counts the attempt on it.
+func (b *Board) choose(now time.Time, ask route.Ask, p pool.Pool) (route.Placed, error) {
+	targets := b.Pools[p.Name]
+	skip := func(x *target.Target) bool {
+		if slices.Contains(ask.Exclude, x.Name) {
+			return true
+		}
+		if p.Kind != pool.KindModel {
+			return false
+		}
+		return !p.Serves(x.Version) || (ask.Version != "" && x.Version != ask.Version)
+	}
+	choice, err := b.Choose(now, ask.Home.Rank(), targets, func(x *target.Target) bool {
+		return skip(x) || (ask.AvoidDomain != "" && x.Domain == ask.AvoidDomain)
+	})
+	if err != nil && ask.AvoidDomain != "" {
+		choice, err = b.Choose(now, ask.Home.Rank(), targets, skip)
+	}
+	if err != nil {
+		return route.Placed{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_target",
+			"no target of pool %s takes new work", p.Name).After(b.Jitter(time.Second))
+	}
+	x := targets[choice.Index]
+	x.InFlight++
+	if p.Kind == pool.KindModel {
+		x.SentSince++ // Services report no load that would set it back.
+	}
+	b.recordPlaced(now, ask, p, targets, choice)
+	placed := route.Placed{
+		Request: ask.Request, Account: ask.Account, Pool: p.Name, Attempt: ask.Attempt,
+		Target: x.Name, Address: x.Address, Domain: x.Domain, Version: x.Version,
+		Scope: b.Scope(ask.Account, x.Version), PieceBytes: p.PieceBytes, Rule: choice.Rule,
+		FirstToken: firstTokenBound(p),
+	}
+	if p.Kind == pool.KindModel {
+		b.addCache(now, ask, p, &placed)
+	}
+	return placed, nil
+}
+
+// firstTokenBound is how long an engine may be silent before its first text: a
+// few times what the pool promises, so that only a dead or frozen one is left.
+func firstTokenBound(p pool.Pool) time.Duration {
+	const (
+		factor  = 3
+		without = 10 * time.Second
+	)
+	if p.FirstTokenMillis == 0 {
+		return without
+	}
+	return factor * time.Duration(p.FirstTokenMillis) * time.Millisecond
+}
+
+// addCache says what is known about the cache of a prompt's beginning.
+func (b *Board) addCache(now time.Time, ask route.Ask, p pool.Pool, placed *route.Placed) {
+	last, known := b.recent.Get(ask.Home)
+	placed.Warm = known && last == placed.Target+placed.Version
+	placed.Home = ask.Home
+	placed.Estimate = b.cacheOf(p.Name).estimate
+	if !p.Stores {
+		return
+	}
+	if store, ok := b.storeOf(now, ask.Home); ok {
+		placed.Store, placed.StoreName = store.Address, store.Name
+	}
+}
+
+// storeOf returns the store box that keeps a prompt's cache: the best ranked
+// one that is not failing.
+func (b *Board) storeOf(now time.Time, home prefix.Key) (boxes.Box, bool) {
+	var best boxes.Box
+	var weight uint64
+	found := false
+	for name, box := range b.Stores.All() {
+		w := placement.Weight(home.Rank(), placement.Hash(name))
+		if now.Before(b.StoreAvoid[name]) || box.Leaving || (found && w <= weight) {
+			continue
+		}
+		best, weight, found = box, w, true
+	}
+	return best, found
+}
+
+func (b *Board) recordPlaced(now time.Time, ask route.Ask, p pool.Pool, targets []*target.Target, choice placement.Choice) {
+	r := decision.Record{
+		At: now, Kind: decision.Placed, Request: ask.Request, Account: ask.Account, Pool: p.Name, Rule: choice.Rule,
+		Inputs: fmt.Sprintf("attempt %d, %d usable targets, mean load %.2f, excluded %v", ask.Attempt, choice.Usable, choice.Mean, ask.Exclude),
+		Result: targets[choice.Index].Name,
+	}
+	for rank, i := range choice.Best {
+		if i >= 0 {
+			r.Candidates = append(r.Candidates, decision.Candidate{
+				Name: targets[i].Name, Score: float64(targets[i].Load()), Note: fmt.Sprintf("rank %d, score is load", rank),
+			})
+		}
+	}
+	if ask.Attempt > 1 {
+		r.Kind = decision.Retried
+	}
+	b.Record(r)
+}
--- a/duty.go
+++ b/duty.go
@@ -106,11 +106,11 @@
 
 // duties names the duties of this configuration.
 func (t *tables) duties() []string {
-	if t.configuration.Revision == 0 {
+	if t.Configuration.Revision == 0 {
 		return nil
 	}
 	names := []string{dutyCharges}
-	for name, p := range t.configuration.Pools {
+	for name, p := range t.Configuration.Pools {
 		if p.Kind == pool.KindModel {
 			names = append(names, dutyOrders+name)
 		}
@@ -178,7 +178,7 @@
 // rollWeights orders targets to load the weights that are configured.
 func (d *Daemon) rollWeights(now time.Time, t *tables) []effect {
 	var effects []effect
-	for name, p := range t.configuration.Pools {
+	for name, p := range t.Configuration.Pools {
 		x, known := t.held[dutyOrders+name]
 		if !known || !x.ready {
 			continue
@@ -186,8 +186,8 @@
 		if _, _, ok := x.lease.Held(); !ok || !d.fenced(now, p, x) {
 			continue
 		}
-		for _, targetName := range x.rollout.Next(now, p.Weights, t.pools[name]) {
-			y, _ := t.targets.Lookup(targetName)
+		for _, targetName := range x.rollout.Next(now, p.Weights, t.Pools[name]) {
+			y, _ := t.Targets.Lookup(targetName)
 			x.rollout.Note(targetName, p.Weights, now)
 			effects = append(effects, sendOrder{x.lease, name, targetName, y.Address, p.Weights})
 		}
--- a/edit.go
+++ b/edit.go
@@ -192,12 +192,12 @@
 func (d *Daemon) leave(ctx context.Context, name, target string) report.Report {
 	var address netip.AddrPort
 	d.inspect(ctx, func(now time.Time, t *tables) {
-		x, known := t.targets.Lookup(target)
+		x, known := t.Targets.Lookup(target)
 		if !known {
 			return
 		}
 		address = x.Address
-		d.markLeaving(x, "operator "+name)
+		t.MarkLeaving(x, "operator "+name)
 		d.run(context.WithoutCancel(ctx), d.tell(now, t))
 	})
 	if !address.IsValid() {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -78,7 +78,7 @@
 		for _, r := range f.daemons {
 			usable := 0
 			r.d.inspect(ctx, func(now time.Time, t *tables) {
-				for _, x := range t.targets.All() {
+				for _, x := range t.Targets.All() {
 					if x.Usable(now) && (x.Pool == "orders" || x.Version != "") {
 						usable++
 					}
--- a/gossip.go
+++ b/gossip.go
@@ -55,11 +55,11 @@
 // state is what this box tells its peers: the freshest reports, the targets
 // that are leaving, and its use of limited accounts.
 func (d *Daemon) state(now time.Time, t *tables) peer.Message {
-	m := peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Revision: t.configuration.Revision}
+	m := peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Revision: t.Configuration.Revision}
 	// Start at a random target, so that over time all of them are told.
-	keys := t.targets.Keys()
+	keys := t.Targets.Keys()
 	for i := range keys {
-		x, _ := t.targets.Lookup(keys[(i+int(t.turn))%len(keys)])
+		x, _ := t.Targets.Lookup(keys[(i+int(t.turn))%len(keys)])
 		age := now.Sub(x.ReportedAt)
 		if len(m.Loads) < maxLoads && !x.ReportedAt.IsZero() && age < loadWorthless {
 			m.Loads = append(m.Loads, loadOf(x, age))
@@ -69,8 +69,8 @@
 		}
 	}
 	t.turn += maxLoads
-	for account, n := range t.gate.Accounts() {
-		if len(m.Demand) < maxDemand && t.configuration.Accounts[account].Concurrency > 0 {
+	for account, n := range t.Gate.Accounts() {
+		if len(m.Demand) < maxDemand && t.Configuration.Accounts[account].Concurrency > 0 {
 			m.Demand = append(m.Demand, peer.Demand{Account: account, Requests: n})
 		}
 	}
@@ -96,19 +96,19 @@
 		d.heardLoad(now, t, l)
 	}
 	for _, l := range m.Leaving {
-		x, known := t.targets.Lookup(l.Target)
+		x, known := t.Targets.Lookup(l.Target)
 		if known && x.Address.String() == l.Address {
-			d.markLeaving(x, m.From)
+			t.MarkLeaving(x, m.From)
 		}
 	}
-	if m.Revision > t.configuration.Revision {
+	if m.Revision > t.Configuration.Revision {
 		return d.catchUp(t, m.From)
 	}
 	return nil
 }
 
 func (d *Daemon) heardLoad(now time.Time, t *tables, l peer.Load) {
-	x, known := t.targets.Lookup(l.Target)
+	x, known := t.Targets.Lookup(l.Target)
 	at := now.Add(-l.Age)
 	if !known || x.Address.String() != l.Address || l.Age < 0 || !at.After(x.ReportedAt) {
 		return
@@ -126,7 +126,7 @@
 	}
 	t.pending[pendingConfiguration] = true
 	p, _ := t.peers.Lookup(from)
-	return []effect{readConfiguration{have: t.configuration, peer: p.address, name: from}}
+	return []effect{readConfiguration{have: t.Configuration, peer: p.address, name: from}}
 }
 
 // answerPeer serves one message of a peer.
--- a/keep.go
+++ b/keep.go
@@ -8,12 +8,11 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/dispatch"
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/kept"
 	"github.com/thymewind/thymewind/placement"
-	"github.com/thymewind/thymewind/pool"
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/retention"
 	"github.com/thymewind/thymewind/reuse"
@@ -24,21 +23,10 @@
 const (
 	findPatience   = 100 * time.Millisecond
 	exportPatience = 10 * time.Second
-	storePause     = 2 * time.Second
 	roomEvery      = 2 * time.Second
 	roomLeast      = 0.1
-	// recentPrompts bounds the prompts remembered as served lately.
-	recentPrompts = 8192
 )
 
-// reuseState is what the loop knows about one pool's cache.
-type reuseState struct {
-	estimate reuse.Estimate
-	policy   retention.Policy
-	// bytesPerToken is what one token's KV cache takes; zero if not known.
-	bytesPerToken float64
-}
-
 // storeFailed tells that a store box did not answer.
 type storeFailed struct{ store string }
 
@@ -65,22 +53,6 @@
 	err     error
 }
 
-// storeOf returns the store box that keeps a prompt's cache: the best ranked
-// one that is not failing.
-func (d *Daemon) storeOf(now time.Time, t *tables, home prefix.Key) (boxes.Box, bool) {
-	var best boxes.Box
-	var weight uint64
-	found := false
-	for name, b := range t.stores.All() {
-		w := placement.Weight(home.Rank(), placement.Hash(name))
-		if now.Before(t.storeAvoid[name]) || b.Leaving || (found && w <= weight) {
-			continue
-		}
-		best, weight, found = b, w, true
-	}
-	return best, found
-}
-
 // findKept looks for kept cache of a prompt that was placed and decides whether
 // to import it. It runs on the request's own goroutine.
 func (d *Daemon) findKept(ctx context.Context, placed *route.Placed, prompt string) {
@@ -122,7 +94,7 @@
 func (d *Daemon) decideImport(placed *route.Placed, prompt string, run []kept.Manifest) {
 	p := d.currentOrEmpty().Pools[placed.Pool]
 	tokens, bytes := kept.Size(run)
-	choice := reuse.Choice{Tokens: len(prompt) / bytesPerToken, Kept: tokens, Bytes: bytes}
+	choice := reuse.Choice{Tokens: len(prompt) / dispatch.BytesPerToken, Kept: tokens, Bytes: bytes}
 	record := decision.Record{
 		At: d.now(), Kind: decision.Reused, Request: placed.Request, Account: placed.Account, Pool: placed.Pool,
 		Rule:   "import is predicted to cost less",
@@ -137,54 +109,6 @@
 	d.records.Add(record)
 }
 
-// learn takes in what a whole answer tells about cache and decides whether the
-// prompt's cache is kept.
-func (d *Daemon) learn(now time.Time, t *tables, m attemptEnded) []effect {
-	p := t.configuration.Pools[m.Placed.Pool]
-	if p.Kind != pool.KindModel || len(m.Placed.Keys) == 0 {
-		return nil
-	}
-	s := t.reuseOf(p.Name)
-	bytes := 0
-	if m.Placed.Import != nil {
-		_, bytes = kept.Size(m.Placed.Import.Run)
-	}
-	s.estimate.Learn(m.End.Usage, bytes)
-	if m.Placed.Import != nil && m.End.Usage.Imported == 0 && m.End.Usage.Reused == 0 {
-		s.estimate.Fail(bytes, m.FirstToken)
-		t.storeAvoid[m.Placed.StoreName] = now.Add(storePause)
-	}
-	s.policy.Saw(m.Placed.Account, m.Placed.Warm || m.Placed.KeptPieces > 0)
-	t.recent.Add(m.Placed.Home, m.Placed.Target+m.Placed.Version)
-	if !p.Stores || !m.Placed.Store.IsValid() || m.Placed.Warm || m.Placed.KeptPieces >= len(m.Placed.Keys) {
-		return nil
-	}
-	tokens := float64(len(m.Placed.Keys) * p.PieceBytes / bytesPerToken)
-	cost := retention.Cost{Prefill: over(tokens, s.estimate.Prefill), Link: over(tokens*s.bytesPerToken, s.estimate.Link)}
-	if s.bytesPerToken > 0 && s.estimate.Link > 0 && !s.policy.Keep(now, m.Placed.Account, p.Policy, cost) {
-		return nil
-	}
-	return []effect{exportCache{m.Placed}}
-}
-
-// over divides, and takes nothing for an unknown rate.
-func over(amount, rate float64) float64 {
-	if rate == 0 {
-		return 0
-	}
-	return amount / rate
-}
-
-// reuseOf returns a pool's state, new if need be.
-func (t *tables) reuseOf(pool string) *reuseState {
-	s, known := t.reuse[pool]
-	if !known {
-		s = &reuseState{policy: retention.Policy{Burst: 5, LinkShare: 0.3}}
-		t.reuse[pool] = s
-	}
-	return s
-}
-
 // export has the pieces written and, when all are, their manifests.
 func (d *Daemon) export(ctx context.Context, placed route.Placed) message {
 	ctx, cancel := context.WithTimeout(ctx, exportPatience)
@@ -216,9 +140,7 @@
 		return
 	}
 	d.counts.kept.WithLabelValues("exported").Inc()
-	if tokens, bytes := kept.Size(m.run); tokens > 0 {
-		t.reuseOf(m.placed.Pool).bytesPerToken = float64(bytes) / float64(tokens)
-	}
+	t.Exported(m.placed.Pool, m.run)
 	d.records.Add(r)
 }
 
@@ -230,7 +152,7 @@
 	}
 	t.due.room = now.Add(d.jitter(roomEvery))
 	var effects []effect
-	for name, b := range t.stores.All() {
+	for name, b := range t.Stores.All() {
 		if !t.pending[pendingRoom+name] && d.better(t, placement.Hash(name)) == 0 {
 			t.pending[pendingRoom+name] = true
 			effects = append(effects, makeRoom{name, b.Address})
@@ -267,6 +189,6 @@
 	delete(t.pending, pendingRoom+m.store)
 	d.counts.kept.WithLabelValues("dropped").Add(float64(m.dropped))
 	if m.err != nil {
-		t.storeAvoid[m.store] = now.Add(storePause)
+		t.StoreAvoid[m.store] = now.Add(dispatch.StorePause)
 	}
 }
--- a/retention/retention.go
+++ b/retention/retention.go
@@ -2,7 +2,7 @@
 // which is dropped when the box fills up.
 //
 //	p := retention.Policy{LinkShare: 0.3}
-//	if p.Keep(now, "menu-app", retention.Cost{...}) { export() }
+//	if p.Keep(retention.Candidate{Account: "menu-app", ...}) { export() }
 //	for _, key := range retention.Drop(manifests, need) { ... }
 package retention
 
@@ -39,9 +39,13 @@
 // seen counts an account's prompts.
 type seen struct{ all, returned float64 }
 
-// Cost is what keeping one prompt means, in seconds.
-type Cost struct {
-	// Prefill is what computing it again takes, Link what moving it once takes.
+// Candidate is a prompt whose cache may be kept.
+type Candidate struct {
+	At      time.Time
+	Account string
+	Weights pool.Policy
+	// Prefill is what computing it again takes, Link what moving it once takes,
+	// both in seconds.
 	Prefill, Link float64
 }
 
@@ -75,12 +79,12 @@
 // Keep says whether a prompt is worth its export: what its return is expected
 // to save, by the pool's weights, is more than moving it out and in costs, and
 // the link's budget has room. It takes the room.
-func (p *Policy) Keep(now time.Time, account string, weights pool.Policy, c Cost) bool {
-	p.saved = min(p.Burst, p.saved+p.LinkShare*p.passed(now))
-	p.at = now
-	returns := p.Returns(account)
-	gain := returns * ((weights.FirstToken+weights.Recompute)*c.Prefill - (weights.FirstToken+weights.Link)*c.Link)
-	if gain <= weights.Link*c.Link || p.saved < c.Link {
+func (p *Policy) Keep(c Candidate) bool {
+	p.saved = min(p.Burst, p.saved+p.LinkShare*p.passed(c.At))
+	p.at = c.At
+	w := c.Weights
+	gain := p.Returns(c.Account) * ((w.FirstToken+w.Recompute)*c.Prefill - (w.FirstToken+w.Link)*c.Link)
+	if gain <= w.Link*c.Link || p.saved < c.Link {
 		return false
 	}
 	p.saved -= c.Link
--- a/retention/retention_test.go
+++ b/retention/retention_test.go
@@ -18,14 +18,14 @@
 		name     string
 		weights  pool.Policy
 		returned bool
-		cost     retention.Cost
+		cost     retention.Candidate
 		want     bool
 	}{
-		{"returns, cheap to move", firstToken, true, retention.Cost{Prefill: 1, Link: 0.1}, true},
-		{"never returns", firstToken, false, retention.Cost{Prefill: 1, Link: 0.5}, false},
-		{"dear to move", firstToken, true, retention.Cost{Prefill: 0.1, Link: 1}, false},
-		{"links weigh more", links, true, retention.Cost{Prefill: 1, Link: 0.5}, false},
-		{"over the link's budget", firstToken, true, retention.Cost{Prefill: 100, Link: 10}, false},
+		{"returns, cheap to move", firstToken, true, retention.Candidate{Prefill: 1, Link: 0.1}, true},
+		{"never returns", firstToken, false, retention.Candidate{Prefill: 1, Link: 0.5}, false},
+		{"dear to move", firstToken, true, retention.Candidate{Prefill: 0.1, Link: 1}, false},
+		{"links weigh more", links, true, retention.Candidate{Prefill: 1, Link: 0.5}, false},
+		{"over the link's budget", firstToken, true, retention.Candidate{Prefill: 100, Link: 10}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -33,7 +33,8 @@
 			for range 50 {
 				p.Saw("a", tt.returned)
 			}
-			if got := p.Keep(now, "a", tt.weights, tt.cost); got != tt.want {
+			tt.cost.At, tt.cost.Account, tt.cost.Weights = now, "a", tt.weights
+			if got := p.Keep(tt.cost); got != tt.want {
 				t.Errorf("Keep = %v, want %v (returns %.2f)", got, tt.want, p.Returns("a"))
 			}
 		})
--- a/show.go
+++ b/show.go
@@ -73,10 +73,10 @@
 func (d *Daemon) showBoxes(ctx context.Context, r *report.Report) error {
 	d.inspect(ctx, func(_ time.Time, t *tables) {
 		requests := 0
-		for _, n := range t.gate.Accounts() {
+		for _, n := range t.Gate.Accounts() {
 			requests += n
 		}
-		r.Add(d.Settings.Name, d.Settings.Domain, t.configuration.Revision, d.stopping.Load(), requests, t.peers.Len())
+		r.Add(d.Settings.Name, d.Settings.Domain, t.Configuration.Revision, d.stopping.Load(), requests, t.peers.Len())
 	})
 	return nil
 }
@@ -85,7 +85,7 @@
 	type sums struct{ targets, usable, load int }
 	domains := make(map[string]sums)
 	d.inspect(ctx, func(now time.Time, t *tables) {
-		for _, x := range t.targets.All() {
+		for _, x := range t.Targets.All() {
 			s := domains[x.Domain]
 			s.targets++
 			s.load += x.Load()
@@ -103,7 +103,7 @@
 
 func (d *Daemon) showTargets(ctx context.Context, r *report.Report) error {
 	d.inspect(ctx, func(now time.Time, t *tables) {
-		for _, x := range t.targets.All() {
+		for _, x := range t.Targets.All() {
 			age := "never"
 			if !x.ReportedAt.IsZero() {
 				age = now.Sub(x.ReportedAt).Round(time.Millisecond).String()
@@ -116,14 +116,14 @@
 
 func (d *Daemon) showPools(ctx context.Context, r *report.Report) error {
 	d.inspect(ctx, func(now time.Time, t *tables) {
-		for name, p := range t.configuration.Pools {
+		for name, p := range t.Configuration.Pools {
 			usable := 0
-			for _, x := range t.pools[name] {
+			for _, x := range t.Pools[name] {
 				if x.Usable(now) {
 					usable++
 				}
 			}
-			r.Add(name, p.Kind, p.Weights, p.Concurrency, p.Stores, len(t.pools[name]), usable)
+			r.Add(name, p.Kind, p.Weights, p.Concurrency, p.Stores, len(t.Pools[name]), usable)
 		}
 	})
 	return nil
@@ -131,7 +131,7 @@
 
 func (d *Daemon) showModels(ctx context.Context, r *report.Report) error {
 	d.inspect(ctx, func(_ time.Time, t *tables) {
-		for name, m := range t.configuration.Models {
+		for name, m := range t.Configuration.Models {
 			r.Add(name, m.Pool)
 		}
 	})
@@ -140,8 +140,8 @@
 
 func (d *Daemon) showAccounts(ctx context.Context, r *report.Report) error {
 	d.inspect(ctx, func(_ time.Time, t *tables) {
-		inFlight := t.gate.Accounts()
-		for name, a := range t.configuration.Accounts {
+		inFlight := t.Gate.Accounts()
+		for name, a := range t.Configuration.Accounts {
 			r.Add(name, a.Weight, a.Concurrency, a.TokensPerMinute, len(a.KeyHashes), inFlight[name])
 		}
 	})
@@ -150,7 +150,7 @@
 
 func (d *Daemon) showStores(ctx context.Context, r *report.Report) error {
 	d.inspect(ctx, func(_ time.Time, t *tables) {
-		for name, b := range t.stores.All() {
+		for name, b := range t.Stores.All() {
 			r.Add(name, b.Domain, b.Address)
 		}
 	})
--- a/systems.go
+++ b/systems.go
@@ -35,7 +35,7 @@
 	if !now.Before(t.due.configuration) && !t.pending[pendingConfiguration] {
 		t.due.configuration = now.Add(d.jitter(d.Settings.Timing.Poll))
 		t.pending[pendingConfiguration] = true
-		effects = append(effects, readConfiguration{have: t.configuration})
+		effects = append(effects, readConfiguration{have: t.Configuration})
 	}
 	return effects
 }
@@ -47,8 +47,8 @@
 	}
 	t.due.loads = now.Add(d.Settings.Timing.Load)
 	var effects []effect
-	for name, x := range t.targets.All() {
-		p := t.configuration.Pools[x.Pool]
+	for name, x := range t.Targets.All() {
+		p := t.Configuration.Pools[x.Pool]
 		if p.Kind != "model" || t.pending[name] || !d.watches(t, x.Hash) {
 			continue
 		}
@@ -78,7 +78,7 @@
 
 // count writes the tables' sizes into the metrics.
 func (d *Daemon) count(now time.Time, t *tables) []effect {
-	for name, targets := range t.pools {
+	for name, targets := range t.Pools {
 		usable := 0
 		for _, x := range targets {
 			if x.Usable(now) {
@@ -86,7 +86,7 @@
 			}
 		}
 		d.counts.usable.WithLabelValues(name).Set(float64(usable))
-		d.counts.inFlight.WithLabelValues(name).Set(float64(t.gate.InFlight(name)))
+		d.counts.inFlight.WithLabelValues(name).Set(float64(t.Gate.InFlight(name)))
 	}
 	d.counts.peers.Set(float64(t.peers.Len()))
 	return nil
--- a/update.go
+++ b/update.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/dispatch"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/target"
 )
@@ -13,7 +14,7 @@
 	t := &d.tables
 	switch m := m.(type) {
 	case placeAsked:
-		placed, err := d.place(now, t, m.ask)
+		placed, err := t.Place(now, m.ask)
 		m.reply <- placeAnswer{placed, err}
 	case attemptEnded:
 		return d.ended(now, t, m)
@@ -32,7 +33,7 @@
 	case charged:
 		d.charged(t, m)
 	case storeFailed:
-		t.storeAvoid[m.store] = now.Add(storePause)
+		t.StoreAvoid[m.store] = now.Add(dispatch.StorePause)
 	case cacheExported:
 		d.cacheExported(now, t, m)
 	case roomMade:
@@ -74,13 +75,13 @@
 				d.listPeer(t, b)
 			}
 		case boxes.RoleStore:
-			t.stores.Put(b.Name, b)
+			t.Stores.Put(b.Name, b)
 		case boxes.RoleEngine, boxes.RoleService:
 			d.listTarget(now, t, b)
 		}
 	}
 	d.unlist(now, t, listed)
-	t.group()
+	t.Group()
 	return nil
 }
 
@@ -104,17 +105,16 @@
 }
 
 func (d *Daemon) listTarget(now time.Time, t *tables, b boxes.Box) {
-	x, known := t.targets.Lookup(b.Name)
+	x, known := t.Targets.Lookup(b.Name)
 	if !known || x.Address != b.Address {
 		x = &target.Target{Name: b.Name, Address: b.Address, Hash: placement.Hash(b.Name)}
 		was, gone := t.departed[b.Name]
 		x.Leaving = gone && was.address == b.Address && now.Sub(was.at) < departedFor
-		t.targets.Put(b.Name, x)
+		t.Targets.Put(b.Name, x)
 	}
 	x.Pool, x.Domain, x.Listed = b.Pool, b.Domain, true
-	if b.Leaving && !x.Leaving {
-		x.Leaving = true
-		d.Log.Info("target is leaving", "target", x.Name, "heard", "list")
+	if b.Leaving {
+		t.MarkLeaving(x, "list")
 	}
 }
 
@@ -130,8 +130,8 @@
 			delete(t.departed, name)
 		}
 	}
-	for _, name := range t.targets.Keys() {
-		x, _ := t.targets.Lookup(name)
+	for _, name := range t.Targets.Keys() {
+		x, _ := t.Targets.Lookup(name)
 		if listed[name] {
 			continue
 		}
@@ -140,12 +140,12 @@
 			t.departed[name] = departure{x.Address, now}
 		}
 		if x.InFlight == 0 {
-			t.targets.Delete(name)
+			t.Targets.Delete(name)
 		}
 	}
-	for _, name := range t.stores.Keys() {
+	for _, name := range t.Stores.Keys() {
 		if !listed[name] {
-			t.stores.Delete(name)
+			t.Stores.Delete(name)
 		}
 	}
 	for _, name := range t.peers.Keys() {
@@ -155,24 +155,16 @@
 	}
 }
 
-// group lists the targets by pool anew.
-func (t *tables) group() {
-	t.pools = make(map[string][]*target.Target)
-	for _, x := range t.targets.All() {
-		t.pools[x.Pool] = append(t.pools[x.Pool], x)
-	}
-}
-
 // loadRead takes a target's own report over.
 func (d *Daemon) loadRead(now time.Time, t *tables, m loadRead) {
 	delete(t.pending, m.target)
-	x, known := t.targets.Lookup(m.target)
+	x, known := t.Targets.Lookup(m.target)
 	if !known {
 		return
 	}
 	if m.err != nil {
 		d.counts.loadErrors.Inc()
-		d.fail(now, x)
+		t.Fail(now, x)
 		return
 	}
 	x.Running, x.Waiting, x.Slots = m.load.Running, m.load.Waiting, m.load.Slots
@@ -180,33 +172,10 @@
 	x.ReportedAt = now
 	x.SentSince = 0
 	if m.load.Leaving {
-		d.markLeaving(x, "load report")
+		t.MarkLeaving(x, "load report")
 	}
 }
 
-// markLeaving stops new work to a target for good.
-func (d *Daemon) markLeaving(x *target.Target, heard string) {
-	if x.Leaving {
-		return
-	}
-	x.Leaving = true
-	d.Log.Info("target is leaving", "target", x.Name, "heard", heard)
-}
-
-// fail keeps new work off a target for a while that grows with its failures.
-func (d *Daemon) fail(now time.Time, x *target.Target) {
-	const (
-		first   = 500 * time.Millisecond
-		longest = 8 * time.Second
-	)
-	if x.Failures == 0 {
-		d.Log.Warn("target fails", "target", x.Name)
-	}
-	x.Failures++
-	pause := min(first<<min(x.Failures-1, 10), longest)
-	x.AvoidUntil = now.Add(pause)
-}
-
 // configurationRead puts a revision in force. A lower one is never taken.
 func (d *Daemon) configurationRead(now time.Time, t *tables, m configurationRead) []effect {
 	delete(t.pending, pendingConfiguration)
@@ -214,10 +183,10 @@
 		d.counts.platformErrors.WithLabelValues("configuration").Inc()
 		return nil
 	}
-	if m.configuration == nil || !d.supersedes(m.configuration, t.configuration) {
+	if m.configuration == nil || !d.supersedes(m.configuration, t.Configuration) {
 		return nil
 	}
-	t.configuration = m.configuration
+	t.Configuration = m.configuration
 	d.current.Store(m.configuration)
 	d.counts.revision.Set(float64(m.configuration.Revision))
 	d.Log.Info("configuration in force", "revision", m.configuration.Revision, "from", m.from)
--- a/update_test.go
+++ b/update_test.go
@@ -118,7 +118,7 @@
 		return answer.err != nil || !w.left[answer.placed.Target]
 	}
 	// A target that this daemon does not know yet can't be noted as leaving.
-	if x, known := d.tables.targets.Lookup(name); known && x.Leaving {
+	if x, known := d.tables.Targets.Lookup(name); known && x.Leaving {
 		w.left[name] = true
 	}
 	return true
@@ -140,7 +140,7 @@
 		for _, revision := range revisions {
 			d.update(time.Unix(1000, 0), configurationRead{configuration: inForce(uint64(revision)), from: "entry-2"})
 			highest = max(highest, uint64(revision))
-			if d.tables.configuration.Revision != highest || d.currentOrEmpty().Revision != highest {
+			if d.tables.Configuration.Revision != highest || d.currentOrEmpty().Revision != highest {
 				return false
 			}
 		}
@@ -170,7 +170,7 @@
 		d.update(now, placeAsked{route.Ask{Request: "r", Pool: "orders", Attempt: 1}, reply})
 		d.update(now, attemptEnded{route.Ended{Placed: (<-reply).placed}})
 	}
-	x, _ := d.tables.targets.Lookup("service-1")
+	x, _ := d.tables.Targets.Lookup("service-1")
 	if x.Load() != 0 || x.InFlight != 0 {
 		t.Errorf("load %d, in flight %d behind the last answer, want 0 and 0", x.Load(), x.InFlight)
 	}
