--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 # Failures in the example fleet, with every answer checked.
 faults: build
 	bash scripts/faults
+
+# The decisions against baselines, in virtual time: a line of JSON for each run.
+measure:
+	$(GO) run ./cmd/thymemeasure -seeds 3
--- a/build.go
+++ b/build.go
@@ -41,7 +41,6 @@
 	cancelPatience = 500 * time.Millisecond
 	claimForget    = 30 * time.Second
 	resumeFor      = 30 * time.Second
-	loadBound      = 1.25
 	retryShare     = 0.1
 	retryBurst     = 20
 	backlog        = 1024
@@ -97,7 +96,7 @@
 
 // buildBoard prepares the decisions.
 func (d *Daemon) buildBoard() {
-	d.chooser = placement.Chooser{Bound: loadBound, Usable: (*target.Target).Usable, Random: d.random}
+	d.chooser = placement.Chooser{Usable: (*target.Target).Usable, Wait: d.tables.Wait}
 	b := &d.tables.Board
 	b.Choose = d.countChoice
 	b.Scope = prefix.Scope
@@ -112,8 +111,8 @@
 }
 
 // countChoice counts choices by their rule.
-func (d *Daemon) countChoice(now time.Time, home uint64, targets []*target.Target, skip func(*target.Target) bool) (placement.Choice, error) {
-	choice, err := d.chooser.Choose(now, home, targets, skip)
+func (d *Daemon) countChoice(now time.Time, ask placement.Ask, targets []*target.Target) (placement.Choice, error) {
+	choice, err := d.chooser.Choose(now, ask, targets)
 	if err == nil {
 		d.counts.placed.WithLabelValues(targets[choice.Index].Pool, choice.Rule).Inc()
 	}
--- /dev/null
+++ b/cmd/thymemeasure/main.go
@@ -0,0 +1,82 @@
+// Command thymemeasure drives the daemon's decision code against fakes in
+// virtual time and prints one line of JSON for each run:
+//
+//	thymemeasure -deployment sonora -policy ours,round-robin -fault none -seeds 3
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+
+	"github.com/thymewind/thymewind/internal/measure"
+)
+
+// line is one run as it is printed.
+type line struct {
+	Deployment string         `json:"deployment"`
+	Policy     measure.Policy `json:"policy"`
+	Fault      string         `json:"fault"`
+	Seed       uint64         `json:"seed"`
+	measure.Figures
+}
+
+func main() {
+	deployments := flag.String("deployment", "lutong-bahay,sonora", "deployments, with commas")
+	policies := flag.String("policy", "", "policies, with commas; empty means all")
+	faults := flag.String("fault", "", "faults, with commas; empty means all")
+	seeds := flag.Uint64("seeds", 3, "runs with the seeds from 1 on")
+	workers := flag.Int("workers", 4, "runs at once")
+	flag.Parse()
+	var scenarios []measure.Scenario
+	for _, d := range []measure.Deployment{measure.LutongBahay, measure.Sonora} {
+		for _, f := range measure.Faults() {
+			for _, p := range measure.Policies() {
+				for seed := uint64(1); seed <= *seeds; seed++ {
+					if wanted(*deployments, d.Name) && wanted(*policies, string(p)) && wanted(*faults, f) {
+						scenarios = append(scenarios, measure.Scenario{Deployment: d, Policy: p, Fault: f, Seed: seed})
+					}
+				}
+			}
+		}
+	}
+	if len(scenarios) == 0 {
+		fmt.Fprintln(os.Stderr, "thymemeasure: nothing has these names")
+		os.Exit(2)
+	}
+	lines := run(scenarios, max(*workers, 1))
+	out := json.NewEncoder(os.Stdout)
+	for _, l := range lines {
+		if out.Encode(l) != nil || l.Wrong > 0 {
+			os.Exit(1)
+		}
+	}
+}
+
+func wanted(list, name string) bool {
+	return list == "" || strings.Contains(","+list+",", ","+name+",")
+}
+
+// run plays all scenarios and returns their lines in order.
+func run(scenarios []measure.Scenario, workers int) []line {
+	lines := make([]line, len(scenarios))
+	next := make(chan int)
+	var all sync.WaitGroup
+	for range workers {
+		all.Go(func() {
+			for i := range next {
+				s := scenarios[i]
+				lines[i] = line{s.Deployment.Name, s.Policy, s.Fault, s.Seed, measure.Run(s)}
+			}
+		})
+	}
+	for i := range scenarios {
+		next <- i
+	}
+	close(next)
+	all.Wait()
+	return lines
+}
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -48,7 +48,7 @@
 	StoreAvoid map[string]time.Time
 
 	// Choose picks a target; it is (*placement.Chooser).Choose.
-	Choose func(now time.Time, home uint64, targets []*target.Target, skip func(*target.Target) bool) (placement.Choice, error)
+	Choose func(now time.Time, ask placement.Ask, targets []*target.Target) (placement.Choice, error)
 	// Scope names the cache of one client account and weight version; it is
 	// prefix.Scope.
 	Scope func(account, version string) prefix.Key
@@ -65,6 +65,8 @@
 	Failing func(name string)
 	Leaving func(name, heard string)
 
+	// now is the time of the placement under way.
+	now time.Time
 	// recent maps the homes of prompts served here to target and version.
 	recent *lru.LRU[prefix.Key, string]
 	// cache is what is known about cache, by pool.
@@ -75,6 +77,8 @@
 type cache struct {
 	estimate reuse.Estimate
 	policy   retention.Policy
+	// computed is the share of prompt tokens that was computed lately.
+	computed float64
 	// bytesPerToken is what one token's KV cache takes; zero if not known.
 	bytesPerToken float64
 }
@@ -137,7 +141,7 @@
 func (b *Board) cacheOf(pool string) *cache {
 	c, known := b.cache[pool]
 	if !known {
-		c = &cache{policy: retention.Policy{Burst: 5, LinkShare: 0.3}}
+		c = &cache{computed: 1, policy: retention.Policy{Burst: 5, LinkShare: 0.3}}
 		b.cache[pool] = c
 	}
 	return c
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -6,6 +6,7 @@
 	"github.com/thymewind/thymewind/kept"
 	"github.com/thymewind/thymewind/pool"
 	"github.com/thymewind/thymewind/retention"
+	"github.com/thymewind/thymewind/reuse"
 	"github.com/thymewind/thymewind/route"
 )
 
@@ -46,14 +47,16 @@
 	if e.Placed.Import != nil {
 		_, bytes = kept.Size(e.Placed.Import.Run)
 	}
-	c.estimate.Learn(e.End.Usage, bytes)
+	c.estimate.Learn(now, reuse.Sample{Usage: e.End.Usage, Bytes: bytes, Said: e.Placed.Said})
 	if e.Placed.Import != nil && e.End.Usage.Imported == 0 && e.End.Usage.Reused == 0 {
-		c.estimate.Fail(bytes, e.FirstToken)
 		b.StoreAvoid[e.Placed.StoreName] = now.Add(StorePause)
 	}
+	if u := e.End.Usage; u.Prompt > 0 {
+		c.computed += (float64(u.Prompt-u.Reused-u.Imported)/float64(u.Prompt) - c.computed) * computedWeight
+	}
 	c.policy.Saw(e.Placed.Account, e.Placed.Warm || e.Placed.KeptPieces > 0)
 	b.recent.Add(e.Placed.Home, e.Placed.Target+e.Placed.Version)
-	if !p.Stores || !e.Placed.Store.IsValid() || e.Placed.Warm || e.Placed.KeptPieces >= len(e.Placed.Keys) {
+	if !p.Stores || !e.Placed.Store.IsValid() || e.Placed.KeptPieces >= len(e.Placed.Keys) {
 		return false
 	}
 	if c.bytesPerToken == 0 || c.estimate.Link == 0 {
@@ -73,6 +76,9 @@
 	}
 }
 
+// computedWeight is the part of one prompt in the share computed.
+const computedWeight = 0.02
+
 // over divides, and takes nothing for an unknown rate.
 func over(amount, rate float64) float64 {
 	if rate == 0 {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -20,6 +20,7 @@
 // Place admits a request and chooses the target of one attempt. The error is a
 // *refusal.Refusal.
 func (b *Board) Place(now time.Time, ask route.Ask) (route.Placed, error) {
+	b.now = now
 	name := ask.Pool
 	if ask.Model != "" {
 		name = b.Configuration.Models[ask.Model].Pool
@@ -73,11 +74,14 @@
 		}
 		return !p.Serves(x.Version) || (ask.Version != "" && x.Version != ask.Version)
 	}
-	choice, err := b.Choose(now, ask.Home.Rank(), targets, func(x *target.Target) bool {
+	tokens := len(ask.Prompt) / BytesPerToken
+	want := placement.Ask{Home: ask.Home.Rank(), Slack: b.slack(p, ask, tokens), Skip: func(x *target.Target) bool {
 		return skip(x) || (ask.AvoidDomain != "" && x.Domain == ask.AvoidDomain)
-	})
+	}}
+	choice, err := b.Choose(now, want, targets)
 	if err != nil && ask.AvoidDomain != "" {
-		choice, err = b.Choose(now, ask.Home.Rank(), targets, skip)
+		want.Skip = skip
+		choice, err = b.Choose(now, want, targets)
 	}
 	if err != nil {
 		return route.Placed{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_target",
@@ -86,14 +90,15 @@
 	x := targets[choice.Index]
 	x.InFlight++
 	if p.Kind == pool.KindModel {
-		x.SentSince++ // Services report no load that would set it back.
+		// Services report no load that would set these back.
+		x.Send(now, b.computes(p, tokens))
 	}
 	b.recordPlaced(now, ask, p, targets, choice)
 	placed := route.Placed{
 		Request: ask.Request, Account: ask.Account, Pool: p.Name, Attempt: ask.Attempt,
 		Target: x.Name, Address: x.Address, Domain: x.Domain, Version: x.Version,
 		Scope: b.Scope(ask.Account, x.Version), PieceBytes: p.PieceBytes, Rule: choice.Rule,
-		FirstToken: firstTokenBound(p),
+		FirstToken: firstTokenBound(p), Wait: choice.Wait,
 	}
 	if p.Kind == pool.KindModel {
 		b.addCache(now, ask, p, &placed)
@@ -101,6 +106,63 @@
 	return placed, nil
 }
 
+// slack is how long a request may wait more to be where its cache probably is:
+// as long as waiting costs no more, by the pool's weights, than computing the
+// prompt again.
+func (b *Board) slack(p pool.Pool, ask route.Ask, tokens int) time.Duration {
+	if p.Kind != pool.KindModel || p.Policy.FirstToken <= 0 {
+		return leastSlack
+	}
+	chance := coldChance
+	if _, known := b.recent.Get(ask.Home); known {
+		chance = warmChance
+	}
+	compute := over(float64(tokens), b.cacheOf(p.Name).estimate.Prefill)
+	gain := chance * compute * (p.Policy.FirstToken + p.Policy.Recompute) / p.Policy.FirstToken
+	return leastSlack + time.Duration(min(gain, longestSlack)*float64(time.Second))
+}
+
+// Wait predicts the wait at a target; it is for the chooser.
+func (b *Board) Wait(x *target.Target) time.Duration {
+	if x.Slots == 0 {
+		return time.Duration(x.InFlight) * serviceWait
+	}
+	return x.Wait(b.now, runGuess)
+}
+
+// computes predicts how long a prompt's computing takes, at the share of
+// prompts that was computed lately.
+func (b *Board) computes(p pool.Pool, tokens int) time.Duration {
+	c := b.cacheOf(p.Name)
+	return time.Duration(over(c.computed*float64(tokens), c.estimate.Prefill) * float64(time.Second))
+}
+
+// Report takes a target's own report in; queued are the prompt tokens that
+// were still to be computed, and lag how old it is already.
+func (b *Board) Report(now time.Time, x *target.Target, running, waiting, queued int, lag time.Duration) {
+	busy := over(float64(queued), b.cacheOf(x.Pool).estimate.Prefill)
+	x.Report(now.Add(-lag-reportLag), running, waiting, time.Duration(busy*float64(time.Second)))
+}
+
+// reportLag is how late targets report their load.
+const reportLag = 500 * time.Millisecond
+
+// The chance that a prompt's cache is still at its home, if it was served here
+// lately and otherwise; measured with make measure. And the bounds of the
+// slack: within the least, lagged reports don't tell targets apart.
+const (
+	warmChance   = 0.4
+	coldChance   = 0.0
+	leastSlack   = 20 * time.Millisecond
+	longestSlack = 5.0 // seconds
+)
+
+// What waiting behind one request costs: on a plain service, and for a slot.
+const (
+	serviceWait = 10 * time.Millisecond
+	runGuess    = 2 * time.Second
+)
+
 // firstTokenBound is how long an engine may be silent before its first text: a
 // few times what the pool promises, so that only a dead or frozen one is left.
 func firstTokenBound(p pool.Pool) time.Duration {
@@ -147,18 +209,19 @@
 func (b *Board) recordPlaced(now time.Time, ask route.Ask, p pool.Pool, targets []*target.Target, choice placement.Choice) {
 	r := decision.Record{
 		At: now, Kind: decision.Placed, Request: ask.Request, Account: ask.Account, Pool: p.Name, Rule: choice.Rule,
-		Inputs: fmt.Sprintf("attempt %d, %d usable targets, mean load %.2f, excluded %v", ask.Attempt, choice.Usable, choice.Mean, ask.Exclude),
+		Inputs: fmt.Sprintf("attempt %d, %d usable targets, shortest wait %v, excluded %v", ask.Attempt, choice.Usable, choice.Least, ask.Exclude),
 		Result: targets[choice.Index].Name,
 	}
-	for rank, i := range choice.Best {
-		if i >= 0 {
-			r.Candidates = append(r.Candidates, decision.Candidate{
-				Name: targets[i].Name, Score: float64(targets[i].Load()), Note: fmt.Sprintf("rank %d, score is load", rank),
-			})
-		}
+	r.Candidates = append(r.Candidates, candidate(b.Wait(targets[choice.Home]), targets[choice.Home], "best ranked"))
+	if choice.Index != choice.Home {
+		r.Candidates = append(r.Candidates, candidate(choice.Wait, targets[choice.Index], "best ranked within the slack"))
 	}
 	if ask.Attempt > 1 {
 		r.Kind = decision.Retried
 	}
 	b.Record(r)
 }
+
+func candidate(wait time.Duration, x *target.Target, note string) decision.Candidate {
+	return decision.Candidate{Name: x.Name, Score: wait.Seconds(), Note: note + "; score is the wait in seconds"}
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -51,7 +51,9 @@
 	Slots   int    `json:"slots"`
 	Running int    `json:"running"`
 	Waiting int    `json:"waiting"`
-	Leaving bool   `json:"leaving"`
+	// QueuedTokens are prompt tokens that are still to be computed.
+	QueuedTokens int  `json:"queued_tokens"`
+	Leaving      bool `json:"leaving"`
 	// Loading says that weights are being loaded; no run starts meanwhile.
 	Loading bool      `json:"loading"`
 	Epoch   uint64    `json:"epoch"`
--- a/gossip.go
+++ b/gossip.go
@@ -62,7 +62,7 @@
 		x, _ := t.Targets.Lookup(keys[(i+int(t.turn))%len(keys)])
 		age := now.Sub(x.ReportedAt)
 		if len(m.Loads) < maxLoads && !x.ReportedAt.IsZero() && age < loadWorthless {
-			m.Loads = append(m.Loads, loadOf(x, age))
+			m.Loads = append(m.Loads, loadOf(now, x, age))
 		}
 		if len(m.Leaving) < maxLeaving && x.Leaving && x.Listed {
 			m.Leaving = append(m.Leaving, peer.Leaving{Target: x.Name, Address: x.Address.String()})
@@ -77,10 +77,10 @@
 	return m
 }
 
-func loadOf(x *target.Target, age time.Duration) peer.Load {
+func loadOf(now time.Time, x *target.Target, age time.Duration) peer.Load {
 	return peer.Load{
 		Target: x.Name, Address: x.Address.String(), Version: x.Version,
-		Loading: x.Loading, Running: x.Running, Waiting: x.Waiting, Slots: x.Slots, Age: age,
+		Queued: x.Wait(now, 0), Loading: x.Loading, Running: x.Running, Waiting: x.Waiting, Slots: x.Slots, Age: age,
 	}
 }
 
@@ -113,10 +113,8 @@
 	if !known || x.Address.String() != l.Address || l.Age < 0 || !at.After(x.ReportedAt) {
 		return
 	}
-	x.Running, x.Waiting, x.Slots, x.Version = l.Running, l.Waiting, l.Slots, l.Version
-	x.Loading = l.Loading
-	x.ReportedAt = at
-	x.SentSince = 0
+	x.Slots, x.Version, x.Loading = l.Slots, l.Version, l.Loading
+	x.Report(at, l.Running, l.Waiting, l.Queued)
 }
 
 // catchUp reads the table service and, if that fails, asks the peer.
--- /dev/null
+++ b/internal/measure/deployment.go
@@ -0,0 +1,79 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/thymewind/thymewind/account"
+	"github.com/thymewind/thymewind/pool"
+)
+
+// The fakes' sizes, the same for both deployments.
+const (
+	pieceTokens = 2000
+	// pieceKV is the KV cache of one piece, in bytes.
+	pieceKV = 64 << 20
+	slots   = 16
+	// prefillRate is the prompt tokens that an engine computes a second.
+	prefillRate = 20000
+	tokenTime   = 27 * time.Millisecond
+	// enginePieces bounds an engine's prefix cache.
+	enginePieces = 60
+	// memoryRate and diskRate are a store box's links, in bytes a second.
+	memoryRate  = 4e9
+	diskRate    = 1e9
+	storeMemory = 200
+	storeDisk   = 900
+	reportEvery = 500 * time.Millisecond
+	reportLag   = 500 * time.Millisecond
+)
+
+// Deployment is one of the users' deployments as the fakes play it.
+type Deployment struct {
+	Name string
+	// Weights are the pool's policy.
+	Weights    pool.Policy
+	Replicas   int
+	Domains    int
+	StoreBoxes int
+	// Rate is the model requests a second.
+	Rate float64
+	// Prompts is how many prompts return, LeastPieces to MostPieces their size.
+	Prompts, LeastPieces, MostPieces int
+	// Tokens is the mean answer.
+	Tokens int
+	// Once is the share of prompts that are seen once only.
+	Once float64
+	// Clients is the number of client accounts; the first two are large.
+	Clients int
+}
+
+// The deployments.
+var (
+	// LutongBahay has short prompts and weighs the time to first token most.
+	LutongBahay = Deployment{
+		Name: "lutong-bahay", Weights: pool.Policy{FirstToken: 4, Recompute: 1, Link: 1},
+		Replicas: 9, Domains: 3, StoreBoxes: 2, Rate: 24, Prompts: 500, LeastPieces: 1, MostPieces: 4,
+		Tokens: 60, Once: 0.2, Clients: 10,
+	}
+	// Sonora has long prompts and weighs recomputing and links more.
+	Sonora = Deployment{
+		Name: "sonora", Weights: pool.Policy{FirstToken: 1, Recompute: 3, Link: 2},
+		Replicas: 9, Domains: 3, StoreBoxes: 2, Rate: 6, Prompts: 180, LeastPieces: 4, MostPieces: 14,
+		Tokens: 150, Once: 0.2, Clients: 10,
+	}
+)
+
+// length is how much time is played.
+func (d Deployment) length() time.Duration { return 20 * time.Minute }
+
+func (d Deployment) accounts() map[string]account.Account {
+	all := make(map[string]account.Account, d.Clients)
+	for i := range d.Clients {
+		name := accountName(i)
+		all[name] = account.Account{Name: name, Weight: 1}
+	}
+	return all
+}
+
+func accountName(i int) string { return fmt.Sprintf("account-%d", i) }
--- /dev/null
+++ b/internal/measure/engine.go
@@ -0,0 +1,138 @@
+package measure
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// engine is a fake model engine: slots, one prefill at a time, a prefix cache.
+type engine struct {
+	*world
+	name    string
+	address netip.AddrPort
+	domain  string
+	running int
+	// queued are the prompt tokens of runs whose prefill has not ended.
+	queued  int
+	waiting []*request
+	cache   *simplelru.LRU[prefix.Key, struct{}]
+	// prefillFree is when the prefill under way ends.
+	prefillFree time.Time
+	// speed scales prefill and decode; 1 is normal.
+	speed  float64
+	dead   bool
+	deadAt time.Time
+	// leaving refuses new work.
+	leaving bool
+	active  map[*request]bool
+}
+
+func newEngine(w *world, i int) *engine {
+	// The size is a positive constant, the only thing that could be refused.
+	cache, _ := simplelru.NewLRU[prefix.Key, struct{}](enginePieces, nil)
+	return &engine{
+		world: w, name: fmt.Sprintf("engine-%d", i), address: addressOf(1, i),
+		domain: fmt.Sprintf("zone-%d", i%w.Deployment.Domains), cache: cache, speed: 1, active: make(map[*request]bool),
+	}
+}
+
+// submit takes a run in or refuses it.
+func (e *engine) submit(r *request) bool {
+	if e.leaving || len(e.waiting) >= 8*slots {
+		return false
+	}
+	e.active[r] = true
+	e.waiting = append(e.waiting, r)
+	r.queued = r.tokens()
+	e.queued += r.queued
+	e.admit()
+	return true
+}
+
+func (e *engine) admit() {
+	for e.running < slots && len(e.waiting) > 0 {
+		r := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.running++
+		e.begin(r)
+	}
+}
+
+// begin imports or computes the prompt's cache and then decodes.
+func (e *engine) begin(r *request) {
+	reused := 0
+	for reused < len(r.placed.Keys) && e.cache.Contains(r.placed.Keys[reused]) {
+		e.cache.Get(r.placed.Keys[reused])
+		reused++
+	}
+	ready, imported := e.now, 0
+	if r.placed.Import != nil && len(r.placed.Import.Run) > reused {
+		ready, imported = r.store.fetch(r.placed.Import.Run[reused:])
+	}
+	tokens := r.tokens() - (reused+imported)*pieceTokens
+	e.queued += tokens - r.queued
+	r.queued = tokens
+	r.usage = stream.Usage{
+		Prompt: r.tokens(), Reused: reused * pieceTokens, Imported: imported * pieceTokens, Completion: r.answer,
+		ImportMillis: millis(ready.Sub(e.now)),
+	}
+	// Other prompts are computed while this one's cache is on its way.
+	e.after(ready.Sub(e.now), func() { e.compute(r, tokens) })
+}
+
+// compute queues the rest of a prompt behind the prefill under way.
+func (e *engine) compute(r *request, tokens int) {
+	if !e.active[r] {
+		return
+	}
+	took := seconds(float64(tokens) / (prefillRate * e.speed))
+	r.usage.PrefillMillis = millis(took)
+	if e.prefillFree.Before(e.now) {
+		e.prefillFree = e.now
+	}
+	e.prefillFree = e.prefillFree.Add(took)
+	e.after(e.prefillFree.Sub(e.now), func() { e.first(r) })
+}
+
+// first is when the first token of a run is out.
+func (e *engine) first(r *request) {
+	if !e.active[r] {
+		return
+	}
+	for _, key := range r.placed.Keys {
+		e.cache.Add(key, struct{}{})
+	}
+	r.first = e.now
+	e.queued -= r.queued
+	decode := time.Duration(float64(r.answer) * float64(tokenTime) / e.speed)
+	e.after(decode, func() {
+		if !e.active[r] {
+			return
+		}
+		delete(e.active, r)
+		e.running--
+		e.admit()
+		e.traffic.done(r)
+	})
+}
+
+// die ends the engine; what it ran is broken off.
+func (e *engine) die() {
+	e.dead, e.deadAt = true, e.now
+	e.running, e.waiting, e.queued = 0, nil, 0
+	broken := e.active
+	e.active = make(map[*request]bool)
+	for _, r := range sorted(broken) {
+		e.traffic.broken(r)
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/measure/policy.go
@@ -0,0 +1,125 @@
+package measure
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/retention"
+	"github.com/thymewind/thymewind/reuse"
+	"github.com/thymewind/thymewind/target"
+)
+
+// Policy names how a run decides. All but Ours are baselines, each of which
+// replaces one decision and leaves the others ours.
+type Policy string
+
+// The policies.
+const (
+	Ours        Policy = "ours"
+	RoundRobin  Policy = "round-robin"
+	LeastLoad   Policy = "least-load"
+	Affinity    Policy = "pure-affinity"
+	KeepAll     Policy = "keep-all-lru"
+	NeverImport Policy = "never-import"
+	// PlainRoundRobin has neither placement nor kept cache.
+	PlainRoundRobin Policy = "plain-round-robin"
+)
+
+// Policies lists all of them.
+func Policies() []Policy {
+	return []Policy{Ours, RoundRobin, LeastLoad, Affinity, KeepAll, NeverImport, PlainRoundRobin}
+}
+
+type choose func(now time.Time, ask placement.Ask, targets []*target.Target) (placement.Choice, error)
+
+// chooser returns the policy's way to choose a target.
+func (p Policy) chooser(ours *placement.Chooser, random *rand.Rand) choose {
+	next := 0
+	switch p {
+	case RoundRobin, PlainRoundRobin:
+		return pick(func(usable []int, _ uint64, _ []*target.Target) int {
+			next++
+			return usable[next%len(usable)]
+		})
+	case LeastLoad:
+		return pick(func(usable []int, _ uint64, all []*target.Target) int {
+			random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+			return slices.MinFunc(usable, func(i, j int) int { return cmp.Compare(all[i].Load(), all[j].Load()) })
+		})
+	case Affinity:
+		return pick(func(usable []int, home uint64, all []*target.Target) int {
+			return slices.MaxFunc(usable, func(i, j int) int {
+				return cmp.Compare(placement.Weight(home, all[i].Hash), placement.Weight(home, all[j].Hash))
+			})
+		})
+	}
+	return ours.Choose
+}
+
+// pick makes a chooser of a function over the usable targets.
+func pick(of func(usable []int, home uint64, all []*target.Target) int) choose {
+	return func(now time.Time, ask placement.Ask, targets []*target.Target) (placement.Choice, error) {
+		var choice placement.Choice
+		var usable []int
+		for i, x := range targets {
+			if x.Usable(now) && !ask.Skip(x) {
+				usable = append(usable, i)
+			}
+		}
+		if len(usable) == 0 {
+			return choice, trace.NotFound("no target")
+		}
+		choice.Index = of(usable, ask.Home, targets)
+		choice.Home = choice.Index
+		choice.Usable = len(usable)
+		return choice, nil
+	}
+}
+
+// keep returns the policy's way to decide what is kept.
+func (p Policy) keep() func(*retention.Policy, retention.Candidate) bool {
+	switch p {
+	case KeepAll:
+		return func(*retention.Policy, retention.Candidate) bool { return true }
+	case NeverImport, PlainRoundRobin:
+		return func(*retention.Policy, retention.Candidate) bool { return false }
+	}
+	return (*retention.Policy).Keep
+}
+
+// imports returns how many of the pieces found are imported.
+func (p Policy) imports(now time.Time, e reuse.Estimate, weights pool.Policy, c reuse.Choice) int {
+	switch p {
+	case KeepAll:
+		return len(c.Found.Run)
+	case NeverImport, PlainRoundRobin:
+		return 0
+	}
+	return e.Best(now, weights, c)
+}
+
+// drop returns what a full store box loses.
+func (p Policy) drop(now time.Time, all []kept.Manifest, need int) []string {
+	if p != KeepAll {
+		return retention.Drop(now, all, need)
+	}
+	slices.SortFunc(all, func(a, b kept.Manifest) int {
+		return cmp.Or(a.Used.Compare(b.Used), cmp.Compare(b.Depth, a.Depth), cmp.Compare(a.Key, b.Key))
+	})
+	var keys []string
+	for _, m := range all {
+		if need <= 0 {
+			break
+		}
+		keys = append(keys, m.Key)
+		need -= m.Piece.Bytes
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/measure/store.go
@@ -0,0 +1,152 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/prefix"
+)
+
+// store is a fake store box: a memory and a disk tier, each behind a link.
+type store struct {
+	*world
+	name    string
+	address netip.AddrPort
+	// rows holds what is kept; tiers says on which tier.
+	rows  map[string]kept.Manifest
+	tiers map[string]int
+	size  [2]int
+	rate  [2]float64
+	// told is what the store box says of its links.
+	told [2]float64
+	// memory orders the keys on the memory tier by use.
+	memory *simplelru.LRU[string, struct{}]
+	// busyUntil is when each link's queue is through, busy how long it was used.
+	busyUntil [2]time.Time
+	busy      [2]time.Duration
+	dead      bool
+}
+
+func newStore(w *world, i int) *store {
+	s := &store{
+		world: w, name: fmt.Sprintf("store-%d", i), address: addressOf(2, i),
+		rows: make(map[string]kept.Manifest), tiers: make(map[string]int),
+		size: [2]int{storeMemory, storeDisk}, rate: [2]float64{memoryRate, diskRate}, told: [2]float64{memoryRate, diskRate},
+	}
+	// The size is a positive constant, the only thing that could be refused.
+	s.memory, _ = simplelru.NewLRU(storeMemory, func(key string, _ struct{}) {
+		if _, known := s.tiers[key]; known {
+			s.tiers[key] = kept.TierDisk
+		}
+	})
+	return s
+}
+
+// touch brings a piece to the memory tier; the least used one there goes to
+// disk.
+func (s *store) touch(key string) {
+	s.tiers[key] = kept.TierMemory
+	s.memory.Add(key, struct{}{})
+}
+
+// find returns the run of manifests for the keys.
+func (s *store) find(keys []string) kept.Found {
+	var found kept.Found
+	for tier := range found.Links {
+		found.Links[tier].Rate = s.told[tier]
+		if wait := s.busyUntil[tier].Sub(s.now); wait > 0 {
+			found.Links[tier].Queue = int(wait.Seconds() * s.told[tier])
+		}
+	}
+	for _, key := range keys {
+		m, ok := s.rows[key]
+		if !ok {
+			break
+		}
+		m.Used = s.now
+		m.Hits++
+		s.rows[key] = m
+		m.Tier = s.tiers[key]
+		found.Run = append(found.Run, m)
+	}
+	return found
+}
+
+// fetch moves pieces over the links and returns when the last is there.
+func (s *store) fetch(run []kept.Manifest) (ready time.Time, pieces int) {
+	ready = s.now
+	if s.dead {
+		return s.now.Add(time.Second), 0
+	}
+	for _, m := range run {
+		if _, ok := s.rows[m.Key]; !ok {
+			return ready, 0 // Dropped meanwhile: all of it is computed.
+		}
+		if done := s.move(s.tiers[m.Key], m.Piece.Bytes); done.After(ready) {
+			ready = done
+		}
+		s.touch(m.Key)
+	}
+	return ready, len(run)
+}
+
+// move queues bytes on a tier's link.
+func (s *store) move(tier, bytes int) time.Time {
+	start := s.now
+	if s.busyUntil[tier].After(start) {
+		start = s.busyUntil[tier]
+	}
+	took := seconds(float64(bytes) / s.rate[tier])
+	s.busyUntil[tier] = start.Add(took)
+	s.busy[tier] += took
+	return s.busyUntil[tier]
+}
+
+// keep writes a prompt's pieces and then their manifests.
+func (s *store) keep(scope prefix.Key, keys []prefix.Key) []kept.Manifest {
+	if s.dead {
+		return nil
+	}
+	var run []kept.Manifest
+	for depth, key := range keys {
+		text := key.String()
+		m, known := s.rows[text]
+		if !known {
+			if len(s.rows) >= s.size[0]+s.size[1] {
+				return run
+			}
+			s.move(kept.TierMemory, pieceKV)
+			s.touch(text)
+			m = kept.Seal(kept.Manifest{Key: text, Scope: scope.String(), Depth: depth, Piece: kept.Piece{Digest: text, Bytes: pieceKV, Tokens: pieceTokens}})
+		}
+		m.Used = s.now
+		s.rows[text] = m
+		run = append(run, m)
+	}
+	return run
+}
+
+// makeRoom drops what is least worth keeping from stores that are nearly full.
+func (w *world) makeRoom() {
+	const least = 0.1
+	for _, s := range w.stores {
+		size := s.size[0] + s.size[1]
+		room := size - len(s.rows)
+		if s.dead || float64(room) >= least*float64(size) {
+			continue
+		}
+		all := slices.SortedFunc(maps.Values(s.rows), func(a, b kept.Manifest) int { return cmp.Compare(a.Key, b.Key) })
+		for _, key := range w.Policy.drop(w.now, all, int(2*least*float64(size)-float64(room))*pieceKV) {
+			delete(s.tiers, key)
+			delete(s.rows, key)
+			s.memory.Remove(key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/world.go
@@ -0,0 +1,187 @@
+// Package measure drives the daemon's decision code against small fakes of
+// engines, store boxes and links in virtual time, and counts what operators
+// measure.
+//
+//	figures := measure.Run(measure.Scenario{Deployment: measure.LutongBahay, Policy: measure.Ours, Seed: 1})
+package measure
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/dispatch"
+	"github.com/thymewind/thymewind/model"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/target"
+)
+
+// Scenario is one run.
+type Scenario struct {
+	Deployment Deployment
+	Policy     Policy
+	Fault      string
+	Seed       uint64
+}
+
+// world is everything that happens in one run.
+type world struct {
+	Scenario
+	random  *rand.Rand
+	now     time.Time
+	end     time.Time
+	events  queue
+	order   int
+	board   dispatch.Board
+	engines []*engine
+	stores  []*store
+	traffic *traffic
+	figures *Figures
+}
+
+// event is something to do at a time; order keeps equal times in sequence.
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+// queue is a heap of events.
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+
+func (q queue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// after has something done when some time has passed.
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.events, event{w.now.Add(d), w.order, do})
+}
+
+// every has something done again and again.
+func (w *world) every(d time.Duration, do func()) {
+	w.after(d, func() {
+		do()
+		w.every(d, do)
+	})
+}
+
+// poolName is the one pool of the fakes.
+const poolName = "menu"
+
+// Run plays a scenario and returns its figures. The same scenario gives the
+// same figures.
+func Run(s Scenario) Figures {
+	w := &world{Scenario: s, random: rand.New(rand.NewPCG(s.Seed, 0)), now: time.Unix(0, 0), figures: &Figures{}}
+	w.end = w.now.Add(s.Deployment.length())
+	w.startBoard()
+	for i := range s.Deployment.Replicas {
+		w.engines = append(w.engines, newEngine(w, i))
+	}
+	for i := range s.Deployment.StoreBoxes {
+		w.stores = append(w.stores, newStore(w, i))
+	}
+	w.list()
+	w.every(time.Second, w.list)
+	w.every(reportEvery, w.report)
+	w.every(2*time.Second, w.makeRoom)
+	w.traffic = newTraffic(w)
+	w.after(s.Deployment.length()/3, w.breaks)
+	w.after(0, w.traffic.next)
+	for len(w.events) > 0 {
+		e := heap.Pop(&w.events).(event)
+		if e.at.After(w.end) {
+			break
+		}
+		w.now = e.at
+		e.do()
+	}
+	w.finish()
+	return *w.figures
+}
+
+func (w *world) startBoard() {
+	chooser := &placement.Chooser{Usable: (*target.Target).Usable, Wait: w.board.Wait}
+	w.board = dispatch.Board{
+		Choose: w.Policy.chooser(chooser, w.random), Scope: prefix.Scope, Keep: w.Policy.keep(),
+		Boxes: func() int { return 1 }, Limit: func(_ string, limit int) int { return limit },
+		Jitter: func(d time.Duration) time.Duration { return d }, Record: func(decision.Record) {},
+		Failing: func(string) {}, Leaving: func(_, _ string) {},
+	}
+	w.board.Start()
+	w.board.Configuration = &configuration.Configuration{
+		Revision: 1,
+		Accounts: w.Deployment.accounts(),
+		Pools: map[string]pool.Pool{poolName: {
+			Name: poolName, Kind: pool.KindModel, Weights: "v1", PieceBytes: pieceTokens * dispatch.BytesPerToken,
+			Stores: true, Concurrency: 2 * slots, Policy: w.Deployment.Weights,
+		}},
+		Models: map[string]model.Model{poolName: {Name: poolName, Pool: poolName}},
+	}
+}
+
+// list is the platform's list as it lags: a target that is gone is still
+// listed until then.
+func (w *world) list() {
+	const lag = 5 * time.Second
+	for _, e := range w.engines {
+		x, known := w.board.Targets.Lookup(e.name)
+		if !known {
+			x = &target.Target{
+				Name: e.name, Hash: placement.Hash(e.name), Pool: poolName, Domain: e.domain,
+				Version: "v1", Slots: slots, Address: e.address,
+			}
+			w.board.Targets.Put(e.name, x)
+		}
+		x.Listed = e.deadAt.IsZero() || w.now.Sub(e.deadAt) < w.listLag(lag)
+	}
+	for _, s := range w.stores {
+		w.board.Stores.Put(s.name, boxes.Box{Name: s.name, Address: s.address})
+	}
+	w.board.Group()
+}
+
+// report brings every engine's load report, late.
+func (w *world) report() {
+	for _, e := range w.engines {
+		running, waiting, queued, dead := e.running, len(e.waiting), e.queued, e.dead
+		w.after(reportLag, func() {
+			x, known := w.board.Targets.Lookup(e.name)
+			if !known {
+				return
+			}
+			if dead {
+				w.board.Fail(w.now, x)
+				return
+			}
+			w.board.Report(w.now, x, running, waiting, queued, 0)
+		})
+	}
+}
+
+func addressOf(kind, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(kind), byte(i + 1)}), 7000)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -56,6 +56,8 @@
 	cache   *simplelru.LRU[string, struct{}]
 	runs    map[string]*run
 	running int
+	// queued are the prompt tokens of runs whose prefill has not ended.
+	queued  int
 	queue   []*run
 	version string
 	loading bool
@@ -138,7 +140,7 @@
 
 func (e *Engine) now(at time.Time) api.Load {
 	return api.Load{
-		Name: e.Name, Version: e.version, Slots: e.Slots, Running: e.running, Waiting: len(e.queue),
+		Name: e.Name, Version: e.version, Slots: e.Slots, Running: e.running, Waiting: len(e.queue), QueuedTokens: e.queued,
 		Leaving: e.Fault.State().Leaving, Epoch: e.epoch, Loading: e.loading, At: at,
 	}
 }
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -65,6 +65,7 @@
 	x.keys = prefix.Chain(scopeOf(ask.Scope), []byte(ask.Prompt), max(ask.PieceBytes, 1))
 	e.runs[runKey(ask.Request, ask.Attempt)] = x
 	e.queue = append(e.queue, x)
+	e.queued += len(ask.Prompt) / bytesPerToken
 	slices.SortStableFunc(e.queue, func(a, b *run) int { return a.ask.Priority - b.ask.Priority })
 	e.mu.Unlock()
 	e.admit()
@@ -149,6 +150,7 @@
 	time.Sleep(computing)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.queued -= len(x.ask.Prompt) / bytesPerToken
 	for _, key := range x.keys {
 		if !e.cache.Contains(key.String()) {
 			e.note(true, key.String())
@@ -218,6 +220,7 @@
 		x.cancelled = true
 		if !started {
 			x.done, x.failed = true, true
+			e.queued -= len(x.ask.Prompt) / bytesPerToken
 			e.queue = slices.DeleteFunc(e.queue, func(q *run) bool { return q == x })
 			x.wake()
 		}
--- a/keep.go
+++ b/keep.go
@@ -57,19 +57,19 @@
 // to import it. It runs on the request's own goroutine.
 func (d *Daemon) findKept(ctx context.Context, placed *route.Placed, prompt string) {
 	placed.Keys = prefix.Chain(placed.Scope, []byte(prompt), max(placed.PieceBytes, 1))
-	if placed.Warm || !placed.Store.IsValid() || len(placed.Keys) == 0 {
+	if !placed.Store.IsValid() || len(placed.Keys) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, findPatience)
 	defer cancel()
 	keys := texts(placed.Keys)
-	run, err := d.stores.Find(ctx, placed.Store, keys)
+	found, err := d.stores.Find(ctx, placed.Store, keys)
 	if err != nil {
 		_ = d.send(context.WithoutCancel(ctx), storeFailed{placed.StoreName})
 		return
 	}
-	usable := kept.Usable(run, placed.Scope.String(), keys)
-	if len(usable) < len(run) {
+	usable := kept.Usable(found.Run, placed.Scope.String(), keys)
+	if len(usable) < len(found.Run) {
 		d.counts.kept.WithLabelValues("wrong").Inc()
 	}
 	if len(usable) == 0 {
@@ -78,7 +78,8 @@
 	}
 	d.counts.kept.WithLabelValues("found").Inc()
 	placed.KeptPieces = len(usable)
-	d.decideImport(placed, prompt, usable)
+	found.Run = usable
+	d.decideImport(placed, prompt, found)
 }
 
 func texts(keys []prefix.Key) []string {
@@ -89,22 +90,22 @@
 	return all
 }
 
-// decideImport imports a run of kept cache if that is predicted to cost less
-// than computing.
-func (d *Daemon) decideImport(placed *route.Placed, prompt string, run []kept.Manifest) {
+// decideImport imports as much of the kept cache found as is predicted to cost
+// less than computing it.
+func (d *Daemon) decideImport(placed *route.Placed, prompt string, found kept.Found) {
 	p := d.currentOrEmpty().Pools[placed.Pool]
-	tokens, bytes := kept.Size(run)
-	choice := reuse.Choice{Tokens: len(prompt) / dispatch.BytesPerToken, Kept: tokens, Bytes: bytes}
+	n := placed.Estimate.Best(d.now(), p.Policy, reuse.Choice{Tokens: len(prompt) / dispatch.BytesPerToken, Found: found, Wait: placed.Wait})
+	placed.Said = reuse.Said(found, n)
+	tokens, bytes := kept.Size(found.Run)
 	record := decision.Record{
 		At: d.now(), Kind: decision.Reused, Request: placed.Request, Account: placed.Account, Pool: placed.Pool,
-		Rule:   "import is predicted to cost less",
-		Inputs: fmt.Sprintf("%d tokens kept in %d bytes; prefill %.0f tokens/s, link %.0f bytes/s", choice.Kept, choice.Bytes, placed.Estimate.Prefill, placed.Estimate.Link),
-		Result: "import from " + placed.StoreName,
-	}
-	if placed.Estimate.Better(p.Policy, choice) {
-		placed.Import = &engine.Import{Store: placed.Store, Run: run}
-	} else {
-		record.Rule, record.Result = "computing is predicted to cost less", "compute"
+		Rule: "least predicted cost",
+		Inputs: fmt.Sprintf("%d tokens kept in %d bytes; prefill %.0f tokens/s, links %+v, slower than said by %.1f",
+			tokens, bytes, placed.Estimate.Prefill, found.Links, placed.Estimate.Slow),
+		Result: fmt.Sprintf("import %d of %d pieces from %s", n, len(found.Run), placed.StoreName),
+	}
+	if n > 0 {
+		placed.Import = &engine.Import{Store: placed.Store, Run: found.Run[:n]}
 	}
 	d.records.Add(record)
 }
--- a/kept/manifest.go
+++ b/kept/manifest.go
@@ -39,12 +39,37 @@
 	Piece Piece `json:"piece"`
 	// Sum binds the fields above; see Seal.
 	Sum string `json:"sum"`
+	// Tier is TierMemory or TierDisk, where the piece is now.
+	Tier int `json:"tier,omitempty"`
 	// Used is when the manifest was last asked for, by the store box's clock.
 	Used time.Time `json:"used,omitzero"`
 	// Hits counts how often the manifest was asked for.
 	Hits int `json:"hits,omitempty"`
 }
 
+// The tiers of a store box.
+const (
+	TierMemory = iota
+	TierDisk
+	Tiers
+)
+
+// Found is what a store box holds of a prompt.
+type Found struct {
+	// Run are the manifests from the first boundary on.
+	Run []Manifest `json:"manifests"`
+	// Links are what the store box says of the links to its tiers.
+	Links [Tiers]Link `json:"links"`
+}
+
+// Link is the link to one tier of a store box.
+type Link struct {
+	// Queue is the bytes that wait to be moved.
+	Queue int `json:"queue"`
+	// Rate is the bytes moved a second, as the store box was set up.
+	Rate float64 `json:"rate"`
+}
+
 // Size returns the tokens that a run of manifests covers and its bytes.
 func Size(run []Manifest) (tokens, bytes int) {
 	for _, m := range run {
--- a/kept/store.go
+++ b/kept/store.go
@@ -18,13 +18,13 @@
 
 // Find returns the manifests that the store box holds for the keys, shortest
 // prefix first, up to the first one that it lacks.
-func (s *Store) Find(ctx context.Context, at netip.AddrPort, keys []string) ([]Manifest, error) {
+func (s *Store) Find(ctx context.Context, at netip.AddrPort, keys []string) (Found, error) {
 	body := struct {
 		Keys []string `json:"keys"`
 	}{keys}
-	var answer manifests
-	err := s.call(ctx, s.to(at).Post("/v1/find").BodyJSON(body), &answer)
-	return answer.Manifests, trace.Wrap(err)
+	var found Found
+	err := s.call(ctx, s.to(at).Post("/v1/find").BodyJSON(body), &found)
+	return found, trace.Wrap(err)
 }
 
 // manifests is how manifests travel.
--- a/peer/message.go
+++ b/peer/message.go
@@ -42,7 +42,9 @@
 	Running int    `cbor:"4,keyasint,omitempty"`
 	Waiting int    `cbor:"5,keyasint,omitempty"`
 	Slots   int    `cbor:"6,keyasint,omitempty"`
-	Loading bool   `cbor:"8,keyasint,omitempty"`
+	// Queued is how long the prompts take that were still to be computed.
+	Queued  time.Duration `cbor:"9,keyasint,omitempty"`
+	Loading bool          `cbor:"8,keyasint,omitempty"`
 	// Age is how old the report was when the message was sent.
 	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,12 +1,13 @@
 // Package placement chooses the target for a request.
 //
 // The place of a returning prompt is computed, not looked up: its home key
-// ranks the targets by rendezvous hash, and the best-ranked target whose load
-// is within a bound of the mean takes it. Every box computes the same ranking,
-// so boxes share no index of prompts.
+// ranks the targets by rendezvous hash, and the best-ranked one of those whose
+// wait is close enough to the shortest takes it. Every box computes the same
+// ranking, so boxes share no index of prompts, and boxes with the same lagged
+// view of loads still spread over all targets that are close enough.
 //
-//	c := placement.Chooser{Bound: 1.25, Usable: (*target.Target).Usable, Random: rand.Uint64}
-//	choice, err := c.Choose(now, home, targets, nil)
+//	c := placement.Chooser{Usable: (*target.Target).Usable, Wait: wait}
+//	choice, err := c.Choose(now, placement.Ask{Home: home, Slack: 100 * time.Millisecond}, targets)
 package placement
 
 import (
@@ -21,46 +22,50 @@
 
 // The rules by which a target is chosen.
 const (
-	// RuleHome is the best-ranked target.
+	// RuleHome is the best-ranked target of all.
 	RuleHome = "home"
-	// RuleNext is a lower-ranked target, as the better ones were too loaded.
+	// RuleNext is the best-ranked target of those with a shorter wait, as the
+	// wait at home is too long.
 	RuleNext = "next in rank"
-	// RuleLeast is the least loaded target, as none of the best-ranked was
-	// within the bound.
-	RuleLeast = "least load"
 )
 
-// Ranks is how many of the best-ranked targets are tried before the least
-// loaded one is taken. More would spread a prompt's cache over more targets.
-const Ranks = 3
-
-// Chooser chooses targets. Set the exported fields before first use. It keeps
-// no state between calls.
+// Chooser chooses targets. Set the exported fields before first use; it is not
+// safe for concurrent use.
 type Chooser struct {
-	// Bound is how far above the mean load a ranked target may be, as a
-	// factor. It is over 1.
-	Bound float64
 	// Usable says whether a target takes new work; it is (*target.Target).Usable.
 	Usable func(t *target.Target, now time.Time) bool
-	// Random breaks ties between equally loaded targets, so that boxes with
-	// the same lagged view do not choose alike.
-	Random func() uint64
+	// Wait predicts how long a request sent now waits before it is worked on.
+	Wait func(t *target.Target) time.Duration
+
+	// waits are those of the targets in one call, or closed.
+	waits []time.Duration
+}
+
+// closed is the wait of a target that can't be chosen.
+const closed = -1
+
+// Ask is what a request is placed by.
+type Ask struct {
+	// Home ranks the targets.
+	Home uint64
+	// Slack is how much longer than at the target with the shortest wait the
+	// request may wait in order to be at a better-ranked one, where its cache
+	// probably is.
+	Slack time.Duration
+	// Skip passes over targets for which it returns true; nil passes over none.
+	Skip func(*target.Target) bool
 }
 
 // Choice is the outcome of one choosing.
 type Choice struct {
-	// Index is the chosen target's place in the slice given.
-	Index int
-	Rule  string
-	// Rank is the chosen target's place in the ranking, from 0; Ranks when it
-	// was chosen by least load.
-	Rank int
-	// Mean is the usable targets' mean load, with the request itself.
-	Mean float64
+	// Index is the chosen target's place in the slice given, Home that of the
+	// best-ranked one.
+	Index, Home int
+	Rule        string
+	// Least is the shortest wait, Wait the one at the chosen target.
+	Least, Wait time.Duration
 	// Usable counts the targets that could have been chosen.
 	Usable int
-	// Best are the indices of the best-ranked targets, from the best.
-	Best [Ranks]int
 }
 
 // Hash returns the part of the ranking that depends on a target's name.
@@ -73,78 +78,51 @@
 	return (high ^ low) * odd
 }
 
-// Choose returns the target for a request with the given home key. Targets for
-// which skip returns true are passed over; a nil skip passes over none. It
-// fails with trace.NotFound when no target is usable.
-func (c *Chooser) Choose(now time.Time, home uint64, targets []*target.Target, skip func(*target.Target) bool) (Choice, error) {
-	choice := Choice{Best: [Ranks]int{-1, -1, -1}}
-	var weights [Ranks]uint64
-	least := lightest{index: -1}
-	sum := 0
-	for i, t := range targets {
-		if !c.Usable(t, now) || (skip != nil && skip(t)) {
-			continue
+// Choose returns the target for a request. It fails with trace.NotFound when
+// no target is usable.
+func (c *Chooser) Choose(now time.Time, ask Ask, targets []*target.Target) (Choice, error) {
+	choice := Choice{Index: -1, Home: -1, Least: closed}
+	c.waits = c.waits[:0]
+	for _, t := range targets {
+		wait := time.Duration(closed)
+		if c.open(now, ask, t) {
+			wait = c.Wait(t)
+			choice.Usable++
+			if choice.Least == closed || wait < choice.Least {
+				choice.Least = wait
+			}
 		}
-		choice.Usable++
-		load := t.Load()
-		sum += load
-		insert(&choice.Best, &weights, i, Weight(home, t.Hash))
-		least.offer(i, load, c.Random)
+		c.waits = append(c.waits, wait)
 	}
 	if choice.Usable == 0 {
 		return choice, trace.NotFound("no target of the pool takes new work")
 	}
-	choice.Mean = float64(sum+1) / float64(choice.Usable)
-	limit := int(c.Bound*choice.Mean) + 1
-	for rank, i := range choice.Best {
-		// A free slot means no waiting, whatever the mean is.
-		if i >= 0 && targets[i].Load() < max(limit, targets[i].Slots) {
-			choice.Index = i
-			choice.Rank = rank
-			choice.Rule = ruleOf(rank)
-			return choice, nil
-		}
+	c.rank(ask, targets, &choice)
+	choice.Rule = RuleNext
+	if choice.Index == choice.Home {
+		choice.Rule = RuleHome
 	}
-	choice.Index = least.index
-	choice.Rank = Ranks
-	choice.Rule = RuleLeast
 	return choice, nil
 }
 
-func ruleOf(rank int) string {
-	if rank == 0 {
-		return RuleHome
-	}
-	return RuleNext
-}
-
-// insert keeps the best-ranked targets in order of their weights.
-func insert(best *[Ranks]int, weights *[Ranks]uint64, index int, weight uint64) {
-	for rank := range best {
-		if best[rank] < 0 || weight > weights[rank] {
-			best[rank], index = index, best[rank]
-			weights[rank], weight = weight, weights[rank]
+// rank finds the best-ranked target of all and of those within the slack.
+func (c *Chooser) rank(ask Ask, targets []*target.Target, choice *Choice) {
+	var best, home uint64
+	longest := choice.Least + ask.Slack
+	for i, wait := range c.waits {
+		if wait == closed {
+			continue
+		}
+		weight := Weight(ask.Home, targets[i].Hash)
+		if choice.Home < 0 || weight > home {
+			choice.Home, home = i, weight
 		}
-		if index < 0 {
-			return
+		if wait <= longest && (choice.Index < 0 || weight > best) {
+			choice.Index, choice.Wait, best = i, wait, weight
 		}
 	}
 }
 
-// lightest keeps the least loaded target offered so far, at random among ties.
-type lightest struct {
-	index, load int
-	ties        uint64
-}
-
-func (l *lightest) offer(index, load int, random func() uint64) {
-	switch {
-	case l.index < 0 || load < l.load:
-		l.index, l.load, l.ties = index, load, 1
-	case load == l.load:
-		l.ties++
-		if random()%l.ties == 0 {
-			l.index = index
-		}
-	}
+func (c *Chooser) open(now time.Time, ask Ask, t *target.Target) bool {
+	return c.Usable(t, now) && (ask.Skip == nil || !ask.Skip(t))
 }
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -1,13 +1,16 @@
-// Package reuse decides whether a prompt's kept cache is imported from a store
-// box or computed again, by what either is predicted to cost.
+// Package reuse decides how much of a prompt's kept cache is imported from a
+// store box and how much is computed again, by what either is predicted to
+// cost.
 //
-//	e := reuse.Estimate{Prefill: 20000, Link: 50e6}
-//	import := e.Better(pool.Policy, reuse.Choice{Tokens: 6000, Kept: 4096, Bytes: 8 << 20})
+//	e := reuse.Estimate{Prefill: 20000}
+//	n := e.Best(now, pool.Policy, reuse.Choice{Tokens: 6000, Found: found})
+//	run := found.Run[:n] // import these, compute the rest
 package reuse
 
 import (
 	"time"
 
+	"github.com/thymewind/thymewind/kept"
 	"github.com/thymewind/thymewind/pool"
 	"github.com/thymewind/thymewind/stream"
 )
@@ -15,6 +18,9 @@
 // weight is the part of a new sample in the moving means.
 const weight = 0.2
 
+// memory is how long a link is remembered to be slower than it says.
+const memory = 10 * time.Second
+
 // Estimate is what was learned of engines and links from their own figures.
 // The zero value knows nothing and imports, so that it learns.
 type Estimate struct {
@@ -22,47 +28,105 @@
 	Prefill float64
 	// Link is the bytes imported a second, waiting included; zero if not known.
 	Link float64
+	// Slow is how many times longer imports take than store boxes say; zero if
+	// not known. It counts until Forgotten.
+	Slow      float64
+	Forgotten time.Time
 }
 
 // Choice is one prompt with kept cache.
 type Choice struct {
-	// Tokens are the prompt's, Kept those that the kept cache covers.
-	Tokens, Kept int
-	// Bytes are the kept cache's.
-	Bytes int
+	// Tokens are the prompt's.
+	Tokens int
+	// Found is what the store box holds.
+	Found kept.Found
+	// Wait is how long the engine is busy before it begins to compute; imports
+	// go on meanwhile.
+	Wait time.Duration
 }
 
-// Better says whether importing is predicted to cost less than computing.
-// Seconds of waiting, of computing again and of the link are weighed by the
-// pool's policy.
-func (e Estimate) Better(p pool.Policy, c Choice) bool {
-	if e.Prefill == 0 || e.Link == 0 {
-		return true
+// Best returns how many of the pieces found to import. Seconds to the first
+// token, of computing again and of the links are weighed by the pool's policy.
+func (e Estimate) Best(now time.Time, p pool.Policy, c Choice) int {
+	if e.Prefill == 0 {
+		return len(c.Found.Run)
+	}
+	wait := c.Wait.Seconds()
+	best, least := 0, p.FirstToken*(wait+float64(c.Tokens)/e.Prefill)+p.Recompute*float64(c.Tokens)/e.Prefill
+	tokens := 0
+	var bytes [kept.Tiers]int
+	for i, m := range c.Found.Run {
+		tokens += m.Piece.Tokens
+		bytes[m.Tier%kept.Tiers] += m.Piece.Bytes
+		ready, moving := e.links(now, c.Found.Links, bytes)
+		compute := float64(c.Tokens-tokens) / e.Prefill
+		cost := p.FirstToken*(max(wait, ready)+compute) + p.Recompute*compute + p.Link*moving
+		if cost < least {
+			best, least = i+1, cost
+		}
 	}
-	compute := float64(c.Kept) / e.Prefill
-	link := float64(c.Bytes) / e.Link
-	return (p.FirstToken+p.Link)*link <= (p.FirstToken+p.Recompute)*compute
+	return best
 }
 
-// Learn takes in the engine's own figures of one run; bytes is what was
-// imported.
-func (e *Estimate) Learn(u stream.Usage, bytes int) {
-	if computed := u.Prompt - u.Reused - u.Imported; u.PrefillMillis > 0 && computed > 0 {
-		e.Prefill = mean(e.Prefill, float64(computed)/seconds(u.PrefillMillis))
+// links predicts when bytes of each tier are there and for how long the links
+// move them, in seconds.
+func (e Estimate) links(now time.Time, links [kept.Tiers]kept.Link, bytes [kept.Tiers]int) (ready, moving float64) {
+	slow := 1.0
+	if e.Slow > 0 && now.Before(e.Forgotten) {
+		slow = e.Slow
 	}
-	if u.ImportMillis > 0 && bytes > 0 && u.Imported > 0 {
-		e.Link = mean(e.Link, float64(bytes)/seconds(u.ImportMillis))
+	for tier, link := range links {
+		if bytes[tier] == 0 || link.Rate <= 0 {
+			continue
+		}
+		ready = max(ready, slow*float64(link.Queue+bytes[tier])/link.Rate)
+		moving += slow * float64(bytes[tier]) / link.Rate
 	}
+	return ready, moving
 }
 
-// Fail notes an import that brought nothing in spite of the wait, such as from
-// a store box that died.
-func (e *Estimate) Fail(bytes int, waited time.Duration) {
-	if waited > 0 {
-		e.Link = mean(e.Link, float64(bytes)/(10*waited.Seconds()))
+// Said returns how long the store box says that an import takes, in seconds.
+func Said(found kept.Found, n int) float64 {
+	var bytes [kept.Tiers]int
+	for _, m := range found.Run[:n] {
+		bytes[m.Tier%kept.Tiers] += m.Piece.Bytes
 	}
+	ready, _ := Estimate{}.links(time.Time{}, found.Links, bytes)
+	return ready
 }
 
+// Sample is how one run went.
+type Sample struct {
+	// Usage are the engine's own figures.
+	Usage stream.Usage
+	// Bytes were to be imported, and Said seconds is how long that should take.
+	Bytes int
+	Said  float64
+}
+
+// Learn takes in how one run went.
+func (e *Estimate) Learn(now time.Time, s Sample) {
+	u := s.Usage
+	if computed := u.Prompt - u.Reused - u.Imported; u.PrefillMillis > 0 && computed > 0 {
+		e.Prefill = mean(e.Prefill, float64(computed)/seconds(u.PrefillMillis))
+	}
+	if u.ImportMillis <= 0 || s.Bytes == 0 {
+		return
+	}
+	took := seconds(u.ImportMillis)
+	if u.Imported == 0 && u.Reused == 0 {
+		took *= failed // It brought nothing in spite of the wait.
+	}
+	e.Link = mean(e.Link, float64(s.Bytes)/took)
+	if s.Said > 0 {
+		e.Slow = mean(e.Slow, max(took/s.Said, 1))
+		e.Forgotten = now.Add(memory)
+	}
+}
+
+// failed is how many times longer an import counts that brought nothing.
+const failed = 10
+
 func seconds(millis float64) float64 { return millis / 1000 }
 
 func mean(old, sample float64) float64 {
--- a/route/route.go
+++ b/route/route.go
@@ -69,6 +69,10 @@
 	FirstToken time.Duration
 	// Estimate is what is known of the pool's engines and links.
 	Estimate reuse.Estimate
+	// Wait is how long the target was predicted to be busy first.
+	Wait time.Duration
+	// Said is how long the store box says that the import takes, in seconds.
+	Said float64
 	// Import names kept cache to fetch, if that is thought to be faster.
 	Import *engine.Import
 	// Rule says why this target.
--- a/target/target.go
+++ b/target/target.go
@@ -8,45 +8,74 @@
 	"time"
 )
 
-// Target is one model engine or plain service.
+// Target is one model engine or plain service. The fields that each placement
+// reads come first, so that they share cache lines.
 type Target struct {
-	Name    string
-	Address netip.AddrPort
-	Pool    string
-	// Domain is the failure domain.
-	Domain string
-	// Version is the weight version last reported. Engines only.
-	Version string
-	// Loading says that it loads weights and starts no run meanwhile.
-	Loading bool
+	// Hash is the target's part of rendezvous ranking; it depends on Name only.
+	Hash uint64
 	// Listed says that the platform's list has the target as live.
 	Listed bool
 	// Leaving is set by the list, by the target's own answer or by a peer, and
 	// is never cleared while the target stays at its address.
 	Leaving bool
+	// Loading says that it loads weights and starts no run meanwhile.
+	Loading bool
+	// AvoidUntil keeps new work off after failures.
+	AvoidUntil time.Time
 	// Running, Waiting and Slots are the target's last report.
 	Running, Waiting, Slots int
-	// ReportedAt is when the report was received; zero means never.
-	ReportedAt time.Time
 	// SentSince counts this daemon's own dispatches since the report.
 	SentSince int
 	// InFlight counts this daemon's requests under way on the target.
 	InFlight int
+	// queue is the prompts that wait to be computed.
+	queue queue
+
+	Name    string
+	Address netip.AddrPort
+	Pool    string
+	// Domain is the failure domain.
+	Domain string
+	// Version is the weight version last reported. Engines only.
+	Version string
+	// ReportedAt is when the report was received; zero means never.
+	ReportedAt time.Time
 	// Failures counts failures in a row.
 	Failures int
-	// AvoidUntil keeps new work off after failures.
-	AvoidUntil time.Time
-	// Hash is the target's part of rendezvous ranking; it depends on Name only.
-	Hash uint64
-	// FirstToken is a moving mean of the time to first token seen here, zero
-	// if none was.
-	FirstToken time.Duration
 }
 
 // Usable says whether new work may be sent at now. A target is unusable from
 // the moment anyone says that it is leaving.
 func (t *Target) Usable(now time.Time) bool {
-	return t.Listed && !t.Leaving && !t.Loading && !now.Before(t.AvoidUntil)
+	return t.Listed && !t.Leaving && !t.Loading && (t.AvoidUntil.IsZero() || !now.Before(t.AvoidUntil))
+}
+
+// Report takes the target's own report over, which tells how it was at a time
+// that lies back a while. busy is how long the prompts that were still to be
+// computed then take.
+func (t *Target) Report(at time.Time, running, waiting int, busy time.Duration) {
+	t.Running, t.Waiting = running, waiting
+	t.ReportedAt = at
+	t.SentSince = 0
+	t.queue.report(at, busy)
+}
+
+// Send counts a request in that is sent now and takes the target about busy to
+// compute.
+func (t *Target) Send(now time.Time, busy time.Duration) {
+	t.SentSince++
+	t.queue.send(now, busy)
+}
+
+// Wait predicts how long a request sent now waits for its turn: behind the
+// prompts that are still to be computed, and for a slot when all are taken,
+// each for about run.
+func (t *Target) Wait(now time.Time, run time.Duration) time.Duration {
+	wait := t.queue.wait(now)
+	if over := t.Load() + 1 - t.Slots; over > 0 && t.Slots > 0 {
+		wait += run * time.Duration(over) / time.Duration(t.Slots)
+	}
+	return wait
 }
 
 // Load estimates the requests on the target: its report plus what was sent
--- a/update.go
+++ b/update.go
@@ -167,10 +167,8 @@
 		t.Fail(now, x)
 		return
 	}
-	x.Running, x.Waiting, x.Slots = m.load.Running, m.load.Waiting, m.load.Slots
-	x.Version, x.Loading = m.load.Version, m.load.Loading
-	x.ReportedAt = now
-	x.SentSince = 0
+	x.Slots, x.Version, x.Loading = m.load.Slots, m.load.Version, m.load.Loading
+	t.Report(now, x, m.load.Running, m.load.Waiting, m.load.QueuedTokens, 0)
 	if m.load.Leaving {
 		t.MarkLeaving(x, "load report")
 	}
