feat(fair): a flood by one account leaves the others' first token alone

Cause: admission counted requests against twice the slots, so a flood filled the engines' prefill queues long before anyone was refused. Ruled out: counting requests with a lower bound (refuses without a flood too); refusing only when all engines have a queue (too late). Change: each account's prefill and slot time is measured; over 0.55 of the pool accounts with more than their fair part are refused, over 0.3 they go behind the others in the engines' queues.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -19,6 +19,7 @@
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/decision"
 	"github.com/thymewind/thymewind/entity"
+	"github.com/thymewind/thymewind/fair"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/retention"
@@ -79,6 +80,13 @@
 	policy   retention.Policy
 	// computed is the share of prompt tokens that was computed lately.
 	computed float64
+	// prefill and slots measure the accounts' use of engines, in engine-seconds.
+	prefill, slots fair.Meter
+	// took is a moving mean of the time that a run has a slot for, in seconds.
+	took float64
+	// perToken are the accounts' moving means of the prefill that a prompt
+	// token takes, in seconds; an account without one is taken to compute all.
+	perToken map[string]float64
 	// bytesPerToken is what one token's KV cache takes; zero if not known.
 	bytesPerToken float64
 }
@@ -141,7 +149,10 @@
 func (b *Board) cacheOf(pool string) *cache {
 	c, known := b.cache[pool]
 	if !known {
-		c = &cache{computed: 1, policy: retention.Policy{Burst: 5, LinkShare: 0.3}}
+		c = &cache{
+			computed: 1, policy: retention.Policy{Burst: 5, LinkShare: 0.3},
+			prefill: fair.Meter{Window: fairWindow}, slots: fair.Meter{Window: fairWindow}, perToken: make(map[string]float64),
+		}
 		b.cache[pool] = c
 	}
 	return c
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -51,6 +51,7 @@
 	if e.Placed.Import != nil && e.End.Usage.Imported == 0 && e.End.Usage.Reused == 0 {
 		b.StoreAvoid[e.Placed.StoreName] = now.Add(StorePause)
 	}
+	c.spent(e)
 	if u := e.End.Usage; u.Prompt > 0 {
 		c.computed += (float64(u.Prompt-u.Reused-u.Imported)/float64(u.Prompt) - c.computed) * computedWeight
 	}
--- /dev/null
+++ b/dispatch/fairness.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/route"
+)
+
+// How far accounts may fill a pool. Over lowShare of it, those with more than
+// their fair part go behind the others in the engines' queues; over highShare
+// they are refused. Both were measured with an account that floods.
+const (
+	lowShare   = 0.3
+	highShare  = 0.55
+	fairWindow = 5 * time.Second
+	// learnWeight is the part of one run in the moving means.
+	learnWeight = 0.05
+)
+
+// priority returns the engines' priority of a request, or refuses it if its
+// account has more than its fair part of a pool that is nearly full.
+func (b *Board) priority(now time.Time, ask route.Ask, p pool.Pool) (int, error) {
+	if p.Kind != pool.KindModel {
+		return 0, nil
+	}
+	c := b.cacheOf(p.Name)
+	engines, slots := b.size(now, p.Name)
+	over := func(share float64) bool {
+		return c.prefill.Over(now, ask.Account, share*engines) || c.slots.Over(now, ask.Account, share*slots)
+	}
+	switch {
+	case over(highShare):
+		return 0, refusal.New(refusal.DidNotRun, http.StatusTooManyRequests, "over_share",
+			"pool %s is crowded and the account has its share", p.Name).After(b.Jitter(fairWindow / 2))
+	case over(lowShare):
+		return 1, nil
+	}
+	return 0, nil
+}
+
+// size is this box's part of the pool's engines and slots.
+func (b *Board) size(now time.Time, name string) (engines, slots float64) {
+	for _, x := range b.Pools[name] {
+		if x.Usable(now) {
+			engines++
+			slots += float64(x.Slots)
+		}
+	}
+	boxes := float64(b.Boxes())
+	return engines / boxes, slots / boxes
+}
+
+// use notes what an admitted request is expected to cost.
+func (b *Board) use(now time.Time, ask route.Ask, p pool.Pool, tokens int) {
+	if p.Kind != pool.KindModel {
+		return
+	}
+	c := b.cacheOf(p.Name)
+	weight := b.Configuration.Accounts[ask.Account].Weight
+	perToken, known := c.perToken[ask.Account]
+	if !known {
+		perToken = over(1, c.estimate.Prefill)
+	}
+	c.prefill.Add(now, ask.Account, weight, perToken*float64(tokens))
+	c.slots.Add(now, ask.Account, weight, c.took)
+}
+
+// spent learns from what a run did cost.
+func (c *cache) spent(e route.Ended) {
+	c.took += (e.Took.Seconds() - c.took) * learnWeight
+	u := e.End.Usage
+	if u.Prompt == 0 {
+		return
+	}
+	perToken := u.PrefillMillis / 1000 / float64(u.Prompt)
+	if mean, known := c.perToken[e.Placed.Account]; known {
+		perToken = mean + (perToken-mean)*learnWeight
+	}
+	c.perToken[e.Placed.Account] = perToken
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -34,7 +34,15 @@
 	} else if err := b.admit(now, ask, name); err != nil {
 		return route.Placed{}, err
 	}
-	placed, err := b.choose(now, ask, p)
+	priority, err := b.priority(now, ask, p)
+	if ask.Attempt > 1 {
+		err = nil
+	}
+	var placed route.Placed
+	if err == nil {
+		placed, err = b.choose(now, ask, p)
+	}
+	placed.Priority = priority
 	if err != nil {
 		b.Gate.Release(ask.Account, name)
 	}
@@ -92,6 +100,7 @@
 	if p.Kind == pool.KindModel {
 		// Services report no load that would set these back.
 		x.Send(now, b.computes(p, tokens))
+		b.use(now, ask, p, tokens)
 	}
 	b.recordPlaced(now, ask, p, targets, choice)
 	placed := route.Placed{
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -22,8 +23,9 @@
 	queued  int
 	waiting []*request
 	cache   *simplelru.LRU[prefix.Key, struct{}]
-	// prefillFree is when the prefill under way ends.
-	prefillFree time.Time
+	// prefills wait to be computed, one at a time.
+	prefills  []*request
+	computing bool
 	// speed scales prefill and decode; 1 is normal.
 	speed  float64
 	dead   bool
@@ -49,6 +51,7 @@
 	}
 	e.active[r] = true
 	e.waiting = append(e.waiting, r)
+	slices.SortStableFunc(e.waiting, func(a, b *request) int { return a.placed.Priority - b.placed.Priority })
 	r.queued = r.tokens()
 	e.queued += r.queued
 	e.admit()
@@ -86,18 +89,31 @@
 	e.after(ready.Sub(e.now), func() { e.compute(r, tokens) })
 }
 
-// compute queues the rest of a prompt behind the prefill under way.
+// compute queues the rest of a prompt, by priority, behind the one under way.
 func (e *engine) compute(r *request, tokens int) {
 	if !e.active[r] {
 		return
 	}
 	took := seconds(float64(tokens) / (prefillRate * e.speed))
 	r.usage.PrefillMillis = millis(took)
-	if e.prefillFree.Before(e.now) {
-		e.prefillFree = e.now
+	e.prefills = append(e.prefills, r)
+	slices.SortStableFunc(e.prefills, func(a, b *request) int { return a.placed.Priority - b.placed.Priority })
+	e.prefill()
+}
+
+// prefill computes the first prompt that waits, if none is under way.
+func (e *engine) prefill() {
+	if e.computing || len(e.prefills) == 0 {
+		return
 	}
-	e.prefillFree = e.prefillFree.Add(took)
-	e.after(e.prefillFree.Sub(e.now), func() { e.first(r) })
+	r := e.prefills[0]
+	e.prefills = e.prefills[1:]
+	e.computing = true
+	e.after(seconds(r.usage.PrefillMillis/1000), func() {
+		e.computing = false
+		e.first(r)
+		e.prefill()
+	})
 }
 
 // first is when the first token of a run is out.
@@ -125,7 +141,7 @@
 // die ends the engine; what it ran is broken off.
 func (e *engine) die() {
 	e.dead, e.deadAt = true, e.now
-	e.running, e.waiting, e.queued = 0, nil, 0
+	e.running, e.waiting, e.prefills, e.queued = 0, nil, nil, 0
 	broken := e.active
 	e.active = make(map[*request]bool)
 	for _, r := range sorted(broken) {
--- a/internal/measure/traffic.go
+++ b/internal/measure/traffic.go
@@ -200,7 +200,7 @@
 
 // done is a whole answer.
 func (t *traffic) done(r *request) {
-	ended := route.Ended{Placed: r.placed, FirstToken: r.first.Sub(r.arrived), End: stream.Frame{Request: fmt.Sprint(r.id), Usage: r.usage}}
+	ended := route.Ended{Placed: r.placed, FirstToken: r.first.Sub(r.arrived), Took: t.now.Sub(r.arrived), End: stream.Frame{Request: fmt.Sprint(r.id), Usage: r.usage}}
 	t.figures.answered(r, t.now)
 	if r.placed.Scope != prefix.Scope(r.account, "v1") {
 		t.figures.Wrong++
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,7 +25,6 @@
 	Prompt  string
 	// MaxTokens bounds the answer. It is at least 1.
 	MaxTokens int
-	Priority  int
 	// Once says that the request must not run again once it may have started.
 	Once bool
 	// Open is called once, before the first Write, with the attempt that
--- a/relay/run.go
+++ b/relay/run.go
@@ -135,6 +135,7 @@
 		return ended, trace.Wrap(err)
 	}
 	ended.End = j.checker.End()
+	ended.Took = j.Now().Sub(sent)
 	return ended, nil
 }
 
@@ -143,7 +144,7 @@
 		Request: j.request.ID, Attempt: placed.Attempt, Model: j.request.Model,
 		Version: placed.Version, Scope: placed.Scope.String(),
 		Prompt: j.request.Prompt, Generated: j.text.String(), MaxTokens: j.request.MaxTokens,
-		Priority: j.request.Priority, PieceBytes: placed.PieceBytes, Import: placed.Import,
+		Priority: placed.Priority, PieceBytes: placed.PieceBytes, Import: placed.Import,
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -73,6 +73,8 @@
 	Wait time.Duration
 	// Said is how long the store box says that the import takes, in seconds.
 	Said float64
+	// Priority orders waiting runs on the target; lower goes first.
+	Priority int
 	// Import names kept cache to fetch, if that is thought to be faster.
 	Import *engine.Import
 	// Rule says why this target.
@@ -90,6 +92,8 @@
 	Leaving bool
 	// FirstToken is the time from sending to the first text; zero if none came.
 	FirstToken time.Duration
+	// Took is the time from sending to the end of the answer.
+	Took time.Duration
 	// End is the accepted end frame of a whole answer.
 	End stream.Frame
 }
