perf(thymewind): control traffic within its budget at the design size

Cause: working docs/CAPACITY.md out showed that each poll of the list of boxes moved 140 KB at 330 daemons and 600 replicas, gossip up to 64 reports with names and addresses a message, and that each tick ranked all boxes for all targets. Ruled out: fewer polls (the leaving rule needs them), an index of boxes in a message (boxes see different lists). Change: the list is asked for by entity tag; messages carry 8 busy and 8 other reports under a number; what is watched is worked out when the list changes.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,7 @@
 # The decisions against baselines, in virtual time: a line of JSON for each run.
 measure:
 	$(GO) run ./cmd/thymemeasure -seeds 3
+
+# How the daemon's costs grow, for docs/CAPACITY.md.
+slopes:
+	$(GO) test -run '^$$' -bench Slopes -benchtime 1x .
--- a/boxes/boxes.go
+++ b/boxes/boxes.go
@@ -40,28 +40,37 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
-// List reads the platform's list. Set the exported fields before first use.
+// List reads the platform's list. Set the exported fields before first use. It
+// is not safe for concurrent use.
 type List struct {
 	// Base is the platform's URL without a trailing slash.
 	Base string
 	HTTP *http.Client
+
+	// tag is the entity tag of the list last read, so that an unchanged one is
+	// not sent again.
+	tag string
 }
 
-// Read returns the boxes listed now.
-func (l *List) Read(ctx context.Context) ([]Box, error) {
+// Read returns the boxes listed now, or false if they are those of last time.
+func (l *List) Read(ctx context.Context) (all []Box, changed bool, err error) {
 	var answer struct {
 		Boxes []Box `json:"boxes"`
 	}
-	request, err := sling.New().Base(l.Base).Get("/v1/boxes").Request()
+	request, err := sling.New().Base(l.Base).Get("/v1/boxes").Set("If-None-Match", l.tag).Request()
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, false, trace.Wrap(err)
 	}
 	response, err := sling.New().Client(l.HTTP).Do(request.WithContext(ctx), &answer, nil)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "the list of boxes can't be read")
+		return nil, false, trace.ConnectionProblem(err, "the list of boxes can't be read")
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, trace.ConnectionProblem(nil, "the list of boxes answers status %d", response.StatusCode)
+	switch response.StatusCode {
+	case http.StatusOK:
+		l.tag = response.Header.Get("ETag")
+		return answer.Boxes, true, nil
+	case http.StatusNotModified:
+		return nil, false, nil
 	}
-	return answer.Boxes, nil
+	return nil, false, trace.ConnectionProblem(nil, "the list of boxes answers status %d", response.StatusCode)
 }
--- a/edit.go
+++ b/edit.go
@@ -198,7 +198,7 @@
 		}
 		address = x.Address
 		t.MarkLeaving(x, "operator "+name)
-		d.run(context.WithoutCancel(ctx), d.tell(now, t))
+		d.run(context.WithoutCancel(ctx), d.tell(now, t, newsPartners))
 	})
 	if !address.IsValid() {
 		return report.Refused(trace.NotFound("there is no target %q", target))
--- a/effect.go
+++ b/effect.go
@@ -62,8 +62,8 @@
 	defer cancel()
 	switch e := e.(type) {
 	case readBoxes:
-		list, err := d.boxes.Read(ctx)
-		return boxesRead{list: list, err: err}
+		list, changed, err := d.boxes.Read(ctx)
+		return boxesRead{list: list, unchanged: err == nil && !changed, err: err}
 	case askPeer:
 		return d.askPeer(ctx, e.address)
 	case readConfiguration:
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -1,6 +1,7 @@
 package thymewind
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -8,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,7 +31,7 @@
 
 // fleet is a small fleet in this process, over loopback.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform *httptest.Server
 	faults   map[string]*fault.Switch
 	addrs    map[string]netip.AddrPort
@@ -51,7 +53,7 @@
 
 // newFleet starts stand-ins and daemons; change alters each daemon before it
 // runs, and may be nil.
-func newFleet(t *testing.T, daemons int, change func(*Daemon)) *fleet {
+func newFleet(t testing.TB, daemons int, change func(*Daemon)) *fleet {
 	f := &fleet{t: t, faults: make(map[string]*fault.Switch), addrs: make(map[string]netip.AddrPort)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -275,3 +277,37 @@
 	}
 	return all
 }
+
+// firstByte asks for a streamed answer and returns the time to its first text.
+func (f *fleet) firstByte(url, key string) time.Duration {
+	body := `{"model":"menu-assistant","prompt":"what is left tonight","stream":true,"max_tokens":1,"request":"direct-` + newID() + `","attempt":1,"version":"v1","scope":"direct","piece_bytes":64}`
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	began := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewReader(response.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if strings.Contains(line, `"text"`) {
+			took := time.Since(began)
+			_, _ = io.Copy(io.Discard, lines)
+			return took
+		}
+		if err != nil {
+			f.t.Fatalf("no text: %v", err)
+		}
+	}
+}
+
+// percentile returns one in milliseconds.
+func percentile(all []time.Duration, part float64) float64 {
+	sorted := slices.Sorted(slices.Values(all))
+	return float64(sorted[int(part*float64(len(sorted)-1))]) / float64(time.Millisecond)
+}
--- a/gossip.go
+++ b/gossip.go
@@ -12,11 +12,19 @@
 
 // The bounds of what one message holds, so that its bytes are bounded too.
 const (
-	partners      = 2
-	maxLoads      = 64
-	maxLeaving    = 32
-	maxDemand     = 32
-	loadWorthless = 5 * time.Second
+	// partners are told now and then, newsPartners when a revision is new.
+	partners     = 1
+	newsPartners = 3
+	// maxBusy bounds the reports of busy targets, maxTurn those of any, which
+	// take turns.
+	maxBusy    = 8
+	maxTurn    = 8
+	maxLeaving = 32
+	maxDemand  = 32
+	// loadWorthless is when a report is too old to be told on.
+	loadWorthless = 10 * time.Second
+	// busyWait is the wait from which a target's report is worth telling first.
+	busyWait = 100 * time.Millisecond
 )
 
 // peerAnswered is a peer's answer, or why it gave none.
@@ -39,48 +47,65 @@
 	}
 	t.due.gossip = now.Add(d.jitter(d.Settings.Timing.Gossip))
 	d.peers.Sweep(now)
-	return d.tell(now, t)
+	return d.tell(now, t, partners)
 }
 
-// tell sends this box's state to a few random peers.
-func (d *Daemon) tell(now time.Time, t *tables) []effect {
+// tell sends this box's state to some random peers.
+func (d *Daemon) tell(now time.Time, t *tables, peers int) []effect {
 	var effects []effect
-	for _, name := range d.randomPeers(t, partners) {
+	for _, name := range d.randomPeers(t, peers) {
 		p, _ := t.peers.Lookup(name)
 		effects = append(effects, tellPeer{name: name, address: p.address, message: d.state(now, t)})
 	}
 	return effects
 }
 
-// state is what this box tells its peers: the freshest reports, the targets
-// that are leaving, and its use of limited accounts.
+// state is what this box tells its peers: reports of busy targets and, in turn,
+// of some others, the targets that are leaving, and its use of limited
+// accounts.
 func (d *Daemon) state(now time.Time, t *tables) peer.Message {
 	m := peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Revision: t.Configuration.Revision}
-	// Start at a random target, so that over time all of them are told.
-	keys := t.Targets.Keys()
-	for i := range keys {
-		x, _ := t.Targets.Lookup(keys[(i+int(t.turn))%len(keys)])
+	names := t.Targets.Keys()
+	busy, turns := 0, 0
+	for i := range names {
+		x, _ := t.Targets.Lookup(names[(i+t.turn)%len(names)])
+		if x.Leaving && x.Listed && len(m.Leaving) < maxLeaving {
+			m.Leaving = append(m.Leaving, x.ID)
+		}
 		age := now.Sub(x.ReportedAt)
-		if len(m.Loads) < maxLoads && !x.ReportedAt.IsZero() && age < loadWorthless {
-			m.Loads = append(m.Loads, loadOf(now, x, age))
+		if x.ReportedAt.IsZero() || age > loadWorthless {
+			continue
 		}
-		if len(m.Leaving) < maxLeaving && x.Leaving && x.Listed {
-			m.Leaving = append(m.Leaving, peer.Leaving{Target: x.Name, Address: x.Address.String()})
+		switch {
+		case t.Wait(x) >= busyWait && busy < maxBusy:
+			busy++
+		case turns < maxTurn:
+			turns++
+		default:
+			continue
 		}
+		m.Loads = append(m.Loads, loadOf(now, x, age))
 	}
-	t.turn += maxLoads
+	t.turn += maxTurn
+	m.Demand = t.demand()
+	return m
+}
+
+// demand is this box's use of accounts that have limits.
+func (t *tables) demand() []peer.Demand {
+	var all []peer.Demand
 	for account, n := range t.Gate.Accounts() {
-		if len(m.Demand) < maxDemand && t.Configuration.Accounts[account].Concurrency > 0 {
-			m.Demand = append(m.Demand, peer.Demand{Account: account, Requests: n})
+		if len(all) < maxDemand && t.Configuration.Accounts[account].Concurrency > 0 {
+			all = append(all, peer.Demand{Account: account, Requests: n})
 		}
 	}
-	return m
+	return all
 }
 
 func loadOf(now time.Time, x *target.Target, age time.Duration) peer.Load {
 	return peer.Load{
-		Target: x.Name, Address: x.Address.String(), Version: x.Version,
-		Queued: x.Wait(now, 0), Loading: x.Loading, Running: x.Running, Waiting: x.Waiting, Slots: x.Slots, Age: age,
+		Target: x.ID, Version: x.Version, Loading: x.Loading, Running: x.Running, Waiting: x.Waiting, Slots: x.Slots,
+		Queued: int(x.Wait(now, 0).Milliseconds()), Age: int(age.Milliseconds()),
 	}
 }
 
@@ -93,11 +118,10 @@
 		t.peers.Put(m.From, p)
 	}
 	for _, l := range m.Loads {
-		d.heardLoad(now, t, l)
+		t.heardLoad(now, l)
 	}
-	for _, l := range m.Leaving {
-		x, known := t.Targets.Lookup(l.Target)
-		if known && x.Address.String() == l.Address {
+	for _, id := range m.Leaving {
+		if x, known := t.byID[id]; known {
 			t.MarkLeaving(x, m.From)
 		}
 	}
@@ -107,14 +131,15 @@
 	return nil
 }
 
-func (d *Daemon) heardLoad(now time.Time, t *tables, l peer.Load) {
-	x, known := t.Targets.Lookup(l.Target)
-	at := now.Add(-l.Age)
-	if !known || x.Address.String() != l.Address || l.Age < 0 || !at.After(x.ReportedAt) {
+// heardLoad takes a report over that a peer told, if it is newer.
+func (t *tables) heardLoad(now time.Time, l peer.Load) {
+	x, known := t.byID[l.Target]
+	at := now.Add(-time.Duration(l.Age) * time.Millisecond)
+	if !known || l.Age < 0 || l.Queued < 0 || !at.After(x.ReportedAt) {
 		return
 	}
 	x.Slots, x.Version, x.Loading = l.Slots, l.Version, l.Loading
-	x.Report(at, l.Running, l.Waiting, l.Queued)
+	x.Report(at, l.Running, l.Waiting, time.Duration(l.Queued)*time.Millisecond)
 }
 
 // catchUp reads the table service and, if that fails, asks the peer.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"github.com/thymewind/thymewind/boxes"
@@ -183,7 +184,7 @@
 	p.listed[box.Name] = l
 }
 
-func (p *Platform) boxes(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) boxes(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	var answer struct {
 		Boxes []boxes.Box `json:"boxes"`
@@ -203,5 +204,17 @@
 		answer.Boxes = append(answer.Boxes, box)
 	}
 	sort.Slice(answer.Boxes, func(i, j int) bool { return answer.Boxes[i].Name < answer.Boxes[j].Name })
-	fault.Answer(w, http.StatusOK, answer)
+	body, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
--- a/message.go
+++ b/message.go
@@ -31,6 +31,8 @@
 type boxesRead struct {
 	list []boxes.Box
 	err  error
+	// unchanged says that the list is as it was last read.
+	unchanged bool
 	// from names the peer whose list it is; empty for the platform's.
 	from string
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,7 +1,5 @@
 package peer
 
-import "time"
-
 // The kinds of message.
 const (
 	// KindGossip exchanges soft state.
@@ -22,8 +20,8 @@
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 	// Loads are reports that the sender read itself or heard of lately.
 	Loads []Load `cbor:"4,keyasint,omitempty"`
-	// Leaving names targets that take no new work.
-	Leaving []Leaving `cbor:"5,keyasint,omitempty"`
+	// Leaving are the IDs of targets that take no new work.
+	Leaving []uint64 `cbor:"5,keyasint,omitempty"`
 	// Demand is the sender's use of accounts that have limits.
 	Demand []Demand `cbor:"6,keyasint,omitempty"`
 	// Statement is an operator's question.
@@ -36,24 +34,20 @@
 
 // Load is one target's report as it travels.
 type Load struct {
-	Target  string `cbor:"1,keyasint"`
-	Address string `cbor:"2,keyasint"`
+	// Target is target.ID of the name and address, so that a new target at
+	// another address is not meant.
+	Target  uint64 `cbor:"1,keyasint"`
 	Version string `cbor:"3,keyasint,omitempty"`
 	Running int    `cbor:"4,keyasint,omitempty"`
 	Waiting int    `cbor:"5,keyasint,omitempty"`
 	Slots   int    `cbor:"6,keyasint,omitempty"`
-	// Queued is how long the prompts take that were still to be computed.
-	Queued  time.Duration `cbor:"9,keyasint,omitempty"`
-	Loading bool          `cbor:"8,keyasint,omitempty"`
-	// Age is how old the report was when the message was sent.
-	Age time.Duration `cbor:"7,keyasint,omitempty"`
-}
-
-// Leaving names a target at an address; a new one at another address is not
-// meant.
-type Leaving struct {
-	Target  string `cbor:"1,keyasint"`
-	Address string `cbor:"2,keyasint"`
+	Loading bool   `cbor:"8,keyasint,omitempty"`
+	// Queued is how long the prompts take that were still to be computed, in
+	// milliseconds.
+	Queued int `cbor:"9,keyasint,omitempty"`
+	// Age is how old the report was when the message was sent, in
+	// milliseconds.
+	Age int `cbor:"7,keyasint,omitempty"`
 }
 
 // Demand is how many requests of an account a box has under way or refused
--- a/systems.go
+++ b/systems.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/pool"
 )
 
 // system runs over the tables each tick and returns effects.
@@ -47,9 +48,9 @@
 	}
 	t.due.loads = now.Add(d.Settings.Timing.Load)
 	var effects []effect
-	for name, x := range t.Targets.All() {
-		p := t.Configuration.Pools[x.Pool]
-		if p.Kind != "model" || t.pending[name] || !d.watches(t, x.Hash) {
+	for _, name := range t.watched {
+		x, known := t.Targets.Lookup(name)
+		if !known || t.pending[name] || t.Configuration.Pools[x.Pool].Kind != pool.KindModel {
 			continue
 		}
 		t.pending[name] = true
@@ -58,10 +59,16 @@
 	return effects
 }
 
-// watches says whether this box is one of the watchers of a target, by
-// rendezvous hash over the entry boxes.
-func (d *Daemon) watches(t *tables, hash uint64) bool {
-	return d.better(t, hash) < watchers
+// watch chooses the targets whose load this box reads: those that it is one of
+// the watchers of, by rendezvous hash over the entry boxes. Call it when the
+// list changed.
+func (d *Daemon) watch(t *tables) {
+	t.watched = t.watched[:0]
+	for name, x := range t.Targets.All() {
+		if d.better(t, x.Hash) < watchers {
+			t.watched = append(t.watched, name)
+		}
+	}
 }
 
 // better counts the entry boxes ranked before this one for a hash.
@@ -78,6 +85,11 @@
 
 // count writes the tables' sizes into the metrics.
 func (d *Daemon) count(now time.Time, t *tables) []effect {
+	const every = time.Second
+	if now.Before(t.due.count) {
+		return nil
+	}
+	t.due.count = now.Add(every)
 	for name, targets := range t.Pools {
 		usable := 0
 		for _, x := range targets {
--- a/tables.go
+++ b/tables.go
@@ -9,6 +9,7 @@
 	"github.com/thymewind/thymewind/entity"
 	"github.com/thymewind/thymewind/limit"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/target"
 )
 
 // tables are the entities that the loop owns. Only the loop touches them.
@@ -22,6 +23,10 @@
 	// list is the platform's list as last read, at listed.
 	list   []boxes.Box
 	listed time.Time
+	// byID finds targets by what peers call them.
+	byID map[uint64]*target.Target
+	// watched names the targets whose load this box reads.
+	watched []string
 	// turn is where the next message to peers begins in the targets.
 	turn int
 	// held are the duties by name, held or not.
@@ -57,6 +62,7 @@
 	loads         time.Time
 	flush, apply  time.Time
 	room          time.Time
+	count         time.Time
 }
 
 // boxCount is how many entry boxes share the work, this one included.
--- a/target/target.go
+++ b/target/target.go
@@ -6,6 +6,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Target is one model engine or plain service. The fields that each placement
@@ -31,6 +33,8 @@
 	// queue is the prompts that wait to be computed.
 	queue queue
 
+	// ID is that of Name and Address.
+	ID      uint64
 	Name    string
 	Address netip.AddrPort
 	Pool    string
@@ -44,6 +48,13 @@
 	Failures int
 }
 
+// ID names a target at an address, for peers. Two of a few thousand share one
+// by chance once in 10^12; the worst is that one is taken for the other until
+// its own report comes.
+func ID(name string, address netip.AddrPort) uint64 {
+	return xxhash.Sum64String(name + "@" + address.String())
+}
+
 // Usable says whether new work may be sent at now. A target is unusable from
 // the moment anyone says that it is leaving.
 func (t *Target) Usable(now time.Time) bool {
--- a/update.go
+++ b/update.go
@@ -57,6 +57,10 @@
 // no new work; one that moved to another address starts afresh.
 func (d *Daemon) boxesRead(now time.Time, t *tables, m boxesRead) []effect {
 	delete(t.pending, pendingBoxes)
+	if m.unchanged {
+		t.listed = now
+		return nil
+	}
 	if m.err != nil {
 		d.counts.platformErrors.WithLabelValues("boxes").Inc()
 		return d.askKnownPeers(t)
@@ -82,6 +86,11 @@
 	}
 	d.unlist(now, t, listed)
 	t.Group()
+	d.watch(t)
+	t.byID = make(map[uint64]*target.Target, t.Targets.Len())
+	for _, x := range t.Targets.All() {
+		t.byID[x.ID] = x
+	}
 	return nil
 }
 
@@ -107,7 +116,7 @@
 func (d *Daemon) listTarget(now time.Time, t *tables, b boxes.Box) {
 	x, known := t.Targets.Lookup(b.Name)
 	if !known || x.Address != b.Address {
-		x = &target.Target{Name: b.Name, Address: b.Address, Hash: placement.Hash(b.Name)}
+		x = &target.Target{Name: b.Name, Address: b.Address, Hash: placement.Hash(b.Name), ID: target.ID(b.Name, b.Address)}
 		was, gone := t.departed[b.Name]
 		x.Leaving = gone && was.address == b.Address && now.Sub(was.at) < departedFor
 		t.Targets.Put(b.Name, x)
@@ -188,5 +197,5 @@
 	d.current.Store(m.configuration)
 	d.counts.revision.Set(float64(m.configuration.Revision))
 	d.Log.Info("configuration in force", "revision", m.configuration.Revision, "from", m.from)
-	return d.tell(now, t)
+	return d.tell(now, t, newsPartners)
 }
--- a/update_test.go
+++ b/update_test.go
@@ -107,7 +107,7 @@
 	case reportsLive, reportsLeaving:
 		d.update(now, loadRead{target: name, load: engine.Load{Version: "v1", Slots: 8, Leaving: event == reportsLeaving}})
 	case peerSays:
-		said := peer.Message{Kind: peer.KindGossip, From: "entry-2", Leaving: []peer.Leaving{{Target: name, Address: address(name).String()}}}
+		said := peer.Message{Kind: peer.KindGossip, From: "entry-2", Leaving: []uint64{target.ID(name, address(name))}}
 		d.update(now, peerSaid{said, make(chan peer.Message, 1)})
 	case answersLeaving:
 		d.update(now, attemptEnded{route.Ended{Placed: route.Placed{Pool: "menu", Target: name, Address: address(name)}, Refused: true, Leaving: true}})
