--- a/slopes_test.go
+++ b/slopes_test.go
@@ -210,14 +210,14 @@
 	return next
 }
 
-// heap returns the bytes that what a function makes keeps alive.
-func heap(make func() any) float64 {
+// heap returns the bytes that what a function builds keeps alive.
+func heap(build func() any) float64 {
 	var before, after runtime.MemStats
-	make() // What is made once and for all does not count.
+	build() // What is made once and for all does not count.
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	kept := make()
+	kept := build()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	runtime.KeepAlive(kept)
