--- a/operate.go
+++ b/operate.go
@@ -50,7 +50,10 @@
 
 // operatorName compares with every credential, in constant time.
 func (d *Daemon) operatorName(header string) (name string, ok bool) {
-	credential, _ := strings.CutPrefix(header, "Bearer ")
+	credential, bearer := strings.CutPrefix(header, "Bearer ")
+	if !bearer {
+		return "", false
+	}
 	sum := sha256.Sum256([]byte(credential))
 	got := []byte(hex.EncodeToString(sum[:]))
 	for _, o := range d.Settings.OperatorCredentials {
