fix(thymewind): a daemon that thaws looks again before it places

Cause: a daemon that was frozen for a minute placed the first requests by a list and a configuration a minute old, on targets that had left meanwhile. Ruled out: a bound on the list's age (an outage of the platform would then stop everything); trusting a read that was under way when it froze. Targets that don't check the fence get no order until an earlier holder's can't arrive (TestOrdersWaitForEarlierOnes). Before: with placing at once TestThawedDaemonLooksFirst fails (placed by what was known a minute ago). After: it passes.

--- a/daemon.go
+++ b/daemon.go
@@ -83,13 +83,21 @@
 		case m := <-d.messages:
 			d.run(ctx, d.update(d.now(), m))
 		case <-tick.C:
-			for _, system := range d.systems {
-				d.run(ctx, system(d.now(), &d.tables))
-			}
+			d.run(ctx, d.tick(d.now()))
 		}
 	}
 }
 
+// tick runs the systems over the tables.
+func (d *Daemon) tick(now time.Time) []effect {
+	var effects []effect
+	d.tables.noteTick(now)
+	for _, system := range d.systems {
+		effects = append(effects, system(now, &d.tables)...)
+	}
+	return effects
+}
+
 // send hands a message to the loop, unless ctx ends first.
 func (d *Daemon) send(ctx context.Context, m message) error {
 	select {
--- a/effect.go
+++ b/effect.go
@@ -18,10 +18,11 @@
 type effect any
 
 // readBoxes reads the platform's list.
-type readBoxes struct{}
+type readBoxes struct{ at time.Time }
 
 // readConfiguration reads what is newer than the revision at hand.
 type readConfiguration struct {
+	at   time.Time
 	have *configuration.Configuration
 	// peer is asked if the table service does not answer; it may be unset.
 	peer netip.AddrPort
@@ -63,7 +64,7 @@
 	switch e := e.(type) {
 	case readBoxes:
 		list, changed, err := d.boxes.Read(ctx)
-		return boxesRead{list: list, unchanged: err == nil && !changed, err: err}
+		return boxesRead{asked: e.at, list: list, unchanged: err == nil && !changed, err: err}
 	case askPeer:
 		return d.askPeer(ctx, e.address)
 	case readConfiguration:
@@ -97,10 +98,10 @@
 func (d *Daemon) readConfiguration(ctx context.Context, e readConfiguration) message {
 	next, err := d.newer(ctx, e.have)
 	if err == nil || !e.peer.IsValid() {
-		return configurationRead{configuration: next, err: trace.Wrap(err)}
+		return configurationRead{asked: e.at, configuration: next, err: trace.Wrap(err)}
 	}
 	held, err := d.heldBy(ctx, e.peer)
-	return configurationRead{configuration: held.Configuration, err: trace.Wrap(err), from: e.name}
+	return configurationRead{asked: e.at, configuration: held.Configuration, err: trace.Wrap(err), from: e.name}
 }
 
 // holding is what a daemon tells a peer that has to catch up without the
--- a/gossip.go
+++ b/gossip.go
@@ -126,7 +126,7 @@
 		}
 	}
 	if m.Revision > t.Configuration.Revision {
-		return d.catchUp(t, m.From)
+		return d.catchUp(now, t, m.From)
 	}
 	return nil
 }
@@ -143,13 +143,13 @@
 }
 
 // catchUp reads the table service and, if that fails, asks the peer.
-func (d *Daemon) catchUp(t *tables, from string) []effect {
+func (d *Daemon) catchUp(now time.Time, t *tables, from string) []effect {
 	if t.pending[pendingConfiguration] {
 		return nil
 	}
 	t.pending[pendingConfiguration] = true
 	p, _ := t.peers.Lookup(from)
-	return []effect{readConfiguration{have: t.Configuration, peer: p.address, name: from}}
+	return []effect{readConfiguration{at: now, have: t.Configuration, peer: p.address, name: from}}
 }
 
 // answerPeer serves one message of a peer.
--- a/message.go
+++ b/message.go
@@ -31,6 +31,8 @@
 type boxesRead struct {
 	list []boxes.Box
 	err  error
+	// asked is when the read began.
+	asked time.Time
 	// unchanged says that the list is as it was last read.
 	unchanged bool
 	// from names the peer whose list it is; empty for the platform's.
@@ -54,6 +56,8 @@
 type configurationRead struct {
 	configuration *configuration.Configuration
 	err           error
+	// asked is when the read began.
+	asked time.Time
 	// from names the peer; empty for the table service.
 	from string
 }
--- a/systems.go
+++ b/systems.go
@@ -31,12 +31,12 @@
 	if !now.Before(t.due.boxes) && !t.pending[pendingBoxes] {
 		t.due.boxes = now.Add(d.jitter(d.Settings.Timing.Poll))
 		t.pending[pendingBoxes] = true
-		effects = append(effects, readBoxes{})
+		effects = append(effects, readBoxes{at: now})
 	}
 	if !now.Before(t.due.configuration) && !t.pending[pendingConfiguration] {
 		t.due.configuration = now.Add(d.jitter(d.Settings.Timing.Poll))
 		t.pending[pendingConfiguration] = true
-		effects = append(effects, readConfiguration{have: t.Configuration})
+		effects = append(effects, readConfiguration{at: now, have: t.Configuration})
 	}
 	return effects
 }
--- a/tables.go
+++ b/tables.go
@@ -27,6 +27,7 @@
 	byID map[uint64]*target.Target
 	// watched names the targets whose load this box reads.
 	watched []string
+	thaw    thaw
 	// turn is where the next message to peers begins in the targets.
 	turn int
 	// held are the duties by name, held or not.
--- a/update.go
+++ b/update.go
@@ -14,17 +14,18 @@
 	t := &d.tables
 	switch m := m.(type) {
 	case placeAsked:
-		placed, err := t.Place(now, m.ask)
-		m.reply <- placeAnswer{placed, err}
+		return d.placeOrKeep(now, t, m)
 	case attemptEnded:
 		return d.ended(now, t, m)
 	case boxesRead:
+		defer t.looked(now, m.asked, &t.thaw.boxes)
 		return d.boxesRead(now, t, m)
 	case loadRead:
 		d.loadRead(now, t, m)
 	case peerHolds:
 		return append(d.boxesRead(now, t, m.boxes), d.configurationRead(now, t, m.configuration)...)
 	case configurationRead:
+		defer t.looked(now, m.asked, &t.thaw.configuration)
 		return d.configurationRead(now, t, m)
 	case leaseStepped:
 		return d.leaseStepped(now, t, m)
--- a/update_test.go
+++ b/update_test.go
@@ -1,6 +1,7 @@
 package thymewind
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/internal/proof"
 	"github.com/thymewind/thymewind/model"
 	"github.com/thymewind/thymewind/peer"
@@ -175,3 +177,85 @@
 		t.Errorf("load %d, in flight %d behind the last answer, want 0 and 0", x.Load(), x.InFlight)
 	}
 }
+
+// TestThawedDaemonLooksFirst has a daemon that was frozen get a request before
+// anything else. The target it knows began to leave meanwhile.
+func TestThawedDaemonLooksFirst(t *testing.T) {
+	tests := []struct {
+		name string
+		read boxesRead
+		// placed says that the request gets a place.
+		placed bool
+	}{
+		{"the list names the target as leaving", boxesRead{list: []boxes.Box{{Name: "engine-0", Role: boxes.RoleEngine, Pool: "menu", Address: address("engine-0"), Leaving: true}}}, false},
+		{"the platform is down", boxesRead{err: errors.New("down")}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon(t)
+			now := time.Unix(1000, 0)
+			w := world{left: make(map[string]bool)}
+			d.update(now, configurationRead{configuration: inForce(1)})
+			w.happens(d, now, "engine-0", listedLive)
+			w.happens(d, now, "engine-0", reportsLive)
+			d.tick(now)
+			now = now.Add(time.Minute)
+			reply := make(chan placeAnswer, 1)
+			d.update(now, placeAsked{route.Ask{Request: "r", Model: "m", Attempt: 1}, reply})
+			if len(reply) > 0 {
+				t.Fatal("placed by what was known a minute ago")
+			}
+			d.update(now, boxesRead{asked: now.Add(-time.Second), err: errors.New("late")})
+			if len(reply) > 0 {
+				t.Fatal("placed by a look from before the thaw")
+			}
+			tt.read.asked = now
+			d.update(now, tt.read)
+			d.update(now, configurationRead{asked: now, err: errors.New("down")})
+			if len(reply) != 1 {
+				t.Fatal("not answered behind the looks")
+			}
+			if answer := <-reply; (answer.err == nil) != tt.placed {
+				t.Errorf("answer %+v, want placed %v", answer, tt.placed)
+			}
+		})
+	}
+}
+
+// TestOrdersWaitForEarlierOnes has a daemon take over the orders of a pool.
+// Targets that don't check the fence get none until an earlier holder's can't
+// arrive any more.
+func TestOrdersWaitForEarlierOnes(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprint("checks the fence: ", checks), func(t *testing.T) {
+			d := newDaemon(t)
+			rows := &fake.Table{}
+			now := time.Now()
+			c := inForce(1)
+			p := c.Pools["menu"]
+			p.Weights, p.Previous, p.ChecksFence = "v2", "v1", checks
+			c.Pools["menu"] = p
+			d.update(now, configurationRead{configuration: c})
+			w := world{left: make(map[string]bool)}
+			w.happens(d, now, "engine-0", listedLive)
+			w.happens(d, now, "engine-0", reportsLive)
+			x := d.duty(&d.tables, dutyOrders+"menu")
+			x.lease.Commit, x.lease.Read = rows.Commit, rows.Read
+			if err := x.lease.Step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			d.update(now, leaseStepped{duty: dutyOrders + "menu"})
+			if got := d.rollWeights(now, &d.tables); len(got) != 0 {
+				t.Fatal("orders before the earlier ones were read")
+			}
+			d.update(now, ordersRead{duty: dutyOrders + "menu"})
+			if got := d.rollWeights(now, &d.tables); (len(got) > 0) != checks {
+				t.Errorf("%d orders at once, checks the fence: %v", len(got), checks)
+			}
+			later := now.Add(d.Settings.Timing.Lease)
+			if got := d.rollWeights(later, &d.tables); !checks && len(got) == 0 {
+				t.Error("no orders after the wait")
+			}
+		})
+	}
+}
