--- a/build.go
+++ b/build.go
@@ -44,7 +44,7 @@
 	retryShare     = 0.1
 	retryBurst     = 20
 	backlog        = 1024
-	maxUnwritten   = 10000
+	maxUnwritten   = 50000
 )
 
 // parts are the packages that the daemon is put together from.
