fix(resume): a run that its engine gave up is told as gone

Cause: in make faults one caller of 195 never got its answer: its run had been cancelled by a daemon that gave the request up, and resuming it answered cut, over and over. Ruled out: the load tool's own patience (its 40 tries all got 502). Change: a run that its engine ended is not_resumable, 410, so callers ask anew. Before: TestResumeOfAGivenUpRun failed with code cut. After: it passes.

--- a/cmd/thymeload/chat.go
+++ b/cmd/thymeload/chat.go
@@ -107,6 +107,10 @@
 		if !ok {
 			continue
 		}
+		if strings.Contains(data, `"code":"not_resumable"`) {
+			*a = answer{} // The run is gone with its engine: ask anew.
+			return first
+		}
 		if data == "[DONE]" {
 			a.whole = true
 			return first
--- a/daemon_test.go
+++ b/daemon_test.go
@@ -277,3 +277,22 @@
 		t.Error("a change was accepted in an outage")
 	}
 }
+
+// TestResumeOfAGivenUpRun has a run cancelled before its caller takes it up
+// again. The caller is told that it is gone, so that it asks anew.
+func TestResumeOfAGivenUpRun(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	response, _, _ := f.stream(0, "a long story", 100)
+	token := response.Header.Get("Thymewind-Resume")
+	_ = response.Body.Close()
+	d := f.daemons[0].d
+	for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+		if _, err := d.engines.Cancel(t.Context(), f.addrs[name], response.Header.Get("X-Request-Id"), 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := f.post(0, "menu key", "/v1/resume", "", http.Header{"Thymewind-Resume": {token}, "Thymewind-Offset": {"0"}})
+	if r.status != http.StatusGone && !strings.Contains(r.body, `"code":"not_resumable"`) {
+		t.Errorf("status %d, body %.300s, want %d or a typed error in the stream", r.status, r.body, http.StatusGone)
+	}
+}
--- a/request.go
+++ b/request.go
@@ -96,7 +96,7 @@
 	})
 	frames, err := d.engines.Resume(ctx, token.Target, token.Request, token.Attempt, offset)
 	if err != nil {
-		return stream.Frame{}, refusal.New(refusal.Unknown, http.StatusGone, "not_resumable", "the target has the run no more: %v", trace.Unwrap(err))
+		return stream.Frame{}, notResumable(err)
 	}
 	defer func() { _ = frames.Close() }()
 	checker := stream.Checker{Request: token.Request, Attempt: token.Attempt, Version: token.Version, Scope: token.Scope}
@@ -113,9 +113,17 @@
 		if err == nil && text != "" {
 			err = write(text, checker.Offset())
 		}
+		if errors.Is(err, stream.ErrGaveUp) {
+			return stream.Frame{}, notResumable(err)
+		}
 		if err != nil {
 			return stream.Frame{}, refusal.New(refusal.Unknown, http.StatusBadGateway, "cut", "%v", trace.Unwrap(err))
 		}
 	}
 	return checker.End(), nil
 }
+
+// notResumable tells a caller that its run is gone, so that it asks anew.
+func notResumable(err error) error {
+	return refusal.New(refusal.Unknown, http.StatusGone, "not_resumable", "the target has the run no more: %v", trace.Unwrap(err))
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -8,7 +8,11 @@
 //	}
 package stream
 
-import "github.com/gravitational/trace"
+import (
+	"errors"
+
+	"github.com/gravitational/trace"
+)
 
 // The kinds of frame.
 const (
@@ -22,6 +26,10 @@
 	KindError = "error"
 )
 
+// ErrGaveUp says that the engine itself ended the run before its answer was
+// whole. It can't be resumed.
+var ErrGaveUp = errors.New("the engine gave up")
+
 // Frame is one message of an engine's stream, a line of JSON.
 type Frame struct {
 	Kind    string `json:"kind"`
@@ -116,7 +124,7 @@
 	case KindEnd:
 		return "", c.finish(f)
 	case KindError:
-		return "", trace.Errorf("the engine gave up: %s", f.Error)
+		return "", trace.Wrap(ErrGaveUp, "%s", f.Error)
 	}
 	return "", trace.BadParameter("unknown kind of frame %q", f.Kind)
 }
