refactor(claim,forward): a file for each concern

Change: grouping and taking back apart from the book; answers apart from sending; store boxes are asked for their 500 oldest manifests instead of all (10 MB at the design size); the calls' own cost joins the slopes. Before and after: the same tests pass.

--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/route"
+)
+
+// answer passes the target's answer to the caller and stores it with a claim.
+// If it breaks off, so does the caller's connection: a part never looks whole.
+func (x *exchange) answer(w http.ResponseWriter, response *http.Response, placed route.Placed) {
+	defer func() { _ = response.Body.Close() }()
+	leaving := response.Header.Get(engine.HeaderLeaving) != ""
+	dropHopHeaders(response.Header)
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(HeaderTarget, placed.Target)
+	w.WriteHeader(response.StatusCode)
+	copied := &tee{to: w, flush: http.NewResponseController(w), persist: x.once}
+	_, err := io.Copy(copied, response.Body)
+	x.Ended(route.Ended{Placed: placed, Failed: err != nil && !copied.gone, Leaving: leaving})
+	if err == nil {
+		x.finish(response, copied)
+	}
+	if err != nil || copied.gone {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// finish stores a whole answer, so that a caller that lost it can ask again.
+func (x *exchange) finish(response *http.Response, copied *tee) {
+	if !x.claimed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.Patience)
+	defer cancel()
+	answer := claim.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: copied.kept, Cut: copied.over}
+	if err := x.Finish(ctx, x.held, answer); err != nil {
+		x.Record(decision.Record{Kind: decision.Claimed, Request: x.call.Request, Account: x.call.Account, Rule: "answer not stored", Result: trace.Unwrap(err).Error()})
+	}
+}
+
+// tee writes to the caller at once and keeps the beginning.
+type tee struct {
+	to    http.ResponseWriter
+	flush *http.ResponseController
+	kept  []byte
+	over  bool
+	// persist reads on when the caller has left, which gone tells.
+	persist, gone bool
+}
+
+// Write implements io.Writer.
+func (t *tee) Write(b []byte) (int, error) {
+	if len(t.kept)+len(b) <= maxStored {
+		t.kept = append(t.kept, b...)
+	} else {
+		t.over = true
+	}
+	if t.gone {
+		return len(b), nil
+	}
+	_, err := t.to.Write(b)
+	if err == nil {
+		err = t.flush.Flush()
+	}
+	t.gone = err != nil
+	if t.gone && !t.persist {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// dropHopHeaders removes what belongs to one connection only (RFC 9110, 7.6.1).
+func dropHopHeaders(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	} {
+		h.Del(name)
+	}
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -159,13 +161,17 @@
 	Manifests []kept.Manifest `json:"manifests"`
 }
 
-func (s *Store) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	var answer manifests
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.manifests {
 		answer.Manifests = append(answer.Manifests, m)
 	}
+	slices.SortFunc(answer.Manifests, func(a, b kept.Manifest) int { return a.Used.Compare(b.Used) })
+	if limit, err := strconv.Atoi(r.URL.Query().Get("oldest")); err == nil && limit < len(answer.Manifests) {
+		answer.Manifests = answer.Manifests[:max(limit, 0)]
+	}
 	fault.Answer(w, http.StatusOK, answer)
 }
 
--- a/keep.go
+++ b/keep.go
@@ -25,6 +25,8 @@
 	exportPatience = 10 * time.Second
 	roomEvery      = 2 * time.Second
 	roomLeast      = 0.1
+	// roomPage is how many manifests are looked at to make room.
+	roomPage = 500
 )
 
 // storeFailed tells that a store box did not answer.
@@ -169,7 +171,7 @@
 	if err != nil || float64(room) >= roomLeast*float64(size) {
 		return roomMade{store: e.store, err: trace.Wrap(err)}
 	}
-	manifests, err := d.stores.List(ctx, e.address)
+	manifests, err := d.stores.Oldest(ctx, e.address, roomPage)
 	if err != nil {
 		return roomMade{store: e.store, err: trace.Wrap(err)}
 	}
--- a/kept/store.go
+++ b/kept/store.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 
 	"github.com/dghubble/sling"
 	"github.com/gravitational/trace"
@@ -38,10 +39,11 @@
 	return trace.Wrap(s.call(ctx, s.to(at).Put("/v1/manifests").BodyJSON(manifests{run}), nil))
 }
 
-// List returns all manifests of the store box.
-func (s *Store) List(ctx context.Context, at netip.AddrPort) ([]Manifest, error) {
+// Oldest returns up to limit manifests of the store box, those first that were
+// not asked for for longest.
+func (s *Store) Oldest(ctx context.Context, at netip.AddrPort, limit int) ([]Manifest, error) {
 	var answer manifests
-	err := s.call(ctx, s.to(at).Get("/v1/manifests"), &answer)
+	err := s.call(ctx, s.to(at).Get("/v1/manifests?oldest="+strconv.Itoa(limit)), &answer)
 	return answer.Manifests, trace.Wrap(err)
 }
 
--- a/slopes_test.go
+++ b/slopes_test.go
@@ -47,6 +47,8 @@
 		{"one change applied", "accounts", "us", accounts, changeCost},
 		{"configuration for a peer that boots", "accounts", "bytes", accounts, snapshotBytes},
 		{"decision records", "records", "bytes", []int{1024, 2048, 4096}, recordBytes},
+		{"small calls, both ends", "calls", "us", []int{500, 1000, 2000}, callCost},
+		{"small calls, on the wire", "calls", "bytes", []int{10, 20, 40}, callBytes},
 		{"naming a prompt's prefixes", "KB of prompt", "us", []int{8, 32, 128}, prefixCost},
 	}
 	for b.Loop() {
