feat(dispatch): waits predicted by kind of prompt and speed of target

Change: the share computed is learned for prompts served before and for others, the share of hits replaces a constant, and each target's speed is learned and fades.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -68,6 +68,8 @@
 
 	// now is the time of the placement under way.
 	now time.Time
+	// computing is how long its prompt is predicted to be computed.
+	computing time.Duration
 	// recent maps the homes of prompts served here to target and version.
 	recent *lru.LRU[prefix.Key, string]
 	// cache is what is known about cache, by pool.
@@ -78,8 +80,12 @@
 type cache struct {
 	estimate reuse.Estimate
 	policy   retention.Policy
-	// computed is the share of prompt tokens that was computed lately.
-	computed float64
+	// computed and computedNew are the shares of prompt tokens that were
+	// computed lately, of prompts served here before and of others.
+	computed, computedNew float64
+	// hit is the share of prompt tokens that engines had in memory lately, of
+	// prompts sent to the target that served them last.
+	hit float64
 	// prefill and slots measure the accounts' use of engines, in engine-seconds.
 	prefill, slots fair.Meter
 	// took is a moving mean of the time that a run has a slot for, in seconds.
@@ -150,7 +156,7 @@
 	c, known := b.cache[pool]
 	if !known {
 		c = &cache{
-			computed: 1, policy: retention.Policy{Burst: 5, LinkShare: 0.3},
+			computed: 1, computedNew: 1, hit: firstHit, policy: retention.Policy{Burst: 5, LinkShare: 0.3},
 			prefill: fair.Meter{Window: fairWindow}, slots: fair.Meter{Window: fairWindow}, perToken: make(map[string]float64),
 		}
 		b.cache[pool] = c
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -8,6 +8,7 @@
 	"github.com/thymewind/thymewind/retention"
 	"github.com/thymewind/thymewind/reuse"
 	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/target"
 )
 
 // Ended takes back what Place counted and learns from how the attempt went. It
@@ -30,6 +31,7 @@
 		x.Running = max(x.Running, x.Slots)
 	default:
 		x.Failures = 0
+		b.learnSpeed(now, x, e)
 		return b.learn(now, e)
 	}
 	return false
@@ -52,9 +54,7 @@
 		b.StoreAvoid[e.Placed.StoreName] = now.Add(StorePause)
 	}
 	c.spent(e)
-	if u := e.End.Usage; u.Prompt > 0 {
-		c.computed += (float64(u.Prompt-u.Reused-u.Imported)/float64(u.Prompt) - c.computed) * computedWeight
-	}
+	c.learnShare(e)
 	c.policy.Saw(e.Placed.Account, e.Placed.Warm || e.Placed.KeptPieces > 0)
 	b.recent.Add(e.Placed.Home, e.Placed.Target+e.Placed.Version)
 	if !p.Stores || !e.Placed.Store.IsValid() || e.Placed.KeptPieces >= len(e.Placed.Keys) {
@@ -77,6 +77,33 @@
 	}
 }
 
+// learnSpeed takes in how long a target took to compute a prompt.
+func (b *Board) learnSpeed(now time.Time, x *target.Target, e route.Ended) {
+	u := e.End.Usage
+	computed := float64(u.Prompt - u.Reused - u.Imported)
+	prefill := b.cacheOf(x.Pool).estimate.Prefill
+	if u.PrefillMillis <= 0 || computed <= 0 || prefill == 0 {
+		return
+	}
+	x.Computed(now, u.PrefillMillis/1000*prefill/computed)
+}
+
+// learnShare takes in how much of a prompt was computed.
+func (c *cache) learnShare(e route.Ended) {
+	u := e.End.Usage
+	if u.Prompt == 0 {
+		return
+	}
+	if e.Placed.Warm {
+		c.hit += (float64(u.Reused)/float64(u.Prompt) - c.hit) * computedWeight
+	}
+	share := &c.computedNew
+	if e.Placed.Known {
+		share = &c.computed
+	}
+	*share += (float64(u.Prompt-u.Reused-u.Imported)/float64(u.Prompt) - *share) * computedWeight
+}
+
 // computedWeight is the part of one prompt in the share computed.
 const computedWeight = 0.02
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -83,6 +83,7 @@
 		return !p.Serves(x.Version) || (ask.Version != "" && x.Version != ask.Version)
 	}
 	tokens := len(ask.Prompt) / BytesPerToken
+	b.computing = b.computes(p, ask, tokens)
 	want := placement.Ask{Home: ask.Home.Rank(), Slack: b.slack(p, ask, tokens), Skip: func(x *target.Target) bool {
 		return skip(x) || (ask.AvoidDomain != "" && x.Domain == ask.AvoidDomain)
 	}}
@@ -99,7 +100,7 @@
 	x.InFlight++
 	if p.Kind == pool.KindModel {
 		// Services report no load that would set these back.
-		x.Send(now, b.computes(p, tokens))
+		x.Send(now, slowed(now, b.computing, x))
 		b.use(now, ask, p, tokens)
 	}
 	b.recordPlaced(now, ask, p, targets, choice)
@@ -116,54 +117,63 @@
 }
 
 // slack is how long a request may wait more to be where its cache probably is:
-// as long as waiting costs no more, by the pool's weights, than computing the
-// prompt again.
+// as long as waiting costs no more, by the pool's weights, than computing again
+// what engines lately had in memory of such prompts.
 func (b *Board) slack(p pool.Pool, ask route.Ask, tokens int) time.Duration {
 	if p.Kind != pool.KindModel || p.Policy.FirstToken <= 0 {
 		return leastSlack
 	}
-	chance := coldChance
-	if _, known := b.recent.Get(ask.Home); known {
-		chance = warmChance
+	c := b.cacheOf(p.Name)
+	if !b.recent.Contains(ask.Home) {
+		return leastSlack
 	}
-	compute := over(float64(tokens), b.cacheOf(p.Name).estimate.Prefill)
-	gain := chance * compute * (p.Policy.FirstToken + p.Policy.Recompute) / p.Policy.FirstToken
+	compute := over(float64(tokens), c.estimate.Prefill)
+	gain := c.hit * compute * (p.Policy.FirstToken + p.Policy.Recompute) / p.Policy.FirstToken
 	return leastSlack + time.Duration(min(gain, longestSlack)*float64(time.Second))
 }
 
-// Wait predicts the wait at a target; it is for the chooser.
+// Wait predicts the wait at a target, and how much longer than elsewhere the
+// request being placed is computed there; it is for the chooser.
 func (b *Board) Wait(x *target.Target) time.Duration {
 	if x.Slots == 0 {
 		return time.Duration(x.InFlight) * serviceWait
 	}
-	return x.Wait(b.now, runGuess)
+	slower := time.Duration((x.Slowness(b.now) - 1) * float64(b.computing))
+	return x.Wait(b.now, runGuess) + slower
 }
 
-// computes predicts how long a prompt's computing takes, at the share of
-// prompts that was computed lately.
-func (b *Board) computes(p pool.Pool, tokens int) time.Duration {
+// computes predicts how long a prompt's computing takes, at the share that was
+// computed lately of prompts like it.
+func (b *Board) computes(p pool.Pool, ask route.Ask, tokens int) time.Duration {
 	c := b.cacheOf(p.Name)
-	return time.Duration(over(c.computed*float64(tokens), c.estimate.Prefill) * float64(time.Second))
+	share := c.computedNew
+	if b.recent.Contains(ask.Home) {
+		share = c.computed
+	}
+	return time.Duration(over(share*float64(tokens), c.estimate.Prefill) * float64(time.Second))
 }
 
 // Report takes a target's own report in; queued are the prompt tokens that
 // were still to be computed, and lag how old it is already.
 func (b *Board) Report(now time.Time, x *target.Target, running, waiting, queued int, lag time.Duration) {
 	busy := over(float64(queued), b.cacheOf(x.Pool).estimate.Prefill)
-	x.Report(now.Add(-lag-reportLag), running, waiting, time.Duration(busy*float64(time.Second)))
+	x.Report(now.Add(-lag-reportLag), running, waiting, slowed(now, time.Duration(busy*float64(time.Second)), x))
+}
+
+// slowed is how long a target takes for what its pool's mean does in d.
+func slowed(now time.Time, d time.Duration, x *target.Target) time.Duration {
+	return time.Duration(float64(d) * x.Slowness(now))
 }
 
 // reportLag is how late targets report their load.
 const reportLag = 500 * time.Millisecond
 
-// The chance that a prompt's cache is still at its home, if it was served here
-// lately and otherwise; measured with make measure. And the bounds of the
-// slack: within the least, lagged reports don't tell targets apart.
+// The bounds of the slack: within the least, lagged reports don't tell targets
+// apart. And the share of hits before any is known.
 const (
-	warmChance   = 0.4
-	coldChance   = 0.0
 	leastSlack   = 20 * time.Millisecond
 	longestSlack = 5.0 // seconds
+	firstHit     = 0.4
 )
 
 // What waiting behind one request costs: on a plain service, and for a slot.
@@ -188,6 +198,7 @@
 // addCache says what is known about the cache of a prompt's beginning.
 func (b *Board) addCache(now time.Time, ask route.Ask, p pool.Pool, placed *route.Placed) {
 	last, known := b.recent.Get(ask.Home)
+	placed.Known = known
 	placed.Warm = known && last == placed.Target+placed.Version
 	placed.Home = ask.Home
 	placed.Estimate = b.cacheOf(p.Name).estimate
--- a/route/route.go
+++ b/route/route.go
@@ -63,6 +63,8 @@
 	StoreName string
 	// Warm says that the target served this prompt's beginning lately.
 	Warm bool
+	// Known says that this box served the prompt's beginning lately, anywhere.
+	Known bool
 	// KeptPieces is how many pieces the store box was found to hold.
 	KeptPieces int
 	// FirstToken bounds the wait for the first text.
--- a/target/target.go
+++ b/target/target.go
@@ -4,6 +4,7 @@
 package target
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -30,6 +31,10 @@
 	SentSince int
 	// InFlight counts this daemon's requests under way on the target.
 	InFlight int
+	// slow is how many times longer the target computed than its pool's mean,
+	// as learned at slowAt; zero if nothing was.
+	slow   float64
+	slowAt time.Time
 	// queue is the prompts that wait to be computed.
 	queue queue
 
@@ -78,6 +83,31 @@
 	t.queue.send(now, busy)
 }
 
+// Slowness is how many times longer than its pool's mean the target is thought
+// to compute. What was learned fades, so that a target that has recovered is
+// tried again.
+func (t *Target) Slowness(now time.Time) float64 {
+	const (
+		most     = 50.0
+		little   = 1.05
+		halfLife = 30 * time.Second
+	)
+	if t.slow < little {
+		return 1
+	}
+	age := now.Sub(t.slowAt).Seconds() / halfLife.Seconds()
+	return min(1+(t.slow-1)*math.Exp2(-age), most)
+}
+
+// Computed takes in that the target took so many times longer than its pool's
+// mean to compute a prompt.
+func (t *Target) Computed(now time.Time, times float64) {
+	const part = 0.2
+	t.slow = t.Slowness(now)
+	t.slow += (times - t.slow) * part
+	t.slowAt = now
+}
+
 // Wait predicts how long a request sent now waits for its turn: behind the
 // prompts that are still to be computed, and for a slot when all are taken,
 // each for about run.
--- /dev/null
+++ b/target/target_test.go
@@ -0,0 +1,61 @@
+package target_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/target"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestWait(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name   string
+		happen func(x *target.Target)
+		after  time.Duration
+		want   time.Duration
+	}{
+		{"nothing", func(*target.Target) {}, 0, 0},
+		{"sent", func(x *target.Target) { x.Send(start, second) }, 0, second},
+		{"sent twice", func(x *target.Target) { x.Send(start, second); x.Send(start, second) }, 0, 2 * second},
+		{"time passes", func(x *target.Target) { x.Send(start, 3*second) }, second, 2 * second},
+		{"all is done", func(x *target.Target) { x.Send(start, second) }, 5 * second, 0},
+		{"reported", func(x *target.Target) { x.Report(start, 0, 0, 2*second) }, second, second},
+		{"a report from before what was sent", func(x *target.Target) {
+			x.Send(start, second)
+			x.Report(start.Add(-second), 0, 0, 0)
+		}, 0, second},
+		{"a report from after what was sent", func(x *target.Target) {
+			x.Send(start, 3*second)
+			x.Report(start.Add(second), 0, 0, 0)
+		}, second, 0},
+		{"no slot is free", func(x *target.Target) { x.Report(start, 8, 0, 0) }, 0, 2 * second / 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := &target.Target{Slots: 8}
+			tt.happen(x)
+			if got := x.Wait(start.Add(tt.after), 2*second); got != tt.want {
+				t.Errorf("Wait = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestSlownessFades(t *testing.T) {
+	x := &target.Target{}
+	if x.Slowness(start) != 1 {
+		t.Error("an unknown target is thought slow")
+	}
+	for range 40 {
+		x.Computed(start, 5)
+	}
+	if got := x.Slowness(start); got < 4.9 || got > 5 {
+		t.Errorf("Slowness = %v, want 5", got)
+	}
+	if got := x.Slowness(start.Add(30 * time.Second)); got < 2.9 || got > 3.1 {
+		t.Errorf("Slowness after its half-life = %v, want 3", got)
+	}
+}
