fix(dispatch): a target that came back takes work again

Ruled out: taking the mark off at the first report (lists and reports lag); an order of operators kept in memory only (lost with the boxes). Change: the mark ends two minutes after the last word of the list or the target; news of it carries its age; leave target is a change of the pool, return target undoes it, both in the audit trail.

--- a/cmd/thymemeasure/main.go
+++ b/cmd/thymemeasure/main.go
@@ -30,6 +30,7 @@
 	faults := flag.String("fault", "", "faults, with commas; empty means all")
 	seeds := flag.Uint64("seeds", 3, "runs with the seeds from 1 on")
 	workers := flag.Int("workers", 4, "runs at once")
+	asTable := flag.Bool("table", false, "print a Markdown table of the means over the seeds instead")
 	flag.Parse()
 	var scenarios []measure.Scenario
 	for _, d := range []measure.Deployment{measure.LutongBahay, measure.Sonora} {
@@ -48,6 +49,12 @@
 		os.Exit(2)
 	}
 	lines := run(scenarios, max(*workers, 1))
+	if *asTable {
+		if err := table(os.Stdout, lines); err != nil {
+			os.Exit(1)
+		}
+		return
+	}
 	out := json.NewEncoder(os.Stdout)
 	for _, l := range lines {
 		if out.Encode(l) != nil || l.Wrong > 0 {
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -128,8 +128,15 @@
 	return capacity, load
 }
 
-// MarkLeaving stops new work to a target for good.
-func (b *Board) MarkLeaving(x *target.Target, heard string) {
+// LeavingFor is how long a target gets no new work after it or the list last
+// said that it is leaving. It is longer than the list can lag.
+const LeavingFor = 2 * time.Minute
+
+// MarkLeaving stops new work to a target that was said to be leaving at a time.
+func (b *Board) MarkLeaving(x *target.Target, at time.Time, heard string) {
+	if at.After(x.LeavingAt) {
+		x.LeavingAt = at
+	}
 	if x.Leaving {
 		return
 	}
@@ -137,6 +144,16 @@
 	b.Leaving(x.Name, heard)
 }
 
+// StillLeaving lets targets that nothing has called leaving for long take new
+// work again, such as one that was restarted at its address.
+func (b *Board) StillLeaving(now time.Time) {
+	for _, x := range b.Targets.All() {
+		if x.Leaving && now.Sub(x.LeavingAt) > LeavingFor {
+			x.Leaving = false
+		}
+	}
+}
+
 // Fail keeps new work off a target for a while that grows with its failures.
 func (b *Board) Fail(now time.Time, x *target.Target) {
 	const (
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -21,7 +21,7 @@
 	}
 	x.InFlight--
 	if e.Leaving {
-		b.MarkLeaving(x, "its own answer")
+		b.MarkLeaving(x, now, "its own answer")
 	}
 	switch {
 	case e.Failed:
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -74,7 +74,7 @@
 func (b *Board) choose(now time.Time, ask route.Ask, p pool.Pool) (route.Placed, error) {
 	targets := b.Pools[p.Name]
 	skip := func(x *target.Target) bool {
-		if slices.Contains(ask.Exclude, x.Name) {
+		if slices.Contains(ask.Exclude, x.Name) || slices.Contains(p.Leave, x.Name) {
 			return true
 		}
 		if p.Kind != pool.KindModel {
--- a/edit.go
+++ b/edit.go
@@ -5,7 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -188,21 +188,29 @@
 	return nil
 }
 
-// leave stops new work to a target on all boxes.
-func (d *Daemon) leave(ctx context.Context, name, target string) report.Report {
-	var address netip.AddrPort
-	d.inspect(ctx, func(now time.Time, t *tables) {
-		x, known := t.Targets.Lookup(target)
-		if !known {
-			return
+// leave stops new work to a target, or lets it have some again, by a change of
+// its pool.
+func (d *Daemon) leave(ctx context.Context, name, target string, leaves bool) report.Report {
+	pool := ""
+	d.inspect(ctx, func(_ time.Time, t *tables) {
+		if x, known := t.Targets.Lookup(target); known {
+			pool = x.Pool
 		}
-		address = x.Address
-		t.MarkLeaving(x, "operator "+name)
-		d.run(context.WithoutCancel(ctx), d.tell(now, t, newsPartners))
 	})
-	if !address.IsValid() {
+	p, known := d.currentOrEmpty().Pools[pool]
+	if !known {
 		return report.Refused(trace.NotFound("there is no target %q", target))
 	}
-	d.records.Add(decision.Record{At: d.now(), Kind: decision.Ordered, Rule: "operator " + name, Inputs: "leave target", Result: target})
-	return report.Report{Text: "no new work goes to " + target + " at " + address.String() + "; peers hear of it"}
+	if slices.Contains(p.Leave, target) == leaves {
+		return report.Refused(trace.AlreadyExists("target %q is so already", target))
+	}
+	p.Leave = slices.DeleteFunc(slices.Clone(p.Leave), func(other string) bool { return other == target })
+	if leaves {
+		p.Leave = append(p.Leave, target)
+	}
+	after, err := json.Marshal(p)
+	if err != nil {
+		return report.Refused(err)
+	}
+	return d.submit(ctx, name, []configuration.Entry{{Kind: configuration.KindPool, Name: pool, After: after}}, nil)
 }
--- a/gossip.go
+++ b/gossip.go
@@ -23,6 +23,9 @@
 	maxDemand  = 32
 	// loadWorthless is when a report is too old to be told on.
 	loadWorthless = 10 * time.Second
+	// leavingNews is how long ago a target was said to be leaving for it to be
+	// told on. The time travels with the news, so that it comes to an end.
+	leavingNews = 30 * time.Second
 	// busyWait is the wait from which a target's report is worth telling first.
 	busyWait = 100 * time.Millisecond
 )
@@ -69,8 +72,8 @@
 	busy, turns := 0, 0
 	for i := range names {
 		x, _ := t.Targets.Lookup(names[(i+t.turn)%len(names)])
-		if x.Leaving && x.Listed && len(m.Leaving) < maxLeaving {
-			m.Leaving = append(m.Leaving, x.ID)
+		if said := now.Sub(x.LeavingAt); x.Leaving && said < leavingNews && len(m.Leaving) < maxLeaving {
+			m.Leaving = append(m.Leaving, peer.Leaving{Target: x.ID, Age: int(said.Milliseconds())})
 		}
 		age := now.Sub(x.ReportedAt)
 		if x.ReportedAt.IsZero() || age > loadWorthless {
@@ -120,9 +123,9 @@
 	for _, l := range m.Loads {
 		t.heardLoad(now, l)
 	}
-	for _, id := range m.Leaving {
-		if x, known := t.byID[id]; known {
-			t.MarkLeaving(x, m.From)
+	for _, l := range m.Leaving {
+		if x, known := t.byID[l.Target]; known && l.Age >= 0 {
+			t.MarkLeaving(x, now.Add(-time.Duration(l.Age)*time.Millisecond), m.From)
 		}
 	}
 	if m.Revision > t.Configuration.Revision {
--- a/operate.go
+++ b/operate.go
@@ -86,7 +86,9 @@
 	case s.Who != nil:
 		return d.who(ctx, *s.Who)
 	case s.Leave != nil:
-		return d.leave(ctx, name, *s.Leave)
+		return d.leave(ctx, name, *s.Leave, true)
+	case s.Return != nil:
+		return d.leave(ctx, name, *s.Return, false)
 	}
 	return d.edit(ctx, name, s)
 }
--- a/operate_test.go
+++ b/operate_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -62,7 +63,10 @@
 		{statement: `show refusals where actor = ana`, rows: 2},
 		{statement: `who holds lease nothing`, error: "no row"},
 		{statement: `leave target nothing`, error: "there is no target"},
-		{statement: `leave target engine-1`},
+		{statement: `leave target engine-1`, accepted: true},
+		{statement: `leave target engine-1`, error: "is so already"},
+		{statement: `leave target engine-2`, accepted: true},
+		{statement: `return target engine-2`, accepted: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.statement, func(t *testing.T) {
@@ -72,9 +76,16 @@
 			}
 		})
 	}
-	f.eventually("the other daemon heard that engine-1 leaves", func() bool {
-		return len(f.says(1, `show targets where target = engine-1 and leaving = true`).Rows) == 1
+	f.eventually("the other daemon sends engine-1 nothing new", func() bool {
+		return slices.Contains(f.daemons[1].d.currentOrEmpty().Pools["menu"].Leave, "engine-1")
 	})
+	before := len(f.ran("engine-1"))
+	for i := range 20 {
+		f.chat(1, "menu key", fmt.Sprint("somewhere else, request ", i), 1)
+	}
+	if after := len(f.ran("engine-1")); after != before {
+		t.Errorf("engine-1 got %d new runs", after-before)
+	}
 	for _, row := range f.says(0, "show audit").Rows {
 		if strings.Contains(fmt.Sprint(row), "sk-new") {
 			t.Error("an API key stands in the audit trail")
--- a/peer/message.go
+++ b/peer/message.go
@@ -20,8 +20,8 @@
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 	// Loads are reports that the sender read itself or heard of lately.
 	Loads []Load `cbor:"4,keyasint,omitempty"`
-	// Leaving are the IDs of targets that take no new work.
-	Leaving []uint64 `cbor:"5,keyasint,omitempty"`
+	// Leaving are targets that take no new work.
+	Leaving []Leaving `cbor:"5,keyasint,omitempty"`
 	// Demand is the sender's use of accounts that have limits.
 	Demand []Demand `cbor:"6,keyasint,omitempty"`
 	// Statement is an operator's question.
@@ -50,6 +50,14 @@
 	Age int `cbor:"7,keyasint,omitempty"`
 }
 
+// Leaving tells how long ago a target was said to be leaving, by itself or by
+// the platform's list.
+type Leaving struct {
+	Target uint64 `cbor:"1,keyasint"`
+	// Age is in milliseconds.
+	Age int `cbor:"2,keyasint,omitempty"`
+}
+
 // Demand is how many requests of an account a box has under way or refused
 // lately.
 type Demand struct {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -49,7 +49,7 @@
 
 // FuzzMessage looks for bytes of a peer that crash the reader.
 func FuzzMessage(f *testing.F) {
-	data, err := cbor.Marshal(peer.Message{Kind: peer.KindGossip, Loads: []peer.Load{{Target: 7}}, Leaving: []uint64{1}})
+	data, err := cbor.Marshal(peer.Message{Kind: peer.KindGossip, Loads: []peer.Load{{Target: 7}}, Leaving: []peer.Leaving{{Target: 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -20,6 +20,8 @@
 	// Previous is the weight version that targets not rolled over yet still
 	// serve. It is set when Weights changes.
 	Previous string `json:"previous,omitempty"`
+	// Leave names targets that get no new work, by the operators' order.
+	Leave []string `json:"leave,omitempty"`
 	// ChecksFence says that the pool's targets refuse orders with a lower epoch
 	// than one they have seen.
 	ChecksFence bool `json:"checks_fence,omitempty"`
--- a/query/query.go
+++ b/query/query.go
@@ -26,6 +26,7 @@
 	Remove *Edit   `parser:"| 'remove' @@"`
 	Roll   *Roll   `parser:"| 'roll' @@"`
 	Leave  *string `parser:"| 'leave' 'target' @(Word | String)"`
+	Return *string `parser:"| 'return' 'target' @(Word | String)"`
 	Help   bool    `parser:"| @'help'"`
 }
 
@@ -100,7 +101,8 @@
 create|change account|pool|model NAME set FIELD = VALUE, ... [if revision = N]
 remove account|pool|model NAME [if revision = N]
 roll pool NAME to VERSION [if revision = N]
-leave target NAME
+leave target NAME         (no new work for it)
+return target NAME        (new work again)
 help
 Values: words, "text", numbers, true, false, [lists]. A column is compared by =, !=, < or >.`
 
@@ -134,7 +136,7 @@
 	}
 	hint := ""
 	if first, _, _ := strings.Cut(strings.TrimSpace(text), " "); first != "" {
-		if near := Nearest(first, []string{"show", "why", "who", "create", "change", "remove", "roll", "leave", "help"}); near != "" && near != first {
+		if near := Nearest(first, []string{"show", "why", "who", "create", "change", "remove", "roll", "leave", "return", "help"}); near != "" && near != first {
 			hint = "; did you mean " + strconv.Quote(near) + "?"
 		}
 	}
--- a/tables.go
+++ b/tables.go
@@ -49,7 +49,7 @@
 	heard  time.Time
 }
 
-// departure is a leaving target's address and when it was last seen.
+// departure is a leaving target's address and when it was last said to leave.
 type departure struct {
 	address netip.AddrPort
 	at      time.Time
--- a/target/target.go
+++ b/target/target.go
@@ -18,8 +18,8 @@
 	Hash uint64
 	// Listed says that the platform's list has the target as live.
 	Listed bool
-	// Leaving is set by the list, by the target's own answer or by a peer, and
-	// is never cleared while the target stays at its address.
+	// Leaving is set by the list, by the target's own answer or by a peer. It is
+	// cleared only when nothing has said so for long; see Board.StillLeaving.
 	Leaving bool
 	// Loading says that it loads weights and starts no run meanwhile.
 	Loading bool
@@ -49,6 +49,8 @@
 	Version string
 	// ReportedAt is when the report was received; zero means never.
 	ReportedAt time.Time
+	// LeavingAt is when the list or the target last said that it is leaving.
+	LeavingAt time.Time
 	// Failures counts failures in a row.
 	Failures int
 }
--- a/update.go
+++ b/update.go
@@ -86,6 +86,7 @@
 		}
 	}
 	d.unlist(now, t, listed)
+	t.StillLeaving(now)
 	t.Group()
 	d.watch(t)
 	t.byID = make(map[uint64]*target.Target, t.Targets.Len())
@@ -119,24 +120,22 @@
 	if !known || x.Address != b.Address {
 		x = &target.Target{Name: b.Name, Address: b.Address, Hash: placement.Hash(b.Name), ID: target.ID(b.Name, b.Address)}
 		was, gone := t.departed[b.Name]
-		x.Leaving = gone && was.address == b.Address && now.Sub(was.at) < departedFor
+		if gone && was.address == b.Address {
+			x.Leaving, x.LeavingAt = true, was.at
+		}
 		t.Targets.Put(b.Name, x)
 	}
 	x.Pool, x.Domain, x.Listed = b.Pool, b.Domain, true
 	if b.Leaving {
-		t.MarkLeaving(x, "list")
+		t.MarkLeaving(x, now, "list")
 	}
 }
 
-// departedFor is how long a target that was leaving is remembered when the list
-// has dropped it. It is longer than the list can lag.
-const departedFor = 2 * time.Minute
-
 // unlist marks what the list no longer names. Targets with requests under way
 // are kept until those end.
 func (d *Daemon) unlist(now time.Time, t *tables, listed map[string]bool) {
 	for name, was := range t.departed {
-		if now.Sub(was.at) >= departedFor {
+		if now.Sub(was.at) >= dispatch.LeavingFor {
 			delete(t.departed, name)
 		}
 	}
@@ -147,7 +146,7 @@
 		}
 		x.Listed = false
 		if x.Leaving {
-			t.departed[name] = departure{x.Address, now}
+			t.departed[name] = departure{x.Address, x.LeavingAt}
 		}
 		if x.InFlight == 0 {
 			t.Targets.Delete(name)
@@ -180,7 +179,7 @@
 	x.Slots, x.Version, x.Loading = m.load.Slots, m.load.Version, m.load.Loading
 	t.Report(now, x, m.load.Running, m.load.Waiting, m.load.QueuedTokens, 0)
 	if m.load.Leaving {
-		t.MarkLeaving(x, "load report")
+		t.MarkLeaving(x, now, "load report")
 	}
 }
 
--- a/update_test.go
+++ b/update_test.go
@@ -109,7 +109,7 @@
 	case reportsLive, reportsLeaving:
 		d.update(now, loadRead{target: name, load: engine.Load{Version: "v1", Slots: 8, Leaving: event == reportsLeaving}})
 	case peerSays:
-		said := peer.Message{Kind: peer.KindGossip, From: "entry-2", Leaving: []uint64{target.ID(name, address(name))}}
+		said := peer.Message{Kind: peer.KindGossip, From: "entry-2", Leaving: []peer.Leaving{{Target: target.ID(name, address(name))}}}
 		d.update(now, peerSaid{said, make(chan peer.Message, 1)})
 	case answersLeaving:
 		d.update(now, attemptEnded{route.Ended{Placed: route.Placed{Pool: "menu", Target: name, Address: address(name)}, Refused: true, Leaving: true}})
@@ -259,3 +259,35 @@
 		})
 	}
 }
+
+// TestLeavingEnds has a target come back at its address. It is used again once
+// nothing has said for long that it is leaving, though peers go on telling.
+func TestLeavingEnds(t *testing.T) {
+	d, other := newDaemon(t), newDaemon(t)
+	start := time.Unix(1000, 0)
+	w := world{left: make(map[string]bool)}
+	for _, x := range []*Daemon{d, other} {
+		x.update(start, configurationRead{configuration: inForce(1)})
+		w.happens(x, start, "engine-0", listedLive)
+	}
+	w.happens(d, start, "engine-0", answersLeaving)
+	usable := func(x *Daemon, now time.Time) bool {
+		y, _ := x.tables.Targets.Lookup("engine-0")
+		return y.Usable(now)
+	}
+	for second := range 400 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for _, x := range []*Daemon{d, other} {
+			w.happens(x, now, "engine-0", listedLive)
+			w.happens(x, now, "engine-0", reportsLive)
+		}
+		other.update(now, peerSaid{d.state(now, &d.tables), make(chan peer.Message, 1)})
+		d.update(now, peerSaid{other.state(now, &other.tables), make(chan peer.Message, 1)})
+		if second < 100 && (usable(d, now) || usable(other, now)) {
+			t.Fatalf("used again after %d s", second)
+		}
+	}
+	if end := start.Add(400 * time.Second); !usable(d, end) || !usable(other, end) {
+		t.Error("not used again")
+	}
+}
