fix(forward): escaped paths pass as they are, large bodies are refused first

Cause: read as a user would: /a%2Fb reached the service as /a/b, and a body over the bound was cut in the middle of the request. Ruled out: cutting at the bound (the service sees half a body). Change: the escaped path goes through; a body known to be too large is refused with 413 and did-not-run before a target is placed; a prompt may be a list of one. Before: TestServicesGetWhatCallersSent failed in both. After: it passes.

--- a/caller/ask.go
+++ b/caller/ask.go
@@ -134,3 +134,18 @@
 	}
 	return b.String(), nil
 }
+
+// promptText reads a prompt that is a string, or a list of one.
+func promptText(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		var list []string
+		if json.Unmarshal(raw, &list) == nil && len(list) == 1 {
+			text = list[0]
+		}
+	}
+	if text == "" {
+		return "", bad("invalid_prompt", "prompt must be a string that is not empty, or a list of one")
+	}
+	return text, nil
+}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -81,6 +81,7 @@
 			`"object":"chat.completion.chunk"`, "id: 6\n", `"delta":{"role":"assistant","content":"there"}`, `"finish_reason":"stop"`,
 			`"choices":[],"usage":{"prompt_tokens":7`, "data: [DONE]\n\n",
 		}},
+		{"text in a list", "/v1/completions", `{"model":"m","prompt":["x"]}`, []string{`"text":"hello there"`}},
 		{"text", "/v1/completions", `{"model":"m","prompt":"x"}`, []string{`"id":"cmpl-r1"`, `"object":"text_completion"`, `"text":"hello there"`}},
 	}
 	for _, tt := range tests {
--- a/caller/complete.go
+++ b/caller/complete.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/thymewind/thymewind/forward"
 	"github.com/thymewind/thymewind/refusal"
@@ -30,9 +31,9 @@
 	if err != nil {
 		return err
 	}
-	var prompt string
-	if json.Unmarshal(a.Prompt, &prompt) != nil || prompt == "" {
-		return bad("invalid_prompt", "prompt must be a string that is not empty")
+	prompt, err := promptText(a.Prompt)
+	if err != nil {
+		return err
 	}
 	return c.complete(a, prompt, false)
 }
@@ -172,7 +173,7 @@
 		return err
 	}
 	return c.Forward(c.w, c.r, forward.Call{
-		Request: c.id, Account: c.account.Name, Pool: name, Path: "/" + c.r.PathValue("path"),
+		Request: c.id, Account: c.account.Name, Pool: name, Path: strings.TrimPrefix(c.r.URL.EscapedPath(), servicePrefix+name),
 		BodyBytes: c.BodyBytes, Timeout: timeout, OnceByTarget: p.OnceByTarget,
 	})
 }
--- a/daemon_test.go
+++ b/daemon_test.go
@@ -296,3 +296,27 @@
 		t.Errorf("status %d, body %.300s, want %d or a typed error in the stream", r.status, r.body, http.StatusGone)
 	}
 }
+
+// TestServicesGetWhatCallersSent checks that method, path, query and body pass
+// through as they are.
+func TestServicesGetWhatCallersSent(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	tests := []struct {
+		name, method, path, body string
+		status                   int
+		want                     string
+	}{
+		{"query", "GET", "/services/orders/status?id=7&x=%20y", "", 200, "GET /status?id=7&x=%20y\n"},
+		{"escaped path", "GET", "/services/orders/a%2Fb%20c", "", 200, "GET /a%2Fb%20c\n"},
+		{"body", "PUT", "/services/orders/menu", "adobo", 200, "PUT /menu\nadobo"},
+		{"too large", "POST", "/services/orders/menu", strings.Repeat("x", 1<<20+1), 413, "did-not-run"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := f.do(tt.method, 0, "menu key", tt.path, tt.body, nil)
+			if r.err != nil || r.status != tt.status || !strings.Contains(r.body, tt.want) {
+				t.Errorf("status %d, body %.100q, error %v, want %d and %q", r.status, r.body, r.err, tt.status, tt.want)
+			}
+		})
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -37,7 +37,7 @@
 	Request string
 	Account string
 	Pool    string
-	// Path is the path behind the pool's prefix; it starts with a slash.
+	// Path is the escaped path behind the pool's prefix; it starts with a slash.
 	Path string
 	// BodyBytes bounds the request's body.
 	BodyBytes int64
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/zeebo/blake3"
 
@@ -28,6 +29,8 @@
 	// is up, so that its answer is still kept for the caller's return.
 	ctx context.Context
 	key string
+	// path is the call's, unescaped.
+	path string
 	// once says that the request is marked not repeatable.
 	once bool
 	// repeatable says that running it twice does no harm.
@@ -46,6 +49,14 @@
 // *refusal.Refusal, returned only if nothing was written to w.
 func (f *Forwarder) Serve(w http.ResponseWriter, in *http.Request, call Call) error {
 	x := &exchange{Forwarder: f, call: call, in: in, ctx: in.Context(), key: in.Header.Get(HeaderKey)}
+	path, err := url.PathUnescape(call.Path)
+	if err != nil {
+		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "bad_path", "the path is not well escaped")
+	}
+	if in.ContentLength > call.BodyBytes {
+		return tooLarge(call.BodyBytes)
+	}
+	x.path = path
 	x.repeatable = in.Method == http.MethodGet || in.Method == http.MethodHead || in.Method == http.MethodOptions
 	marked := in.Header.Get(HeaderNotRepeatable) != ""
 	x.once = marked || (x.key != "" && !x.repeatable)
@@ -70,12 +81,16 @@
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "body_cut", "the request's body did not arrive whole")
 	}
 	if int64(len(body)) > x.call.BodyBytes {
-		return refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the request's body has over %d bytes", x.call.BodyBytes)
+		return tooLarge(x.call.BodyBytes)
 	}
 	x.body = body
 	return nil
 }
 
+func tooLarge(bound int64) error {
+	return refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the request's body has over %d bytes", bound)
+}
+
 // run tries targets until one answers or the outcome can't be known.
 func (x *exchange) run(w http.ResponseWriter) error {
 	ask := route.Ask{Request: x.call.Request, Account: x.call.Account, Pool: x.call.Pool}
@@ -185,8 +200,8 @@
 	out := x.in.Clone(x.ctx)
 	out.URL.Scheme = "http"
 	out.URL.Host = placed.Address.String()
-	out.URL.Path = x.call.Path
-	out.URL.RawPath = ""
+	out.URL.RawPath = x.call.Path
+	out.URL.Path = x.path
 	out.Host = ""
 	out.RequestURI = ""
 	dropHopHeaders(out.Header)
