fix(relay): a slow caller is no silent engine; bounds on silent services

Cause: the wait for an engine's next text ran on while the caller took the last one, so a caller that read slowly had its run given up three times and got an error; a plain service that was frozen held its request for two minutes. Ruled out: a longer bound (hides it). Change: the wait rests while text is passed on; a caller that takes nothing for 30 s is taken to have left; services have the pool's own bound, if it names one. Before: TestSlowCallerIsNoSilentEngine failed (3 runs, no answer). After: it passes.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/resume"
@@ -12,6 +13,9 @@
 	"github.com/thymewind/thymewind/stream"
 )
 
+// writePatience is how long a caller may take no text.
+const writePatience = 30 * time.Second
+
 // answer writes one completion in the API's shape.
 type answer struct {
 	*call
@@ -146,10 +150,14 @@
 	if err != nil {
 		return err
 	}
+	control := http.NewResponseController(a.w)
+	// A caller that takes nothing for this long is taken to have left; not
+	// every writer can be given a deadline.
+	_ = control.SetWriteDeadline(time.Now().Add(writePatience))
 	if _, err := fmt.Fprintf(a.w, "id: %d\ndata: %s\n\n", offset, data); err != nil {
 		return err
 	}
-	return http.NewResponseController(a.w).Flush()
+	return control.Flush()
 }
 
 // close ends a whole answer.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -184,11 +184,15 @@
 
 // firstTokenBound is how long an engine may be silent before its first text: a
 // few times what the pool promises, so that only a dead or frozen one is left.
+// Zero means no bound.
 func firstTokenBound(p pool.Pool) time.Duration {
 	const (
 		factor  = 3
 		without = 10 * time.Second
 	)
+	if p.FirstTokenMillis == 0 && p.Kind == pool.KindService {
+		return 0 // The request's own time bounds it.
+	}
 	if p.FirstTokenMillis == 0 {
 		return without
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -58,8 +58,9 @@
 	Release func(ctx context.Context, c claim.Claim) error
 	Finish  func(ctx context.Context, c claim.Claim, answer claim.Answer) error
 	// Send does one exchange on a connection of its own and says whether any
-	// byte was written. See Sender.
-	Send func(request *http.Request, at netip.AddrPort) (response *http.Response, wrote bool, err error)
+	// byte was written. It waits no longer than patience for the answer to
+	// begin. See Sender.
+	Send func(request *http.Request, at netip.AddrPort, patience time.Duration) (response *http.Response, wrote bool, err error)
 	// Retry asks the retry budget for one more attempt.
 	Retry  func(pool string) bool
 	Record func(decision.Record)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -47,7 +47,7 @@
 	ran    int
 }
 
-func (t *target) send(_ *http.Request, _ netip.AddrPort) (*http.Response, bool, error) {
+func (t *target) send(_ *http.Request, _ netip.AddrPort, _ time.Duration) (*http.Response, bool, error) {
 	switch kind := int(t.script.Draw()); kind {
 	case unreachable:
 		return nil, false, errBroken
@@ -72,7 +72,7 @@
 	return &http.Response{StatusCode: http.StatusCreated, Header: http.Header{}, Body: io.NopCloser(body)}
 }
 
-type send func(*http.Request, netip.AddrPort) (*http.Response, bool, error)
+type send func(*http.Request, netip.AddrPort, time.Duration) (*http.Response, bool, error)
 
 // exchange is one call's outcome.
 type exchange struct {
@@ -159,8 +159,8 @@
 
 func TestDidNotRunNeedsToKnowWhatWasWritten(t *testing.T) {
 	proof.Breaks(t, toldTheTruth(t, func(s send) send {
-		return func(r *http.Request, at netip.AddrPort) (*http.Response, bool, error) {
-			response, _, err := s(r, at)
+		return func(r *http.Request, at netip.AddrPort, patience time.Duration) (*http.Response, bool, error) {
+			response, _, err := s(r, at, patience)
 			return response, false, err
 		}
 	}))
@@ -260,7 +260,7 @@
 		t.Fatal(err)
 	}
 	request.Header.Set(forward.HeaderKey, "k")
-	response, wrote, err := sender.Send(request, at)
+	response, wrote, err := sender.Send(request, at, time.Minute)
 	if err == nil {
 		_ = response.Body.Close()
 		t.Fatal("there can be no answer")
--- a/forward/send.go
+++ b/forward/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"time"
 )
 
 // counted notes whether anything was written to the connection. A write that
@@ -22,11 +23,13 @@
 }
 
 // Send does one exchange and says whether any byte was written to the target.
-func (s *Sender) Send(request *http.Request, at netip.AddrPort) (response *http.Response, wrote bool, err error) {
+// It waits no longer than patience for the answer to begin.
+func (s *Sender) Send(request *http.Request, at netip.AddrPort, patience time.Duration) (response *http.Response, wrote bool, err error) {
 	var written atomic.Bool
 	transport := &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:     true,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: patience,
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			conn, err := s.Dial(ctx, network, at.String())
 			if err != nil {
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -217,7 +217,11 @@
 	default:
 		out.Body = nil
 	}
-	return x.Send(out, placed.Address)
+	patience := x.call.Timeout
+	if placed.FirstToken > 0 {
+		patience = min(patience, placed.FirstToken)
+	}
+	return x.Send(out, placed.Address, patience)
 }
 
 // watched notes that a body was read from, so that it can't be sent again.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -36,8 +36,10 @@
 	PieceBytes int `json:"piece_bytes,omitempty"`
 	// Stores says whether cache is kept on store boxes.
 	Stores bool `json:"stores,omitempty"`
-	// FirstTokenMillis bounds the predicted time to first token; a request
-	// over it is refused. Zero means no bound.
+	// FirstTokenMillis is the time to first token, or to the beginning of a
+	// service's answer, that the pool promises. A target that is silent for
+	// three times as long is given up. Zero means 10 s for models and the
+	// request's own time for services.
 	FirstTokenMillis int `json:"first_token_ms,omitempty"`
 	// Concurrency bounds the requests under way on one target. At least 1.
 	Concurrency int `json:"concurrency"`
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -310,3 +310,41 @@
 		t.Errorf("the silent engine was left after %v, want %v", waited, want)
 	}
 }
+
+// TestSlowCallerIsNoSilentEngine has a caller take its text slowly. The engine
+// is not blamed for it.
+func TestSlowCallerIsNoSilentEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engines{queued: make(map[string]bool), versions: make(map[string]string)}
+		var text strings.Builder
+		r := relay.Relay{
+			Place: func(_ context.Context, ask route.Ask) (route.Placed, error) {
+				return route.Placed{Attempt: ask.Attempt, Version: "v1", FirstToken: 3 * time.Second}, nil
+			},
+			Generate: func(ctx context.Context, at netip.AddrPort, run engine.Run) (*engine.Frames, error) {
+				frames, err := e.generate(ctx, at, run)
+				next := frames.Next
+				frames.Next = func() (stream.Frame, error) {
+					if ctx.Err() != nil {
+						return stream.Frame{}, trace.ConnectionProblem(ctx.Err(), "given up")
+					}
+					return next()
+				}
+				return frames, err
+			},
+			Resume: e.resume, Cancel: e.cancel, Accept: (*stream.Checker).Accept, Ended: func(route.Ended) {},
+			Retry: func(string) bool { return true }, Now: time.Now, Attempts: 3, Resumes: 2, Stall: 2 * time.Second,
+			ComeBack: func() time.Duration { return time.Second },
+		}
+		_, err := r.Run(context.Background(), relay.Request{
+			ID: "r", Open: func(route.Placed) {}, Write: func(piece string, _ int) error {
+				time.Sleep(10 * time.Second)
+				text.WriteString(piece)
+				return nil
+			},
+		})
+		if err != nil || text.String() != answer || e.started != 1 {
+			t.Errorf("got %q, %v, %d runs, want the answer of one run", text.String(), err, e.started)
+		}
+	})
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -180,10 +180,12 @@
 		if text != "" && ended.FirstToken == 0 {
 			ended.FirstToken = j.Now().Sub(sent)
 		}
-		if text != "" {
-			watch.heard()
+		if text == "" {
+			continue
 		}
+		watch.rest() // A slow caller is no silent engine.
 		j.pass(text, placed)
+		watch.heard()
 	}
 	j.open(placed)
 	return nil
@@ -192,9 +194,6 @@
 // pass sends text to the caller. A caller that has left doesn't end the run:
 // it may take the stream up at another box, and the work is charged here.
 func (j *job) pass(text string, placed route.Placed) {
-	if text == "" {
-		return
-	}
 	j.open(placed)
 	j.text.WriteString(text)
 	if j.gone {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -24,7 +24,10 @@
 	return w
 }
 
-// heard notes that text came.
+// rest stops the wait while something else takes its time.
+func (w *watch) rest() { w.timer.Stop() }
+
+// heard notes that text came and waits for the next.
 func (w *watch) heard() { w.timer.Reset(w.stall) }
 
 // end stops the watch.
