feat(permit): marked model requests run at most once too

Ruled out: leaving the mark to plain services; claiming every model request (two writes each). Change: what a marked request needs (the answer of an earlier run, or the permission) is a package of its own, used by forward and by caller; answers up to 4 KiB are kept and given again.

--- a/build.go
+++ b/build.go
@@ -20,6 +20,7 @@
 	"github.com/thymewind/thymewind/forward"
 	"github.com/thymewind/thymewind/kept"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/relay"
@@ -67,6 +68,7 @@
 	budget   retry.Budget
 	peers    peer.Node
 	signer   resume.Signer
+	permits  permit.Office
 	relay    relay.Relay
 	forward  forward.Forwarder
 	front    caller.Front
@@ -172,13 +174,16 @@
 		CancelPatience: cancelPatience, ComeBack: comeBack,
 	}
 	sender := forward.Sender{Dial: dialer.DialContext}
+	d.permits = permit.Office{
+		Lookup: d.claims.Lookup, Take: d.claims.Take, Release: d.claims.Release, Finish: d.claims.Finish,
+		Record: d.records.Add, Patience: tablePatience, ComeBack: comeBack,
+	}
 	d.forward = forward.Forwarder{
-		Place: d.askPlace, Ended: d.tellEnded, Lookup: d.claims.Lookup, Take: d.claims.Take, Release: d.claims.Release, Finish: d.claims.Finish,
-		Send: sender.Send, Retry: d.spendRetry, Record: d.records.Add, Now: d.now,
-		Attempts: attempts, Patience: tablePatience, ComeBack: comeBack,
+		Place: d.askPlace, Ended: d.tellEnded, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry,
+		Attempts: attempts, ComeBack: comeBack,
 	}
 	d.front = caller.Front{
-		Configuration: d.current.Load, Run: d.relay.Run, Forward: d.forward.Serve, Resume: d.resumeStream,
+		Configuration: d.current.Load, Permits: &d.permits, Run: d.relay.Run, Forward: d.forward.Serve, Resume: d.resumeStream,
 		Sign: d.signer.Sign, Check: d.signer.Check, Refused: d.recordRefused, RequestID: newID, Now: d.now,
 		BodyBytes: d.Settings.Limits.BodyBytes, Timeout: d.Settings.Timing.Request, ResumeFor: resumeFor,
 	}
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -21,7 +21,8 @@
 	*call
 	chat  bool
 	model string
-	// streamed sends the text as it comes; otherwise it is collected.
+	// streamed sends the text as it comes. The text is collected if it isn't
+	// streamed or if the request is marked.
 	streamed bool
 	// usage adds a last chunk with the usage.
 	usage bool
@@ -106,8 +107,10 @@
 
 // write takes the next text; offset is behind it.
 func (a *answer) write(text string, offset int) error {
-	if !a.streamed {
+	if !a.streamed || a.marked() {
 		a.text.WriteString(text)
+	}
+	if !a.streamed {
 		return nil
 	}
 	a.begin()
--- a/caller/ask.go
+++ b/caller/ask.go
@@ -29,6 +29,9 @@
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
 	N                   *int            `json:"n"`
+
+	// body is the whole of it.
+	body []byte
 }
 
 type streamOptions struct {
@@ -64,6 +67,7 @@
 	if err := json.Unmarshal(data, &a); err != nil {
 		return a, bad("invalid_json", "the body is not the JSON of a completion: %v", err)
 	}
+	a.body = data
 	if a.N != nil && *a.N != 1 {
 		return a, bad("unsupported", "n must be 1")
 	}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/thymewind/thymewind/account"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/relay"
 	"github.com/thymewind/thymewind/resume"
@@ -46,8 +47,10 @@
 type Front struct {
 	// Configuration returns the revision in force; nil before the first.
 	Configuration func() *configuration.Configuration
-	Run           func(ctx context.Context, request relay.Request) (stream.Frame, error)
-	Forward       func(w http.ResponseWriter, r *http.Request, call forward.Call) error
+	// Permits gives marked requests the permission to run.
+	Permits *permit.Office
+	Run     func(ctx context.Context, request relay.Request) (stream.Frame, error)
+	Forward func(w http.ResponseWriter, r *http.Request, call forward.Call) error
 	// Resume reads a run again from an offset.
 	Resume func(ctx context.Context, token resume.Token, offset int, write func(text string, offset int) error) (stream.Frame, error)
 	Sign   func(resume.Token) (string, error)
--- a/caller/complete.go
+++ b/caller/complete.go
@@ -50,16 +50,21 @@
 	defer cancel()
 	release := context.AfterFunc(c.r.Context(), cancel)
 	out := &answer{call: c, chat: chat, model: a.Model, streamed: a.Stream, usage: a.StreamOptions.IncludeUsage}
-	end, err := c.Run(ctx, relay.Request{
+	request := relay.Request{
 		ID: c.id, Account: c.account.Name, Model: a.Model, Pool: c.config.Models[a.Model].Pool,
-		Prompt: prompt, MaxTokens: a.tokens(), Once: c.r.Header.Get(forward.HeaderNotRepeatable) != "",
+		Prompt: prompt, MaxTokens: a.tokens(),
 		Open: func(placed route.Placed) {
 			release()
 			out.open(placed)
 		},
 		Moved: out.moved,
 		Write: out.write,
-	})
+	}
+	if c.marked() {
+		release() // Its answer is kept for a caller that comes back.
+		return c.once(ctx, a, request, out)
+	}
+	end, err := c.Run(ctx, request)
 	if err != nil {
 		return out.broken(err)
 	}
--- /dev/null
+++ b/caller/once.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/permit"
+	"github.com/thymewind/thymewind/relay"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// errReplayed says that the caller is given the answer of an earlier run.
+var errReplayed = errors.New("answered by an earlier run")
+
+// stored is a whole answer as it is kept for a caller that asks again.
+type stored struct {
+	Text string       `json:"text"`
+	End  stream.Frame `json:"end"`
+}
+
+// marked says whether the caller marked the request as not repeatable.
+func (c *call) marked() bool { return c.r.Header.Get(forward.HeaderNotRepeatable) != "" }
+
+// once runs a marked model request at most once for its account and key.
+func (c *call) once(ctx context.Context, a ask, request relay.Request, out *answer) error {
+	key := c.r.Header.Get(forward.HeaderKey)
+	if key == "" {
+		return bad("key_missing", "a request marked not repeatable needs an %s header", forward.HeaderKey)
+	}
+	p := c.Permits.Ask(permit.Request{
+		ID: c.id, Account: c.account.Name, Pool: request.Pool, Key: key, Digest: permit.Digest(a.body, c.r.URL.Path),
+	})
+	earlier, err := p.Earlier(ctx)
+	if err != nil {
+		return err
+	}
+	if earlier != nil {
+		return out.replay(earlier)
+	}
+	request.Once = true
+	request.Permit = func(ctx context.Context) error {
+		if earlier, err = p.Obtain(ctx); err == nil && earlier != nil {
+			err = errReplayed
+		}
+		return err
+	}
+	request.GiveBack = p.GiveBack
+	end, err := c.Run(ctx, request)
+	if errors.Is(err, errReplayed) {
+		return out.replay(earlier)
+	}
+	if err != nil {
+		return out.broken(err)
+	}
+	out.keep(ctx, p, end)
+	out.close(end)
+	return nil
+}
+
+// keep stores a whole answer, before the caller is told that it is whole.
+func (a *answer) keep(ctx context.Context, p *permit.Permit, end stream.Frame) {
+	body, err := json.Marshal(stored{a.text.String(), end})
+	if err != nil {
+		return
+	}
+	answer := claim.Answer{Status: http.StatusOK, Body: body}
+	if len(body) > permit.MaxStored {
+		answer.Body, answer.Cut = nil, true
+	}
+	p.Answered(ctx, answer)
+}
+
+// replay gives the caller the answer of an earlier run, in the shape asked for.
+func (a *answer) replay(earlier *claim.Answer) error {
+	var s stored
+	if err := json.Unmarshal(earlier.Body, &s); err != nil {
+		return trace.Wrap(err)
+	}
+	a.w.Header().Set(forward.HeaderReplayed, "true")
+	if err := a.write(s.Text, len(s.Text)); err != nil {
+		return nil // The caller has left.
+	}
+	a.close(s.End)
+	return nil
+}
--- a/daemon_test.go
+++ b/daemon_test.go
@@ -320,3 +320,43 @@
 		})
 	}
 }
+
+// TestMarkedModelRequests has callers ask for one licence answer over and over,
+// with the same key, at two daemons at once. It runs once, and all get its
+// answer or are told that it may be running.
+func TestMarkedModelRequests(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	body := `{"model":"menu-assistant","prompt":"may I use track 7 in a film","max_tokens":20}`
+	header := http.Header{"Idempotency-Key": {"licence-7"}, "Thymewind-Not-Repeatable": {"true"}}
+	want := standin.Answer("may I use track 7 in a film", 20)
+	replies := make(chan reply, 8)
+	for i := range cap(replies) {
+		go func() { replies <- f.post(i%2, "menu key", "/v1/completions", body, header) }()
+	}
+	for range cap(replies) {
+		r := <-replies
+		whole := r.status == http.StatusOK && strings.Contains(r.body, want)
+		running := r.status == http.StatusConflict && r.header.Get("Thymewind-Outcome") == "unknown"
+		if !whole && !running {
+			t.Errorf("status %d, body %.200s", r.status, r.body)
+		}
+	}
+	last := f.post(0, "menu key", "/v1/completions", body, header)
+	if last.status != http.StatusOK || !strings.Contains(last.body, want) || last.header.Get("Idempotency-Replayed") != "true" {
+		t.Errorf("asked again: %+v", last)
+	}
+	streamed := f.post(1, "menu key", "/v1/completions", strings.Replace(body, "{", `{"stream":true,`, 1), header)
+	if streamed.status != http.StatusUnprocessableEntity {
+		t.Errorf("another request with the key: status %d", streamed.status)
+	}
+	runs := 0
+	for _, engine := range []string{"engine-1", "engine-2", "engine-3"} {
+		runs += len(f.ran(engine))
+	}
+	if runs != 1 {
+		t.Errorf("it ran %d times", runs)
+	}
+	if r := f.post(0, "menu key", "/v1/completions", body, http.Header{"Thymewind-Not-Repeatable": {"true"}}); r.status != http.StatusBadRequest {
+		t.Errorf("without a key: status %d", r.status)
+	}
+}
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -66,9 +66,12 @@
 	next    int
 }
 
-// Add keeps a record and forgets the oldest one when the ring is full.
+// Add keeps a record, made now if it has no time of its own, and forgets the oldest one when the ring is full.
 func (r *Ring) Add(record Record) {
 	record.Box = r.Box
+	if record.At.IsZero() {
+		record.At = time.Now()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.records) < r.Size {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -1,16 +1,13 @@
 package forward
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strings"
 
-	"github.com/gravitational/trace"
-
 	"github.com/thymewind/thymewind/claim"
-	"github.com/thymewind/thymewind/decision"
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/route"
 )
 
@@ -28,27 +25,16 @@
 	copied := &tee{to: w, flush: http.NewResponseController(w), persist: x.once}
 	_, err := io.Copy(copied, response.Body)
 	x.Ended(route.Ended{Placed: placed, Failed: err != nil && !copied.gone, Leaving: leaving})
-	if err == nil {
-		x.finish(response, copied)
+	if err == nil && x.once {
+		x.permit.Answered(x.ctx, claim.Answer{
+			Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: copied.kept, Cut: copied.over,
+		})
 	}
 	if err != nil || copied.gone {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// finish stores a whole answer, so that a caller that lost it can ask again.
-func (x *exchange) finish(response *http.Response, copied *tee) {
-	if !x.claimed {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.Patience)
-	defer cancel()
-	answer := claim.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: copied.kept, Cut: copied.over}
-	if err := x.Finish(ctx, x.held, answer); err != nil {
-		x.Record(decision.Record{Kind: decision.Claimed, Request: x.call.Request, Account: x.call.Account, Rule: "answer not stored", Result: trace.Unwrap(err).Error()})
-	}
-}
-
 // tee writes to the caller at once and keeps the beginning.
 type tee struct {
 	to    http.ResponseWriter
@@ -61,7 +47,7 @@
 
 // Write implements io.Writer.
 func (t *tee) Write(b []byte) (int, error) {
-	if len(t.kept)+len(b) <= maxStored {
+	if len(t.kept)+len(b) <= permit.MaxStored {
 		t.kept = append(t.kept, b...)
 	} else {
 		t.over = true
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -4,7 +4,7 @@
 // A request marked not repeatable runs at most once for its client account and
 // key: it is placed first, then claimed, and only then sent.
 //
-//	f := forward.Forwarder{Place: loop.place, Claims: &book, ...}
+//	f := forward.Forwarder{Place: loop.place, Permits: &office, ...}
 //	f.Serve(w, r, forward.Call{Account: "menu-app", Pool: "orders", Path: "/orders"})
 package forward
 
@@ -15,8 +15,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/thymewind/thymewind/claim"
-	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/route"
 )
 
@@ -53,23 +52,16 @@
 	Place func(ctx context.Context, ask route.Ask) (route.Placed, error)
 	// Ended hears of every attempt that was placed, exactly once.
 	Ended func(route.Ended)
-	// Lookup, Take, Release and Finish are the claims' book.
-	Lookup  func(ctx context.Context, account, key string) (claim.Claim, error)
-	Take    func(ctx context.Context, c claim.Claim) (claim.Claim, error)
-	Release func(ctx context.Context, c claim.Claim) error
-	Finish  func(ctx context.Context, c claim.Claim, answer claim.Answer) error
+	// Permits gives marked requests the permission to run.
+	Permits *permit.Office
 	// Send does one exchange on a connection of its own and says whether any
 	// byte was written. It waits no longer than patience for the answer to
 	// begin. See Sender.
 	Send func(request *http.Request, at netip.AddrPort, patience time.Duration) (response *http.Response, wrote bool, err error)
 	// Retry asks the retry budget for one more attempt.
-	Retry  func(pool string) bool
-	Record func(decision.Record)
-	Now    func() time.Time
+	Retry func(pool string) bool
 	// Attempts bounds the attempts of one request. It is at least 1.
 	Attempts int
-	// Patience bounds what is written to the table service behind an answer.
-	Patience time.Duration
 	// ComeBack says when a refused caller should return.
 	ComeBack func() time.Duration
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -25,6 +25,7 @@
 	"github.com/thymewind/thymewind/forward"
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
 )
@@ -100,6 +101,8 @@
 	return x
 }
 
+func comeBack() time.Duration { return time.Second }
+
 func forwarder(ctx context.Context, rows *fake.Table, placing *fake.Script, send send) *forward.Forwarder {
 	n := 0
 	book := &claim.Book{
@@ -114,9 +117,11 @@
 			}
 			return route.Placed{Target: "t"}, nil
 		},
-		Ended: func(route.Ended) {}, Lookup: book.Lookup, Take: book.Take, Release: book.Release, Finish: book.Finish, Send: send,
-		Retry: func(string) bool { return true }, Record: func(decision.Record) {}, Now: time.Now,
-		Attempts: 3, Patience: 2 * time.Second, ComeBack: func() time.Duration { return time.Second },
+		Permits: &permit.Office{
+			Lookup: book.Lookup, Take: book.Take, Release: book.Release, Finish: book.Finish,
+			Record: func(decision.Record) {}, Patience: 2 * time.Second, ComeBack: comeBack,
+		},
+		Ended: func(route.Ended) {}, Send: send, Retry: func(string) bool { return true }, Attempts: 3, ComeBack: comeBack,
 	}
 }
 
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -3,24 +3,16 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
 
-	"github.com/gravitational/trace"
-	"github.com/zeebo/blake3"
-
 	"github.com/thymewind/thymewind/claim"
-	"github.com/thymewind/thymewind/decision"
-	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
 )
 
-// maxStored bounds the body that a claim stores, in bytes.
-const maxStored = 4 << 10
-
 // exchange is one call while it runs.
 type exchange struct {
 	*Forwarder
@@ -41,9 +33,9 @@
 	// read says that some of a streamed body was taken.
 	read bool
 	// sent says that a target may have got some of the request.
-	sent    bool
-	held    claim.Claim
-	claimed bool
+	sent bool
+	// permit is that of a marked request.
+	permit *permit.Permit
 }
 
 // Serve passes a request on and writes the answer. The error is a
@@ -72,9 +64,18 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(in.Context()), call.Timeout)
 		defer cancel()
 		x.ctx = ctx
-		if replayed, err := x.earlier(w); replayed || err != nil {
+		x.permit = f.Permits.Ask(permit.Request{
+			ID: call.Request, Account: call.Account, Pool: call.Pool, Key: x.key, OnceByTarget: call.OnceByTarget,
+			Digest: permit.Digest(x.body, call.Pool, in.Method, call.Path, in.URL.RawQuery),
+		})
+		earlier, err := x.permit.Earlier(ctx)
+		if err != nil {
 			return err
 		}
+		if earlier != nil {
+			replay(w, earlier)
+			return nil
+		}
 	}
 	return x.run(w)
 }
@@ -104,9 +105,18 @@
 		if err != nil {
 			return x.notRun(err)
 		}
-		if replayed, err := x.claim(w); err != nil || replayed {
-			x.Ended(route.Ended{Placed: placed})
-			return err
+		if x.once {
+			earlier, err := x.permit.Obtain(x.ctx)
+			if err != nil || earlier != nil {
+				x.Ended(route.Ended{Placed: placed})
+			}
+			if err != nil {
+				return err
+			}
+			if earlier != nil {
+				replay(w, earlier)
+				return nil
+			}
 		}
 		response, wrote, err := x.send(placed)
 		if err == nil {
@@ -136,84 +146,18 @@
 		answer.Outcome = refusal.Unknown
 		return &answer
 	}
-	if x.claimed {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.Patience)
-		defer cancel()
-		// A failed release is looked after by the book; the key stays taken
-		// until then, and the caller is told the truth either way.
-		_ = x.Release(ctx, x.held)
+	if x.once {
+		x.permit.GiveBack(x.ctx)
 	}
 	return known
 }
 
-// claim obtains the permission for a marked request. It reports true if the
-// caller was given the answer of an earlier run instead.
-func (x *exchange) claim(w http.ResponseWriter) (replayed bool, err error) {
-	if !x.once || x.claimed {
-		return false, nil
-	}
-	held, err := x.Take(x.ctx, claim.Claim{
-		Account: x.call.Account, Key: x.key, Digest: x.digest(), Request: x.call.Request,
-	})
-	var taken *claim.Taken
-	switch {
-	case err == nil:
-		x.held, x.claimed = held, true
-		x.Record(decision.Record{Kind: decision.Claimed, Request: x.call.Request, Account: x.call.Account, Pool: x.call.Pool, Rule: "inserted if absent", Result: held.Nonce})
-		return false, nil
-	case errors.As(err, &taken):
-		return x.standing(w, taken.By)
-	case x.call.OnceByTarget:
-		return false, nil
-	}
-	return false, x.noPermission()
-}
-
-// earlier answers a caller whose key is in use already, before anything can
-// refuse the request with less knowledge.
-func (x *exchange) earlier(w http.ResponseWriter) (replayed bool, err error) {
-	found, err := x.Lookup(x.ctx, x.call.Account, x.key)
-	switch {
-	case err == nil:
-		return x.standing(w, found)
-	case trace.IsNotFound(err), x.call.OnceByTarget:
-		return false, nil
-	}
-	return false, x.noPermission()
-}
-
-func (x *exchange) noPermission() error {
-	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_permission",
-		"the platform's table service gives no permission to run it; whether an earlier try with this key ran is not known").After(x.ComeBack())
-}
-
-// standing answers a caller whose key is in use already.
-func (x *exchange) standing(w http.ResponseWriter, by claim.Claim) (replayed bool, err error) {
-	switch {
-	case by.Digest != x.digest():
-		return false, refusal.New(refusal.DidNotRun, http.StatusUnprocessableEntity, "key_reused", "the key was used with another request")
-	case by.State == claim.Done && by.Answer != nil && !by.Answer.Cut:
-		w.Header().Set("Content-Type", by.Answer.ContentType)
-		w.Header().Set(HeaderReplayed, "true")
-		w.WriteHeader(by.Answer.Status)
-		_, _ = w.Write(by.Answer.Body)
-		return true, nil
-	case by.State == claim.Done && by.Answer != nil:
-		return false, refusal.New(refusal.Unknown, http.StatusConflict, "answered_before",
-			"request %s ran and was answered with status %d; its answer was too large to keep", by.Request, by.Answer.Status)
-	}
-	return false, refusal.New(refusal.Unknown, http.StatusConflict, "still_running",
-		"request %s has this key; it may be running or may have run", by.Request).After(x.ComeBack())
-}
-
-func (x *exchange) digest() string {
-	h := blake3.New()
-	for _, part := range []string{x.call.Pool, x.in.Method, x.call.Path, x.in.URL.RawQuery} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(x.body)
-	return kept.Digest(h.Sum(nil))
+// replay gives a caller the answer of an earlier run.
+func replay(w http.ResponseWriter, answer *claim.Answer) {
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.Header().Set(HeaderReplayed, "true")
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
 }
 
 // send does one exchange with the target placed.
--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,165 @@
+// Package permit is what a request marked not repeatable needs to run: the
+// answer of an earlier run with its key, or the permission to run now.
+//
+//	p := office.Ask(permit.Request{Account: "menu-app", Key: key, Digest: digest, ID: "r1"})
+//	answer, err := p.Earlier(ctx) // before anything else can refuse the request
+//	answer, err = p.Obtain(ctx)   // when it is about to be sent
+//	p.GiveBack(ctx)               // only if nothing can have been sent
+//	p.Answered(ctx, answer)       // so that a caller that lost it can ask again
+package permit
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/zeebo/blake3"
+
+	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// MaxStored bounds the answer that is kept for a caller that asks again, in
+// bytes.
+const MaxStored = 4 << 10
+
+// Office gives permits. Set the exported fields before first use; it is safe
+// for concurrent use after that.
+type Office struct {
+	// Lookup, Take, Release and Finish are the claims' book.
+	Lookup  func(ctx context.Context, account, key string) (claim.Claim, error)
+	Take    func(ctx context.Context, c claim.Claim) (claim.Claim, error)
+	Release func(ctx context.Context, c claim.Claim) error
+	Finish  func(ctx context.Context, c claim.Claim, answer claim.Answer) error
+	Record  func(decision.Record)
+	// Patience bounds what is written behind an answer or a refusal.
+	Patience time.Duration
+	// ComeBack says when a refused caller should return.
+	ComeBack func() time.Duration
+}
+
+// Request is what a permit is for.
+type Request struct {
+	ID      string
+	Account string
+	Pool    string
+	Key     string
+	// Digest is over all that makes two requests the same; see Digest.
+	Digest string
+	// OnceByTarget says that the targets run one key at most once, so that the
+	// request goes on without a permit while the table service is down.
+	OnceByTarget bool
+}
+
+// Permit is one request's. It is not safe for concurrent use.
+type Permit struct {
+	*Office
+	request Request
+	held    claim.Claim
+	has     bool
+}
+
+// Digest returns the digest of a request's parts.
+func Digest(body []byte, parts ...string) string {
+	h := blake3.New()
+	for _, part := range parts {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return kept.Digest(h.Sum(nil))
+}
+
+// Ask begins the way to a permit.
+func (o *Office) Ask(r Request) *Permit { return &Permit{Office: o, request: r} }
+
+// Earlier returns the answer of an earlier run with the key, nil if there was
+// no earlier try, or a refusal if the earlier try is not through or not known.
+func (p *Permit) Earlier(ctx context.Context) (*claim.Answer, error) {
+	found, err := p.Lookup(ctx, p.request.Account, p.request.Key)
+	switch {
+	case err == nil:
+		return p.standing(found)
+	case trace.IsNotFound(err), p.request.OnceByTarget:
+		return nil, nil
+	}
+	return nil, p.none()
+}
+
+// Obtain takes the permission to send the request, once. It returns an answer
+// instead if an earlier run was faster.
+func (p *Permit) Obtain(ctx context.Context) (*claim.Answer, error) {
+	if p.has {
+		return nil, nil
+	}
+	held, err := p.Take(ctx, claim.Claim{
+		Account: p.request.Account, Key: p.request.Key, Digest: p.request.Digest, Request: p.request.ID,
+	})
+	var taken *claim.Taken
+	switch {
+	case err == nil:
+		p.held, p.has = held, true
+		p.record("inserted if absent", held.Nonce)
+		return nil, nil
+	case errors.As(err, &taken):
+		return p.standing(taken.By)
+	case p.request.OnceByTarget:
+		return nil, nil
+	}
+	return nil, p.none()
+}
+
+// GiveBack releases the permission. Call it only if nothing can have been sent.
+// If it fails the book looks after it; the key stays taken until then.
+func (p *Permit) GiveBack(ctx context.Context) {
+	if !p.has {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.Patience)
+	defer cancel()
+	if err := p.Release(ctx, p.held); err != nil {
+		p.record("not released yet", trace.Unwrap(err).Error())
+	}
+}
+
+// Answered keeps a whole answer for a caller that asks again.
+func (p *Permit) Answered(ctx context.Context, answer claim.Answer) {
+	if !p.has {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.Patience)
+	defer cancel()
+	if err := p.Finish(ctx, p.held, answer); err != nil {
+		p.record("answer not stored", trace.Unwrap(err).Error())
+	}
+}
+
+// standing answers a caller whose key is in use already.
+func (p *Permit) standing(by claim.Claim) (*claim.Answer, error) {
+	switch {
+	case by.Digest != p.request.Digest:
+		return nil, refusal.New(refusal.DidNotRun, http.StatusUnprocessableEntity, "key_reused", "the key was used with another request")
+	case by.State == claim.Done && by.Answer != nil && !by.Answer.Cut:
+		return by.Answer, nil
+	case by.State == claim.Done && by.Answer != nil:
+		return nil, refusal.New(refusal.Unknown, http.StatusConflict, "answered_before",
+			"request %s ran and was answered with status %d; its answer was too large to keep", by.Request, by.Answer.Status)
+	}
+	return nil, refusal.New(refusal.Unknown, http.StatusConflict, "still_running",
+		"request %s has this key; it may be running or may have run", by.Request).After(p.ComeBack())
+}
+
+func (p *Permit) none() error {
+	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_permission",
+		"the platform's table service gives no permission to run it; whether an earlier try with this key ran is not known").After(p.ComeBack())
+}
+
+func (p *Permit) record(rule, result string) {
+	p.Record(decision.Record{
+		Kind: decision.Claimed, Request: p.request.ID, Account: p.request.Account, Pool: p.request.Pool, Rule: rule, Result: result,
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,11 @@
 	MaxTokens int
 	// Once says that the request must not run again once it may have started.
 	Once bool
+	// Permit, if it is set, is asked once, right before the first send; its
+	// error ends the request as it is. GiveBack is called behind it if nothing
+	// can have been sent after all.
+	Permit   func(ctx context.Context) error
+	GiveBack func(ctx context.Context)
 	// Open is called once, before the first Write, with the attempt that
 	// begins the answer. Moved is called when another target goes on with it.
 	Open  func(route.Placed)
--- a/relay/run.go
+++ b/relay/run.go
@@ -28,10 +28,12 @@
 	known int
 	// mayRun is set from before the first byte goes to an engine until the
 	// engine itself says that nothing started.
-	mayRun   bool
-	exclude  []string
-	avoid    string
-	lastFail error
+	mayRun bool
+	// permitted says that the permission to send was obtained.
+	permitted bool
+	exclude   []string
+	avoid     string
+	lastFail  error
 	// gone says that the caller takes no more text.
 	gone bool
 }
@@ -47,7 +49,11 @@
 		}
 		placed, err := r.Place(ctx, j.ask(attempt))
 		if err != nil {
-			return stream.Frame{}, j.giveUp(err)
+			return stream.Frame{}, j.giveUp(ctx, err)
+		}
+		if err := j.permit(ctx); err != nil {
+			r.Ended(route.Ended{Placed: placed})
+			return stream.Frame{}, err
 		}
 		ended, err := j.attempt(ctx, placed)
 		r.Ended(ended)
@@ -61,7 +67,7 @@
 		j.exclude = append(j.exclude, placed.Target)
 		j.avoid = placed.Domain
 	}
-	return stream.Frame{}, j.giveUp(j.lastFail)
+	return stream.Frame{}, j.giveUp(ctx, j.lastFail)
 }
 
 func (j *job) ask(attempt int) route.Ask {
@@ -80,8 +86,21 @@
 	return j.checker.Version
 }
 
+// permit asks for the permission to send, once.
+func (j *job) permit(ctx context.Context) error {
+	if j.request.Permit == nil || j.permitted {
+		return nil
+	}
+	err := j.request.Permit(ctx)
+	j.permitted = err == nil
+	return err
+}
+
 // giveUp says what became of the request.
-func (j *job) giveUp(err error) *refusal.Refusal {
+func (j *job) giveUp(ctx context.Context, err error) *refusal.Refusal {
+	if j.permitted && !j.mayRun {
+		j.request.GiveBack(ctx)
+	}
 	outcome := refusal.DidNotRun
 	if j.mayRun || j.known > 0 {
 		outcome = refusal.Unknown
