feat(operators): show kept and limits

Cause: help named kept, nothing showed it. Ruled out: listing whole store boxes. Before: show kept was refused. After: TestStatements shows every thing that help names.

--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -122,7 +122,7 @@
 			return
 		}
 		x.text += text[at:end]
-		x.usage.Completion++
+		x.usage.Completion = min(tokens, x.usage.Completion+1)
 		x.wake()
 		e.mu.Unlock()
 		at = end
--- a/query/query.go
+++ b/query/query.go
@@ -94,7 +94,7 @@
 
 // Help is what the statement help answers.
 const Help = `show THING [where COLUMN = VALUE [and ...]] [last N]
-    THING: boxes domains targets pools models accounts stores kept
+    THING: boxes domains targets pools models accounts limits stores kept
            leases claims charges audit refusals decisions
 why request ID
 who holds lease NAME
--- a/show.go
+++ b/show.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,6 +32,8 @@
 	{"models", []string{"model", "pool"}, (*Daemon).showModels},
 	{"accounts", []string{"account", "weight", "concurrency", "tokens_per_minute", "keys", "in_flight"}, (*Daemon).showAccounts},
 	{"stores", []string{"store", "domain", "address"}, (*Daemon).showStores},
+	{"kept", []string{"store", "key", "depth", "tokens", "bytes", "hits", "used"}, (*Daemon).showKept},
+	{"limits", []string{"account", "concurrency", "here", "in_flight", "tokens_per_minute"}, (*Daemon).showLimits},
 	{"leases", []string{"lease", "value"}, rowsUnder("lease/")},
 	{"claims", []string{"claim", "value"}, rowsUnder("claim/")},
 	{"charges", []string{"account", "requests", "prompt", "cached", "completion"}, (*Daemon).showCharges},
@@ -158,57 +159,6 @@
 	return nil
 }
 
-func (d *Daemon) showCharges(ctx context.Context, r *report.Report) error {
-	sums, err := d.ledger.Sums(ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	for _, name := range slices.Sorted(maps.Keys(sums)) {
-		s := sums[name]
-		r.Add(name, s.Requests, s.Prompt, s.Cached, s.Completion)
-	}
-	return nil
-}
-
-// rowsUnder shows the table service's rows under a prefix.
-func rowsUnder(prefix string) func(*Daemon, context.Context, *report.Report) error {
-	return func(d *Daemon, ctx context.Context, r *report.Report) error {
-		rows, err := d.table.ListAll(ctx, prefix)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		for _, row := range rows {
-			r.Add(strings.TrimPrefix(row.Key, prefix), string(row.Value))
-		}
-		return nil
-	}
-}
-
-func (d *Daemon) showAudit(ctx context.Context, r *report.Report) error {
-	var after uint64
-	for {
-		changes, err := d.rows.Since(ctx, after)
-		if err != nil || len(changes) == 0 {
-			return trace.Wrap(err)
-		}
-		for _, c := range changes {
-			r.Add(c.Revision, c.At.Format(time.RFC3339), c.Actor, c.ID, entriesText(c.Entries))
-			after = c.Revision
-		}
-	}
-}
-
-func (d *Daemon) showRefusals(ctx context.Context, r *report.Report) error {
-	changes, err := d.rows.Refusals(ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	for _, c := range changes {
-		r.Add(c.ID, c.At.Format(time.RFC3339), c.Actor, c.Refused, entriesText(c.Entries))
-	}
-	return nil
-}
-
 func entriesText(entries []configuration.Entry) string {
 	parts := make([]string, len(entries))
 	for i, e := range entries {
