fix(engine): a cancel of an unknown run proves nothing

Cause: read as a newcomer: an engine that was restarted, or that had not read the run yet, confirmed a cancel as never started, and the daemon said did-not-run of a request that may have run. Ruled out: remembering the engine's process in the daemon (a restart may come between any two calls). Change: an engine answers 404 to a cancel of a run that it does not know; the client takes that as started.

--- a/engine/client.go
+++ b/engine/client.go
@@ -82,8 +82,9 @@
 	return frames, trace.Wrap(err)
 }
 
-// Cancel stops a run. It returns false only if the engine confirms that the
-// run has never started and will not.
+// Cancel stops a run. It returns false only if the engine knows the run and
+// confirms that it has never started and will not. An engine that does not know
+// it answers 404: the run may be on its way, or have run before a restart.
 func (c *Client) Cancel(ctx context.Context, at netip.AddrPort, request string, attempt int) (started bool, err error) {
 	body := struct {
 		Request string `json:"request"`
