fix(dispatch): a box's part of a pool follows what the others use

Cause: each box let accounts use an equal part of the pool, so a client that talks to one box of three was refused from 18% of the pool on. Ruled out: no bound by box (the flood's bound is then off by the number of boxes). Change: boxes tell their use of pools; a box may use what the others leave, those not heard of count with their equal part, and never less than that. Before: with equal parts TestShareFollowsTheOtherBoxes fails (the other boxes are idle). After: it passes.

--- a/build.go
+++ b/build.go
@@ -16,6 +16,7 @@
 	"github.com/thymewind/thymewind/claim"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/dispatch"
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/forward"
 	"github.com/thymewind/thymewind/kept"
@@ -104,6 +105,7 @@
 	b.Scope = prefix.Scope
 	b.Keep = (*retention.Policy).Keep
 	b.Boxes = d.tables.boxCount
+	b.Others = func(pool string) dispatch.Use { return d.tables.others(d.now(), pool) }
 	b.Limit = func(account string, bound int) int { return d.tables.limit(d.now(), account, bound) }
 	b.Jitter = d.jitter
 	b.Record = d.records.Add
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -58,6 +58,8 @@
 	Keep func(p *retention.Policy, k retention.Candidate) bool
 	// Boxes counts the entry boxes that share the work. It is at least 1.
 	Boxes func() int
+	// Others is the use of a pool by other boxes.
+	Others func(pool string) Use
 	// Limit is this box's part of an account's concurrency limit.
 	Limit  func(account string, limit int) int
 	Jitter func(mean time.Duration) time.Duration
--- a/dispatch/fairness.go
+++ b/dispatch/fairness.go
@@ -20,6 +20,13 @@
 	learnWeight = 0.05
 )
 
+// Use is how many engines and slots other boxes' requests keep busy.
+type Use struct {
+	Engines, Slots float64
+	// Unheard counts the boxes that have not told of their use lately.
+	Unheard int
+}
+
 // priority returns the engines' priority of a request, or refuses it if its
 // account has more than its fair part of a pool that is nearly full.
 func (b *Board) priority(now time.Time, ask route.Ask, p pool.Pool) (int, error) {
@@ -28,8 +35,10 @@
 	}
 	c := b.cacheOf(p.Name)
 	engines, slots := b.size(now, p.Name)
+	others := b.Others(p.Name)
 	over := func(share float64) bool {
-		return c.prefill.Over(now, ask.Account, share*engines) || c.slots.Over(now, ask.Account, share*slots)
+		return c.prefill.Over(now, ask.Account, b.part(share*engines, others.Engines, others.Unheard)) ||
+			c.slots.Over(now, ask.Account, b.part(share*slots, others.Slots, others.Unheard))
 	}
 	switch {
 	case over(highShare):
@@ -41,7 +50,21 @@
 	return 0, nil
 }
 
-// size is this box's part of the pool's engines and slots.
+// part is what this box may use of a capacity: what the other boxes leave of
+// it, of which those not heard of are thought to use their equal part, but at
+// least an equal part.
+func (b *Board) part(capacity, others float64, unheard int) float64 {
+	equal := capacity / float64(b.Boxes())
+	return max(equal, capacity-others-float64(unheard)*equal)
+}
+
+// Used is how many engines and slots this box's requests in a pool keep busy.
+func (b *Board) Used(now time.Time, name string) (engines, slots float64) {
+	c := b.cacheOf(name)
+	return c.prefill.Sum(now), c.slots.Sum(now)
+}
+
+// size counts the pool's engines and slots.
 func (b *Board) size(now time.Time, name string) (engines, slots float64) {
 	for _, x := range b.Pools[name] {
 		if x.Usable(now) {
@@ -49,8 +72,7 @@
 			slots += float64(x.Slots)
 		}
 	}
-	boxes := float64(b.Boxes())
-	return engines / boxes, slots / boxes
+	return engines, slots
 }
 
 // use notes what an admitted request is expected to cost.
--- /dev/null
+++ b/dispatch/fairness_test.go
@@ -0,0 +1,84 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/configuration"
+	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/dispatch"
+	"github.com/thymewind/thymewind/model"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/pool"
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/stream"
+	"github.com/thymewind/thymewind/target"
+)
+
+// board knows one pool of engines that compute 1000 tokens a second.
+func board(engines, boxes int, others dispatch.Use) *dispatch.Board {
+	b := &dispatch.Board{
+		Scope: prefix.Scope, Boxes: func() int { return boxes }, Others: func(string) dispatch.Use { return others },
+		Limit:  func(_ string, limit int) int { return limit },
+		Jitter: func(d time.Duration) time.Duration { return d }, Record: func(decision.Record) {},
+		Failing: func(string) {}, Leaving: func(_, _ string) {},
+	}
+	chooser := &placement.Chooser{Usable: (*target.Target).Usable, Wait: b.Wait}
+	b.Choose = chooser.Choose
+	b.Start()
+	b.Configuration = &configuration.Configuration{
+		Revision: 1,
+		Pools:    map[string]pool.Pool{"p": {Name: "p", Kind: pool.KindModel, Weights: "v", PieceBytes: 4000, Concurrency: 1000}},
+		Models:   map[string]model.Model{"m": {Name: "m", Pool: "p"}},
+	}
+	for i := range engines {
+		name := string(rune('a' + i))
+		b.Targets.Put(name, &target.Target{Name: name, Pool: "p", Hash: placement.Hash(name), Listed: true, Version: "v", Slots: 1000})
+	}
+	b.Group()
+	return b
+}
+
+// admitted sends requests of half a second of an engine each, ten a second for
+// ten seconds, and returns the engines that the admitted ones keep busy.
+func admitted(b *dispatch.Board) float64 {
+	now := time.Unix(1000, 0)
+	prompt := string(make([]byte, 500*dispatch.BytesPerToken))
+	n := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		placed, err := b.Place(now, route.Ask{Request: "r", Account: "a", Model: "m", Attempt: 1, Prompt: prompt})
+		if err != nil {
+			continue
+		}
+		n++
+		placed.Keys = []prefix.Key{placed.Home}
+		usage := stream.Usage{Prompt: 500, PrefillMillis: 500}
+		b.Ended(now, route.Ended{Placed: placed, Took: time.Second, End: stream.Frame{Request: "r", Usage: usage}})
+	}
+	return float64(n) * 0.5 / 10
+}
+
+// TestShareFollowsTheOtherBoxes has one account send all to one of three boxes.
+func TestShareFollowsTheOtherBoxes(t *testing.T) {
+	const all = 5.0 // engines that the requests would keep busy
+	tests := []struct {
+		name        string
+		boxes       int
+		others      dispatch.Use
+		least, most float64
+	}{
+		{"alone", 1, dispatch.Use{}, all, all},
+		{"the other boxes are idle", 3, dispatch.Use{}, all, all},
+		{"nothing is heard of them", 3, dispatch.Use{Unheard: 2}, 1.5, 3.2},
+		{"they are busy", 3, dispatch.Use{Engines: 5}, 1.5, 3.2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := admitted(board(10, tt.boxes, tt.others)); got < tt.least || got > tt.most {
+				t.Errorf("%.2f engines were kept busy, want %.2f to %.2f", got, tt.least, tt.most)
+			}
+		})
+	}
+}
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -56,6 +56,15 @@
 	return w.faded(now, m.Window) / m.Window.Seconds()
 }
 
+// Sum is the work that all accounts cause a second.
+func (m *Meter) Sum(now time.Time) float64 {
+	sum := 0.0
+	for name := range m.accounts {
+		sum += m.Rate(now, name)
+	}
+	return sum
+}
+
 // Over says whether an account causes more than its fair share of capacity
 // engine-seconds a second: what accounts with less than their share leave over
 // goes to the others, by weight. Nobody is over while all fits.
--- a/gossip.go
+++ b/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/pool"
 	"github.com/thymewind/thymewind/target"
 )
 
@@ -21,6 +22,7 @@
 	maxTurn    = 8
 	maxLeaving = 32
 	maxDemand  = 32
+	maxUse     = 16
 	// loadWorthless is when a report is too old to be told on.
 	loadWorthless = 10 * time.Second
 	// leavingNews is how long ago a target was said to be leaving for it to be
@@ -91,6 +93,7 @@
 	}
 	t.turn += maxTurn
 	m.Demand = t.demand()
+	m.Use = t.use(now)
 	return m
 }
 
@@ -105,6 +108,21 @@
 	return all
 }
 
+// use is what this box's requests keep busy of each pool of models.
+func (t *tables) use(now time.Time) []peer.Use {
+	var all []peer.Use
+	for name, p := range t.Configuration.Pools {
+		if p.Kind != pool.KindModel || len(all) >= maxUse {
+			continue
+		}
+		engines, slots := t.Used(now, name)
+		if engines > 0 || slots > 0 {
+			all = append(all, peer.Use{Pool: name, Engines: int(engines * peer.Thousand), Slots: int(slots * peer.Thousand)})
+		}
+	}
+	return all
+}
+
 func loadOf(now time.Time, x *target.Target, age time.Duration) peer.Load {
 	return peer.Load{
 		Target: x.ID, Version: x.Version, Loading: x.Loading, Running: x.Running, Waiting: x.Waiting, Slots: x.Slots,
@@ -117,7 +135,7 @@
 	if p, known := t.peers.Lookup(m.From); known {
 		p.heard = now
 		p.revision = m.Revision
-		p.demand = m.Demand
+		p.demand, p.use = m.Demand, m.Use
 		t.peers.Put(m.From, p)
 	}
 	for _, l := range m.Loads {
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -127,7 +127,7 @@
 	chooser := &placement.Chooser{Usable: (*target.Target).Usable, Wait: w.board.Wait}
 	w.board = dispatch.Board{
 		Choose: w.Policy.chooser(chooser, w.random), Scope: prefix.Scope, Keep: w.Policy.keep(),
-		Boxes: func() int { return 1 }, Limit: func(_ string, limit int) int { return limit },
+		Boxes: func() int { return 1 }, Others: func(string) dispatch.Use { return dispatch.Use{} }, Limit: func(_ string, limit int) int { return limit },
 		Jitter: func(d time.Duration) time.Duration { return d }, Record: func(decision.Record) {},
 		Failing: func(string) {}, Leaving: func(_, _ string) {},
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -24,6 +24,8 @@
 	Leaving []Leaving `cbor:"5,keyasint,omitempty"`
 	// Demand is the sender's use of accounts that have limits.
 	Demand []Demand `cbor:"6,keyasint,omitempty"`
+	// Use is what the sender's requests keep busy, by pool.
+	Use []Use `cbor:"10,keyasint,omitempty"`
 	// Statement is an operator's question.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is an answer in JSON, or a configuration.
@@ -64,3 +66,13 @@
 	Account  string `cbor:"1,keyasint"`
 	Requests int    `cbor:"2,keyasint"`
 }
+
+// Thousand is how Use counts: in thousandths of an engine or a slot.
+const Thousand = 1000
+
+// Use is how much of a pool a box's requests keep busy.
+type Use struct {
+	Pool    string `cbor:"1,keyasint"`
+	Engines int    `cbor:"2,keyasint,omitempty"`
+	Slots   int    `cbor:"3,keyasint,omitempty"`
+}
--- a/tables.go
+++ b/tables.go
@@ -44,8 +44,9 @@
 	leaving bool
 	// revision is the configuration revision last heard of.
 	revision uint64
-	// demand is its use of limited accounts.
+	// demand is its use of limited accounts, use that of pools.
 	demand []peer.Demand
+	use    []peer.Use
 	heard  time.Time
 }
 
@@ -98,3 +99,29 @@
 	}
 	return limit.Share(bound, t.boxCount(), t.Gate.Account(account)+1, theirs)
 }
+
+// others is the use of a pool that the other boxes told of lately.
+func (t *tables) others(now time.Time, pool string) dispatch.Use {
+	var sum dispatch.Use
+	for _, p := range t.peers.All() {
+		switch {
+		case p.leaving:
+		case now.Sub(p.heard) > demandFresh:
+			sum.Unheard++
+		default:
+			sum = p.addUse(sum, pool)
+		}
+	}
+	return sum
+}
+
+// addUse adds what a box uses of a pool; one that tells nothing uses nothing.
+func (p peerBox) addUse(sum dispatch.Use, pool string) dispatch.Use {
+	for _, use := range p.use {
+		if use.Pool == pool {
+			sum.Engines += float64(use.Engines) / peer.Thousand
+			sum.Slots += float64(use.Slots) / peer.Thousand
+		}
+	}
+	return sum
+}
