fix(dispatch): tokens a minute follow demand over the boxes

Cause: the throttle was divided equally, so a client that talks to one box of two got half of its tokens. Ruled out: a counter in the table service (a write for each request). Change: tokens are shared as concurrency is, by what each box was asked for in the last five seconds, refused or not; at most 12 accounts travel in a message. Before: TestTokensFollowDemand admitted 5 of 10. After: it passes.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -60,7 +60,7 @@
 	Boxes func() int
 	// Others is the use of a pool by other boxes.
 	Others func(pool string) Use
-	// Limit is this box's part of an account's concurrency limit.
+	// Limit is this box's part of an account's limit.
 	Limit  func(account string, limit int) int
 	Jitter func(mean time.Duration) time.Duration
 	Record func(decision.Record)
@@ -68,6 +68,8 @@
 	Failing func(name string)
 	Leaving func(name, heard string)
 
+	// asked counts what each account asked for lately, refused or not.
+	asked fair.Meter
 	// now is the time of the placement under way.
 	now time.Time
 	// computing is how long its prompt is predicted to be computed.
@@ -105,6 +107,7 @@
 	b.Pools = make(map[string][]*target.Target)
 	b.StoreAvoid = make(map[string]time.Time)
 	b.cache = make(map[string]*cache)
+	b.asked = fair.Meter{Window: fairWindow}
 	// The size is a positive constant, the only thing that could be refused.
 	b.recent, _ = lru.NewLRU[prefix.Key, string](recentPrompts, nil)
 }
--- a/dispatch/fairness.go
+++ b/dispatch/fairness.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -58,6 +59,15 @@
 	return max(equal, capacity-others-float64(unheard)*equal)
 }
 
+// Demand is how many requests an account has under way or asked for lately, in
+// the time over which work fades.
+func (b *Board) Demand(now time.Time, account string) int {
+	return b.Gate.Account(account) + int(math.Ceil(b.asked.Rate(now, account)*fairWindow.Seconds()))
+}
+
+// Active lists the accounts that asked for something lately.
+func (b *Board) Active() []string { return b.asked.Accounts() }
+
 // Used is how many engines and slots this box's requests in a pool keep busy.
 func (b *Board) Used(now time.Time, name string) (engines, slots float64) {
 	c := b.cacheOf(name)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -53,15 +53,19 @@
 func (b *Board) admit(now time.Time, ask route.Ask, name string) error {
 	a := b.Configuration.Accounts[ask.Account]
 	capacity, load := b.Capacity(now, name)
-	concurrency := 0
+	b.asked.Add(now, ask.Account, 1, 1)
+	concurrency, tokens := 0, 0
 	if a.Concurrency > 0 {
 		concurrency = b.Limit(ask.Account, a.Concurrency)
 	}
+	if a.TokensPerMinute > 0 {
+		tokens = b.Limit(ask.Account, a.TokensPerMinute)
+	}
 	v := b.Gate.Admit(admission.Ask{
 		Account: ask.Account, Pool: name, Weight: max(a.Weight, 1),
 		WeightOf: func(other string) int { return max(b.Configuration.Accounts[other].Weight, 1) },
 		Capacity: float64(capacity), Load: float64(load), Concurrency: concurrency,
-		TokensPerMinute: float64(a.TokensPerMinute) / float64(b.Boxes()),
+		TokensPerMinute: float64(tokens),
 		Tokens:          ask.Tokens + len(ask.Prompt)/BytesPerToken, Now: now,
 	})
 	if v.OK {
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -56,6 +57,9 @@
 	return w.faded(now, m.Window) / m.Window.Seconds()
 }
 
+// Accounts lists the accounts whose work has not faded, in order.
+func (m *Meter) Accounts() []string { return slices.Sorted(maps.Keys(m.accounts)) }
+
 // Sum is the work that all accounts cause a second.
 func (m *Meter) Sum(now time.Time) float64 {
 	sum := 0.0
--- a/gossip.go
+++ b/gossip.go
@@ -21,7 +21,7 @@
 	maxBusy    = 8
 	maxTurn    = 8
 	maxLeaving = 32
-	maxDemand  = 32
+	maxDemand  = 12
 	maxUse     = 16
 	// loadWorthless is when a report is too old to be told on.
 	loadWorthless = 10 * time.Second
@@ -92,17 +92,18 @@
 		m.Loads = append(m.Loads, loadOf(now, x, age))
 	}
 	t.turn += maxTurn
-	m.Demand = t.demand()
+	m.Demand = t.demand(now)
 	m.Use = t.use(now)
 	return m
 }
 
 // demand is this box's use of accounts that have limits.
-func (t *tables) demand() []peer.Demand {
+func (t *tables) demand(now time.Time) []peer.Demand {
 	var all []peer.Demand
-	for account, n := range t.Gate.Accounts() {
-		if len(all) < maxDemand && t.Configuration.Accounts[account].Concurrency > 0 {
-			all = append(all, peer.Demand{Account: account, Requests: n})
+	for _, account := range t.Active() {
+		a := t.Configuration.Accounts[account]
+		if len(all) < maxDemand && (a.Concurrency > 0 || a.TokensPerMinute > 0) {
+			all = append(all, peer.Demand{Account: account, Requests: t.Demand(now, account)})
 		}
 	}
 	return all
--- a/tables.go
+++ b/tables.go
@@ -81,8 +81,8 @@
 // demandFresh is how long a peer's demand counts.
 const demandFresh = 5 * time.Second
 
-// limit is this box's part of an account's concurrency limit, by the demand
-// that the peers told of lately.
+// limit is this box's part of an account's limit, by the demand that the peers
+// told of lately.
 func (t *tables) limit(now time.Time, account string, bound int) int {
 	var theirs []int
 	for _, p := range t.peers.All() {
@@ -97,7 +97,7 @@
 		}
 		theirs = append(theirs, requests)
 	}
-	return limit.Share(bound, t.boxCount(), t.Gate.Account(account)+1, theirs)
+	return limit.Share(bound, t.boxCount(), t.Demand(now, account), theirs)
 }
 
 // others is the use of a pool that the other boxes told of lately.
--- a/update_test.go
+++ b/update_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/thymewind/thymewind/account"
 	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/engine"
@@ -291,3 +293,30 @@
 		t.Error("not used again")
 	}
 }
+
+// TestTokensFollowDemand has an account with a throttle send all its requests
+// to one of two boxes. It gets most of its tokens there.
+func TestTokensFollowDemand(t *testing.T) {
+	d := newDaemon(t)
+	now := time.Now()
+	c := inForce(1)
+	c.Accounts = map[string]account.Account{"a": {Name: "a", Weight: 1, TokensPerMinute: 1000}}
+	d.update(now, configurationRead{configuration: c})
+	w := world{left: make(map[string]bool)}
+	w.happens(d, now, "engine-0", listedLive)
+	d.update(now, boxesRead{list: append(slices.Clone(d.tables.list), boxes.Box{Name: "entry-2", Role: boxes.RoleEntry})})
+	w.happens(d, now, "engine-0", reportsLive)
+	d.update(now, peerSaid{peer.Message{Kind: peer.KindGossip, From: "entry-2"}, make(chan peer.Message, 1)})
+	admitted := 0
+	for range 10 {
+		reply := make(chan placeAnswer, 1)
+		d.update(now, placeAsked{route.Ask{Request: "r", Account: "a", Model: "m", Attempt: 1, Tokens: 100}, reply})
+		if answer := <-reply; answer.err == nil {
+			admitted++
+			d.update(now, attemptEnded{route.Ended{Placed: answer.placed}})
+		}
+	}
+	if admitted < 7 || admitted > 9 {
+		t.Errorf("%d of 10 requests were admitted, want the box's three quarters of them", admitted)
+	}
+}
