fix(dispatch): only floods are refused at half of a pool

Ruled out: a higher bound for all (a flood then moves others' p95 by 40%). Change: 0.85 for all; 0.55 for an account that asks for more than 0.4 of the pool while others use it.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -92,6 +92,8 @@
 	hit float64
 	// prefill and slots measure the accounts' use of engines, in engine-seconds.
 	prefill, slots fair.Meter
+	// offered measures what accounts ask for, refused or not.
+	offered fair.Meter
 	// took is a moving mean of the time that a run has a slot for, in seconds.
 	took float64
 	// perToken are the accounts' moving means of the prefill that a prompt
@@ -179,7 +181,7 @@
 	if !known {
 		c = &cache{
 			computed: 1, computedNew: 1, hit: firstHit, policy: retention.Policy{Burst: 5, LinkShare: 0.3},
-			prefill: fair.Meter{Window: fairWindow}, slots: fair.Meter{Window: fairWindow}, perToken: make(map[string]float64),
+			offered: fair.Meter{Window: fairWindow}, prefill: fair.Meter{Window: fairWindow}, slots: fair.Meter{Window: fairWindow}, perToken: make(map[string]float64),
 		}
 		b.cache[pool] = c
 	}
--- a/dispatch/fairness.go
+++ b/dispatch/fairness.go
@@ -10,12 +10,16 @@
 	"github.com/thymewind/thymewind/route"
 )
 
-// How far accounts may fill a pool. Over lowShare of it, those with more than
-// their fair part go behind the others in the engines' queues; over highShare
-// they are refused. Both were measured with an account that floods.
+// How far accounts may fill a pool; measured with make measure. Over lowShare
+// of it, those with more than their fair part go behind the others in the
+// engines' queues; over highShare they are refused. One that floods, that is
+// asks for more than floodPart of the whole pool while others use it too, is
+// refused over floodShare already, so that the others' waits stay as they were.
 const (
 	lowShare   = 0.3
-	highShare  = 0.55
+	highShare  = 0.85
+	floodShare = 0.55
+	floodPart  = 0.4
 	fairWindow = 5 * time.Second
 	// learnWeight is the part of one run in the moving means.
 	learnWeight = 0.05
@@ -35,6 +39,7 @@
 		return 0, nil
 	}
 	c := b.cacheOf(p.Name)
+	c.offered.Add(now, ask.Account, 1, c.expects(ask.Account, len(ask.Prompt)/BytesPerToken))
 	engines, slots := b.size(now, p.Name)
 	others := b.Others(p.Name)
 	over := func(share float64) bool {
@@ -42,7 +47,7 @@
 			c.slots.Over(now, ask.Account, b.part(share*slots, others.Slots, others.Unheard))
 	}
 	switch {
-	case over(highShare):
+	case over(highShare), c.floods(now, ask.Account, b.part(floodPart*engines, others.Engines, others.Unheard)) && over(floodShare):
 		return 0, refusal.New(refusal.DidNotRun, http.StatusTooManyRequests, "over_share",
 			"pool %s is crowded and the account has its share", p.Name).After(b.Jitter(fairWindow / 2))
 	case over(lowShare):
@@ -92,12 +97,23 @@
 	}
 	c := b.cacheOf(p.Name)
 	weight := b.Configuration.Accounts[ask.Account].Weight
-	perToken, known := c.perToken[ask.Account]
+	c.prefill.Add(now, ask.Account, weight, c.expects(ask.Account, tokens))
+	c.slots.Add(now, ask.Account, weight, c.took)
+}
+
+// expects predicts the engine-seconds that an account's prompt takes.
+func (c *cache) expects(account string, tokens int) float64 {
+	perToken, known := c.perToken[account]
 	if !known {
 		perToken = over(1, c.estimate.Prefill)
 	}
-	c.prefill.Add(now, ask.Account, weight, perToken*float64(tokens))
-	c.slots.Add(now, ask.Account, weight, c.took)
+	return perToken * float64(tokens)
+}
+
+// floods says whether an account asks for more than a part of the pool while
+// others use it.
+func (c *cache) floods(now time.Time, account string, part float64) bool {
+	return c.offered.Rate(now, account) > part && len(c.offered.Accounts()) > 1
 }
 
 // spent learns from what a run did cost.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -132,7 +132,7 @@
 		return leastSlack
 	}
 	compute := over(float64(tokens), c.estimate.Prefill)
-	gain := c.hit * compute * (p.Policy.FirstToken + p.Policy.Recompute) / p.Policy.FirstToken
+	gain := hitTrust * c.hit * compute * (p.Policy.FirstToken + p.Policy.Recompute) / p.Policy.FirstToken
 	return leastSlack + time.Duration(min(gain, longestSlack)*float64(time.Second))
 }
 
@@ -178,6 +178,9 @@
 	leastSlack   = 20 * time.Millisecond
 	longestSlack = 5.0 // seconds
 	firstHit     = 0.4
+	// hitTrust is the part of a hoped-for hit that waiting for it is worth, as
+	// the wait is certain and the hit is not; measured with make measure.
+	hitTrust = 0.6
 )
 
 // What waiting behind one request costs: on a plain service, and for a slot.
