fix(keep): a caller that leaves is not the store box's failure

Ruled out: a longer look-up. Before: TestStoreIsNotBlamedForTheCaller failed (1 blamed). After: it passes.

--- a/duty.go
+++ b/duty.go
@@ -137,7 +137,7 @@
 
 // candidate says whether this box is one of those that try for a duty.
 func (d *Daemon) candidate(t *tables, name string) bool {
-	return d.better(t, placement.Hash(name)) < dutyCandidates
+	return d.rankedBefore(t, placement.Hash(name)) < dutyCandidates
 }
 
 // leaseStepped notes whether the lease is held and under which epoch.
--- a/keep.go
+++ b/keep.go
@@ -62,12 +62,15 @@
 	if !placed.Store.IsValid() || len(placed.Keys) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, findPatience)
+	asking, cancel := context.WithTimeout(ctx, findPatience)
 	defer cancel()
 	keys := texts(placed.Keys)
-	found, err := d.stores.Find(ctx, placed.Store, keys)
+	found, err := d.stores.Find(asking, placed.Store, keys)
+	if ctx.Err() != nil {
+		return // The caller has left; that says nothing of the store box.
+	}
 	if err != nil {
-		_ = d.send(context.WithoutCancel(ctx), storeFailed{placed.StoreName})
+		_ = d.send(ctx, storeFailed{placed.StoreName})
 		return
 	}
 	usable := kept.Usable(found.Run, placed.Scope.String(), keys)
@@ -156,7 +159,7 @@
 	t.due.room = now.Add(d.jitter(roomEvery))
 	var effects []effect
 	for name, b := range t.Stores.All() {
-		if !t.pending[pendingRoom+name] && d.better(t, placement.Hash(name)) == 0 {
+		if !t.pending[pendingRoom+name] && d.rankedBefore(t, placement.Hash(name)) == 0 {
 			t.pending[pendingRoom+name] = true
 			effects = append(effects, makeRoom{name, b.Address})
 		}
--- /dev/null
+++ b/keep_test.go
@@ -0,0 +1,43 @@
+package thymewind
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/route"
+)
+
+// TestStoreIsNotBlamedForTheCaller shows that a caller that leaves while the
+// store box is asked does not put the store box out of use, while a store box
+// that does not answer is.
+func TestStoreIsNotBlamedForTheCaller(t *testing.T) {
+	tests := []struct {
+		name   string
+		left   bool
+		blamed int
+	}{
+		{"the caller left", true, 0},
+		{"nobody answers", false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon(t)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			if tt.left {
+				cancel()
+			}
+			placed := route.Placed{
+				Scope: prefix.Scope("a", "v"), PieceBytes: 8, StoreName: "store-1",
+				Store: netip.MustParseAddrPort("127.0.0.1:1"), // Nothing listens there.
+			}
+			d.findKept(ctx, &placed, "a prompt of some pieces")
+			if got := len(d.messages); got != tt.blamed {
+				t.Errorf("%d store boxes were blamed, want %d", got, tt.blamed)
+			}
+		})
+	}
+}
--- a/systems.go
+++ b/systems.go
@@ -65,14 +65,14 @@
 func (d *Daemon) watch(t *tables) {
 	t.watched = t.watched[:0]
 	for name, x := range t.Targets.All() {
-		if d.better(t, x.Hash) < watchers {
+		if d.rankedBefore(t, x.Hash) < watchers {
 			t.watched = append(t.watched, name)
 		}
 	}
 }
 
-// better counts the entry boxes ranked before this one for a hash.
-func (d *Daemon) better(t *tables, hash uint64) int {
+// rankedBefore counts the entry boxes ranked before this one for a hash.
+func (d *Daemon) rankedBefore(t *tables, hash uint64) int {
 	mine := placement.Weight(placement.Hash(d.Settings.Name), hash)
 	n := 0
 	for name, p := range t.peers.All() {
