fix(thymewind): targets that nothing is known of are read directly

Cause: working out docs/CAPACITY.md: a box that boots learns of 600 targets by turns of 8 a message, minutes, and uses none before it knows its weight version; and a refusal for an old version stayed unexplained until the next turn. Ruled out: larger messages (over the byte budget). Change: up to 50 targets without a report are read each interval, and one that refused at once; make scale runs 3, 10 and 30 daemons as processes. Before: TestUnknownTargetsAreRead read 0 of 3. After: it passes.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test demo up down faults measure slopes lint
+.PHONY: build test demo up down faults scale measure slopes lint
 build:
 	$(GO) build -o bin/ ./cmd/... ./examples/...
 
@@ -34,3 +34,7 @@
 # How the daemon's costs grow, for docs/CAPACITY.md.
 slopes:
 	$(GO) test -run '^$$' -bench Slopes -benchtime 1x .
+
+# What control costs each of 3, 10 and 30 daemons, as processes.
+scale: build
+	bash scripts/scale
--- a/place.go
+++ b/place.go
@@ -14,6 +14,9 @@
 	if t.Ended(now, m.Ended) {
 		return []effect{exportCache{m.Placed}}
 	}
+	if m.Refused {
+		return t.readLoad(m.Placed.Target) // What this box knows of it is old.
+	}
 	return nil
 }
 
--- a/systems.go
+++ b/systems.go
@@ -41,7 +41,11 @@
 	return effects
 }
 
-// pollLoads reads the load of the targets that this box watches.
+// newTargets is how many targets without any report are read at a time.
+const newTargets = 50
+
+// pollLoads reads the load of the targets that this box watches, and of some
+// that nothing is known of yet.
 func (d *Daemon) pollLoads(now time.Time, t *tables) []effect {
 	if now.Before(t.due.loads) {
 		return nil
@@ -49,16 +53,29 @@
 	t.due.loads = now.Add(d.Settings.Timing.Load)
 	var effects []effect
 	for _, name := range t.watched {
-		x, known := t.Targets.Lookup(name)
-		if !known || t.pending[name] || t.Configuration.Pools[x.Pool].Kind != pool.KindModel {
-			continue
+		effects = append(effects, t.readLoad(name)...)
+	}
+	news := 0
+	for name, x := range t.Targets.All() {
+		if x.ReportedAt.IsZero() && news < newTargets {
+			read := t.readLoad(name)
+			news += len(read)
+			effects = append(effects, read...)
 		}
-		t.pending[name] = true
-		effects = append(effects, readLoad{target: name, address: x.Address})
 	}
 	return effects
 }
 
+// readLoad reads one model engine's load, unless a read is under way.
+func (t *tables) readLoad(name string) []effect {
+	x, known := t.Targets.Lookup(name)
+	if !known || t.pending[name] || t.Configuration.Pools[x.Pool].Kind != pool.KindModel {
+		return nil
+	}
+	t.pending[name] = true
+	return []effect{readLoad{target: name, address: x.Address}}
+}
+
 // watch chooses the targets whose load this box reads: those that it is one of
 // the watchers of, by rendezvous hash over the entry boxes. Call it when the
 // list changed.
--- a/update_test.go
+++ b/update_test.go
@@ -320,3 +320,31 @@
 		t.Errorf("%d of 10 requests were admitted, want the box's three quarters of them", admitted)
 	}
 }
+
+// TestUnknownTargetsAreRead has a box that watches none of the targets read each
+// of them once, and again when one refuses, as what it heard may be old.
+func TestUnknownTargetsAreRead(t *testing.T) {
+	d := newDaemon(t)
+	now := time.Unix(1000, 0)
+	d.update(now, configurationRead{configuration: inForce(1)})
+	w := world{left: make(map[string]bool)}
+	w.happens(d, now, "engine-0", listedLive)
+	d.tables.watched = nil
+	if got := len(d.pollLoads(now, &d.tables)); got != 3 {
+		t.Fatalf("%d targets are read, want 3", got)
+	}
+	for i := range 3 {
+		w.happens(d, now, fmt.Sprintf("engine-%d", i), reportsLive)
+	}
+	now = now.Add(time.Minute)
+	if got := d.pollLoads(now, &d.tables); len(got) != 0 {
+		t.Errorf("%v are read again, want none", got)
+	}
+	reply := make(chan placeAnswer, 1)
+	d.update(now, placeAsked{route.Ask{Request: "r", Model: "m", Attempt: 1}, reply})
+	placed := (<-reply).placed
+	got := d.update(now, attemptEnded{route.Ended{Placed: placed, Refused: true}})
+	if len(got) != 1 || got[0] != (readLoad{target: placed.Target, address: placed.Address}) {
+		t.Errorf("after a refusal: %v, want a read of %s", got, placed.Target)
+	}
+}
