fix(operators): an edit is made of the latest revision

Cause: reading edit.go: the new entity was built from the revision that this box knew and then submitted for the one in force, so an operator at a box that lagged by a moment took back what another had just changed in the same entity. And an unchanged list of boxes neither renewed nor ended what it says of leaving targets. Ruled out: refusing every edit that races (operators of different fields do no harm). Change: the edit is built and submitted for one revision, and built anew if another change came first; an explicit revision is refused plainly as before. Before: TestEditsKeepWhatOthersChanged lost weight = 5; TestUnchangedListCounts left a target leaving for good. After: both pass.

--- a/edit.go
+++ b/edit.go
@@ -34,37 +34,79 @@
 	return d.submit(ctx, name, in.Entries, in.IfRevision)
 }
 
-// edit serves the statements that change the configuration.
+// editTries is how often an edit is made anew when another change came first.
+const editTries = 5
+
+// edit serves the statements that change the configuration. The change is made
+// of the latest revision, and anew if another one came first, unless the
+// operator said which revision it is for.
 func (d *Daemon) edit(ctx context.Context, name string, s query.Statement) report.Report {
-	var entry configuration.Entry
-	var revision uint64
-	var err error
+	return d.amend(ctx, name, revisionOf(s), func(c *configuration.Configuration) (configuration.Entry, error) {
+		return entryOf(c, s)
+	})
+}
+
+// amend makes a change of one entity of the latest revision.
+func (d *Daemon) amend(ctx context.Context, name string, only uint64, build func(*configuration.Configuration) (configuration.Entry, error)) report.Report {
+	for try := 1; ; try++ {
+		current, err := d.latest(ctx)
+		if err != nil {
+			return report.Refused(err)
+		}
+		entry, err := build(current)
+		if err != nil {
+			return report.Refused(err)
+		}
+		revision := current.Revision
+		if only > 0 {
+			revision = only
+		}
+		answer, err := d.submitFor(ctx, name, []configuration.Entry{entry}, &revision)
+		if !trace.IsCompareFailed(err) || only > 0 || try == editTries {
+			return answer
+		}
+	}
+}
+
+// latest returns the revision in force by the table service.
+func (d *Daemon) latest(ctx context.Context) (*configuration.Configuration, error) {
 	current := d.currentOrEmpty()
+	next, err := d.newer(ctx, current)
+	if err != nil || next == nil {
+		return current, trace.Wrap(err)
+	}
+	return next, nil
+}
+
+// revisionOf is the revision that an operator's change is for; 0 for any.
+func revisionOf(s query.Statement) uint64 {
 	switch {
 	case s.Create != nil:
-		entry, err = edited(current, *s.Create, false)
-		revision = s.Create.IfRevision
+		return s.Create.IfRevision
 	case s.Change != nil:
-		entry, err = edited(current, *s.Change, true)
-		revision = s.Change.IfRevision
+		return s.Change.IfRevision
 	case s.Remove != nil:
-		entry = configuration.Entry{Kind: s.Remove.Kind, Name: s.Remove.Name}
-		revision = s.Remove.IfRevision
+		return s.Remove.IfRevision
 	case s.Roll != nil:
-		var p query.Statement
-		if p, err = query.Parse("change pool " + quote(s.Roll.Pool) + " set weights = " + quote(s.Roll.Version)); err == nil {
-			entry, err = edited(current, *p.Change, true)
-		}
-		revision = s.Roll.IfRevision
+		return s.Roll.IfRevision
 	}
-	if err != nil {
-		return report.Refused(err)
-	}
-	var expect *uint64
-	if revision > 0 {
-		expect = &revision
+	return 0
+}
+
+// entryOf returns the entity that a statement makes of a revision.
+func entryOf(c *configuration.Configuration, s query.Statement) (configuration.Entry, error) {
+	switch {
+	case s.Create != nil:
+		return edited(c, *s.Create, false)
+	case s.Change != nil:
+		return edited(c, *s.Change, true)
+	case s.Remove != nil:
+		return configuration.Entry{Kind: s.Remove.Kind, Name: s.Remove.Name}, nil
+	case s.Roll != nil:
+		weights := query.Assignment{Field: "weights", Value: &query.Literal{Text: &s.Roll.Version}}
+		return edited(c, query.Edit{Kind: configuration.KindPool, Name: s.Roll.Pool, Set: []query.Assignment{weights}}, true)
 	}
-	return d.submit(ctx, name, []configuration.Entry{entry}, expect)
+	return configuration.Entry{}, trace.BadParameter("the statement changes nothing")
 }
 
 func quote(text string) string {
@@ -84,6 +126,12 @@
 
 // submit makes a change, tells the outcome and records it, refused or not.
 func (d *Daemon) submit(ctx context.Context, name string, entries []configuration.Entry, expect *uint64) report.Report {
+	answer, _ := d.submitFor(ctx, name, entries, expect)
+	return answer
+}
+
+// submitFor is submit with the reason of a refusal as an error too.
+func (d *Daemon) submitFor(ctx context.Context, name string, entries []configuration.Entry, expect *uint64) (report.Report, error) {
 	change := configuration.Change{ID: newID(), Actor: name, At: d.now().UTC(), Entries: entries}
 	next, err := d.trySubmit(ctx, change, expect)
 	record := decision.Record{At: d.now(), Kind: decision.Changed, Rule: "head unchanged", Inputs: entriesText(entries)}
@@ -96,22 +144,19 @@
 		}
 		answer := report.Refused(err)
 		answer.Change = change.ID
-		return answer
+		return answer, err
 	}
 	record.Result = "accepted by " + name
 	d.records.Add(record)
 	_ = d.send(ctx, configurationRead{configuration: next, from: "operator " + name})
-	return report.Report{Revision: next.Revision, Change: change.ID}
+	return report.Report{Revision: next.Revision, Change: change.ID}, nil
 }
 
 func (d *Daemon) trySubmit(ctx context.Context, change configuration.Change, expect *uint64) (*configuration.Configuration, error) {
-	current, err := d.newer(ctx, d.currentOrEmpty())
+	current, err := d.latest(ctx)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if current == nil {
-		current = d.currentOrEmpty()
-	}
 	if expect != nil && *expect != current.Revision {
 		return nil, trace.CompareFailed("the change is for revision %d, %d is in force", *expect, current.Revision)
 	}
@@ -197,20 +242,24 @@
 			pool = x.Pool
 		}
 	})
-	p, known := d.currentOrEmpty().Pools[pool]
+	return d.amend(ctx, name, 0, func(c *configuration.Configuration) (configuration.Entry, error) {
+		return left(c, pool, target, leaves)
+	})
+}
+
+// left returns a pool with a target in or out of its list of those that leave.
+func left(c *configuration.Configuration, name, target string, leaves bool) (configuration.Entry, error) {
+	p, known := c.Pools[name]
 	if !known {
-		return report.Refused(trace.NotFound("there is no target %q", target))
+		return configuration.Entry{}, trace.NotFound("there is no target %q", target)
 	}
 	if slices.Contains(p.Leave, target) == leaves {
-		return report.Refused(trace.AlreadyExists("target %q is so already", target))
+		return configuration.Entry{}, trace.AlreadyExists("target %q is so already", target)
 	}
 	p.Leave = slices.DeleteFunc(slices.Clone(p.Leave), func(other string) bool { return other == target })
 	if leaves {
 		p.Leave = append(p.Leave, target)
 	}
 	after, err := json.Marshal(p)
-	if err != nil {
-		return report.Refused(err)
-	}
-	return d.submit(ctx, name, []configuration.Entry{{Kind: configuration.KindPool, Name: pool, After: after}}, nil)
+	return configuration.Entry{Kind: configuration.KindPool, Name: name, After: after}, trace.Wrap(err)
 }
--- a/update.go
+++ b/update.go
@@ -59,7 +59,7 @@
 func (d *Daemon) boxesRead(now time.Time, t *tables, m boxesRead) []effect {
 	delete(t.pending, pendingBoxes)
 	if m.unchanged {
-		t.listed = now
+		t.relist(now)
 		return nil
 	}
 	if m.err != nil {
@@ -96,6 +96,17 @@
 	return nil
 }
 
+// relist takes over that the list is as it was.
+func (t *tables) relist(now time.Time) {
+	t.listed = now
+	for _, b := range t.list {
+		if x, known := t.Targets.Lookup(b.Name); known && b.Leaving {
+			t.MarkLeaving(x, now, "list")
+		}
+	}
+	t.StillLeaving(now)
+}
+
 // askKnownPeers is how a daemon that boots while the platform is down comes to
 // a list of boxes and a configuration.
 func (d *Daemon) askKnownPeers(t *tables) []effect {
