--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -123,6 +123,17 @@
 	proof.Breaks(t, atMostOnce(t, removed))
 }
 
+// start runs a book over a table service.
+func start(ctx context.Context, rows *fake.Table) *claim.Book {
+	n := 0
+	b := &claim.Book{
+		Commit: rows.Commit, Read: rows.Read, Now: time.Now, Patience: time.Second, Forget: time.Second,
+		Nonce: func() string { n++; return fmt.Sprint(n) },
+	}
+	go b.Run(ctx)
+	return b
+}
+
 // TestTakeAnswers checks what a second caller with the same key is told.
 func TestTakeAnswers(t *testing.T) {
 	tests := []struct {
@@ -147,12 +158,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
 				rows := &fake.Table{}
-				n := 0
-				b := &claim.Book{
-					Commit: rows.Commit, Read: rows.Read, Now: time.Now, Patience: time.Second, Forget: time.Second,
-					Nonce: func() string { n++; return fmt.Sprint(n) },
-				}
-				go b.Run(ctx)
+				b := start(ctx, rows)
 				held, err := b.Take(ctx, claim.Claim{Account: "a", Key: "k"})
 				if err != nil {
 					t.Fatal(err)
@@ -180,13 +186,7 @@
 func TestReleaseIsByNonce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		rows := &fake.Table{}
-		n := 0
-		b := &claim.Book{
-			Commit: rows.Commit, Read: rows.Read, Now: time.Now, Patience: time.Second, Forget: time.Second,
-			Nonce: func() string { n++; return fmt.Sprint(n) },
-		}
-		go b.Run(ctx)
+		b := start(ctx, &fake.Table{})
 		first, _ := b.Take(ctx, claim.Claim{Account: "a", Key: "k"})
 		if err := b.Release(ctx, first); err != nil {
 			t.Fatal(err)
