fix(dispatch): requests that got no place cost no tokens

Ruled out: asking the throttle last (its refusal would then undo a placement). Change: the tokens are given back when the request gets no place.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// Refund gives the tokens of an admitted request back that was not placed.
+func (g *Gate) Refund(account string, tokens int) {
+	if b, known := g.buckets[account]; known {
+		b.tokens += float64(tokens) // Bounded when the next request asks.
+	}
+}
+
 // InFlight returns the requests under way in a pool.
 func (g *Gate) InFlight(pool string) int { return g.pools[pool] }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		b.Gate.Release(ask.Account, name)
 	}
+	if err != nil && ask.Attempt == 1 {
+		b.Gate.Refund(ask.Account, ask.Tokens+len(ask.Prompt)/BytesPerToken)
+	}
 	return placed, err
 }
 
--- /dev/null
+++ b/dispatch/place_test.go
@@ -0,0 +1,36 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/account"
+	"github.com/thymewind/thymewind/dispatch"
+	"github.com/thymewind/thymewind/route"
+)
+
+// TestRefusedRequestsUseNoTokens has an account ask while no target serves. The
+// requests that got no place cost none of its tokens a minute.
+func TestRefusedRequestsUseNoTokens(t *testing.T) {
+	b := board(1, 1, dispatch.Use{})
+	b.Configuration.Accounts = map[string]account.Account{"a": {Name: "a", Weight: 1, TokensPerMinute: 1000}}
+	x, _ := b.Targets.Lookup("a")
+	now := time.Unix(1000, 0)
+	ask := route.Ask{Request: "r", Account: "a", Model: "m", Attempt: 1, Tokens: 300}
+	x.Listed = false
+	for range 10 {
+		if _, err := b.Place(now, ask); err == nil {
+			t.Fatal("placed without a target")
+		}
+	}
+	x.Listed = true
+	placed := 0
+	for range 10 {
+		if _, err := b.Place(now, ask); err == nil {
+			placed++
+		}
+	}
+	if placed != 3 {
+		t.Errorf("%d requests of 300 tokens were placed, want 3 of a thousand", placed)
+	}
+}
