feat(thymewind): each finding in the settings on a line of its own

Cause: ten findings stood in one line of the log. Ruled out: only the first. Change: a line each, then how many. Before: one line. After: a line each, seen.

--- a/cmd/thymewind/main.go
+++ b/cmd/thymewind/main.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -30,7 +32,10 @@
 	}
 	s, err := settings.Parse(*file, data)
 	if err != nil {
-		logger.Fatal("the settings are not good", "findings", err)
+		for _, finding := range findings(err) {
+			logger.Error("setting", "finding", trace.UserMessage(finding))
+		}
+		logger.Fatal("the settings are not good", "findings", len(findings(err)))
 	}
 	if *check {
 		return
@@ -49,3 +54,12 @@
 		logger.Fatal("stopped with an error", "err", err)
 	}
 }
+
+// findings takes the errors of an aggregate apart.
+func findings(err error) []error {
+	var all trace.Aggregate
+	if errors.As(err, &all) {
+		return all.Errors()
+	}
+	return []error{err}
+}
