perf(target): waits in durations since the process began

Ruled out: leaving the wait out of the choice; checking usability later (the same calls). Change: a target's queue counts from the start of the process; the time of a placement is converted once. The zero queue means idle (TestWait failed at first for times before the process began).

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -70,8 +70,9 @@
 
 	// asked counts what each account asked for lately, refused or not.
 	asked fair.Meter
-	// now is the time of the placement under way.
+	// now is the time of the placement under way, and at the same for targets.
 	now time.Time
+	at  time.Duration
 	// computing is how long its prompt is predicted to be computed.
 	computing time.Duration
 	// recent maps the homes of prompts served here to target and version.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -20,7 +20,7 @@
 // Place admits a request and chooses the target of one attempt. The error is a
 // *refusal.Refusal.
 func (b *Board) Place(now time.Time, ask route.Ask) (route.Placed, error) {
-	b.now = now
+	b.now, b.at = now, target.Since(now)
 	name := ask.Pool
 	if ask.Model != "" {
 		name = b.Configuration.Models[ask.Model].Pool
@@ -145,8 +145,11 @@
 	if x.Slots == 0 {
 		return time.Duration(x.InFlight) * serviceWait
 	}
-	slower := time.Duration((x.Slowness(b.now) - 1) * float64(b.computing))
-	return x.Wait(b.now, runGuess) + slower
+	wait := x.WaitAt(b.at, runGuess)
+	if slow := x.Slowness(b.now); slow > 1 {
+		wait += time.Duration((slow - 1) * float64(b.computing))
+	}
+	return wait
 }
 
 // computes predicts how long a prompt's computing takes, at the share that was
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -24,9 +24,12 @@
 }
 
 // now is when all of it happens.
-var now = time.Now()
+var (
+	now = time.Now()
+	at  = target.Since(now)
+)
 
-func wait(t *target.Target) time.Duration { return t.Wait(now, 2*time.Second) }
+func wait(t *target.Target) time.Duration { return t.WaitAt(at, 2*time.Second) }
 
 func asked(home uint64) placement.Ask {
 	return placement.Ask{Home: home, Slack: 100 * time.Millisecond}
--- a/target/queue.go
+++ b/target/queue.go
@@ -2,19 +2,28 @@
 
 import "time"
 
+// started is when this process began. Times of the queue are counted from it,
+// as durations compare faster than times and each placement looks at every
+// target.
+var started = time.Now()
+
+// Since returns a time as WaitAt takes it.
+func Since(now time.Time) time.Duration { return now.Sub(started) }
+
 // queue predicts how long a target is busy: what it reported, what was sent to
 // it since, and the time that has passed meanwhile. A report tells of a time
 // that lies back, so what was sent after that time is added to it again.
 type queue struct {
-	// until is when the target has computed all it has.
-	until time.Time
+	// until is when the target has computed all it has; zero if nothing was
+	// ever heard of or sent to it.
+	until time.Duration
 	// sent are the latest dispatches, oldest first.
 	sent []dispatch
 }
 
 // dispatch is one request that was sent.
 type dispatch struct {
-	at   time.Time
+	at   time.Duration
 	busy time.Duration
 }
 
@@ -25,29 +34,30 @@
 const remember = 3 * time.Second
 
 // wait is how long the target is busy yet.
-func (q *queue) wait(now time.Time) time.Duration {
-	if !q.until.After(now) {
+func (q *queue) wait(at time.Duration) time.Duration {
+	if q.until == 0 {
 		return 0
 	}
-	return q.until.Sub(now)
+	return max(0, q.until-at)
 }
 
-func (q *queue) send(now time.Time, busy time.Duration) {
-	q.add(dispatch{now, busy})
-	for len(q.sent) > 0 && (len(q.sent) >= remembered || now.Sub(q.sent[0].at) > remember) {
+func (q *queue) send(at, busy time.Duration) {
+	d := dispatch{at, busy}
+	q.add(d)
+	for len(q.sent) > 0 && (len(q.sent) >= remembered || at-q.sent[0].at > remember) {
 		q.sent = q.sent[1:]
 	}
-	q.sent = append(q.sent, dispatch{now, busy})
+	q.sent = append(q.sent, d)
 }
 
-func (q *queue) add(d dispatch) { q.until = d.at.Add(q.wait(d.at) + d.busy) }
+func (q *queue) add(d dispatch) { q.until = d.at + q.wait(d.at) + d.busy }
 
 // report begins anew from what the target told of a time, and adds what was
 // sent after it.
-func (q *queue) report(at time.Time, busy time.Duration) {
-	q.until = at.Add(busy)
+func (q *queue) report(at, busy time.Duration) {
+	q.until = at + busy
 	for _, d := range q.sent {
-		if d.at.After(at) {
+		if d.at > at {
 			q.add(d)
 		}
 	}
--- a/target/target.go
+++ b/target/target.go
@@ -75,14 +75,14 @@
 	t.Running, t.Waiting = running, waiting
 	t.ReportedAt = at
 	t.SentSince = 0
-	t.queue.report(at, busy)
+	t.queue.report(Since(at), busy)
 }
 
 // Send counts a request in that is sent now and takes the target about busy to
 // compute.
 func (t *Target) Send(now time.Time, busy time.Duration) {
 	t.SentSince++
-	t.queue.send(now, busy)
+	t.queue.send(Since(now), busy)
 }
 
 // Slowness is how many times longer than its pool's mean the target is thought
@@ -114,7 +114,12 @@
 // prompts that are still to be computed, and for a slot when all are taken,
 // each for about run.
 func (t *Target) Wait(now time.Time, run time.Duration) time.Duration {
-	wait := t.queue.wait(now)
+	return t.WaitAt(Since(now), run)
+}
+
+// WaitAt is Wait for callers that look at many targets at one time.
+func (t *Target) WaitAt(at, run time.Duration) time.Duration {
+	wait := t.queue.wait(at)
 	if over := t.Load() + 1 - t.Slots; over > 0 && t.Slots > 0 {
 		wait += run * time.Duration(over) / time.Duration(t.Slots)
 	}
