fix(gossip): how long a target is busy travels whole

Cause: reading gossip.go: a box told how long a target is busy as of now together with the age of the report, and the peer counted it from the report's time: 2 s of 6. And which targets are busy was asked as of the last placement. Ruled out: sending the report as it was (what was sent since would be lost). Change: the age is added again; the question is asked as of now. Before: TestWaitTravels got 2 s. Conclusion: kept; with three boxes of which two watch each target it made little odds.

--- a/gossip.go
+++ b/gossip.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		switch {
-		case t.Wait(x) >= busyWait && busy < maxBusy:
+		case x.Wait(now, busyWait) >= busyWait && busy < maxBusy:
 			busy++
 		case turns < maxTurn:
 			turns++
@@ -161,7 +161,11 @@
 		return
 	}
 	x.Slots, x.Version, x.Loading = l.Slots, l.Version, l.Loading
-	x.Report(at, l.Running, l.Waiting, time.Duration(l.Queued)*time.Millisecond)
+	busy := time.Duration(l.Queued) * time.Millisecond
+	if busy > 0 {
+		busy += now.Sub(at) // It was told as of now, the report is older.
+	}
+	x.Report(at, l.Running, l.Waiting, busy)
 }
 
 // catchUp reads the table service and, if that fails, asks the peer.
--- a/peer/message.go
+++ b/peer/message.go
@@ -44,8 +44,8 @@
 	Waiting int    `cbor:"5,keyasint,omitempty"`
 	Slots   int    `cbor:"6,keyasint,omitempty"`
 	Loading bool   `cbor:"8,keyasint,omitempty"`
-	// Queued is how long the prompts take that were still to be computed, in
-	// milliseconds.
+	// Queued is how long the target was thought to be busy when the message was
+	// sent, in milliseconds.
 	Queued int `cbor:"9,keyasint,omitempty"`
 	// Age is how old the report was when the message was sent, in
 	// milliseconds.
--- a/update_test.go
+++ b/update_test.go
@@ -348,3 +348,24 @@
 		t.Errorf("after a refusal: %v, want a read of %s", got, placed.Target)
 	}
 }
+
+// TestWaitTravels has a box tell a peer, some seconds after it read a target's
+// report, how long that is busy yet.
+func TestWaitTravels(t *testing.T) {
+	d, other := newDaemon(t), newDaemon(t)
+	start := time.Now()
+	w := world{left: make(map[string]bool)}
+	for _, x := range []*Daemon{d, other} {
+		x.update(start, configurationRead{configuration: inForce(1)})
+		w.happens(x, start, "engine-0", listedLive)
+	}
+	x, _ := d.tables.Targets.Lookup("engine-0")
+	x.Slots, x.Version = 8, "v1"
+	x.Report(start, 0, 0, 10*time.Second)
+	later := start.Add(4 * time.Second)
+	other.update(later, peerSaid{d.state(later, &d.tables), make(chan peer.Message, 1)})
+	y, _ := other.tables.Targets.Lookup("engine-0")
+	if got := y.Wait(later, 0); got < 5900*time.Millisecond || got > 6100*time.Millisecond {
+		t.Errorf("the peer thinks that the target is busy for %v, want 6s", got)
+	}
+}
