refactor(thymewind): two names that needed explaining

Cause: read as a newcomer: shower for what shows a kind of thing, a file for one line. Ruled out: none. Change: listing; the line stands where it is used. Before and after: the same tests pass.

--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -169,7 +170,9 @@
 	if len(run) > len(x.keys) {
 		return 0
 	}
-	ctx, cancel := contextFor(5 * time.Second)
+	const patience = 5 * time.Second
+	// The run goes on if its reader leaves.
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	for i, m := range run[reused:] {
 		if kept.Check(m, x.ask.Scope, m.Key, reused+i) != nil {
--- a/operate_test.go
+++ b/operate_test.go
@@ -32,7 +32,7 @@
 	f := newFleet(t, 2, nil)
 	_, _, r := f.chat(0, "menu key", "what is left tonight", 3)
 	request := r.header.Get("X-Request-Id")
-	for _, x := range showers {
+	for _, x := range listings {
 		if got := f.says(1, "show "+x.thing); got.Error != "" {
 			t.Errorf("show %s: %s", x.thing, got.Error)
 		}
--- a/show.go
+++ b/show.go
@@ -16,15 +16,15 @@
 	"github.com/thymewind/thymewind/report"
 )
 
-// shower fills a report with the rows of one kind of thing.
-type shower struct {
+// listing shows one kind of thing: it fills a report with its rows.
+type listing struct {
 	thing   string
 	columns []string
 	fill    func(d *Daemon, ctx context.Context, r *report.Report) error
 }
 
-// showers lists what can be shown.
-var showers = []shower{
+// listings are all that can be shown.
+var listings = []listing{
 	{"boxes", []string{"box", "domain", "revision", "stopping", "requests", "peers"}, (*Daemon).showBoxes},
 	{"domains", []string{"domain", "targets", "usable", "load"}, (*Daemon).showDomains},
 	{"targets", []string{"target", "pool", "domain", "address", "version", "usable", "leaving", "load", "slots", "in_flight", "failures", "report_age"}, (*Daemon).showTargets},
@@ -44,12 +44,12 @@
 
 // show answers a show statement.
 func (d *Daemon) show(ctx context.Context, s query.Show) report.Report {
-	at := slices.IndexFunc(showers, func(x shower) bool { return x.thing == s.Thing })
+	at := slices.IndexFunc(listings, func(x listing) bool { return x.thing == s.Thing })
 	if at < 0 {
 		return report.Refused(unknownThing(s.Thing))
 	}
-	r := report.Report{Columns: showers[at].columns}
-	if err := showers[at].fill(d, ctx, &r); err != nil {
+	r := report.Report{Columns: listings[at].columns}
+	if err := listings[at].fill(d, ctx, &r); err != nil {
 		return report.Refused(err)
 	}
 	for _, c := range s.Where {
@@ -62,8 +62,8 @@
 }
 
 func unknownThing(thing string) error {
-	names := make([]string, len(showers))
-	for i, s := range showers {
+	names := make([]string, len(listings))
+	for i, s := range listings {
 		names[i] = s.thing
 	}
 	if near := query.Nearest(thing, names); near != "" {
