--- /dev/null
+++ b/affinity/affinity.go
@@ -0,0 +1,251 @@
+// Package affinity chooses the model engine for a prompt by what it would cost
+// there: the time until its first event, and the tokens that would be read
+// although they are kept somewhere. Among engines that cost about the same the
+// best-ranked one by rendezvous hash takes it, so that all boxes send the same
+// prompts to the same engine without asking each other.
+//
+//	c := affinity.Chooser{Directory: d, Boxes: 6}
+//	choice, ok := c.Choose(now, ask, fleet.Pool("menu"))
+package affinity
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/placement"
+)
+
+// What things cost, as time.
+const (
+	// readToken is the time to read one prompt token: the platform's engines
+	// read 112 in a millisecond.
+	readToken = time.Millisecond / 112
+	// againToken is what reading a token again is worth avoiding, beyond the
+	// time: at the platform's prices 1,000 of them cost a third of a request.
+	againToken = 50 * time.Microsecond
+	// slack is the difference in cost that is not worth leaving the
+	// best-ranked engine for; a request's first event takes some 50 ms.
+	slack = 25 * time.Millisecond
+	// oldWeights is the cost of running on weights older than the newest.
+	oldWeights = 300 * time.Millisecond
+	// doubt is the cost of a target that failed lately.
+	doubt = 2 * time.Second
+	// silentAfter is how long an engine with requests may say nothing. Its
+	// events are asked for all the time, which it answers within a second.
+	silentAfter = 1200 * time.Millisecond
+)
+
+// Source is a store of kept parts.
+type Source struct {
+	Name    string
+	Address netip.AddrPort
+	Domain  string
+	// Capacity is in tokens.
+	Capacity int
+	// Token is the time to move one token, First what each move waits.
+	Token, First time.Duration
+}
+
+// Part is one part of the prompt.
+type Part struct {
+	Tokens int
+}
+
+// Ask is what an engine is chosen by.
+type Ask struct {
+	// Home ranks the engines.
+	Home uint64
+	// Parts are the prompt's; the last is the request's own.
+	Parts []Part
+	// Keys names the parts for engines of a weight version.
+	Keys func(version int64) []directory.Key
+	// Model is the one asked for, Wanted its newest version, or zero.
+	Model  string
+	Wanted int64
+	// Overdue says that older versions must not be used any more.
+	Overdue bool
+	// Skip passes over engines for which it returns true.
+	Skip func(id string) bool
+}
+
+// Choice is the engine and what it does with the prompt.
+type Choice struct {
+	Target  *fleet.Target
+	Version int64
+	Keys    []directory.Key
+	// Kept counts the leading parts that the engine keeps.
+	Kept int
+	// Fetch and Save hold a source for each part, or nil.
+	Fetch, Save []*Source
+	// Unread are the tokens that the engine has to read.
+	Unread int
+	Rule   string
+}
+
+// Chooser chooses engines. Set the exported fields before first use; it is not
+// safe for concurrent use.
+type Chooser struct {
+	Directory *directory.Directory
+	// Stores are the stores in reach, in the same order on each box.
+	Stores func() []*Source
+	// Boxes is how many boxes send requests of about the same kind.
+	Boxes func() int
+}
+
+// candidate is one engine's cost.
+type candidate struct {
+	choice Choice
+	cost   time.Duration
+	rank   uint64
+}
+
+// Choose returns the engine for a prompt, or false if none takes new work.
+func (c *Chooser) Choose(now time.Time, ask Ask, targets []*fleet.Target) (Choice, bool) {
+	var all []candidate
+	least := time.Duration(-1)
+	for _, t := range targets {
+		if !usable(now, ask, t) {
+			continue
+		}
+		one := c.weigh(now, ask, t)
+		all = append(all, one)
+		if least < 0 || one.cost < least {
+			least = one.cost
+		}
+	}
+	if len(all) == 0 {
+		return Choice{}, false
+	}
+	best := -1
+	for i, one := range all {
+		if one.cost <= least+slack && (best < 0 || one.rank > all[best].rank) {
+			best = i
+		}
+	}
+	choice := all[best].choice
+	c.planSave(now, ask, &choice)
+	return choice, true
+}
+
+func usable(now time.Time, ask Ask, t *fleet.Target) bool {
+	if !t.Open(now) || t.Loading(now) || t.Silent(now, silentAfter) || (ask.Skip != nil && ask.Skip(t.ID)) {
+		return false
+	}
+	return !ask.Overdue || t.Versions[ask.Model] >= ask.Wanted
+}
+
+func (c *Chooser) weigh(now time.Time, ask Ask, t *fleet.Target) candidate {
+	version := t.Versions[ask.Model]
+	choice := Choice{Target: t, Version: version, Keys: ask.Keys(version), Rule: "home"}
+	choice.Kept = c.Directory.Run(t.ID, choice.Keys, now)
+	cost := time.Duration(t.Unread*c.Boxes()) * readToken
+	cost += time.Duration(t.InFlight) * time.Millisecond / 2
+	cost += c.planFetch(now, ask, t, &choice)
+	cost += time.Duration(choice.Unread) * readToken
+	cost += time.Duration(again(ask, choice)) * againToken
+	if version < ask.Wanted {
+		cost += oldWeights
+	}
+	if t.Grey(now) || t.Avoided(now) {
+		cost += doubt
+	}
+	return candidate{choice: choice, cost: cost, rank: placement.Weight(ask.Home, placement.Hash(t.ID))}
+}
+
+// again counts the shared tokens that would be read.
+func again(ask Ask, choice Choice) int {
+	if len(ask.Parts) == 0 || choice.Kept >= len(ask.Parts)-1 {
+		return 0
+	}
+	return choice.Unread - ask.Parts[len(ask.Parts)-1].Tokens
+}
+
+// planFetch finds sources for the parts that the engine lacks, counts what is
+// left to read, and returns the time that the moves take.
+func (c *Chooser) planFetch(now time.Time, ask Ask, t *fleet.Target, choice *Choice) time.Duration {
+	var took time.Duration
+	reading := false
+	for i := choice.Kept; i < len(ask.Parts); i++ {
+		source, cost := (*Source)(nil), time.Duration(0)
+		if !reading && i < len(ask.Parts)-1 {
+			source, cost = c.source(choice.Keys[i], ask.Parts[i].Tokens, t)
+		}
+		if source == nil {
+			reading = true
+			choice.Unread += ask.Parts[i].Tokens
+			continue
+		}
+		if choice.Fetch == nil {
+			choice.Fetch = make([]*Source, len(ask.Parts))
+			choice.Rule = "home, fetched"
+		}
+		choice.Fetch[i] = source
+		took += cost
+	}
+	return took
+}
+
+// source returns the store that brings a part soonest, if that is sooner than
+// reading it.
+func (c *Chooser) source(key directory.Key, tokens int, t *fleet.Target) (*Source, time.Duration) {
+	var best *Source
+	least := time.Duration(tokens) * (readToken + againToken)
+	for _, s := range c.Stores() {
+		if !c.Directory.Whole(s.Name, key) {
+			continue
+		}
+		took := s.First + time.Duration(tokens)*s.Token
+		if s.Domain != t.Domain {
+			took *= 2
+		}
+		if took < least {
+			best, least = s, took
+		}
+	}
+	return best, least
+}
+
+// saveTokens is the smallest part that is worth a place in a store. Smaller
+// ones are read in the time that two moves take.
+const saveTokens = 400
+
+// planSave chooses stores for the parts that will be read and that no store
+// keeps.
+func (c *Chooser) planSave(now time.Time, ask Ask, choice *Choice) {
+	for i := choice.Kept; i < len(ask.Parts)-1; i++ {
+		if ask.Parts[i].Tokens < saveTokens || (choice.Fetch != nil && choice.Fetch[i] != nil) {
+			continue
+		}
+		store := c.room(now, choice.Keys[i], ask.Parts[i].Tokens)
+		if store == nil {
+			continue
+		}
+		if choice.Save == nil {
+			choice.Save = make([]*Source, len(ask.Parts))
+		}
+		choice.Save[i] = store
+	}
+}
+
+// room returns the store with room for a part that ranks best for it, or nil
+// if a store keeps it already or none has room.
+func (c *Chooser) room(now time.Time, key directory.Key, tokens int) *Source {
+	var best *Source
+	var rank float64
+	for _, s := range c.Stores() {
+		if c.Directory.Likely(s.Name, key, now) {
+			return nil
+		}
+		free := s.Capacity - c.Directory.Tokens(s.Name)
+		if free < tokens*2 {
+			continue
+		}
+		weight := float64(placement.Weight(uint64(key), placement.Hash(s.Name))) * float64(free)
+		if best == nil || weight > rank {
+			best, rank = s, weight
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/cmd/thymefront/main.go
@@ -0,0 +1,108 @@
+// Command thymefront is the daemon of an entry box on the users' platform:
+//
+//	thymefront -settings settings.yaml
+//	thymefront -settings settings.yaml -check
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/thymewind/thymewind/entry"
+	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/platform"
+	"github.com/thymewind/thymewind/platform/store"
+)
+
+// Bounds of connections.
+const (
+	// dialFor is how long a new connection may take: a way there and back is
+	// 2 ms, and a lost opening packet is sent again only after a second.
+	dialFor = 400 * time.Millisecond
+	// idleFor is how long an unused connection to a target is kept.
+	idleFor = 20 * time.Second
+	// storePatience bounds a call to the table service, which usually answers
+	// in 4 ms and in a slow hour in a quarter of a second.
+	storePatience = 1500 * time.Millisecond
+	// memoryShare is the part of the box's memory at which the runtime works
+	// harder to free some.
+	memoryShare = 0.6
+)
+
+func main() {
+	file := flag.String("settings", "", "settings file, YAML")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Parse()
+	logger := log.NewWithOptions(os.Stdout, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	s, err := read(*file)
+	if err != nil {
+		report(logger, err)
+	}
+	if *check {
+		return
+	}
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		logger.Fatal("the settings are not good", "err", err)
+	}
+	logger.SetLevel(level)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Box.MemoryMB<<20)))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, s, logger.With("box", s.Name)); err != nil {
+		logger.Fatal("stopped with an error", "err", err)
+	}
+}
+
+func read(file string) (settings.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Settings{}, trace.ConvertSystemError(err)
+	}
+	return settings.Parse(file, data)
+}
+
+// report prints every finding and ends the process.
+func report(logger *log.Logger, err error) {
+	all := []error{err}
+	var several trace.Aggregate
+	if errors.As(err, &several) {
+		all = several.Errors()
+	}
+	for _, finding := range all {
+		logger.Error("setting", "finding", trace.UserMessage(finding))
+	}
+	logger.Fatal("the settings are not good", "findings", len(all))
+}
+
+func run(ctx context.Context, s settings.Settings, logger *log.Logger) error {
+	dialer := net.Dialer{}
+	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor}
+	rows := &store.Store{
+		Base: "http://" + s.Store.Address.String(), Patience: storePatience,
+		HTTP: &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialFor}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
+		}},
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	d := entry.Daemon{
+		Settings: s, Platform: platform.Join(rows, connections), Front: platform.Front, Log: logger, Registry: registry,
+		Sweep: connections.Sweep,
+	}
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/deliver/admit.go
@@ -0,0 +1,78 @@
+package deliver
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// unbounded is how long a request is held whose route and caller set no bound.
+const unbounded = time.Minute
+
+// admit finds the route and the account of a call. It reads no body.
+func (s *Server) admit(call *Call) (*Job, *refusal.Refusal) {
+	table := s.Table()
+	if table == nil {
+		return nil, s.notNow("no_configuration", "this box has no configuration yet")
+	}
+	path, _, _ := strings.Cut(call.Path, "?")
+	r := table.Route(call.Host, path)
+	if r == nil {
+		return nil, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
+	}
+	job := &Job{Call: call, Route: r, Configuration: table.Version}
+	if table.Keyed(r) {
+		if !s.Fresh(s.Now()) {
+			return nil, s.notNow("stale", "this box can't tell whether the key is still good")
+		}
+		account, known := table.Account(call.Key)
+		if !known {
+			return nil, refusal.New(refusal.DidNotRun, http.StatusUnauthorized, "unknown_key", "unknown key")
+		}
+		job.Account = account
+	}
+	job.Pool = table.Pools[r.Pick(s.Draw())]
+	if job.Pool == nil {
+		return nil, s.notNow("no_pool", "the route's pool is not configured")
+	}
+	job.Until = call.Received.Add(hold(r, call))
+	return job, nil
+}
+
+// hold is how long a request is held: the route's bound or the caller's.
+func hold(r *routing.Route, call *Call) time.Duration {
+	bound := unbounded
+	if r.Timeout > 0 {
+		bound = r.Timeout
+	}
+	if call.Timeout > 0 {
+		bound = min(bound, call.Timeout)
+	}
+	return bound
+}
+
+// notNow refuses a request that has not run, with a time to come back.
+func (s *Server) notNow(code, format string, args ...any) *refusal.Refusal {
+	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, code, format, args...).After(s.ComeBack())
+}
+
+// read takes the whole body in, within the configured bound.
+func (s *Server) read(job *Job) *refusal.Refusal {
+	bound := s.Table().MaxBody
+	if bound <= 0 {
+		bound = 4 << 20 // The largest that the platform configures today.
+	}
+	body, err := io.ReadAll(io.LimitReader(job.Call.Body, bound+1))
+	if err != nil {
+		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole: %v", err)
+	}
+	if int64(len(body)) > bound {
+		return refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the body has over %d bytes", bound)
+	}
+	job.Body = body
+	return nil
+}
--- /dev/null
+++ b/deliver/deliver.go
@@ -0,0 +1,205 @@
+// Package deliver runs one caller's request to its end: it admits it, has it
+// placed, sends it, and gives the caller the target's whole answer, a true
+// refusal, or a failure that promises nothing.
+//
+//	d := deliver.Server{Table: current, Place: loop.place, Send: adapter.Send, ...}
+//	err := d.Serve(w, r.Context(), call) // a *refusal.Refusal, if nothing was written
+//
+// A request that may not be repeated is sent again only if no byte of it left
+// this box or its target says that it did not run. A stream that may be
+// resumed goes on at another target behind the last event passed on.
+package deliver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// Call is what a caller sent, decoded.
+type Call struct {
+	// ID names this try of the caller's and is passed on as it is.
+	ID     string
+	Method string
+	// Path is the request target as it came: escaped, with query.
+	Path string
+	Host string
+	// Header holds the caller's own end-to-end headers.
+	Header http.Header
+	Body   io.Reader
+	// Key shows the client account.
+	Key   string
+	Model string
+	// Parts are the prompt's, in order; the last is the request's own.
+	Parts []Part
+	// Input and Output are tokens: of the prompt, and the most that is made.
+	Input, Output int
+	// Timeout is how long the caller waits; zero if it does not say.
+	Timeout time.Duration
+	// After is the last event that the caller has, if it takes up a stream.
+	After string
+	// Received is when the head was read.
+	Received time.Time
+}
+
+// Part is a piece of a prompt that other prompts may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Job is an admitted call.
+type Job struct {
+	*Call
+	Route *routing.Route
+	// Account is nil on open routes.
+	Account *routing.Account
+	// Pool serves this request.
+	Pool *routing.Pool
+	Body []byte
+	// Until is when the request gets its final answer at the latest.
+	Until time.Time
+	// Configuration is the version that it was admitted under.
+	Configuration int64
+}
+
+// Ask is what a place is asked for.
+type Ask struct {
+	Job *Job
+	// Tried names targets that this request was sent to, or that could not be
+	// reached, in order.
+	Tried []string
+}
+
+// Place is where a request is sent and with what.
+type Place struct {
+	Target  string
+	Address netip.AddrPort
+	// Version is the weight version that the target must have; zero for none.
+	Version int64
+	// Scope separates kept parts by weight version and walled account.
+	Scope string
+	// Keys name the prompt's parts under the scope.
+	Keys []directory.Key
+	// Fetch and Save are per part, or empty; an unset address means none.
+	Fetch []netip.AddrPort
+	Save  []netip.AddrPort
+	// FetchUntil is when a fetch that has not ended is thrown away, on the
+	// targets' clock.
+	FetchUntil time.Duration
+	// Unread is how many prompt tokens the target was thought to read.
+	Unread int
+	// Rule says why this target.
+	Rule string
+}
+
+// Sending is one request on its way to a target.
+type Sending struct {
+	Job   *Job
+	Place Place
+	// Left is the time that the target may take.
+	Left time.Duration
+	// After is the last event that was passed on, for a stream that is resumed.
+	After string
+}
+
+// Verdicts on whether a target ran a request.
+const (
+	// MayHaveRun is what an ordinary answer means.
+	MayHaveRun = iota
+	// DidNotRun is the target's own promise.
+	DidNotRun
+	// Elsewhere says that another replica has the address; it did not run.
+	Elsewhere
+	// OtherVersion says that the target has other weights; it did not run.
+	OtherVersion
+)
+
+// Reply is a target's answer whose head has come.
+type Reply struct {
+	Status int
+	Header http.Header
+	// Verdict says whether the request may have run.
+	Verdict int
+	// Version is the target's weight version, if it told.
+	Version int64
+	// Length is the body's in bytes, or -1.
+	Length int64
+	// Events says that the body is an event stream.
+	Events bool
+	Body   io.Reader
+	Close  func()
+}
+
+// Ended tells how one sending went.
+type Ended struct {
+	Place Place
+	Job   *Job
+	// Began says that an answer's head came.
+	Began bool
+	// Failed says that the target broke off, was unreachable or refused.
+	Failed bool
+	// Unreachable says that no connection or no answer came.
+	Unreachable bool
+	Verdict     int
+	Version     int64
+}
+
+// Outcome is the end of a request, for the log and the counters.
+type Outcome struct {
+	Call *Call
+	Job  *Job
+	// Place is the last one.
+	Place Place
+	// Sent counts the targets that may have got the request.
+	Sent   int
+	Status int
+	// Cause says in a few words why it ended so; empty for a whole answer.
+	Cause string
+	// First and Took are from the receipt to the first byte and to the end.
+	First, Took time.Duration
+	// Left says that the caller went away.
+	Left bool
+	// Broken says that an answer was begun and broken off.
+	Broken bool
+}
+
+// Retried is one more try, for the log.
+type Retried struct {
+	Job   *Job
+	Place Place
+	Cause string
+	// Resumed names the event behind which a stream goes on.
+	Resumed string
+}
+
+// Server serves calls. Set the exported fields before first use; it is safe
+// for concurrent use after that.
+type Server struct {
+	// Table is the configuration in force, or nil.
+	Table func() *routing.Table
+	// Fresh says that keys may be trusted: no key can have been taken away
+	// for so long that it must not be used.
+	Fresh func(now time.Time) bool
+	Place func(ctx context.Context, ask Ask) (Place, error)
+	Send  func(ctx context.Context, s Sending) (*Reply, error)
+	// Began hears when an answer's head came, Ended how a sending ended. Each
+	// sending is told to Ended exactly once.
+	Began func(Place)
+	Ended func(Ended)
+	// Spend asks the retry budget of a pool for one more sending, and Earn
+	// notes a request for the pool.
+	Spend func(pool string) bool
+	Earn  func(pool string)
+	Now   func() time.Time
+	Draw  func() uint64
+	// ComeBack says when a refused caller should return.
+	ComeBack func() time.Duration
+	Note     func(Outcome)
+	Retried  func(Retried)
+}
--- /dev/null
+++ b/deliver/pass.go
@@ -0,0 +1,138 @@
+package deliver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/thymewind/thymewind/eventstream"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// gather is how much of an answer is read before its head is passed on, in
+// bytes. An answer that breaks off within it can still be replaced.
+const gather = 64 << 10
+
+// head passes the answer's head on, once.
+func (x *run) head(reply *Reply) {
+	if x.begun {
+		return
+	}
+	x.begun = true
+	header := x.w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	if reply.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+	}
+	if _, typed := header["Content-Type"]; !typed {
+		header["Content-Type"] = nil // Keeps the HTTP library from guessing one.
+	}
+	x.w.WriteHeader(reply.Status)
+	x.outcome.Status = reply.Status
+	x.outcome.First = x.Now().Sub(x.job.Received)
+}
+
+// whole passes an ordinary answer on. A short one is read to its end first.
+func (x *run) whole(place Place, reply *Reply) (*refusal.Refusal, error) {
+	first, err := io.ReadAll(io.LimitReader(reply.Body, gather))
+	if err == nil && len(first) == gather {
+		return x.long(place, reply, first)
+	}
+	if err == nil && reply.Length >= 0 && int64(len(first)) != reply.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return x.cut(place, err)
+	}
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: reply.Status >= http.StatusInternalServerError})
+	x.outcome.Cause = ""
+	x.head(reply)
+	if _, err := x.w.Write(first); err != nil {
+		return x.broken("the caller can't be written to: " + err.Error())
+	}
+	return nil, nil
+}
+
+// long passes an answer on while it comes.
+func (x *run) long(place Place, reply *Reply, first []byte) (*refusal.Refusal, error) {
+	x.head(reply)
+	_, err := x.w.Write(first)
+	if err == nil {
+		_, err = io.Copy(x.w, reply.Body)
+	}
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: err != nil && x.ctx.Err() == nil})
+	if err != nil {
+		return x.broken(err.Error())
+	}
+	x.outcome.Cause = ""
+	return nil, nil
+}
+
+// cut handles an answer that broke off before anything of it was passed on.
+func (x *run) cut(place Place, err error) (*refusal.Refusal, error) {
+	failed := x.ctx.Err() == nil
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed})
+	x.outcome.Cause = "the answer broke off: " + err.Error()
+	if failed && x.repeatable() && x.again(true) {
+		return nil, errNext
+	}
+	return x.failed(err)
+}
+
+// stream passes events on as they come, whole ones only.
+func (x *run) stream(place Place, reply *Reply) (*refusal.Refusal, error) {
+	events := eventstream.Reader{From: reply.Body}
+	flush := http.NewResponseController(x.w)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			x.Ended(Ended{Place: place, Job: x.job, Began: true})
+			x.outcome.Cause = ""
+			x.head(reply)
+			return nil, nil
+		}
+		if err != nil {
+			return x.cutStream(place, err)
+		}
+		id := eventstream.ID(event)
+		if x.begun && id != "" && !later(id, x.after) {
+			continue // The caller has it from the run before.
+		}
+		x.head(reply)
+		if _, err = x.w.Write(event); err == nil {
+			err = flush.Flush()
+		}
+		if err != nil {
+			x.Ended(Ended{Place: place, Job: x.job, Began: true})
+			return x.broken("the caller can't be written to: " + err.Error())
+		}
+		if id != "" {
+			x.after = id
+		}
+	}
+}
+
+// cutStream handles a stream that broke off.
+func (x *run) cutStream(place Place, err error) (*refusal.Refusal, error) {
+	failed := x.ctx.Err() == nil
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed})
+	x.outcome.Cause = "the stream broke off: " + err.Error()
+	if failed && x.job.Route.Resumable && x.again(true) {
+		return nil, errNext
+	}
+	return x.failed(err)
+}
+
+// later says whether an event ID comes behind another. IDs are numbers that
+// rise; others are taken as they come.
+func later(id, than string) bool {
+	a, errA := strconv.ParseInt(id, 10, 64)
+	b, errB := strconv.ParseInt(than, 10, 64)
+	if errA != nil || errB != nil {
+		return true
+	}
+	return a > b
+}
--- /dev/null
+++ b/deliver/run.go
@@ -0,0 +1,240 @@
+package deliver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// Bounds of one request.
+const (
+	// unsent bounds the tries that never reached a target. Three cover a pool
+	// in which a quarter of the replicas crashed, 98 times in 100.
+	unsent = 3
+	// silence is how many times its route's goal a request that may be repeated
+	// waits for an answer before another target is asked, and leastSilence and
+	// mostSilence bound that.
+	silence      = 3
+	leastSilence = 400 * time.Millisecond
+	mostSilence  = 1500 * time.Millisecond
+	// tight is the time under which another try makes no sense.
+	tight = 20 * time.Millisecond
+)
+
+// run is one request while it is served.
+type run struct {
+	*Server
+	job *Job
+	w   http.ResponseWriter
+	// caller ends when the caller leaves, ctx when the time is up as well.
+	caller, ctx context.Context
+	tried       []string
+	// sent counts the targets that may have got the request, ran those of them
+	// that may have run it.
+	sent, ran int
+	// failures counts tries that never reached a target.
+	failures int
+	// begun says that an answer's head went to the caller.
+	begun bool
+	// after is the last event passed on.
+	after   string
+	outcome Outcome
+}
+
+// errNext says that another target should be tried.
+var errNext = errors.New("try another target")
+
+// Serve serves a call and writes the answer to w. The error is a
+// *refusal.Refusal, returned only if nothing was written. It panics with
+// http.ErrAbortHandler to break off an answer that can't be completed.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
+	x := &run{Server: s, w: w, caller: ctx, after: call.After, outcome: Outcome{Call: call}}
+	refused := x.serve()
+	x.outcome.Took = s.Now().Sub(call.Received)
+	x.outcome.Sent = x.sent
+	x.outcome.Left = ctx.Err() != nil
+	if refused != nil {
+		x.outcome.Status, x.outcome.Cause = refused.Status, refused.Code
+	}
+	s.Note(x.outcome)
+	if x.outcome.Broken {
+		panic(http.ErrAbortHandler)
+	}
+	if refused != nil {
+		return refused
+	}
+	return nil
+}
+
+func (x *run) serve() *refusal.Refusal {
+	job, refused := x.admit(x.outcome.Call)
+	if refused != nil {
+		return refused
+	}
+	x.job, x.outcome.Job = job, job
+	if refused := x.read(job); refused != nil {
+		return refused
+	}
+	x.Earn(job.Pool.Name)
+	ctx, cancel := context.WithDeadline(x.caller, job.Until)
+	defer cancel()
+	x.ctx = ctx
+	for {
+		place, err := x.Place(x.ctx, Ask{Job: job, Tried: x.tried})
+		if err != nil {
+			return x.giveUp(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
+		}
+		x.outcome.Place = place
+		x.tried = append(x.tried, place.Target)
+		refused, err := x.try(place)
+		if !errors.Is(err, errNext) {
+			return refused
+		}
+		x.Retried(Retried{Job: job, Place: place, Cause: x.outcome.Cause, Resumed: x.resumed()})
+	}
+}
+
+func (x *run) resumed() string {
+	if x.begun {
+		return x.after
+	}
+	return ""
+}
+
+// repeatable says that running the request again does no harm.
+func (x *run) repeatable() bool { return x.job.Route.Repeatable || x.job.Route.Resumable }
+
+// try sends the request to one target and passes its answer on.
+func (x *run) try(place Place) (*refusal.Refusal, error) {
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	if x.repeatable() && x.sent+1 < x.job.Route.Attempts {
+		hurry := time.AfterFunc(x.patience(), func() { cancel(errSilent) })
+		defer hurry.Stop()
+		return x.exchange(ctx, hurry.Stop, place)
+	}
+	return x.exchange(ctx, func() bool { return true }, place)
+}
+
+// errSilent says that a target gave no sign of an answer for too long.
+var errSilent = errors.New("the target is silent")
+
+func (x *run) patience() time.Duration {
+	return min(max(silence*x.job.Route.Goal, leastSilence), mostSilence)
+}
+
+func (x *run) exchange(ctx context.Context, answered func() bool, place Place) (*refusal.Refusal, error) {
+	reply, err := x.Send(ctx, Sending{Job: x.job, Place: place, Left: x.job.Until.Sub(x.Now()), After: x.after})
+	answered()
+	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+			err = cause
+		}
+		return x.noAnswer(place, err)
+	}
+	defer reply.Close()
+	if reply.Verdict != MayHaveRun {
+		return x.turnedAway(place, reply)
+	}
+	x.sent++
+	x.ran++
+	x.Began(place)
+	if reply.Status >= http.StatusInternalServerError && x.job.Route.Repeatable && x.again(true) {
+		x.outcome.Cause = fmt.Sprintf("answered %d", reply.Status)
+		x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: true})
+		return nil, errNext
+	}
+	if x.begun && (reply.Status != http.StatusOK || !reply.Events) {
+		x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: true})
+		return x.broken(fmt.Sprintf("the stream can't be resumed: %d", reply.Status))
+	}
+	if reply.Events && reply.Status == http.StatusOK {
+		return x.stream(place, reply)
+	}
+	return x.whole(place, reply)
+}
+
+// noAnswer handles a sending without an answer.
+func (x *run) noAnswer(place Place, err error) (*refusal.Refusal, error) {
+	notSent := errors.Is(err, exchange.ErrNotSent)
+	left := x.caller.Err() != nil
+	over := !left && x.ctx.Err() != nil
+	full := errors.Is(err, exchange.ErrFull)
+	failed := !left && !full
+	x.Ended(Ended{Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over})
+	x.outcome.Cause = err.Error()
+	if notSent {
+		x.failures++
+	} else {
+		x.sent++
+		x.ran++
+	}
+	if left || over || !x.again(!notSent) || (!notSent && !x.repeatable()) {
+		return x.failed(err)
+	}
+	return nil, errNext
+}
+
+// turnedAway handles a target's promise that it did not run the request.
+func (x *run) turnedAway(place Place, reply *Reply) (*refusal.Refusal, error) {
+	x.sent++
+	x.Ended(Ended{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun, Verdict: reply.Verdict, Version: reply.Version})
+	x.outcome.Cause = fmt.Sprintf("turned away with %d", reply.Status)
+	if x.again(true) {
+		return nil, errNext
+	}
+	if x.begun {
+		return x.broken(x.outcome.Cause)
+	}
+	return x.giveUp(x.notNow("turned_away", "%s turned the request away with %d", place.Target, reply.Status)), nil
+}
+
+// again says whether one more sending is allowed; it takes it from the budget
+// if the last one reached a target.
+func (x *run) again(reached bool) bool {
+	if x.sent >= x.job.Route.Attempts || x.failures >= unsent || x.job.Until.Sub(x.Now()) < tight {
+		return false
+	}
+	if !reached && x.sent == 0 {
+		return true
+	}
+	return x.Spend(x.job.Pool.Name)
+}
+
+// failed ends a request whose last sending got no answer.
+func (x *run) failed(err error) (*refusal.Refusal, error) {
+	if x.begun {
+		return x.broken(err.Error())
+	}
+	if x.ran == 0 {
+		return x.giveUp(x.notNow("unreachable", "no target could be reached: %v", err)), nil
+	}
+	if x.ctx.Err() != nil {
+		return refusal.New(refusal.Unknown, http.StatusGatewayTimeout, "timeout", "no answer came in time"), nil
+	}
+	return refusal.New(refusal.Unknown, http.StatusBadGateway, "no_answer", "the request was sent but no answer came: %v", err), nil
+}
+
+// giveUp makes a refusal true: a request that may have run is not promised
+// not to have run.
+func (x *run) giveUp(r *refusal.Refusal) *refusal.Refusal {
+	if x.begun {
+		refused, _ := x.broken(r.Code)
+		return refused
+	}
+	if x.ran > 0 {
+		return refusal.New(refusal.Unknown, http.StatusBadGateway, r.Code, "%s, after a sending without an answer", r.Reason)
+	}
+	return r
+}
+
+// broken breaks an answer off that was begun.
+func (x *run) broken(cause string) (*refusal.Refusal, error) {
+	x.outcome.Broken, x.outcome.Cause = true, cause
+	return nil, nil
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,173 @@
+// Package directory knows which target or store keeps which parts of prompts,
+// from what they tell and from what was ordered of them. An entry of another
+// epoch, or of a source that fell silent, counts for nothing.
+//
+//	d := directory.New()
+//	d.Begin("engine-3", epoch)
+//	d.Add("engine-3", directory.Of(scope, "5c1e07a2"), 800)
+//	n := d.Run("engine-3", keys) // how many leading parts it keeps
+//
+// It holds one map entry, about 40 bytes, for each part that a source says it
+// keeps, so it is bounded by the sources' own memory.
+package directory
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key names a part of a prompt under one scope: another weight version, or
+// another walled account, gives another key.
+type Key uint64
+
+// Of returns the key of a part.
+func Of(scope, part string) Key {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(scope) // A hash never fails to take bytes.
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(part)
+	return Key(h.Sum64())
+}
+
+// Directory is not safe for concurrent use.
+type Directory struct {
+	sources map[string]*source
+}
+
+// source is what one target or store keeps.
+type source struct {
+	epoch uint64
+	// kept holds tokens by part, as the source told.
+	kept map[Key]int
+	// expected holds parts that were sent there to be read or saved and that
+	// the source has not told of yet, with the time until they count.
+	expected map[Key]time.Time
+	// tokens sums up kept.
+	tokens int
+	// silent is set while the source can't be heard.
+	silent bool
+}
+
+// New returns an empty directory.
+func New() *Directory { return &Directory{sources: make(map[string]*source)} }
+
+func (d *Directory) of(name string) *source {
+	s := d.sources[name]
+	if s == nil {
+		s = &source{kept: make(map[Key]int), expected: make(map[Key]time.Time)}
+		d.sources[name] = s
+	}
+	return s
+}
+
+// Begin notes that a source is heard, in the epoch given. What it kept in
+// another epoch is gone.
+func (d *Directory) Begin(name string, epoch uint64) {
+	s := d.of(name)
+	s.silent = false
+	if s.epoch != epoch {
+		*s = source{epoch: epoch, kept: make(map[Key]int), expected: make(map[Key]time.Time)}
+	}
+}
+
+// Clear drops what a source keeps, before all of it is told anew.
+func (d *Directory) Clear(name string) {
+	s := d.of(name)
+	s.kept, s.tokens = make(map[Key]int), 0
+}
+
+// Silence notes that a source can't be heard. Its entries count again once it
+// is heard in the same epoch.
+func (d *Directory) Silence(name string) { d.of(name).silent = true }
+
+// Forget drops a source.
+func (d *Directory) Forget(name string) { delete(d.sources, name) }
+
+// Add notes that a source keeps a part whole.
+func (d *Directory) Add(name string, key Key, tokens int) {
+	s := d.of(name)
+	s.tokens += tokens - s.kept[key]
+	s.kept[key] = tokens
+	delete(s.expected, key)
+}
+
+// Remove notes that a source dropped a part.
+func (d *Directory) Remove(name string, key Key) {
+	s := d.of(name)
+	s.tokens -= s.kept[key]
+	delete(s.kept, key)
+	delete(s.expected, key)
+}
+
+// Expect notes that a source was sent a part and will probably keep it.
+func (d *Directory) Expect(name string, key Key, until time.Time) {
+	s := d.of(name)
+	if _, kept := s.kept[key]; !kept {
+		s.expected[key] = until
+	}
+}
+
+// Whole says whether a source told that it keeps a part whole.
+func (d *Directory) Whole(name string, key Key) bool {
+	s := d.sources[name]
+	if s == nil || s.silent {
+		return false
+	}
+	_, kept := s.kept[key]
+	return kept
+}
+
+// Likely says whether a source keeps a part or is about to.
+func (d *Directory) Likely(name string, key Key, now time.Time) bool {
+	if d.Whole(name, key) {
+		return true
+	}
+	s := d.sources[name]
+	if s == nil || s.silent {
+		return false
+	}
+	until, sent := s.expected[key]
+	return sent && now.Before(until)
+}
+
+// Run counts the leading parts that a source keeps or is about to. Engines use
+// a part only together with all parts before it.
+func (d *Directory) Run(name string, keys []Key, now time.Time) int {
+	for i, key := range keys {
+		if !d.Likely(name, key, now) {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// Tokens returns how many tokens a source told that it keeps.
+func (d *Directory) Tokens(name string) int {
+	s := d.sources[name]
+	if s == nil {
+		return 0
+	}
+	return s.tokens
+}
+
+// Known counts the entries of a source.
+func (d *Directory) Known(name string) int {
+	s := d.sources[name]
+	if s == nil {
+		return 0
+	}
+	return len(s.kept)
+}
+
+// Expire drops expectations whose time is over. Call it about once a second.
+func (d *Directory) Expire(now time.Time) {
+	for _, s := range d.sources {
+		for key, until := range s.expected {
+			if !now.Before(until) {
+				delete(s.expected, key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/entry/build.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/lease"
+	"github.com/thymewind/thymewind/nearest"
+	"github.com/thymewind/thymewind/retry"
+	"github.com/thymewind/thymewind/rollout"
+)
+
+const (
+	// backlog is how many messages wait for the loop before senders wait.
+	backlog = 1024
+	// proofMargin is taken off the bound after which keys are not trusted: for
+	// the time between the check and the target's start of work.
+	proofMargin = 700 * time.Millisecond
+	// comeBackAfter is when a refused caller is told to return. Most refusals
+	// are over as soon as another target is found.
+	comeBackAfter = 120 * time.Millisecond
+	// retryUse is how much of the retry budget the boxes use together. The
+	// rest covers boxes that are not counted yet.
+	retryUse = 0.7
+	// leaseUse is a lease's length in margins: it is held for one and a half.
+	leaseUse = 2.5
+)
+
+// Front makes the callers' handler from the way to serve a call, the clock, and
+// whether connections should end after their answer.
+type Front func(serve func(ctx context.Context, w http.ResponseWriter, call *deliver.Call) error, now func() time.Time, closing func() bool) http.Handler
+
+// parts are the packages that the daemon is put together from.
+type parts struct {
+	now      func() time.Time
+	began    time.Time
+	systems  []system
+	outage   outage
+	lease    lease.Lease
+	plan     rollout.Plan
+	engines  affinity.Chooser
+	services nearest.Chooser
+	budget   retry.Budget
+	server   deliver.Server
+}
+
+// build puts the parts together.
+func (d *Daemon) build() {
+	d.now = time.Now
+	d.began = d.now()
+	d.tables = newTables()
+	d.messages = make(chan message, backlog)
+	d.counts = newCounters(d.Registry)
+	d.outage.ctx, d.outage.cancel = context.WithCancel(context.Background())
+	d.outage.seen = false
+	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights}
+	d.plan = rollout.Plan{AtOnce: atOnce}
+	d.services = nearest.Chooser{Domain: d.Settings.Domain}
+	d.engines = affinity.Chooser{
+		Directory: d.tables.directory,
+		Stores:    func() []*affinity.Source { return d.tables.stores },
+		Boxes:     d.tables.boxes,
+	}
+	d.budget = retry.Budget{
+		Share: d.Settings.Bounds.RetryShare * retryUse,
+		Burst: max(1, d.Settings.Bounds.RetryExtra*retryUse/presumed), Empty: true,
+	}
+	d.buildLease()
+	d.buildServer()
+}
+
+// buildLease sets the times so that between one holder's last order and the
+// next one's first at least the platform's bound passes: the margin counts on
+// both sides.
+func (d *Daemon) buildLease() {
+	margin := d.Settings.Bounds.Takeover/2 + 100*time.Millisecond
+	d.lease = lease.Lease{
+		Duty: "weights", Holder: d.Settings.Name, Margin: margin, Length: time.Duration(leaseUse * float64(margin)),
+		Commit: d.Platform.Commit, Read: d.Platform.Read, Nonce: func() string { return ulid.Make().String() }, Now: d.now,
+	}
+}
+
+func (d *Daemon) buildServer() {
+	d.server = deliver.Server{
+		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.Platform.Send,
+		Began: func(p deliver.Place) { d.messages <- answerBegan{p} },
+		Ended: func(e deliver.Ended) { d.messages <- sendingEnded{e} },
+		Spend: d.budget.Spend, Earn: d.budget.Request,
+		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
+	}
+}
+
+// fresh says that no key can have been taken away for so long that it must not
+// be used any more.
+func (d *Daemon) fresh(now time.Time) bool {
+	bound := d.Settings.Bounds.RevokedWithin
+	if bound == 0 {
+		return true
+	}
+	proved := d.proved.Load()
+	return proved != nil && now.Sub(*proved) < bound-proofMargin
+}
+
+func (d *Daemon) comeBack() time.Duration { return comeBackAfter/2 + d.jitter(comeBackAfter) }
+
+// jitter draws a time below the given one.
+func (d *Daemon) jitter(below time.Duration) time.Duration { return rand.N(below) }
+
+// uptime is this process's own clock, which its clock offset refers to.
+func (d *Daemon) uptime(now time.Time) time.Duration { return now.Sub(d.began) }
+
+// version is the configuration's in force, or zero.
+func (d *Daemon) version() int64 {
+	if table := d.current.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// provedAgo is when the configuration was last known to be the newest.
+func (d *Daemon) provedAgo(now time.Time) time.Duration {
+	if proved := d.proved.Load(); proved != nil {
+		return now.Sub(*proved)
+	}
+	return d.uptime(now)
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,102 @@
+// Package entry is the daemon of one entry box on the users' platform. It
+// admits requests, places each on a target, passes the whole answer back, and
+// keeps the engines on the newest weights. It keeps nothing: what must last
+// lives in the platform's table service.
+//
+//	d := entry.Daemon{Settings: s, Platform: platform.Join(s), Log: logger, Registry: prometheus.NewRegistry()}
+//	err := d.Run(ctx) // returns after a planned stop
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// Daemon is the process of one entry box. Set the exported fields before Run.
+type Daemon struct {
+	Settings settings.Settings
+	Platform Platform
+	// Front makes the callers' handler from the way to serve a call.
+	Front Front
+	Log   *log.Logger
+	// Registry takes the daemon's metrics.
+	Registry *prometheus.Registry
+	// Sweep closes connections to targets that are no longer needed; it is
+	// called about once a second.
+	Sweep func(now time.Time)
+
+	parts
+	tables tables
+	counts counters
+	// messages has room, so that requests rarely wait for the loop.
+	messages chan message
+	// current is the configuration in force, proved when it was last known to
+	// be the newest; both are for readers outside the loop.
+	current atomic.Pointer[routing.Table]
+	proved  atomic.Pointer[time.Time]
+	// stopping is set once a planned stop has begun, closing once connections
+	// should end.
+	stopping, closing atomic.Bool
+	effects           sync.WaitGroup
+}
+
+// Run serves until ctx ends and then stops in order: no request that was
+// accepted is cut within the time that the platform gives.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.build()
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers, err := d.listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.Log.Info("started", "callers", d.Settings.Callers, "ready", d.Settings.Ready, "store", d.Settings.Store.Address)
+	var work sync.WaitGroup
+	work.Go(func() { d.loop(background) })
+	work.Go(func() { d.watch(background) })
+	<-ctx.Done()
+	d.drain(servers)
+	cancel()
+	work.Wait()
+	d.effects.Wait()
+	d.Log.Info("stopped")
+	return nil
+}
+
+// loop is the whole daemon: a message changes the tables in update, systems
+// run over them each tick, and both return effects, which alone touch the
+// network.
+func (d *Daemon) loop(ctx context.Context) {
+	ticks := time.NewTicker(tick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-d.messages:
+			d.run(ctx, d.update(d.now(), m))
+		case <-ticks.C:
+			now := d.now()
+			for _, system := range d.systems {
+				d.run(ctx, system(now, &d.tables))
+			}
+		}
+	}
+}
+
+// tell hands a message to the loop, unless ctx ends first.
+func (d *Daemon) tell(ctx context.Context, m message) {
+	select {
+	case d.messages <- m:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/effect.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/thymewind/thymewind/rollout"
+	"github.com/thymewind/thymewind/table"
+)
+
+// effect is something to do outside the loop.
+type effect any
+
+// followSource reads a source's news until ctx ends.
+type followSource struct {
+	ctx  context.Context
+	name string
+	at   netip.AddrPort
+}
+
+// stepLease renews or takes the rollout's lease.
+type stepLease struct{}
+
+// announce writes which targets of a model load weights now.
+type announce struct {
+	model string
+	row   table.Row
+}
+
+// sendOrder brings one target to a version.
+type sendOrder struct {
+	order rollout.Order
+	at    netip.AddrPort
+}
+
+// probe asks a target for its health.
+type probe struct {
+	target, path string
+	at           netip.AddrPort
+}
+
+// run starts effects; each tells the loop what came of it.
+func (d *Daemon) run(ctx context.Context, effects []effect) {
+	for _, e := range effects {
+		d.effects.Go(func() { d.do(ctx, e) })
+	}
+}
+
+func (d *Daemon) do(ctx context.Context, e effect) {
+	switch e := e.(type) {
+	case followSource:
+		d.followSource(ctx, e)
+	case stepLease:
+		d.tell(ctx, leaseStepped{d.lease.Step(ctx)})
+	case announce:
+		d.tell(ctx, announced{e.model, d.write(ctx, e.row)})
+	case sendOrder:
+		err := d.bring(ctx, e)
+		d.tell(ctx, orderEnded{e.order.Target, e.order.Model, e.order.Version, err})
+	case probe:
+		d.tell(ctx, probed{e.target, d.Platform.Healthy(ctx, e.at, e.path, e.target)})
+	}
+}
+
+// write puts one row without a condition: only the holder of the rollout's
+// lease writes it, and readers take it for a hint.
+func (d *Daemon) write(ctx context.Context, row table.Row) error {
+	return d.Platform.Commit(ctx, table.Transaction{Put: []table.Row{row}})
+}
--- /dev/null
+++ b/entry/follow.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// How the sources of kept parts are followed.
+const (
+	// newsHold is how long a source holds a call without news. Calls held for
+	// less than 200 ms are priced; a longer one notices a dead source later.
+	newsHold = 400 * time.Millisecond
+	// newsEvery is the least time between two calls to one source: with some 14
+	// sources, 70 calls a second cost about a hundredth of a core.
+	newsEvery = 200 * time.Millisecond
+	// newsAgain is the pause after a call that failed.
+	newsAgain = 300 * time.Millisecond
+)
+
+// listStores takes the stores of kept parts from the configuration.
+func (d *Daemon) listStores(t *tables, table *routing.Table) {
+	t.stores = t.stores[:0]
+	for _, p := range table.Pools {
+		if p.Store == nil {
+			continue
+		}
+		t.stores = append(t.stores, &affinity.Source{
+			Name: p.Name, Address: p.Store.Address, Domain: p.Store.Domain, Capacity: p.Store.Capacity,
+			First: p.Store.First, Token: move(tokenBytes(table), p.Store.Megabits),
+		})
+	}
+	slices.SortFunc(t.stores, func(a, b *affinity.Source) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// usualTokenBytes is the size of one token's memory, for stores without any
+// pool of engines.
+const usualTokenBytes = 35136
+
+func tokenBytes(table *routing.Table) int {
+	for _, p := range table.Pools {
+		if p.Engine != nil && p.Engine.TokenBytes > 0 {
+			return p.Engine.TokenBytes
+		}
+	}
+	return usualTokenBytes
+}
+
+// move is the time to move some bytes over a link.
+func move(bytes int, megabits float64) time.Duration {
+	if megabits <= 0 {
+		return time.Millisecond
+	}
+	return time.Duration(float64(bytes) * 8 / megabits * float64(time.Microsecond))
+}
+
+// follow starts and stops the reading of sources' news to match the stores and
+// the engines that are listed.
+func (d *Daemon) follow(t *tables) []effect {
+	wanted := make(map[string]netip.AddrPort)
+	for _, s := range t.stores {
+		wanted[s.Name] = s.Address
+	}
+	if table := d.current.Load(); table != nil {
+		for name, p := range table.Pools {
+			if p.Engine == nil {
+				continue
+			}
+			for _, x := range t.fleet.Pool(name) {
+				wanted[x.ID] = x.Address
+			}
+		}
+	}
+	for name, stop := range t.followed {
+		if _, still := wanted[name]; !still {
+			stop()
+			delete(t.followed, name)
+		}
+	}
+	var effects []effect
+	for name, at := range wanted {
+		if t.followed[name] != nil {
+			continue
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		t.followed[name] = stop
+		effects = append(effects, followSource{ctx, name, at})
+	}
+	return effects
+}
+
+// followSource reads one source's news until either context ends.
+func (d *Daemon) followSource(ctx context.Context, e followSource) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(e.ctx, cancel)
+	defer stop()
+	var since, epoch uint64
+	for ctx.Err() == nil {
+		began := d.now()
+		m := newsRead{source: e.name}
+		m.news, m.err = d.Platform.News(ctx, e.at, since, newsHold)
+		if m.err == nil && (m.news.Gap || (epoch != 0 && epoch != m.news.Epoch)) {
+			m.news, m.err = d.Platform.List(ctx, e.at)
+			m.listed = true
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		d.tell(ctx, m)
+		if m.err != nil {
+			d.pause(ctx, newsAgain)
+			continue
+		}
+		since, epoch = m.news.Next, m.news.Epoch
+		d.pause(ctx, newsEvery-d.now().Sub(began))
+	}
+}
--- /dev/null
+++ b/entry/listen.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// How callers are served and how a stop goes.
+const (
+	// headWithin bounds how long a caller may take to send a head, idleFor how
+	// long its connection rests; both are above what the platform's callers
+	// take.
+	headWithin = 3 * time.Second
+	idleFor    = 60 * time.Second
+	// headBytes bounds a head until the configuration says otherwise.
+	headBytes = 64 << 10
+	// noticed is how long after the request to stop new connections may still
+	// come: two questions for readiness, a second apart, and some more.
+	noticed = 2300 * time.Millisecond
+	// leaveBefore is how long before the platform kills the process it ends by
+	// itself.
+	leaveBefore = 600 * time.Millisecond
+)
+
+// listen opens all listeners before any is served.
+func (d *Daemon) listen() ([]*http.Server, error) {
+	front := d.Front(d.server.Serve, d.now, d.closing.Load)
+	list := []struct {
+		at      netip.AddrPort
+		handler http.Handler
+	}{
+		{d.Settings.Callers, front},
+		{d.Settings.Ready, http.HandlerFunc(d.ready)},
+		{d.Settings.Metrics, promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{})},
+	}
+	var servers []*http.Server
+	var listeners []net.Listener
+	for _, l := range list {
+		if !l.at.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.at.String())
+		if err != nil {
+			return nil, trace.Wrap(err, "listening on %v", l.at)
+		}
+		listeners = append(listeners, listener)
+		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headWithin, IdleTimeout: idleFor, MaxHeaderBytes: headBytes, ErrorLog: d.Log.StandardLog()})
+	}
+	for i, s := range servers {
+		d.effects.Go(func() {
+			if err := s.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				d.Log.Error("a listener failed", "at", listeners[i].Addr(), "err", err)
+			}
+		})
+	}
+	return servers, nil
+}
+
+// ready answers whether this box should get new connections.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.current.Load() == nil || !d.fresh(d.now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// drain stops in order: not ready at once, serving on until that was noticed,
+// then ending each connection with its next answer.
+func (d *Daemon) drain(servers []*http.Server) {
+	d.stopping.Store(true)
+	d.Log.Info("stopping", "kill_after", d.Settings.Bounds.Stop)
+	end := d.now().Add(d.Settings.Bounds.Stop - leaveBefore)
+	d.closing.Store(true)
+	time.Sleep(noticed)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.Log.Warn("requests were cut at the end of a stop", "err", err)
+			_ = s.Close() // The process ends next.
+		}
+	}
+}
--- /dev/null
+++ b/entry/message.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+)
+
+// message is something that happened. The loop takes one at a time.
+type message any
+
+// placeAsked asks for a place; the loop answers on reply, which has room.
+type placeAsked struct {
+	ask   deliver.Ask
+	reply chan<- placeAnswer
+}
+
+// placeAnswer is a place or the refusal.
+type placeAnswer struct {
+	place deliver.Place
+	err   error
+}
+
+// answerBegan tells that an answer's head came from the place.
+type answerBegan struct{ place deliver.Place }
+
+// sendingEnded tells how a sending went.
+type sendingEnded struct{ deliver.Ended }
+
+// operatorRead, targetsRead and ownRead are answers of the table service, with
+// when each read was sent.
+type operatorRead struct {
+	asked  time.Time
+	change Operator
+}
+
+type targetsRead struct {
+	asked  time.Time
+	change Targets
+	// away says that the service could not be read right before.
+	away bool
+}
+
+type ownRead struct{ change Own }
+
+// storeLost and storeBack tell that the table service stopped or began to
+// answer.
+type (
+	storeLost struct{ err error }
+	storeBack struct{}
+)
+
+// newsRead is what a source told of its kept parts, or why it did not.
+type newsRead struct {
+	source string
+	news   News
+	// listed says that the news is all that the source keeps.
+	listed bool
+	err    error
+}
+
+// leaseStepped tells that the step of the rollout's lease ended.
+type leaseStepped struct{ err error }
+
+// orderEnded tells that a target took the order, or why it is not known to.
+type orderEnded struct {
+	target, model string
+	version       int64
+	err           error
+}
+
+// announced tells that the rollout's row was written, or why not.
+type announced struct {
+	model string
+	err   error
+}
+
+// probed tells a target's health.
+type probed struct {
+	target string
+	err    error
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,46 @@
+package entry
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// counters are the daemon's metrics; docs/METRICS.md names them.
+type counters struct {
+	requests      *prometheus.CounterVec
+	retries       *prometheus.CounterVec
+	first, took   *prometheus.HistogramVec
+	configuration prometheus.Gauge
+	targets       prometheus.Gauge
+	kept          prometheus.Gauge
+	members       prometheus.Gauge
+}
+
+// latencies are the histograms' bounds in seconds, around the goals of 0.15 to
+// 0.6 s.
+var latencies = []float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2, 5, 15}
+
+func newCounters(r *prometheus.Registry) counters {
+	c := counters{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_requests_total", Help: "Requests by pool, status and cause."}, []string{"pool", "status", "cause"}),
+		retries:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_retries_total", Help: "Further tries by pool."}, []string{"pool"}),
+		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_first_byte_seconds", Help: "From the request's head to the answer's first byte.", Buckets: latencies}, []string{"pool"}),
+		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_answer_seconds", Help: "From the request's head to the answer's end.", Buckets: latencies}, []string{"pool"}),
+
+		configuration: prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_configuration", Help: "The configuration version in force."}),
+		targets:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_targets", Help: "Targets known."}),
+		kept:          prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_kept_parts", Help: "Entries of the directory of kept parts."}),
+		members:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_boxes", Help: "Boxes thought to share the work."}),
+	}
+	r.MustRegister(c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	return c
+}
+
+// countTables writes the tables' sizes into the metrics.
+func (d *Daemon) countTables(t *tables) {
+	ids := t.fleet.All()
+	d.counts.targets.Set(float64(len(ids)))
+	kept := 0
+	for name := range t.followed {
+		kept += t.directory.Known(name)
+	}
+	d.counts.kept.Set(float64(kept))
+	d.counts.members.Set(float64(t.boxes()))
+}
--- /dev/null
+++ b/entry/note.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"strconv"
+
+	"github.com/thymewind/thymewind/deliver"
+)
+
+// note logs and counts the end of a request.
+func (d *Daemon) note(o deliver.Outcome) {
+	pool := ""
+	if o.Job != nil {
+		pool = o.Job.Pool.Name
+		if o.First > 0 {
+			d.counts.first.WithLabelValues(pool).Observe(o.First.Seconds())
+		}
+		d.counts.took.WithLabelValues(pool).Observe(o.Took.Seconds())
+	}
+	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
+	fields := []any{
+		"request", o.Call.ID, "outcome", kind(o), "status", o.Status, "pool", pool, "target", o.Place.Target,
+		"rule", o.Place.Rule, "sent", o.Sent, "first", o.First, "took", o.Took, "configuration", d.version(),
+	}
+	if o.Cause != "" {
+		fields = append(fields, "cause", o.Cause)
+	}
+	if o.Job != nil && len(o.Job.Parts) > 0 {
+		fields = append(fields, "tokens", o.Job.Input, "unread", o.Place.Unread, "version", o.Place.Version)
+	}
+	d.Log.Info("request", fields...)
+}
+
+// kind names an outcome for counters.
+func kind(o deliver.Outcome) string {
+	switch {
+	case o.Left:
+		return "caller_left"
+	case o.Broken:
+		return "broken_off"
+	case o.Cause != "":
+		return "refused"
+	}
+	return "answered"
+}
+
+// noteRetry logs and counts one more try.
+func (d *Daemon) noteRetry(r deliver.Retried) {
+	d.counts.retries.WithLabelValues(r.Job.Pool.Name).Inc()
+	d.Log.Info("another try", "request", r.Job.ID, "after", r.Place.Target, "cause", r.Cause, "resumed_behind", r.Resumed)
+}
--- /dev/null
+++ b/entry/place.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+const (
+	// fetchFor is how long a fetch may take until it is thrown away; a long
+	// part takes some 20 ms, ten times as long on a slow link.
+	fetchFor = 1200 * time.Millisecond
+	// expectFor is how long a part that was sent somewhere is expected there
+	// without being told of.
+	expectFor = 1500 * time.Millisecond
+	// overdueMargin is how long before the bound older weights are given up.
+	overdueMargin = 1500 * time.Millisecond
+)
+
+// askPlace asks the loop for a place.
+func (d *Daemon) askPlace(ctx context.Context, ask deliver.Ask) (deliver.Place, error) {
+	reply := make(chan placeAnswer, 1)
+	select {
+	case d.messages <- placeAsked{ask, reply}:
+	case <-ctx.Done():
+		return deliver.Place{}, d.timeUp()
+	}
+	answer := <-reply // The loop always answers, and waits for nothing itself.
+	return answer.place, answer.err
+}
+
+func (d *Daemon) timeUp() error {
+	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up before the request was placed").After(d.comeBack())
+}
+
+// place chooses a target and counts the request there.
+func (d *Daemon) place(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, error) {
+	place, ok := deliver.Place{}, false
+	if ask.Job.Pool.Engine != nil {
+		place, ok = d.placeModel(now, t, ask)
+	} else {
+		place, ok = d.placePlain(now, t, ask)
+	}
+	if !ok {
+		return place, refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", ask.Job.Pool.Name).After(d.comeBack())
+	}
+	t.fleet.Target(place.Target).Sent(now, place.Unread)
+	return place, nil
+}
+
+func (d *Daemon) placePlain(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, bool) {
+	x, ok := d.services.Choose(now, t.fleet.Pool(ask.Job.Pool.Name), tried(ask))
+	if !ok {
+		return deliver.Place{}, false
+	}
+	return deliver.Place{Target: x.ID, Address: x.Address, Rule: "nearest"}, true
+}
+
+func tried(ask deliver.Ask) func(string) bool {
+	return func(id string) bool { return slices.Contains(ask.Tried, id) }
+}
+
+func (d *Daemon) placeModel(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, bool) {
+	job := ask.Job
+	keys := make(map[int64][]directory.Key)
+	w := t.model(job.Model)
+	question := affinity.Ask{
+		Home: home(job), Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
+		Overdue: w.wanted > 0 && d.Settings.Bounds.WeightsWithin > 0 && now.Sub(w.named) > d.Settings.Bounds.WeightsWithin-overdueMargin,
+		Keys: func(version int64) []directory.Key {
+			if keys[version] == nil {
+				keys[version] = keysOf(job, scope(version, job.Account))
+			}
+			return keys[version]
+		},
+	}
+	choice, ok := d.engines.Choose(now, question, t.fleet.Pool(job.Pool.Name))
+	if !ok {
+		return deliver.Place{}, false
+	}
+	place := deliver.Place{
+		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
+		Scope: scope(choice.Version, job.Account), Keys: choice.Keys, Unread: choice.Unread, Rule: choice.Rule,
+		Save: addresses(choice.Save),
+	}
+	if t.timed {
+		place.Fetch = addresses(choice.Fetch)
+		place.FetchUntil = d.uptime(now) + t.clock + fetchFor
+	}
+	expect(now, t, choice)
+	return place, true
+}
+
+// expect notes what the engine and the stores will keep.
+func expect(now time.Time, t *tables, choice affinity.Choice) {
+	until := now.Add(expectFor)
+	for i, key := range choice.Keys {
+		t.directory.Expect(choice.Target.ID, key, until)
+		if choice.Save != nil && choice.Save[i] != nil {
+			t.directory.Expect(choice.Save[i].Name, key, until)
+		}
+	}
+}
+
+func addresses(sources []*affinity.Source) []netip.AddrPort {
+	if sources == nil {
+		return nil
+	}
+	list := make([]netip.AddrPort, len(sources))
+	for i, s := range sources {
+		if s != nil {
+			list[i] = s.Address
+		}
+	}
+	return list
+}
+
+// home ranks the engines for a prompt: by the longest beginning that other
+// prompts may share.
+func home(job *deliver.Job) uint64 {
+	if len(job.Parts) == 0 {
+		return xxhash.Sum64String(job.ID)
+	}
+	return xxhash.Sum64String(job.Parts[max(len(job.Parts)-2, 0)].ID)
+}
+
+func partsOf(job *deliver.Job) []affinity.Part {
+	list := make([]affinity.Part, len(job.Parts))
+	for i, p := range job.Parts {
+		list[i].Tokens = p.Tokens
+	}
+	return list
+}
+
+// scope separates kept parts: memory made on other weights, or by a walled
+// account, is never found under it.
+func scope(version int64, account *routing.Account) string {
+	text := "v" + strconv.FormatInt(version, 10)
+	if account != nil && account.Isolated {
+		text += "/" + account.Name
+	}
+	return text
+}
+
+func keysOf(job *deliver.Job, scope string) []directory.Key {
+	keys := make([]directory.Key, len(job.Parts))
+	for i, p := range job.Parts {
+		keys[i] = directory.Of(scope, p.ID)
+	}
+	return keys
+}
--- /dev/null
+++ b/entry/platform.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/rollout"
+	"github.com/thymewind/thymewind/routing"
+	"github.com/thymewind/thymewind/table"
+)
+
+// Platform is what the daemon needs of the platform, each a seam that package
+// platform fills. All are safe for concurrent use.
+type Platform struct {
+	// Operator, Targets and Own wait until something changed behind a version,
+	// for at most hold. Version zero, or one that is no longer known, reads
+	// everything, and the answer is marked whole.
+	Operator func(ctx context.Context, after uint64, hold time.Duration) (Operator, error)
+	Targets  func(ctx context.Context, after uint64, hold time.Duration) (Targets, error)
+	Own      func(ctx context.Context, after uint64, hold time.Duration) (Own, error)
+	// Commit and Read change and read this system's own rows.
+	Commit func(ctx context.Context, tx table.Transaction) error
+	Read   func(ctx context.Context, key string) (table.Row, error)
+	// Send sends a caller's request to the target placed.
+	Send func(ctx context.Context, s deliver.Sending) (*deliver.Reply, error)
+	// News waits until a source's kept parts changed; List reads all.
+	News func(ctx context.Context, at netip.AddrPort, since uint64, hold time.Duration) (News, error)
+	List func(ctx context.Context, at netip.AddrPort) (News, error)
+	// Report asks an engine for its own state, Order tells it to load weights.
+	Report func(ctx context.Context, at netip.AddrPort) (Report, error)
+	Order  func(ctx context.Context, at netip.AddrPort, o rollout.Order) error
+	// Healthy asks whether this very replica says that it is well.
+	Healthy func(ctx context.Context, at netip.AddrPort, path, id string) error
+}
+
+// Operator is what the operator wrote.
+type Operator struct {
+	// Table is nil if the configuration did not change or can't be used;
+	// Unusable then says why.
+	Table    *routing.Table
+	Unusable error
+	// Weights are the newest versions by model, as far as they changed.
+	Weights map[string]int64
+	Version uint64
+}
+
+// Targets is what the list of targets says.
+type Targets struct {
+	// Whole says that Listed holds all targets; otherwise only changes.
+	Whole   bool
+	Listed  []fleet.Entry
+	Gone    []string
+	Version uint64
+	// Unusable holds entries that can't be read.
+	Unusable []error
+}
+
+// Own are this system's own rows that changed, or all if Whole is set.
+type Own struct {
+	Whole   bool
+	Rows    []table.Row
+	Version uint64
+}
+
+// News is what a source says of the prompt parts that it keeps.
+type News struct {
+	// Epoch changes when the source loses everything.
+	Epoch uint64
+	// Next is where the next call goes on.
+	Next uint64
+	// Gap says that changes are missing and the list has to be read.
+	Gap     bool
+	Changes []Change
+	// Clock is the time on the targets' common clock, or zero.
+	Clock time.Duration
+}
+
+// Change is a part that a source keeps whole, or no longer keeps.
+type Change struct {
+	Kept        bool
+	Scope, Part string
+	Tokens      int
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Busy says that an order is under way.
+	Busy bool
+	// Orders counts the orders taken since the engine started.
+	Orders   uint64
+	Versions map[string]int64
+}
--- /dev/null
+++ b/entry/settings/settings.go
@@ -0,0 +1,175 @@
+// Package settings reads and checks the settings of an entry daemon that runs
+// on the users' platform.
+//
+//	s, err := settings.Parse("settings.yaml", data)
+//	if err != nil { // every finding, each with file, line and column
+//	}
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/document"
+)
+
+// Settings are what one daemon knows before it talks to anyone.
+type Settings struct {
+	// Name is the box's name, unique among live boxes.
+	Name string `yaml:"name"`
+	// Domain is the box's failure domain, Region the region it lies in.
+	Domain string `yaml:"domain"`
+	Region string `yaml:"region"`
+	// Callers, Ready and Metrics are the listeners' addresses. Metrics may be
+	// absent.
+	Callers netip.AddrPort `yaml:"callers"`
+	Ready   netip.AddrPort `yaml:"ready"`
+	Metrics netip.AddrPort `yaml:"metrics"`
+	// Store is the platform's table service.
+	Store Store `yaml:"store"`
+	// Box is what this box may use.
+	Box Box `yaml:"box"`
+	// Bounds are the platform's, within which this system has to act.
+	Bounds Bounds `yaml:"bounds"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `yaml:"log_level"`
+}
+
+// Store is the table service.
+type Store struct {
+	Address netip.AddrPort `yaml:"address"`
+	// ReadsPerSecond is what all boxes together may read; zero if unknown.
+	ReadsPerSecond float64 `yaml:"reads_per_second"`
+}
+
+// Box bounds what the process may use.
+type Box struct {
+	// MemoryMB is the most memory, in MiB; above it the process is killed.
+	MemoryMB int `yaml:"memory_mb"`
+	// Descriptors bounds open files and sockets.
+	Descriptors int `yaml:"descriptors"`
+	// Share is the part of a processor core that this box has.
+	Share float64 `yaml:"share"`
+	// Megabits is the link's speed, a second.
+	Megabits float64 `yaml:"megabits"`
+}
+
+// Bounds are the platform's. An empty one means that it does not apply.
+type Bounds struct {
+	// Stop is the time from the request to stop until the process is killed.
+	Stop time.Duration `yaml:"stop"`
+	// Drain is how long a leaving target still takes requests.
+	Drain time.Duration `yaml:"drain"`
+	// RevokedWithin is the longest that a key is honoured after it was taken
+	// away, whatever befalls the box; zero if there is no such bound.
+	RevokedWithin time.Duration `yaml:"revoked_within"`
+	// RetryShare and RetryExtra bound, over all boxes, the sendings of requests
+	// that were sent before: a share of the requests and a number in each
+	// RetryWindow.
+	RetryShare  float64       `yaml:"retry_share"`
+	RetryExtra  float64       `yaml:"retry_extra"`
+	RetryWindow time.Duration `yaml:"retry_window"`
+	// Takeover is the least time between the orders of two holders of a duty.
+	Takeover time.Duration `yaml:"takeover"`
+	// WeightsWithin is how long after a version was named requests may still
+	// begin on an older one.
+	WeightsWithin time.Duration `yaml:"weights_within"`
+}
+
+// defaults are the settings of an empty file.
+func defaults() Settings {
+	return Settings{
+		LogLevel: "info",
+		Box:      Box{MemoryMB: 128, Descriptors: 1024, Share: 1, Megabits: 100},
+		Bounds: Bounds{
+			Stop: 8 * time.Second, Drain: 2 * time.Second, RetryShare: 0.1, RetryExtra: 10,
+			RetryWindow: 10 * time.Second, Takeover: 3 * time.Second, WeightsWithin: 12 * time.Second,
+		},
+	}
+}
+
+// Parse reads the settings in data, which came from the file called name. The
+// error holds every finding.
+func Parse(name string, data []byte) (Settings, error) {
+	s := defaults()
+	d := document.Document{Name: name}
+	d.Decode(data, &s)
+	s.check(&d)
+	return s, d.Err()
+}
+
+func (s *Settings) check(d *document.Document) {
+	if s.Name == "" {
+		d.Add("name", "must be set")
+	}
+	if s.Domain == "" {
+		d.Add("domain", "must be set")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		d.Add("log_level", "%q is none of debug, info, warn, error", s.LogLevel)
+	}
+	s.checkAddresses(d)
+	s.checkBox(d)
+	s.checkBounds(d)
+}
+
+func (s *Settings) checkAddresses(d *document.Document) {
+	for _, l := range []struct {
+		path     string
+		at       netip.AddrPort
+		optional bool
+	}{
+		{"callers", s.Callers, false},
+		{"ready", s.Ready, false},
+		{"metrics", s.Metrics, true},
+		{"store.address", s.Store.Address, false},
+	} {
+		if l.optional && !l.at.IsValid() {
+			continue
+		}
+		if !l.at.IsValid() || l.at.Port() == 0 {
+			d.Add(l.path, "must be an IP number and a port, such as 10.0.0.1:8080")
+		}
+	}
+	if s.Callers == s.Ready && s.Callers.IsValid() {
+		d.Add("ready", "has the address of callers")
+	}
+}
+
+func (s *Settings) checkBox(d *document.Document) {
+	const leastMemory, leastDescriptors = 32, 64
+	if s.Box.MemoryMB < leastMemory {
+		d.Add("box.memory_mb", "must be %d at least", leastMemory)
+	}
+	if s.Box.Descriptors < leastDescriptors {
+		d.Add("box.descriptors", "must be %d at least", leastDescriptors)
+	}
+	if s.Box.Share <= 0 {
+		d.Add("box.share", "must be above 0")
+	}
+}
+
+func (s *Settings) checkBounds(d *document.Document) {
+	const longest = time.Hour
+	for _, b := range []struct {
+		path  string
+		value time.Duration
+		least time.Duration
+	}{
+		{"bounds.stop", s.Bounds.Stop, time.Second},
+		{"bounds.drain", s.Bounds.Drain, 0},
+		{"bounds.revoked_within", s.Bounds.RevokedWithin, 0},
+		{"bounds.retry_window", s.Bounds.RetryWindow, time.Second},
+		{"bounds.takeover", s.Bounds.Takeover, 0},
+		{"bounds.weights_within", s.Bounds.WeightsWithin, 0},
+	} {
+		if b.value < b.least || b.value > longest {
+			d.Add(b.path, "%v is not within %v and %v", b.value, b.least, longest)
+		}
+	}
+	if s.Bounds.RetryShare < 0 || s.Bounds.RetryExtra < 0 {
+		d.Add("bounds.retry_share", "neither it nor retry_extra can be below 0")
+	}
+}
--- /dev/null
+++ b/entry/systems.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/nearest"
+)
+
+// tick is how often the systems run. Nothing that they do is more urgent.
+const tick = 100 * time.Millisecond
+
+// system runs over the tables each tick and returns effects.
+type system func(now time.Time, t *tables) []effect
+
+// sweep forgets what is over: connections, expectations, lapsed entries.
+func (d *Daemon) sweep(now time.Time, t *tables) []effect {
+	for _, id := range t.fleet.Lapsed(now) {
+		d.Log.Warn("target did not come back after the table service did", "target", id)
+		d.drop(t, id)
+	}
+	if now.Before(t.due.sweep) {
+		return nil
+	}
+	t.due.sweep = now.Add(time.Second)
+	t.directory.Expire(now)
+	d.Sweep(now)
+	d.countTables(t)
+	return d.follow(t)
+}
+
+// probeEvery is how often a silent target is asked for its health. Each probe
+// has its price, and until one succeeds the target gets no work.
+const probeEvery = 500 * time.Millisecond
+
+// probeSilent asks services that say nothing for their health. Engines answer
+// for their news all the time and need no probe.
+func (d *Daemon) probeSilent(now time.Time, t *tables) []effect {
+	table := d.current.Load()
+	if table == nil || now.Before(t.due.probe) {
+		return nil
+	}
+	t.due.probe = now.Add(probeEvery)
+	var effects []effect
+	for name, pool := range table.Pools {
+		if pool.Engine != nil || pool.HealthPath == "" {
+			continue
+		}
+		for _, x := range t.fleet.Pool(name) {
+			if t.probing[x.ID] || x.Leaving || (!x.Avoided(now) && !nearest.Silent(now, x)) {
+				continue
+			}
+			t.probing[x.ID] = true
+			effects = append(effects, probe{x.ID, pool.HealthPath, x.Address})
+		}
+	}
+	return effects
+}
--- /dev/null
+++ b/entry/tables.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// tables are what the loop owns. Only the loop touches them.
+type tables struct {
+	fleet     *fleet.Fleet
+	directory *directory.Directory
+	// stores are the stores of kept parts, by name in order.
+	stores []*affinity.Source
+	// followed are the sources whose news are read, with how to stop that.
+	followed map[string]context.CancelFunc
+	// weights are the models whose newest version was named.
+	weights map[string]*weights
+	// clock is the targets' common clock less this process's own.
+	clock time.Duration
+	// timed says that clock was told.
+	timed bool
+	// members are the boxes that ever wrote their row.
+	members map[string]bool
+	// storeAway says that the table service does not answer.
+	storeAway bool
+	// probing marks targets whose health is being asked for.
+	probing map[string]bool
+	due     due
+	// stepping says that a step of the lease is under way.
+	stepping bool
+}
+
+// weights is one model's rollout as this box sees it.
+type weights struct {
+	// wanted is the newest version named, seen at named.
+	wanted int64
+	named  time.Time
+	// ordered are the orders that this box has under way, by target.
+	ordered map[string]bool
+	// planned are the targets that wait until their loading is announced.
+	planned []string
+	// announcing says that the row is being written.
+	announcing bool
+}
+
+// due is when the systems next have something to do.
+type due struct {
+	sweep, lease, probe time.Time
+}
+
+func newTables() tables {
+	return tables{
+		fleet: fleet.New(), directory: directory.New(), followed: make(map[string]context.CancelFunc),
+		weights: make(map[string]*weights), members: make(map[string]bool), probing: make(map[string]bool),
+	}
+}
+
+// presumed is how many boxes are taken to share the work until their rows were
+// read: the most that a small deployment has.
+const presumed = 10
+
+// boxes is how many boxes share the work.
+func (t *tables) boxes() int {
+	if len(t.members) == 0 {
+		return presumed
+	}
+	return len(t.members)
+}
+
+// model returns the rollout of a model.
+func (t *tables) model(name string) *weights {
+	w := t.weights[name]
+	if w == nil {
+		w = &weights{ordered: make(map[string]bool)}
+		t.weights[name] = w
+	}
+	return w
+}
--- /dev/null
+++ b/entry/update.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// update changes the tables for one message and returns what to do about it.
+func (d *Daemon) update(now time.Time, m message) []effect {
+	t := &d.tables
+	switch m := m.(type) {
+	case placeAsked:
+		place, err := d.place(now, t, m.ask)
+		m.reply <- placeAnswer{place, err}
+	case answerBegan:
+		if x := t.fleet.Target(m.place.Target); x != nil {
+			x.Began(now, m.place.Unread)
+		}
+	case sendingEnded:
+		d.sendingEnded(now, t, m)
+	case operatorRead:
+		return d.operatorRead(now, t, m)
+	case targetsRead:
+		return d.targetsRead(now, t, m)
+	case ownRead:
+		d.ownRead(now, t, m.change)
+	case storeLost:
+		t.storeAway = true
+		d.Log.Warn("table service lost", "err", m.err, "configuration", d.version(), "proved_ago", d.provedAgo(now))
+	case storeBack:
+		t.storeAway = false
+		d.Log.Info("table service back", "configuration", d.version())
+	case newsRead:
+		d.newsRead(now, t, m)
+	case leaseStepped:
+		d.leaseStepped(now, t, m)
+	case announced:
+		return d.announced(now, t, m)
+	case orderEnded:
+		d.orderEnded(now, t, m)
+	case probed:
+		d.probed(now, t, m)
+	}
+	return nil
+}
+
+// operatorRead takes over what the operator wrote. A lower version is never
+// taken.
+func (d *Daemon) operatorRead(now time.Time, t *tables, m operatorRead) []effect {
+	if last := d.proved.Load(); last == nil || m.asked.After(*last) {
+		d.proved.Store(&m.asked)
+	}
+	for model, version := range m.change.Weights {
+		if w := t.model(model); version > w.wanted {
+			d.Log.Info("weights named", "model", model, "version", version, "before", w.wanted)
+			w.wanted, w.named = version, now
+		}
+	}
+	if err := m.change.Unusable; err != nil {
+		d.Log.Error("configuration can't be used; the last good one stays", "err", err, "in_force", d.version())
+	}
+	next := m.change.Table
+	if next == nil || next.Version <= d.version() {
+		return nil
+	}
+	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "asked_ago", now.Sub(m.asked))
+	d.counts.configuration.Set(float64(next.Version))
+	d.current.Store(next)
+	d.listStores(t, next)
+	return d.follow(t)
+}
+
+// targetsRead takes over the list of targets.
+func (d *Daemon) targetsRead(now time.Time, t *tables, m targetsRead) []effect {
+	for _, err := range m.change.Unusable {
+		d.Log.Error("entry of a target can't be used", "err", err)
+	}
+	seen := make(map[string]bool, len(m.change.Listed))
+	for _, e := range m.change.Listed {
+		seen[e.ID] = true
+		d.listTarget(t, e)
+	}
+	gone := m.change.Gone
+	if m.change.Whole {
+		for _, id := range t.fleet.All() {
+			if !seen[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		d.unlist(now, t, id, m.away)
+	}
+	return d.follow(t)
+}
+
+func (d *Daemon) listTarget(t *tables, e fleet.Entry) {
+	before := t.fleet.Target(e.ID)
+	wasLeaving := before != nil && before.Leaving
+	x, fresh := t.fleet.List(e)
+	switch {
+	case fresh:
+		d.Log.Info("target in", "target", e.ID, "pool", e.Pool, "at", e.Address, "domain", e.Domain, "leaving", e.Leaving)
+	case x.Leaving && !wasLeaving:
+		d.Log.Info("target leaves", "target", e.ID, "pool", e.Pool)
+	}
+}
+
+// unlist handles an entry that is gone. One that was lost while the table
+// service was away may come back.
+func (d *Daemon) unlist(now time.Time, t *tables, id string, away bool) {
+	x := t.fleet.Target(id)
+	if x == nil {
+		return
+	}
+	if away && !x.Leaving {
+		d.Log.Warn("target's entry lapsed while the table service was away", "target", id, "kept_for", fleet.LapsedFor)
+		t.fleet.Lapse(now, id)
+		return
+	}
+	d.Log.Info("target gone", "target", id, "pool", x.Pool, "in_flight", x.InFlight)
+	d.drop(t, id)
+}
+
+func (d *Daemon) drop(t *tables, id string) {
+	t.fleet.Drop(id)
+	t.directory.Forget(id)
+}
+
+// newsRead takes over what a source says of its kept parts.
+func (d *Daemon) newsRead(now time.Time, t *tables, m newsRead) {
+	x := t.fleet.Target(m.source)
+	if m.err != nil {
+		t.directory.Silence(m.source)
+		if x != nil {
+			if !x.Avoided(now) {
+				d.Log.Warn("target can't be heard", "target", m.source, "err", m.err)
+			}
+			x.Fail(now)
+		}
+		return
+	}
+	if x != nil {
+		x.Heard(now)
+	}
+	if m.news.Clock > 0 {
+		t.clock, t.timed = m.news.Clock-d.uptime(now), true
+	}
+	t.directory.Begin(m.source, m.news.Epoch)
+	if m.listed {
+		t.directory.Clear(m.source)
+	}
+	for _, c := range m.news.Changes {
+		key := directory.Of(c.Scope, c.Part)
+		if c.Kept {
+			t.directory.Add(m.source, key, c.Tokens)
+			continue
+		}
+		t.directory.Remove(m.source, key)
+	}
+}
+
+// sendingEnded learns from how a sending went.
+func (d *Daemon) sendingEnded(now time.Time, t *tables, m sendingEnded) {
+	x := t.fleet.Target(m.Place.Target)
+	if x == nil {
+		return
+	}
+	x.Ended(now, m.Began, m.Place.Unread, m.Failed)
+	if m.Verdict != 0 {
+		x.Heard(now)
+	}
+	if m.Unreachable {
+		x.Fail(now)
+		d.Log.Warn("target failed a request", "target", x.ID, "pool", x.Pool, "request", m.Job.ID, "grey", x.Grey(now))
+	}
+	d.learn(now, t, x, m)
+}
+
+// probed takes over a target's health.
+func (d *Daemon) probed(now time.Time, t *tables, m probed) {
+	delete(t.probing, m.target)
+	x := t.fleet.Target(m.target)
+	if x == nil {
+		return
+	}
+	if m.err != nil {
+		x.Fail(now)
+		return
+	}
+	x.Heard(now)
+}
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thymewind/thymewind/table"
+)
+
+// How the table service is read.
+const (
+	// proofHold is how long a read of the operator's rows is held. A proof that
+	// the configuration is the newest is then at most twice as old, well within
+	// the 5 s after which keys are no longer trusted.
+	proofHold = 1500 * time.Millisecond
+	// hold is how long the other reads are held. They are broken off when the
+	// operator's rows can't be read.
+	hold = 10 * time.Second
+	// againAfter is the pause after a failed read; each call has its price.
+	againAfter = 250 * time.Millisecond
+	// memberAfter is when the boxes' rows are first read: all are written by
+	// then, so that no box reads them one by one.
+	memberAfter = 2500 * time.Millisecond
+)
+
+// watch follows the table service until ctx ends.
+func (d *Daemon) watch(ctx context.Context) {
+	var work sync.WaitGroup
+	work.Go(func() { d.watchOperator(ctx) })
+	work.Go(func() { d.watchTargets(ctx) })
+	work.Go(func() { d.watchOwn(ctx) })
+	work.Go(func() { d.join(ctx) })
+	work.Wait()
+}
+
+// watchOperator follows the operator's rows. It is the one that notices that
+// the table service is lost or back.
+func (d *Daemon) watchOperator(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		asked := d.now()
+		change, err := d.Platform.Operator(ctx, after, proofHold)
+		if err != nil {
+			d.lost(ctx, err)
+			d.pause(ctx, againAfter)
+			continue
+		}
+		d.back(ctx)
+		after = change.Version
+		d.tell(ctx, operatorRead{asked, change})
+	}
+}
+
+// lost notes that the table service does not answer and breaks off the reads
+// that wait for it.
+func (d *Daemon) lost(ctx context.Context, err error) {
+	d.outage.mu.Lock()
+	defer d.outage.mu.Unlock()
+	if d.outage.away || ctx.Err() != nil {
+		return
+	}
+	d.outage.away = true
+	d.outage.seen = true
+	d.outage.cancel()
+	d.tell(ctx, storeLost{err})
+}
+
+func (d *Daemon) back(ctx context.Context) {
+	d.outage.mu.Lock()
+	defer d.outage.mu.Unlock()
+	if !d.outage.away {
+		return
+	}
+	d.outage.away = false
+	d.outage.ctx, d.outage.cancel = context.WithCancel(ctx)
+	d.tell(ctx, storeBack{})
+}
+
+// outage is what the watchers know of the table service being away.
+type outage struct {
+	mu   sync.Mutex
+	away bool
+	// seen says that an outage happened since the list was last read.
+	seen bool
+	// ctx ends when the service is lost.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// reading returns a context that ends when the table service is lost.
+func (o *outage) reading() context.Context {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ctx
+}
+
+// takeSeen says whether an outage happened since the last call.
+func (o *outage) takeSeen() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := o.seen || o.away
+	o.seen = false
+	return seen
+}
+
+func (d *Daemon) watchTargets(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		asked := d.now()
+		change, err := d.Platform.Targets(d.outage.reading(), after, hold)
+		if err != nil {
+			d.pause(ctx, againAfter)
+			continue
+		}
+		after = change.Version
+		d.tell(ctx, targetsRead{asked, change, d.outage.takeSeen()})
+	}
+}
+
+func (d *Daemon) watchOwn(ctx context.Context) {
+	d.pause(ctx, memberAfter)
+	var after uint64
+	for ctx.Err() == nil {
+		change, err := d.Platform.Own(d.outage.reading(), after, hold)
+		if err != nil {
+			d.pause(ctx, againAfter)
+			continue
+		}
+		after = change.Version
+		d.tell(ctx, ownRead{change})
+	}
+}
+
+// memberPrefix begins the keys of the boxes' rows. They are written once in
+// the life of a box and never removed; they only tell how many share the work.
+const memberPrefix = "member/"
+
+// join writes this box's row.
+func (d *Daemon) join(ctx context.Context) {
+	row := table.Row{Key: memberPrefix + d.Settings.Name, Value: []byte(`{}`)}
+	for ctx.Err() == nil {
+		err := d.write(ctx, row)
+		if err == nil {
+			return
+		}
+		d.Log.Warn("this box's row was not written; trying again", "err", err)
+		d.pause(ctx, time.Second)
+	}
+}
+
+// pause waits unless ctx ends first.
+func (d *Daemon) pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/weights.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/rollout"
+	"github.com/thymewind/thymewind/table"
+)
+
+// How weights are brought to the engines.
+const (
+	// loadLongest is how long a target is taken to load, at most. A load takes
+	// 1.3 s after the target's runs have ended.
+	loadLongest = 6 * time.Second
+	// loadLook is how often a loading target is asked whether it is done.
+	loadLook = 200 * time.Millisecond
+	// loadShy is how long a target that turned a request away during a rollout
+	// gets no other.
+	loadShy = 300 * time.Millisecond
+	// leaseEvery is how often a box without the lease looks at it while there
+	// is work to do.
+	leaseEvery = 500 * time.Millisecond
+	// leaseSpread spreads the boxes' first looks.
+	leaseSpread = 200 * time.Millisecond
+	// atOnce is how many targets load at the same time; with more, each load
+	// takes longer.
+	atOnce = 2
+)
+
+// rolloutPrefix begins the keys of the rows that tell a rollout's state.
+const rolloutPrefix = "rollout/"
+
+// rolloutRow is what the holder of the lease tells the other boxes.
+type rolloutRow struct {
+	Version int64 `json:"version"`
+	// Loading are the targets that load now, Done those that have the version.
+	Loading []string `json:"loading"`
+	Done    []string `json:"done"`
+}
+
+// rollWeights keeps all engines on the newest weights, if this box holds the
+// lease, and tries to get the lease while there is work to do.
+func (d *Daemon) rollWeights(now time.Time, t *tables) []effect {
+	var effects []effect
+	behind := false
+	for _, model := range slices.Sorted(maps.Keys(t.weights)) {
+		w := t.weights[model]
+		replicas := d.replicas(now, t, model, w)
+		if rollout.Behind(w.wanted, replicas) == 0 {
+			continue
+		}
+		behind = true
+		if _, _, held := d.lease.Held(); !held || w.announcing {
+			continue
+		}
+		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 {
+			effects = append(effects, d.tellRollout(t, model, w))
+		}
+	}
+	if behind {
+		effects = append(effects, d.stepLease(now, t)...)
+	}
+	return effects
+}
+
+// replicas lists the engines that serve a model.
+func (d *Daemon) replicas(now time.Time, t *tables, model string, w *weights) []rollout.Replica {
+	table := d.current.Load()
+	if table == nil {
+		return nil
+	}
+	var list []rollout.Replica
+	for name, pool := range table.Pools {
+		if pool.Engine == nil {
+			continue
+		}
+		for _, x := range t.fleet.Pool(name) {
+			version, serves := x.Versions[model]
+			if !serves || !x.Open(now) {
+				continue
+			}
+			list = append(list, rollout.Replica{ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight})
+		}
+	}
+	slices.SortFunc(list, func(a, b rollout.Replica) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (d *Daemon) stepLease(now time.Time, t *tables) []effect {
+	if t.stepping || !d.lease.Due() || now.Before(t.due.lease) {
+		return nil
+	}
+	t.stepping = true
+	return []effect{stepLease{}}
+}
+
+func (d *Daemon) leaseStepped(now time.Time, t *tables, m leaseStepped) {
+	t.stepping = false
+	epoch, _, held := d.lease.Held()
+	t.due.lease = now.Add(leaseEvery + d.jitter(leaseSpread))
+	if held {
+		t.due.lease = now
+	}
+	d.Log.Info("lease of the weights", "held", held, "epoch", epoch, "err", m.err)
+}
+
+// tellRollout makes the effect that writes the rollout's row.
+func (d *Daemon) tellRollout(t *tables, model string, w *weights) effect {
+	w.announcing = true
+	row := rolloutRow{Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned)}
+	for _, id := range t.fleet.All() {
+		if t.fleet.Target(id).Versions[model] == w.wanted {
+			row.Done = append(row.Done, id)
+		}
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // The row's own type always encodes.
+	}
+	return announce{model, table.Row{Key: rolloutPrefix + model, Value: value}}
+}
+
+// announced sends the orders that were announced. The others' knowing is a
+// convenience: if the row was not written, the orders go out all the same.
+func (d *Daemon) announced(now time.Time, t *tables, m announced) []effect {
+	w := t.model(m.model)
+	w.announcing = false
+	if m.err != nil {
+		d.Log.Warn("rollout not announced", "model", m.model, "err", m.err)
+	}
+	epoch, _, held := d.lease.Held()
+	planned := w.planned
+	w.planned = nil
+	if !held {
+		return nil
+	}
+	var effects []effect
+	for _, id := range planned {
+		x := t.fleet.Target(id)
+		if x == nil {
+			continue
+		}
+		w.ordered[id] = true
+		x.LoadingUntil = now.Add(loadLongest)
+		d.Log.Info("target is ordered to load weights", "target", id, "model", m.model, "version", w.wanted, "epoch", epoch, "after_orders", x.Orders)
+		effects = append(effects, sendOrder{rollout.Order{
+			Target: id, Model: m.model, Version: w.wanted, Holder: d.Settings.Name, Epoch: epoch, After: x.Orders,
+		}, x.Address})
+	}
+	return effects
+}
+
+// errNotHeld says that this box must not give orders any more.
+var errNotHeld = trace.AccessDenied("the lease is not held")
+
+// bring has one target load weights and waits until it has them.
+func (d *Daemon) bring(ctx context.Context, e sendOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, loadLongest)
+	defer cancel()
+	ordered := false
+	for {
+		report, err := d.Platform.Report(ctx, e.at)
+		if err == nil && report.Versions[e.order.Model] >= e.order.Version {
+			return nil
+		}
+		if err == nil && !report.Busy && (!ordered || report.Orders == e.order.After) {
+			e.order.After = report.Orders
+			if err = d.order(ctx, e); err == nil {
+				ordered = true
+			}
+			if trace.IsAccessDenied(err) {
+				return err
+			}
+		}
+		if err != nil {
+			d.Log.Warn("order not confirmed", "target", e.order.Target, "version", e.order.Version, "err", err)
+		}
+		d.pause(ctx, loadLook)
+		if ctx.Err() != nil {
+			return trace.LimitExceeded("the target does not have the version after %v", loadLongest)
+		}
+	}
+}
+
+// order sends one order, if the lease is held right before.
+func (d *Daemon) order(ctx context.Context, e sendOrder) error {
+	epoch, until, held := d.lease.Held()
+	if !held || epoch != e.order.Epoch {
+		return errNotHeld
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return d.Platform.Order(ctx, e.at, e.order)
+}
+
+func (d *Daemon) orderEnded(now time.Time, t *tables, m orderEnded) {
+	w := t.model(m.model)
+	delete(w.ordered, m.target)
+	x := t.fleet.Target(m.target)
+	if x == nil {
+		return
+	}
+	x.LoadingUntil = time.Time{}
+	if m.err != nil {
+		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
+		return
+	}
+	x.Versions[m.model] = max(x.Versions[m.model], m.version)
+	d.Log.Info("target has the weights", "target", m.target, "model", m.model, "version", m.version, "since_named", now.Sub(w.named))
+}
+
+// ownRead takes over what the boxes tell each other through the table service.
+func (d *Daemon) ownRead(now time.Time, t *tables, change Own) {
+	for _, row := range change.Rows {
+		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
+			t.members[name] = true
+		}
+		if model, ok := strings.CutPrefix(row.Key, rolloutPrefix); ok {
+			d.rolloutRead(now, t, model, row.Value)
+		}
+	}
+}
+
+func (d *Daemon) rolloutRead(now time.Time, t *tables, model string, value []byte) {
+	var row rolloutRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		d.Log.Error("the rollout's row can't be read", "model", model, "err", err)
+		return
+	}
+	for _, id := range row.Done {
+		if x := t.fleet.Target(id); x != nil {
+			x.Versions[model] = max(x.Versions[model], row.Version)
+			x.LoadingUntil = time.Time{}
+		}
+	}
+	for _, id := range row.Loading {
+		if x := t.fleet.Target(id); x != nil && x.Versions[model] < row.Version {
+			x.LoadingUntil = now.Add(loadLongest)
+		}
+	}
+}
+
+// learn takes from a target's refusal what it says of its weights.
+func (d *Daemon) learn(now time.Time, t *tables, x *fleet.Target, m sendingEnded) {
+	model := m.Job.Model
+	switch m.Verdict {
+	case deliver.OtherVersion:
+		before := x.Versions[model]
+		x.Versions[model] = max(before, m.Version)
+		if m.Version == 0 {
+			x.LoadingUntil = now.Add(loadShy)
+		}
+		d.Log.Info("target has other weights", "target", x.ID, "request", m.Job.ID, "thought", before, "told", m.Version)
+	case deliver.Elsewhere:
+		d.Log.Warn("another replica has the target's address", "target", x.ID, "at", x.Address, "request", m.Job.ID)
+		d.drop(t, x.ID)
+	case deliver.DidNotRun:
+		if w := t.model(model); w.wanted > x.Versions[model] {
+			x.LoadingUntil = now.Add(loadShy)
+		}
+	}
+}
--- /dev/null
+++ b/exchange/connection.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// readBuffer holds an answer's head and some events, in bytes. Larger buffers
+// cost memory for each connection without saving reads.
+const readBuffer = 2 << 10
+
+// connection is one connection to a target.
+type connection struct {
+	net.Conn
+	at     netip.AddrPort
+	reader *bufio.Reader
+	// used says that an exchange was done on it before.
+	used bool
+	// unused is when the last exchange ended.
+	unused time.Time
+	// said is how long the target says that it keeps the connection; zero if
+	// it says nothing.
+	said time.Duration
+}
+
+func newConnection(conn net.Conn, at netip.AddrPort) *connection {
+	return &connection{Conn: conn, at: at, reader: bufio.NewReaderSize(conn, readBuffer)}
+}
+
+// idleFor is how long the connection may stay unused: four fifths of what the
+// target said, so that a request never crosses the target's close, or usual.
+func (c *connection) idleFor(usual time.Duration) time.Duration {
+	if c.said > 0 {
+		return min(usual, c.said*4/5)
+	}
+	return usual
+}
+
+// heed takes over how long the target keeps the connection, from the value of
+// a Keep-Alive header such as "timeout=5, max=100".
+func (c *connection) heed(keepAlive string) {
+	for field := range strings.SplitSeq(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			c.said = max(time.Duration(seconds)*time.Second, time.Millisecond)
+		}
+	}
+}
+
+// sound says whether an unused connection is open and silent. Bytes that
+// nobody asked for, such as a surplus answer, make it unfit.
+func (c *connection) sound() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.said > 0 && time.Since(c.unused) >= c.idleFor(c.said) {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	return silent(raw)
+}
+
+// silent looks at the socket without waiting and without taking bytes.
+func silent(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peeked := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(peeked, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/exchange/do.go
@@ -0,0 +1,158 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// inline is the largest body, in bytes, that is written before the answer is
+// read. A larger one is written beside the reading, as a target may answer
+// first and leave the body unread.
+const inline = 4 << 10
+
+// Answer is a target's answer whose head has come.
+type Answer struct {
+	Status int
+	Header http.Header
+
+	client   *Client
+	conn     *connection
+	response *http.Response
+	// cancel stops watching the request's context.
+	cancel func() bool
+	// written is closed when the request was written; unwritten tells why not.
+	written   chan struct{}
+	unwritten error
+	ended     bool
+	once      sync.Once
+}
+
+// Do sends a request and waits for the head of the answer until ctx ends. The
+// error is ErrNotSent if no byte left this box; otherwise the target may have
+// run the request. After an error there is no answer to close.
+func (c *Client) Do(ctx context.Context, at netip.AddrPort, request *Request) (*Answer, error) {
+	conn, err := c.take(ctx, at)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	a := &Answer{client: c, conn: conn, written: make(chan struct{})}
+	a.cancel = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := a.write(request); err != nil {
+		a.discard()
+		return nil, trace.Wrap(err)
+	}
+	if err := a.head(request.Method); err != nil {
+		a.discard()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, trace.Wrap(err)
+	}
+	return a, nil
+}
+
+// write sends the request. It fails only if nothing can come back.
+func (a *Answer) write(request *Request) error {
+	var out bytes.Buffer
+	request.encode(&out)
+	if len(request.Body) > inline {
+		go a.send(out.Bytes(), request.Body)
+		return nil
+	}
+	out.Write(request.Body)
+	defer close(a.written)
+	n, err := a.conn.Write(out.Bytes())
+	if err != nil && n == 0 {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return err
+}
+
+func (a *Answer) send(head, body []byte) {
+	defer close(a.written)
+	if _, a.unwritten = a.conn.Write(head); a.unwritten == nil {
+		_, a.unwritten = a.conn.Write(body)
+	}
+}
+
+func (r *Request) encode(out *bytes.Buffer) {
+	out.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			out.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	out.WriteString("\r\n")
+}
+
+// head reads the answer's head, past informational ones.
+func (a *Answer) head(method string) error {
+	for {
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return trace.BadParameter("the target switches protocols")
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		a.response, a.Status, a.Header = response, response.StatusCode, response.Header
+		a.conn.heed(response.Header.Get("Keep-Alive"))
+		return nil
+	}
+}
+
+// Length is the body's length in bytes, or -1 if the head does not tell it.
+func (a *Answer) Length() int64 { return a.response.ContentLength }
+
+// Read reads the body. It returns io.EOF only at the end of a whole body: a
+// body without length that is cut off by a reset is an error.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.response.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept only if the whole answer was
+// read, the whole request was written, and nothing more came.
+func (a *Answer) Close() {
+	a.once.Do(func() {
+		if a.reusable() && a.cancel() {
+			a.conn.used = true
+			a.client.keep(a.conn)
+			return
+		}
+		a.discard()
+	})
+}
+
+func (a *Answer) reusable() bool {
+	select {
+	case <-a.written:
+	default:
+		return false
+	}
+	return a.ended && a.unwritten == nil && !a.response.Close && a.conn.reader.Buffered() == 0
+}
+
+func (a *Answer) discard() {
+	a.cancel()
+	a.client.drop(a.conn)
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,119 @@
+// Package fleet is the table of targets as one box sees them: what the
+// platform's list says of each, and what this box's own requests tell.
+//
+//	f := fleet.New()
+//	f.List(now, fleet.Entry{ID: "i-7f", Pool: "menu", Address: at})
+//	for _, t := range f.Pool("menu") { ... }
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// LapsedFor is how long a target whose entry was lost in an outage of the
+// platform still takes work. Entries of live replicas are back within 2 s of
+// the platform's return; half a second is kept for what is already under way.
+const LapsedFor = 1500 * time.Millisecond
+
+// Entry is a replica's own entry in the platform's list.
+type Entry struct {
+	ID       string
+	Pool     string
+	Address  netip.AddrPort
+	Domain   string
+	Slots    int
+	Leaving  bool
+	Versions map[string]int64
+	Orders   uint64
+}
+
+// Fleet is not safe for concurrent use.
+type Fleet struct {
+	byID map[string]*Target
+	// pools holds the targets of each pool by ID, so that every box walks them
+	// in the same order.
+	pools map[string][]*Target
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	return &Fleet{byID: make(map[string]*Target), pools: make(map[string][]*Target)}
+}
+
+// List takes an entry over and returns its target, and whether it is new.
+func (f *Fleet) List(e Entry) (*Target, bool) {
+	t, known := f.byID[e.ID]
+	if !known {
+		t = &Target{ID: e.ID, Pool: e.Pool, Versions: make(map[string]int64)}
+		f.byID[e.ID] = t
+		f.pools[e.Pool] = insert(f.pools[e.Pool], t)
+	}
+	t.Address, t.Domain, t.Slots, t.Orders = e.Address, e.Domain, e.Slots, e.Orders
+	t.Leaving = t.Leaving || e.Leaving
+	t.LapsedAt = time.Time{}
+	for model, version := range e.Versions {
+		t.Versions[model] = max(t.Versions[model], version)
+	}
+	return t, !known
+}
+
+func insert(list []*Target, t *Target) []*Target {
+	at, _ := slices.BinarySearchFunc(list, t.ID, func(x *Target, id string) int { return strings.Compare(x.ID, id) })
+	return slices.Insert(list, at, t)
+}
+
+// Lapse notes that an entry is missing after an outage.
+func (f *Fleet) Lapse(now time.Time, id string) {
+	if t := f.byID[id]; t != nil && t.LapsedAt.IsZero() {
+		t.LapsedAt = now
+	}
+}
+
+// Drop forgets a target that is gone.
+func (f *Fleet) Drop(id string) {
+	t := f.byID[id]
+	if t == nil {
+		return
+	}
+	// Requests under way still hold it.
+	t.Leaving = true
+	delete(f.byID, id)
+	f.pools[t.Pool] = slices.DeleteFunc(f.pools[t.Pool], func(x *Target) bool { return x == t })
+	if len(f.pools[t.Pool]) == 0 {
+		delete(f.pools, t.Pool)
+	}
+}
+
+// Target returns a target by its ID, or nil.
+func (f *Fleet) Target(id string) *Target { return f.byID[id] }
+
+// Pool returns a pool's targets in the order of their IDs. The caller must not
+// change the list.
+func (f *Fleet) Pool(name string) []*Target { return f.pools[name] }
+
+// All returns the IDs of all targets, in order.
+func (f *Fleet) All() []string { return slices.Sorted(maps.Keys(f.byID)) }
+
+// Lapsed returns the targets whose entries stayed missing for too long.
+func (f *Fleet) Lapsed(now time.Time) []string {
+	var ids []string
+	for _, id := range f.All() {
+		if at := f.byID[id].LapsedAt; !at.IsZero() && now.Sub(at) >= LapsedFor {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Open says whether a target may get new work at all, by what the list says.
+// An entry lost in an outage counts for LapsedFor.
+func (t *Target) Open(now time.Time) bool {
+	if t.Leaving {
+		return false
+	}
+	return t.LapsedAt.IsZero() || now.Sub(t.LapsedAt) < LapsedFor
+}
--- /dev/null
+++ b/nearest/nearest.go
@@ -0,0 +1,65 @@
+// Package nearest chooses a replica of a plain service: one that is well, with
+// the least of this box's own requests, in the box's own failure domain if that
+// makes no odds.
+//
+//	target, ok := nearest.Chooser{Domain: "quezon"}.Choose(now, targets, skip)
+package nearest
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+)
+
+const (
+	// silentAfter is how long a service with requests may say nothing: the
+	// slowest in 100 take a fifth of a second.
+	silentAfter = 350 * time.Millisecond
+	// elsewhere is the cost of another failure domain in requests under way: a
+	// request takes 30 ms, the way there and back 2 ms.
+	elsewhere = 0.5
+	// doubt is the cost of a target that fails an unusual share.
+	doubt = 100.0
+	// suspicion is the cost of a target that could not be reached lately.
+	suspicion = 200.0
+)
+
+// Chooser chooses by what this box knows.
+type Chooser struct {
+	// Domain is this box's failure domain.
+	Domain string
+}
+
+// Choose returns the target for a request, or false if none takes new work.
+// Skip passes over targets for which it returns true.
+func (c Chooser) Choose(now time.Time, targets []*fleet.Target, skip func(id string) bool) (*fleet.Target, bool) {
+	var best *fleet.Target
+	var least float64
+	for _, t := range targets {
+		if !t.Open(now) || skip(t.ID) || t.Silent(now, silentAfter) {
+			continue
+		}
+		if cost := c.cost(now, t); best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	return best, best != nil
+}
+
+func (c Chooser) cost(now time.Time, t *fleet.Target) float64 {
+	cost := float64(t.InFlight)
+	if t.Domain != c.Domain {
+		cost += elsewhere
+	}
+	if t.Grey(now) {
+		cost += doubt
+	}
+	if t.Avoided(now) {
+		cost += suspicion
+	}
+	return cost
+}
+
+// Silent says whether a target should be asked for its health: requests wait
+// there and nothing comes.
+func Silent(now time.Time, t *fleet.Target) bool { return t.Silent(now, silentAfter) }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,6 +15,9 @@
 	Share float64
 	// Burst is how many retries can be saved up. A pool begins with them.
 	Burst float64
+	// Empty says that a pool begins with nothing saved up, so that a process
+	// that starts again does not get its retries anew.
+	Empty bool
 
 	mu sync.Mutex
 	// saved lies between 0 and Burst.
@@ -43,7 +46,7 @@
 	if b.saved == nil {
 		b.saved = make(map[string]float64)
 	}
-	if _, ok := b.saved[pool]; !ok {
+	if _, ok := b.saved[pool]; !ok && !b.Empty {
 		b.saved[pool] = b.Burst
 	}
 	return pool
--- /dev/null
+++ b/rollout/rollout.go
@@ -0,0 +1,74 @@
+// Package rollout decides which targets are told to load a model's newest
+// weights, a few at a time, so that the others go on serving.
+//
+//	p := rollout.Plan{AtOnce: 2}
+//	ids := p.Next(wanted, replicas)
+package rollout
+
+// Order tells one target to load weights.
+type Order struct {
+	Target  string
+	Model   string
+	Version int64
+	// Holder and Epoch are the lease's: targets refuse a lower epoch, where
+	// they check it.
+	Holder string
+	Epoch  uint64
+	// After is how many orders the target must have taken before; an order that
+	// is carried out late then comes to nothing.
+	After uint64
+}
+
+// Replica is a target as the rollout sees it.
+type Replica struct {
+	ID      string
+	Version int64
+	// Loading says that an order is under way there.
+	Loading bool
+	// Busy orders replicas: those with less work are first.
+	Busy int
+}
+
+// Plan bounds a rollout.
+type Plan struct {
+	// AtOnce is how many targets load at the same time.
+	AtOnce int
+}
+
+// Behind counts the replicas that don't have the wanted version.
+func Behind(wanted int64, replicas []Replica) int {
+	n := 0
+	for _, r := range replicas {
+		if r.Version < wanted {
+			n++
+		}
+	}
+	return n
+}
+
+// Next returns the replicas to order now, the least busy first.
+func (p Plan) Next(wanted int64, replicas []Replica) []string {
+	loading := 0
+	var behind []Replica
+	for _, r := range replicas {
+		switch {
+		case r.Loading:
+			loading++
+		case r.Version < wanted:
+			behind = append(behind, r)
+		}
+	}
+	var next []string
+	for len(behind) > 0 && loading < p.AtOnce {
+		least := 0
+		for i, r := range behind {
+			if r.Busy < behind[least].Busy {
+				least = i
+			}
+		}
+		next = append(next, behind[least].ID)
+		behind = append(behind[:least], behind[least+1:]...)
+		loading++
+	}
+	return next
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,202 @@
+// Package routing says where a request belongs: the route by host and path,
+// the pool by weight, the client account by key. A Table is one version of the
+// operator's configuration and never changes after it was built:
+//
+//	t := routing.New(7, routes, pools, accounts)
+//	route := t.Route("shop.example", "/orders/1")
+//	account, known := t.Account(key)
+package routing
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Table is one version of the configuration. It is read only.
+type Table struct {
+	// Version grows with each change; a daemon never goes back to a lower one.
+	Version int64
+	Pools   map[string]*Pool
+	// MaxBody and MaxHeader bound what callers may send, in bytes.
+	MaxBody   int64
+	MaxHeader int
+	// HeaderWithin bounds how long a caller takes to send a head, IdleFor how
+	// long its connection rests.
+	HeaderWithin, IdleFor time.Duration
+
+	// hosts holds each host's routes, the longest prefix first.
+	hosts map[string][]*Route
+	// keys finds the account of a key.
+	keys map[string]*Account
+	// keyed says that requests need a key, unless their route is open.
+	keyed bool
+}
+
+// Route is what requests under one host and path prefix have in common.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// Stream answers with events; Resumable streams can be continued.
+	Stream, Resumable bool
+	// Timeout is the longest that a request is held.
+	Timeout time.Duration
+	// Goal is the time in which an answer, or its first event, should come.
+	Goal time.Duration
+	// Pause is the longest pause between events that is still in time.
+	Pause time.Duration
+	// Urgency orders requests; lower goes first.
+	Urgency int
+	// Attempts bounds the targets that one request is sent to.
+	Attempts int
+	// Open requests need no key.
+	Open bool
+	// Shares are the pools that serve the route; at least one.
+	Shares []Share
+}
+
+// Share is a pool's part of a route's requests.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// Pool is a group of targets, or a store of kept prompt parts.
+type Pool struct {
+	Name string
+	// HealthPath answers 200 while a target is healthy.
+	HealthPath string
+	// MaxConnections is what one target takes from all callers together.
+	MaxConnections int
+	// Engine is set for pools of model engines.
+	Engine *Engine
+	// Store is set for a store of kept parts.
+	Store *Store
+}
+
+// Engine is what the targets of a model pool have in common.
+type Engine struct {
+	Models []string
+	// Slots is how many requests run at once.
+	Slots int
+	// Capacity is the memory of a target, in tokens.
+	Capacity int
+	// TokenBytes is the size of one token's memory.
+	TokenBytes int
+	// Megabits is the speed of a target's link, a second.
+	Megabits float64
+	// Followers is how many callers may wait for a target's events at once.
+	Followers int
+}
+
+// Store is a box that keeps prompt parts for engines.
+type Store struct {
+	Address netip.AddrPort
+	Domain  string
+	// Capacity is in tokens.
+	Capacity int
+	Megabits float64
+	// First is what each move waits before it begins.
+	First time.Duration
+	// Managed stores drop nothing by themselves.
+	Managed   bool
+	Followers int
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Urgency takes precedence over the route's, if Ranked.
+	Urgency int
+	Ranked  bool
+	// Isolated accounts share no kept part with another.
+	Isolated bool
+}
+
+// New builds the version's table. Limits are set by the caller afterwards.
+func New(version int64, routes []*Route, pools []*Pool, accounts []*Account) *Table {
+	t := &Table{
+		Version: version,
+		Pools:   make(map[string]*Pool, len(pools)),
+		hosts:   make(map[string][]*Route),
+		keys:    make(map[string]*Account),
+		keyed:   len(accounts) > 0,
+	}
+	for _, p := range pools {
+		t.Pools[p.Name] = p
+	}
+	for _, r := range routes {
+		host := canonical(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, a := range accounts {
+		for _, key := range a.Keys {
+			t.keys[key] = a
+		}
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of path, or nil.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.hosts[canonical(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the account that holds the key.
+func (t *Table) Account(key string) (*Account, bool) {
+	a, known := t.keys[key]
+	return a, known
+}
+
+// Keyed says whether requests on a route need a key.
+func (t *Table) Keyed(r *Route) bool { return t.keyed && !r.Open }
+
+// Pick returns the pool for a request, by a number drawn for it.
+func (r *Route) Pick(drawn uint64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Pool
+	}
+	at := int(drawn % uint64(total))
+	for _, s := range r.Shares {
+		at -= s.Weight
+		if at < 0 {
+			return s.Pool
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Pool
+}
+
+// Urgency returns the rank of an account's requests on a route; lower goes
+// first. The account is nil on open routes.
+func Urgency(r *Route, a *Account) int {
+	if a != nil && a.Ranked {
+		return a.Urgency
+	}
+	return r.Urgency
+}
+
+// canonical is a host without port, in lower case.
+func canonical(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
