--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -29,9 +29,11 @@
 	// best-ranked engine for; a request's first event takes some 50 ms.
 	slack = 25 * time.Millisecond
 	// oldWeights is the cost of running on weights older than the newest.
-	oldWeights = 300 * time.Millisecond
+	oldWeights = 80 * time.Millisecond
 	// doubt is the cost of a target that failed lately.
 	doubt = 2 * time.Second
+	// peerFirst is what a move from another engine waits at least.
+	peerFirst = 2 * time.Millisecond
 	// silentAfter is how long an engine with requests may say nothing. Its
 	// events are asked for all the time, which it answers within a second.
 	silentAfter = 1200 * time.Millisecond
@@ -90,6 +92,8 @@
 	Directory *directory.Directory
 	// Stores are the stores in reach, in the same order on each box.
 	Stores func() []*Source
+	// Token is the time to move one token between two engines.
+	Token func() time.Duration
 	// Boxes is how many boxes send requests of about the same kind.
 	Boxes func() int
 }
@@ -109,7 +113,7 @@
 		if !usable(now, ask, t) {
 			continue
 		}
-		one := c.weigh(now, ask, t)
+		one := c.weigh(now, ask, t, targets)
 		all = append(all, one)
 		if least < 0 || one.cost < least {
 			least = one.cost
@@ -136,15 +140,14 @@
 	return !ask.Overdue || t.Versions[ask.Model] >= ask.Wanted
 }
 
-func (c *Chooser) weigh(now time.Time, ask Ask, t *fleet.Target) candidate {
+func (c *Chooser) weigh(now time.Time, ask Ask, t *fleet.Target, peers []*fleet.Target) candidate {
 	version := t.Versions[ask.Model]
 	choice := Choice{Target: t, Version: version, Keys: ask.Keys(version), Rule: "home"}
 	choice.Kept = c.Directory.Run(t.ID, choice.Keys, now)
 	cost := time.Duration(t.Unread*c.Boxes()) * readToken
 	cost += time.Duration(t.InFlight) * time.Millisecond / 2
-	cost += c.planFetch(now, ask, t, &choice)
+	cost += c.planFetch(now, ask, t, peers, &choice)
 	cost += time.Duration(choice.Unread) * readToken
-	cost += time.Duration(again(ask, choice)) * againToken
 	if version < ask.Wanted {
 		cost += oldWeights
 	}
@@ -154,27 +157,37 @@
 	return candidate{choice: choice, cost: cost, rank: placement.Weight(ask.Home, placement.Hash(t.ID))}
 }
 
-// again counts the shared tokens that would be read.
-func again(ask Ask, choice Choice) int {
-	if len(ask.Parts) == 0 || choice.Kept >= len(ask.Parts)-1 {
-		return 0
+// kept says whether any engine or store in reach keeps a part.
+func (c *Chooser) kept(key directory.Key, peers []*fleet.Target) bool {
+	for _, s := range c.Stores() {
+		if c.Directory.Whole(s.Name, key) {
+			return true
+		}
+	}
+	for _, p := range peers {
+		if c.Directory.Whole(p.ID, key) {
+			return true
+		}
 	}
-	return choice.Unread - ask.Parts[len(ask.Parts)-1].Tokens
+	return false
 }
 
 // planFetch finds sources for the parts that the engine lacks, counts what is
 // left to read, and returns the time that the moves take.
-func (c *Chooser) planFetch(now time.Time, ask Ask, t *fleet.Target, choice *Choice) time.Duration {
+func (c *Chooser) planFetch(now time.Time, ask Ask, t *fleet.Target, peers []*fleet.Target, choice *Choice) time.Duration {
 	var took time.Duration
 	reading := false
 	for i := choice.Kept; i < len(ask.Parts); i++ {
 		source, cost := (*Source)(nil), time.Duration(0)
 		if !reading && i < len(ask.Parts)-1 {
-			source, cost = c.source(choice.Keys[i], ask.Parts[i].Tokens, t)
+			source, cost = c.source(now, choice.Keys[i], ask.Parts[i].Tokens, t, peers)
 		}
 		if source == nil {
 			reading = true
 			choice.Unread += ask.Parts[i].Tokens
+			if i < len(ask.Parts)-1 && c.kept(choice.Keys[i], peers) {
+				took += time.Duration(ask.Parts[i].Tokens) * againToken
+			}
 			continue
 		}
 		if choice.Fetch == nil {
@@ -187,9 +200,9 @@
 	return took
 }
 
-// source returns the store that brings a part soonest, if that is sooner than
-// reading it.
-func (c *Chooser) source(key directory.Key, tokens int, t *fleet.Target) (*Source, time.Duration) {
+// source returns the store or other engine that brings a part soonest, if that
+// is sooner than reading it.
+func (c *Chooser) source(now time.Time, key directory.Key, tokens int, t *fleet.Target, peers []*fleet.Target) (*Source, time.Duration) {
 	var best *Source
 	least := time.Duration(tokens) * (readToken + againToken)
 	for _, s := range c.Stores() {
@@ -204,6 +217,18 @@
 			best, least = s, took
 		}
 	}
+	for _, p := range peers {
+		if p == t || p.Leaving || p.Avoided(now) || !c.Directory.Whole(p.ID, key) {
+			continue
+		}
+		took := peerFirst + time.Duration(tokens)*c.Token()
+		if p.Domain != t.Domain {
+			took *= 2
+		}
+		if took < least {
+			best, least = &Source{Name: p.ID, Address: p.Address, Domain: p.Domain}, took
+		}
+	}
 	return best, least
 }
 
--- a/entry/build.go
+++ b/entry/build.go
@@ -28,8 +28,12 @@
 	// retryUse is how much of the retry budget the boxes use together. The
 	// rest covers boxes that are not counted yet.
 	retryUse = 0.7
-	// leaseUse is a lease's length in margins: it is held for one and a half.
-	leaseUse = 2.5
+	// leaseLength and leaseMargin are short, as nobody gives orders until a
+	// successor took the lease: after 2.4 s. A renewal takes up to 0.3 s when
+	// the table service is slow. Orders of two holders to the same target are
+	// kept further apart; see holdOff.
+	leaseLength = 2 * time.Second
+	leaseMargin = 400 * time.Millisecond
 )
 
 // Front makes the callers' handler from the way to serve a call, the clock, and
@@ -57,14 +61,14 @@
 	d.tables = newTables()
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
-	d.outage.ctx, d.outage.cancel = context.WithCancel(context.Background())
-	d.outage.seen = false
+	d.ended = make(chan struct{})
 	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights}
 	d.plan = rollout.Plan{AtOnce: atOnce}
 	d.services = nearest.Chooser{Domain: d.Settings.Domain}
 	d.engines = affinity.Chooser{
 		Directory: d.tables.directory,
 		Stores:    func() []*affinity.Source { return d.tables.stores },
+		Token:     func() time.Duration { return d.tables.engineToken },
 		Boxes:     d.tables.boxes,
 	}
 	d.budget = retry.Budget{
@@ -75,13 +79,9 @@
 	d.buildServer()
 }
 
-// buildLease sets the times so that between one holder's last order and the
-// next one's first at least the platform's bound passes: the margin counts on
-// both sides.
 func (d *Daemon) buildLease() {
-	margin := d.Settings.Bounds.Takeover/2 + 100*time.Millisecond
 	d.lease = lease.Lease{
-		Duty: "weights", Holder: d.Settings.Name, Margin: margin, Length: time.Duration(leaseUse * float64(margin)),
+		Duty: "weights", Holder: d.Settings.Name, Margin: leaseMargin, Length: leaseLength,
 		Commit: d.Platform.Commit, Read: d.Platform.Read, Nonce: func() string { return ulid.Make().String() }, Now: d.now,
 	}
 }
@@ -89,8 +89,8 @@
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
 		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.Platform.Send,
-		Began: func(p deliver.Place) { d.messages <- answerBegan{p} },
-		Ended: func(e deliver.Ended) { d.messages <- sendingEnded{e} },
+		Began: func(p deliver.Place) { d.report(answerBegan{p}) },
+		Ended: func(e deliver.Ended) { d.report(sendingEnded{e}) },
 		Spend: d.budget.Spend, Earn: d.budget.Request,
 		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -47,6 +47,8 @@
 	// should end.
 	stopping, closing atomic.Bool
 	effects           sync.WaitGroup
+	// ended is closed when the loop takes no more messages.
+	ended chan struct{}
 }
 
 // Run serves until ctx ends and then stops in order: no request that was
@@ -61,6 +63,7 @@
 	}
 	d.Log.Info("started", "callers", d.Settings.Callers, "ready", d.Settings.Ready, "store", d.Settings.Store.Address)
 	var work sync.WaitGroup
+	d.outage.start(background)
 	work.Go(func() { d.loop(background) })
 	work.Go(func() { d.watch(background) })
 	<-ctx.Done()
@@ -78,6 +81,7 @@
 func (d *Daemon) loop(ctx context.Context) {
 	ticks := time.NewTicker(tick)
 	defer ticks.Stop()
+	defer close(d.ended)
 	for {
 		select {
 		case <-ctx.Done():
@@ -93,6 +97,14 @@
 	}
 }
 
+// report hands a message to the loop, unless the loop has ended.
+func (d *Daemon) report(m message) {
+	select {
+	case d.messages <- m:
+	case <-d.ended:
+	}
+}
+
 // tell hands a message to the loop, unless ctx ends first.
 func (d *Daemon) tell(ctx context.Context, m message) {
 	select {
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
@@ -18,8 +19,18 @@
 	at   netip.AddrPort
 }
 
-// stepLease renews or takes the rollout's lease.
-type stepLease struct{}
+// stepLease renews or takes the rollout's lease, and reads what its earlier
+// holder wrote if this box has not done so in the epoch known.
+type stepLease struct{ known uint64 }
+
+// freeParts clears stores of a model's parts under versions below one.
+type freeParts struct {
+	model   string
+	version int64
+	stores  []netip.AddrPort
+	// until is when the stores must not act any more, on the targets' clock.
+	until time.Duration
+}
 
 // announce writes which targets of a model load weights now.
 type announce struct {
@@ -51,7 +62,9 @@
 	case followSource:
 		d.followSource(ctx, e)
 	case stepLease:
-		d.tell(ctx, leaseStepped{d.lease.Step(ctx)})
+		d.tell(ctx, d.step(ctx, e))
+	case freeParts:
+		d.tell(ctx, freedOld{e.model, e.version, d.free(ctx, e)})
 	case announce:
 		d.tell(ctx, announced{e.model, d.write(ctx, e.row)})
 	case sendOrder:
@@ -62,6 +75,21 @@
 	}
 }
 
+func (d *Daemon) step(ctx context.Context, e stepLease) leaseStepped {
+	m := leaseStepped{err: d.lease.Step(ctx)}
+	epoch, _, held := d.lease.Held()
+	if !held || epoch == e.known {
+		return m
+	}
+	own, err := d.Platform.Own(ctx, 0, 0)
+	if err != nil {
+		m.err = err
+		return m
+	}
+	m.read, m.rows = true, own.Rows
+	return m
+}
+
 // write puts one row without a condition: only the holder of the rollout's
 // lease writes it, and readers take it for a hint.
 func (d *Daemon) write(ctx context.Context, row table.Row) error {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -35,6 +35,7 @@
 			First: p.Store.First, Token: move(tokenBytes(table), p.Store.Megabits),
 		})
 	}
+	t.engineToken = move(tokenBytes(table), engineMegabits(table))
 	slices.SortFunc(t.stores, func(a, b *affinity.Source) int { return strings.Compare(a.Name, b.Name) })
 }
 
@@ -51,6 +52,15 @@
 	return usualTokenBytes
 }
 
+func engineMegabits(table *routing.Table) float64 {
+	for _, p := range table.Pools {
+		if p.Engine != nil && p.Engine.Megabits > 0 {
+			return p.Engine.Megabits
+		}
+	}
+	return 0
+}
+
 // move is the time to move some bytes over a link.
 func move(bytes int, megabits float64) time.Duration {
 	if megabits <= 0 {
@@ -100,12 +110,12 @@
 	defer cancel()
 	stop := context.AfterFunc(e.ctx, cancel)
 	defer stop()
-	var since, epoch uint64
+	var since uint64
 	for ctx.Err() == nil {
 		began := d.now()
 		m := newsRead{source: e.name}
 		m.news, m.err = d.Platform.News(ctx, e.at, since, newsHold)
-		if m.err == nil && (m.news.Gap || (epoch != 0 && epoch != m.news.Epoch)) {
+		if m.err == nil && m.news.Gap && since > 0 {
 			m.news, m.err = d.Platform.List(ctx, e.at)
 			m.listed = true
 		}
@@ -117,7 +127,7 @@
 			d.pause(ctx, newsAgain)
 			continue
 		}
-		since, epoch = m.news.Next, m.news.Epoch
+		since = m.news.Next
 		d.pause(ctx, newsEvery-d.now().Sub(began))
 	}
 }
--- /dev/null
+++ b/entry/free.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// freeAfter is how long all targets have the newest weights before parts
+	// made on older ones are freed. By then each fetch of them has ended or
+	// was thrown away; see fetchFor.
+	freeAfter = fetchFor + 500*time.Millisecond
+	// freeFor is how long a store may take to act on the order.
+	freeFor = time.Second
+	// freeAtOnce bounds the parts in one order.
+	freeAtOnce = 200
+)
+
+// Part names a kept part under its scope.
+type Part struct {
+	Scope, ID string
+}
+
+// toFree says that stores may still keep parts made on older weights.
+func (w *weights) toFree(t *tables) bool {
+	return t.ownKnown && len(t.stores) > 0 && w.wanted > 1 && w.freed < w.wanted
+}
+
+// freeOld clears the stores of parts made on older weights, once no fetch of
+// them can be under way. Only the lease's holder does.
+func (d *Daemon) freeOld(now time.Time, t *tables, model string, w *weights) []effect {
+	if w.whole.IsZero() {
+		w.whole = now
+	}
+	if w.freeing || !t.timed || now.Sub(w.whole) < freeAfter {
+		return nil
+	}
+	w.freeing = true
+	var stores []netip.AddrPort
+	for _, s := range t.stores {
+		stores = append(stores, s.Address)
+	}
+	return []effect{freeParts{model, w.wanted, stores, d.uptime(now) + t.clock + freeFor}}
+}
+
+// free clears each store; it returns the errors of those that it could not.
+func (d *Daemon) free(ctx context.Context, e freeParts) error {
+	var failed []error
+	for _, at := range e.stores {
+		if err := d.freeStore(ctx, e, at); err != nil {
+			failed = append(failed, trace.Wrap(err, "store at %v", at))
+		}
+	}
+	return trace.NewAggregate(failed...)
+}
+
+func (d *Daemon) freeStore(ctx context.Context, e freeParts, at netip.AddrPort) error {
+	news, err := d.Platform.List(ctx, at)
+	if err != nil {
+		return err
+	}
+	var old []Part
+	for _, c := range slices.Concat(news.Changes, news.Partial) {
+		if outdated(c.Scope, e.model, e.version) {
+			old = append(old, Part{c.Scope, c.Part})
+		}
+	}
+	for some := range slices.Chunk(old, freeAtOnce) {
+		if _, _, held := d.lease.Held(); !held {
+			return errNotHeld
+		}
+		if err := d.Platform.Free(ctx, at, news.Epoch, e.until, some); err != nil {
+			return err
+		}
+	}
+	d.Log.Info("store cleared of parts made on older weights", "store", at, "model", e.model, "version", e.version, "freed", len(old), "kept", len(news.Changes))
+	return nil
+}
+
+// outdated says whether a scope is of the model under a version below one.
+func outdated(scope, model string, version int64) bool {
+	rest, ok := strings.CutPrefix(scope, model+"@")
+	if !ok {
+		return false
+	}
+	text, _, _ := strings.Cut(rest, "/")
+	made, err := strconv.ParseInt(text, 10, 64)
+	return err == nil && made < version
+}
+
+func (d *Daemon) freedOld(now time.Time, t *tables, m freedOld) []effect {
+	w := t.model(m.model)
+	w.freeing = false
+	if m.err != nil {
+		// A store that is down lost its parts anyway.
+		d.Log.Warn("a store was not cleared of older parts", "model", m.model, "err", m.err)
+	}
+	w.freed = max(w.freed, m.version)
+	epoch, _, held := d.lease.Held()
+	if !held || w.announcing {
+		return nil
+	}
+	return []effect{d.tellRollout(now, t, m.model, w, epoch)}
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/table"
 )
 
 // message is something that happened. The loop takes one at a time.
@@ -59,8 +60,20 @@
 	err    error
 }
 
-// leaseStepped tells that the step of the rollout's lease ended.
-type leaseStepped struct{ err error }
+// leaseStepped tells that the step of the rollout's lease ended. While the
+// lease is held, it brings the system's own rows, if they could be read.
+type leaseStepped struct {
+	err  error
+	read bool
+	rows []table.Row
+}
+
+// freedOld tells that the stores were cleared of a model's older parts.
+type freedOld struct {
+	model   string
+	version int64
+	err     error
+}
 
 // orderEnded tells that a target took the order, or why it is not known to.
 type orderEnded struct {
--- a/entry/place.go
+++ b/entry/place.go
@@ -13,7 +13,6 @@
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/refusal"
-	"github.com/thymewind/thymewind/routing"
 )
 
 const (
@@ -35,8 +34,12 @@
 	case <-ctx.Done():
 		return deliver.Place{}, d.timeUp()
 	}
-	answer := <-reply // The loop always answers, and waits for nothing itself.
-	return answer.place, answer.err
+	select {
+	case answer := <-reply: // The loop answers at once; it waits for nothing.
+		return answer.place, answer.err
+	case <-d.ended:
+		return deliver.Place{}, d.timeUp()
+	}
 }
 
 func (d *Daemon) timeUp() error {
@@ -79,7 +82,7 @@
 		Overdue: w.wanted > 0 && d.Settings.Bounds.WeightsWithin > 0 && now.Sub(w.named) > d.Settings.Bounds.WeightsWithin-overdueMargin,
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
-				keys[version] = keysOf(job, scope(version, job.Account))
+				keys[version] = keysOf(job, scope(version, job))
 			}
 			return keys[version]
 		},
@@ -90,7 +93,7 @@
 	}
 	place := deliver.Place{
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
-		Scope: scope(choice.Version, job.Account), Keys: choice.Keys, Unread: choice.Unread, Rule: choice.Rule,
+		Scope: scope(choice.Version, job), Keys: choice.Keys, Unread: choice.Unread, Rule: choice.Rule,
 		Save: addresses(choice.Save),
 	}
 	if t.timed {
@@ -144,10 +147,10 @@
 
 // scope separates kept parts: memory made on other weights, or by a walled
 // account, is never found under it.
-func scope(version int64, account *routing.Account) string {
-	text := "v" + strconv.FormatInt(version, 10)
-	if account != nil && account.Isolated {
-		text += "/" + account.Name
+func scope(version int64, job *deliver.Job) string {
+	text := job.Model + "@" + strconv.FormatInt(version, 10)
+	if job.Account != nil && job.Account.Isolated {
+		text += "/" + job.Account.Name
 	}
 	return text
 }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -29,6 +29,9 @@
 	// News waits until a source's kept parts changed; List reads all.
 	News func(ctx context.Context, at netip.AddrPort, since uint64, hold time.Duration) (News, error)
 	List func(ctx context.Context, at netip.AddrPort) (News, error)
+	// Free drops parts from a store of the epoch given, until a time on the
+	// targets' clock.
+	Free func(ctx context.Context, at netip.AddrPort, epoch uint64, until time.Duration, parts []Part) error
 	// Report asks an engine for its own state, Order tells it to load weights.
 	Report func(ctx context.Context, at netip.AddrPort) (Report, error)
 	Order  func(ctx context.Context, at netip.AddrPort, o rollout.Order) error
@@ -74,6 +77,8 @@
 	// Gap says that changes are missing and the list has to be read.
 	Gap     bool
 	Changes []Change
+	// Partial are parts that a list shows as not whole.
+	Partial []Change
 	// Clock is the time on the targets' common clock, or zero.
 	Clock time.Duration
 }
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -15,6 +15,8 @@
 	directory *directory.Directory
 	// stores are the stores of kept parts, by name in order.
 	stores []*affinity.Source
+	// engineToken is the time to move one token between engines.
+	engineToken time.Duration
 	// followed are the sources whose news are read, with how to stop that.
 	followed map[string]context.CancelFunc
 	// weights are the models whose newest version was named.
@@ -30,8 +32,13 @@
 	// probing marks targets whose health is being asked for.
 	probing map[string]bool
 	due     due
-	// stepping says that a step of the lease is under way.
-	stepping bool
+	// stepping says that a step of the lease is under way, holding that the
+	// last one left the lease with this box.
+	stepping, holding bool
+	// readEpoch is the epoch in which the earlier holder's rows were read.
+	readEpoch uint64
+	// ownKnown says that the system's own rows were read.
+	ownKnown bool
 }
 
 // weights is one model's rollout as this box sees it.
@@ -41,6 +48,16 @@
 	named  time.Time
 	// ordered are the orders that this box has under way, by target.
 	ordered map[string]bool
+	// recent is when this box ordered targets anything, barred until when it
+	// must not, as another box did.
+	recent, barred map[string]time.Time
+	// epoch is the lease's in the row last read.
+	epoch uint64
+	// whole is since when all targets have the version, as the holder sees it.
+	whole time.Time
+	// freed is the version for which the stores were cleared of older parts.
+	freed   int64
+	freeing bool
 	// planned are the targets that wait until their loading is announced.
 	planned []string
 	// announcing says that the row is being written.
@@ -75,7 +92,7 @@
 func (t *tables) model(name string) *weights {
 	w := t.weights[name]
 	if w == nil {
-		w = &weights{ordered: make(map[string]bool)}
+		w = &weights{ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- a/entry/update.go
+++ b/entry/update.go
@@ -38,6 +38,8 @@
 		d.leaseStepped(now, t, m)
 	case announced:
 		return d.announced(now, t, m)
+	case freedOld:
+		return d.freedOld(now, t, m)
 	case orderEnded:
 		d.orderEnded(now, t, m)
 	case probed:
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -88,6 +88,11 @@
 	cancel context.CancelFunc
 }
 
+// start prepares the outage for reads that end with ctx.
+func (o *outage) start(ctx context.Context) {
+	o.ctx, o.cancel = context.WithCancel(ctx)
+}
+
 // reading returns a context that ends when the table service is lost.
 func (o *outage) reading() context.Context {
 	o.mu.Lock()
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -28,50 +28,73 @@
 	loadShy = 300 * time.Millisecond
 	// leaseEvery is how often a box without the lease looks at it while there
 	// is work to do.
-	leaseEvery = 500 * time.Millisecond
+	leaseEvery = 300 * time.Millisecond
 	// leaseSpread spreads the boxes' first looks.
 	leaseSpread = 200 * time.Millisecond
 	// atOnce is how many targets load at the same time; with more, each load
-	// takes longer.
+	// takes longer and the others are crowded.
 	atOnce = 2
+	// recentFor is how long an order counts as recent, and holdSlack is added
+	// to the platform's bound between two holders' orders to one target.
+	recentFor = 5 * time.Second
+	holdSlack = 300 * time.Millisecond
 )
 
 // rolloutPrefix begins the keys of the rows that tell a rollout's state.
 const rolloutPrefix = "rollout/"
 
-// rolloutRow is what the holder of the lease tells the other boxes.
+// rolloutRow is what the holder of the lease tells the other boxes. It is
+// written before any order that it names is given.
 type rolloutRow struct {
-	Version int64 `json:"version"`
+	// Epoch is the lease's; a row with a lower one than was read is old.
+	Epoch   uint64 `json:"epoch"`
+	Version int64  `json:"version"`
 	// Loading are the targets that load now, Done those that have the version.
 	Loading []string `json:"loading"`
 	Done    []string `json:"done"`
+	// Recent are the targets that were ordered anything lately. A successor
+	// leaves them alone for a while.
+	Recent []string `json:"recent"`
+	// Freed is the version for which the stores were cleared of older parts.
+	Freed int64 `json:"freed"`
 }
 
 // rollWeights keeps all engines on the newest weights, if this box holds the
 // lease, and tries to get the lease while there is work to do.
 func (d *Daemon) rollWeights(now time.Time, t *tables) []effect {
 	var effects []effect
-	behind := false
+	work := false
 	for _, model := range slices.Sorted(maps.Keys(t.weights)) {
 		w := t.weights[model]
 		replicas := d.replicas(now, t, model, w)
-		if rollout.Behind(w.wanted, replicas) == 0 {
+		behind := rollout.Behind(w.wanted, replicas) > 0
+		if !behind && !w.toFree(t) {
 			continue
 		}
-		behind = true
-		if _, _, held := d.lease.Held(); !held || w.announcing {
+		work = true
+		epoch, _, held := d.lease.Held()
+		if !held || w.announcing || !t.mayOrder(epoch) {
+			w.whole = time.Time{}
 			continue
 		}
+		if !behind {
+			effects = append(effects, d.freeOld(now, t, model, w)...)
+			continue
+		}
+		w.whole = time.Time{}
 		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 {
-			effects = append(effects, d.tellRollout(t, model, w))
+			effects = append(effects, d.tellRollout(now, t, model, w, epoch))
 		}
 	}
-	if behind {
+	if work {
 		effects = append(effects, d.stepLease(now, t)...)
 	}
 	return effects
 }
 
+// mayOrder says that the rows of the lease's earlier holder were read.
+func (t *tables) mayOrder(epoch uint64) bool { return t.readEpoch == epoch }
+
 // replicas lists the engines that serve a model.
 func (d *Daemon) replicas(now time.Time, t *tables, model string, w *weights) []rollout.Replica {
 	table := d.current.Load()
@@ -88,7 +111,9 @@
 			if !serves || !x.Open(now) {
 				continue
 			}
-			list = append(list, rollout.Replica{ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight})
+			list = append(list, rollout.Replica{
+				ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight, Barred: now.Before(w.barred[x.ID]),
+			})
 		}
 	}
 	slices.SortFunc(list, func(a, b rollout.Replica) int { return strings.Compare(a.ID, b.ID) })
@@ -100,23 +125,56 @@
 		return nil
 	}
 	t.stepping = true
-	return []effect{stepLease{}}
+	return []effect{stepLease{t.readEpoch}}
 }
 
 func (d *Daemon) leaseStepped(now time.Time, t *tables, m leaseStepped) {
 	t.stepping = false
 	epoch, _, held := d.lease.Held()
+	if held && epoch != t.readEpoch && m.read {
+		t.readEpoch = epoch
+		d.bar(now, t, m.rows)
+	}
 	t.due.lease = now.Add(leaseEvery + d.jitter(leaseSpread))
 	if held {
 		t.due.lease = now
 	}
-	d.Log.Info("lease of the weights", "held", held, "epoch", epoch, "err", m.err)
+	if held != t.holding || m.err != nil {
+		d.Log.Info("lease of the weights", "held", held, "epoch", epoch, "err", m.err)
+	}
+	t.holding = held
+}
+
+// bar keeps targets that an earlier holder ordered lately from orders.
+func (d *Daemon) bar(now time.Time, t *tables, rows []table.Row) {
+	until := now.Add(d.Settings.Bounds.Takeover + holdSlack)
+	for _, row := range rows {
+		model, ok := strings.CutPrefix(row.Key, rolloutPrefix)
+		if !ok {
+			continue
+		}
+		d.rolloutRead(now, t, model, row.Value)
+		var last rolloutRow
+		if json.Unmarshal(row.Value, &last) != nil {
+			continue // rolloutRead logged it.
+		}
+		for _, id := range last.Recent {
+			t.model(model).barred[id] = until
+		}
+	}
 }
 
 // tellRollout makes the effect that writes the rollout's row.
-func (d *Daemon) tellRollout(t *tables, model string, w *weights) effect {
+func (d *Daemon) tellRollout(now time.Time, t *tables, model string, w *weights, epoch uint64) effect {
 	w.announcing = true
-	row := rolloutRow{Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned)}
+	for _, id := range w.planned {
+		w.recent[id] = now
+	}
+	maps.DeleteFunc(w.recent, func(_ string, at time.Time) bool { return now.Sub(at) > recentFor })
+	row := rolloutRow{
+		Epoch: epoch, Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
+		Recent: slices.Sorted(maps.Keys(w.recent)), Freed: w.freed,
+	}
 	for _, id := range t.fleet.All() {
 		if t.fleet.Target(id).Versions[model] == w.wanted {
 			row.Done = append(row.Done, id)
@@ -129,8 +187,8 @@
 	return announce{model, table.Row{Key: rolloutPrefix + model, Value: value}}
 }
 
-// announced sends the orders that were announced. The others' knowing is a
-// convenience: if the row was not written, the orders go out all the same.
+// announced sends the orders that were announced. Without the row no order
+// goes out, as a successor could not know of it.
 func (d *Daemon) announced(now time.Time, t *tables, m announced) []effect {
 	w := t.model(m.model)
 	w.announcing = false
@@ -140,7 +198,7 @@
 	epoch, _, held := d.lease.Held()
 	planned := w.planned
 	w.planned = nil
-	if !held {
+	if !held || m.err != nil {
 		return nil
 	}
 	var effects []effect
@@ -205,6 +263,7 @@
 func (d *Daemon) orderEnded(now time.Time, t *tables, m orderEnded) {
 	w := t.model(m.model)
 	delete(w.ordered, m.target)
+	w.recent[m.target] = now
 	x := t.fleet.Target(m.target)
 	if x == nil {
 		return
@@ -220,6 +279,7 @@
 
 // ownRead takes over what the boxes tell each other through the table service.
 func (d *Daemon) ownRead(now time.Time, t *tables, change Own) {
+	t.ownKnown = true
 	for _, row := range change.Rows {
 		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
 			t.members[name] = true
@@ -236,6 +296,11 @@
 		d.Log.Error("the rollout's row can't be read", "model", model, "err", err)
 		return
 	}
+	w := t.model(model)
+	if row.Epoch < w.epoch {
+		return // Written late, over a newer one.
+	}
+	w.epoch, w.freed = row.Epoch, max(w.freed, row.Freed)
 	for _, id := range row.Done {
 		if x := t.fleet.Target(id); x != nil {
 			x.Versions[model] = max(x.Versions[model], row.Version)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -25,6 +25,8 @@
 	Version int64
 	// Loading says that an order is under way there.
 	Loading bool
+	// Barred replicas get no order yet.
+	Barred bool
 	// Busy orders replicas: those with less work are first.
 	Busy int
 }
@@ -54,7 +56,7 @@
 		switch {
 		case r.Loading:
 			loading++
-		case r.Version < wanted:
+		case r.Version < wanted && !r.Barred:
 			behind = append(behind, r)
 		}
 	}
