--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -94,6 +94,9 @@
 	FetchUntil time.Duration
 	// Unread is how many prompt tokens the target was thought to read.
 	Unread int
+	// Kept, Fetched and Saved are the prompt tokens that the target was thought
+	// to keep, told to fetch, and told to save.
+	Kept, Fetched, Saved int
 	// Rule says why this target.
 	Rule string
 }
--- a/entry/free.go
+++ b/entry/free.go
@@ -15,7 +15,7 @@
 	// freeAfter is how long all targets have the newest weights before parts
 	// made on older ones are freed. By then each fetch of them has ended or
 	// was thrown away; see fetchFor.
-	freeAfter = fetchFor + 500*time.Millisecond
+	freeAfter = fetchFor + time.Second
 	// freeFor is how long a store may take to act on the order.
 	freeFor = time.Second
 	// freeAtOnce bounds the parts in one order.
--- a/entry/note.go
+++ b/entry/note.go
@@ -25,7 +25,7 @@
 		fields = append(fields, "cause", o.Cause)
 	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
-		fields = append(fields, "tokens", o.Job.Input, "unread", o.Place.Unread, "version", o.Place.Version)
+		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version)
 	}
 	d.Log.Info("request", fields...)
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// fetchFor is how long a fetch may take until it is thrown away; a long
-	// part takes some 20 ms, ten times as long on a slow link.
-	fetchFor = 1200 * time.Millisecond
+	// fetchFor is how long after the placing a fetch is thrown away. A request
+	// that waits at a busy target begins its fetch only when its turn comes.
+	fetchFor = 4 * time.Second
 	// expectFor is how long a part that was sent somewhere is expected there
 	// without being told of.
 	expectFor = 1500 * time.Millisecond
@@ -100,6 +100,17 @@
 		place.Fetch = addresses(choice.Fetch)
 		place.FetchUntil = d.uptime(now) + t.clock + fetchFor
 	}
+	for i, p := range job.Parts {
+		switch {
+		case i < choice.Kept:
+			place.Kept += p.Tokens
+		case choice.Fetch != nil && choice.Fetch[i] != nil:
+			place.Fetched += p.Tokens
+		}
+		if choice.Save != nil && choice.Save[i] != nil {
+			place.Saved += p.Tokens
+		}
+	}
 	expect(now, t, choice)
 	return place, true
 }
