feat(entry): boxes tell each other what their requests take up

Cause: a box knew only its own sixth of each engine's load; by the engines' reports memory in use differed three times between engines in quiet times. Change: each pair of boxes exchanges, each 150 ms over the present WebSocket and CBOR, the memory and unread tokens of its requests by target; the engine's cost counts both.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -32,6 +32,11 @@
 	oldWeights = 80 * time.Millisecond
 	// doubt is the cost of a target that failed lately.
 	doubt = 2 * time.Second
+	// crowded is the cost of an engine whose memory is taken up, waiting what
+	// comes on top of it for each share beyond full.
+	crowded = 100 * time.Millisecond
+	waiting = 2 * time.Second
+	full    = 0.85
 	// peerFirst is what a move from another engine waits at least.
 	peerFirst = 2 * time.Millisecond
 	// silentAfter is how long an engine with requests may say nothing. Its
@@ -61,6 +66,9 @@
 	Home uint64
 	// Parts are the prompt's; the last is the request's own.
 	Parts []Part
+	// Tokens is the memory that the request takes up, Capacity that of an
+	// engine.
+	Tokens, Capacity int
 	// Keys names the parts for engines of a weight version.
 	Keys func(version int64) []directory.Key
 	// Model is the one asked for, Wanted its newest version, or zero.
@@ -97,6 +105,10 @@
 	// Boxes is how many boxes send requests of about the same kind.
 	Boxes func() int
 
+	// Load returns the memory that requests of all boxes take up at an engine,
+	// and the prompt tokens that wait there to be read.
+	Load func(t *fleet.Target) (tokens, unread int)
+
 	links Links
 }
 
@@ -148,8 +160,9 @@
 	version := t.Versions[ask.Model]
 	choice := Choice{Target: t, Version: version, Keys: ask.Keys(version), Rule: "home"}
 	choice.Kept = c.Directory.Run(t.ID, choice.Keys, now)
-	cost := time.Duration(t.Unread*c.Boxes()) * readToken
-	cost += time.Duration(t.InFlight) * time.Millisecond / 2
+	running, unread := c.Load(t)
+	cost := time.Duration(unread) * readToken
+	cost += crowding(running+ask.Tokens, ask.Capacity)
 	cost += c.planFetch(now, ask, t, peers, &choice)
 	cost += time.Duration(choice.Unread) * readToken
 	if version < ask.Wanted {
@@ -161,6 +174,21 @@
 	return candidate{choice: choice, cost: cost, rank: placement.Weight(ask.Home, placement.Hash(t.ID))}
 }
 
+// crowding is the cost of memory that requests take up: what is left keeps
+// parts, and when none is left requests wait for others to end, for some
+// hundred milliseconds.
+func crowding(tokens, capacity int) time.Duration {
+	if capacity <= 0 {
+		return 0
+	}
+	share := float64(tokens) / float64(capacity)
+	cost := time.Duration(share * float64(crowded))
+	if share > full {
+		cost += time.Duration((share - full) * float64(waiting))
+	}
+	return cost
+}
+
 // kept says whether any engine or store in reach keeps a part.
 func (c *Chooser) kept(key directory.Key, peers []*fleet.Target) bool {
 	for _, s := range c.Stores() {
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -92,8 +92,9 @@
 	// FetchUntil is when a fetch that has not ended is thrown away, on the
 	// targets' clock.
 	FetchUntil time.Duration
-	// Unread is how many prompt tokens the target was thought to read.
-	Unread int
+	// Unread is how many prompt tokens the target was thought to read, Tokens
+	// the memory that the request takes up.
+	Unread, Tokens int
 	// Kept, Fetched and Saved are the prompt tokens that the target was thought
 	// to keep, told to fetch, and told to save.
 	Kept, Fetched, Saved int
--- a/entry/build.go
+++ b/entry/build.go
@@ -10,8 +10,10 @@
 
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/nearest"
+	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/rollout"
 )
@@ -52,6 +54,7 @@
 	services nearest.Chooser
 	budget   retry.Budget
 	server   deliver.Server
+	peers    peer.Node
 }
 
 // build puts the parts together.
@@ -62,7 +65,7 @@
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
 	d.ended = make(chan struct{})
-	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights}
+	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.gossip}
 	d.plan = rollout.Plan{AtOnce: atOnce}
 	d.services = nearest.Chooser{Domain: d.Settings.Domain}
 	d.engines = affinity.Chooser{
@@ -70,6 +73,7 @@
 		Stores:    func() []*affinity.Source { return d.tables.stores },
 		Token:     func() time.Duration { return d.tables.engineToken },
 		Boxes:     d.tables.boxes,
+		Load:      func(x *fleet.Target) (int, int) { return d.load(d.now(), &d.tables, x) },
 	}
 	d.budget = retry.Budget{
 		Share: d.Settings.Bounds.RetryShare * retryUse,
@@ -77,6 +81,16 @@
 	}
 	d.buildLease()
 	d.buildServer()
+	d.buildPeers()
+}
+
+func (d *Daemon) buildPeers() {
+	d.peers = peer.Node{
+		Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
+		Shown:    func() string { return *d.credential.Load() },
+		Sent:     func(n int) { d.counts.peerBytes.WithLabelValues("sent").Add(float64(n)) },
+		Received: func(n int) { d.counts.peerBytes.WithLabelValues("received").Add(float64(n)) },
+	}
 }
 
 func (d *Daemon) buildLease() {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,6 +43,8 @@
 	// be the newest; both are for readers outside the loop.
 	current atomic.Pointer[routing.Table]
 	proved  atomic.Pointer[time.Time]
+	// credential is what boxes show each other, once it was read.
+	credential atomic.Pointer[string]
 	// stopping is set once a planned stop has begun, closing once connections
 	// should end.
 	stopping, closing atomic.Bool
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -70,6 +70,8 @@
 	case sendOrder:
 		err := d.bring(ctx, e)
 		d.tell(ctx, orderEnded{e.order.Target, e.order.Model, e.order.Version, err})
+	case callPeer:
+		d.tell(ctx, d.callPeer(ctx, e))
 	case probe:
 		d.tell(ctx, probed{e.target, d.Platform.Healthy(ctx, e.at, e.path, e.target)})
 	}
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -38,6 +38,7 @@
 	}{
 		{d.Settings.Callers, front},
 		{d.Settings.Ready, http.HandlerFunc(d.ready)},
+		{d.Settings.Peers, d.peerHandler()},
 		{d.Settings.Metrics, promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{})},
 	}
 	var servers []*http.Server
@@ -63,6 +64,18 @@
 	return servers, nil
 }
 
+// peerHandler answers other boxes once the credential was read.
+func (d *Daemon) peerHandler() http.Handler {
+	handler := d.peers.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.credential.Load() == nil {
+			http.Error(w, "this box has not read the credential yet", http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // ready answers whether this box should get new connections.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	if d.stopping.Load() || d.current.Load() == nil || !d.fresh(d.now()) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 	targets       prometheus.Gauge
 	kept          prometheus.Gauge
 	members       prometheus.Gauge
+	peerBytes     *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -29,7 +30,8 @@
 		kept:          prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_kept_parts", Help: "Entries of the directory of kept parts."}),
 		members:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_boxes", Help: "Boxes thought to share the work."}),
 	}
-	r.MustRegister(c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
+	r.MustRegister(c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
 	return c
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -57,7 +57,7 @@
 	if !ok {
 		return place, refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", ask.Job.Pool.Name).After(d.comeBack())
 	}
-	t.fleet.Target(place.Target).Sent(now, place.Unread)
+	t.fleet.Target(place.Target).Sent(now, place.Unread, place.Tokens)
 	return place, nil
 }
 
@@ -78,7 +78,7 @@
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
 	question := affinity.Ask{
-		Home: home(job), Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
+		Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
 		Overdue: w.wanted > 0 && d.Settings.Bounds.WeightsWithin > 0 && now.Sub(w.named) > d.Settings.Bounds.WeightsWithin-overdueMargin,
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
@@ -93,7 +93,7 @@
 	}
 	place := deliver.Place{
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
-		Scope: scope(choice.Version, job), Keys: choice.Keys, Unread: choice.Unread, Rule: choice.Rule,
+		Scope: scope(choice.Version, job), Keys: choice.Keys, Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
 		Save: addresses(choice.Save),
 	}
 	if t.timed {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -25,6 +25,9 @@
 	Callers netip.AddrPort `yaml:"callers"`
 	Ready   netip.AddrPort `yaml:"ready"`
 	Metrics netip.AddrPort `yaml:"metrics"`
+	// Peers is where other boxes reach this one. It may be absent; then no
+	// loads are exchanged.
+	Peers netip.AddrPort `yaml:"peers"`
 	// Store is the platform's table service.
 	Store Store `yaml:"store"`
 	// Box is what this box may use.
@@ -124,6 +127,7 @@
 		{"callers", s.Callers, false},
 		{"ready", s.Ready, false},
 		{"metrics", s.Metrics, true},
+		{"peers", s.Peers, true},
 		{"store.address", s.Store.Address, false},
 	} {
 		if l.optional && !l.at.IsValid() {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
 )
 
 // tables are what the loop owns. Only the loop touches them.
@@ -25,8 +27,8 @@
 	clock time.Duration
 	// timed says that clock was told.
 	timed bool
-	// members are the boxes that ever wrote their row.
-	members map[string]bool
+	// members are the boxes that ever wrote their row, this one included.
+	members map[string]*member
 	// storeAway says that the table service does not answer.
 	storeAway bool
 	// probing marks targets whose health is being asked for.
@@ -66,13 +68,26 @@
 
 // due is when the systems next have something to do.
 type due struct {
-	sweep, lease, probe time.Time
+	sweep, lease, probe, gossip time.Time
+}
+
+// member is another box.
+type member struct {
+	// at is where it is called; unset if it can't be.
+	at netip.AddrPort
+	// heard is when its shares came, by the hash of the target's ID.
+	heard  time.Time
+	shares map[uint64]peer.Share
+	// calling says that a call is under way, failed that the last one failed.
+	calling, failed bool
+	// retry is when a box that did not answer is called again.
+	retry time.Time
 }
 
 func newTables() tables {
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), followed: make(map[string]context.CancelFunc),
-		weights: make(map[string]*weights), members: make(map[string]bool), probing: make(map[string]bool),
+		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool),
 	}
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -5,6 +5,7 @@
 
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
 )
 
 // update changes the tables for one message and returns what to do about it.
@@ -42,6 +43,11 @@
 		return d.freedOld(now, t, m)
 	case orderEnded:
 		d.orderEnded(now, t, m)
+	case peerCalled:
+		d.peerCalled(now, t, m)
+	case peerAsks:
+		t.heard(now, m.m.From, m.m.Shares)
+		m.reply <- peer.Message{Kind: m.m.Kind, From: d.Settings.Name, Shares: shares(t)}
 	case probed:
 		d.probed(now, t, m)
 	}
@@ -170,7 +176,7 @@
 	if x == nil {
 		return
 	}
-	x.Ended(now, m.Began, m.Place.Unread, m.Failed)
+	x.Ended(now, m.Began, m.Place.Unread, m.Place.Tokens, m.Failed)
 	if m.Verdict != 0 {
 		x.Heard(now)
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/thymewind/thymewind/table"
 )
 
 // How the table service is read.
@@ -137,23 +135,6 @@
 	}
 }
 
-// memberPrefix begins the keys of the boxes' rows. They are written once in
-// the life of a box and never removed; they only tell how many share the work.
-const memberPrefix = "member/"
-
-// join writes this box's row.
-func (d *Daemon) join(ctx context.Context) {
-	row := table.Row{Key: memberPrefix + d.Settings.Name, Value: []byte(`{}`)}
-	for ctx.Err() == nil {
-		err := d.write(ctx, row)
-		if err == nil {
-			return
-		}
-		d.Log.Warn("this box's row was not written; trying again", "err", err)
-		d.pause(ctx, time.Second)
-	}
-}
-
 // pause waits unless ctx ends first.
 func (d *Daemon) pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -282,7 +282,10 @@
 	t.ownKnown = true
 	for _, row := range change.Rows {
 		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
-			t.members[name] = true
+			d.memberRead(t, name, row.Value)
+		}
+		if row.Key == keyCredential {
+			d.credentialRead(row.Value)
 		}
 		if model, ok := strings.CutPrefix(row.Key, rolloutPrefix); ok {
 			d.rolloutRead(now, t, model, row.Value)
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -27,8 +27,9 @@
 
 	// InFlight counts this box's requests there.
 	InFlight int
-	// Unread sums the prompt tokens sent by this box that wait to be read.
-	Unread int
+	// Unread sums the prompt tokens sent by this box that wait to be read,
+	// Tokens the memory that its requests take up.
+	Unread, Tokens int
 	// waiting counts requests that have not been answered at all, since the
 	// first of them was sent.
 	waiting      int
@@ -61,13 +62,14 @@
 )
 
 // Sent notes a request that goes out.
-func (t *Target) Sent(now time.Time, unread int) {
+func (t *Target) Sent(now time.Time, unread, tokens int) {
 	if t.waiting == 0 {
 		t.waitingSince = now
 	}
 	t.waiting++
 	t.InFlight++
 	t.Unread += unread
+	t.Tokens += tokens
 }
 
 // Began notes that a request's answer has begun.
@@ -83,9 +85,10 @@
 	t.failures = 0
 }
 
-// Ended notes how a request ended. Unread is zero if Began was called.
-func (t *Target) Ended(now time.Time, began bool, unread int, failed bool) {
+// Ended notes how a request ended, and whether Began was called.
+func (t *Target) Ended(now time.Time, began bool, unread, tokens int, failed bool) {
 	t.InFlight--
+	t.Tokens -= tokens
 	if !began {
 		t.waiting--
 		t.Unread -= unread
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,6 +26,8 @@
 	Demand []Demand `cbor:"6,keyasint,omitempty"`
 	// Use is what the sender's requests keep busy, by pool.
 	Use []Use `cbor:"10,keyasint,omitempty"`
+	// Shares are what the sender's own requests take up, by target.
+	Shares []Share `cbor:"11,keyasint,omitempty"`
 	// Statement is an operator's question.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is an answer in JSON, or a configuration.
@@ -52,6 +54,16 @@
 	Age int `cbor:"7,keyasint,omitempty"`
 }
 
+// Share is what one box's requests take up at a target.
+type Share struct {
+	// Target is the hash of the target's ID.
+	Target uint64 `cbor:"1,keyasint"`
+	// Tokens is the memory that running requests need, Unread the part of their
+	// prompts that is still to be read.
+	Tokens int `cbor:"2,keyasint,omitempty"`
+	Unread int `cbor:"3,keyasint,omitempty"`
+}
+
 // Leaving tells how long ago a target was said to be leaving, by itself or by
 // the platform's list.
 type Leaving struct {
--- a/peer/node.go
+++ b/peer/node.go
@@ -30,6 +30,8 @@
 type Node struct {
 	// Credential is what all daemons of a deployment share.
 	Credential string
+	// Shown returns the credential if it is learnt later; nil shows Credential.
+	Shown func() string
 	// Handle answers one message.
 	Handle func(ctx context.Context, m Message) Message
 	// HTTP dials; its TLS settings decide whom to trust.
@@ -73,10 +75,17 @@
 
 func (n *Node) genuine(header string) bool {
 	got := sha256.Sum256([]byte(header))
-	want := sha256.Sum256([]byte("Bearer " + n.Credential))
+	want := sha256.Sum256([]byte("Bearer " + n.credential()))
 	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
 
+func (n *Node) credential() string {
+	if n.Shown != nil {
+		return n.Shown()
+	}
+	return n.Credential
+}
+
 func (n *Node) answer(ctx context.Context, conn *websocket.Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*idle)
 	defer cancel()
@@ -93,7 +102,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil {
-		header := http.Header{"Authorization": {"Bearer " + n.Credential}}
+		header := http.Header{"Authorization": {"Bearer " + n.credential()}}
 		conn, _, err := websocket.Dial(ctx, n.Scheme+"://"+at.String()+"/peer", &websocket.DialOptions{HTTPClient: n.HTTP, HTTPHeader: header})
 		if err != nil {
 			return Message{}, trace.ConnectionProblem(err, "peer %v", at)
