feat(entry): the least urgent are refused at once when engines' memory is taken up

Ruled out: too little memory for the load itself (7 engines hold what 33 long prompts a second need, at 2.2 s each; at 4 s each, with the reading of a cold start, they don't). Change: a request of a pool's least urgent kind is refused, with when to come back, if the best engine's memory would be over 0.92 taken up, others over 1.15; a second try while the first is out only if its target looks dead.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -200,8 +200,11 @@
 	// notes a request for the pool.
 	Spend func(pool string) bool
 	Earn  func(pool string)
-	Now   func() time.Time
-	Draw  func() uint64
+	// Suspect says whether a target looks dead by now, so that a request that
+	// may be repeated need not wait for it any longer.
+	Suspect func(ctx context.Context, target string) bool
+	Now     func() time.Time
+	Draw    func() uint64
 	// ComeBack says when a refused caller should return.
 	ComeBack func() time.Duration
 	Note     func(Outcome)
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -114,11 +114,30 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	if x.repeatable() && x.sent+1 < x.job.Route.Attempts {
-		hurry := time.AfterFunc(x.patience(), func() { cancel(errSilent) })
-		defer hurry.Stop()
-		return x.exchange(ctx, hurry.Stop, place)
+		answered := make(chan struct{})
+		go x.hurry(ctx, cancel, answered, place.Target)
+		return x.exchange(ctx, func() { close(answered) }, place)
+	}
+	return x.exchange(ctx, func() {}, place)
+}
+
+// hurry breaks a sending off once it waited for long and its target looks dead.
+func (x *run) hurry(ctx context.Context, cancel context.CancelCauseFunc, answered <-chan struct{}, target string) {
+	timer := time.NewTicker(x.patience())
+	defer timer.Stop()
+	for {
+		select {
+		case <-answered:
+			return
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			if x.Suspect(ctx, target) {
+				cancel(errSilent)
+				return
+			}
+		}
 	}
-	return x.exchange(ctx, func() bool { return true }, place)
 }
 
 // errSilent says that a target gave no sign of an answer for too long.
@@ -128,7 +147,7 @@
 	return min(max(silence*x.job.Route.Goal, leastSilence), mostSilence)
 }
 
-func (x *run) exchange(ctx context.Context, answered func() bool, place Place) (*refusal.Refusal, error) {
+func (x *run) exchange(ctx context.Context, answered func(), place Place) (*refusal.Refusal, error) {
 	reply, err := x.Send(ctx, Sending{Job: x.job, Place: place, Left: x.job.Until.Sub(x.Now()), After: x.after})
 	answered()
 	if err != nil {
--- a/entry/build.go
+++ b/entry/build.go
@@ -103,9 +103,10 @@
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
 		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.Platform.Send,
-		Began: func(p deliver.Place) { d.report(answerBegan{p}) },
-		Ended: func(e deliver.Ended) { d.report(sendingEnded{e}) },
-		Spend: d.budget.Spend, Earn: d.budget.Request,
+		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
+		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
+		Suspect: d.suspect,
+		Spend:   d.budget.Spend, Earn: d.budget.Request,
 		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
 	}
 }
--- a/entry/message.go
+++ b/entry/message.go
@@ -22,6 +22,13 @@
 	err   error
 }
 
+// suspectAsked asks whether a target looks dead; the loop answers on reply,
+// which has room.
+type suspectAsked struct {
+	target string
+	reply  chan<- bool
+}
+
 // answerBegan tells that an answer's head came from the place.
 type answerBegan struct{ place deliver.Place }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -12,7 +12,10 @@
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/nearest"
 	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
 )
 
 const (
@@ -42,38 +45,85 @@
 	}
 }
 
+// suspect asks the loop whether a target looks dead.
+func (d *Daemon) suspect(ctx context.Context, target string) bool {
+	reply := make(chan bool, 1)
+	d.tell(ctx, suspectAsked{target, reply})
+	select {
+	case dead := <-reply:
+		return dead
+	case <-ctx.Done():
+	case <-d.ended:
+	}
+	return false
+}
+
+// looksDead says that a target is gone, can't be reached, or says nothing.
+func looksDead(now time.Time, t *tables, id string) bool {
+	x := t.fleet.Target(id)
+	return x == nil || x.Avoided(now) || x.Silent(now, nearest.SilentAfter)
+}
+
 func (d *Daemon) timeUp() error {
 	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up before the request was placed").After(d.comeBack())
 }
 
 // place chooses a target and counts the request there.
 func (d *Daemon) place(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, error) {
-	place, ok := deliver.Place{}, false
+	choose := d.placePlain
 	if ask.Job.Pool.Engine != nil {
-		place, ok = d.placeModel(now, t, ask)
-	} else {
-		place, ok = d.placePlain(now, t, ask)
+		choose = d.placeModel
 	}
-	if !ok {
-		return place, refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", ask.Job.Pool.Name).After(d.comeBack())
+	place, refused := choose(now, t, ask)
+	if refused != nil {
+		return place, refused.After(d.comeBack())
 	}
 	t.fleet.Target(place.Target).Sent(now, place.Unread, place.Tokens)
 	return place, nil
 }
 
-func (d *Daemon) placePlain(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, bool) {
+func (d *Daemon) placePlain(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, *refusal.Refusal) {
 	x, ok := d.services.Choose(now, t.fleet.Pool(ask.Job.Pool.Name), tried(ask))
 	if !ok {
-		return deliver.Place{}, false
+		return deliver.Place{}, refuseNone(ask.Job)
+	}
+	return deliver.Place{Target: x.ID, Address: x.Address, Rule: "nearest"}, nil
+}
+
+func refuseNone(job *deliver.Job) *refusal.Refusal {
+	return refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", job.Pool.Name)
+}
+
+// How far engines' memory is filled. Beyond it requests wait for others to end,
+// and parts that were kept are read again, which makes all of them slower.
+const (
+	fillLeast = 0.92
+	fillMost  = 1.15
+)
+
+// fill is the share of an engine's memory up to which a request is admitted:
+// the least urgent kind of a pool makes room for the others.
+func (d *Daemon) fill(job *deliver.Job) float64 {
+	if routing.Urgency(job.Route, job.Account) > 0 && job.Route.Urgency >= d.current.Load().LeastUrgent(job.Pool.Name) {
+		return fillLeast
 	}
-	return deliver.Place{Target: x.ID, Address: x.Address, Rule: "nearest"}, true
+	return fillMost
+}
+
+// share is the part of an engine's memory that is taken up with the request.
+func (d *Daemon) share(now time.Time, t *tables, x *fleet.Target, ask affinity.Ask) float64 {
+	if ask.Capacity <= 0 {
+		return 0
+	}
+	running, _ := d.load(now, t, x)
+	return float64(running+ask.Tokens) / float64(ask.Capacity)
 }
 
 func tried(ask deliver.Ask) func(string) bool {
 	return func(id string) bool { return slices.Contains(ask.Tried, id) }
 }
 
-func (d *Daemon) placeModel(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, bool) {
+func (d *Daemon) placeModel(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, *refusal.Refusal) {
 	job := ask.Job
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
@@ -89,7 +139,10 @@
 	}
 	choice, ok := d.engines.Choose(now, question, t.fleet.Pool(job.Pool.Name))
 	if !ok {
-		return deliver.Place{}, false
+		return deliver.Place{}, refuseNone(job)
+	}
+	if share := d.share(now, t, choice.Target, question); share > d.fill(job) {
+		return deliver.Place{}, refusal.New(refusal.DidNotRun, 503, "crowded", "the engines' memory is taken up: %.2f at the best of them", share)
 	}
 	place := deliver.Place{
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
@@ -112,7 +165,7 @@
 		}
 	}
 	expect(now, t, choice)
-	return place, true
+	return place, nil
 }
 
 // expect notes what the engine and the stores will keep.
--- a/entry/update.go
+++ b/entry/update.go
@@ -15,6 +15,8 @@
 	case placeAsked:
 		place, err := d.place(now, t, m.ask)
 		m.reply <- placeAnswer{place, err}
+	case suspectAsked:
+		m.reply <- looksDead(now, t, m.target)
 	case answerBegan:
 		if x := t.fleet.Target(m.place.Target); x != nil {
 			x.Began(now, m.place.Unread)
--- a/nearest/nearest.go
+++ b/nearest/nearest.go
@@ -11,10 +11,11 @@
 	"github.com/thymewind/thymewind/fleet"
 )
 
+// SilentAfter is how long a service with requests may say nothing: the slowest
+// in 100 take a fifth of a second.
+const SilentAfter = 350 * time.Millisecond
+
 const (
-	// silentAfter is how long a service with requests may say nothing: the
-	// slowest in 100 take a fifth of a second.
-	silentAfter = 350 * time.Millisecond
 	// elsewhere is the cost of another failure domain in requests under way: a
 	// request takes 30 ms, the way there and back 2 ms.
 	elsewhere = 0.5
@@ -36,7 +37,7 @@
 	var best *fleet.Target
 	var least float64
 	for _, t := range targets {
-		if !t.Open(now) || skip(t.ID) || t.Silent(now, silentAfter) {
+		if !t.Open(now) || skip(t.ID) || t.Silent(now, SilentAfter) {
 			continue
 		}
 		if cost := c.cost(now, t); best == nil || cost < least {
@@ -62,4 +63,4 @@
 
 // Silent says whether a target should be asked for its health: requests wait
 // there and nothing comes.
-func Silent(now time.Time, t *fleet.Target) bool { return t.Silent(now, silentAfter) }
+func Silent(now time.Time, t *fleet.Target) bool { return t.Silent(now, SilentAfter) }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -30,6 +30,8 @@
 	hosts map[string][]*Route
 	// keys finds the account of a key.
 	keys map[string]*Account
+	// least is the highest rank of the routes of each pool.
+	least map[string]int
 	// keyed says that requests need a key, unless their route is open.
 	keyed bool
 }
@@ -126,6 +128,7 @@
 		Pools:   make(map[string]*Pool, len(pools)),
 		hosts:   make(map[string][]*Route),
 		keys:    make(map[string]*Account),
+		least:   make(map[string]int),
 		keyed:   len(accounts) > 0,
 	}
 	for _, p := range pools {
@@ -134,6 +137,9 @@
 	for _, r := range routes {
 		host := canonical(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		for _, s := range r.Shares {
+			t.least[s.Pool] = max(t.least[s.Pool], r.Urgency)
+		}
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -184,6 +190,9 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
+// LeastUrgent returns the highest rank among the routes of a pool.
+func (t *Table) LeastUrgent(pool string) int { return t.least[pool] }
+
 // Urgency returns the rank of an account's requests on a route; lower goes
 // first. The account is nil on open routes.
 func Urgency(r *Route, a *Account) int {
