--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -63,7 +63,8 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Box.MemoryMB<<20)))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, s, logger.With("box", s.Name)); err != nil {
+	reload := watch(ctx, *file, logger)
+	if err := run(ctx, s, logger.With("box", s.Name), reload); err != nil {
 		logger.Fatal("stopped with an error", "err", err)
 	}
 }
@@ -89,7 +90,7 @@
 	logger.Fatal("the settings are not good", "findings", len(all))
 }
 
-func run(ctx context.Context, s settings.Settings, logger *log.Logger) error {
+func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
 	dialer := net.Dialer{}
 	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor}
 	rows := &store.Store{
@@ -102,6 +103,7 @@
 	registry.MustRegister(collectors.NewGoCollector())
 	d := entry.Daemon{
 		Settings: s, Platform: platform.Join(rows, connections), Front: platform.Front, Log: logger, Registry: registry,
+		Reload: reload,
 		Sweep: connections.Sweep,
 	}
 	return d.Run(ctx)
--- /dev/null
+++ b/cmd/thymefront/watch.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/thymewind/thymewind/entry/settings"
+)
+
+// lookEvery is how often the settings file is compared with what was read last,
+// as it may change without a signal.
+const lookEvery = 2 * time.Second
+
+// watch reads the settings file again on SIGHUP and when it has changed. A file
+// with errors is reported and changes nothing.
+func watch(ctx context.Context, file string, logger *log.Logger) <-chan settings.Settings {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	changed := make(chan settings.Settings)
+	last, err := os.ReadFile(file)
+	if err != nil {
+		logger.Warn("can't read the settings again", "err", err)
+	}
+	go func() {
+		ticks := time.NewTicker(lookEvery)
+		defer ticks.Stop()
+		for {
+			signalled := false
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+				signalled = true
+			case <-ticks.C:
+			}
+			data, err := os.ReadFile(file)
+			if err != nil || (bytes.Equal(data, last) && !signalled) {
+				continue
+			}
+			last = data
+			s, err := settings.Parse(file, data)
+			if err != nil {
+				logger.Error("changed settings are not good; the last ones stay", "err", err)
+				continue
+			}
+			select {
+			case changed <- s:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return changed
+}
--- a/entry/build.go
+++ b/entry/build.go
@@ -61,6 +61,7 @@
 func (d *Daemon) build() {
 	d.now = time.Now
 	d.began = d.now()
+	d.bounds.Store(&d.Settings.Bounds)
 	d.tables = newTables()
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
@@ -76,8 +77,8 @@
 		Load:      func(x *fleet.Target) (int, int) { return d.load(d.now(), &d.tables, x) },
 	}
 	d.budget = retry.Budget{
-		Share: d.Settings.Bounds.RetryShare * retryUse,
-		Burst: max(1, d.Settings.Bounds.RetryExtra*retryUse/presumed), Empty: true,
+		Share: d.bounds.Load().RetryShare * retryUse,
+		Burst: max(1, d.bounds.Load().RetryExtra*retryUse/presumed), Empty: true,
 	}
 	d.buildLease()
 	d.buildServer()
@@ -114,7 +115,7 @@
 // fresh says that no key can have been taken away for so long that it must not
 // be used any more.
 func (d *Daemon) fresh(now time.Time) bool {
-	bound := d.Settings.Bounds.RevokedWithin
+	bound := d.bounds.Load().RevokedWithin
 	if bound == 0 {
 		return true
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -28,6 +28,9 @@
 	// Front makes the callers' handler from the way to serve a call.
 	Front Front
 	Log   *log.Logger
+	// Reload brings settings that were read again while the daemon runs; nil
+	// brings none. Bounds and the log level take effect, addresses don't.
+	Reload <-chan settings.Settings
 	// Registry takes the daemon's metrics.
 	Registry *prometheus.Registry
 	// Sweep closes connections to targets that are no longer needed; it is
@@ -43,6 +46,8 @@
 	// be the newest; both are for readers outside the loop.
 	current atomic.Pointer[routing.Table]
 	proved  atomic.Pointer[time.Time]
+	// bounds are the platform's as last read.
+	bounds atomic.Pointer[settings.Bounds]
 	// credential is what boxes show each other, once it was read.
 	credential atomic.Pointer[string]
 	// stopping is set once a planned stop has begun, closing once connections
@@ -68,6 +73,7 @@
 	d.outage.start(background)
 	work.Go(func() { d.loop(background) })
 	work.Go(func() { d.watch(background) })
+	work.Go(func() { d.reload(background) })
 	<-ctx.Done()
 	d.drain(servers)
 	cancel()
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -89,8 +89,8 @@
 // then ending each connection with its next answer.
 func (d *Daemon) drain(servers []*http.Server) {
 	d.stopping.Store(true)
-	d.Log.Info("stopping", "kill_after", d.Settings.Bounds.Stop)
-	end := d.now().Add(d.Settings.Bounds.Stop - leaveBefore)
+	d.Log.Info("stopping", "kill_after", d.bounds.Load().Stop)
+	end := d.now().Add(d.bounds.Load().Stop - leaveBefore)
 	d.closing.Store(true)
 	time.Sleep(noticed)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/entry/place.go
+++ b/entry/place.go
@@ -129,7 +129,7 @@
 	w := t.model(job.Model)
 	question := affinity.Ask{
 		Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
-		Overdue: w.wanted > 0 && d.Settings.Bounds.WeightsWithin > 0 && now.Sub(w.named) > d.Settings.Bounds.WeightsWithin-overdueMargin,
+		Overdue: w.wanted > 0 && d.bounds.Load().WeightsWithin > 0 && now.Sub(w.named) > d.bounds.Load().WeightsWithin-overdueMargin,
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
 				keys[version] = keysOf(job, scope(version, job))
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -147,7 +147,7 @@
 
 // bar keeps targets that an earlier holder ordered lately from orders.
 func (d *Daemon) bar(now time.Time, t *tables, rows []table.Row) {
-	until := now.Add(d.Settings.Bounds.Takeover + holdSlack)
+	until := now.Add(d.bounds.Load().Takeover + holdSlack)
 	for _, row := range rows {
 		model, ok := strings.CutPrefix(row.Key, rolloutPrefix)
 		if !ok {
