--- a/entry/free.go
+++ b/entry/free.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// freeAfter is how long all targets have the newest weights before parts
-	// made on older ones are freed. By then each fetch of them has ended or
-	// was thrown away; see fetchFor.
-	freeAfter = fetchFor + time.Second
+	// freeAfter is how long all targets must have the newest weights, and the
+	// list must have been whole, before parts made on older ones are freed. By
+	// then live targets are back in the list, and each fetch has ended or was
+	// thrown away; see fetchFor.
+	freeAfter = fetchFor + 2500*time.Millisecond
 	// freeFor is how long a store may take to act on the order.
 	freeFor = time.Second
 	// freeAtOnce bounds the parts in one order.
@@ -38,7 +39,10 @@
 	if w.whole.IsZero() {
 		w.whole = now
 	}
-	if w.freeing || !t.timed || now.Sub(w.whole) < freeAfter {
+	if t.unsure.After(w.whole) {
+		w.whole = t.unsure
+	}
+	if w.freeing || !t.timed || t.storeAway || now.Sub(w.whole) < freeAfter {
 		return nil
 	}
 	w.freeing = true
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -29,6 +29,9 @@
 	timed bool
 	// members are the boxes that ever wrote their row, this one included.
 	members map[string]*member
+	// unsure is when the list of targets was last known to lack live ones: an
+	// entry went without notice, or the table service came back.
+	unsure time.Time
 	// storeAway says that the table service does not answer.
 	storeAway bool
 	// probing marks targets whose health is being asked for.
--- a/entry/update.go
+++ b/entry/update.go
@@ -34,6 +34,7 @@
 		d.Log.Warn("table service lost", "err", m.err, "configuration", d.version(), "proved_ago", d.provedAgo(now))
 	case storeBack:
 		t.storeAway = false
+		t.unsure = now
 		d.Log.Info("table service back", "configuration", d.version())
 	case newsRead:
 		d.newsRead(now, t, m)
@@ -125,6 +126,9 @@
 	if x == nil {
 		return
 	}
+	if !x.Leaving {
+		t.unsure = now
+	}
 	if away && !x.Leaving {
 		d.Log.Warn("target's entry lapsed while the table service was away", "target", id, "kept_for", fleet.LapsedFor)
 		t.fleet.Lapse(now, id)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,8 +16,8 @@
 
 // LapsedFor is how long a target whose entry was lost in an outage of the
 // platform still takes work. Entries of live replicas are back within 2 s of
-// the platform's return; half a second is kept for what is already under way.
-const LapsedFor = 1500 * time.Millisecond
+// the platform's return, and work may be sent for 2 s after an entry was gone.
+const LapsedFor = 1900 * time.Millisecond
 
 // Entry is a replica's own entry in the platform's list.
 type Entry struct {
