--- a/entry/listen.go
+++ b/entry/listen.go
@@ -21,9 +21,6 @@
 	idleFor    = 60 * time.Second
 	// headBytes bounds a head until the configuration says otherwise.
 	headBytes = 64 << 10
-	// noticed is how long after the request to stop new connections may still
-	// come: two questions for readiness, a second apart, and some more.
-	noticed = 2300 * time.Millisecond
 	// leaveBefore is how long before the platform kills the process it ends by
 	// itself.
 	leaveBefore = 600 * time.Millisecond
@@ -89,10 +86,11 @@
 // then ending each connection with its next answer.
 func (d *Daemon) drain(servers []*http.Server) {
 	d.stopping.Store(true)
-	d.Log.Info("stopping", "kill_after", d.bounds.Load().Stop)
-	end := d.now().Add(d.bounds.Load().Stop - leaveBefore)
+	bounds := d.bounds.Load()
+	d.Log.Info("stopping", "kill_after", bounds.Stop)
+	end := d.now().Add(bounds.Stop - leaveBefore)
 	d.closing.Store(true)
-	time.Sleep(noticed)
+	time.Sleep(bounds.Notice)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, s := range servers {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -61,6 +61,9 @@
 type Bounds struct {
 	// Stop is the time from the request to stop until the process is killed.
 	Stop time.Duration `yaml:"stop"`
+	// Notice is how long after the request to stop new connections may still
+	// come: two questions for readiness, a second apart, and some more.
+	Notice time.Duration `yaml:"notice"`
 	// Drain is how long a leaving target still takes requests.
 	Drain time.Duration `yaml:"drain"`
 	// RevokedWithin is the longest that a key is honoured after it was taken
@@ -85,7 +88,7 @@
 		LogLevel: "info",
 		Box:      Box{MemoryMB: 128, Descriptors: 1024, Share: 1, Megabits: 100},
 		Bounds: Bounds{
-			Stop: 8 * time.Second, Drain: 2 * time.Second, RetryShare: 0.1, RetryExtra: 10,
+			Stop: 8 * time.Second, Notice: 2300 * time.Millisecond, Drain: 2 * time.Second, RetryShare: 0.1, RetryExtra: 10,
 			RetryWindow: 10 * time.Second, Takeover: 3 * time.Second, WeightsWithin: 12 * time.Second,
 		},
 	}
@@ -163,6 +166,7 @@
 		least time.Duration
 	}{
 		{"bounds.stop", s.Bounds.Stop, time.Second},
+		{"bounds.notice", s.Bounds.Notice, 0},
 		{"bounds.drain", s.Bounds.Drain, 0},
 		{"bounds.revoked_within", s.Bounds.RevokedWithin, 0},
 		{"bounds.retry_window", s.Bounds.RetryWindow, time.Second},
