test: the packages that the entry daemon decides with

Cause: exchange, eventstream, routing, directory, fleet, rollout, nearest and affinity had no tests of their own.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -302,7 +302,7 @@
 // keeps.
 func (c *Chooser) planSave(now time.Time, ask Ask, choice *Choice) {
 	for i := range len(ask.Parts) - 1 {
-		if ask.Parts[i].Tokens < saveTokens || (choice.Fetch != nil && choice.Fetch[i] != nil) {
+		if ask.Parts[i].Tokens < saveTokens {
 			continue
 		}
 		store := c.room(now, choice.Keys[i], ask.Parts[i].Tokens)
--- /dev/null
+++ b/affinity/affinity_test.go
@@ -0,0 +1,175 @@
+package affinity_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+// bench is two engines, a quick small store and a slow large one.
+type bench struct {
+	d       *directory.Directory
+	a, b    *fleet.Target
+	stores  []*affinity.Source
+	chooser affinity.Chooser
+	ask     affinity.Ask
+}
+
+func key(version int64, i int) directory.Key { return directory.Key(100*version + int64(i)) }
+
+func newBench() *bench {
+	x := &bench{d: directory.New()}
+	x.a = &fleet.Target{ID: "a", Domain: "z", Versions: map[string]int64{"m": 1}}
+	x.b = &fleet.Target{ID: "b", Domain: "z", Versions: map[string]int64{"m": 1}}
+	x.stores = []*affinity.Source{
+		{Name: "quick", Address: netip.MustParseAddrPort("10.0.0.1:1"), Domain: "z", Capacity: 20000, Token: time.Microsecond, First: time.Millisecond},
+		{Name: "large", Address: netip.MustParseAddrPort("10.0.0.2:1"), Domain: "z", Capacity: 1000000, Token: 2 * time.Microsecond, First: 6 * time.Millisecond},
+	}
+	x.chooser = affinity.Chooser{
+		Directory: x.d, Stores: func() []*affinity.Source { return x.stores }, Boxes: func() int { return 1 },
+		Token: func() time.Duration { return time.Microsecond },
+		Load:  func(t *fleet.Target) (int, int) { return t.Tokens, t.Unread },
+	}
+	x.ask = affinity.Ask{
+		Home: 7, Parts: []affinity.Part{{Tokens: 500}, {Tokens: 8000}, {Tokens: 2000}}, Model: "m", Tokens: 10600, Capacity: 180000,
+		Keys: func(version int64) []directory.Key {
+			return []directory.Key{key(version, 0), key(version, 1), key(version, 2)}
+		},
+	}
+	return x
+}
+
+func (x *bench) keeps(source string, version int64, parts ...int) {
+	x.d.Begin(source, 1)
+	for _, i := range parts {
+		x.d.Add(source, key(version, i), x.ask.Parts[i].Tokens)
+	}
+}
+
+func (x *bench) choose(t *testing.T) affinity.Choice {
+	t.Helper()
+	choice, ok := x.chooser.Choose(start, x.ask, []*fleet.Target{x.a, x.b})
+	if !ok {
+		t.Fatal("no engine")
+	}
+	return choice
+}
+
+// TestChoose says which engine gets a prompt.
+func TestChoose(t *testing.T) {
+	home := newBench().choose(t).Target.ID
+	other := map[string]string{"a": "b", "b": "a"}[home]
+	tests := []struct {
+		name   string
+		change func(x *bench, home, other *fleet.Target)
+		want   string
+	}{
+		{"nothing known: home", func(*bench, *fleet.Target, *fleet.Target) {}, home},
+		{"kept elsewhere, no way to fetch it", func(x *bench, _, other *fleet.Target) { x.keeps(other.ID, 1, 0, 1); x.stores = nil }, home},
+		{"home has much to read", func(_ *bench, home, _ *fleet.Target) { home.Unread = 20000 }, other},
+		{"home's memory is taken up", func(_ *bench, home, _ *fleet.Target) { home.Tokens = 175000 }, other},
+		{"home leaves", func(_ *bench, home, _ *fleet.Target) { home.Leaving = true }, other},
+		{"home failed lately", func(_ *bench, home, _ *fleet.Target) { home.Fail(start) }, other},
+		{"home loads weights", func(_ *bench, home, _ *fleet.Target) { home.LoadingUntil = start.Add(time.Second) }, other},
+		{"home has old weights", func(x *bench, _, other *fleet.Target) { x.ask.Wanted = 2; other.Versions["m"] = 2 }, other},
+		{"home has old weights, the other is busy", func(x *bench, _, other *fleet.Target) {
+			x.ask.Wanted = 2
+			other.Versions["m"] = 2
+			other.Unread = 50000
+		}, home},
+		{"old weights are overdue", func(x *bench, _, other *fleet.Target) {
+			x.ask.Wanted, x.ask.Overdue = 2, true
+			other.Versions["m"] = 2
+			other.Unread = 50000
+		}, other},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newBench()
+			engines := map[string]*fleet.Target{"a": x.a, "b": x.b}
+			tt.change(x, engines[home], engines[other])
+			if got := x.choose(t).Target.ID; got != tt.want {
+				t.Errorf("chose %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestParts says what is fetched, read and saved.
+func TestParts(t *testing.T) {
+	home := newBench().choose(t).Target.ID
+	other := map[string]string{"a": "b", "b": "a"}[home]
+	tests := []struct {
+		name        string
+		change      func(x *bench)
+		fetch, save [3]string
+		unread      int
+	}{
+		{"first time: all is read, shared parts are saved", func(*bench) {}, [3]string{}, [3]string{"quick", "large", ""}, 10500},
+		{"kept in stores", func(x *bench) { x.keeps("quick", 1, 0); x.keeps("large", 1, 1) }, [3]string{"quick", "large", ""}, [3]string{}, 2000},
+		{"kept at home, and in stores in case it was dropped", func(x *bench) { x.keeps(home, 1, 0, 1); x.keeps("large", 1, 0, 1) }, [3]string{"large", "large", ""}, [3]string{}, 2000},
+		{"kept by the other engine only", func(x *bench) { x.keeps(other, 1, 0, 1) }, [3]string{other, other, ""}, [3]string{"quick", "large", ""}, 2000},
+		{"the first part is nowhere: what follows is read", func(x *bench) { x.keeps("large", 1, 1) }, [3]string{}, [3]string{"quick", "", ""}, 10500},
+		{"kept under other weights only", func(x *bench) { x.keeps("large", 9, 0, 1) }, [3]string{}, [3]string{"quick", "large", ""}, 10500},
+		{"the store fell silent", func(x *bench) { x.keeps("large", 1, 0, 1); x.d.Silence("large") }, [3]string{}, [3]string{"quick", "large", ""}, 10500},
+		{"no room", func(x *bench) { x.stores[0].Capacity, x.stores[1].Capacity = 100, 100 }, [3]string{}, [3]string{}, 10500},
+		{"the large store's link is slower than reading", func(x *bench) { x.keeps("large", 1, 0, 1); x.stores[1].Token = time.Millisecond }, [3]string{}, [3]string{}, 10500},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newBench()
+			tt.change(x)
+			got := x.choose(t)
+			if got.Target.ID != home {
+				t.Fatalf("chose %q", got.Target.ID)
+			}
+			for i := range 3 {
+				if name := nameOf(got.Fetch, i); name != tt.fetch[i] {
+					t.Errorf("part %d is fetched from %q, want %q", i, name, tt.fetch[i])
+				}
+				if name := nameOf(got.Save, i); name != tt.save[i] {
+					t.Errorf("part %d is saved to %q, want %q", i, name, tt.save[i])
+				}
+			}
+			if got.Unread != tt.unread {
+				t.Errorf("unread %d, want %d", got.Unread, tt.unread)
+			}
+		})
+	}
+}
+
+func nameOf(list []*affinity.Source, i int) string {
+	if list == nil || list[i] == nil {
+		return ""
+	}
+	return list[i].Name
+}
+
+func TestLinks(t *testing.T) {
+	var l affinity.Links
+	const move = 100 * time.Millisecond
+	if got := l.Wait(start, "s", move); got != move {
+		t.Errorf("an unused link: %v", got)
+	}
+	for range 5 {
+		l.Note(start, "s", move, 2)
+	}
+	if got := l.Wait(start, "s", move); got != 2*move {
+		t.Errorf("a link that is half busy: %v, want %v", got, 2*move)
+	}
+	for range 100 {
+		l.Note(start, "s", move, 2)
+	}
+	if got := l.Wait(start, "s", move); got > 21*move {
+		t.Errorf("a link that is overrun: %v", got)
+	}
+	if got := l.Wait(start.Add(time.Minute), "s", move).Round(time.Millisecond); got != move {
+		t.Errorf("a minute later: %v", got)
+	}
+}
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,64 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/directory"
+)
+
+func TestRun(t *testing.T) {
+	start := time.Unix(0, 0)
+	keys := []directory.Key{directory.Of("m@1", "a"), directory.Of("m@1", "b"), directory.Of("m@1", "c")}
+	tests := []struct {
+		name   string
+		change func(d *directory.Directory)
+		want   int
+		whole  bool
+	}{
+		{"told", func(*directory.Directory) {}, 2, true},
+		{"another scope is another part", func(d *directory.Directory) { d.Add("e", directory.Of("m@2", "c"), 5) }, 2, true},
+		{"dropped first part", func(d *directory.Directory) { d.Remove("e", keys[0]) }, 0, false},
+		{"expected counts for placing, not as whole", func(d *directory.Directory) { d.Expect("e", keys[2], start.Add(time.Second)) }, 3, true},
+		{"expected in vain", func(d *directory.Directory) { d.Expect("e", keys[2], start) }, 2, true},
+		{"new epoch", func(d *directory.Directory) { d.Begin("e", 8) }, 0, false},
+		{"silent", func(d *directory.Directory) { d.Silence("e") }, 0, false},
+		{"silent and heard again", func(d *directory.Directory) { d.Silence("e"); d.Begin("e", 7) }, 2, true},
+		{"gone", func(d *directory.Directory) { d.Forget("e") }, 0, false},
+		{"listed anew", func(d *directory.Directory) { d.Clear("e"); d.Add("e", keys[0], 5) }, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := directory.New()
+			d.Begin("e", 7)
+			d.Add("e", keys[0], 10)
+			d.Add("e", keys[1], 20)
+			tt.change(d)
+			if got := d.Run("e", keys, start); got != tt.want {
+				t.Errorf("Run = %d, want %d", got, tt.want)
+			}
+			if got := d.Whole("e", keys[0]); got != tt.whole {
+				t.Errorf("Whole = %v, want %v", got, tt.whole)
+			}
+			if d.Whole("e", keys[2]) {
+				t.Error("a part that was not told is not whole")
+			}
+		})
+	}
+}
+
+func TestTokens(t *testing.T) {
+	d := directory.New()
+	d.Begin("s", 1)
+	d.Add("s", 1, 10)
+	d.Add("s", 1, 12)
+	d.Add("s", 2, 5)
+	d.Remove("s", 2)
+	d.Remove("s", 3)
+	if got := d.Tokens("s"); got != 12 {
+		t.Errorf("Tokens = %d, want 12", got)
+	}
+	if got := d.Tokens("unknown"); got != 0 {
+		t.Errorf("Tokens of an unknown source = %d", got)
+	}
+}
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -49,7 +49,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			c.said = max(time.Duration(seconds)*time.Second, time.Millisecond)
+			c.said = max(time.Duration(seconds)*time.Second, time.Nanosecond) // Zero seconds: not at all.
 		}
 	}
 }
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,316 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/exchange"
+)
+
+// target is a server that does with each connection what a test says.
+type target struct {
+	at netip.AddrPort
+	// requests gets each request as it was read.
+	requests chan *http.Request
+}
+
+// serve runs do for each connection, with its number from 0.
+func serve(t *testing.T, do func(n int, conn *net.TCPConn, requests func() *http.Request)) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	x := &target{netip.MustParseAddrPort(l.Addr().String()), make(chan *http.Request, 100)}
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(conn)
+			go do(n, conn.(*net.TCPConn), func() *http.Request {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return nil
+				}
+				body, err := io.ReadAll(r.Body)
+				if err != nil {
+					return nil
+				}
+				r.Body = io.NopCloser(strings.NewReader(string(body)))
+				x.requests <- r
+				return r
+			})
+		}
+	}()
+	return x
+}
+
+func client() *exchange.Client {
+	return &exchange.Client{Dial: (&net.Dialer{}).DialContext, DialFor: time.Second, Idle: time.Minute}
+}
+
+// ask does one exchange and reads the answer whole.
+func ask(c *exchange.Client, at netip.AddrPort, r *exchange.Request) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+	answer, err := c.Do(ctx, at, r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return answer.Status, string(body), err
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// TestConnections says which connections are used again.
+func TestConnections(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		// reused says that the second request comes on the first connection.
+		reused bool
+	}{
+		{"whole answer", ok, true},
+		{"chunked answer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		{"informational answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok, true},
+		{"the target says close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false},
+		{"a surplus answer behind", ok + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", false},
+		{"kept for no time", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			numbers := make(chan int, 10)
+			x := serve(t, func(n int, conn *net.TCPConn, next func() *http.Request) {
+				for next() != nil {
+					numbers <- n
+					_, _ = io.WriteString(conn, tt.answer)
+				}
+			})
+			c := client()
+			for range 2 {
+				if status, body, err := ask(c, x.at, &exchange.Request{Method: "POST", Path: "/a", Host: "h", Body: []byte("b")}); err != nil || status != http.StatusOK || body != "ok" {
+					t.Fatalf("got %d %q %v", status, body, err)
+				}
+			}
+			if first, second := <-numbers, <-numbers; (first == second) != tt.reused {
+				t.Errorf("connections %d and %d, want reused %v", first, second, tt.reused)
+			}
+		})
+	}
+}
+
+// TestSentOnce has a target drop the connection at different moments: the
+// request is read once at most, and the error says whether anything was sent.
+func TestSentOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// before is what the first request on the connection gets.
+		second func(conn *net.TCPConn, next func() *http.Request)
+		reads  int
+	}{
+		{"closed after the request was read", func(_ *net.TCPConn, next func() *http.Request) { next() }, 2},
+		{"half an answer", func(conn *net.TCPConn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf")
+		}, 2},
+		{"no HTTP", func(conn *net.TCPConn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, "what?\r\n\r\n")
+		}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := serve(t, func(_ int, conn *net.TCPConn, next func() *http.Request) {
+				defer func() { _ = conn.Close() }()
+				if next() == nil {
+					return
+				}
+				_, _ = io.WriteString(conn, ok)
+				tt.second(conn, next)
+			})
+			c := client()
+			header := http.Header{"Idempotency-Key": {"k"}}
+			if _, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/a", Host: "h", Header: header}); err != nil {
+				t.Fatal(err)
+			}
+			_, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/b", Host: "h", Header: header})
+			if err == nil || errors.Is(err, exchange.ErrNotSent) {
+				t.Errorf("err = %v, want one that does not say that nothing was sent", err)
+			}
+			if n := len(x.requests); n != tt.reads {
+				t.Errorf("the target read %d requests, want %d", n, tt.reads)
+			}
+		})
+	}
+}
+
+// TestIdleClosed has the target close a kept connection: the next request goes
+// out on a new one, as nothing was sent on the old.
+func TestIdleClosed(t *testing.T) {
+	closed := make(chan struct{})
+	x := serve(t, func(n int, conn *net.TCPConn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, ok)
+		if n == 0 {
+			_ = conn.Close()
+			close(closed)
+		}
+	})
+	c := client()
+	for range 2 {
+		if _, body, err := ask(c, x.at, &exchange.Request{Method: "POST", Path: "/a", Host: "h", Body: []byte("b")}); err != nil || body != "ok" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		<-closed
+	}
+	if n := len(x.requests); n != 2 {
+		t.Errorf("the target read %d requests, want 2", n)
+	}
+}
+
+// TestNotSent covers what never leaves this box.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := netip.MustParseAddrPort(l.Addr().String())
+	_ = l.Close()
+	if _, _, err := ask(client(), at, &exchange.Request{Method: "GET", Path: "/", Host: "h"}); !errors.Is(err, exchange.ErrNotSent) {
+		t.Errorf("a dead port: %v", err)
+	}
+	x := serve(t, func(_ int, conn *net.TCPConn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
+		next()
+	})
+	c := client()
+	c.PerTarget = func(netip.AddrPort) int { return 1 }
+	first, err := c.Do(context.Background(), x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h", Header: http.Header{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h"}); !errors.Is(err, exchange.ErrFull) || !errors.Is(err, exchange.ErrNotSent) {
+		t.Errorf("over the bound: %v", err)
+	}
+	first.Close()
+	if n := len(x.requests); n != 1 {
+		t.Errorf("the target read %d requests, want 1", n)
+	}
+}
+
+// TestBodyWithoutLength is whole only if its connection ends in order.
+func TestBodyWithoutLength(t *testing.T) {
+	tests := []struct {
+		name  string
+		reset bool
+	}{{"closed", false}, {"reset", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			read := make(chan struct{})
+			x := serve(t, func(_ int, conn *net.TCPConn, next func() *http.Request) {
+				next()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				if tt.reset {
+					<-read
+					_ = conn.SetLinger(0)
+				}
+				_ = conn.Close()
+			})
+			answer, err := client().Do(context.Background(), x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h", Header: http.Header{}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer answer.Close()
+			if _, err := io.ReadFull(answer, make([]byte, 4)); err != nil {
+				t.Fatal(err)
+			}
+			close(read)
+			_, err = io.ReadAll(answer)
+			if (err != nil) != tt.reset {
+				t.Errorf("err = %v, want one: %v", err, tt.reset)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswer has a target answer before it has read a long body: the
+// answer comes, and the connection is not used again, where the rest of the
+// body would be taken for the next request.
+func TestEarlyAnswer(t *testing.T) {
+	x := serve(t, func(n int, conn *net.TCPConn, next func() *http.Request) {
+		if n == 0 {
+			reader := bufio.NewReader(conn)
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+			return // It holds the connection and reads nothing more.
+		}
+		next()
+		_, _ = io.WriteString(conn, ok)
+	})
+	c := client()
+	status, _, err := ask(c, x.at, &exchange.Request{Method: "POST", Path: "/a", Host: "h", Body: make([]byte, 32<<20)})
+	if err != nil || status != http.StatusRequestEntityTooLarge {
+		t.Fatalf("got %d, %v", status, err)
+	}
+	if _, body, err := ask(c, x.at, &exchange.Request{Method: "POST", Path: "/b", Host: "h", Body: []byte("b")}); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+// TestCancel breaks an exchange off when its context ends.
+func TestCancel(t *testing.T) {
+	left := make(chan struct{})
+	x := serve(t, func(_ int, conn *net.TCPConn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+		_, _ = conn.Read(make([]byte, 1))
+		close(left)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	answer, err := client().Do(ctx, x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h", Header: http.Header{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := io.ReadAll(answer); err == nil {
+		t.Error("the body read on after its context ended")
+	}
+	answer.Close()
+	<-left
+}
+
+// TestSweep closes what was unused for too long.
+func TestSweep(t *testing.T) {
+	ended := make(chan struct{})
+	x := serve(t, func(_ int, conn *net.TCPConn, next func() *http.Request) {
+		for next() != nil {
+			_, _ = io.WriteString(conn, ok)
+		}
+		close(ended)
+	})
+	c := client()
+	if _, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h"}); err != nil {
+		t.Fatal(err)
+	}
+	c.Sweep(time.Now().Add(2 * time.Minute))
+	<-ended
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,127 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string) fleet.Entry {
+	return fleet.Entry{ID: id, Pool: "p", Versions: map[string]int64{"m": 2}}
+}
+
+func TestOpen(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fleet.Fleet)
+		after  time.Duration
+		want   bool
+	}{
+		{"listed", func(*fleet.Fleet) {}, 0, true},
+		{"leaving", func(f *fleet.Fleet) { e := entry("a"); e.Leaving = true; f.List(e) }, 0, false},
+		{"leaving is never taken back", func(f *fleet.Fleet) { e := entry("a"); e.Leaving = true; f.List(e); f.List(entry("a")) }, 0, false},
+		{"lapsed a moment ago", func(f *fleet.Fleet) { f.Lapse(start, "a") }, time.Second, true},
+		{"lapsed for too long", func(f *fleet.Fleet) { f.Lapse(start, "a") }, fleet.LapsedFor, false},
+		{"lapsed and back", func(f *fleet.Fleet) { f.Lapse(start, "a"); f.List(entry("a")) }, time.Hour, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := fleet.New()
+			x, _ := f.List(entry("a"))
+			tt.change(f)
+			if got := x.Open(start.Add(tt.after)); got != tt.want {
+				t.Errorf("Open = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestDrop(t *testing.T) {
+	f := fleet.New()
+	x, _ := f.List(entry("b"))
+	f.List(entry("a"))
+	if pool := f.Pool("p"); len(pool) != 2 || pool[0].ID != "a" {
+		t.Fatalf("pool %v", pool)
+	}
+	f.Drop("b")
+	if len(f.Pool("p")) != 1 || f.Target("b") != nil || x.Open(start) {
+		t.Error("a dropped target still takes work")
+	}
+	f.Drop("b")
+}
+
+// TestVersionsRise shows that an entry that lags does not take a version back.
+func TestVersionsRise(t *testing.T) {
+	f := fleet.New()
+	x, _ := f.List(entry("a"))
+	x.Versions["m"] = 3
+	f.List(entry("a"))
+	if x.Versions["m"] != 3 {
+		t.Errorf("version %d, want 3", x.Versions["m"])
+	}
+}
+
+func TestEvidence(t *testing.T) {
+	tests := []struct {
+		name                  string
+		happen                func(x *fleet.Target)
+		after                 time.Duration
+		avoided, silent, grey bool
+	}{
+		{"nothing", func(*fleet.Target) {}, time.Second, false, false, false},
+		{"failed once, just now", func(x *fleet.Target) { x.Fail(start) }, 100 * time.Millisecond, true, false, false},
+		{"failed once, a while ago", func(x *fleet.Target) { x.Fail(start) }, 300 * time.Millisecond, false, false, false},
+		{"failed often", func(x *fleet.Target) {
+			for range 20 {
+				x.Fail(start)
+			}
+		}, 1900 * time.Millisecond, true, false, false},
+		{"waits and says nothing", func(x *fleet.Target) { x.Sent(start, 5, 9) }, 500 * time.Millisecond, false, true, false},
+		{"waits and was heard", func(x *fleet.Target) { x.Sent(start, 5, 9); x.Heard(start.Add(400 * time.Millisecond)) }, 500 * time.Millisecond, false, false, false},
+		{"answered", func(x *fleet.Target) { x.Sent(start, 5, 9); x.Began(start, 5) }, time.Second, false, false, false},
+		{"fails half", func(x *fleet.Target) {
+			for i := range 8 {
+				x.Sent(start, 0, 0)
+				x.Ended(start, false, 0, 0, i%2 == 0)
+			}
+		}, 0, false, false, true},
+		{"fails a few", func(x *fleet.Target) {
+			for i := range 20 {
+				x.Sent(start, 0, 0)
+				x.Ended(start, false, 0, 0, i%7 == 0)
+			}
+		}, 0, false, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := &fleet.Target{}
+			tt.happen(x)
+			now := start.Add(tt.after)
+			if got := x.Avoided(now); got != tt.avoided {
+				t.Errorf("Avoided = %v", got)
+			}
+			if got := x.Silent(now, 300*time.Millisecond); got != tt.silent {
+				t.Errorf("Silent = %v", got)
+			}
+			if got := x.Grey(now); got != tt.grey {
+				t.Errorf("Grey = %v", got)
+			}
+		})
+	}
+}
+
+// TestCounts shows that what was sent is taken off again, however it ends.
+func TestCounts(t *testing.T) {
+	x := &fleet.Target{}
+	x.Sent(start, 7, 100)
+	x.Sent(start, 5, 50)
+	x.Began(start, 7)
+	x.Ended(start, true, 7, 100, false)
+	x.Ended(start, false, 5, 50, true)
+	if x.InFlight != 0 || x.Unread != 0 || x.Tokens != 0 || x.Silent(start.Add(time.Hour), time.Second) {
+		t.Errorf("left over: %+v", x)
+	}
+}
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,34 @@
+package rollout_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/thymewind/thymewind/rollout"
+)
+
+func TestNext(t *testing.T) {
+	tests := []struct {
+		name     string
+		replicas []rollout.Replica
+		want     []string
+		behind   int
+	}{
+		{"the least busy first", []rollout.Replica{{ID: "a", Busy: 5}, {ID: "b"}, {ID: "c", Busy: 1}}, []string{"b", "c"}, 3},
+		{"one loads already", []rollout.Replica{{ID: "a", Loading: true}, {ID: "b"}, {ID: "c"}}, []string{"b"}, 3},
+		{"two load already", []rollout.Replica{{ID: "a", Loading: true}, {ID: "b", Loading: true}, {ID: "c"}}, nil, 3},
+		{"done ones are left alone", []rollout.Replica{{ID: "a", Version: 2}, {ID: "b", Version: 3}}, nil, 0},
+		{"barred ones wait", []rollout.Replica{{ID: "a", Barred: true}, {ID: "b"}}, []string{"b"}, 2},
+		{"none", nil, nil, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := (rollout.Plan{AtOnce: 2}).Next(2, tt.replicas); !slices.Equal(got, tt.want) {
+				t.Errorf("Next = %v, want %v", got, tt.want)
+			}
+			if got := rollout.Behind(2, tt.replicas); got != tt.behind {
+				t.Errorf("Behind = %d, want %d", got, tt.behind)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,77 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/thymewind/thymewind/routing"
+)
+
+func table() *routing.Table {
+	return routing.New(3, []*routing.Route{
+		{Name: "root", Host: "a.example", Prefix: "/", Shares: []routing.Share{{Pool: "p", Weight: 1}}, Urgency: 2},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/", Shares: []routing.Share{{Pool: "p", Weight: 1}}, Urgency: 0},
+		{Name: "short", Host: "A.example", Prefix: "/x/", Shares: []routing.Share{{Pool: "q", Weight: 1}}, Urgency: 1, Open: true},
+	}, []*routing.Pool{{Name: "p"}, {Name: "q"}}, []*routing.Account{{Name: "cafe", Keys: []string{"k1", "k2"}, Urgency: 1, Ranked: true}})
+}
+
+func TestRoute(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.Example:8080", "/x/z", "short"},
+		{"a.example", "/", "root"},
+		{"b.example", "/x/y/z", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := table().Route(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("Route(%q, %q) = %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestAccount(t *testing.T) {
+	x := table()
+	if a, known := x.Account("k2"); !known || a.Name != "cafe" {
+		t.Errorf("Account = %v, %v", a, known)
+	}
+	if _, known := x.Account("K2"); known {
+		t.Error("keys differ by case")
+	}
+	long, short := x.Route("a.example", "/x/y/"), x.Route("a.example", "/x/")
+	if !x.Keyed(long) || x.Keyed(short) {
+		t.Error("open routes need no key, others do")
+	}
+	if routing.New(1, nil, nil, nil).Keyed(long) {
+		t.Error("without accounts no route needs a key")
+	}
+}
+
+func TestPick(t *testing.T) {
+	r := &routing.Route{Shares: []routing.Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}, {Pool: "none", Weight: 0}}}
+	counts := make(map[string]int)
+	for i := range uint64(1000) {
+		counts[r.Pick(i)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 || counts["none"] != 0 {
+		t.Errorf("counts %v", counts)
+	}
+}
+
+func TestUrgency(t *testing.T) {
+	x := table()
+	a, _ := x.Account("k1")
+	r := x.Route("a.example", "/x/y/")
+	if got := routing.Urgency(r, a); got != 1 {
+		t.Errorf("an account's rank comes before the route's: %d", got)
+	}
+	if got := routing.Urgency(r, nil); got != 0 {
+		t.Errorf("without an account the route's counts: %d", got)
+	}
+	if p, q := x.LeastUrgent("p"), x.LeastUrgent("q"); p != 2 || q != 1 {
+		t.Errorf("least urgent %d and %d", p, q)
+	}
+}
