test(deliver): what callers are promised, under each kind of trouble

Cause: the promises were tested only along single paths. One fault found: a request that may not be repeated took from the retry budget without a try.

--- /dev/null
+++ b/deliver/deliver_test.go
@@ -0,0 +1,337 @@
+package deliver_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// What the fake targets do with one sending.
+const (
+	answers = iota
+	unreachable
+	turnsAway
+	otherWeights
+	runsAndIsLost
+	breaksOff
+	fails
+	hangs
+	ways
+)
+
+var errBroken = errors.New("broken")
+
+// targets are fake targets that do in turn what their script says.
+type targets struct {
+	script []int
+	// sent counts sendings, arrived those that reached a target, and ran those
+	// that a target ran.
+	sent, arrived, ran int
+	// placed counts places, ended the sendings told to Ended.
+	placed, ended int
+	spent         int
+	// left are the times that targets were given.
+	left []time.Duration
+}
+
+func (x *targets) send(ctx context.Context, s deliver.Sending) (*deliver.Reply, error) {
+	way := answers
+	if x.sent < len(x.script) {
+		way = x.script[x.sent]
+	}
+	x.sent++
+	x.left = append(x.left, s.Left)
+	if way == unreachable {
+		return nil, fmt.Errorf("%w: refused", exchange.ErrNotSent)
+	}
+	x.arrived++
+	switch way {
+	case turnsAway:
+		return reply(http.StatusServiceUnavailable, deliver.DidNotRun, strings.NewReader("")), nil
+	case otherWeights:
+		return reply(http.StatusMisdirectedRequest, deliver.OtherVersion, strings.NewReader("")), nil
+	}
+	x.ran++
+	switch way {
+	case runsAndIsLost:
+		return nil, errBroken
+	case hangs:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case fails:
+		return reply(http.StatusInternalServerError, deliver.MayHaveRun, strings.NewReader("failed")), nil
+	}
+	if s.Job.Route.Stream {
+		return streamed(s, way == breaksOff), nil
+	}
+	if way == breaksOff {
+		return reply(http.StatusOK, deliver.MayHaveRun, io.MultiReader(strings.NewReader("ha"), broken{})), nil
+	}
+	return reply(http.StatusOK, deliver.MayHaveRun, strings.NewReader("whole")), nil
+}
+
+// events is how long a whole stream is.
+const events = 4
+
+// streamed goes on behind the last event that the caller has.
+func streamed(s deliver.Sending, breaks bool) *deliver.Reply {
+	from, _ := strconv.Atoi(s.After) // Zero for a stream from its beginning.
+	var text strings.Builder
+	for i := from + 1; i <= events; i++ {
+		if breaks && i > from+1 {
+			return streamReply(io.MultiReader(strings.NewReader(text.String()+"id: 9\nda"), broken{}))
+		}
+		fmt.Fprintf(&text, "id: %d\n\n", i)
+	}
+	return streamReply(strings.NewReader(text.String()))
+}
+
+func streamReply(body io.Reader) *deliver.Reply {
+	r := reply(http.StatusOK, deliver.MayHaveRun, body)
+	r.Events = true
+	return r
+}
+
+func reply(status, verdict int, body io.Reader) *deliver.Reply {
+	return &deliver.Reply{Status: status, Header: http.Header{}, Verdict: verdict, Length: -1, Body: body, Close: func() {}}
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errBroken }
+
+func (x *targets) server(route *routing.Route) *deliver.Server {
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	route.Shares = []routing.Share{{Pool: "p", Weight: 1}}
+	table := routing.New(1, []*routing.Route{route}, []*routing.Pool{{Name: "p"}}, nil)
+	return &deliver.Server{
+		Table: func() *routing.Table { return table }, Fresh: func(time.Time) bool { return true },
+		Place: func(context.Context, deliver.Ask) (deliver.Place, error) {
+			x.placed++
+			return deliver.Place{Target: "t" + strconv.Itoa(x.placed)}, nil
+		},
+		Send: x.send, Began: func(deliver.Place) {}, Ended: func(deliver.Ended) { x.ended++ },
+		Spend: func(string) bool { x.spent++; return true }, Earn: func(string) {},
+		Suspect: func(context.Context, string) bool { return true },
+		Now:     time.Now, Draw: func() uint64 { return 0 }, ComeBack: func() time.Duration { return time.Second },
+		Note: func(deliver.Outcome) {}, Retried: func(deliver.Retried) {},
+	}
+}
+
+// outcome is what the caller got.
+type outcome struct {
+	refused *refusal.Refusal
+	status  int
+	body    string
+	cut     bool
+	took    time.Duration
+}
+
+func ask(s *deliver.Server) (o outcome) {
+	w := httptest.NewRecorder()
+	began := time.Now()
+	defer func() {
+		o.cut = recover() != nil
+		o.status, o.body, o.took = w.Code, w.Body.String(), time.Since(began)
+	}()
+	err := s.Serve(context.Background(), w, &deliver.Call{ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{}, Received: time.Now()})
+	errors.As(err, &o.refused)
+	return o
+}
+
+func route(repeatable, stream, resumable bool, attempts int) *routing.Route {
+	return &routing.Route{
+		Repeatable: repeatable && !stream, Stream: stream, Resumable: stream && resumable,
+		Timeout: 3 * time.Second, Goal: 100 * time.Millisecond, Attempts: attempts,
+	}
+}
+
+const wholeStream = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
+
+// keepsPromises says, for any trouble of the targets: a request that may not be
+// repeated runs once at most; one that is said not to have run has not; no more
+// targets than allowed get it; a stream has each event once and in order; each
+// sending is accounted for; the final answer comes in time.
+func keepsPromises(t *testing.T, tamper func(*deliver.Server)) gopter.Prop {
+	return prop.ForAll(func(repeatable, stream, resumable bool, attempts int, script []int) bool {
+		good := true
+		synctest.Test(t, func(*testing.T) {
+			r := route(repeatable, stream, resumable, attempts)
+			x := &targets{script: script}
+			s := x.server(r)
+			tamper(s)
+			got := ask(s)
+			once := !r.Repeatable && !r.Resumable
+			promised := got.refused != nil && got.refused.Outcome == refusal.DidNotRun
+			good = !(once && x.ran > 1) &&
+				!(promised && x.ran > 0) &&
+				x.arrived <= attempts &&
+				x.placed == x.ended &&
+				got.took <= r.Timeout &&
+				(!stream || got.refused != nil || got.status != http.StatusOK || strings.HasPrefix(wholeStream, got.body)) &&
+				(got.refused != nil || got.cut || got.status != http.StatusOK || got.body == "whole" || got.body == wholeStream)
+		})
+		return good
+	}, gen.Bool(), gen.Bool(), gen.Bool(), gen.IntRange(1, 3), gen.SliceOfN(6, gen.IntRange(0, ways-1)))
+}
+
+func TestPromises(t *testing.T) {
+	proof.Holds(t, keepsPromises(t, func(*deliver.Server) {}))
+}
+
+// TestPromisesNeedToKnowWhatWasSent takes out what tells a request that was
+// sent from one that was not.
+func TestPromisesNeedToKnowWhatWasSent(t *testing.T) {
+	proof.Breaks(t, keepsPromises(t, func(s *deliver.Server) {
+		send := s.Send
+		s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+			r, err := send(ctx, sending)
+			if err != nil {
+				err = fmt.Errorf("%w: %w", exchange.ErrNotSent, err)
+			}
+			return r, err
+		}
+	}))
+}
+
+// TestPromisesNeedTheVerdict takes every answer for the target's promise that
+// it did not run.
+func TestPromisesNeedTheVerdict(t *testing.T) {
+	proof.Breaks(t, keepsPromises(t, func(s *deliver.Server) {
+		send := s.Send
+		s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+			r, err := send(ctx, sending)
+			if r != nil && r.Status >= http.StatusInternalServerError {
+				r.Verdict = deliver.DidNotRun
+			}
+			return r, err
+		}
+	}))
+}
+
+// TestPromisesNeedThePlaceBehind has a resumed stream begin anew.
+func TestPromisesNeedThePlaceBehind(t *testing.T) {
+	proof.Breaks(t, keepsPromises(t, func(s *deliver.Server) {
+		send := s.Send
+		s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+			if sending.After != "" {
+				sending.After = strconv.Itoa(events)
+			}
+			return send(ctx, sending)
+		}
+	}))
+}
+
+func TestServe(t *testing.T) {
+	tests := []struct {
+		name   string
+		route  *routing.Route
+		script []int
+		status int
+		// refused is the outcome of a refusal, if it is one.
+		refused string
+		spent   int
+	}{
+		{"answered", route(false, false, false, 1), nil, 200, "", 0},
+		{"unreachable twice, then answered, out of no budget", route(false, false, false, 1), []int{unreachable, unreachable}, 200, "", 0},
+		{"never reachable", route(false, false, false, 1), []int{unreachable, unreachable, unreachable, unreachable}, 503, refusal.DidNotRun, 0},
+		{"turned away by the only one allowed", route(false, false, false, 1), []int{turnsAway}, 503, refusal.DidNotRun, 0},
+		{"turned away, then answered, out of the budget", route(false, false, false, 2), []int{turnsAway}, 200, "", 1},
+		{"lost", route(false, false, false, 2), []int{runsAndIsLost}, 502, refusal.Unknown, 0},
+		{"lost, may be repeated", route(true, false, false, 2), []int{runsAndIsLost}, 200, "", 1},
+		{"failed, may be repeated", route(true, false, false, 2), []int{fails}, 200, "", 1},
+		{"failed twice: the target's own answer", route(true, false, false, 2), []int{fails, fails}, 500, "", 1},
+		{"lost, then turned away: no promise", route(true, false, false, 2), []int{runsAndIsLost, turnsAway}, 502, refusal.Unknown, 1},
+		{"hangs to the end", route(false, false, false, 2), []int{hangs}, 504, refusal.Unknown, 0},
+		{"hangs, may be repeated, the target looks dead", route(true, false, false, 2), []int{hangs}, 200, "", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := &targets{script: tt.script}
+				got := ask(x.server(tt.route))
+				status, outcome := got.status, ""
+				if got.refused != nil {
+					status, outcome = got.refused.Status, got.refused.Outcome
+				}
+				if status != tt.status || outcome != tt.refused || x.spent != tt.spent {
+					t.Errorf("status %d, outcome %q, spent %d; want %d, %q, %d", status, outcome, x.spent, tt.status, tt.refused, tt.spent)
+				}
+			})
+		})
+	}
+}
+
+// TestSlowIsNotDead shows that a request waits at a slow target that lives:
+// trying another would only add to the load.
+func TestSlowIsNotDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{script: []int{hangs}}
+		s := x.server(route(false, true, true, 2))
+		s.Suspect = func(context.Context, string) bool { return false }
+		got := ask(s)
+		if x.sent != 1 || got.refused == nil || got.refused.Status != http.StatusGatewayTimeout {
+			t.Errorf("sent %d times, got %+v", x.sent, got)
+		}
+	})
+}
+
+// TestBudget shows that without budget nothing is sent again.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{script: []int{turnsAway}}
+		s := x.server(route(true, false, false, 3))
+		s.Spend = func(string) bool { return false }
+		if got := ask(s); x.sent != 1 || got.refused == nil || got.refused.RetryAfter == 0 {
+			t.Errorf("sent %d times, got %+v", x.sent, got)
+		}
+	})
+}
+
+// TestTimeLeft shows that targets are given what is left, not more.
+func TestTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{script: []int{hangs}}
+		ask(x.server(route(true, false, false, 2)))
+		if len(x.left) != 2 || x.left[0] != 3*time.Second || x.left[1] >= x.left[0] || x.left[1] < 2*time.Second {
+			t.Errorf("given %v", x.left)
+		}
+	})
+}
+
+// TestStale shows that a key is refused, with when to come back, once it can't
+// be told whether it is still good.
+func TestStale(t *testing.T) {
+	x := &targets{}
+	s := x.server(route(true, false, false, 1))
+	r := s.Table().Route("h", "/")
+	table := routing.New(2, []*routing.Route{r}, []*routing.Pool{{Name: "p"}}, []*routing.Account{{Name: "a", Keys: []string{"k"}}})
+	s.Table = func() *routing.Table { return table }
+	s.Fresh = func(time.Time) bool { return false }
+	got := ask(s)
+	if got.refused == nil || got.refused.Status != http.StatusServiceUnavailable || got.refused.RetryAfter == 0 || x.sent != 0 {
+		t.Errorf("got %+v", got)
+	}
+	r.Open = true
+	if got := ask(s); got.status != http.StatusOK || got.refused != nil {
+		t.Errorf("an open route needs no proof: %+v", got)
+	}
+}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -193,7 +193,8 @@
 		x.sent++
 		x.ran++
 	}
-	if left || over || !x.again(!notSent) || (!notSent && !x.repeatable()) {
+	mayRepeat := notSent || x.repeatable()
+	if left || over || !mayRepeat || !x.again(!notSent) {
 		return x.failed(err)
 	}
 	return nil, errNext
