--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -104,7 +104,7 @@
 	d := entry.Daemon{
 		Settings: s, Platform: platform.Join(rows, connections), Front: platform.Front, Log: logger, Registry: registry,
 		Reload: reload,
-		Sweep: connections.Sweep,
+		Sweep:  connections.Sweep,
 	}
 	return d.Run(ctx)
 }
--- /dev/null
+++ b/entry/update_test.go
@@ -0,0 +1,377 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/routing"
+	"github.com/thymewind/thymewind/table"
+)
+
+var start = time.Unix(1000, 0)
+
+// newDaemon is a daemon whose loop a test runs by hand, at times of its own.
+func newDaemon(name string) *Daemon {
+	rows := &fake.Table{}
+	d := &Daemon{
+		Settings: settings.Settings{Name: name, Domain: "a", Bounds: settings.Bounds{
+			RevokedWithin: 5 * time.Second, Takeover: 3 * time.Second, WeightsWithin: 12 * time.Second, RetryShare: 0.2, RetryExtra: 50,
+		}},
+		Log: log.New(io.Discard), Registry: prometheus.NewRegistry(), Sweep: func(time.Time) {},
+		Platform: Platform{Commit: rows.Commit, Read: rows.Read},
+	}
+	d.build()
+	return d
+}
+
+func configuration(version int64) *routing.Table {
+	return routing.New(version, []*routing.Route{
+		{Name: "long", Host: "h", Prefix: "/long/", Stream: true, Urgency: 2, Attempts: 1, Shares: []routing.Share{{Pool: "models", Weight: 1}}},
+		{Name: "short", Host: "h", Prefix: "/short/", Stream: true, Urgency: 0, Attempts: 1, Shares: []routing.Share{{Pool: "models", Weight: 1}}},
+	}, []*routing.Pool{
+		{Name: "models", Engine: &routing.Engine{Capacity: 100000, Models: []string{"m"}, TokenBytes: 1000, Megabits: 1000}},
+		{Name: "orders"},
+	}, nil)
+}
+
+func engine(id string, version int64) fleet.Entry {
+	return fleet.Entry{ID: id, Pool: "models", Versions: map[string]int64{"m": version}}
+}
+
+func job(route string, tokens int) *deliver.Job {
+	t := configuration(1)
+	return &deliver.Job{
+		Call:  &deliver.Call{ID: "r", Model: "m", Input: tokens, Parts: []deliver.Part{{ID: "p", Tokens: tokens / 2}, {ID: "own", Tokens: tokens / 2}}},
+		Route: t.Route("h", "/"+route+"/"), Pool: t.Pools["models"],
+	}
+}
+
+// TestConfigurationNeverBack shows that a version is never followed by a lower
+// one, and that an unusable one changes nothing.
+func TestConfigurationNeverBack(t *testing.T) {
+	d := newDaemon("b1")
+	steps := []struct {
+		name   string
+		change Operator
+		want   int64
+	}{
+		{"first", Operator{Table: configuration(5)}, 5},
+		{"lower", Operator{Table: configuration(4)}, 5},
+		{"unusable", Operator{Unusable: errors.New("spoilt")}, 5},
+		{"higher", Operator{Table: configuration(9)}, 9},
+	}
+	for _, s := range steps {
+		d.update(start, operatorRead{start, s.change})
+		if got := d.version(); got != s.want {
+			t.Errorf("%s: version %d, want %d", s.name, got, s.want)
+		}
+	}
+}
+
+// TestFresh shows that keys are trusted by when the last answered read was
+// sent, never by when its answer came.
+func TestFresh(t *testing.T) {
+	d := newDaemon("b1")
+	if d.fresh(start) {
+		t.Error("fresh without any read")
+	}
+	d.update(start.Add(3*time.Second), operatorRead{start, Operator{}})
+	tests := []struct {
+		after time.Duration
+		want  bool
+	}{{4 * time.Second, true}, {5*time.Second - proofMargin, false}, {time.Hour, false}}
+	for _, tt := range tests {
+		if got := d.fresh(start.Add(tt.after)); got != tt.want {
+			t.Errorf("%v after the read was sent: fresh %v, want %v", tt.after, got, tt.want)
+		}
+	}
+	d.update(start.Add(4*time.Second), operatorRead{start.Add(-time.Second), Operator{}})
+	if !d.fresh(start.Add(4 * time.Second)) {
+		t.Error("an older read took a newer proof back")
+	}
+}
+
+// TestTargets follows the list through what befalls it.
+func TestTargets(t *testing.T) {
+	d := newDaemon("b1")
+	f := d.tables.fleet
+	read := func(after time.Duration, away bool, change Targets) {
+		d.update(start.Add(after), targetsRead{start.Add(after), change, away})
+	}
+	read(0, false, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1), engine("b", 1)}})
+	read(time.Second, false, Targets{Gone: []string{"a"}})
+	if f.Target("a") != nil {
+		t.Error("a target that went while the store answered is kept")
+	}
+	read(2*time.Second, true, Targets{Whole: true})
+	x := f.Target("b")
+	if x == nil || !x.Open(start.Add(3*time.Second)) {
+		t.Fatal("a target that lapsed while the store was away is gone at once")
+	}
+	read(3*time.Second, false, Targets{Listed: []fleet.Entry{engine("b", 1)}})
+	d.sweep(start.Add(time.Hour), &d.tables)
+	if f.Target("b") == nil {
+		t.Error("a target that came back is gone")
+	}
+	read(4*time.Second, true, Targets{Whole: true})
+	d.sweep(start.Add(4*time.Second+fleet.LapsedFor), &d.tables)
+	if f.Target("b") != nil {
+		t.Error("a target that did not come back is kept")
+	}
+}
+
+// TestScope shows that neither other weights nor another walled account reach
+// kept parts.
+func TestScope(t *testing.T) {
+	open, walled, other := job("long", 10), job("long", 10), job("long", 10)
+	walled.Account = &routing.Account{Name: "w", Isolated: true}
+	other.Account = &routing.Account{Name: "o", Isolated: true}
+	plain := job("long", 10)
+	plain.Account = &routing.Account{Name: "p"}
+	scopes := []string{scope(1, open), scope(2, open), scope(1, walled), scope(1, other)}
+	for i, a := range scopes {
+		for _, b := range scopes[:i] {
+			if a == b {
+				t.Errorf("two scopes are %q", a)
+			}
+		}
+	}
+	if scope(1, plain) != scope(1, open) {
+		t.Error("accounts that are not walled share")
+	}
+	if !outdated(scope(1, walled), "m", 2) || outdated(scope(2, open), "m", 2) || outdated(scope(1, open), "other", 2) {
+		t.Error("which scopes are outdated")
+	}
+}
+
+// TestAdmission shows that the least urgent kind leaves room for the others.
+func TestAdmission(t *testing.T) {
+	tests := []struct {
+		name, route string
+		taken       int
+		admitted    bool
+	}{
+		{"room for all", "long", 50000, true},
+		{"nearly full, least urgent", "long", 90000, false},
+		{"nearly full, urgent", "short", 90000, true},
+		{"over full, urgent", "short", 140000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.now = func() time.Time { return start }
+			d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.tables.members["b1"], d.tables.members["b2"] = &member{}, &member{}
+			d.update(start, peerAsks{peer.Message{From: "b2", Shares: []peer.Share{{Target: placement.Hash("a"), Tokens: tt.taken}}}, make(chan peer.Message, 1)})
+			place, err := d.place(start, &d.tables, deliver.Ask{Job: job(tt.route, 5000)})
+			if (err == nil) != tt.admitted {
+				t.Fatalf("place %+v, %v", place, err)
+			}
+			want := 0
+			if tt.admitted {
+				want = 5000
+			}
+			if x := d.tables.fleet.Target("a"); x.Tokens != want {
+				t.Errorf("counted %d tokens, want %d", x.Tokens, want)
+			}
+		})
+	}
+}
+
+// TestWeightsOrders follows a rollout by one box: only with the lease, two at a
+// time, none that another holder ordered a moment ago.
+func TestWeightsOrders(t *testing.T) {
+	d := newDaemon("b1")
+	now := start
+	d.now = func() time.Time { return now }
+	d.lease.Now = d.now
+	d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}}})
+	d.update(now, targetsRead{now, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1), engine("b", 1), engine("c", 1), engine("d", 2)}}, false})
+	if effects := d.rollWeights(now, &d.tables); len(effects) != 1 {
+		t.Fatalf("without the lease: %v", effects)
+	}
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if effects := d.rollWeights(now, &d.tables); len(effects) != 0 {
+		t.Fatalf("orders before the earlier holder's rows were read: %v", effects)
+	}
+	last := table.Row{Key: rolloutPrefix + "m", Value: []byte(`{"epoch":0,"version":2,"loading":["a"],"recent":["a"]}`)}
+	d.update(now, leaseStepped{read: true, rows: []table.Row{last}})
+	if got := ordered(t, d, now); got != "b c " {
+		t.Errorf("ordered %q, want all but a, which another box ordered", got)
+	}
+	if !d.tables.fleet.Target("b").Loading(now) {
+		t.Error("a target that was ordered takes requests")
+	}
+	d.update(now, orderEnded{"b", "m", 2, nil})
+	d.update(now, orderEnded{"c", "m", 2, nil})
+	if got := ordered(t, d, now); got != "" {
+		t.Errorf("ordered %q too early", got)
+	}
+	now = now.Add(d.bounds.Load().Takeover + holdSlack + time.Millisecond)
+	d.tables.readEpoch = 1
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	epoch, _, _ := d.lease.Held()
+	d.tables.readEpoch = epoch
+	if got := ordered(t, d, now); got != "a " {
+		t.Errorf("ordered %q, want a", got)
+	}
+}
+
+// ordered runs the rollout and returns the targets that get orders.
+func ordered(t *testing.T, d *Daemon, now time.Time) string {
+	t.Helper()
+	got := ""
+	for _, e := range d.rollWeights(now, &d.tables) {
+		a, ok := e.(announce)
+		if !ok {
+			continue
+		}
+		for _, sent := range d.update(now, announced{a.model, nil}) {
+			got += sent.(sendOrder).order.Target + " "
+		}
+	}
+	return got
+}
+
+// TestNotAnnounced shows that no order goes out that a successor would not know
+// of.
+func TestNotAnnounced(t *testing.T) {
+	d := newDaemon("b1")
+	d.tables.model("m").planned = []string{"a"}
+	if effects := d.update(start, announced{"m", errors.New("lost")}); len(effects) != 0 {
+		t.Errorf("effects %v", effects)
+	}
+}
+
+// TestLateRow shows that a row of an earlier holder, written late, is not
+// taken over.
+func TestLateRow(t *testing.T) {
+	d := newDaemon("b1")
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+	row := func(epoch, loading string) {
+		d.update(start, ownRead{Own{Rows: []table.Row{{Key: rolloutPrefix + "m", Value: []byte(`{"epoch":` + epoch + `,"version":2,"loading":[` + loading + `],"done":[]}`)}}}})
+	}
+	row("4", "")
+	row("3", `"a"`)
+	if d.tables.fleet.Target("a").Loading(start) {
+		t.Error("a late row counts")
+	}
+	row("4", `"a"`)
+	if !d.tables.fleet.Target("a").Loading(start) {
+		t.Error("the holder's row does not count")
+	}
+}
+
+// TestFreeing shows when parts made on older weights may be freed: not before
+// each fetch has ended, and only with a list that lacks nothing.
+func TestFreeing(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(d *Daemon, now time.Time)
+		after  time.Duration
+		frees  bool
+	}{
+		{"too early", func(*Daemon, time.Time) {}, freeAfter - time.Millisecond, false},
+		{"late enough", func(*Daemon, time.Time) {}, freeAfter, true},
+		{"an entry went meanwhile", func(d *Daemon, now time.Time) {
+			d.update(now.Add(time.Second), targetsRead{now, Targets{Gone: []string{"b"}}, false})
+		}, freeAfter, false},
+		{"the store came back meanwhile", func(d *Daemon, now time.Time) { d.update(now.Add(time.Second), storeBack{}) }, freeAfter, false},
+		{"the store is away", func(d *Daemon, now time.Time) { d.update(now, storeLost{errors.New("away")}) }, freeAfter, false},
+		{"the clock is not known", func(d *Daemon, _ time.Time) { d.tables.timed = false }, freeAfter, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 2), engine("b", 2)}}, false})
+			d.tables.timed = true
+			w := d.tables.model("m")
+			w.wanted = 2
+			if effects := d.freeOld(start, &d.tables, "m", w); len(effects) != 0 {
+				t.Fatalf("freed at once: %v", effects)
+			}
+			tt.change(d, start)
+			if effects := d.freeOld(start.Add(tt.after), &d.tables, "m", w); (len(effects) > 0) != tt.frees {
+				t.Errorf("effects %v, want some: %v", effects, tt.frees)
+			}
+		})
+	}
+}
+
+// TestFetchLastsLess ties the two times together: a fetch must have ended
+// before its parts may be freed.
+func TestFetchLastsLess(t *testing.T) {
+	if freeAfter <= fetchFor {
+		t.Errorf("parts are freed after %v, a fetch may take %v", freeAfter, fetchFor)
+	}
+}
+
+// TestLearn takes what targets say of their weights.
+func TestLearn(t *testing.T) {
+	tests := []struct {
+		name    string
+		ended   deliver.Ended
+		version int64
+		loading bool
+		known   bool
+	}{
+		{"other weights, told", deliver.Ended{Verdict: deliver.OtherVersion, Version: 3}, 3, false, true},
+		{"other weights, not told", deliver.Ended{Verdict: deliver.OtherVersion}, 1, true, true},
+		{"turned away during a rollout", deliver.Ended{Verdict: deliver.DidNotRun}, 1, true, true},
+		{"another replica has the address", deliver.Ended{Verdict: deliver.Elsewhere}, 0, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.tables.model("m").wanted = 2
+			x := d.tables.fleet.Target("a")
+			x.Sent(start, 0, 0)
+			tt.ended.Place, tt.ended.Job = deliver.Place{Target: "a"}, job("long", 10)
+			d.update(start, sendingEnded{tt.ended})
+			if known := d.tables.fleet.Target("a") != nil; known != tt.known {
+				t.Errorf("known %v", known)
+			}
+			if tt.known && (x.Versions["m"] != tt.version || x.Loading(start) != tt.loading) {
+				t.Errorf("version %d, loading %v", x.Versions["m"], x.Loading(start))
+			}
+		})
+	}
+}
+
+// TestNews shows that a source that restarted or fell silent keeps nothing.
+func TestNews(t *testing.T) {
+	d := newDaemon("b1")
+	key := directory.Of("m@1", "p")
+	told := News{Epoch: 1, Changes: []Change{{Kept: true, Scope: "m@1", Part: "p", Tokens: 9}}, Clock: time.Hour}
+	d.update(start, newsRead{source: "s", news: told})
+	if !d.tables.directory.Whole("s", key) || !d.tables.timed {
+		t.Fatal("the news was not taken over")
+	}
+	d.update(start, newsRead{source: "s", err: errors.New("reset")})
+	if d.tables.directory.Whole("s", key) {
+		t.Error("a silent source still counts")
+	}
+	d.update(start, newsRead{source: "s", news: News{Epoch: 2}})
+	if d.tables.directory.Whole("s", key) {
+		t.Error("a source that restarted still counts")
+	}
+}
