feat(logqueue): the log never holds a request up

Cause: lines were written on the path of requests. Ruled out: sampling failures (none is). Change: a bounded queue that counts what it drops; at most 100 lines a second for whole answers, counted beyond that; reasons and the age of the configuration's proof on each failure. Before: no bound.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"flag"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +25,7 @@
 	"github.com/thymewind/thymewind/entry"
 	"github.com/thymewind/thymewind/entry/settings"
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/logqueue"
 	"github.com/thymewind/thymewind/platform"
 	"github.com/thymewind/thymewind/platform/store"
 )
@@ -38,6 +40,8 @@
 	// storePatience bounds a call to the table service, which usually answers
 	// in 4 ms and in a slow hour in a quarter of a second.
 	storePatience = 1500 * time.Millisecond
+	// logLines is how many log lines wait to be written; more are dropped.
+	logLines = 2048
 	// memoryShare is the part of the box's memory at which the runtime works
 	// harder to free some.
 	memoryShare = 0.6
@@ -47,26 +51,40 @@
 	file := flag.String("settings", "", "settings file, YAML")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
-	logger := log.NewWithOptions(os.Stdout, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
-	s, err := read(*file)
+	queue := &logqueue.Queue{To: os.Stdout, Lines: logLines}
+	go queue.Run()
+	defer queue.Close()
+	if err := serve(queue, *file, *check); err != nil {
+		queue.Close()
+		os.Exit(1)
+	}
+}
+
+// serve runs the daemon and logs the error that ended it.
+func serve(out io.Writer, file string, check bool) error {
+	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	s, err := read(file)
 	if err != nil {
 		report(logger, err)
+		return err
 	}
-	if *check {
-		return
+	if check {
+		return nil
 	}
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
-		logger.Fatal("the settings are not good", "err", err)
+		return trace.Wrap(err)
 	}
 	logger.SetLevel(level)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Box.MemoryMB<<20)))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	reload := watch(ctx, *file, logger)
-	if err := run(ctx, s, logger.With("box", s.Name), reload); err != nil {
-		logger.Fatal("stopped with an error", "err", err)
+	reload := watch(ctx, file, logger)
+	err = run(ctx, s, logger.With("box", s.Name), reload)
+	if err != nil {
+		logger.Error("stopped with an error", "err", err)
 	}
+	return err
 }
 
 func read(file string) (settings.Settings, error) {
@@ -77,7 +95,7 @@
 	return settings.Parse(file, data)
 }
 
-// report prints every finding and ends the process.
+// report prints every finding.
 func report(logger *log.Logger, err error) {
 	all := []error{err}
 	var several trace.Aggregate
@@ -87,7 +105,7 @@
 	for _, finding := range all {
 		logger.Error("setting", "finding", trace.UserMessage(finding))
 	}
-	logger.Fatal("the settings are not good", "findings", len(all))
+	logger.Error("the settings are not good", "findings", len(all))
 }
 
 func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -163,8 +163,9 @@
 	// Sent counts the targets that may have got the request.
 	Sent   int
 	Status int
-	// Cause says in a few words why it ended so; empty for a whole answer.
-	Cause string
+	// Cause says in a few words why it ended so, Reason more; empty for a whole
+	// answer.
+	Cause, Reason string
 	// First and Took are from the receipt to the first byte and to the end.
 	First, Took time.Duration
 	// Left says that the caller went away.
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -59,7 +59,7 @@
 	x.outcome.Sent = x.sent
 	x.outcome.Left = ctx.Err() != nil
 	if refused != nil {
-		x.outcome.Status, x.outcome.Cause = refused.Status, refused.Code
+		x.outcome.Status, x.outcome.Cause, x.outcome.Reason = refused.Status, refused.Code, refused.Reason
 	}
 	s.Note(x.outcome)
 	if x.outcome.Broken {
--- a/entry/build.go
+++ b/entry/build.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/deliver"
@@ -27,6 +28,9 @@
 	// comeBackAfter is when a refused caller is told to return. Most refusals
 	// are over as soon as another target is found.
 	comeBackAfter = 120 * time.Millisecond
+	// answeredLines is how many lines on whole answers are logged a second; a
+	// line costs about 10 us.
+	answeredLines = 100
 	// retryUse is how much of the retry budget the boxes use together. The
 	// rest covers boxes that are not counted yet.
 	retryUse = 0.7
@@ -55,6 +59,8 @@
 	budget   retry.Budget
 	server   deliver.Server
 	peers    peer.Node
+	// lines bounds the log's lines on whole answers; all others are written.
+	lines *rate.Limiter
 }
 
 // build puts the parts together.
@@ -80,6 +86,7 @@
 		Share: d.bounds.Load().RetryShare * retryUse,
 		Burst: max(1, d.bounds.Load().RetryExtra*retryUse/presumed), Empty: true,
 	}
+	d.lines = rate.NewLimiter(answeredLines, answeredLines)
 	d.buildLease()
 	d.buildServer()
 	d.buildPeers()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -12,6 +12,7 @@
 	kept          prometheus.Gauge
 	members       prometheus.Gauge
 	peerBytes     *prometheus.CounterVec
+	unlogged      prometheus.Counter
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -31,7 +32,8 @@
 		members:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_boxes", Help: "Boxes thought to share the work."}),
 	}
 	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
-	r.MustRegister(c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
+	r.MustRegister(c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
 	return c
 }
 
--- a/entry/note.go
+++ b/entry/note.go
@@ -17,12 +17,16 @@
 		d.counts.took.WithLabelValues(pool).Observe(o.Took.Seconds())
 	}
 	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
+	if kind(o) == answered && !d.lines.Allow() {
+		d.counts.unlogged.Inc()
+		return
+	}
 	fields := []any{
 		"request", o.Call.ID, "outcome", kind(o), "status", o.Status, "pool", pool, "target", o.Place.Target,
 		"rule", o.Place.Rule, "sent", o.Sent, "first", o.First, "took", o.Took, "configuration", d.version(),
 	}
 	if o.Cause != "" {
-		fields = append(fields, "cause", o.Cause)
+		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "proved_ago", d.provedAgo(d.now()))
 	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
 		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version)
@@ -30,6 +34,9 @@
 	d.Log.Info("request", fields...)
 }
 
+// answered is the kind of a whole answer.
+const answered = "answered"
+
 // kind names an outcome for counters.
 func kind(o deliver.Outcome) string {
 	switch {
@@ -40,7 +47,7 @@
 	case o.Cause != "":
 		return "refused"
 	}
-	return "answered"
+	return answered
 }
 
 // noteRetry logs and counts one more try.
--- /dev/null
+++ b/logqueue/logqueue_test.go
@@ -0,0 +1,52 @@
+package logqueue_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/thymewind/thymewind/logqueue"
+)
+
+// stuck takes nothing until it is let go.
+type stuck struct {
+	let chan struct{}
+	mu  sync.Mutex
+	got bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.let
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// TestNeverWaits writes far more lines than fit while the output takes none.
+func TestNeverWaits(t *testing.T) {
+	out := &stuck{let: make(chan struct{})}
+	q := logqueue.Queue{To: out, Lines: 10}
+	go q.Run()
+	const lines = 1000
+	for range lines {
+		if n, err := q.Write([]byte("line\n")); n != 5 || err != nil {
+			t.Fatalf("Write = %d, %v", n, err)
+		}
+	}
+	if q.Dropped() < lines-10-1 {
+		t.Errorf("dropped %d", q.Dropped())
+	}
+	close(out.let)
+	q.Close()
+	written := strings.Count(out.got.String(), "line\n")
+	if int64(written)+q.Dropped() != lines {
+		t.Errorf("%d written and %d dropped of %d", written, q.Dropped(), lines)
+	}
+	if !strings.Contains(out.got.String(), "log lines dropped") {
+		t.Error("the log does not tell of dropped lines")
+	}
+	if _, err := q.Write([]byte("late\n")); err != nil {
+		t.Error(err)
+	}
+}
