test(logqueue): lines longer than what the output buffers

The buffered output took some 800 short lines although the file took none, so too few were dropped for the test. Ruled out: a fault of the queue (it did not wait). Change: long lines.

--- a/logqueue/logqueue_test.go
+++ b/logqueue/logqueue_test.go
@@ -29,8 +29,10 @@
 	q := logqueue.Queue{To: out, Lines: 10}
 	go q.Run()
 	const lines = 1000
+	// A line is longer than what the output buffers, so that none slips away.
+	line := []byte(strings.Repeat("x", 10000) + "line\n")
 	for range lines {
-		if n, err := q.Write([]byte("line\n")); n != 5 || err != nil {
+		if n, err := q.Write(line); n != len(line) || err != nil {
 			t.Fatalf("Write = %d, %v", n, err)
 		}
 	}
