--- a/entry/join.go
+++ b/entry/join.go
@@ -73,6 +73,7 @@
 	}
 	d.Log.Info("box known", "name", name, "at", row.Peers)
 	t.members[name] = &member{at: row.Peers}
+	d.budget.Bound(d.burst(t.boxes()))
 }
 
 // credentialRead takes over what the boxes show each other.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,6 +31,17 @@
 	b.saved[b.known(pool)] = min(b.Burst, b.saved[pool]+b.Share)
 }
 
+// Bound changes how many retries can be saved up, as when more boxes share what
+// all of them may spend. What is saved above it is lost.
+func (b *Budget) Bound(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Burst = burst
+	for pool, saved := range b.saved {
+		b.saved[pool] = min(saved, burst)
+	}
+}
+
 // Spend takes one retry out of the budget, or returns false if none is left.
 func (b *Budget) Spend(pool string) bool {
 	b.mu.Lock()
