feat(entry): hubs for large fleets

Ruled out: followers chosen for each source (a box would know a sixth of the parts); guessing where parts are kept (a part that is being written must not be fetched). Change: above 12 boxes, two boxes of each failure domain, the strongest, follow sources and store; the others ask them for places and take their view with the age of its proof; when no hub answers, a box decides alone and reads the store itself.

--- a/entry/build.go
+++ b/entry/build.go
@@ -72,7 +72,7 @@
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
 	d.ended = make(chan struct{})
-	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.gossip}
+	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.assumeRole, d.gossip}
 	d.plan = rollout.Plan{AtOnce: atOnce}
 	d.services = nearest.Chooser{Domain: d.Settings.Domain}
 	d.engines = affinity.Chooser{
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -48,6 +48,10 @@
 	proved  atomic.Pointer[time.Time]
 	// bounds are the platform's as last read.
 	bounds atomic.Pointer[settings.Bounds]
+	// raw is the configuration as it was read, for boxes that ask this one.
+	raw atomic.Pointer[[]byte]
+	// spoke says that this box takes a hub's view of the platform.
+	spoke atomic.Bool
 	// credential is what boxes show each other, once it was read.
 	credential atomic.Pointer[string]
 	// stopping is set once a planned stop has begun, closing once connections
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -70,6 +70,10 @@
 	case sendOrder:
 		err := d.bring(ctx, e)
 		d.tell(ctx, orderEnded{e.order.Target, e.order.Model, e.order.Version, err})
+	case askHub:
+		d.tell(ctx, d.askHub(ctx, e))
+	case readFromHub:
+		d.tell(ctx, d.readFromHub(ctx, e))
 	case callPeer:
 		d.tell(ctx, d.callPeer(ctx, e))
 	case probe:
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -73,6 +73,9 @@
 // the engines that are listed.
 func (d *Daemon) follow(t *tables) []effect {
 	wanted := make(map[string]netip.AddrPort)
+	if d.spoke.Load() || !t.settled {
+		return d.followOnly(t, wanted)
+	}
 	for _, s := range t.stores {
 		wanted[s.Name] = s.Address
 	}
@@ -86,6 +89,11 @@
 			}
 		}
 	}
+	return d.followOnly(t, wanted)
+}
+
+// followOnly has just the sources given followed.
+func (d *Daemon) followOnly(t *tables, wanted map[string]netip.AddrPort) []effect {
 	for name, stop := range t.followed {
 		if _, still := wanted[name]; !still {
 			stop()
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/thymewind/thymewind/fleet"
@@ -15,29 +17,30 @@
 	// gossipEvery is how often each pair of boxes exchanges shares; a request
 	// takes some seconds.
 	gossipEvery = 150 * time.Millisecond
+	// spokeEvery is how often a box tells its hub: some 30 do.
+	spokeEvery = 300 * time.Millisecond
 	// gossipFor is how long a call may take.
 	gossipFor = 300 * time.Millisecond
 	// gossipAgain is the pause after a call that failed.
 	gossipAgain = time.Second
 	// heardFor is how long another box's shares count.
 	heardFor = time.Second
-	// meshBoxes is the most boxes that all call each other: a box then spends
-	// about a hundredth of a core on it.
-	meshBoxes = 16
 )
 
 // callPeer exchanges shares with another box.
 type callPeer struct {
-	name string
-	at   netip.AddrPort
-	own  []peer.Share
+	name  string
+	at    netip.AddrPort
+	asked time.Time
+	m     peer.Message
 }
 
 // peerCalled tells what another box answered.
 type peerCalled struct {
-	name string
-	m    peer.Message
-	err  error
+	name  string
+	asked time.Time
+	m     peer.Message
+	err   error
 }
 
 // peerAsks is another box's call; the loop answers on reply, which has room.
@@ -46,25 +49,95 @@
 	reply chan<- peer.Message
 }
 
-// gossip calls the boxes whose names come behind this one's, so that each pair
-// talks once.
+// gossip exchanges shares. Without hubs, and among hubs, each box calls those
+// whose names come behind its own, so that each pair talks once; other boxes
+// call their hub.
 func (d *Daemon) gossip(now time.Time, t *tables) []effect {
-	if now.Before(t.due.gossip) || len(t.members) > meshBoxes || d.credential.Load() == nil {
+	if now.Before(t.due.gossip) || d.credential.Load() == nil {
 		return nil
 	}
 	t.due.gossip = now.Add(gossipEvery)
-	own := shares(t)
+	if d.spoke.Load() {
+		t.due.gossip = now.Add(spokeEvery)
+	}
 	var effects []effect
-	for name, m := range t.members {
-		if name <= d.Settings.Name || !m.at.IsValid() || m.calling || now.Before(m.retry) {
+	for _, name := range d.partners(now, t) {
+		m := t.members[name]
+		if !m.at.IsValid() || m.calling || now.Before(m.retry) {
 			continue
 		}
 		m.calling = true
-		effects = append(effects, callPeer{name, m.at, own})
+		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t)}}
+		if t.hub == name {
+			call.m.List = t.hubList
+		}
+		effects = append(effects, call)
 	}
 	return effects
 }
 
+// partners are the boxes that this one calls.
+func (d *Daemon) partners(now time.Time, t *tables) []string {
+	if d.spoke.Load() {
+		if hub := d.myHub(now, t); hub != "" {
+			return []string{hub}
+		}
+		return nil
+	}
+	var names []string
+	for _, name := range t.hubs() {
+		if name > d.Settings.Name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// hubs lists the boxes that exchange shares with each other: all in a small
+// fleet, the first of each domain in a large one.
+func (t *tables) hubs() []string {
+	if !t.large() {
+		return slices.Sorted(maps.Keys(t.members))
+	}
+	var names []string
+	domains := make(map[string]bool)
+	for _, m := range t.members {
+		domains[m.domain] = true
+	}
+	for domain := range domains {
+		list := t.ranked(domain)
+		names = append(names, list[:min(standbys, len(list))]...)
+	}
+	return names
+}
+
+// told is what this box tells of: its own requests, and in a large fleet those
+// of the boxes that tell it.
+func (d *Daemon) told(now time.Time, t *tables) []peer.Share {
+	own := shares(t)
+	if !t.large() || d.spoke.Load() {
+		return own
+	}
+	sum := make(map[uint64]peer.Share, len(own))
+	add := func(s peer.Share) {
+		all := sum[s.Target]
+		sum[s.Target] = peer.Share{Target: s.Target, Tokens: all.Tokens + s.Tokens, Unread: all.Unread + s.Unread}
+	}
+	for _, s := range own {
+		add(s)
+	}
+	hubs := t.hubs()
+	for name, m := range t.members {
+		if now.Sub(m.heard) > heardFor || slices.Contains(hubs, name) {
+			continue
+		}
+		for _, s := range m.shares {
+			add(s)
+		}
+	}
+	return slices.Collect(maps.Values(sum))
+}
+
 // shares lists what this box's requests take up.
 func shares(t *tables) []peer.Share {
 	var list []peer.Share
@@ -80,8 +153,8 @@
 func (d *Daemon) callPeer(ctx context.Context, e callPeer) peerCalled {
 	ctx, cancel := context.WithTimeout(ctx, gossipFor)
 	defer cancel()
-	answer, err := d.peers.Call(ctx, e.at, peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: e.own})
-	return peerCalled{e.name, answer, err}
+	answer, err := d.peers.Call(ctx, e.at, e.m)
+	return peerCalled{e.name, e.asked, answer, err}
 }
 
 // answerPeer has the loop answer another box.
@@ -97,10 +170,34 @@
 	return peer.Message{Kind: m.Kind, Error: "the box is stopping"}
 }
 
-func (d *Daemon) peerCalled(now time.Time, t *tables, m peerCalled) {
+// peerAsks answers another box's call.
+func (d *Daemon) peerAsks(now time.Time, t *tables, m peer.Message) peer.Message {
+	answer := peer.Message{Kind: m.Kind, From: d.Settings.Name}
+	switch m.Kind {
+	case peer.KindPlace:
+		if m.Ask != nil {
+			answer.Placed = d.placeForPeer(now, t, m)
+		}
+	case peer.KindConfiguration:
+		if raw := d.raw.Load(); raw != nil {
+			answer.Body = *raw
+		}
+	default:
+		t.heard(now, m.From, m.Shares)
+		if !t.large() || slices.Contains(t.hubs(), m.From) {
+			answer.Shares = d.told(now, t)
+			break
+		}
+		t.askedAsHub = now
+		answer.View = d.view(now, t, m.List)
+	}
+	return answer
+}
+
+func (d *Daemon) peerCalled(now time.Time, t *tables, m peerCalled) []effect {
 	x := t.members[m.name]
 	if x == nil {
-		return
+		return nil
 	}
 	x.calling = false
 	failed := m.err != nil || m.m.Error != ""
@@ -110,9 +207,13 @@
 	x.failed = failed
 	if failed {
 		x.retry = now.Add(gossipAgain)
-		return
+		return nil
+	}
+	if d.spoke.Load() {
+		return d.viewRead(now, t, m.name, m.asked, m.m.View)
 	}
 	t.heard(now, m.name, m.m.Shares)
+	return nil
 }
 
 // heard takes over what another box's requests take up.
--- /dev/null
+++ b/entry/hub.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/placement"
+)
+
+// In a large fleet most boxes neither read the table service nor follow the
+// sources of kept parts: each failure domain has hubs that do, and the others
+// ask a hub of their own domain for places and take its view of the platform.
+// Nobody elects hubs. Each box ranks the boxes of a domain in the same way, and
+// asks the first that answers.
+const (
+	// meshBoxes is the most boxes that do without hubs: a source serves 12
+	// followers, and a box spends about a hundredth of a core on 12 calls each
+	// 150 ms.
+	meshBoxes = 12
+	// standbys is how many boxes of a domain follow all along, so that one is
+	// warm when another ends.
+	standbys = 2
+	// hubFor is how long a box that was asked for a place goes on as a hub.
+	hubFor = 5 * time.Second
+	// hubTries is how many boxes of a domain are tried before others.
+	hubTries = 4
+	// viewFor is how old a hub's proof of the configuration may be before this
+	// box reads the table service itself. It leaves time for that.
+	viewFor = 2800 * time.Millisecond
+)
+
+// large says that the fleet needs hubs.
+func (t *tables) large() bool { return len(t.members) > meshBoxes }
+
+// ranked lists the boxes of a domain, the strongest first.
+func (t *tables) ranked(domain string) []string {
+	var names []string
+	for name, m := range t.members {
+		if m.domain == domain && m.at.IsValid() {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		x, y := t.members[a], t.members[b]
+		return cmp.Or(
+			cmp.Compare(y.share, x.share), cmp.Compare(y.megabits, x.megabits),
+			cmp.Compare(placement.Hash(a), placement.Hash(b)),
+		)
+	})
+	return names
+}
+
+// hub says whether this box follows the sources and the table service.
+func (d *Daemon) hub(now time.Time, t *tables) bool {
+	if !t.large() || now.Sub(t.askedAsHub) < hubFor && !t.askedAsHub.IsZero() {
+		return true
+	}
+	first := t.ranked(d.Settings.Domain)
+	return slices.Contains(first[:min(standbys, len(first))], d.Settings.Name)
+}
+
+// myHub returns the box to ask, or an empty name if none answers.
+func (d *Daemon) myHub(now time.Time, t *tables) string {
+	for _, name := range t.hubOrder(d.Settings.Domain) {
+		if m := t.members[name]; name != d.Settings.Name && !now.Before(m.retry) {
+			return name
+		}
+	}
+	return ""
+}
+
+// hubOrder lists the boxes that may be asked: those of the own domain first.
+func (t *tables) hubOrder(domain string) []string {
+	own := t.ranked(domain)
+	order := slices.Clone(own[:min(hubTries, len(own))])
+	var domains []string
+	for _, m := range t.members {
+		if m.domain != domain && !slices.Contains(domains, m.domain) {
+			domains = append(domains, m.domain)
+		}
+	}
+	slices.Sort(domains)
+	for _, other := range domains {
+		list := t.ranked(other)
+		order = append(order, list[:min(standbys, len(list))]...)
+	}
+	return order
+}
+
+// viewed says whether this box lives on a hub's view for now, so that it need
+// not read the table service.
+func (d *Daemon) viewed(now time.Time) bool {
+	return d.spoke.Load() && d.provedAgo(now) < viewFor
+}
+
+// assumeRole takes this box's role in the fleet over when it changes.
+func (d *Daemon) assumeRole(now time.Time, t *tables) []effect {
+	if !t.settled {
+		return nil
+	}
+	hub := d.hub(now, t)
+	if hub == !d.spoke.Load() {
+		return nil
+	}
+	d.spoke.Store(!hub)
+	d.Log.Info("role in the fleet", "hub", hub, "boxes", len(t.members), "of_domain", len(t.ranked(d.Settings.Domain)))
+	if !hub {
+		t.hub, t.hubList = "", 0
+	}
+	return d.follow(t)
+}
--- a/entry/join.go
+++ b/entry/join.go
@@ -23,12 +23,16 @@
 
 // memberRow is the value of a box's row.
 type memberRow struct {
-	Peers netip.AddrPort `json:"peers"`
+	Peers  netip.AddrPort `json:"peers"`
+	Domain string         `json:"domain"`
+	// Share is the box's part of a core, Megabits its link's speed a second.
+	Share    float64 `json:"share"`
+	Megabits float64 `json:"megabits"`
 }
 
 // join writes this box's row, and the credential if there is none yet.
 func (d *Daemon) join(ctx context.Context) {
-	value, err := json.Marshal(memberRow{d.Settings.Peers})
+	value, err := json.Marshal(memberRow{d.Settings.Peers, d.Settings.Domain, d.Settings.Box.Share, d.Settings.Box.Megabits})
 	if err != nil {
 		panic(err) // The row's own type always encodes.
 	}
@@ -72,7 +76,7 @@
 		return
 	}
 	d.Log.Info("box known", "name", name, "at", row.Peers)
-	t.members[name] = &member{at: row.Peers}
+	t.members[name] = &member{at: row.Peers, domain: row.Domain, share: row.Share, megabits: row.Megabits}
 	d.budget.Bound(d.burst(t.boxes()))
 }
 
--- a/entry/message.go
+++ b/entry/message.go
@@ -49,7 +49,12 @@
 	away bool
 }
 
-type ownRead struct{ change Own }
+// ownRead is what the system's own rows say. Settled says that they name all
+// boxes that started long enough ago.
+type ownRead struct {
+	change  Own
+	settled bool
+}
 
 // storeLost and storeBack tell that the table service stopped or began to
 // answer.
--- a/entry/place.go
+++ b/entry/place.go
@@ -124,6 +124,12 @@
 }
 
 func (d *Daemon) placeModel(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, *refusal.Refusal) {
+	return d.chooseEngine(now, t, ask, d.fill(ask.Job))
+}
+
+// chooseEngine chooses an engine and plans the moves of kept parts. Fill is the
+// share of an engine's memory up to which the request is admitted.
+func (d *Daemon) chooseEngine(now time.Time, t *tables, ask deliver.Ask, fill float64) (deliver.Place, *refusal.Refusal) {
 	job := ask.Job
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
@@ -141,7 +147,7 @@
 	if !ok {
 		return deliver.Place{}, refuseNone(job)
 	}
-	if share := d.share(now, t, choice.Target, question); share > d.fill(job) {
+	if share := d.share(now, t, choice.Target, question); share > fill {
 		return deliver.Place{}, refusal.New(refusal.DidNotRun, 503, "crowded", "the engines' memory is taken up: %.2f at the best of them", share)
 	}
 	place := deliver.Place{
--- /dev/null
+++ b/entry/placehub.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// placeFor is how long a hub may take to place a request; it needs a
+// millisecond. After that this box places it alone.
+const placeFor = 80 * time.Millisecond
+
+// askHub asks a hub for a place.
+type askHub struct {
+	hub   string
+	at    netip.AddrPort
+	m     placeAsked
+	share peer.PlaceAsk
+}
+
+// hubPlaced is the hub's answer.
+type hubPlaced struct {
+	hub    string
+	m      placeAsked
+	placed *peer.Placed
+	err    error
+}
+
+// placeRemotely hands a model request to the hub, if this box has one.
+func (d *Daemon) placeRemotely(now time.Time, t *tables, m placeAsked) ([]effect, bool) {
+	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() {
+		return nil, false
+	}
+	hub := d.myHub(now, t)
+	if hub == "" {
+		return nil, false
+	}
+	job := m.ask.Job
+	ask := peer.PlaceAsk{
+		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.Input + job.Output, Fill: d.fill(job), Tried: m.ask.Tried,
+	}
+	if job.Account != nil && job.Account.Isolated {
+		ask.Walled = job.Account.Name
+	}
+	for _, p := range job.Parts {
+		ask.Parts = append(ask.Parts, peer.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return []effect{askHub{hub, t.members[hub].at, m, ask}}, true
+}
+
+func (d *Daemon) askHub(ctx context.Context, e askHub) hubPlaced {
+	ctx, cancel := context.WithTimeout(ctx, placeFor)
+	defer cancel()
+	answer, err := d.peers.Call(ctx, e.at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Ask: &e.share})
+	return hubPlaced{e.hub, e.m, answer.Placed, err}
+}
+
+// hubPlaced passes the hub's place on, if this box knows nothing against it,
+// or places the request alone.
+func (d *Daemon) hubPlaced(now time.Time, t *tables, m hubPlaced) {
+	if m.err != nil || m.placed == nil {
+		d.hubFailed(now, t, m.hub, m.err)
+	} else if place, err, ok := d.accept(now, t, m.m.ask.Job, m.placed); ok {
+		m.m.reply <- placeAnswer{place, err}
+		return
+	}
+	place, err := d.place(now, t, m.m.ask)
+	m.m.reply <- placeAnswer{place, err}
+}
+
+func (d *Daemon) hubFailed(now time.Time, t *tables, hub string, err error) {
+	if m := t.members[hub]; m != nil && !now.Before(m.retry) {
+		m.retry = now.Add(gossipAgain)
+		d.Log.Warn("hub does not answer", "hub", hub, "err", err)
+	}
+}
+
+// accept turns a hub's answer into a place.
+func (d *Daemon) accept(now time.Time, t *tables, job *deliver.Job, p *peer.Placed) (deliver.Place, error, bool) {
+	if p.Refused != "" {
+		return deliver.Place{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason).After(d.comeBack()), true
+	}
+	x := t.fleet.Target(p.Target)
+	if x == nil || !x.Open(now) || x.Avoided(now) {
+		return deliver.Place{}, nil, false
+	}
+	place := deliver.Place{
+		Target: x.ID, Address: x.Address, Version: p.Version, Scope: scope(p.Version, job), Unread: p.Unread,
+		Tokens: job.Input + job.Output, Fetch: parse(p.Fetch), Save: parse(p.Save), FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
+		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
+	}
+	x.Sent(now, place.Unread, place.Tokens)
+	return place, nil, true
+}
+
+func parse(list []string) []netip.AddrPort {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make([]netip.AddrPort, len(list))
+	for i, text := range list {
+		out[i], _ = netip.ParseAddrPort(text) // An empty text means none.
+	}
+	return out
+}
+
+func format(list []netip.AddrPort) []string {
+	if list == nil {
+		return nil
+	}
+	out := make([]string, len(list))
+	for i, at := range list {
+		if at.IsValid() {
+			out[i] = at.String()
+		}
+	}
+	return out
+}
+
+// placeFor places another box's request, by all that this box knows.
+func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
+	t.askedAsHub = now
+	table := d.current.Load()
+	if table == nil || table.Pools[m.Ask.Pool] == nil {
+		return &peer.Placed{Refused: "no_configuration", Reason: "the hub has no such pool"}
+	}
+	job := &deliver.Job{
+		Call: &deliver.Call{ID: m.Ask.Request, Model: m.Ask.Model, Input: m.Ask.Tokens},
+		Pool: table.Pools[m.Ask.Pool],
+	}
+	if m.Ask.Walled != "" {
+		job.Account = &routing.Account{Name: m.Ask.Walled, Isolated: true}
+	}
+	for _, p := range m.Ask.Parts {
+		job.Parts = append(job.Parts, deliver.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, m.Ask.Fill)
+	if refused != nil {
+		return &peer.Placed{Refused: refused.Code, Reason: refused.Reason}
+	}
+	t.charge(m.From, place)
+	return &peer.Placed{
+		Target: place.Target, Version: place.Version, Fetch: format(place.Fetch), Save: format(place.Save),
+		UntilMS: place.FetchUntil.Milliseconds(), Kept: place.Kept, Fetched: place.Fetched, Saved: place.Saved,
+		Unread: place.Unread, Rule: place.Rule,
+	}
+}
+
+// charge counts a request that was just placed for another box, until that box
+// tells of it itself.
+func (t *tables) charge(box string, place deliver.Place) {
+	m := t.members[box]
+	if m == nil || m.shares == nil {
+		return
+	}
+	hash := placement.Hash(place.Target)
+	s := m.shares[hash]
+	s.Target = hash
+	s.Tokens += place.Tokens
+	s.Unread += place.Unread
+	m.shares[hash] = s
+}
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -21,6 +21,8 @@
 	Operator func(ctx context.Context, after uint64, hold time.Duration) (Operator, error)
 	Targets  func(ctx context.Context, after uint64, hold time.Duration) (Targets, error)
 	Own      func(ctx context.Context, after uint64, hold time.Duration) (Own, error)
+	// Decode reads a configuration that another box read.
+	Decode func(raw []byte) (*routing.Table, error)
 	// Commit and Read change and read this system's own rows.
 	Commit func(ctx context.Context, tx table.Transaction) error
 	Read   func(ctx context.Context, key string) (table.Row, error)
@@ -45,6 +47,8 @@
 	// Unusable then says why.
 	Table    *routing.Table
 	Unusable error
+	// Raw is the configuration as it was read.
+	Raw []byte
 	// Weights are the newest versions by model, as far as they changed.
 	Weights map[string]int64
 	Version uint64
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -42,6 +42,18 @@
 	stepping, holding bool
 	// readEpoch is the epoch in which the earlier holder's rows were read.
 	readEpoch uint64
+	// listNumber counts changes of the list, for boxes that take this one's view.
+	listNumber uint64
+	// hub is whose list this box has, numbered hubList.
+	hub     string
+	hubList uint64
+	// askedAsHub is when another box last asked this one for a place.
+	askedAsHub time.Time
+	// loadingConfiguration says that it is being read from a hub.
+	loadingConfiguration bool
+	// settled says that the other boxes are known, so that this one knows its
+	// role.
+	settled bool
 	// ownKnown says that the system's own rows were read.
 	ownKnown bool
 }
@@ -78,6 +90,9 @@
 type member struct {
 	// at is where it is called; unset if it can't be.
 	at netip.AddrPort
+	// domain, share and megabits are the box's, by which hubs are ranked.
+	domain          string
+	share, megabits float64
 	// heard is when its shares came, by the hash of the target's ID.
 	heard  time.Time
 	shares map[uint64]peer.Share
--- a/entry/update.go
+++ b/entry/update.go
@@ -5,7 +5,6 @@
 
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
-	"github.com/thymewind/thymewind/peer"
 )
 
 // update changes the tables for one message and returns what to do about it.
@@ -13,6 +12,9 @@
 	t := &d.tables
 	switch m := m.(type) {
 	case placeAsked:
+		if effects, remote := d.placeRemotely(now, t, m); remote {
+			return effects
+		}
 		place, err := d.place(now, t, m.ask)
 		m.reply <- placeAnswer{place, err}
 	case suspectAsked:
@@ -28,7 +30,7 @@
 	case targetsRead:
 		return d.targetsRead(now, t, m)
 	case ownRead:
-		d.ownRead(now, t, m.change)
+		return d.ownRead(now, t, m)
 	case storeLost:
 		t.storeAway = true
 		d.Log.Warn("table service lost", "err", m.err, "configuration", d.version(), "proved_ago", d.provedAgo(now))
@@ -46,11 +48,14 @@
 		return d.freedOld(now, t, m)
 	case orderEnded:
 		d.orderEnded(now, t, m)
+	case hubPlaced:
+		d.hubPlaced(now, t, m)
+	case configurationFromHub:
+		return d.configurationFromHub(now, t, m)
 	case peerCalled:
-		d.peerCalled(now, t, m)
+		return d.peerCalled(now, t, m)
 	case peerAsks:
-		t.heard(now, m.m.From, m.m.Shares)
-		m.reply <- peer.Message{Kind: m.m.Kind, From: d.Settings.Name, Shares: shares(t)}
+		m.reply <- d.peerAsks(now, t, m.m)
 	case probed:
 		d.probed(now, t, m)
 	}
@@ -60,9 +65,7 @@
 // operatorRead takes over what the operator wrote. A lower version is never
 // taken.
 func (d *Daemon) operatorRead(now time.Time, t *tables, m operatorRead) []effect {
-	if last := d.proved.Load(); last == nil || m.asked.After(*last) {
-		d.proved.Store(&m.asked)
-	}
+	d.prove(m.asked)
 	for model, version := range m.change.Weights {
 		if w := t.model(model); version > w.wanted {
 			d.Log.Info("weights named", "model", model, "version", version, "before", w.wanted)
@@ -78,6 +81,7 @@
 	}
 	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "asked_ago", now.Sub(m.asked))
 	d.counts.configuration.Set(float64(next.Version))
+	d.raw.Store(&m.change.Raw)
 	d.current.Store(next)
 	d.listStores(t, next)
 	return d.follow(t)
@@ -85,6 +89,7 @@
 
 // targetsRead takes over the list of targets.
 func (d *Daemon) targetsRead(now time.Time, t *tables, m targetsRead) []effect {
+	t.listNumber++
 	for _, err := range m.change.Unusable {
 		d.Log.Error("entry of a target can't be used", "err", err)
 	}
@@ -139,6 +144,7 @@
 }
 
 func (d *Daemon) drop(t *tables, id string) {
+	t.listNumber++
 	t.fleet.Drop(id)
 	t.directory.Forget(id)
 }
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -267,7 +267,7 @@
 	d := newDaemon("b1")
 	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
 	row := func(epoch, loading string) {
-		d.update(start, ownRead{Own{Rows: []table.Row{{Key: rolloutPrefix + "m", Value: []byte(`{"epoch":` + epoch + `,"version":2,"loading":[` + loading + `],"done":[]}`)}}}})
+		d.update(start, ownRead{change: Own{Rows: []table.Row{{Key: rolloutPrefix + "m", Value: []byte(`{"epoch":` + epoch + `,"version":2,"loading":[` + loading + `],"done":[]}`)}}}})
 	}
 	row("4", "")
 	row("3", `"a"`)
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+)
+
+// view is what this box read of the platform, for a box that has the list
+// numbered have.
+func (d *Daemon) view(now time.Time, t *tables, have uint64) *peer.View {
+	v := &peer.View{
+		Configuration: d.version(), ProofMS: d.provedAgo(now).Milliseconds(), List: t.listNumber,
+		Weights: make(map[string]peer.Newest, len(t.weights)),
+	}
+	for model, w := range t.weights {
+		if w.wanted > 0 {
+			v.Weights[model] = peer.Newest{Version: w.wanted, AgeMS: now.Sub(w.named).Milliseconds()}
+		}
+	}
+	if have == t.listNumber {
+		return v
+	}
+	for _, id := range t.fleet.All() {
+		x := t.fleet.Target(id)
+		v.Entries = append(v.Entries, peer.Entry{
+			ID: id, Pool: x.Pool, Address: x.Address.String(), Domain: x.Domain, Slots: x.Slots,
+			Leaving: x.Leaving, Loading: x.Loading(now), Versions: maps.Clone(x.Versions),
+		})
+	}
+	return v
+}
+
+// viewRead takes over a hub's view, which was asked for at a time.
+func (d *Daemon) viewRead(now time.Time, t *tables, hub string, asked time.Time, v *peer.View) []effect {
+	if v == nil {
+		return nil
+	}
+	proof := asked.Add(-time.Duration(v.ProofMS) * time.Millisecond)
+	var effects []effect
+	switch {
+	case v.Configuration > d.version():
+		if at := t.members[hub].at; !t.loadingConfiguration {
+			t.loadingConfiguration = true
+			effects = append(effects, readFromHub{at, proof})
+		}
+	case v.Configuration == d.version():
+		d.prove(proof)
+	}
+	for model, newest := range v.Weights {
+		if w := t.model(model); newest.Version > w.wanted {
+			w.wanted, w.named = newest.Version, now.Add(-time.Duration(newest.AgeMS)*time.Millisecond)
+			d.Log.Info("weights named", "model", model, "version", w.wanted, "hub", hub)
+		}
+	}
+	if v.Entries != nil {
+		d.entriesRead(now, t, v.Entries)
+		t.hub, t.hubList = hub, v.List
+	}
+	return effects
+}
+
+// prove notes when the configuration in force was known to be the newest.
+func (d *Daemon) prove(at time.Time) {
+	if last := d.proved.Load(); last == nil || at.After(*last) {
+		d.proved.Store(&at)
+	}
+}
+
+// entriesRead takes over a hub's whole list of targets.
+func (d *Daemon) entriesRead(now time.Time, t *tables, entries []peer.Entry) {
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		at, err := netip.ParseAddrPort(e.Address)
+		if err != nil {
+			d.Log.Error("a hub's entry can't be used", "target", e.ID, "err", err)
+			continue
+		}
+		seen[e.ID] = true
+		d.listTarget(t, fleet.Entry{
+			ID: e.ID, Pool: e.Pool, Address: at, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, Versions: e.Versions,
+		})
+		x := t.fleet.Target(e.ID)
+		x.LoadingUntil = time.Time{}
+		if e.Loading {
+			x.LoadingUntil = now.Add(loadLongest)
+		}
+	}
+	for _, id := range t.fleet.All() {
+		if !seen[id] {
+			d.unlist(now, t, id, false)
+		}
+	}
+}
+
+// readFromHub reads the configuration from a hub that has a newer one; proof is
+// when it was known to be the newest.
+type readFromHub struct {
+	at    netip.AddrPort
+	proof time.Time
+}
+
+// configurationFromHub is what came of it.
+type configurationFromHub struct {
+	proof  time.Time
+	change Operator
+	err    error
+}
+
+func (d *Daemon) readFromHub(ctx context.Context, e readFromHub) configurationFromHub {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	answer, err := d.peers.Call(ctx, e.at, peer.Message{Kind: peer.KindConfiguration, From: d.Settings.Name})
+	if err != nil || len(answer.Body) == 0 {
+		return configurationFromHub{err: err}
+	}
+	table, err := d.Platform.Decode(answer.Body)
+	return configurationFromHub{e.proof, Operator{Table: table, Raw: answer.Body}, err}
+}
+
+func (d *Daemon) configurationFromHub(now time.Time, t *tables, m configurationFromHub) []effect {
+	t.loadingConfiguration = false
+	if m.err != nil || m.change.Table == nil {
+		d.Log.Warn("the configuration was not read from the hub", "err", m.err)
+		return nil
+	}
+	return d.operatorRead(now, t, operatorRead{m.proof, m.change})
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/thymewind/thymewind/table"
 )
 
 // How the table service is read.
@@ -17,6 +20,12 @@
 	hold = 10 * time.Second
 	// againAfter is the pause after a failed read; each call has its price.
 	againAfter = 250 * time.Millisecond
+	// targetsEvery is the least time between two reads of the list: many
+	// entries that change at once then cost one call.
+	targetsEvery = 400 * time.Millisecond
+	// viewLook is how often a box that takes a hub's view looks whether that is
+	// fresh enough.
+	viewLook = 200 * time.Millisecond
 	// memberAfter is when the boxes' rows are first read: all are written by
 	// then, so that no box reads them one by one.
 	memberAfter = 2500 * time.Millisecond
@@ -28,7 +37,6 @@
 	work.Go(func() { d.watchOperator(ctx) })
 	work.Go(func() { d.watchTargets(ctx) })
 	work.Go(func() { d.watchOwn(ctx) })
-	work.Go(func() { d.join(ctx) })
 	work.Wait()
 }
 
@@ -38,6 +46,10 @@
 	var after uint64
 	for ctx.Err() == nil {
 		asked := d.now()
+		if d.viewed(asked) {
+			d.pause(ctx, viewLook)
+			continue
+		}
 		change, err := d.Platform.Operator(ctx, after, proofHold)
 		if err != nil {
 			d.lost(ctx, err)
@@ -111,6 +123,11 @@
 	var after uint64
 	for ctx.Err() == nil {
 		asked := d.now()
+		if d.viewed(asked) {
+			after = 0 // The list is read whole when the hub's view is lost.
+			d.pause(ctx, viewLook)
+			continue
+		}
 		change, err := d.Platform.Targets(d.outage.reading(), after, hold)
 		if err != nil {
 			d.pause(ctx, againAfter)
@@ -118,20 +135,43 @@
 		}
 		after = change.Version
 		d.tell(ctx, targetsRead{asked, change, d.outage.takeSeen()})
+		d.pause(ctx, targetsEvery)
+	}
+}
+
+// firstOwn reads the system's own rows as they are before this box writes its
+// own. If that stands there already, the box was there before and so were the
+// others.
+func (d *Daemon) firstOwn(ctx context.Context) uint64 {
+	for ctx.Err() == nil {
+		change, err := d.Platform.Own(ctx, 0, hold)
+		if err != nil {
+			d.pause(ctx, againAfter)
+			continue
+		}
+		before := slices.ContainsFunc(change.Rows, func(r table.Row) bool { return r.Key == memberPrefix+d.Settings.Name })
+		d.tell(ctx, ownRead{change, before})
+		return change.Version
 	}
+	return 0
 }
 
 func (d *Daemon) watchOwn(ctx context.Context) {
+	after := d.firstOwn(ctx)
+	d.join(ctx)
 	d.pause(ctx, memberAfter)
-	var after uint64
 	for ctx.Err() == nil {
+		if after > 0 && d.viewed(d.now()) {
+			d.pause(ctx, viewLook)
+			continue
+		}
 		change, err := d.Platform.Own(d.outage.reading(), after, hold)
 		if err != nil {
 			d.pause(ctx, againAfter)
 			continue
 		}
 		after = change.Version
-		d.tell(ctx, ownRead{change})
+		d.tell(ctx, ownRead{change, true})
 	}
 }
 
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -121,7 +121,7 @@
 }
 
 func (d *Daemon) stepLease(now time.Time, t *tables) []effect {
-	if t.stepping || !d.lease.Due() || now.Before(t.due.lease) {
+	if d.spoke.Load() || t.stepping || !d.lease.Due() || now.Before(t.due.lease) {
 		return nil
 	}
 	t.stepping = true
@@ -209,6 +209,7 @@
 		}
 		w.ordered[id] = true
 		x.LoadingUntil = now.Add(loadLongest)
+		t.listNumber++
 		d.Log.Info("target is ordered to load weights", "target", id, "model", m.model, "version", w.wanted, "epoch", epoch, "after_orders", x.Orders)
 		effects = append(effects, sendOrder{rollout.Order{
 			Target: id, Model: m.model, Version: w.wanted, Holder: d.Settings.Name, Epoch: epoch, After: x.Orders,
@@ -269,6 +270,7 @@
 		return
 	}
 	x.LoadingUntil = time.Time{}
+	t.listNumber++
 	if m.err != nil {
 		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
 		return
@@ -278,9 +280,9 @@
 }
 
 // ownRead takes over what the boxes tell each other through the table service.
-func (d *Daemon) ownRead(now time.Time, t *tables, change Own) {
+func (d *Daemon) ownRead(now time.Time, t *tables, m ownRead) []effect {
 	t.ownKnown = true
-	for _, row := range change.Rows {
+	for _, row := range m.change.Rows {
 		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
 			d.memberRead(t, name, row.Value)
 		}
@@ -291,6 +293,11 @@
 			d.rolloutRead(now, t, model, row.Value)
 		}
 	}
+	if !m.settled || t.settled {
+		return nil
+	}
+	t.settled = true
+	return append(d.assumeRole(now, t), d.follow(t)...)
 }
 
 func (d *Daemon) rolloutRead(now time.Time, t *tables, model string, value []byte) {
@@ -304,6 +311,7 @@
 		return // Written late, over a newer one.
 	}
 	w.epoch, w.freed = row.Epoch, max(w.freed, row.Freed)
+	t.listNumber++
 	for _, id := range row.Done {
 		if x := t.fleet.Target(id); x != nil {
 			x.Versions[model] = max(x.Versions[model], row.Version)
--- /dev/null
+++ b/peer/hub.go
@@ -0,0 +1,77 @@
+package peer
+
+// KindPlace asks a hub to place a request.
+const KindPlace = "place"
+
+// PlaceAsk is what a hub needs to know of a request.
+type PlaceAsk struct {
+	Request string `cbor:"1,keyasint,omitempty"`
+	Pool    string `cbor:"2,keyasint"`
+	Model   string `cbor:"3,keyasint"`
+	// Walled names the account if it shares no kept part with another.
+	Walled string `cbor:"4,keyasint,omitempty"`
+	Parts  []Part `cbor:"5,keyasint,omitempty"`
+	// Tokens is the memory that the request takes up.
+	Tokens int `cbor:"6,keyasint,omitempty"`
+	// Fill is the share of an engine's memory up to which it is admitted.
+	Fill  float64  `cbor:"7,keyasint,omitempty"`
+	Tried []string `cbor:"8,keyasint,omitempty"`
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
+// Placed is a hub's answer: a place, or why there is none.
+type Placed struct {
+	Target  string `cbor:"1,keyasint,omitempty"`
+	Version int64  `cbor:"2,keyasint,omitempty"`
+	// Fetch and Save hold an address for each part, or an empty text.
+	Fetch []string `cbor:"3,keyasint,omitempty"`
+	Save  []string `cbor:"4,keyasint,omitempty"`
+	// UntilMS is when the fetch is thrown away, on the targets' clock.
+	UntilMS int64 `cbor:"5,keyasint,omitempty"`
+	// Kept, Fetched, Saved and Unread are tokens.
+	Kept    int    `cbor:"6,keyasint,omitempty"`
+	Fetched int    `cbor:"7,keyasint,omitempty"`
+	Saved   int    `cbor:"8,keyasint,omitempty"`
+	Unread  int    `cbor:"9,keyasint,omitempty"`
+	Rule    string `cbor:"10,keyasint,omitempty"`
+	// Refused is the code of a refusal, Reason what people read.
+	Refused string `cbor:"11,keyasint,omitempty"`
+	Reason  string `cbor:"12,keyasint,omitempty"`
+}
+
+// View is what a hub read of the platform, for boxes that need not read it
+// themselves.
+type View struct {
+	// Configuration is the version in force at the hub, ProofMS how long ago it
+	// was known to be the newest when the answer was made.
+	Configuration int64 `cbor:"1,keyasint"`
+	ProofMS       int64 `cbor:"2,keyasint"`
+	// List numbers the hub's list of targets; it is sent when the asking box
+	// has another one.
+	List    uint64            `cbor:"3,keyasint"`
+	Entries []Entry           `cbor:"4,keyasint,omitempty"`
+	Weights map[string]Newest `cbor:"5,keyasint,omitempty"`
+}
+
+// Newest is a model's newest weight version and how long ago it was named.
+type Newest struct {
+	Version int64 `cbor:"1,keyasint"`
+	AgeMS   int64 `cbor:"2,keyasint"`
+}
+
+// Entry is one target of a hub's list.
+type Entry struct {
+	ID       string           `cbor:"1,keyasint"`
+	Pool     string           `cbor:"2,keyasint"`
+	Address  string           `cbor:"3,keyasint"`
+	Domain   string           `cbor:"4,keyasint,omitempty"`
+	Slots    int              `cbor:"5,keyasint,omitempty"`
+	Leaving  bool             `cbor:"6,keyasint,omitempty"`
+	Loading  bool             `cbor:"7,keyasint,omitempty"`
+	Versions map[string]int64 `cbor:"8,keyasint,omitempty"`
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -28,6 +28,13 @@
 	Use []Use `cbor:"10,keyasint,omitempty"`
 	// Shares are what the sender's own requests take up, by target.
 	Shares []Share `cbor:"11,keyasint,omitempty"`
+	// List is the number of the hub's list that the sender has.
+	List uint64 `cbor:"12,keyasint,omitempty"`
+	// View answers boxes that read the platform through the answering one.
+	View *View `cbor:"13,keyasint,omitempty"`
+	// Ask and Placed are a request's placing by a hub.
+	Ask    *PlaceAsk `cbor:"14,keyasint,omitempty"`
+	Placed *Placed   `cbor:"15,keyasint,omitempty"`
 	// Statement is an operator's question.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is an answer in JSON, or a configuration.
