fix(entry): a hub's list has a number of its own, and none before it was read

Cause: found by TestView: an empty list was not told from no list; a hub that has just started could give another list the same number, or an empty one. Ruled out: none. Change: the number begins at random and is zero until the list was read. Before: TestView failed. After: it and TestHubWithoutList pass.

--- /dev/null
+++ b/entry/hub_test.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// largeFleet makes a daemon one of 20 boxes in domains a and b; box-00 and
+// box-01 are the strongest of a, box-10 and box-11 those of b.
+func largeFleet(name string) *Daemon {
+	d := newDaemon(name)
+	for i := range 20 {
+		m := &member{at: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1)), domain: "a", share: 0.2}
+		if i >= 10 {
+			m.domain = "b"
+		}
+		if i%10 < 2 {
+			m.share = 0.8 - float64(i%10)/10
+		}
+		d.tables.members[fmt.Sprintf("box-%02d", i)] = m
+	}
+	d.tables.settled = true
+	d.assumeRole(start, &d.tables)
+	return d
+}
+
+func TestRoles(t *testing.T) {
+	tests := []struct {
+		box     string
+		hub     bool
+		partner []string
+	}{
+		{"box-00", true, []string{"box-01", "box-10", "box-11"}},
+		{"box-01", true, []string{"box-10", "box-11"}},
+		{"box-05", false, []string{"box-00"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.box, func(t *testing.T) {
+			d := largeFleet(tt.box)
+			if got := !d.spoke.Load(); got != tt.hub {
+				t.Errorf("hub %v, want %v", got, tt.hub)
+			}
+			got := d.partners(start, &d.tables)
+			slices.Sort(got)
+			if !slices.Equal(got, tt.partner) {
+				t.Errorf("calls %v, want %v", got, tt.partner)
+			}
+		})
+	}
+}
+
+// TestHubEnds goes through the hubs of the own domain, then those of others,
+// and makes a box that is asked a hub for a while.
+func TestHubEnds(t *testing.T) {
+	d := largeFleet("box-05")
+	var asked []string
+	for {
+		hub := d.myHub(start, &d.tables)
+		if hub == "" {
+			break
+		}
+		asked = append(asked, hub)
+		d.hubFailed(start, &d.tables, hub, errors.New("no answer"))
+	}
+	if len(asked) < 4 || asked[0] != "box-00" || asked[1] != "box-01" || !slices.Contains(asked, "box-10") {
+		t.Errorf("asked %v", asked)
+	}
+	if got := d.myHub(start.Add(gossipAgain), &d.tables); got != "box-00" {
+		t.Errorf("later %q is asked, want the first again", got)
+	}
+	d.peerAsks(start, &d.tables, peer.Message{Kind: peer.KindGossip, From: "box-06"})
+	d.assumeRole(start, &d.tables)
+	if d.spoke.Load() {
+		t.Error("a box that is asked does not act as a hub")
+	}
+	d.assumeRole(start.Add(hubFor), &d.tables)
+	if !d.spoke.Load() {
+		t.Error("a box that is asked no longer is still a hub")
+	}
+}
+
+// TestView shows that a hub's view counts with its age, and that the list and a
+// newer configuration are taken over.
+func TestView(t *testing.T) {
+	hub, spoke := largeFleet("box-00"), largeFleet("box-05")
+	hub.update(start, operatorRead{start, Operator{Table: configuration(4), Raw: []byte("raw"), Weights: map[string]int64{"m": 2}}})
+	hub.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{
+		{ID: "a", Pool: "models", Address: netip.MustParseAddrPort("10.1.0.1:1"), Versions: map[string]int64{"m": 1}},
+	}}, false})
+	later := start.Add(time.Second)
+	answer := hub.peerAsks(later, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05"})
+	effects := spoke.update(later, peerCalled{"box-00", later, answer, nil})
+	if len(effects) != 1 {
+		t.Fatalf("the newer configuration is not read: %v", effects)
+	}
+	if spoke.fresh(later) {
+		t.Error("fresh before the configuration was read")
+	}
+	read := effects[0].(readFromHub)
+	spoke.update(later, configurationFromHub{read.proof, Operator{Table: configuration(4)}, nil})
+	if spoke.version() != 4 || spoke.tables.fleet.Target("a") == nil || spoke.tables.model("m").wanted != 2 {
+		t.Error("the view was not taken over")
+	}
+	if got := spoke.provedAgo(later); got != time.Second {
+		t.Errorf("proved %v ago, want the age at the hub", got)
+	}
+	again := hub.peerAsks(later, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05", List: spoke.tables.hubList})
+	if again.View.Entries != nil {
+		t.Error("the list is sent again")
+	}
+	hub.update(later, targetsRead{later, Targets{Gone: []string{"a"}}, false})
+	last := hub.peerAsks(later, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05", List: spoke.tables.hubList})
+	spoke.update(later, peerCalled{"box-00", later, last, nil})
+	if spoke.tables.fleet.Target("a") != nil {
+		t.Error("a target that is gone at the hub is kept")
+	}
+}
+
+// TestHubWithoutList shows that a hub that has just started makes nobody drop
+// targets.
+func TestHubWithoutList(t *testing.T) {
+	hub, spoke := largeFleet("box-00"), largeFleet("box-05")
+	spoke.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+	answer := hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05"})
+	spoke.update(start, peerCalled{"box-00", start, answer, nil})
+	if spoke.tables.fleet.Target("a") == nil {
+		t.Error("targets were dropped for a hub that knows no list")
+	}
+}
+
+// TestStaleView shows that a hub that is cut off from the table service makes
+// nobody's keys good, and that a box then reads for itself.
+func TestStaleView(t *testing.T) {
+	spoke := largeFleet("box-05")
+	spoke.update(start, operatorRead{start, Operator{Table: configuration(4)}})
+	late := start.Add(10 * time.Second)
+	spoke.update(late, peerCalled{"box-00", late, peer.Message{View: &peer.View{Configuration: 4, ProofMS: 9000}}, nil})
+	if spoke.fresh(late) || spoke.viewed(late) {
+		t.Error("an old proof counts as new")
+	}
+	spoke.update(late, peerCalled{"box-00", late, peer.Message{View: &peer.View{Configuration: 3, ProofMS: 0}}, nil})
+	if spoke.fresh(late) {
+		t.Error("the proof of an older configuration counts for this one")
+	}
+	spoke.update(late, peerCalled{"box-00", late, peer.Message{View: &peer.View{Configuration: 4, ProofMS: 500}}, nil})
+	if !spoke.fresh(late) || !spoke.viewed(late) {
+		t.Error("a fresh proof does not count")
+	}
+}
+
+// TestPlaceByHub passes a request through a hub's decision and back.
+func TestPlaceByHub(t *testing.T) {
+	entries := []fleet.Entry{engine("a", 1), engine("b", 1)}
+	ready := func(name string) *Daemon {
+		d := largeFleet(name)
+		d.now = func() time.Time { return start }
+		d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+		d.update(start, targetsRead{start, Targets{Whole: true, Listed: entries}, false})
+		return d
+	}
+	tests := []struct {
+		name   string
+		change func(hub, spoke *Daemon)
+		fails  bool
+		code   string
+		remote bool
+	}{
+		{"placed", func(*Daemon, *Daemon) {}, false, "", true},
+		{"refused by the hub", func(hub, _ *Daemon) {
+			for _, id := range []string{"a", "b"} {
+				hub.tables.fleet.Target(id).Tokens = 200000
+			}
+		}, false, "crowded", true},
+		{"the hub's engine is leaving, as this box knows", func(_, spoke *Daemon) {
+			spoke.tables.fleet.Target("a").Leaving, spoke.tables.fleet.Target("b").Leaving = true, true
+		}, false, "no_target", false},
+		{"the hub does not answer: placed alone", func(*Daemon, *Daemon) {}, true, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			hub, spoke := ready("box-00"), ready("box-05")
+			tt.change(hub, spoke)
+			reply := make(chan placeAnswer, 1)
+			effects := spoke.update(start, placeAsked{deliver.Ask{Job: job("long", 1000)}, reply})
+			if len(effects) != 1 {
+				t.Fatalf("effects %v", effects)
+			}
+			asked := effects[0].(askHub)
+			answer := hubPlaced{hub: asked.hub, m: asked.m, err: errors.New("no answer")}
+			if !tt.fails {
+				said := hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &asked.share})
+				answer.placed, answer.err = said.Placed, nil
+			}
+			spoke.update(start, answer)
+			got := <-reply
+			if (got.err != nil) != (tt.code != "") {
+				t.Fatalf("got %+v, want refusal %q", got, tt.code)
+			}
+			if tt.code == "" {
+				x := spoke.tables.fleet.Target(got.place.Target)
+				if x.InFlight != 1 || x.Tokens != 1000 || got.place.Scope != "m@1" {
+					t.Errorf("place %+v, counted %+v", got.place, x)
+				}
+			}
+			if remote := got.err == nil && len(got.place.Rule) > 3 && got.place.Rule[:3] == "hub"; got.err == nil && remote != tt.remote {
+				t.Errorf("rule %q", got.place.Rule)
+			}
+		})
+	}
+}
+
+// TestHubCounts shows that a hub counts what it placed for others before they
+// tell, and what they tell once.
+func TestHubCounts(t *testing.T) {
+	hub := largeFleet("box-00")
+	hub.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	hub.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+	tokens := func() int {
+		n, _ := hub.load(start, &hub.tables, hub.tables.fleet.Target("a"))
+		return n
+	}
+	gossip := func(tokens int) {
+		hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05", Shares: []peer.Share{{Target: placement.Hash("a"), Tokens: tokens}}})
+	}
+	gossip(100)
+	ask := peer.PlaceAsk{Pool: "models", Model: "m", Tokens: 500, Fill: 1}
+	if got := hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &ask}); got.Placed.Target != "a" {
+		t.Fatalf("placed %+v", got.Placed)
+	}
+	if got := tokens(); got != 600 {
+		t.Errorf("%d tokens, want what was told and placed", got)
+	}
+	gossip(550)
+	if got := tokens(); got != 550 {
+		t.Errorf("%d tokens, want what is told now", got)
+	}
+}
+
+// TestWalledByHub shows that a hub keeps a walled account's parts apart.
+func TestWalledByHub(t *testing.T) {
+	spoke := largeFleet("box-05")
+	spoke.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	walled := job("long", 1000)
+	walled.Account = &routing.Account{Name: "w", Isolated: true}
+	effects, remote := spoke.placeRemotely(start, &spoke.tables, placeAsked{ask: deliver.Ask{Job: walled}})
+	if !remote || effects[0].(askHub).share.Walled != "w" {
+		t.Errorf("effects %+v", effects)
+	}
+}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -42,7 +42,9 @@
 	stepping, holding bool
 	// readEpoch is the epoch in which the earlier holder's rows were read.
 	readEpoch uint64
-	// listNumber counts changes of the list, for boxes that take this one's view.
+	// listNumber changes with the list, for boxes that take this one's view. It
+	// begins at random, so that a hub that starts again never gives another
+	// list the same number, and is zero until the list was read.
 	listNumber uint64
 	// hub is whose list this box has, numbered hubList.
 	hub     string
@@ -121,6 +123,14 @@
 	return len(t.members)
 }
 
+// changed notes that the list differs from what other boxes took from here. A
+// list that was never read has no number.
+func (t *tables) changed() {
+	if t.listNumber != 0 {
+		t.listNumber++
+	}
+}
+
 // model returns the rollout of a model.
 func (t *tables) model(name string) *weights {
 	w := t.weights[name]
--- a/entry/update.go
+++ b/entry/update.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/thymewind/thymewind/directory"
@@ -89,6 +90,9 @@
 
 // targetsRead takes over the list of targets.
 func (d *Daemon) targetsRead(now time.Time, t *tables, m targetsRead) []effect {
+	if t.listNumber == 0 {
+		t.listNumber = rand.Uint64()
+	}
 	t.listNumber++
 	for _, err := range m.change.Unusable {
 		d.Log.Error("entry of a target can't be used", "err", err)
@@ -144,7 +148,7 @@
 }
 
 func (d *Daemon) drop(t *tables, id string) {
-	t.listNumber++
+	t.changed()
 	t.fleet.Drop(id)
 	t.directory.Forget(id)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -22,7 +22,7 @@
 			v.Weights[model] = peer.Newest{Version: w.wanted, AgeMS: now.Sub(w.named).Milliseconds()}
 		}
 	}
-	if have == t.listNumber {
+	if have == t.listNumber || t.listNumber == 0 {
 		return v
 	}
 	for _, id := range t.fleet.All() {
@@ -57,7 +57,7 @@
 			d.Log.Info("weights named", "model", model, "version", w.wanted, "hub", hub)
 		}
 	}
-	if v.Entries != nil {
+	if v.List != 0 && (t.hub != hub || t.hubList != v.List) {
 		d.entriesRead(now, t, v.Entries)
 		t.hub, t.hubList = hub, v.List
 	}
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -209,7 +209,7 @@
 		}
 		w.ordered[id] = true
 		x.LoadingUntil = now.Add(loadLongest)
-		t.listNumber++
+		t.changed()
 		d.Log.Info("target is ordered to load weights", "target", id, "model", m.model, "version", w.wanted, "epoch", epoch, "after_orders", x.Orders)
 		effects = append(effects, sendOrder{rollout.Order{
 			Target: id, Model: m.model, Version: w.wanted, Holder: d.Settings.Name, Epoch: epoch, After: x.Orders,
@@ -270,7 +270,7 @@
 		return
 	}
 	x.LoadingUntil = time.Time{}
-	t.listNumber++
+	t.changed()
 	if m.err != nil {
 		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
 		return
@@ -311,7 +311,7 @@
 		return // Written late, over a newer one.
 	}
 	w.epoch, w.freed = row.Epoch, max(w.freed, row.Freed)
-	t.listNumber++
+	t.changed()
 	for _, id := range row.Done {
 		if x := t.fleet.Target(id); x != nil {
 			x.Versions[model] = max(x.Versions[model], row.Version)
