test(soak): real processes under random faults from outside

Change: soak/ starts thymefront processes before the stand-in platform; loopback links that delay, reset, silence or cut one way; signals that kill, stop, pause, reload and restart; a table service that fails, loses answers and forgets; replicas that fail, leave, lapse and come back; configurations, keys and weights that change; three series that overlap.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test demo up down faults scale measure slopes lint
+.PHONY: soak build test demo up down faults scale measure slopes lint
 build:
 	$(GO) build -o bin/ ./cmd/... ./examples/...
 
@@ -38,3 +38,10 @@
 # What control costs each of 3, 10 and 30 daemons, as processes.
 scale: build
 	bash scripts/scale
+
+# The fault soak: real processes, one seed, or up to LAST.
+SEED ?= 1
+SECONDS ?= 60
+LAST ?= $(SEED)
+soak:
+	SOAK_SEED=$(SEED) SOAK_LAST=$(LAST) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -timeout 0 -run 'TestSoak$$' ./soak
--- /dev/null
+++ b/soak/callers_test.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/thymewind/thymewind/platform/headers"
+	"github.com/thymewind/thymewind/platform/standin"
+)
+
+// asked is one request as its caller sent it.
+type asked struct {
+	id, key string
+	sent    time.Time
+	// once says that it must not run twice.
+	once bool
+	// promised says that its caller was told that it has not run.
+	promised bool
+}
+
+// callers send requests and remember them.
+type callers struct {
+	w  *world
+	mu sync.Mutex
+	// all holds the requests by ID.
+	all map[string]*asked
+	// served is the highest configuration that each life of a daemon showed.
+	served map[string]int64
+	// answered counts whole answers.
+	answered int
+}
+
+// work sends requests until the end, over connections that are kept.
+func (c *callers) work(number int, seed uint64, end time.Time) {
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
+	clients := make([]http.Client, len(c.w.daemons))
+	for i := range clients {
+		clients[i].Transport = &http.Transport{MaxIdleConnsPerHost: 4}
+	}
+	for i := 0; time.Now().Before(end); i++ {
+		at := random.IntN(len(clients))
+		c.ask(&clients[at], c.w.daemons[at], random, fmt.Sprintf("r%d-%d", number, i))
+		<-time.After(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+	for i := range clients {
+		clients[i].CloseIdleConnections()
+	}
+}
+
+func (c *callers) ask(client *http.Client, d *daemon, random *rand.Rand, id string) {
+	life := fmt.Sprint(d.name, "/", d.lives())
+	a := &asked{id: id, key: fmt.Sprintf("key-%d", random.IntN(6)), sent: time.Now()}
+	kind := []string{"unsafe", "safe", "stream", "resumable", "v"}[random.IntN(5)]
+	a.once = kind == "unsafe" || kind == "stream"
+	version := int64(0)
+	if kind == "v" {
+		c.w.mu.Lock()
+		version = 1 + random.Int64N(c.w.version)
+		c.w.mu.Unlock()
+		kind = fmt.Sprint("v", version)
+	}
+	c.mu.Lock()
+	c.all[id] = a
+	known := c.served[life]
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if random.IntN(30) == 0 {
+		time.AfterFunc(time.Duration(random.IntN(60))*time.Millisecond, cancel) // This caller leaves.
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/x", d.front, kind), io.NopCloser(strings.NewReader("two")))
+	if err != nil {
+		c.w.t.Error(err)
+		return
+	}
+	request.Host = "shop.example"
+	request.Header = http.Header{headers.RequestID: {id}, headers.Key: {a.key}, headers.Model: {"m"}}
+	response, err := client.Do(request)
+	if err != nil {
+		return // No answer promises nothing.
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	c.check(a, kind, response, string(body), err)
+	if version > 0 && life == fmt.Sprint(d.name, "/", d.lives()) {
+		c.checkVersion(life, version, known, response.StatusCode)
+	}
+}
+
+// check looks at one answer as its caller sees it.
+func (c *callers) check(a *asked, kind string, response *http.Response, body string, cut error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		a.promised = true
+		if response.Header.Get("Retry-After") == "" {
+			c.w.t.Errorf("%s: a refusal without when to come back", a.id)
+		}
+	}
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	if seal := response.Header.Get(headers.Seal); !strings.HasSuffix(seal, "."+a.id) || response.Header.Get(headers.RequestID) != a.id {
+		c.w.t.Errorf("%s got another's answer: %v", a.id, response.Header)
+	}
+	want := "halfhalf"
+	if kind == "stream" || kind == "resumable" {
+		want = ""
+		for i := 1; i <= 8; i++ {
+			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, standin.Piece(a.id, i))
+		}
+	}
+	switch {
+	case cut == nil && body != want:
+		c.w.t.Errorf("%s (%s): a whole answer that is not: %q", a.id, kind, body)
+	case cut != nil && !strings.HasPrefix(want, body):
+		c.w.t.Errorf("%s (%s): a cut answer out of order: %q", a.id, kind, body)
+	case cut == nil:
+		c.answered++
+	}
+}
+
+// checkVersion says that a daemon's configuration never goes back.
+func (c *callers) checkVersion(life string, version, known int64, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case status == http.StatusNotFound && version <= known:
+		c.w.t.Errorf("%s served version %d and then did not know %d", life, known, version)
+	case status == http.StatusOK:
+		c.served[life] = max(c.served[life], version)
+	}
+}
+
+// judge looks at what replicas saw, once all is quiet.
+func (c *callers) judge() {
+	c.w.mu.Lock()
+	replicas := append(c.w.gone, c.w.replicas...)
+	c.w.mu.Unlock()
+	ran := make(map[string]int)
+	for _, r := range replicas {
+		for _, seen := range r.Ran() {
+			ran[seen.ID]++
+			a := c.all[seen.ID]
+			if a == nil {
+				c.w.t.Errorf("%s ran and nobody asked for it", seen.ID)
+				continue
+			}
+			c.judgeOne(r, a, seen)
+		}
+	}
+	for id, a := range c.all {
+		if a.once && ran[id] > 1 {
+			c.w.t.Errorf("%s ran %d times", id, ran[id])
+		}
+		if a.promised && a.once && ran[id] > 0 {
+			c.w.t.Errorf("%s ran and its caller was told that it did not", id)
+		}
+	}
+	c.w.t.Logf("%d requests, %d whole answers, %d ran", len(c.all), c.answered, len(ran))
+}
+
+func (c *callers) judgeOne(r *replica, a *asked, seen standin.Seen) {
+	if seen.Header.Get(headers.Tenant) != "cafe" || seen.Header.Get(headers.Key) != "" || seen.Body != "two" {
+		c.w.t.Errorf("%s reached its target changed: %+v", a.id, seen)
+	}
+	if gone, revoked := c.w.revoked[a.key]; revoked && a.sent.After(gone.Add(revokeFor)) {
+		c.w.t.Errorf("%s ran with a key that was gone for %v", a.id, a.sent.Sub(gone))
+	}
+	// A daemon that was in trouble may not have heard yet.
+	late := r.left.Add(drainFor + time.Second)
+	if !r.left.IsZero() && seen.At.After(late) && c.w.calm(r.left.Add(-4*time.Second), seen.At) {
+		c.w.t.Errorf("%s was sent to %s %v after that said it leaves", a.id, r.ID, seen.At.Sub(r.left))
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,116 @@
+// Package soak runs the real program as separate processes before a stand-in
+// platform, does random harm to them from outside, and checks while it runs what
+// callers and targets see. One seed draws one series of troubles:
+//
+//	make soak SEED=7 SECONDS=60
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The short run that CI plays, and the usual size.
+const (
+	shortSeed    = 1
+	shortSeconds = 8
+	daemons      = 4
+	workers      = 12
+)
+
+// failedSeeds are seeds that once found something, with the cause.
+var failedSeeds = []struct {
+	seed  uint64
+	cause string
+}{}
+
+func TestSoak(t *testing.T) {
+	program := build(t)
+	seed, seconds := number(t, "SOAK_SEED", shortSeed), number(t, "SOAK_SECONDS", shortSeconds)
+	last := number(t, "SOAK_LAST", seed)
+	for ; seed <= last; seed++ {
+		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) { play(t, uint64(seed), seconds, program) })
+	}
+}
+
+func TestFailedSeeds(t *testing.T) {
+	if len(failedSeeds) == 0 {
+		t.Skip("no seed has found anything yet")
+	}
+	program := build(t)
+	for _, s := range failedSeeds {
+		t.Run(strconv.FormatUint(s.seed, 10)+": "+s.cause, func(t *testing.T) { play(t, s.seed, shortSeconds, program) })
+	}
+}
+
+func number(t *testing.T, name string, usual int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+// build makes the program once for a test.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "thymefront")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/thymefront").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return program
+}
+
+// play runs one seed. On failure the daemons' logs are kept.
+func play(t *testing.T, seed uint64, seconds int, program string) {
+	w := newWorld(t, seed, program, daemons)
+	c := &callers{w: w, all: make(map[string]*asked), served: make(map[string]int64)}
+	end := time.Now().Add(time.Duration(seconds) * time.Second)
+	var work sync.WaitGroup
+	for i := range workers {
+		work.Go(func() { c.work(i, seed, end) })
+	}
+	// Troubles come in three series that overlap.
+	for range 3 {
+		work.Go(func() { w.trouble(end, program) })
+	}
+	work.Wait()
+	<-time.After(time.Second) // What is under way at replicas ends.
+	c.judge()
+	if c.answered == 0 {
+		t.Error("nothing was answered")
+	}
+	if t.Failed() {
+		keep(t, w)
+	}
+}
+
+// keep copies the daemons' logs where the test's own folder is not removed.
+func keep(t *testing.T, w *world) {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for _, d := range w.daemons {
+		data, err := os.ReadFile(filepath.Join(w.dir, d.name+".log"))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, d.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	t.Logf("the daemons' logs are in %s", dir)
+}
