refactor: connection headers and findings in one place; the soak under platform/

Change: package hop with a table; finding.Each; the soak moves to platform/soak. Before: TestNamesStayHere failed with 5 lines. After: passes.

--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,4 @@
 SECONDS ?= 60
 LAST ?= $(SEED)
 soak:
-	SOAK_SEED=$(SEED) SOAK_LAST=$(LAST) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -timeout 0 -run 'TestSoak$$' ./soak
+	SOAK_SEED=$(SEED) SOAK_LAST=$(LAST) SOAK_SECONDS=$(SECONDS) $(GO) test -race -count=1 -timeout 0 -run 'TestSoak$$' ./platform/soak
--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"io"
 	"net"
@@ -25,6 +24,7 @@
 	"github.com/thymewind/thymewind/entry"
 	"github.com/thymewind/thymewind/entry/settings"
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/finding"
 	"github.com/thymewind/thymewind/logqueue"
 	"github.com/thymewind/thymewind/platform"
 	"github.com/thymewind/thymewind/platform/store"
@@ -97,13 +97,9 @@
 
 // report prints every finding.
 func report(logger *log.Logger, err error) {
-	all := []error{err}
-	var several trace.Aggregate
-	if errors.As(err, &several) {
-		all = several.Errors()
-	}
-	for _, finding := range all {
-		logger.Error("setting", "finding", trace.UserMessage(finding))
+	all := finding.Each(err)
+	for _, found := range all {
+		logger.Error("setting", "finding", trace.UserMessage(found))
 	}
 	logger.Error("the settings are not good", "findings", len(all))
 }
--- a/cmd/thymewind/main.go
+++ b/cmd/thymewind/main.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"os"
 	"os/signal"
@@ -18,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/thymewind/thymewind"
+	"github.com/thymewind/thymewind/finding"
 	"github.com/thymewind/thymewind/settings"
 )
 
@@ -32,10 +32,10 @@
 	}
 	s, err := settings.Parse(*file, data)
 	if err != nil {
-		for _, finding := range findings(err) {
-			logger.Error("setting", "finding", trace.UserMessage(finding))
+		for _, found := range finding.Each(err) {
+			logger.Error("setting", "finding", trace.UserMessage(found))
 		}
-		logger.Fatal("the settings are not good", "findings", len(findings(err)))
+		logger.Fatal("the settings are not good", "findings", len(finding.Each(err)))
 	}
 	if *check {
 		return
@@ -54,12 +54,3 @@
 		logger.Fatal("stopped with an error", "err", err)
 	}
 }
-
-// findings takes the errors of an aggregate apart.
-func findings(err error) []error {
-	var all trace.Aggregate
-	if errors.As(err, &all) {
-		return all.Errors()
-	}
-	return []error{err}
-}
--- a/finding/finding.go
+++ b/finding/finding.go
@@ -6,7 +6,11 @@
 //	return l.Err()
 package finding
 
-import "github.com/gravitational/trace"
+import (
+	"errors"
+
+	"github.com/gravitational/trace"
+)
 
 // List collects findings. The zero value is ready for use.
 type List struct {
@@ -23,3 +27,13 @@
 
 // Err returns all findings as one error, or nil when there are none.
 func (l *List) Err() error { return trace.NewAggregate(l.errors...) }
+
+// Each takes the error of a List apart into its findings; any other error is
+// its own only finding.
+func Each(err error) []error {
+	var all trace.Aggregate
+	if errors.As(err, &all) {
+		return all.Errors()
+	}
+	return []error{err}
+}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -3,10 +3,10 @@
 import (
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/thymewind/thymewind/claim"
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/hop"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/route"
 )
@@ -16,7 +16,7 @@
 func (x *exchange) answer(w http.ResponseWriter, response *http.Response, placed route.Placed) {
 	defer func() { _ = response.Body.Close() }()
 	leaving := response.Header.Get(engine.HeaderLeaving) != ""
-	dropHopHeaders(response.Header)
+	hop.Drop(response.Header)
 	for name, values := range response.Header {
 		w.Header()[name] = values
 	}
@@ -65,18 +65,3 @@
 	}
 	return len(b), nil
 }
-
-// dropHopHeaders removes what belongs to one connection only (RFC 9110, 7.6.1).
-func dropHopHeaders(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range []string{
-		"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	} {
-		h.Del(name)
-	}
-}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -8,6 +8,7 @@
 	"net/url"
 
 	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/hop"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
@@ -169,7 +170,7 @@
 	out.URL.Path = x.path
 	out.Host = ""
 	out.RequestURI = ""
-	dropHopHeaders(out.Header)
+	hop.Drop(out.Header)
 	// The caller's key to this system is no business of the target.
 	out.Header.Del("Authorization")
 	out.Header.Set("X-Request-Id", x.call.Request)
