feat(entry): a fifth of a large pool loads at once; hubs prove the configuration more often

Ruled out: boot (some ten calls a box). Change: two or a fifth of the engines at once; hubs hold the operator's read 0.6 s.

--- a/entry/build.go
+++ b/entry/build.go
@@ -73,7 +73,7 @@
 	d.counts = newCounters(d.Registry)
 	d.ended = make(chan struct{})
 	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.assumeRole, d.gossip}
-	d.plan = rollout.Plan{AtOnce: atOnce}
+	d.plan = rollout.Plan{Least: atOnce, Share: atOnceShare}
 	d.services = nearest.Chooser{Domain: d.Settings.Domain}
 	d.engines = affinity.Chooser{
 		Directory: d.tables.directory,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -52,6 +52,8 @@
 	raw atomic.Pointer[[]byte]
 	// spoke says that this box takes a hub's view of the platform.
 	spoke atomic.Bool
+	// serving says that other boxes take this one's view.
+	serving atomic.Bool
 	// credential is what boxes show each other, once it was read.
 	credential atomic.Pointer[string]
 	// stopping is set once a planned stop has begun, closing once connections
--- a/entry/hub.go
+++ b/entry/hub.go
@@ -100,6 +100,7 @@
 		return nil
 	}
 	hub := d.hub(now, t)
+	d.serving.Store(hub && t.large())
 	if hub == !d.spoke.Load() {
 		return nil
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -15,6 +15,8 @@
 	// the configuration is the newest is then at most twice as old, well within
 	// the 5 s after which keys are no longer trusted.
 	proofHold = 1500 * time.Millisecond
+	// hubHold is the same at a hub, whose proofs have to reach others in time.
+	hubHold = 600 * time.Millisecond
 	// hold is how long the other reads are held. They are broken off when the
 	// operator's rows can't be read.
 	hold = 10 * time.Second
@@ -50,7 +52,7 @@
 			d.pause(ctx, viewLook)
 			continue
 		}
-		change, err := d.Platform.Operator(ctx, after, proofHold)
+		change, err := d.Platform.Operator(ctx, after, d.operatorHold())
 		if err != nil {
 			d.lost(ctx, err)
 			d.pause(ctx, againAfter)
@@ -62,6 +64,14 @@
 	}
 }
 
+// operatorHold is how long a read of the operator's rows is held.
+func (d *Daemon) operatorHold() time.Duration {
+	if d.serving.Load() {
+		return hubHold
+	}
+	return proofHold
+}
+
 // lost notes that the table service does not answer and breaks off the reads
 // that wait for it.
 func (d *Daemon) lost(ctx context.Context, err error) {
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -31,9 +31,11 @@
 	leaseEvery = 300 * time.Millisecond
 	// leaseSpread spreads the boxes' first looks.
 	leaseSpread = 200 * time.Millisecond
-	// atOnce is how many targets load at the same time; with more, each load
-	// takes longer and the others are crowded.
-	atOnce = 2
+	// atOnce targets, or the share of all, load at the same time; with more,
+	// each load takes longer and the others are crowded. The platform's pools of
+	// 9, 90 and 112 engines load 2, 18 and 22 at their full speed.
+	atOnce      = 2
+	atOnceShare = 0.2
 	// recentFor is how long an order counts as recent, and holdSlack is added
 	// to the platform's bound between two holders' orders to one target.
 	recentFor = 5 * time.Second
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -1,7 +1,7 @@
 // Package rollout decides which targets are told to load a model's newest
 // weights, a few at a time, so that the others go on serving.
 //
-//	p := rollout.Plan{AtOnce: 2}
+//	p := rollout.Plan{Least: 2, Share: 0.2}
 //	ids := p.Next(wanted, replicas)
 package rollout
 
@@ -33,10 +33,15 @@
 
 // Plan bounds a rollout.
 type Plan struct {
-	// AtOnce is how many targets load at the same time.
-	AtOnce int
+	// Least is how many targets may always load at the same time, Share the
+	// part of all that may.
+	Least int
+	Share float64
 }
 
+// atOnce is how many of some replicas load at the same time.
+func (p Plan) atOnce(replicas int) int { return max(p.Least, int(p.Share*float64(replicas))) }
+
 // Behind counts the replicas that don't have the wanted version.
 func Behind(wanted int64, replicas []Replica) int {
 	n := 0
@@ -61,7 +66,7 @@
 		}
 	}
 	var next []string
-	for len(behind) > 0 && loading < p.AtOnce {
+	for len(behind) > 0 && loading < p.atOnce(len(replicas)) {
 		least := 0
 		for i, r := range behind {
 			if r.Busy < behind[least].Busy {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -7,6 +7,14 @@
 	"github.com/thymewind/thymewind/rollout"
 )
 
+// TestLargePool shows that a large pool loads a fifth at once.
+func TestLargePool(t *testing.T) {
+	replicas := make([]rollout.Replica, 112)
+	if got := len(rollout.Plan{Least: 2, Share: 0.2}.Next(2, replicas)); got != 22 {
+		t.Errorf("%d at once, want 22", got)
+	}
+}
+
 func TestNext(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -23,7 +31,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := (rollout.Plan{AtOnce: 2}).Next(2, tt.replicas); !slices.Equal(got, tt.want) {
+			if got := (rollout.Plan{Least: 2, Share: 0.2}).Next(2, tt.replicas); !slices.Equal(got, tt.want) {
 				t.Errorf("Next = %v, want %v", got, tt.want)
 			}
 			if got := rollout.Behind(2, tt.replicas); got != tt.behind {
