--- a/directory/directory.go
+++ b/directory/directory.go
@@ -42,21 +42,33 @@
 	// kept holds tokens by part, as the source told.
 	kept map[Key]int
 	// expected holds parts that were sent there to be read or saved and that
-	// the source has not told of yet, with the time until they count.
-	expected map[Key]time.Time
-	// tokens sums up kept.
+	// the source has not told of yet.
+	expected map[Key]promise
+	// tokens sums up kept and expected, in whole blocks.
 	tokens int
 	// silent is set while the source can't be heard.
 	silent bool
 }
 
+// promise is a part that is on its way, and until when that counts.
+type promise struct {
+	until  time.Time
+	tokens int
+}
+
+// block is what memory goes by, in tokens.
+const block = 16
+
+// blocks rounds tokens up to whole blocks.
+func blocks(tokens int) int { return (tokens + block - 1) / block * block }
+
 // New returns an empty directory.
 func New() *Directory { return &Directory{sources: make(map[string]*source)} }
 
 func (d *Directory) of(name string) *source {
 	s := d.sources[name]
 	if s == nil {
-		s = &source{kept: make(map[Key]int), expected: make(map[Key]time.Time)}
+		s = &source{kept: make(map[Key]int), expected: make(map[Key]promise)}
 		d.sources[name] = s
 	}
 	return s
@@ -68,14 +80,17 @@
 	s := d.of(name)
 	s.silent = false
 	if s.epoch != epoch {
-		*s = source{epoch: epoch, kept: make(map[Key]int), expected: make(map[Key]time.Time)}
+		*s = source{epoch: epoch, kept: make(map[Key]int), expected: make(map[Key]promise)}
 	}
 }
 
 // Clear drops what a source keeps, before all of it is told anew.
 func (d *Directory) Clear(name string) {
 	s := d.of(name)
-	s.kept, s.tokens = make(map[Key]int), 0
+	for key := range s.kept {
+		s.tokens -= blocks(s.kept[key])
+	}
+	s.kept = make(map[Key]int)
 }
 
 // Silence notes that a source can't be heard. Its entries count again once it
@@ -88,25 +103,36 @@
 // Add notes that a source keeps a part whole.
 func (d *Directory) Add(name string, key Key, tokens int) {
 	s := d.of(name)
-	s.tokens += tokens - s.kept[key]
+	s.fulfil(key)
+	s.tokens += blocks(tokens) - blocks(s.kept[key])
 	s.kept[key] = tokens
-	delete(s.expected, key)
+}
+
+// fulfil ends the expectation of a part.
+func (s *source) fulfil(key Key) {
+	if p, expected := s.expected[key]; expected {
+		s.tokens -= blocks(p.tokens)
+		delete(s.expected, key)
+	}
 }
 
 // Remove notes that a source dropped a part.
 func (d *Directory) Remove(name string, key Key) {
 	s := d.of(name)
-	s.tokens -= s.kept[key]
+	s.tokens -= blocks(s.kept[key])
 	delete(s.kept, key)
-	delete(s.expected, key)
+	s.fulfil(key)
 }
 
 // Expect notes that a source was sent a part and will probably keep it.
-func (d *Directory) Expect(name string, key Key, until time.Time) {
+func (d *Directory) Expect(name string, key Key, tokens int, until time.Time) {
 	s := d.of(name)
-	if _, kept := s.kept[key]; !kept {
-		s.expected[key] = until
+	if _, kept := s.kept[key]; kept {
+		return
 	}
+	s.fulfil(key)
+	s.expected[key] = promise{until, tokens}
+	s.tokens += blocks(tokens)
 }
 
 // Whole says whether a source told that it keeps a part whole.
@@ -128,8 +154,8 @@
 	if s == nil || s.silent {
 		return false
 	}
-	until, sent := s.expected[key]
-	return sent && now.Before(until)
+	p, sent := s.expected[key]
+	return sent && now.Before(p.until)
 }
 
 // Run counts the leading parts that a source keeps or is about to. Engines use
@@ -143,7 +169,7 @@
 	return len(keys)
 }
 
-// Tokens returns how many tokens a source told that it keeps.
+// Tokens returns how many tokens a source keeps or was sent to keep.
 func (d *Directory) Tokens(name string) int {
 	s := d.sources[name]
 	if s == nil {
@@ -164,9 +190,9 @@
 // Expire drops expectations whose time is over. Call it about once a second.
 func (d *Directory) Expire(now time.Time) {
 	for _, s := range d.sources {
-		for key, until := range s.expected {
-			if !now.Before(until) {
-				delete(s.expected, key)
+		for key, p := range s.expected {
+			if !now.Before(p.until) {
+				s.fulfil(key)
 			}
 		}
 	}
