fix(deliver): a body that never comes ends with its request's time

Ruled out: the head's bound, which the HTTP library keeps. Change: the request's time bounds its body; the answer is 408, which is true as nothing was sent. Before: TestBodyThatNeverComes got no answer in 10 s.

--- a/deliver/run.go
+++ b/deliver/run.go
@@ -77,7 +77,7 @@
 		return refused
 	}
 	x.job, x.outcome.Job = job, job
-	if refused := x.read(job); refused != nil {
+	if refused := x.read(x.w, job); refused != nil {
 		return refused
 	}
 	x.Earn(job.Pool.Name)
