--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -14,7 +14,6 @@
 
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
-	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 )
 
@@ -38,9 +37,6 @@
 	crowded = 100 * time.Millisecond
 	waiting = 2 * time.Second
 	full    = 0.85
-	// queued is what each request waits behind those that run, on an engine
-	// with a dozen places on which requests take about a second.
-	queued = 80 * time.Millisecond
 	// peerFirst is what a move from another engine waits at least.
 	peerFirst = 2 * time.Millisecond
 	// silentAfter is how long an engine with requests may say nothing. Its
@@ -109,8 +105,9 @@
 	// Boxes is how many boxes send requests of about the same kind.
 	Boxes func() int
 
-	// Load returns what the requests of all boxes take up at an engine.
-	Load func(t *fleet.Target) peer.Share
+	// Load returns the memory that requests of all boxes take up at an engine,
+	// and the prompt tokens that wait there to be read.
+	Load func(t *fleet.Target) (tokens, unread int)
 
 	links Links
 }
@@ -163,10 +160,9 @@
 	version := t.Versions[ask.Model]
 	choice := Choice{Target: t, Version: version, Keys: ask.Keys(version), Rule: "home"}
 	choice.Kept = c.Directory.Run(t.ID, choice.Keys, now)
-	load := c.Load(t)
-	cost := time.Duration(load.Unread) * readToken
-	cost += crowding(load.Tokens+ask.Tokens, ask.Capacity)
-	cost += queueing(load.Running+1, t.Slots)
+	running, unread := c.Load(t)
+	cost := time.Duration(unread) * readToken
+	cost += crowding(running+ask.Tokens, ask.Capacity)
 	cost += c.planFetch(now, ask, t, peers, &choice)
 	cost += time.Duration(choice.Unread) * readToken
 	if version < ask.Wanted {
@@ -193,15 +189,6 @@
 	return cost
 }
 
-// queueing is the cost of an engine that runs as many requests as it can: each
-// one more waits for another to end.
-func queueing(requests, slots int) time.Duration {
-	if slots <= 0 || requests <= slots {
-		return 0
-	}
-	return time.Duration(requests-slots) * queued
-}
-
 // kept says whether any engine or store in reach keeps a part.
 func (c *Chooser) kept(key directory.Key, peers []*fleet.Target) bool {
 	for _, s := range c.Stores() {
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -120,7 +120,8 @@
 	}
 	sum := make(map[uint64]peer.Share, len(own))
 	add := func(s peer.Share) {
-		sum[s.Target] = s.Add(sum[s.Target])
+		all := sum[s.Target]
+		sum[s.Target] = peer.Share{Target: s.Target, Tokens: all.Tokens + s.Tokens, Unread: all.Unread + s.Unread}
 	}
 	for _, s := range own {
 		add(s)
@@ -142,8 +143,8 @@
 	var list []peer.Share
 	for _, id := range t.fleet.All() {
 		x := t.fleet.Target(id)
-		if x.InFlight > 0 {
-			list = append(list, share(x))
+		if x.Tokens > 0 || x.Unread > 0 {
+			list = append(list, peer.Share{Target: placement.Hash(id), Tokens: x.Tokens, Unread: x.Unread})
 		}
 	}
 	return list
@@ -228,25 +229,22 @@
 	}
 }
 
-// share is what this box's requests take up at a target.
-func share(x *fleet.Target) peer.Share {
-	return peer.Share{Target: placement.Hash(x.ID), Tokens: x.Tokens, Unread: x.Unread, Running: x.InFlight}
-}
-
 // load is what all boxes' requests take up at a target. A box that hears no
 // other takes them to use as much as itself.
-func (d *Daemon) load(now time.Time, t *tables, x *fleet.Target) peer.Share {
-	sum := share(x)
-	heard := false
+func (d *Daemon) load(now time.Time, t *tables, x *fleet.Target) (tokens, unread int) {
+	tokens, unread = x.Tokens, x.Unread
+	known, hash := 1, placement.Hash(x.ID)
 	for name, m := range t.members {
 		if name == d.Settings.Name || now.Sub(m.heard) > heardFor {
 			continue
 		}
-		sum = sum.Add(m.shares[sum.Target])
-		heard = true
+		s := m.shares[hash]
+		tokens += s.Tokens
+		unread += s.Unread
+		known++
 	}
-	if heard {
-		return sum
+	if known > 1 {
+		return tokens, unread
 	}
-	return sum.Times(t.boxes())
+	return tokens * t.boxes(), unread * t.boxes()
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -115,7 +115,8 @@
 	if ask.Capacity <= 0 {
 		return 0
 	}
-	return float64(d.load(now, t, x).Tokens+ask.Tokens) / float64(ask.Capacity)
+	running, _ := d.load(now, t, x)
+	return float64(running+ask.Tokens) / float64(ask.Capacity)
 }
 
 func tried(ask deliver.Ask) func(string) bool {
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -161,5 +161,9 @@
 		return
 	}
 	hash := placement.Hash(place.Target)
-	m.shares[hash] = peer.Share{Target: hash, Tokens: place.Tokens, Unread: place.Unread, Running: 1}.Add(m.shares[hash])
+	s := m.shares[hash]
+	s.Target = hash
+	s.Tokens += place.Tokens
+	s.Unread += place.Unread
+	m.shares[hash] = s
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -69,18 +69,6 @@
 	// prompts that is still to be read.
 	Tokens int `cbor:"2,keyasint,omitempty"`
 	Unread int `cbor:"3,keyasint,omitempty"`
-	// Running counts the requests.
-	Running int `cbor:"4,keyasint,omitempty"`
-}
-
-// Add sums two boxes' shares of a target.
-func (s Share) Add(more Share) Share {
-	return Share{s.Target, s.Tokens + more.Tokens, s.Unread + more.Unread, s.Running + more.Running}
-}
-
-// Times is the share of several boxes like this one.
-func (s Share) Times(boxes int) Share {
-	return Share{s.Target, s.Tokens * boxes, s.Unread * boxes, s.Running * boxes}
 }
 
 // Leaving tells how long ago a target was said to be leaving, by itself or by
