--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -21,12 +21,15 @@
 	if table == nil {
 		return nil, s.notNow("no_configuration", "this box has no configuration yet")
 	}
+	if table.MaxHeader > 0 && call.HeadBytes > table.MaxHeader {
+		return nil, refusal.New(refusal.DidNotRun, http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the head has over %d bytes", table.MaxHeader)
+	}
 	path, _, _ := strings.Cut(call.Path, "?")
 	r := table.Route(call.Host, path)
 	if r == nil {
 		return nil, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
 	}
-	job := &Job{Call: call, Route: r, Configuration: table.Version}
+	job := &Job{Call: call, Route: r}
 	if table.Keyed(r) {
 		if !s.Fresh(s.Now()) {
 			return nil, s.notNow("stale", "this box can't tell whether the key is still good")
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -17,7 +17,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/routing"
 )
 
@@ -29,9 +28,11 @@
 	// Path is the request target as it came: escaped, with query.
 	Path string
 	Host string
-	// Header holds the caller's own end-to-end headers.
-	Header http.Header
-	Body   io.Reader
+	// Header holds the caller's own end-to-end headers, HeadBytes is the size of
+	// all that came before the body.
+	Header    http.Header
+	HeadBytes int
+	Body      io.Reader
 	// Key shows the client account.
 	Key   string
 	Model string
@@ -64,8 +65,6 @@
 	Body []byte
 	// Until is when the request gets its final answer at the latest.
 	Until time.Time
-	// Configuration is the version that it was admitted under.
-	Configuration int64
 }
 
 // Ask is what a place is asked for.
@@ -84,8 +83,6 @@
 	Version int64
 	// Scope separates kept parts by weight version and walled account.
 	Scope string
-	// Keys name the prompt's parts under the scope.
-	Keys []directory.Key
 	// Fetch and Save are per part, or empty; an unset address means none.
 	Fetch []netip.AddrPort
 	Save  []netip.AddrPort
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -198,7 +198,7 @@
 			asked := effects[0].(askHub)
 			answer := hubPlaced{hub: asked.hub, m: asked.m, err: errors.New("no answer")}
 			if !tt.fails {
-				said := hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &asked.share})
+				said := hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &asked.ask})
 				answer.placed, answer.err = said.Placed, nil
 			}
 			spoke.update(start, answer)
@@ -253,7 +253,7 @@
 	walled := job("long", 1000)
 	walled.Account = &routing.Account{Name: "w", Isolated: true}
 	effects, remote := spoke.placeRemotely(start, &spoke.tables, placeAsked{ask: deliver.Ask{Job: walled}})
-	if !remote || effects[0].(askHub).share.Walled != "w" {
+	if !remote || effects[0].(askHub).ask.Walled != "w" {
 		t.Errorf("effects %+v", effects)
 	}
 }
--- /dev/null
+++ b/entry/order.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// errNotHeld says that this box must not give orders any more.
+var errNotHeld = trace.AccessDenied("the lease is not held")
+
+// bring has one target load weights and waits until it has them.
+func (d *Daemon) bring(ctx context.Context, e sendOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, loadLongest)
+	defer cancel()
+	ordered := false
+	for {
+		report, err := d.Platform.Report(ctx, e.at)
+		if err == nil && report.Versions[e.order.Model] >= e.order.Version {
+			return nil
+		}
+		if err == nil && !report.Busy && (!ordered || report.Orders == e.order.After) {
+			e.order.After = report.Orders
+			if err = d.order(ctx, e); err == nil {
+				ordered = true
+			}
+			if trace.IsAccessDenied(err) {
+				return err
+			}
+		}
+		if err != nil {
+			d.Log.Warn("order not confirmed", "target", e.order.Target, "version", e.order.Version, "err", err)
+		}
+		d.pause(ctx, loadLook)
+		if ctx.Err() != nil {
+			return trace.LimitExceeded("the target does not have the version after %v", loadLongest)
+		}
+	}
+}
+
+// order sends one order, if the lease is held right before.
+func (d *Daemon) order(ctx context.Context, e sendOrder) error {
+	epoch, until, held := d.lease.Held()
+	if !held || epoch != e.order.Epoch {
+		return errNotHeld
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return d.Platform.Order(ctx, e.at, e.order)
+}
+
+func (d *Daemon) orderEnded(now time.Time, t *tables, m orderEnded) {
+	w := t.model(m.model)
+	delete(w.ordered, m.target)
+	w.recent[m.target] = now
+	x := t.fleet.Target(m.target)
+	if x == nil {
+		return
+	}
+	x.LoadingUntil = time.Time{}
+	t.changed()
+	if m.err != nil {
+		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
+		return
+	}
+	x.Versions[m.model] = max(x.Versions[m.model], m.version)
+	d.Log.Info("target has the weights", "target", m.target, "model", m.model, "version", m.version, "since_named", now.Sub(w.named))
+}
+
+// learn takes from a target's refusal what it says of its weights.
+func (d *Daemon) learn(now time.Time, t *tables, x *fleet.Target, m sendingEnded) {
+	model := m.Job.Model
+	switch m.Verdict {
+	case deliver.OtherVersion:
+		before := x.Versions[model]
+		x.Versions[model] = max(before, m.Version)
+		if m.Version == 0 {
+			x.LoadingUntil = now.Add(loadShy)
+		}
+		d.Log.Info("target has other weights", "target", x.ID, "request", m.Job.ID, "thought", before, "told", m.Version)
+	case deliver.Elsewhere:
+		d.Log.Warn("another replica has the target's address", "target", x.ID, "at", x.Address, "request", m.Job.ID)
+		d.drop(t, x.ID)
+	case deliver.DidNotRun:
+		if w := t.model(model); w.wanted > x.Versions[model] {
+			x.LoadingUntil = now.Add(loadShy)
+		}
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -152,7 +152,7 @@
 	}
 	place := deliver.Place{
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
-		Scope: scope(choice.Version, job), Keys: choice.Keys, Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
+		Scope: scope(choice.Version, job), Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
 		Save: addresses(choice.Save),
 	}
 	if t.timed {
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -19,10 +19,10 @@
 
 // askHub asks a hub for a place.
 type askHub struct {
-	hub   string
-	at    netip.AddrPort
-	m     placeAsked
-	share peer.PlaceAsk
+	hub string
+	at  netip.AddrPort
+	m   placeAsked
+	ask peer.PlaceAsk
 }
 
 // hubPlaced is the hub's answer.
@@ -58,7 +58,7 @@
 func (d *Daemon) askHub(ctx context.Context, e askHub) hubPlaced {
 	ctx, cancel := context.WithTimeout(ctx, placeFor)
 	defer cancel()
-	answer, err := d.peers.Call(ctx, e.at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Ask: &e.share})
+	answer, err := d.peers.Call(ctx, e.at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Ask: &e.ask})
 	return hubPlaced{e.hub, e.m, answer.Placed, err}
 }
 
@@ -67,8 +67,8 @@
 func (d *Daemon) hubPlaced(now time.Time, t *tables, m hubPlaced) {
 	if m.err != nil || m.placed == nil {
 		d.hubFailed(now, t, m.hub, m.err)
-	} else if place, err, ok := d.accept(now, t, m.m.ask.Job, m.placed); ok {
-		m.m.reply <- placeAnswer{place, err}
+	} else if answer, ok := d.accept(now, t, m.m.ask.Job, m.placed); ok {
+		m.m.reply <- answer
 		return
 	}
 	place, err := d.place(now, t, m.m.ask)
@@ -82,14 +82,16 @@
 	}
 }
 
-// accept turns a hub's answer into a place.
-func (d *Daemon) accept(now time.Time, t *tables, job *deliver.Job, p *peer.Placed) (deliver.Place, error, bool) {
+// accept turns a hub's answer into this box's, unless this box knows something
+// against the target.
+func (d *Daemon) accept(now time.Time, t *tables, job *deliver.Job, p *peer.Placed) (placeAnswer, bool) {
 	if p.Refused != "" {
-		return deliver.Place{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason).After(d.comeBack()), true
+		refused := refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason).After(d.comeBack())
+		return placeAnswer{err: refused}, true
 	}
 	x := t.fleet.Target(p.Target)
 	if x == nil || !x.Open(now) || x.Avoided(now) {
-		return deliver.Place{}, nil, false
+		return placeAnswer{}, false
 	}
 	place := deliver.Place{
 		Target: x.ID, Address: x.Address, Version: p.Version, Scope: scope(p.Version, job), Unread: p.Unread,
@@ -97,7 +99,7 @@
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
 	}
 	x.Sent(now, place.Unread, place.Tokens)
-	return place, nil, true
+	return placeAnswer{place: place}, true
 }
 
 func parse(list []string) []netip.AddrPort {
@@ -124,7 +126,7 @@
 	return out
 }
 
-// placeFor places another box's request, by all that this box knows.
+// placeForPeer places another box's request, by all that this box knows.
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
 	t.askedAsHub = now
 	table := d.current.Load()
--- /dev/null
+++ b/entry/rolloutrow.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/thymewind/thymewind/rollout"
+	"github.com/thymewind/thymewind/table"
+)
+
+// rolloutPrefix begins the keys of the rows that tell a rollout's state.
+const rolloutPrefix = "rollout/"
+
+// rolloutRow is what the holder of the lease tells the other boxes. It is
+// written before any order that it names is given.
+type rolloutRow struct {
+	// Epoch is the lease's; a row with a lower one than was read is old.
+	Epoch   uint64 `json:"epoch"`
+	Version int64  `json:"version"`
+	// Loading are the targets that load now, Done those that have the version.
+	Loading []string `json:"loading"`
+	Done    []string `json:"done"`
+	// Recent are the targets that were ordered anything lately. A successor
+	// leaves them alone for a while.
+	Recent []string `json:"recent"`
+	// Freed is the version for which the stores were cleared of older parts.
+	Freed int64 `json:"freed"`
+}
+
+// bar keeps targets that an earlier holder ordered lately from orders.
+func (d *Daemon) bar(now time.Time, t *tables, rows []table.Row) {
+	until := now.Add(d.bounds.Load().Takeover + holdSlack)
+	for _, row := range rows {
+		model, ok := strings.CutPrefix(row.Key, rolloutPrefix)
+		if !ok {
+			continue
+		}
+		d.rolloutRead(now, t, model, row.Value)
+		var last rolloutRow
+		if json.Unmarshal(row.Value, &last) != nil {
+			continue // rolloutRead logged it.
+		}
+		for _, id := range last.Recent {
+			t.model(model).barred[id] = until
+		}
+	}
+}
+
+// tellRollout makes the effect that writes the rollout's row.
+func (d *Daemon) tellRollout(now time.Time, t *tables, model string, w *weights, epoch uint64) effect {
+	w.announcing = true
+	for _, id := range w.planned {
+		w.recent[id] = now
+	}
+	maps.DeleteFunc(w.recent, func(_ string, at time.Time) bool { return now.Sub(at) > recentFor })
+	row := rolloutRow{
+		Epoch: epoch, Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
+		Recent: slices.Sorted(maps.Keys(w.recent)), Freed: w.freed,
+	}
+	for _, id := range t.fleet.All() {
+		if t.fleet.Target(id).Versions[model] == w.wanted {
+			row.Done = append(row.Done, id)
+		}
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // The row's own type always encodes.
+	}
+	return announce{model, table.Row{Key: rolloutPrefix + model, Value: value}}
+}
+
+// announced sends the orders that were announced. Without the row no order
+// goes out, as a successor could not know of it.
+func (d *Daemon) announced(now time.Time, t *tables, m announced) []effect {
+	w := t.model(m.model)
+	w.announcing = false
+	if m.err != nil {
+		d.Log.Warn("rollout not announced", "model", m.model, "err", m.err)
+	}
+	epoch, _, held := d.lease.Held()
+	planned := w.planned
+	w.planned = nil
+	if !held || m.err != nil {
+		return nil
+	}
+	var effects []effect
+	for _, id := range planned {
+		x := t.fleet.Target(id)
+		if x == nil {
+			continue
+		}
+		w.ordered[id] = true
+		x.LoadingUntil = now.Add(loadLongest)
+		t.changed()
+		d.Log.Info("target is ordered to load weights", "target", id, "model", m.model, "version", w.wanted, "epoch", epoch, "after_orders", x.Orders)
+		effects = append(effects, sendOrder{rollout.Order{
+			Target: id, Model: m.model, Version: w.wanted, Holder: d.Settings.Name, Epoch: epoch, After: x.Orders,
+		}, x.Address})
+	}
+	return effects
+}
+
+// ownRead takes over what the boxes tell each other through the table service.
+func (d *Daemon) ownRead(now time.Time, t *tables, m ownRead) []effect {
+	t.ownKnown = true
+	for _, row := range m.change.Rows {
+		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
+			d.memberRead(t, name, row.Value)
+		}
+		if row.Key == keyCredential {
+			d.credentialRead(row.Value)
+		}
+		if model, ok := strings.CutPrefix(row.Key, rolloutPrefix); ok {
+			d.rolloutRead(now, t, model, row.Value)
+		}
+	}
+	if !m.settled || t.settled {
+		return nil
+	}
+	t.settled = true
+	return append(d.assumeRole(now, t), d.follow(t)...)
+}
+
+func (d *Daemon) rolloutRead(now time.Time, t *tables, model string, value []byte) {
+	var row rolloutRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		d.Log.Error("the rollout's row can't be read", "model", model, "err", err)
+		return
+	}
+	w := t.model(model)
+	if row.Epoch < w.epoch {
+		return // Written late, over a newer one.
+	}
+	w.epoch, w.freed = row.Epoch, max(w.freed, row.Freed)
+	t.changed()
+	for _, id := range row.Done {
+		if x := t.fleet.Target(id); x != nil {
+			x.Versions[model] = max(x.Versions[model], row.Version)
+			x.LoadingUntil = time.Time{}
+		}
+	}
+	for _, id := range row.Loading {
+		if x := t.fleet.Target(id); x != nil && x.Versions[model] < row.Version {
+			x.LoadingUntil = now.Add(loadLongest)
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -22,9 +22,6 @@
 	// MaxBody and MaxHeader bound what callers may send, in bytes.
 	MaxBody   int64
 	MaxHeader int
-	// HeaderWithin bounds how long a caller takes to send a head, IdleFor how
-	// long its connection rests.
-	HeaderWithin, IdleFor time.Duration
 
 	// hosts holds each host's routes, the longest prefix first.
 	hosts map[string][]*Route
