feat(clearing): parts of older weights go as soon as no fetch of them can run

Ruled out: engines that follow late (fetches and hits were as before until the versions changed); full stores under one version (saves followed the reads until then). Change: package clearing bounds fetches by what the placing box knows (4 s on the newest weights, 2 s on older ones or without a young proof) and says below which version parts may be freed, also during the next rollout; engines that vanish count only if their weights are old. Parts of older weights are not saved any more. A store that does not answer is tried three times.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -149,7 +149,9 @@
 	choice.Rule = rule(best == home, choice.Fetch != nil)
 	c.noteMoves(now, ask, &choice)
 	c.planSpare(now, ask, &choice, targets)
-	c.planSave(now, ask, &choice)
+	if choice.Version >= ask.Wanted { // Parts of older weights are about to be freed.
+		c.planSave(now, ask, &choice)
+	}
 	return choice, true
 }
 
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -117,6 +117,7 @@
 		{"kept by the other engine only", func(x *bench) { x.keeps(other, 1, 0, 1) }, [3]string{other, other, ""}, [3]string{"quick", "large", ""}, 2000},
 		{"the first part is nowhere: what follows is read", func(x *bench) { x.keeps("large", 1, 1) }, [3]string{}, [3]string{"quick", "", ""}, 10500},
 		{"kept under other weights only", func(x *bench) { x.keeps("large", 9, 0, 1) }, [3]string{}, [3]string{"quick", "large", ""}, 10500},
+		{"old weights: their parts are not saved any more", func(x *bench) { x.ask.Wanted = 2 }, [3]string{}, [3]string{}, 10500},
 		{"the store fell silent", func(x *bench) { x.keeps("large", 1, 0, 1); x.d.Silence("large") }, [3]string{}, [3]string{"quick", "large", ""}, 10500},
 		{"no room", func(x *bench) { x.stores[0].Capacity, x.stores[1].Capacity = 100, 100 }, [3]string{}, [3]string{}, 10500},
 		{"the large store's link is slower than reading", func(x *bench) { x.keeps("large", 1, 0, 1); x.stores[1].Token = time.Millisecond }, [3]string{}, [3]string{}, 10500},
--- a/entry/free.go
+++ b/entry/free.go
@@ -12,15 +12,14 @@
 )
 
 const (
-	// freeAfter is how long all targets must have the newest weights, and the
-	// list must have been whole, before parts made on older ones are freed. By
-	// then live targets are back in the list, and each fetch has ended or was
-	// thrown away; see fetchFor.
-	freeAfter = fetchFor + 2500*time.Millisecond
 	// freeFor is how long a store may take to act on the order.
 	freeFor = time.Second
 	// freeAtOnce bounds the parts in one order.
 	freeAtOnce = 200
+	// freeMost is how often clearing the stores is tried for one version, and
+	// freePause the time between: a store that is down comes back empty.
+	freeMost  = 3
+	freePause = time.Second
 )
 
 // Part names a kept part under its scope.
@@ -30,19 +29,17 @@
 
 // toFree says that stores may still keep parts made on older weights.
 func (w *weights) toFree(t *tables) bool {
-	return t.ownKnown && len(t.stores) > 0 && w.wanted > 1 && w.freed < w.wanted
+	return t.ownKnown && len(t.stores) > 0 && w.clearing.Floor() > 1 && w.freed < w.clearing.Floor()
 }
 
 // freeOld clears the stores of parts made on older weights, once no fetch of
 // them can be under way. Only the lease's holder does.
 func (d *Daemon) freeOld(now time.Time, t *tables, model string, w *weights) []effect {
-	if w.whole.IsZero() {
-		w.whole = now
-	}
-	if t.unsure.After(w.whole) {
-		w.whole = t.unsure
+	if w.freeing || !w.toFree(t) || !t.timed || t.storeAway || now.Before(w.freeAgain) {
+		return nil
 	}
-	if w.freeing || !t.timed || t.storeAway || now.Sub(w.whole) < freeAfter {
+	version := w.clearing.Below(now)
+	if version <= w.freed {
 		return nil
 	}
 	w.freeing = true
@@ -50,7 +47,7 @@
 	for _, s := range t.stores {
 		stores = append(stores, s.Address)
 	}
-	return []effect{freeParts{model, w.wanted, stores, d.uptime(now) + t.clock + freeFor}}
+	return []effect{freeParts{model, version, stores, d.uptime(now) + t.clock + freeFor}}
 }
 
 // free clears each store; it returns the errors of those that it could not.
@@ -102,9 +99,14 @@
 	w := t.model(m.model)
 	w.freeing = false
 	if m.err != nil {
-		// A store that is down lost its parts anyway.
-		d.Log.Warn("a store was not cleared of older parts", "model", m.model, "err", m.err)
+		w.freeTries++
+		w.freeAgain = now.Add(freePause)
+		d.Log.Warn("a store was not cleared of older parts", "model", m.model, "version", m.version, "tries", w.freeTries, "err", m.err)
+		if w.freeTries < freeMost {
+			return nil
+		}
 	}
+	w.freeTries = 0
 	w.freed = max(w.freed, m.version)
 	epoch, _, held := d.lease.Held()
 	if !held || w.announcing {
--- a/entry/place.go
+++ b/entry/place.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
@@ -19,9 +20,6 @@
 )
 
 const (
-	// fetchFor is how long after the placing a fetch is thrown away. A request
-	// that waits at a busy target begins its fetch only when its turn comes.
-	fetchFor = 4 * time.Second
 	// expectFor is how long a part that was sent somewhere is expected there
 	// without being told of.
 	expectFor = 1500 * time.Millisecond
@@ -157,7 +155,7 @@
 	}
 	if t.timed {
 		place.Fetch = addresses(choice.Fetch)
-		place.FetchUntil = d.uptime(now) + t.clock + fetchFor
+		place.FetchUntil = d.uptime(now) + t.clock + clearing.FetchFor(choice.Version >= w.wanted, d.provedAgo(now))
 	}
 	for i, p := range job.Parts {
 		switch {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
@@ -29,9 +30,6 @@
 	timed bool
 	// members are the boxes that ever wrote their row, this one included.
 	members map[string]*member
-	// unsure is when the list of targets was last known to lack live ones: an
-	// entry went without notice, or the table service came back.
-	unsure time.Time
 	// storeAway says that the table service does not answer.
 	storeAway bool
 	// probing marks targets whose health is being asked for.
@@ -72,11 +70,15 @@
 	recent, barred map[string]time.Time
 	// epoch is the lease's in the row last read.
 	epoch uint64
-	// whole is since when all targets have the version, as the holder sees it.
-	whole time.Time
+	// clearing says when parts made on older weights may be freed.
+	clearing clearing.Watch
 	// freed is the version for which the stores were cleared of older parts.
 	freed   int64
 	freeing bool
+	// freeTries counts the tries to clear the stores that failed, freeAgain is
+	// when the next one may be made.
+	freeTries int
+	freeAgain time.Time
 	// planned are the targets that wait until their loading is announced.
 	planned []string
 	// announcing says that the row is being written.
@@ -117,6 +119,13 @@
 // read: the most that a small deployment has.
 const presumed = 10
 
+// doubtList notes that the list may lack live engines with older weights.
+func (t *tables) doubtList(now time.Time) {
+	for _, w := range t.weights {
+		w.clearing.Doubt(now)
+	}
+}
+
 // boxes is how many boxes share the work.
 func (t *tables) boxes() int {
 	if len(t.members) == 0 {
--- a/entry/update.go
+++ b/entry/update.go
@@ -37,7 +37,7 @@
 		d.Log.Warn("table service lost", "err", m.err, "configuration", d.version(), "proved_ago", d.provedAgo(now))
 	case storeBack:
 		t.storeAway = false
-		t.unsure = now
+		t.doubtList(now)
 		d.Log.Info("table service back", "configuration", d.version())
 	case newsRead:
 		d.newsRead(now, t, m)
@@ -70,7 +70,7 @@
 	for model, version := range m.change.Weights {
 		if w := t.model(model); version > w.wanted {
 			d.Log.Info("weights named", "model", model, "version", version, "before", w.wanted)
-			w.wanted, w.named = version, now
+			w.name(now, version)
 		}
 	}
 	if err := m.change.Unusable; err != nil {
@@ -136,7 +136,7 @@
 		return
 	}
 	if !x.Leaving {
-		t.unsure = now
+		t.doubtGone(now, x)
 	}
 	if away && !x.Leaving {
 		d.Log.Warn("target's entry lapsed while the table service was away", "target", id, "kept_for", fleet.LapsedFor)
@@ -147,6 +147,16 @@
 	d.drop(t, id)
 }
 
+// doubtGone notes that a target went from the list without notice: it may live,
+// and be used by boxes that have not read that yet.
+func (t *tables) doubtGone(now time.Time, x *fleet.Target) {
+	for model, version := range x.Versions {
+		if w := t.weights[model]; w != nil && version < w.wanted {
+			w.clearing.Doubt(now)
+		}
+	}
+}
+
 func (d *Daemon) drop(t *tables, id string) {
 	t.changed()
 	t.fleet.Drop(id)
--- a/entry/view.go
+++ b/entry/view.go
@@ -57,7 +57,7 @@
 	}
 	for model, newest := range v.Weights {
 		if w := t.model(model); newest.Version > w.wanted {
-			w.wanted, w.named = newest.Version, now.Add(-time.Duration(newest.AgeMS)*time.Millisecond)
+			w.name(now.Add(-time.Duration(newest.AgeMS)*time.Millisecond), newest.Version)
 			d.Log.Info("weights named", "model", model, "version", w.wanted, "hub", hub)
 		}
 	}
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -43,6 +43,7 @@
 	for _, model := range slices.Sorted(maps.Keys(t.weights)) {
 		w := t.weights[model]
 		replicas := d.replicas(now, t, model, w)
+		w.clearing.See(now, rollout.Least(replicas))
 		behind := rollout.Behind(w.wanted, replicas) > 0
 		if !behind && !w.toFree(t) {
 			continue
@@ -50,14 +51,9 @@
 		work = true
 		epoch, _, held := d.lease.Held()
 		if !held || w.announcing || !t.mayOrder(epoch) {
-			w.whole = time.Time{}
 			continue
 		}
-		if !behind {
-			effects = append(effects, d.freeOld(now, t, model, w)...)
-			continue
-		}
-		w.whole = time.Time{}
+		effects = append(effects, d.freeOld(now, t, model, w)...)
 		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 {
 			effects = append(effects, d.tellRollout(now, t, model, w, epoch))
 		}
@@ -68,6 +64,12 @@
 	return effects
 }
 
+// name takes a newer version over, which was named at a time.
+func (w *weights) name(at time.Time, version int64) {
+	w.wanted, w.named = version, at
+	w.clearing.Name(at, version)
+}
+
 // mayOrder says that the rows of the lease's earlier holder were read.
 func (t *tables) mayOrder(epoch uint64) bool { return t.readEpoch == epoch }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -53,6 +53,17 @@
 	return n
 }
 
+// Least returns the lowest version of some replicas, or zero if there are none.
+func Least(replicas []Replica) int64 {
+	var least int64
+	for i, r := range replicas {
+		if i == 0 || r.Version < least {
+			least = r.Version
+		}
+	}
+	return least
+}
+
 // Next returns the replicas to order now, the least busy first.
 func (p Plan) Next(wanted int64, replicas []Replica) []string {
 	loading := 0
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -40,3 +40,22 @@
 		})
 	}
 }
+
+func TestLeast(t *testing.T) {
+	tests := []struct {
+		name     string
+		replicas []rollout.Replica
+		want     int64
+	}{
+		{"none", nil, 0},
+		{"one behind", []rollout.Replica{{Version: 3}, {Version: 2}, {Version: 3}}, 2},
+		{"one that has none yet", []rollout.Replica{{Version: 3}, {}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := rollout.Least(tt.replicas); got != tt.want {
+				t.Errorf("Least = %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
