feat(rollout): replicas with the oldest weights load first

Parts of the first version are kept until no engine has it. Change: oldest version first, then the least busy.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -5,6 +5,11 @@
 //	ids := p.Next(wanted, replicas)
 package rollout
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Order tells one target to load weights.
 type Order struct {
 	Target  string
@@ -64,7 +69,8 @@
 	return least
 }
 
-// Next returns the replicas to order now, the least busy first.
+// Next returns the replicas to order now: those with the oldest version first,
+// as parts made on it are kept until no replica has it, then the least busy.
 func (p Plan) Next(wanted int64, replicas []Replica) []string {
 	loading := 0
 	var behind []Replica
@@ -76,17 +82,12 @@
 			behind = append(behind, r)
 		}
 	}
+	slices.SortStableFunc(behind, func(a, b Replica) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Busy, b.Busy))
+	})
 	var next []string
-	for len(behind) > 0 && loading < p.atOnce(len(replicas)) {
-		least := 0
-		for i, r := range behind {
-			if r.Busy < behind[least].Busy {
-				least = i
-			}
-		}
-		next = append(next, behind[least].ID)
-		behind = append(behind[:least], behind[least+1:]...)
-		loading++
+	for _, r := range behind[:min(len(behind), max(p.atOnce(len(replicas))-loading, 0))] {
+		next = append(next, r.ID)
 	}
 	return next
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -23,6 +23,7 @@
 		behind   int
 	}{
 		{"the least busy first", []rollout.Replica{{ID: "a", Busy: 5}, {ID: "b"}, {ID: "c", Busy: 1}}, []string{"b", "c"}, 3},
+		{"the oldest first", []rollout.Replica{{ID: "a", Version: 1}, {ID: "b", Busy: 5}, {ID: "c", Version: 1}}, []string{"b", "a"}, 3},
 		{"one loads already", []rollout.Replica{{ID: "a", Loading: true}, {ID: "b"}, {ID: "c"}}, []string{"b"}, 3},
 		{"two load already", []rollout.Replica{{ID: "a", Loading: true}, {ID: "b", Loading: true}, {ID: "c"}}, nil, 3},
 		{"done ones are left alone", []rollout.Replica{{ID: "a", Version: 2}, {ID: "b", Version: 3}}, nil, 0},
