refactor(document): both settings files are checked by the same code

The messages are as before; the entry daemon now also finds equal addresses of metrics and peers, which only callers and ready were checked for.

--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -105,44 +105,22 @@
 }
 
 func (s *Settings) check(d *document.Document) {
-	if s.Name == "" {
-		d.Add("name", "must be set")
-	}
-	if s.Domain == "" {
-		d.Add("domain", "must be set")
-	}
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		d.Add("log_level", "%q is none of debug, info, warn, error", s.LogLevel)
-	}
+	d.CheckSet("name", s.Name)
+	d.CheckSet("domain", s.Domain)
+	d.CheckOneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	s.checkAddresses(d)
 	s.checkBox(d)
 	s.checkBounds(d)
 }
 
 func (s *Settings) checkAddresses(d *document.Document) {
-	for _, l := range []struct {
-		path     string
-		at       netip.AddrPort
-		optional bool
-	}{
-		{"callers", s.Callers, false},
-		{"ready", s.Ready, false},
-		{"metrics", s.Metrics, true},
-		{"peers", s.Peers, true},
-		{"store.address", s.Store.Address, false},
-	} {
-		if l.optional && !l.at.IsValid() {
-			continue
-		}
-		if !l.at.IsValid() || l.at.Port() == 0 {
-			d.Add(l.path, "must be an IP number and a port, such as 10.0.0.1:8080")
-		}
-	}
-	if s.Callers == s.Ready && s.Callers.IsValid() {
-		d.Add("ready", "has the address of callers")
-	}
+	d.CheckListeners(
+		document.Listener{Path: "callers", At: s.Callers},
+		document.Listener{Path: "ready", At: s.Ready},
+		document.Listener{Path: "metrics", At: s.Metrics, Optional: true},
+		document.Listener{Path: "peers", At: s.Peers, Optional: true},
+	)
+	d.CheckListeners(document.Listener{Path: "store.address", At: s.Store.Address})
 }
 
 func (s *Settings) checkBox(d *document.Document) {
@@ -160,23 +138,13 @@
 
 func (s *Settings) checkBounds(d *document.Document) {
 	const longest = time.Hour
-	for _, b := range []struct {
-		path  string
-		value time.Duration
-		least time.Duration
-	}{
-		{"bounds.stop", s.Bounds.Stop, time.Second},
-		{"bounds.notice", s.Bounds.Notice, 0},
-		{"bounds.drain", s.Bounds.Drain, 0},
-		{"bounds.revoked_within", s.Bounds.RevokedWithin, 0},
-		{"bounds.retry_window", s.Bounds.RetryWindow, time.Second},
-		{"bounds.takeover", s.Bounds.Takeover, 0},
-		{"bounds.weights_within", s.Bounds.WeightsWithin, 0},
-	} {
-		if b.value < b.least || b.value > longest {
-			d.Add(b.path, "%v is not within %v and %v", b.value, b.least, longest)
-		}
-	}
+	d.CheckWithin("bounds.stop", s.Bounds.Stop, time.Second, longest)
+	d.CheckWithin("bounds.notice", s.Bounds.Notice, 0, longest)
+	d.CheckWithin("bounds.drain", s.Bounds.Drain, 0, longest)
+	d.CheckWithin("bounds.revoked_within", s.Bounds.RevokedWithin, 0, longest)
+	d.CheckWithin("bounds.retry_window", s.Bounds.RetryWindow, time.Second, longest)
+	d.CheckWithin("bounds.takeover", s.Bounds.Takeover, 0, longest)
+	d.CheckWithin("bounds.weights_within", s.Bounds.WeightsWithin, 0, longest)
 	if s.Bounds.RetryShare < 0 || s.Bounds.RetryExtra < 0 {
 		d.Add("bounds.retry_share", "neither it nor retry_extra can be below 0")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -128,37 +128,17 @@
 }
 
 func (s *Settings) checkNames(d *document.Document) {
-	for _, field := range []struct{ path, value string }{
-		{"name", s.Name},
-		{"domain", s.Domain},
-	} {
-		if field.value == "" {
-			d.Add(field.path, "must be set")
-		}
-	}
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		d.Add("log_level", "%q is none of debug, info, warn, error", s.LogLevel)
-	}
+	d.CheckSet("name", s.Name)
+	d.CheckSet("domain", s.Domain)
+	d.CheckOneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 }
 
 func (s *Settings) checkAddresses(d *document.Document) {
-	listeners := []struct {
-		path string
-		at   netip.AddrPort
-	}{{"callers", s.Callers}, {"operators", s.Operators}, {"peers", s.Peers}}
-	for i, l := range listeners {
-		if !l.at.IsValid() || l.at.Port() == 0 {
-			d.Add(l.path, "must be an IP number and a port, such as 10.0.0.1:8080")
-			continue
-		}
-		for _, other := range listeners[:i] {
-			if other.at == l.at {
-				d.Add(l.path, "has the address of %s", other.path)
-			}
-		}
-	}
+	d.CheckListeners(
+		document.Listener{Path: "callers", At: s.Callers},
+		document.Listener{Path: "operators", At: s.Operators},
+		document.Listener{Path: "peers", At: s.Peers},
+	)
 	if s.Peers.IsValid() && s.Peers.Addr().IsUnspecified() {
 		d.Add("peers", "must be an address that peers can reach, not %v", s.Peers.Addr())
 	}
@@ -224,22 +204,11 @@
 
 func (s *Settings) checkTiming(d *document.Document) {
 	const longest = time.Hour
-	for _, t := range []struct {
-		path  string
-		value time.Duration
-		least time.Duration
-		most  time.Duration
-	}{
-		{"timing.tick", s.Timing.Tick, 10 * time.Millisecond, time.Second},
-		{"timing.poll", s.Timing.Poll, 100 * time.Millisecond, 3 * time.Second},
-		{"timing.load", s.Timing.Load, 50 * time.Millisecond, 10 * time.Second},
-		{"timing.gossip", s.Timing.Gossip, 50 * time.Millisecond, 3 * time.Second},
-		{"timing.lease", s.Timing.Lease, time.Second, time.Minute},
-		{"timing.notice", s.Timing.Notice, 0, time.Minute},
-		{"timing.request", s.Timing.Request, time.Second, longest},
-	} {
-		if t.value < t.least || t.value > t.most {
-			d.Add(t.path, "%v is not within %v and %v", t.value, t.least, t.most)
-		}
-	}
+	d.CheckWithin("timing.tick", s.Timing.Tick, 10*time.Millisecond, time.Second)
+	d.CheckWithin("timing.poll", s.Timing.Poll, 100*time.Millisecond, 3*time.Second)
+	d.CheckWithin("timing.load", s.Timing.Load, 50*time.Millisecond, 10*time.Second)
+	d.CheckWithin("timing.gossip", s.Timing.Gossip, 50*time.Millisecond, 3*time.Second)
+	d.CheckWithin("timing.lease", s.Timing.Lease, time.Second, time.Minute)
+	d.CheckWithin("timing.notice", s.Timing.Notice, 0, time.Minute)
+	d.CheckWithin("timing.request", s.Timing.Request, time.Second, longest)
 }
