perf(affinity): where a prompt's parts are kept is looked up once for all engines

Cause: choosing an engine looked up each part at each of 22 stores and 112 engines again for each engine weighed: 1.04 ms a prompt at the grown size, some 200 times a second on a hub of 0.8 cores. Change: search.go finds each part's holders once, with how busy their links are; engines are weighed by cost alone, and only the one chosen gets a plan. Links.Wait is Links.Busy, a factor; its test checks the same points. Parts held only by engines that leave or fail no longer count as kept somewhere. Before and after: go test -run '^$' -bench Choose ./affinity: 1,042 and 44 us, 43.6 and 16.2 KB, 179 and 16 allocations.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -14,7 +14,6 @@
 
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
-	"github.com/thymewind/thymewind/placement"
 )
 
 // What things cost, as time.
@@ -80,6 +79,9 @@
 	Skip func(id string) bool
 }
 
+// last is the number of the part that is the request's own.
+func (a Ask) last() int { return len(a.Parts) - 1 }
+
 // Choice is the engine and what it does with the prompt.
 type Choice struct {
 	Target  *fleet.Target
@@ -112,22 +114,27 @@
 	links Links
 }
 
-// candidate is one engine's cost.
+// candidate is one engine and its cost.
 type candidate struct {
-	choice Choice
-	cost   time.Duration
-	rank   uint64
+	target  *fleet.Target
+	version int64
+	// kept counts the leading parts that the engine keeps, reached those that it
+	// keeps or can fetch.
+	kept, reached int
+	cost          time.Duration
+	rank          uint64
 }
 
 // Choose returns the engine for a prompt, or false if none takes new work.
 func (c *Chooser) Choose(now time.Time, ask Ask, targets []*fleet.Target) (Choice, bool) {
+	s := search{Chooser: c, now: now, ask: ask, targets: targets}
 	var all []candidate
 	least := time.Duration(-1)
 	for _, t := range targets {
 		if !usable(now, ask, t) {
 			continue
 		}
-		one := c.weigh(now, ask, t, targets)
+		one := s.weigh(t)
 		all = append(all, one)
 		if least < 0 || one.cost < least {
 			least = one.cost
@@ -145,13 +152,8 @@
 			best = i
 		}
 	}
-	choice := all[best].choice
-	choice.Rule = rule(best == home, choice.Fetch != nil)
-	c.noteMoves(now, ask, &choice)
-	c.planSpare(now, ask, &choice, targets)
-	if choice.Version >= ask.Wanted { // Parts of older weights are about to be freed.
-		c.planSave(now, ask, &choice)
-	}
+	choice := s.plan(all[best])
+	choice.Rule = rule(best == home, all[best].reached > all[best].kept)
 	return choice, true
 }
 
@@ -174,24 +176,6 @@
 	return !ask.Overdue || t.Versions[ask.Model] >= ask.Wanted
 }
 
-func (c *Chooser) weigh(now time.Time, ask Ask, t *fleet.Target, peers []*fleet.Target) candidate {
-	version := t.Versions[ask.Model]
-	choice := Choice{Target: t, Version: version, Keys: ask.Keys(version)}
-	choice.Kept = c.Directory.Run(t.ID, choice.Keys, now)
-	running, unread := c.Load(t)
-	cost := time.Duration(unread) * readToken
-	cost += crowding(running+ask.Tokens, ask.Capacity)
-	cost += c.planFetch(now, ask, t, peers, &choice)
-	cost += time.Duration(choice.Unread) * readToken
-	if version < ask.Wanted {
-		cost += oldWeights
-	}
-	if t.Grey(now) || t.Avoided(now) {
-		cost += doubt
-	}
-	return candidate{choice: choice, cost: cost, rank: placement.Weight(ask.Home, placement.Hash(t.ID))}
-}
-
 // crowding is the cost of memory that requests take up: what is left keeps
 // parts, and when none is left requests wait for others to end, for some
 // hundred milliseconds.
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -155,22 +155,22 @@
 func TestLinks(t *testing.T) {
 	var l affinity.Links
 	const move = 100 * time.Millisecond
-	if got := l.Wait(start, "s", move); got != move {
+	if got := l.Busy(start, "s"); got != 1 {
 		t.Errorf("an unused link: %v", got)
 	}
 	for range 5 {
 		l.Note(start, "s", move, 2)
 	}
-	if got := l.Wait(start, "s", move); got != 2*move {
-		t.Errorf("a link that is half busy: %v, want %v", got, 2*move)
+	if got := l.Busy(start, "s"); got != 2 {
+		t.Errorf("a link that is half busy: %v, want 2", got)
 	}
 	for range 100 {
 		l.Note(start, "s", move, 2)
 	}
-	if got := l.Wait(start, "s", move); got > 21*move {
+	if got := l.Busy(start, "s"); got > 21 {
 		t.Errorf("a link that is overrun: %v", got)
 	}
-	if got := l.Wait(start.Add(time.Minute), "s", move).Round(time.Millisecond); got != move {
+	if got := l.Busy(start.Add(time.Minute), "s"); got > 1.0001 {
 		t.Errorf("a minute later: %v", got)
 	}
 }
--- a/affinity/links.go
+++ b/affinity/links.go
@@ -40,15 +40,15 @@
 	m.as, m.boxes = now, boxes
 }
 
-// Wait stretches a move's time by the wait behind others, as at a single
-// server with random arrivals.
-func (l *Links) Wait(now time.Time, source string, took time.Duration) time.Duration {
+// Busy returns by how much a move from a source is stretched by the wait behind
+// others, as at a single server with random arrivals; 1 for an unused link.
+func (l *Links) Busy(now time.Time, source string) float64 {
 	m := l.moved[source]
 	if m == nil {
-		return took
+		return 1
 	}
 	busy := min(float64(m.left(now))*float64(m.boxes)/float64(fade), mostBusy)
-	return time.Duration(float64(took) / (1 - busy))
+	return 1 / (1 - busy)
 }
 
 func (m *moves) left(now time.Time) time.Duration {
--- a/affinity/parts.go
+++ b/affinity/parts.go
@@ -8,64 +8,51 @@
 	"github.com/thymewind/thymewind/placement"
 )
 
-// kept says whether any engine or store in reach keeps a part.
-func (c *Chooser) kept(key directory.Key, peers []*fleet.Target) bool {
-	for _, s := range c.Stores() {
-		if c.Directory.Whole(s.Name, key) {
-			return true
-		}
-	}
-	for _, p := range peers {
-		if c.Directory.Whole(p.ID, key) {
-			return true
-		}
+// plan says what the engine chosen does with the prompt's parts.
+func (s *search) plan(one candidate) Choice {
+	l := s.locate(one.version)
+	choice := Choice{Target: one.target, Version: one.version, Keys: l.keys, Kept: one.kept}
+	s.planFetch(l, one, &choice)
+	s.noteMoves(&choice, one)
+	s.planSpare(l, &choice)
+	if one.version >= s.ask.Wanted { // Parts of older weights are about to be freed.
+		s.planSave(&choice)
 	}
-	return false
+	return choice
 }
 
-// planFetch finds sources for the parts that the engine lacks, counts what is
-// left to read, and returns the time that the moves take.
-func (c *Chooser) planFetch(now time.Time, ask Ask, t *fleet.Target, peers []*fleet.Target, choice *Choice) time.Duration {
-	var took time.Duration
-	reading := false
-	for i := choice.Kept; i < len(ask.Parts); i++ {
-		source, cost := (*Source)(nil), time.Duration(0)
-		if !reading && i < len(ask.Parts)-1 {
-			source, cost = c.source(now, choice.Keys[i], ask.Parts[i].Tokens, t, peers)
-		}
-		if source == nil {
-			reading = true
-			choice.Unread += ask.Parts[i].Tokens
-			if i < len(ask.Parts)-1 && c.kept(choice.Keys[i], peers) {
-				took += time.Duration(ask.Parts[i].Tokens) * againToken
-			}
-			continue
-		}
-		if choice.Fetch == nil {
-			choice.Fetch = make([]*Source, len(ask.Parts))
-		}
-		choice.Fetch[i] = source
-		took += cost
+// planFetch names sources for the parts that the engine lacks and can fetch.
+// The others are read.
+func (s *search) planFetch(l *located, one candidate, choice *Choice) {
+	for i := one.kept; i < one.reached; i++ {
+		s.fetch(l, i, choice)
+	}
+	for _, p := range s.ask.Parts[one.reached:] {
+		choice.Unread += p.Tokens
 	}
-	return took
 }
 
 // planSpare names sources for the parts that the engine is thought to keep as
 // well. It takes only what it lacks, so this costs nothing unless it dropped
 // them meanwhile, as it does when its memory is short.
-func (c *Chooser) planSpare(now time.Time, ask Ask, choice *Choice, peers []*fleet.Target) {
-	for i := range min(choice.Kept, len(ask.Parts)-1) {
-		source, _ := c.source(now, choice.Keys[i], ask.Parts[i].Tokens, choice.Target, peers)
-		if source == nil {
-			continue
-		}
-		if choice.Fetch == nil {
-			choice.Fetch = make([]*Source, len(ask.Parts))
-		}
-		choice.Fetch[i] = source
+func (s *search) planSpare(l *located, choice *Choice) {
+	for i := range min(choice.Kept, s.ask.last()) {
+		s.fetch(l, i, choice)
 	}
 }
 
+// fetch names the source of one part, if there is one.
+func (s *search) fetch(l *located, part int, choice *Choice) {
+	from, _ := l.parts[part].best(s.ask.Parts[part].Tokens, choice.Target)
+	if from == nil {
+		return
+	}
+	if choice.Fetch == nil {
+		choice.Fetch = make([]*Source, len(s.ask.Parts))
+	}
+	choice.Fetch[part] = &from.Source
+}
+
 // move is how long moving some tokens to an engine takes.
 func (s *Source) move(tokens int, t *fleet.Target) time.Duration {
 	took := s.First + time.Duration(tokens)*s.Token
@@ -76,40 +63,11 @@
 }
 
 // noteMoves counts the moves of a choice on the sources' links.
-func (c *Chooser) noteMoves(now time.Time, ask Ask, choice *Choice) {
-	for i, s := range choice.Fetch {
-		if s != nil {
-			c.links.Note(now, s.Name, s.move(ask.Parts[i].Tokens, choice.Target), c.Boxes())
-		}
-	}
-}
-
-// source returns the store or other engine that brings a part soonest, if that
-// is sooner than reading it.
-func (c *Chooser) source(now time.Time, key directory.Key, tokens int, t *fleet.Target, peers []*fleet.Target) (*Source, time.Duration) {
-	var best *Source
-	least := time.Duration(tokens) * (readToken + againToken)
-	for _, s := range c.Stores() {
-		if !c.Directory.Whole(s.Name, key) {
-			continue
-		}
-		if took := c.links.Wait(now, s.Name, s.move(tokens, t)); took < least {
-			best, least = s, took
-		}
-	}
-	if best != nil {
-		return best, least // Engines drop parts at any time, stores don't.
-	}
-	for _, p := range peers {
-		if p == t || p.Leaving || p.Avoided(now) || !c.Directory.Whole(p.ID, key) {
-			continue
-		}
-		peer := &Source{Name: p.ID, Address: p.Address, Domain: p.Domain, First: peerFirst, Token: c.Token()}
-		if took := c.links.Wait(now, p.ID, peer.move(tokens, t)); took < least {
-			best, least = peer, took
-		}
+func (s *search) noteMoves(choice *Choice, one candidate) {
+	for i := one.kept; i < one.reached; i++ {
+		from := choice.Fetch[i]
+		s.links.Note(s.now, from.Name, from.move(s.ask.Parts[i].Tokens, choice.Target), s.Boxes())
 	}
-	return best, least
 }
 
 // saveTokens is the smallest part that is worth a place in a store. Even short
@@ -118,17 +76,17 @@
 
 // planSave chooses stores for the parts that will be read and that no store
 // keeps.
-func (c *Chooser) planSave(now time.Time, ask Ask, choice *Choice) {
-	for i := range len(ask.Parts) - 1 {
-		if ask.Parts[i].Tokens < saveTokens {
+func (s *search) planSave(choice *Choice) {
+	for i := range s.ask.last() {
+		if s.ask.Parts[i].Tokens < saveTokens {
 			continue
 		}
-		store := c.room(now, choice.Keys[i], ask.Parts[i].Tokens)
+		store := s.room(s.now, choice.Keys[i], s.ask.Parts[i].Tokens)
 		if store == nil {
 			continue
 		}
 		if choice.Save == nil {
-			choice.Save = make([]*Source, len(ask.Parts))
+			choice.Save = make([]*Source, len(s.ask.Parts))
 		}
 		choice.Save[i] = store
 	}
