feat(peer): calls share a connection; hubs are asked again; replaced targets stay away

Ruled out: event calls that name the replica expected: the replicas ignore it (a trial); the epoch of an engine changes when it restarts and never when it loads weights (both seen in a trial). Change: peer.link numbers calls, so that they are answered in any order; a call that was given up leaves the connection to the others, silence for 1 s ends it. Another hub is asked before a box places alone; a hub that has not heard of most sources does not place for others. A target whose epoch changed, or whose address answers for another ID, is remembered as replaced, and boxes tell each other. Package shares sums up what boxes tell once, not at each placing. Errors of peers say their cause. Tests: peer TestCallsDoNotWait and others (the old code waits for ever), entry TestPlaceByHub (its cases 'leaving' and 'does not answer' now go by the second hub, as built; five more), TestReplaced, TestHubCounts through a hub that heard its sources; fleet TestReplace; shares; directory TestHeard.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -46,8 +46,8 @@
 	expected map[Key]promise
 	// tokens sums up kept and expected, in whole blocks.
 	tokens int
-	// silent is set while the source can't be heard.
-	silent bool
+	// silent is set while the source can't be heard, begun once it was heard.
+	silent, begun bool
 }
 
 // promise is a part that is on its way, and until when that counts.
@@ -75,13 +75,16 @@
 }
 
 // Begin notes that a source is heard, in the epoch given. What it kept in
-// another epoch is gone.
-func (d *Directory) Begin(name string, epoch uint64) {
+// another epoch is gone; Begin says whether there was another one.
+func (d *Directory) Begin(name string, epoch uint64) bool {
 	s := d.of(name)
 	s.silent = false
+	restarted := s.begun && s.epoch != epoch
 	if s.epoch != epoch {
 		*s = source{epoch: epoch, kept: make(map[Key]int), expected: make(map[Key]promise)}
 	}
+	s.begun = true
+	return restarted
 }
 
 // Clear drops what a source keeps, before all of it is told anew.
@@ -97,6 +100,12 @@
 // is heard in the same epoch.
 func (d *Directory) Silence(name string) { d.of(name).silent = true }
 
+// Heard says whether a source can be heard.
+func (d *Directory) Heard(name string) bool {
+	s := d.sources[name]
+	return s != nil && s.begun && !s.silent
+}
+
 // Forget drops a source.
 func (d *Directory) Forget(name string) { delete(d.sources, name) }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -77,3 +77,26 @@
 		t.Errorf("Tokens of an unknown source = %d", got)
 	}
 }
+
+func TestHeard(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(d *directory.Directory)
+		want   bool
+	}{
+		{"never", func(*directory.Directory) {}, false},
+		{"something was sent there", func(d *directory.Directory) { d.Expect("e", 1, 5, time.Unix(9, 0)) }, false},
+		{"heard", func(d *directory.Directory) { d.Begin("e", 0) }, true},
+		{"silent since", func(d *directory.Directory) { d.Begin("e", 0); d.Silence("e") }, false},
+		{"gone", func(d *directory.Directory) { d.Begin("e", 0); d.Forget("e") }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := directory.New()
+			tt.change(d)
+			if got := d.Heard("e"); got != tt.want {
+				t.Errorf("Heard = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/entry/build.go
+++ b/entry/build.go
@@ -80,7 +80,7 @@
 		Stores:    func() []*affinity.Source { return d.tables.stores },
 		Token:     func() time.Duration { return d.tables.engineToken },
 		Boxes:     d.tables.boxes,
-		Load:      func(x *fleet.Target) (int, int) { return d.load(d.now(), &d.tables, x) },
+		Load:      func(x *fleet.Target) (int, int) { return d.load(&d.tables, x) },
 	}
 	d.budget = retry.Budget{
 		Share: d.bounds.Load().RetryShare * retryUse,
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -23,6 +23,9 @@
 	gossipFor = 300 * time.Millisecond
 	// gossipAgain is the pause after a call that failed.
 	gossipAgain = time.Second
+	// tellFor is how long boxes tell each other of a target that was replaced:
+	// some rounds, as calls fail.
+	tellFor = 2 * time.Second
 	// heardFor is how long another box's shares count.
 	heardFor = time.Second
 )
@@ -53,6 +56,7 @@
 // whose names come behind its own, so that each pair talks once; other boxes
 // call their hub.
 func (d *Daemon) gossip(now time.Time, t *tables) []effect {
+	t.others.Expire(now.Add(-heardFor))
 	if now.Before(t.due.gossip) || d.credential.Load() == nil {
 		return nil
 	}
@@ -67,7 +71,7 @@
 			continue
 		}
 		m.calling = true
-		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t)}}
+		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(t), Replaced: t.replacedLately(now)}}
 		if t.hub == name {
 			call.m.List = t.hubList
 		}
@@ -113,33 +117,21 @@
 
 // told is what this box tells of: its own requests, and in a large fleet those
 // of the boxes that tell it.
-func (d *Daemon) told(now time.Time, t *tables) []peer.Share {
-	own := shares(t)
+func (d *Daemon) told(t *tables) []peer.Share {
+	own := ownShares(t)
 	if !t.large() || d.spoke.Load() {
 		return own
 	}
-	sum := make(map[uint64]peer.Share, len(own))
-	add := func(s peer.Share) {
+	sum := t.others.Without(t.hubs())
+	for _, s := range own {
 		all := sum[s.Target]
 		sum[s.Target] = peer.Share{Target: s.Target, Tokens: all.Tokens + s.Tokens, Unread: all.Unread + s.Unread}
 	}
-	for _, s := range own {
-		add(s)
-	}
-	hubs := t.hubs()
-	for name, m := range t.members {
-		if now.Sub(m.heard) > heardFor || slices.Contains(hubs, name) {
-			continue
-		}
-		for _, s := range m.shares {
-			add(s)
-		}
-	}
 	return slices.Collect(maps.Values(sum))
 }
 
-// shares lists what this box's requests take up.
-func shares(t *tables) []peer.Share {
+// ownShares lists what this box's requests take up.
+func ownShares(t *tables) []peer.Share {
 	var list []peer.Share
 	for _, id := range t.fleet.All() {
 		x := t.fleet.Target(id)
@@ -183,9 +175,11 @@
 			answer.Body = *raw
 		}
 	default:
+		d.hearReplaced(now, t, m)
+		answer.Replaced = t.replacedLately(now)
 		t.heard(now, m.From, m.Shares)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
-			answer.Shares = d.told(now, t)
+			answer.Shares = d.told(t)
 			break
 		}
 		t.askedAsHub = now
@@ -209,6 +203,7 @@
 		x.retry = now.Add(gossipAgain)
 		return nil
 	}
+	d.hearReplaced(now, t, m.m)
 	if d.spoke.Load() {
 		return d.viewRead(now, t, m.name, m.asked, m.m.View)
 	}
@@ -216,35 +211,30 @@
 	return nil
 }
 
+// replacedLately lists the targets that were found replaced so lately that other
+// boxes may not know.
+func (t *tables) replacedLately(now time.Time) []string { return t.fleet.Replaced(now.Add(-tellFor)) }
+
+// hearReplaced takes over which targets another box found replaced.
+func (d *Daemon) hearReplaced(now time.Time, t *tables, m peer.Message) {
+	for _, id := range m.Replaced {
+		d.replaced(now, t, id, m.From)
+	}
+}
+
 // heard takes over what another box's requests take up.
 func (t *tables) heard(now time.Time, name string, list []peer.Share) {
-	x := t.members[name]
-	if x == nil {
-		return
-	}
-	x.heard = now
-	x.shares = make(map[uint64]peer.Share, len(list))
-	for _, s := range list {
-		x.shares[s.Target] = s
+	if t.members[name] != nil {
+		t.others.Set(now, name, list)
 	}
 }
 
 // load is what all boxes' requests take up at a target. A box that hears no
 // other takes them to use as much as itself.
-func (d *Daemon) load(now time.Time, t *tables, x *fleet.Target) (tokens, unread int) {
-	tokens, unread = x.Tokens, x.Unread
-	known, hash := 1, placement.Hash(x.ID)
-	for name, m := range t.members {
-		if name == d.Settings.Name || now.Sub(m.heard) > heardFor {
-			continue
-		}
-		s := m.shares[hash]
-		tokens += s.Tokens
-		unread += s.Unread
-		known++
-	}
-	if known > 1 {
-		return tokens, unread
+func (d *Daemon) load(t *tables, x *fleet.Target) (tokens, unread int) {
+	if t.others.Boxes() == 0 {
+		return x.Tokens * t.boxes(), x.Unread * t.boxes()
 	}
-	return tokens * t.boxes(), unread * t.boxes()
+	tokens, unread = t.others.Of(placement.Hash(x.ID))
+	return tokens + x.Tokens, unread + x.Unread
 }
--- a/entry/hub.go
+++ b/entry/hub.go
@@ -76,10 +76,14 @@
 	return slices.Contains(first[:min(standbys, len(first))], d.Settings.Name)
 }
 
-// myHub returns the box to ask, or an empty name if none answers.
-func (d *Daemon) myHub(now time.Time, t *tables) string {
+// myHub returns the box to ask, or an empty name if none answers. Those given
+// are passed over.
+func (d *Daemon) myHub(now time.Time, t *tables, except ...string) string {
 	for _, name := range t.hubOrder(d.Settings.Domain) {
-		if m := t.members[name]; name != d.Settings.Name && !now.Before(m.retry) {
+		if name == d.Settings.Name || slices.Contains(except, name) {
+			continue
+		}
+		if !now.Before(t.members[name].retry) {
 			return name
 		}
 	}
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
 )
 
@@ -199,53 +201,77 @@
 	}
 }
 
-// TestPlaceByHub passes a request through a hub's decision and back.
-func TestPlaceByHub(t *testing.T) {
-	entries := []fleet.Entry{engine("a", 1), engine("b", 1)}
-	ready := func(name string) *Daemon {
-		d := largeFleet(name)
-		d.now = func() time.Time { return start }
-		d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
-		d.update(start, targetsRead{start, Targets{Whole: true, Listed: entries}, false})
-		return d
+// listed is a daemon of a large fleet that knows of two engines and, if it is a
+// hub, heard of what they keep.
+func listed(name string) *Daemon {
+	d := largeFleet(name)
+	d.now = func() time.Time { return start }
+	d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1), engine("b", 1)}}, false})
+	for source := range d.tables.followed {
+		d.update(start, newsRead{source: source})
 	}
+	return d
+}
+
+// TestPlaceByHub passes a request through a hub's decision and back. The first
+// hub asked is box-00, the next one box-01.
+func TestPlaceByHub(t *testing.T) {
+	silent := errors.New("no answer")
 	tests := []struct {
 		name   string
-		change func(hub, spoke *Daemon)
-		fails  bool
-		code   string
-		remote bool
+		change func(hub, next, spoke *Daemon)
+		// fails is what each hub's call comes to.
+		fails [2]error
+		code  string
+		// asks is how many hubs are asked, rule the beginning of the place's.
+		asks int
+		rule string
 	}{
-		{"placed", func(*Daemon, *Daemon) {}, false, "", true},
-		{"refused by the hub", func(hub, _ *Daemon) {
+		{"placed", func(_, _, _ *Daemon) {}, [2]error{}, "", 1, "hub, "},
+		{"refused by the hub", func(hub, _, _ *Daemon) {
 			for _, id := range []string{"a", "b"} {
 				hub.tables.fleet.Target(id).Tokens = 200000
 			}
-		}, false, "crowded", true},
-		{"the hub's engine is leaving, as this box knows", func(_, spoke *Daemon) {
+		}, [2]error{}, "crowded", 1, ""},
+		{"the hub's engine is leaving, as this box knows", func(hub, _, spoke *Daemon) {
+			hub.update(start, targetsRead{start, Targets{Gone: []string{"b"}}, false})
+			spoke.tables.fleet.Target("a").Leaving = true
+		}, [2]error{}, "", 2, "hub, "},
+		{"all engines are leaving, as this box knows", func(_, _, spoke *Daemon) {
 			spoke.tables.fleet.Target("a").Leaving, spoke.tables.fleet.Target("b").Leaving = true, true
-		}, false, "no_target", false},
-		{"the hub does not answer: placed alone", func(*Daemon, *Daemon) {}, true, "", false},
+		}, [2]error{}, "no_target", 2, ""},
+		{"the hub has no configuration", func(hub, _, _ *Daemon) { hub.current.Store(nil) }, [2]error{}, "", 2, "hub, "},
+		{"the hub has not heard of kept parts", func(hub, _, _ *Daemon) {
+			hub.tables.directory.Silence("a")
+			hub.tables.directory.Silence("b")
+		}, [2]error{}, "", 2, "hub, "},
+		{"the hub does not answer", func(_, _, _ *Daemon) {}, [2]error{silent}, "", 2, "hub, "},
+		{"no hub answers: placed alone", func(_, _, _ *Daemon) {}, [2]error{silent, silent}, "", 2, "home"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			hub, spoke := ready("box-00"), ready("box-05")
-			tt.change(hub, spoke)
+			hubs := map[string]*Daemon{"box-00": listed("box-00"), "box-01": listed("box-01")}
+			spoke := listed("box-05")
+			tt.change(hubs["box-00"], hubs["box-01"], spoke)
 			reply := make(chan placeAnswer, 1)
-			effects := spoke.update(start, placeAsked{deliver.Ask{Job: job("long", 1000)}, reply})
-			if len(effects) != 1 {
-				t.Fatalf("effects %v", effects)
-			}
-			asked := effects[0].(askHub)
-			answer := hubPlaced{hub: asked.hub, m: asked.m, err: errors.New("no answer")}
-			if !tt.fails {
-				said := hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &asked.ask})
-				answer.placed, answer.err = said.Placed, nil
+			effects := spoke.update(start, placeAsked{ask: deliver.Ask{Job: job("long", 1000)}, reply: reply})
+			asks := 0
+			for ; len(effects) == 1; asks++ {
+				asked := effects[0].(askHub)
+				hub := hubs[asked.hub]
+				answer := hubPlaced{hub: asked.hub, m: asked.m, err: tt.fails[asks]}
+				if answer.err == nil {
+					answer.placed = hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &asked.ask}).Placed
+				}
+				effects = spoke.update(start, answer)
 			}
-			spoke.update(start, answer)
 			got := <-reply
-			if (got.err != nil) != (tt.code != "") {
-				t.Fatalf("got %+v, want refusal %q", got, tt.code)
+			if asks != tt.asks || (got.err != nil) != (tt.code != "") || !strings.HasPrefix(got.place.Rule, tt.rule) {
+				t.Fatalf("got %+v after %d asks, want refusal %q, rule %q after %d", got, asks, tt.code, tt.rule, tt.asks)
+			}
+			if refused := new(refusal.Refusal); errors.As(got.err, &refused) && refused.Code != tt.code {
+				t.Errorf("refused for %q, want %q", refused.Code, tt.code)
 			}
 			if tt.code == "" {
 				x := spoke.tables.fleet.Target(got.place.Target)
@@ -253,9 +279,6 @@
 					t.Errorf("place %+v, counted %+v", got.place, x)
 				}
 			}
-			if remote := got.err == nil && len(got.place.Rule) > 3 && got.place.Rule[:3] == "hub"; got.err == nil && remote != tt.remote {
-				t.Errorf("rule %q", got.place.Rule)
-			}
 		})
 	}
 }
@@ -263,11 +286,10 @@
 // TestHubCounts shows that a hub counts what it placed for others before they
 // tell, and what they tell once.
 func TestHubCounts(t *testing.T) {
-	hub := largeFleet("box-00")
-	hub.update(start, operatorRead{start, Operator{Table: configuration(1)}})
-	hub.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+	hub := listed("box-00")
+	hub.update(start, targetsRead{start, Targets{Gone: []string{"b"}}, false})
 	tokens := func() int {
-		n, _ := hub.load(start, &hub.tables, hub.tables.fleet.Target("a"))
+		n, _ := hub.load(&hub.tables, hub.tables.fleet.Target("a"))
 		return n
 	}
 	gossip := func(tokens int) {
--- a/entry/message.go
+++ b/entry/message.go
@@ -14,6 +14,8 @@
 type placeAsked struct {
 	ask   deliver.Ask
 	reply chan<- placeAnswer
+	// asked are the hubs that were asked before.
+	asked []string
 }
 
 // placeAnswer is a place or the refusal.
--- a/entry/order.go
+++ b/entry/order.go
@@ -83,8 +83,7 @@
 		}
 		d.Log.Info("target has other weights", "target", x.ID, "request", m.Job.ID, "thought", before, "told", m.Version)
 	case deliver.Elsewhere:
-		d.Log.Warn("another replica has the target's address", "target", x.ID, "at", x.Address, "request", m.Job.ID)
-		d.drop(t, x.ID)
+		d.replaced(now, t, x.ID, "request "+m.Job.ID)
 	case deliver.DidNotRun:
 		if w := t.model(model); w.wanted > x.Versions[model] {
 			x.LoadingUntil = now.Add(loadShy)
--- a/entry/place.go
+++ b/entry/place.go
@@ -31,7 +31,7 @@
 func (d *Daemon) askPlace(ctx context.Context, ask deliver.Ask) (deliver.Place, error) {
 	reply := make(chan placeAnswer, 1)
 	select {
-	case d.messages <- placeAsked{ask, reply}:
+	case d.messages <- placeAsked{ask: ask, reply: reply}:
 	case <-ctx.Done():
 		return deliver.Place{}, d.timeUp()
 	}
@@ -109,11 +109,11 @@
 }
 
 // share is the part of an engine's memory that is taken up with the request.
-func (d *Daemon) share(now time.Time, t *tables, x *fleet.Target, ask affinity.Ask) float64 {
+func (d *Daemon) share(t *tables, x *fleet.Target, ask affinity.Ask) float64 {
 	if ask.Capacity <= 0 {
 		return 0
 	}
-	running, _ := d.load(now, t, x)
+	running, _ := d.load(t, x)
 	return float64(running+ask.Tokens) / float64(ask.Capacity)
 }
 
@@ -145,7 +145,7 @@
 	if !ok {
 		return deliver.Place{}, refuseNone(job)
 	}
-	if share := d.share(now, t, choice.Target, question); share > fill {
+	if share := d.share(t, choice.Target, question); share > fill {
 		return deliver.Place{}, refusal.New(refusal.DidNotRun, 503, "crowded", "the engines' memory is taken up: %.2f at the best of them", share)
 	}
 	place := deliver.Place{
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
@@ -13,9 +14,18 @@
 	"github.com/thymewind/thymewind/routing"
 )
 
-// placeFor is how long a hub may take to place a request; it needs a
-// millisecond. After that this box places it alone.
-const placeFor = 80 * time.Millisecond
+const (
+	// placeFor is how long a hub may take to place a request; it needs a
+	// millisecond, and weak boxes some ten to read the answer.
+	placeFor = 100 * time.Millisecond
+	// hubAsks is how many hubs are asked to place a request before this box
+	// does so alone. Alone it knows of no kept part, so the whole prompt is read:
+	// a prompt of 12,000 tokens then costs more than it earns.
+	hubAsks = 2
+	// warmShare is the share of the sources of kept parts that a hub has heard
+	// of before it places requests for others.
+	warmShare = 0.8
+)
 
 // askHub asks a hub for a place.
 type askHub struct {
@@ -35,10 +45,10 @@
 
 // placeRemotely hands a model request to the hub, if this box has one.
 func (d *Daemon) placeRemotely(now time.Time, t *tables, m placeAsked) ([]effect, bool) {
-	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() {
+	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() || len(m.asked) >= hubAsks {
 		return nil, false
 	}
-	hub := d.myHub(now, t)
+	hub := d.myHub(now, t, m.asked...)
 	if hub == "" {
 		return nil, false
 	}
@@ -62,20 +72,26 @@
 	return hubPlaced{e.hub, e.m, answer.Placed, err}
 }
 
-// hubPlaced passes the hub's place on, if this box knows nothing against it,
-// or places the request alone.
-func (d *Daemon) hubPlaced(now time.Time, t *tables, m hubPlaced) {
+// hubPlaced passes the hub's place on, if this box knows nothing against it.
+// Otherwise another hub is asked, or this box places the request alone.
+func (d *Daemon) hubPlaced(now time.Time, t *tables, m hubPlaced) []effect {
 	if m.err != nil || m.placed == nil {
 		d.hubFailed(now, t, m.hub, m.err)
 	} else {
 		t.members[m.hub].misses = 0
 		if answer, ok := d.accept(now, t, m.m.ask.Job, m.placed); ok {
 			m.m.reply <- answer
-			return
+			return nil
 		}
+		m.m.ask.Tried = append(slices.Clone(m.m.ask.Tried), m.placed.Target)
+	}
+	m.m.asked = append(m.m.asked, m.hub)
+	if effects, remote := d.placeRemotely(now, t, m.m); remote {
+		return effects
 	}
 	place, err := d.place(now, t, m.m.ask)
 	m.m.reply <- placeAnswer{place, err}
+	return nil
 }
 
 func (d *Daemon) hubFailed(now time.Time, t *tables, hub string, err error) {
@@ -135,12 +151,13 @@
 	return out
 }
 
-// placeForPeer places another box's request, by all that this box knows.
+// placeForPeer places another box's request, by all that this box knows. It
+// returns nil if that is too little.
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
 	t.askedAsHub = now
 	table := d.current.Load()
-	if table == nil || table.Pools[m.Ask.Pool] == nil {
-		return &peer.Placed{Refused: "no_configuration", Reason: "the hub has no such pool"}
+	if table == nil || table.Pools[m.Ask.Pool] == nil || !t.warm() {
+		return nil
 	}
 	job := &deliver.Job{
 		Call: &deliver.Call{ID: m.Ask.Request, Model: m.Ask.Model, Input: m.Ask.Tokens},
@@ -164,17 +181,19 @@
 	}
 }
 
+// warm says that most sources of kept parts were heard of.
+func (t *tables) warm() bool {
+	heard := 0
+	for name := range t.followed {
+		if t.directory.Heard(name) {
+			heard++
+		}
+	}
+	return float64(heard) >= warmShare*float64(len(t.followed)) && heard > 0
+}
+
 // charge counts a request that was just placed for another box, until that box
 // tells of it itself.
 func (t *tables) charge(box string, place deliver.Place) {
-	m := t.members[box]
-	if m == nil || m.shares == nil {
-		return
-	}
-	hash := placement.Hash(place.Target)
-	s := m.shares[hash]
-	s.Target = hash
-	s.Tokens += place.Tokens
-	s.Unread += place.Unread
-	m.shares[hash] = s
+	t.others.Add(box, peer.Share{Target: placement.Hash(place.Target), Tokens: place.Tokens, Unread: place.Unread})
 }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -37,10 +38,15 @@
 	// Report asks an engine for its own state, Order tells it to load weights.
 	Report func(ctx context.Context, at netip.AddrPort) (Report, error)
 	Order  func(ctx context.Context, at netip.AddrPort, o rollout.Order) error
-	// Healthy asks whether this very replica says that it is well.
+	// Healthy asks whether this very replica says that it is well. It fails with
+	// ErrReplaced if another one answers.
 	Healthy func(ctx context.Context, at netip.AddrPort, path, id string) error
 }
 
+// ErrReplaced says that the address called belongs to another replica than the
+// one meant, which is gone for good.
+var ErrReplaced = errors.New("another replica has the address")
+
 // Operator is what the operator wrote.
 type Operator struct {
 	// Table is nil if the configuration did not change or can't be used;
@@ -74,7 +80,8 @@
 
 // News is what a source says of the prompt parts that it keeps.
 type News struct {
-	// Epoch changes when the source loses everything.
+	// Epoch changes when the source restarts and so loses everything. An engine
+	// that restarts has another ID.
 	Epoch uint64
 	// Next is where the next call goes on.
 	Next uint64
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -12,6 +12,10 @@
 // system runs over the tables each tick and returns effects.
 type system func(now time.Time, t *tables) []effect
 
+// replacedFor is how long targets that were replaced are remembered. Their
+// entries go after some seconds, or when the table service is back.
+const replacedFor = 5 * time.Minute
+
 // sweep forgets what is over: connections, expectations, lapsed entries.
 func (d *Daemon) sweep(now time.Time, t *tables) []effect {
 	for _, id := range t.fleet.Lapsed(now) {
@@ -23,6 +27,7 @@
 	}
 	t.due.sweep = now.Add(time.Second)
 	t.directory.Expire(now)
+	t.fleet.Expire(now.Add(-replacedFor))
 	d.Sweep(now)
 	d.countTables(t)
 	return d.follow(t)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -9,7 +9,7 @@
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
-	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/shares"
 )
 
 // tables are what the loop owns. Only the loop touches them.
@@ -28,6 +28,9 @@
 	clock time.Duration
 	// timed says that clock was told.
 	timed bool
+	// others is what other boxes' requests take up, by the hash of the target's
+	// ID.
+	others *shares.Sum
 	// members are the boxes that ever wrote their row, this one included.
 	members map[string]*member
 	// storeAway says that the table service does not answer.
@@ -97,9 +100,6 @@
 	// domain, share and megabits are the box's, by which hubs are ranked.
 	domain          string
 	share, megabits float64
-	// heard is when its shares came, by the hash of the target's ID.
-	heard  time.Time
-	shares map[uint64]peer.Share
 	// calling says that a call is under way, failed that the last one failed.
 	calling, failed bool
 	// misses counts places in a row that it was asked for in vain.
@@ -110,7 +110,7 @@
 
 func newTables() tables {
 	return tables{
-		fleet: fleet.New(), directory: directory.New(), followed: make(map[string]context.CancelFunc),
+		fleet: fleet.New(), directory: directory.New(), others: shares.New(), followed: make(map[string]context.CancelFunc),
 		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool),
 	}
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -40,7 +41,7 @@
 		t.doubtList(now)
 		d.Log.Info("table service back", "configuration", d.version())
 	case newsRead:
-		d.newsRead(now, t, m)
+		return d.newsRead(now, t, m)
 	case leaseStepped:
 		d.leaseStepped(now, t, m)
 	case announced:
@@ -50,7 +51,7 @@
 	case orderEnded:
 		d.orderEnded(now, t, m)
 	case hubPlaced:
-		d.hubPlaced(now, t, m)
+		return d.hubPlaced(now, t, m)
 	case configurationFromHub:
 		return d.configurationFromHub(now, t, m)
 	case peerCalled:
@@ -121,6 +122,7 @@
 	wasLeaving := before != nil && before.Leaving
 	x, fresh := t.fleet.List(e)
 	switch {
+	case x == nil: // Its address is another replica's by now.
 	case fresh:
 		d.Log.Info("target in", "target", e.ID, "pool", e.Pool, "at", e.Address, "domain", e.Domain, "leaving", e.Leaving)
 	case x.Leaving && !wasLeaving:
@@ -164,7 +166,7 @@
 }
 
 // newsRead takes over what a source says of its kept parts.
-func (d *Daemon) newsRead(now time.Time, t *tables, m newsRead) {
+func (d *Daemon) newsRead(now time.Time, t *tables, m newsRead) []effect {
 	x := t.fleet.Target(m.source)
 	if m.err != nil {
 		t.directory.Silence(m.source)
@@ -174,7 +176,14 @@
 			}
 			x.Fail(now)
 		}
-		return
+		return nil
+	}
+	restarted := t.directory.Begin(m.source, m.news.Epoch)
+	if restarted && x != nil {
+		return d.replaced(now, t, m.source, "its news")
+	}
+	if restarted {
+		d.Log.Warn("store restarted and lost what it kept", "store", m.source, "epoch", m.news.Epoch)
 	}
 	if x != nil {
 		x.Heard(now)
@@ -182,7 +191,6 @@
 	if m.news.Clock > 0 {
 		t.clock, t.timed = m.news.Clock-d.uptime(now), true
 	}
-	t.directory.Begin(m.source, m.news.Epoch)
 	if m.listed {
 		t.directory.Clear(m.source)
 	}
@@ -194,6 +202,18 @@
 		}
 		t.directory.Remove(m.source, key)
 	}
+	return nil
+}
+
+// replaced forgets a target for good, as another replica has its address.
+func (d *Daemon) replaced(now time.Time, t *tables, id, from string) []effect {
+	if !t.fleet.Replace(now, id) {
+		return nil
+	}
+	d.Log.Warn("another replica has the target's address", "target", id, "told_by", from)
+	t.directory.Forget(id)
+	t.changed()
+	return d.follow(t)
 }
 
 // sendingEnded learns from how a sending went.
@@ -220,6 +240,10 @@
 	if x == nil {
 		return
 	}
+	if errors.Is(m.err, ErrReplaced) {
+		d.replaced(now, t, m.target, "its health")
+		return
+	}
 	if m.err != nil {
 		x.Fail(now)
 		return
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -461,3 +461,40 @@
 		t.Error("a source that restarted still counts")
 	}
 }
+
+// TestReplaced finds out in each way that another replica has a target's
+// address. The target is gone for good, and other boxes hear of it.
+func TestReplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		m    message
+		gone bool
+	}{
+		{"its epoch changed", newsRead{source: "a", news: News{Epoch: 2}}, true},
+		{"its epoch is as before", newsRead{source: "a", news: News{Epoch: 1}}, false},
+		{"another one answers for its health", probed{"a", ErrReplaced}, true},
+		{"its health is bad", probed{"a", errors.New("503")}, false},
+		{"another box tells", peerCalled{name: "b2", m: peer.Message{Replaced: []string{"a"}}}, true},
+		{"a request was refused by another one", sendingEnded{deliver.Ended{
+			Place: deliver.Place{Target: "a"}, Job: job("long", 10), Verdict: deliver.Elsewhere,
+		}}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.tables.members["b2"] = &member{}
+			list := targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false}
+			d.update(start, list)
+			d.update(start, newsRead{source: "a", news: News{Epoch: 1}})
+			d.update(start, tt.m)
+			d.update(start, list)
+			if gone := d.tables.fleet.Target("a") == nil; gone != tt.gone {
+				t.Errorf("gone %v", gone)
+			}
+			told := d.peerAsks(start, &d.tables, peer.Message{Kind: peer.KindGossip, From: "b2"}).Replaced
+			if (len(told) == 1) != tt.gone {
+				t.Errorf("told %v", told)
+			}
+		})
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,15 +37,23 @@
 	// pools holds the targets of each pool by ID, so that every box walks them
 	// in the same order.
 	pools map[string][]*Target
+	// replaced holds IDs whose address another replica has, and since when that
+	// is known. An ID is never used again, but its entry may stand in the list
+	// for some more seconds.
+	replaced map[string]time.Time
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{byID: make(map[string]*Target), pools: make(map[string][]*Target)}
+	return &Fleet{byID: make(map[string]*Target), pools: make(map[string][]*Target), replaced: make(map[string]time.Time)}
 }
 
-// List takes an entry over and returns its target, and whether it is new.
+// List takes an entry over and returns its target, and whether it is new. The
+// target is nil if it is known to be replaced.
 func (f *Fleet) List(e Entry) (*Target, bool) {
+	if _, over := f.replaced[e.ID]; over {
+		return nil, false
+	}
 	t, known := f.byID[e.ID]
 	if !known {
 		t = &Target{ID: e.ID, Pool: e.Pool, Versions: make(map[string]int64)}
@@ -88,6 +96,34 @@
 	}
 }
 
+// Replace notes that another replica has a target's address, and forgets the
+// target for good. It says whether that is news.
+func (f *Fleet) Replace(now time.Time, id string) bool {
+	if _, known := f.replaced[id]; known {
+		return false
+	}
+	f.replaced[id] = now
+	f.Drop(id)
+	return true
+}
+
+// Replaced returns the IDs that were found replaced since a time, in order.
+func (f *Fleet) Replaced(since time.Time) []string {
+	var ids []string
+	for id, at := range f.replaced {
+		if at.After(since) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Expire forgets which targets were replaced before a time.
+func (f *Fleet) Expire(before time.Time) {
+	maps.DeleteFunc(f.replaced, func(_ string, at time.Time) bool { return at.Before(before) })
+}
+
 // Target returns a target by its ID, or nil.
 func (f *Fleet) Target(id string) *Target { return f.byID[id] }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -125,3 +126,26 @@
 		t.Errorf("left over: %+v", x)
 	}
 }
+
+// TestReplace shows that a target whose address another replica has stays away,
+// whatever the list says.
+func TestReplace(t *testing.T) {
+	f := fleet.New()
+	f.List(fleet.Entry{ID: "a", Pool: "p"})
+	if !f.Replace(start, "a") || f.Replace(start.Add(time.Second), "a") {
+		t.Error("news only once")
+	}
+	if x, fresh := f.List(fleet.Entry{ID: "a", Pool: "p"}); x != nil || fresh || len(f.Pool("p")) != 0 {
+		t.Errorf("listed again: %+v", x)
+	}
+	if got := f.Replaced(start.Add(-time.Second)); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("replaced %v", got)
+	}
+	if got := f.Replaced(start); len(got) != 0 {
+		t.Errorf("replaced since then %v", got)
+	}
+	f.Expire(start.Add(time.Second))
+	if x, fresh := f.List(fleet.Entry{ID: "a", Pool: "p"}); x == nil || !fresh {
+		t.Error("remembered for ever")
+	}
+}
--- /dev/null
+++ b/peer/link_test.go
@@ -0,0 +1,172 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/peer"
+)
+
+// slow answers messages about "slow" when released, others at once.
+type slow struct {
+	peer.Node
+	release chan struct{}
+	// dialled counts the connections that came.
+	dialled atomic.Int64
+	at      netip.AddrPort
+}
+
+func startSlow(t *testing.T) *slow {
+	t.Helper()
+	s := &slow{release: make(chan struct{})}
+	s.Node = peer.Node{
+		Credential: "secret",
+		Sent:       func(int) {}, Received: func(int) {},
+		Handle: func(_ context.Context, m peer.Message) peer.Message {
+			if m.Statement == "slow" {
+				<-s.release
+			}
+			return peer.Message{Kind: m.Kind, Statement: "answer to " + m.Statement}
+		},
+	}
+	server := httptest.NewUnstartedServer(s.Handler())
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.dialled.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	s.at = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return s
+}
+
+func caller(t *testing.T) *peer.Node {
+	t.Helper()
+	n := node("secret")
+	t.Cleanup(n.Close)
+	return n
+}
+
+// TestCallsDoNotWait has a call answered while an earlier one is not.
+func TestCallsDoNotWait(t *testing.T) {
+	s, n := startSlow(t), caller(t)
+	held := make(chan error, 1)
+	go func() {
+		answer, err := n.Call(context.Background(), s.at, peer.Message{Statement: "slow"})
+		if err == nil && answer.Statement != "answer to slow" {
+			t.Errorf("answer %q", answer.Statement)
+		}
+		held <- err
+	}()
+	for range 3 {
+		answer, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"})
+		if err != nil || answer.Statement != "answer to quick" {
+			t.Fatalf("answer %q, %v", answer.Statement, err)
+		}
+	}
+	close(s.release)
+	if err := <-held; err != nil {
+		t.Error(err)
+	}
+	if got := s.dialled.Load(); got != 1 {
+		t.Errorf("%d connections", got)
+	}
+}
+
+// TestGivenUpCall shows that a call that was given up leaves the connection to
+// the others, and that its late answer reaches none of them.
+func TestGivenUpCall(t *testing.T) {
+	s, n := startSlow(t), caller(t)
+	if _, err := n.Call(context.Background(), s.at, peer.Message{Statement: "first"}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if _, err := n.Call(ctx, s.at, peer.Message{Statement: "slow"}); err == nil {
+		t.Fatal("answered")
+	}
+	close(s.release)
+	for range 5 {
+		answer, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"})
+		if err != nil || answer.Statement != "answer to quick" {
+			t.Fatalf("answer %q, %v", answer.Statement, err)
+		}
+	}
+	if got := s.dialled.Load(); got != 1 {
+		t.Errorf("%d connections", got)
+	}
+}
+
+// TestManyCalls mixes up many calls on one connection.
+func TestManyCalls(t *testing.T) {
+	s, n := startSlow(t), caller(t)
+	var calls sync.WaitGroup
+	for i := range 200 {
+		calls.Go(func() {
+			statement := strings.Repeat("x", i)
+			answer, err := n.Call(context.Background(), s.at, peer.Message{Statement: statement})
+			if err != nil || answer.Statement != "answer to "+statement {
+				t.Errorf("answer %q, %v", answer.Statement, err)
+			}
+		})
+	}
+	calls.Wait()
+	if got := s.dialled.Load(); got != 1 {
+		t.Errorf("%d connections", got)
+	}
+}
+
+// TestConnectionLost ends calls at once when their connection does, and dials
+// again for the next.
+func TestConnectionLost(t *testing.T) {
+	s, n := startSlow(t), caller(t)
+	defer close(s.release)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := n.Call(context.Background(), s.at, peer.Message{Statement: "slow"})
+		failed <- err
+	}()
+	for {
+		if _, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"}); err == nil {
+			break
+		}
+	}
+	n.Close()
+	if err := <-failed; err == nil {
+		t.Error("answered")
+	}
+	if _, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"}); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSilentPeer gives a connection up on which nothing comes for long, and
+// keeps one that had no calls.
+func TestSilentPeer(t *testing.T) {
+	s, n := startSlow(t), caller(t)
+	defer close(s.release)
+	give := func(patience time.Duration) {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if _, err := n.Call(ctx, s.at, peer.Message{Statement: "slow"}); err == nil {
+			t.Error("answered")
+		}
+	}
+	give(10 * time.Millisecond)
+	if _, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"}); err != nil || s.dialled.Load() != 1 {
+		t.Errorf("%v, %d connections", err, s.dialled.Load())
+	}
+	give(1100 * time.Millisecond)
+	if _, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"}); err != nil || s.dialled.Load() != 2 {
+		t.Errorf("%v, %d connections", err, s.dialled.Load())
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -16,6 +16,8 @@
 	Kind string `cbor:"1,keyasint"`
 	// From names the sending box.
 	From string `cbor:"2,keyasint"`
+	// Number is the call's on its connection; the answer has the same.
+	Number uint64 `cbor:"16,keyasint,omitempty"`
 	// Revision is the sender's configuration revision.
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 	// Loads are reports that the sender read itself or heard of lately.
@@ -35,6 +37,8 @@
 	// Ask and Placed are a request's placing by a hub.
 	Ask    *PlaceAsk `cbor:"14,keyasint,omitempty"`
 	Placed *Placed   `cbor:"15,keyasint,omitempty"`
+	// Replaced are targets whose address another replica was found to have.
+	Replaced []string `cbor:"17,keyasint,omitempty"`
 	// Statement is an operator's question.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is an answer in JSON, or a configuration.
--- a/peer/node.go
+++ b/peer/node.go
@@ -22,8 +22,12 @@
 // maxMessage bounds one message, in bytes. A whole configuration fits.
 const maxMessage = 32 << 20
 
-// idle is how long a link without calls is kept.
-const idle = 15 * time.Second
+const (
+	// idle is how long a link without calls is kept.
+	idle = 15 * time.Second
+	// atOnce bounds the messages of one peer that are answered at the same time.
+	atOnce = 64
+)
 
 // Node calls peers and answers them. Set the exported fields before first use;
 // it is safe for concurrent use after that.
@@ -45,13 +49,6 @@
 	links map[netip.AddrPort]*link
 }
 
-// link is one connection that this node dialled; it carries one call at a time.
-type link struct {
-	mu   sync.Mutex
-	conn *websocket.Conn
-	used time.Time
-}
-
 // Handler accepts peers that show the credential.
 func (n *Node) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -65,14 +62,50 @@
 		}
 		defer func() { _ = conn.CloseNow() }()
 		conn.SetReadLimit(maxMessage)
-		for {
-			if err := n.answer(r.Context(), conn); err != nil {
-				return
-			}
-		}
+		n.serve(r.Context(), conn)
 	})
 }
 
+// serve answers a peer's messages, each as soon as it can.
+func (n *Node) serve(ctx context.Context, conn *websocket.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	var answers sync.WaitGroup
+	defer answers.Wait()
+	defer cancel()
+	room := make(chan struct{}, atOnce)
+	for {
+		m, err := n.next(ctx, conn)
+		if err != nil {
+			return // The peer closed the connection, or will dial again.
+		}
+		room <- struct{}{}
+		answers.Go(func() {
+			defer func() { <-room }()
+			n.answer(ctx, conn, m)
+		})
+	}
+}
+
+// next reads a message; a connection without any is given up.
+func (n *Node) next(ctx context.Context, conn *websocket.Conn) (Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*idle)
+	defer cancel()
+	return n.read(ctx, conn)
+}
+
+// answer answers one message. A peer that can't be written to notices itself.
+func (n *Node) answer(ctx context.Context, conn *websocket.Conn, m Message) {
+	answer := n.Handle(ctx, m)
+	answer.Number = m.Number
+	data, err := cbor.Marshal(answer)
+	if err == nil {
+		err = n.send(conn, data)
+	}
+	if err != nil {
+		_ = conn.CloseNow()
+	}
+}
+
 func (n *Node) genuine(header string) bool {
 	got := sha256.Sum256([]byte(header))
 	want := sha256.Sum256([]byte("Bearer " + n.credential()))
@@ -86,47 +119,15 @@
 	return n.Credential
 }
 
-func (n *Node) answer(ctx context.Context, conn *websocket.Conn) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*idle)
-	defer cancel()
-	m, err := n.read(ctx, conn)
-	if err != nil {
-		return err
-	}
-	return n.write(ctx, conn, n.Handle(ctx, m))
-}
-
 // Call sends a message to the peer at an address and returns its answer.
 func (n *Node) Call(ctx context.Context, at netip.AddrPort, m Message) (Message, error) {
-	l := n.link(at)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn == nil {
-		header := http.Header{"Authorization": {"Bearer " + n.credential()}}
-		conn, _, err := websocket.Dial(ctx, n.Scheme+"://"+at.String()+"/peer", &websocket.DialOptions{HTTPClient: n.HTTP, HTTPHeader: header})
-		if err != nil {
-			return Message{}, trace.ConnectionProblem(err, "peer %v", at)
-		}
-		conn.SetReadLimit(maxMessage)
-		l.conn = conn
-	}
-	l.used = time.Now()
-	answer, err := n.exchange(ctx, l.conn, m)
+	answer, err := n.link(at).call(ctx, m)
 	if err != nil {
-		_ = l.conn.CloseNow()
-		l.conn = nil
-		return Message{}, trace.ConnectionProblem(err, "peer %v", at)
+		return Message{}, trace.Wrap(err, "peer %v", at)
 	}
 	return answer, nil
 }
 
-func (n *Node) exchange(ctx context.Context, conn *websocket.Conn, m Message) (Message, error) {
-	if err := n.write(ctx, conn, m); err != nil {
-		return Message{}, err
-	}
-	return n.read(ctx, conn)
-}
-
 func (n *Node) link(at netip.AddrPort) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -135,7 +136,7 @@
 	}
 	l, ok := n.links[at]
 	if !ok {
-		l = &link{}
+		l = &link{node: n, at: at}
 		n.links[at] = l
 	}
 	return l
@@ -146,17 +147,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for at, l := range n.links {
-		if !l.mu.TryLock() {
-			continue
-		}
-		if now.Sub(l.used) > idle {
-			if l.conn != nil {
-				_ = l.conn.CloseNow()
-			}
-			l.conn = nil
+		if l.close(now.Add(-idle)) {
 			delete(n.links, at)
 		}
-		l.mu.Unlock()
 	}
 }
 
@@ -176,11 +169,9 @@
 	return m, trace.Wrap(cbor.Unmarshal(data, &m))
 }
 
-func (n *Node) write(ctx context.Context, conn *websocket.Conn, m Message) error {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		return trace.Wrap(err)
-	}
+func (n *Node) send(conn *websocket.Conn, data []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeFor)
+	defer cancel()
 	n.Sent(len(data))
 	return conn.Write(ctx, websocket.MessageBinary, data)
 }
--- /dev/null
+++ b/shares/shares.go
@@ -0,0 +1,116 @@
+// Package shares adds up what the requests of other boxes take up at each
+// target, as those boxes tell it.
+//
+//	s := shares.New()
+//	s.Set(now, "box-2", told)   // in place of what box-2 told before
+//	tokens, unread := s.Of(target)
+//
+// It holds one entry for each box and target, and the sums, so that asking for
+// one target costs the same however many boxes there are.
+package shares
+
+import (
+	"maps"
+	"time"
+
+	"github.com/thymewind/thymewind/peer"
+)
+
+// Sum is not safe for concurrent use.
+type Sum struct {
+	boxes map[string]*box
+	// total is the sum over boxes, by target. It holds no empty share.
+	total map[uint64]peer.Share
+}
+
+// box is what one box told.
+type box struct {
+	heard  time.Time
+	shares map[uint64]peer.Share
+}
+
+// New returns an empty sum.
+func New() *Sum {
+	return &Sum{boxes: make(map[string]*box), total: make(map[uint64]peer.Share)}
+}
+
+// Set takes what a box told in place of what it told before.
+func (s *Sum) Set(now time.Time, name string, list []peer.Share) {
+	s.forget(name)
+	b := &box{heard: now, shares: make(map[uint64]peer.Share, len(list))}
+	s.boxes[name] = b
+	for _, share := range list {
+		s.add(b, share)
+	}
+}
+
+// Add counts something for a box that it will tell of itself. It changes nothing
+// for a box that was not heard of.
+func (s *Sum) Add(name string, share peer.Share) {
+	if b := s.boxes[name]; b != nil {
+		s.add(b, share)
+	}
+}
+
+func (s *Sum) add(b *box, share peer.Share) {
+	b.shares[share.Target] = plus(b.shares[share.Target], share, 1)
+	s.change(share, 1)
+}
+
+// change adds a share to the total, or takes it away if the sign is -1.
+func (s *Sum) change(share peer.Share, sign int) {
+	sum := plus(s.total[share.Target], share, sign)
+	if sum.Tokens == 0 && sum.Unread == 0 {
+		delete(s.total, share.Target)
+		return
+	}
+	s.total[share.Target] = sum
+}
+
+func plus(a, b peer.Share, sign int) peer.Share {
+	return peer.Share{Target: b.Target, Tokens: a.Tokens + sign*b.Tokens, Unread: a.Unread + sign*b.Unread}
+}
+
+// Expire forgets the boxes that were not heard since a time.
+func (s *Sum) Expire(since time.Time) {
+	for name, b := range s.boxes {
+		if b.heard.Before(since) {
+			s.forget(name)
+		}
+	}
+}
+
+func (s *Sum) forget(name string) {
+	b := s.boxes[name]
+	if b == nil {
+		return
+	}
+	delete(s.boxes, name)
+	for _, share := range b.shares {
+		s.change(share, -1)
+	}
+}
+
+// Boxes counts the boxes heard.
+func (s *Sum) Boxes() int { return len(s.boxes) }
+
+// Of returns what all boxes heard take up at a target.
+func (s *Sum) Of(target uint64) (tokens, unread int) {
+	share := s.total[target]
+	return share.Tokens, share.Unread
+}
+
+// Without returns what the boxes heard take up by target, but for some boxes.
+func (s *Sum) Without(names []string) map[uint64]peer.Share {
+	rest := maps.Clone(s.total)
+	for _, name := range names {
+		b := s.boxes[name]
+		if b == nil {
+			continue
+		}
+		for target, share := range b.shares {
+			rest[target] = plus(rest[target], share, -1)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/shares/shares_test.go
@@ -0,0 +1,99 @@
+package shares_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/shares"
+)
+
+var start = time.Unix(1000, 0)
+
+func share(target uint64, tokens, unread int) peer.Share {
+	return peer.Share{Target: target, Tokens: tokens, Unread: unread}
+}
+
+func TestOf(t *testing.T) {
+	tests := []struct {
+		name           string
+		change         func(s *shares.Sum)
+		tokens, unread int
+		boxes          int
+	}{
+		{"told", func(*shares.Sum) {}, 30, 3, 2},
+		{"told anew", func(s *shares.Sum) { s.Set(start, "a", []peer.Share{share(7, 5, 0)}) }, 25, 2, 2},
+		{"nothing any more", func(s *shares.Sum) { s.Set(start, "a", nil) }, 20, 2, 2},
+		{"counted ahead", func(s *shares.Sum) { s.Add("a", share(7, 100, 50)) }, 130, 53, 2},
+		{"counted ahead, then told", func(s *shares.Sum) {
+			s.Add("a", share(7, 100, 50))
+			s.Set(start, "a", []peer.Share{share(7, 110, 0)})
+		}, 130, 2, 2},
+		{"counted for a box that was not heard of", func(s *shares.Sum) { s.Add("c", share(7, 100, 50)) }, 30, 3, 2},
+		{"silent for long", func(s *shares.Sum) { s.Expire(start.Add(time.Second)) }, 0, 0, 0},
+		{"one is silent for long", func(s *shares.Sum) {
+			s.Set(start.Add(time.Second), "b", []peer.Share{share(7, 1, 1)})
+			s.Expire(start.Add(time.Second))
+		}, 1, 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := shares.New()
+			s.Set(start, "a", []peer.Share{share(7, 10, 1), share(8, 1, 1)})
+			s.Set(start, "b", []peer.Share{share(7, 20, 2)})
+			tt.change(s)
+			tokens, unread := s.Of(7)
+			if tokens != tt.tokens || unread != tt.unread || s.Boxes() != tt.boxes {
+				t.Errorf("%d, %d of %d boxes, want %d, %d of %d", tokens, unread, s.Boxes(), tt.tokens, tt.unread, tt.boxes)
+			}
+		})
+	}
+}
+
+func TestWithout(t *testing.T) {
+	s := shares.New()
+	s.Set(start, "a", []peer.Share{share(7, 10, 1)})
+	s.Set(start, "b", []peer.Share{share(7, 20, 2), share(8, 5, 0)})
+	rest := s.Without([]string{"a", "unknown"})
+	if rest[7] != share(7, 20, 2) || rest[8] != share(8, 5, 0) {
+		t.Errorf("rest %v", rest)
+	}
+	if tokens, _ := s.Of(7); tokens != 30 {
+		t.Errorf("the sum changed to %d", tokens)
+	}
+}
+
+// TestSums compares the sums with adding all up, over random changes.
+func TestSums(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	s := shares.New()
+	told := make(map[string]map[uint64]int)
+	names := []string{"a", "b", "c"}
+	for range 2000 {
+		name := names[random.IntN(len(names))]
+		if random.IntN(2) == 0 && told[name] != nil {
+			target, tokens := random.Uint64N(5), random.IntN(100)
+			told[name][target] += tokens
+			s.Add(name, share(target, tokens, tokens))
+		} else {
+			var list []peer.Share
+			told[name] = make(map[uint64]int)
+			for target := range random.Uint64N(5) {
+				tokens := random.IntN(100)
+				told[name][target] = tokens
+				list = append(list, share(target, tokens, tokens))
+			}
+			s.Set(start, name, list)
+		}
+		for target := range uint64(5) {
+			want := 0
+			for _, one := range told {
+				want += one[target]
+			}
+			if tokens, unread := s.Of(target); tokens != want || unread != want {
+				t.Fatalf("target %d: %d, %d, want %d", target, tokens, unread, want)
+			}
+		}
+	}
+}
