fix(entry): a hub's list may hold a target that this box knows to be replaced

Change: listTarget returns the target or nil. A replaced target also counts as gone without notice where old weights' parts are freed, as it may be back with them. Test: TestViewOfReplaced, seen to panic first.

--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -178,6 +178,18 @@
 	}
 }
 
+// TestViewOfReplaced takes a hub's list that still holds a target that this box
+// knows to be replaced.
+func TestViewOfReplaced(t *testing.T) {
+	spoke := listed("box-05")
+	spoke.update(start, probed{"a", ErrReplaced})
+	entries := []peer.Entry{{ID: "a", Pool: "models", Address: "10.1.0.1:1"}, {ID: "b", Pool: "models", Address: "10.1.0.2:1"}}
+	spoke.update(start, peerCalled{"box-00", start, peer.Message{View: &peer.View{Configuration: 1, List: 7, Entries: entries}}, nil})
+	if spoke.tables.fleet.Target("a") != nil || spoke.tables.fleet.Target("b") == nil {
+		t.Error("the list was not taken over as it is known to be")
+	}
+}
+
 // TestStaleView shows that a hub that is cut off from the table service makes
 // nobody's keys good, and that a box then reads for itself.
 func TestStaleView(t *testing.T) {
--- a/entry/update.go
+++ b/entry/update.go
@@ -117,7 +117,9 @@
 	return d.follow(t)
 }
 
-func (d *Daemon) listTarget(t *tables, e fleet.Entry) {
+// listTarget takes an entry over. It returns nil if the target is known to be
+// replaced.
+func (d *Daemon) listTarget(t *tables, e fleet.Entry) *fleet.Target {
 	before := t.fleet.Target(e.ID)
 	wasLeaving := before != nil && before.Leaving
 	x, fresh := t.fleet.List(e)
@@ -128,6 +130,7 @@
 	case x.Leaving && !wasLeaving:
 		d.Log.Info("target leaves", "target", e.ID, "pool", e.Pool)
 	}
+	return x
 }
 
 // unlist handles an entry that is gone. One that was lost while the table
@@ -207,6 +210,9 @@
 
 // replaced forgets a target for good, as another replica has its address.
 func (d *Daemon) replaced(now time.Time, t *tables, id, from string) []effect {
+	if x := t.fleet.Target(id); x != nil {
+		t.doubtGone(now, x) // It may be back under another ID, with its weights.
+	}
 	if !t.fleet.Replace(now, id) {
 		return nil
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -85,10 +85,12 @@
 			continue
 		}
 		seen[e.ID] = true
-		d.listTarget(t, fleet.Entry{
+		x := d.listTarget(t, fleet.Entry{
 			ID: e.ID, Pool: e.Pool, Address: at, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, Versions: e.Versions,
 		})
-		x := t.fleet.Target(e.ID)
+		if x == nil {
+			continue
+		}
 		x.LoadingUntil = time.Time{}
 		if e.Loading {
 			x.LoadingUntil = now.Add(loadLongest)
