feat(entry): boxes that hear no hub follow the stores of kept parts

Change: a box that heard no hub for 1 s asks the stores for their news each second, with calls that are not held, as a source takes only 12 of those. It stops when a hub answers; what it learnt is not used after that. Hubs that did not answer are asked for places again only once they answered gossip. Others' unheard use is spread over all engines. News of a source that is not followed any more is dropped. Tests: TestLone, TestRolesFollow, TestPlacer, TestUnheardLoad; TestNews and TestReplaced follow their sources first.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -98,7 +98,11 @@
 
 // Silence notes that a source can't be heard. Its entries count again once it
 // is heard in the same epoch.
-func (d *Directory) Silence(name string) { d.of(name).silent = true }
+func (d *Directory) Silence(name string) {
+	if s := d.sources[name]; s != nil {
+		s.silent = true
+	}
+}
 
 // Heard says whether a source can be heard.
 func (d *Directory) Heard(name string) bool {
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -17,6 +17,9 @@
 	ctx  context.Context
 	name string
 	at   netip.AddrPort
+	// hold is how long the source may hold a call, every the least time between
+	// two calls.
+	hold, every time.Duration
 }
 
 // stepLease renews or takes the rollout's lease, and reads what its earlier
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -19,6 +19,9 @@
 	// newsEvery is the least time between two calls to one source: with some 14
 	// sources, 70 calls a second cost about a hundredth of a core.
 	newsEvery = 200 * time.Millisecond
+	// loneEvery is the time between two calls to one store by a box that hears no
+	// hub. They are not held and so priced.
+	loneEvery = time.Second
 	// newsAgain is the pause after a call that failed.
 	newsAgain = 300 * time.Millisecond
 )
@@ -69,16 +72,21 @@
 	return time.Duration(float64(bytes) * 8 / megabits * float64(time.Microsecond))
 }
 
-// follow starts and stops the reading of sources' news to match the stores and
-// the engines that are listed.
-func (d *Daemon) follow(t *tables) []effect {
+// follow starts and stops the reading of sources' news: a hub follows the stores
+// and the engines that are listed, a box that hears no hub only the stores, and
+// not with calls that are held, as each source takes few of them.
+func (d *Daemon) follow(now time.Time, t *tables) []effect {
 	wanted := make(map[string]netip.AddrPort)
-	if d.spoke.Load() || !t.settled {
-		return d.followOnly(t, wanted)
+	lone := d.lone(now, t)
+	if !t.settled || d.spoke.Load() && !lone {
+		return d.followOnly(t, wanted, false)
 	}
 	for _, s := range t.stores {
 		wanted[s.Name] = s.Address
 	}
+	if lone {
+		return d.followOnly(t, wanted, true)
+	}
 	if table := d.current.Load(); table != nil {
 		for name, p := range table.Pools {
 			if p.Engine == nil {
@@ -89,17 +97,20 @@
 			}
 		}
 	}
-	return d.followOnly(t, wanted)
+	return d.followOnly(t, wanted, false)
 }
 
-// followOnly has just the sources given followed.
-func (d *Daemon) followOnly(t *tables, wanted map[string]netip.AddrPort) []effect {
+// followOnly has just the sources given followed. What others keep is not used
+// any more, as it may change unheard.
+func (d *Daemon) followOnly(t *tables, wanted map[string]netip.AddrPort, alone bool) []effect {
 	for name, stop := range t.followed {
-		if _, still := wanted[name]; !still {
+		if _, still := wanted[name]; !still || alone != t.alone {
 			stop()
 			delete(t.followed, name)
+			t.directory.Silence(name)
 		}
 	}
+	t.alone = alone
 	var effects []effect
 	for name, at := range wanted {
 		if t.followed[name] != nil {
@@ -107,7 +118,11 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		t.followed[name] = stop
-		effects = append(effects, followSource{ctx, name, at})
+		effect := followSource{ctx: ctx, name: name, at: at, hold: newsHold, every: newsEvery}
+		if alone {
+			effect.hold, effect.every = 0, loneEvery
+		}
+		effects = append(effects, effect)
 	}
 	return effects
 }
@@ -122,7 +137,7 @@
 	for ctx.Err() == nil {
 		began := d.now()
 		m := newsRead{source: e.name}
-		m.news, m.err = d.Platform.News(ctx, e.at, since, newsHold)
+		m.news, m.err = d.Platform.News(ctx, e.at, since, e.hold)
 		if m.err == nil && m.news.Gap && since > 0 {
 			m.news, m.err = d.Platform.List(ctx, e.at)
 			m.listed = true
@@ -136,6 +151,6 @@
 			continue
 		}
 		since = m.news.Next
-		d.pause(ctx, newsEvery-d.now().Sub(began))
+		d.pause(ctx, e.every-d.now().Sub(began))
 	}
 }
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -205,6 +205,7 @@
 	}
 	d.hearReplaced(now, t, m.m)
 	if d.spoke.Load() {
+		t.hubHeard = now
 		return d.viewRead(now, t, m.name, m.asked, m.m.View)
 	}
 	t.heard(now, m.name, m.m.Shares)
@@ -230,11 +231,23 @@
 }
 
 // load is what all boxes' requests take up at a target. A box that hears no
-// other takes them to use as much as itself.
+// other takes each of them to use as much as itself, spread over all targets.
 func (d *Daemon) load(t *tables, x *fleet.Target) (tokens, unread int) {
 	if t.others.Boxes() == 0 {
-		return x.Tokens * t.boxes(), x.Unread * t.boxes()
+		return x.Tokens + t.usual.Tokens, x.Unread + t.usual.Unread
 	}
 	tokens, unread = t.others.Of(placement.Hash(x.ID))
 	return tokens + x.Tokens, unread + x.Unread
 }
+
+// spread is what other boxes' requests take up at each of some targets, if each
+// box uses as much as this one.
+func (t *tables) spread(targets []*fleet.Target) peer.Share {
+	var own peer.Share
+	for _, x := range targets {
+		own.Tokens += x.Tokens
+		own.Unread += x.Unread
+	}
+	others, n := t.boxes()-1, max(len(targets), 1)
+	return peer.Share{Tokens: own.Tokens * others / n, Unread: own.Unread * others / n}
+}
--- a/entry/hub.go
+++ b/entry/hub.go
@@ -35,6 +35,9 @@
 	// strong is the share of the strongest box's processor that a hub has at
 	// least: following all sources takes a weak box all of its own.
 	strong = 0.5
+	// loneAfter is how long a box may hear no hub before it follows the stores
+	// of kept parts itself. Gossip with the next hub takes 0.6 s.
+	loneAfter = time.Second
 	// hubMisses is how many calls in a row a hub may leave unanswered before
 	// another is asked; one may meet a pause.
 	hubMisses = 2
@@ -76,20 +79,35 @@
 	return slices.Contains(first[:min(standbys, len(first))], d.Settings.Name)
 }
 
-// myHub returns the box to ask, or an empty name if none answers. Those given
-// are passed over.
-func (d *Daemon) myHub(now time.Time, t *tables, except ...string) string {
+// myHub returns the box to tell and to take the view of, or an empty name if
+// none answers.
+func (d *Daemon) myHub(now time.Time, t *tables) string {
+	return d.firstHub(t, func(_ string, m *member) bool { return !now.Before(m.retry) })
+}
+
+// placer returns the hub to ask for a place, or an empty name if none answers.
+// One that did not answer has to answer gossip first: a request can't wait.
+func (d *Daemon) placer(now time.Time, t *tables, asked []string) string {
+	return d.firstHub(t, func(name string, m *member) bool {
+		return !m.failed && !now.Before(m.retry) && !slices.Contains(asked, name)
+	})
+}
+
+// firstHub returns the first hub for which fits returns true.
+func (d *Daemon) firstHub(t *tables, fits func(name string, m *member) bool) string {
 	for _, name := range t.hubOrder(d.Settings.Domain) {
-		if name == d.Settings.Name || slices.Contains(except, name) {
-			continue
-		}
-		if !now.Before(t.members[name].retry) {
+		if name != d.Settings.Name && fits(name, t.members[name]) {
 			return name
 		}
 	}
 	return ""
 }
 
+// lone says that this box lives on hubs, and that none answers.
+func (d *Daemon) lone(now time.Time, t *tables) bool {
+	return d.spoke.Load() && now.Sub(t.hubHeard) > loneAfter
+}
+
 // hubOrder lists the boxes that may be asked: those of the own domain first.
 func (t *tables) hubOrder(domain string) []string {
 	own := t.ranked(domain)
@@ -125,9 +143,10 @@
 		return nil
 	}
 	d.spoke.Store(!hub)
+	t.hubHeard = now
 	d.Log.Info("role in the fleet", "hub", hub, "boxes", len(t.members), "of_domain", len(t.ranked(d.Settings.Domain)))
 	if !hub {
 		t.hub, t.hubList = "", 0
 	}
-	return d.follow(t)
+	return d.follow(now, t)
 }
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
@@ -295,6 +296,91 @@
 	}
 }
 
+// withStore is a box that lives on hubs, in a deployment with a store that keeps
+// the shared part of a prompt.
+func withStore() (*Daemon, *deliver.Job) {
+	d := listed("box-05")
+	d.tables.timed = true
+	d.tables.stores = []*affinity.Source{{Name: "s", Address: netip.MustParseAddrPort("10.2.0.1:1"), Capacity: 100000}}
+	prompt := job("long", 1000)
+	prompt.Account = nil
+	return d, prompt
+}
+
+// TestLone has a box follow the stores while no hub answers, and only then.
+func TestLone(t *testing.T) {
+	d, prompt := withStore()
+	late := start.Add(loneAfter + time.Millisecond)
+	if effects := d.follow(start.Add(loneAfter), &d.tables); len(effects) != 0 {
+		t.Fatalf("too early: %v", effects)
+	}
+	effects := d.follow(late, &d.tables)
+	if len(effects) != 1 || effects[0].(followSource).name != "s" || effects[0].(followSource).hold != 0 {
+		t.Fatalf("effects %v, want the store, not held", effects)
+	}
+	d.update(late, newsRead{source: "s", news: News{Epoch: 1, Changes: []Change{{Kept: true, Scope: "m@1", Part: "p", Tokens: 500}}}})
+	place, refused := d.placeModel(late, &d.tables, deliver.Ask{Job: prompt})
+	if refused != nil || place.Fetched != 500 {
+		t.Errorf("place %+v, refused %v", place, refused)
+	}
+	d.update(late, peerCalled{"box-00", late, peer.Message{View: &peer.View{Configuration: 1}}, nil})
+	if effects := d.follow(late, &d.tables); len(effects) != 0 || len(d.tables.followed) != 0 {
+		t.Errorf("effects %v, followed %v", effects, d.tables.followed)
+	}
+	d.update(late, newsRead{source: "s", news: News{Epoch: 1}})
+	if place, _ := d.placeModel(late, &d.tables, deliver.Ask{Job: prompt}); place.Fetched != 0 {
+		t.Error("a store is used that is not followed any more")
+	}
+}
+
+// TestRolesFollow has a lone box that becomes a hub follow with held calls.
+func TestRolesFollow(t *testing.T) {
+	d, _ := withStore()
+	late := start.Add(loneAfter + time.Millisecond)
+	d.follow(late, &d.tables)
+	d.spoke.Store(false)
+	names := make(map[string]time.Duration)
+	for _, e := range d.follow(late, &d.tables) {
+		names[e.(followSource).name] = e.(followSource).hold
+	}
+	if len(names) != 3 || names["s"] != newsHold {
+		t.Errorf("followed %v", names)
+	}
+}
+
+// TestPlacer asks only hubs that answered their last call for places.
+func TestPlacer(t *testing.T) {
+	d := listed("box-05")
+	again := start.Add(gossipAgain)
+	silent := errors.New("no answer")
+	for range hubMisses {
+		d.hubFailed(start, &d.tables, "box-00", silent)
+	}
+	if got := d.placer(again, &d.tables, nil); got != "box-01" {
+		t.Errorf("places are asked of %q", got)
+	}
+	if got := d.myHub(again, &d.tables); got != "box-00" {
+		t.Errorf("gossip goes to %q", got)
+	}
+	d.update(again, peerCalled{name: "box-00", asked: again})
+	if got := d.placer(again, &d.tables, nil); got != "box-00" {
+		t.Errorf("places are asked of %q after it answered", got)
+	}
+}
+
+// TestUnheardLoad takes each box that is not heard to use as much as this one,
+// spread over the engines.
+func TestUnheardLoad(t *testing.T) {
+	d := listed("box-05")
+	d.tables.fleet.Target("a").Tokens = 100
+	d.tables.usual = d.tables.spread(d.tables.fleet.Pool("models"))
+	a, _ := d.load(&d.tables, d.tables.fleet.Target("a"))
+	b, _ := d.load(&d.tables, d.tables.fleet.Target("b"))
+	if a != 100+19*100/2 || b != 19*100/2 {
+		t.Errorf("loads %d and %d of 20 boxes before 2 engines", a, b)
+	}
+}
+
 // TestHubCounts shows that a hub counts what it placed for others before they
 // tell, and what they tell once.
 func TestHubCounts(t *testing.T) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -141,7 +141,9 @@
 			return keys[version]
 		},
 	}
-	choice, ok := d.engines.Choose(now, question, t.fleet.Pool(job.Pool.Name))
+	targets := t.fleet.Pool(job.Pool.Name)
+	t.usual = t.spread(targets)
+	choice, ok := d.engines.Choose(now, question, targets)
 	if !ok {
 		return deliver.Place{}, refuseNone(job)
 	}
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -48,7 +48,7 @@
 	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() || len(m.asked) >= hubAsks {
 		return nil, false
 	}
-	hub := d.myHub(now, t, m.asked...)
+	hub := d.placer(now, t, m.asked)
 	if hub == "" {
 		return nil, false
 	}
@@ -79,6 +79,7 @@
 		d.hubFailed(now, t, m.hub, m.err)
 	} else {
 		t.members[m.hub].misses = 0
+		t.hubHeard = now
 		if answer, ok := d.accept(now, t, m.m.ask.Job, m.placed); ok {
 			m.m.reply <- answer
 			return nil
@@ -102,7 +103,7 @@
 	if m.misses++; m.misses < hubMisses {
 		return
 	}
-	m.misses = 0
+	m.misses, m.failed = 0, true
 	m.retry = now.Add(gossipAgain)
 	d.Log.Warn("hub does not answer", "hub", hub, "err", err)
 }
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -121,7 +121,7 @@
 		return nil
 	}
 	t.settled = true
-	return append(d.assumeRole(now, t), d.follow(t)...)
+	return append(d.assumeRole(now, t), d.follow(now, t)...)
 }
 
 func (d *Daemon) rolloutRead(now time.Time, t *tables, model string, value []byte) {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -30,7 +30,7 @@
 	t.fleet.Expire(now.Add(-replacedFor))
 	d.Sweep(now)
 	d.countTables(t)
-	return d.follow(t)
+	return d.follow(now, t)
 }
 
 // probeEvery is how often a silent target is asked for its health. Each probe
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -9,6 +9,7 @@
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/shares"
 )
 
@@ -31,6 +32,9 @@
 	// others is what other boxes' requests take up, by the hash of the target's
 	// ID.
 	others *shares.Sum
+	// usual is what other boxes' requests are taken to take up at each engine if
+	// none of them is heard, as of the last placing.
+	usual peer.Share
 	// members are the boxes that ever wrote their row, this one included.
 	members map[string]*member
 	// storeAway says that the table service does not answer.
@@ -50,6 +54,10 @@
 	// hub is whose list this box has, numbered hubList.
 	hub     string
 	hubList uint64
+	// hubHeard is when a hub last answered this box.
+	hubHeard time.Time
+	// alone says that the sources followed are those of a box without hubs.
+	alone bool
 	// askedAsHub is when another box last asked this one for a place.
 	askedAsHub time.Time
 	// loadingConfiguration says that it is being read from a hub.
--- a/entry/update.go
+++ b/entry/update.go
@@ -86,7 +86,7 @@
 	d.raw.Store(&m.change.Raw)
 	d.current.Store(next)
 	d.listStores(t, next)
-	return d.follow(t)
+	return d.follow(now, t)
 }
 
 // targetsRead takes over the list of targets.
@@ -114,7 +114,7 @@
 	for _, id := range gone {
 		d.unlist(now, t, id, m.away)
 	}
-	return d.follow(t)
+	return d.follow(now, t)
 }
 
 // listTarget takes an entry over. It returns nil if the target is known to be
@@ -170,6 +170,9 @@
 
 // newsRead takes over what a source says of its kept parts.
 func (d *Daemon) newsRead(now time.Time, t *tables, m newsRead) []effect {
+	if t.followed[m.source] == nil {
+		return nil // It came while the following was stopped.
+	}
 	x := t.fleet.Target(m.source)
 	if m.err != nil {
 		t.directory.Silence(m.source)
@@ -219,7 +222,7 @@
 	d.Log.Warn("another replica has the target's address", "target", id, "told_by", from)
 	t.directory.Forget(id)
 	t.changed()
-	return d.follow(t)
+	return d.follow(now, t)
 }
 
 // sendingEnded learns from how a sending went.
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -446,6 +446,7 @@
 // TestNews shows that a source that restarted or fell silent keeps nothing.
 func TestNews(t *testing.T) {
 	d := newDaemon("b1")
+	d.tables.followed["s"] = func() {}
 	key := directory.Of("m@1", "p")
 	told := News{Epoch: 1, Changes: []Change{{Kept: true, Scope: "m@1", Part: "p", Tokens: 9}}, Clock: time.Hour}
 	d.update(start, newsRead{source: "s", news: told})
@@ -483,6 +484,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := newDaemon("b1")
 			d.tables.members["b2"] = &member{}
+			d.tables.settled = true
+			d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
 			list := targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false}
 			d.update(start, list)
 			d.update(start, newsRead{source: "a", news: News{Epoch: 1}})
