test(affinity): engines of another failure domain

The cost of another domain came without a test. The first case fails with the cost taken out; the second shows that a busy domain still gives work away.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -37,7 +37,7 @@
 		Load:  func(t *fleet.Target) (int, int) { return t.Tokens, t.Unread },
 	}
 	x.ask = affinity.Ask{
-		Home: 7, Parts: []affinity.Part{{Tokens: 500}, {Tokens: 8000}, {Tokens: 2000}}, Model: "m", Tokens: 10600, Capacity: 180000,
+		Domain: "z", Home: 7, Parts: []affinity.Part{{Tokens: 500}, {Tokens: 8000}, {Tokens: 2000}}, Model: "m", Tokens: 10600, Capacity: 180000,
 		Keys: func(version int64) []directory.Key {
 			return []directory.Key{key(version, 0), key(version, 1), key(version, 2)}
 		},
@@ -77,6 +77,11 @@
 		{"home leaves", func(_ *bench, home, _ *fleet.Target) { home.Leaving = true }, other},
 		{"home failed lately", func(_ *bench, home, _ *fleet.Target) { home.Fail(start) }, other},
 		{"home loads weights", func(_ *bench, home, _ *fleet.Target) { home.LoadingUntil = start.Add(time.Second) }, other},
+		{"home is in another domain", func(x *bench, home, _ *fleet.Target) { home.Domain, x.ask.Domain = "y", "z" }, other},
+		{"home is in another domain, the own one is busy", func(x *bench, home, other *fleet.Target) {
+			home.Domain, x.ask.Domain = "y", "z"
+			other.Unread = 20000
+		}, home},
 		{"home has old weights", func(x *bench, _, other *fleet.Target) { x.ask.Wanted = 2; other.Versions["m"] = 2 }, other},
 		{"home has old weights, the other is busy", func(x *bench, _, other *fleet.Target) {
 			x.ask.Wanted = 2
