fix(entry): links' use is counted for the boxes that place

Cause: a box takes the moves that it ordered times the number of boxes for a link's use. In a large fleet only 6 hubs place, but it took all 85, so links seemed overrun and parts that stores kept were read: 0.6 to 0.75 M tokens a second from 14 s on, half of all that was read again. Seen in a trial that wrote why each part was read ('kept, but a move is dearer' 1.2 to 1.5 M tokens each 2 s; 'no store has room' only from 30 s on; 'on its way' next to none). Ruled out: full stores before 30 s, parts on their way, prompts whose first part is missing. Change: Placers is the number of hubs there, all boxes elsewhere.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -4,7 +4,7 @@
 // best-ranked one by rendezvous hash takes it, so that all boxes send the same
 // prompts to the same engine without asking each other.
 //
-//	c := affinity.Chooser{Directory: d, Boxes: 6}
+//	c := affinity.Chooser{Directory: d, Placers: placers, ...}
 //	choice, ok := c.Choose(now, ask, fleet.Pool("menu"))
 package affinity
 
@@ -112,8 +112,9 @@
 	Stores func() []*Source
 	// Token is the time to move one token between two engines.
 	Token func() time.Duration
-	// Boxes is how many boxes send requests of about the same kind.
-	Boxes func() int
+	// Placers is how many boxes order moves from the same sources, at about the
+	// same rate.
+	Placers func() int
 
 	// Load returns the memory that requests of all boxes take up at an engine,
 	// and the prompt tokens that wait there to be read.
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -32,7 +32,7 @@
 		{Name: "large", Address: netip.MustParseAddrPort("10.0.0.2:1"), Domain: "z", Capacity: 1000000, Token: 2 * time.Microsecond, First: 6 * time.Millisecond},
 	}
 	x.chooser = affinity.Chooser{
-		Directory: x.d, Stores: func() []*affinity.Source { return x.stores }, Boxes: func() int { return 1 },
+		Directory: x.d, Stores: func() []*affinity.Source { return x.stores }, Placers: func() int { return 1 },
 		Token: func() time.Duration { return time.Microsecond },
 		Load:  func(t *fleet.Target) (int, int) { return t.Tokens, t.Unread },
 	}
--- a/affinity/links.go
+++ b/affinity/links.go
@@ -14,9 +14,9 @@
 
 // moves is a sum of move times that fades.
 type moves struct {
-	sum   time.Duration
-	as    time.Time
-	boxes int
+	sum     time.Duration
+	as      time.Time
+	placers int
 }
 
 const (
@@ -27,7 +27,7 @@
 )
 
 // Note counts a move that was ordered from a source.
-func (l *Links) Note(now time.Time, source string, took time.Duration, boxes int) {
+func (l *Links) Note(now time.Time, source string, took time.Duration, placers int) {
 	if l.moved == nil {
 		l.moved = make(map[string]*moves)
 	}
@@ -37,7 +37,7 @@
 		l.moved[source] = m
 	}
 	m.sum = m.left(now) + took
-	m.as, m.boxes = now, boxes
+	m.as, m.placers = now, placers
 }
 
 // Busy returns by how much a move from a source is stretched by the wait behind
@@ -47,7 +47,7 @@
 	if m == nil {
 		return 1
 	}
-	busy := min(float64(m.left(now))*float64(m.boxes)/float64(fade), mostBusy)
+	busy := min(float64(m.left(now))*float64(m.placers)/float64(fade), mostBusy)
 	return 1 / (1 - busy)
 }
 
--- a/affinity/parts.go
+++ b/affinity/parts.go
@@ -66,7 +66,7 @@
 func (s *search) noteMoves(choice *Choice, one candidate) {
 	for i := one.kept; i < one.reached; i++ {
 		from := choice.Fetch[i]
-		s.links.Note(s.now, from.Name, from.move(s.ask.Parts[i].Tokens, choice.Target), s.Boxes())
+		s.links.Note(s.now, from.Name, from.move(s.ask.Parts[i].Tokens, choice.Target), s.Placers())
 	}
 }
 
--- a/entry/build.go
+++ b/entry/build.go
@@ -79,7 +79,7 @@
 		Directory: d.tables.directory,
 		Stores:    func() []*affinity.Source { return d.tables.stores },
 		Token:     func() time.Duration { return d.tables.engineToken },
-		Boxes:     d.tables.boxes,
+		Placers:   d.placers,
 		Load:      func(x *fleet.Target) (int, int) { return d.load(&d.tables, x) },
 	}
 	d.budget = retry.Budget{
