perf(entry): fewer calls while a box waits for the others' rows

Ruled out: hubs' reads for fresh proofs (957 in 48 s) could be held longer only if configuration came later through a hub that is cut off. Change: until the boxes' rows are read, which takes 2.5 s at a first start and no time at a later one, the list is read each 1.5 s and the operator's rows are held 3 s.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -52,6 +52,9 @@
 	raw atomic.Pointer[[]byte]
 	// spoke says that this box takes a hub's view of the platform.
 	spoke atomic.Bool
+	// waiting says that this box waits for the other boxes' rows and so does not
+	// know its role.
+	waiting atomic.Bool
 	// serving says that other boxes take this one's view.
 	serving atomic.Bool
 	// credential is what boxes show each other, once it was read.
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -117,6 +117,7 @@
 			d.rolloutRead(now, t, model, row.Value)
 		}
 	}
+	d.waiting.Store(!m.settled)
 	if !m.settled || t.settled {
 		return nil
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -17,6 +17,9 @@
 	proofHold = 1500 * time.Millisecond
 	// hubHold is the same at a hub, whose proofs have to reach others in time.
 	hubHold = 300 * time.Millisecond
+	// startHold is the same while a box that was never there before waits for the
+	// others' rows; it then reads twice within the time that keys are trusted.
+	startHold = 3 * time.Second
 	// hold is how long the other reads are held. They are broken off when the
 	// operator's rows can't be read.
 	hold = 10 * time.Second
@@ -25,6 +28,9 @@
 	// targetsEvery is the least time between two reads of the list: many
 	// entries that change at once then cost one call.
 	targetsEvery = 400 * time.Millisecond
+	// targetsStart is the same while a box waits for the others' rows. When all
+	// boxes and targets start at once, most of a large fleet's calls are these.
+	targetsStart = 1500 * time.Millisecond
 	// viewLook is how often a box that takes a hub's view looks whether that is
 	// fresh enough.
 	viewLook = 200 * time.Millisecond
@@ -66,12 +72,23 @@
 
 // operatorHold is how long a read of the operator's rows is held.
 func (d *Daemon) operatorHold() time.Duration {
-	if d.serving.Load() {
+	switch {
+	case d.waiting.Load():
+		return startHold
+	case d.serving.Load():
 		return hubHold
 	}
 	return proofHold
 }
 
+// targetsPause is the least time between two reads of the list.
+func (d *Daemon) targetsPause() time.Duration {
+	if d.waiting.Load() {
+		return targetsStart
+	}
+	return targetsEvery
+}
+
 // lost notes that the table service does not answer and breaks off the reads
 // that wait for it.
 func (d *Daemon) lost(ctx context.Context, err error) {
@@ -145,7 +162,7 @@
 		}
 		after = change.Version
 		d.tell(ctx, targetsRead{asked, change, d.outage.takeSeen()})
-		d.pause(ctx, targetsEvery)
+		d.pause(ctx, d.targetsPause())
 	}
 }
 
