refactor(entry): the list of targets and news of kept parts have files of their own

Nothing else changes. peer's link tests wait for the slow call to have come before they go on: TestConnectionLost could have closed the link before it and then waited for ever (seen by reading, not in a run).

--- /dev/null
+++ b/entry/list.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// targetsRead takes over the list of targets.
+func (d *Daemon) targetsRead(now time.Time, t *tables, m targetsRead) []effect {
+	if t.listNumber == 0 {
+		t.listNumber = rand.Uint64()
+	}
+	t.listNumber++
+	for _, err := range m.change.Unusable {
+		d.Log.Error("entry of a target can't be used", "err", err)
+	}
+	seen := make(map[string]bool, len(m.change.Listed))
+	for _, e := range m.change.Listed {
+		seen[e.ID] = true
+		d.listTarget(t, e)
+	}
+	gone := m.change.Gone
+	if m.change.Whole {
+		for _, id := range t.fleet.All() {
+			if !seen[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		d.unlist(now, t, id, m.away)
+	}
+	return d.follow(now, t)
+}
+
+// listTarget takes an entry over. It returns nil if the target is known to be
+// replaced.
+func (d *Daemon) listTarget(t *tables, e fleet.Entry) *fleet.Target {
+	before := t.fleet.Target(e.ID)
+	wasLeaving := before != nil && before.Leaving
+	x, fresh := t.fleet.List(e)
+	switch {
+	case x == nil: // Its address is another replica's by now.
+	case fresh:
+		d.Log.Info("target in", "target", e.ID, "pool", e.Pool, "at", e.Address, "domain", e.Domain, "leaving", e.Leaving)
+	case x.Leaving && !wasLeaving:
+		d.Log.Info("target leaves", "target", e.ID, "pool", e.Pool)
+	}
+	return x
+}
+
+// unlist handles an entry that is gone. One that was lost while the table
+// service was away may come back.
+func (d *Daemon) unlist(now time.Time, t *tables, id string, away bool) {
+	x := t.fleet.Target(id)
+	if x == nil {
+		return
+	}
+	if !x.Leaving {
+		t.doubtGone(now, x)
+	}
+	if away && !x.Leaving {
+		d.Log.Warn("target's entry lapsed while the table service was away", "target", id, "kept_for", fleet.LapsedFor)
+		t.fleet.Lapse(now, id)
+		return
+	}
+	d.Log.Info("target gone", "target", id, "pool", x.Pool, "in_flight", x.InFlight)
+	d.drop(t, id)
+}
+
+// doubtGone notes that a target went from the list without notice: it may live,
+// and be used by boxes that have not read that yet.
+func (t *tables) doubtGone(now time.Time, x *fleet.Target) {
+	for model, version := range x.Versions {
+		if w := t.weights[model]; w != nil && version < w.wanted {
+			w.clearing.Doubt(now)
+		}
+	}
+}
+
+func (d *Daemon) drop(t *tables, id string) {
+	t.changed()
+	t.fleet.Drop(id)
+	t.directory.Forget(id)
+}
+
+// replaced forgets a target for good, as another replica has its address.
+func (d *Daemon) replaced(now time.Time, t *tables, id, from string) []effect {
+	if x := t.fleet.Target(id); x != nil {
+		t.doubtGone(now, x) // It may be back under another ID, with its weights.
+	}
+	if !t.fleet.Replace(now, id) {
+		return nil
+	}
+	d.Log.Warn("another replica has the target's address", "target", id, "told_by", from)
+	t.directory.Forget(id)
+	t.changed()
+	return d.follow(now, t)
+}
--- /dev/null
+++ b/entry/news.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/directory"
+)
+
+// newsRead takes over what a source says of its kept parts.
+func (d *Daemon) newsRead(now time.Time, t *tables, m newsRead) []effect {
+	if t.followed[m.source] == nil {
+		return nil // It came while the following was stopped.
+	}
+	x := t.fleet.Target(m.source)
+	if m.err != nil {
+		t.directory.Silence(m.source)
+		if x != nil {
+			if !x.Avoided(now) {
+				d.Log.Warn("target can't be heard", "target", m.source, "err", m.err)
+			}
+			x.Fail(now)
+		}
+		return nil
+	}
+	restarted := t.directory.Begin(m.source, m.news.Epoch)
+	if restarted && x != nil {
+		return d.replaced(now, t, m.source, "its news")
+	}
+	if restarted {
+		d.Log.Warn("store restarted and lost what it kept", "store", m.source, "epoch", m.news.Epoch)
+	}
+	if x != nil {
+		x.Heard(now)
+	}
+	if m.news.Clock > 0 {
+		t.clock, t.timed = m.news.Clock-d.uptime(now), true
+	}
+	if m.listed {
+		t.directory.Clear(m.source)
+	}
+	for _, c := range m.news.Changes {
+		key := directory.Of(c.Scope, c.Part)
+		if c.Kept {
+			t.directory.Add(m.source, key, c.Tokens)
+			continue
+		}
+		t.directory.Remove(m.source, key)
+	}
+	return nil
+}
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -19,6 +19,8 @@
 type slow struct {
 	peer.Node
 	release chan struct{}
+	// entered hears of each such message; it has room for some.
+	entered chan struct{}
 	// dialled counts the connections that came.
 	dialled atomic.Int64
 	at      netip.AddrPort
@@ -26,12 +28,13 @@
 
 func startSlow(t *testing.T) *slow {
 	t.Helper()
-	s := &slow{release: make(chan struct{})}
+	s := &slow{release: make(chan struct{}), entered: make(chan struct{}, 9)}
 	s.Node = peer.Node{
 		Credential: "secret",
 		Sent:       func(int) {}, Received: func(int) {},
 		Handle: func(_ context.Context, m peer.Message) peer.Message {
 			if m.Statement == "slow" {
+				s.entered <- struct{}{}
 				<-s.release
 			}
 			return peer.Message{Kind: m.Kind, Statement: "answer to " + m.Statement}
@@ -67,6 +70,7 @@
 		}
 		held <- err
 	}()
+	<-s.entered
 	for range 3 {
 		answer, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"})
 		if err != nil || answer.Statement != "answer to quick" {
@@ -135,11 +139,7 @@
 		_, err := n.Call(context.Background(), s.at, peer.Message{Statement: "slow"})
 		failed <- err
 	}()
-	for {
-		if _, err := n.Call(context.Background(), s.at, peer.Message{Statement: "quick"}); err == nil {
-			break
-		}
-	}
+	<-s.entered
 	n.Close()
 	if err := <-failed; err == nil {
 		t.Error("answered")
