--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -408,6 +408,29 @@
 	}
 }
 
+// TestSpoiltPlace has a hub's place passed over whose addresses can't be read.
+func TestSpoiltPlace(t *testing.T) {
+	tests := []struct {
+		name string
+		p    peer.Placed
+		ok   bool
+	}{
+		{"no moves", peer.Placed{}, true},
+		{"some moves", peer.Placed{Fetch: []string{"", "10.0.0.1:1"}, Save: []string{"10.0.0.1:1", ""}}, true},
+		{"spoilt source", peer.Placed{Fetch: []string{"10.0.0.1"}}, false},
+		{"spoilt store", peer.Placed{Save: []string{"x"}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := listed("box-05")
+			tt.p.Target, tt.p.Version = "a", 1
+			if _, ok := d.accept(start, &d.tables, job("long", 10), &tt.p); ok != tt.ok {
+				t.Errorf("accepted %v", ok)
+			}
+		})
+	}
+}
+
 // TestHubCounts shows that a hub counts what it placed for others before they
 // tell, and what they tell once.
 func TestHubCounts(t *testing.T) {
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -119,24 +119,46 @@
 	if x == nil || !x.Open(now) || x.Avoided(now) {
 		return placeAnswer{}, false
 	}
+	fetch, save, err := moves(p)
+	if err != nil {
+		d.Log.Error("a hub's place can't be used", "request", job.ID, "target", p.Target, "err", err)
+		return placeAnswer{}, false
+	}
 	place := deliver.Place{
 		Target: x.ID, Address: x.Address, Version: p.Version, Scope: scope(p.Version, job), Unread: p.Unread,
-		Tokens: job.Input + job.Output, Fetch: parse(p.Fetch), Save: parse(p.Save), FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
+		Tokens: job.Input + job.Output, Fetch: fetch, Save: save, FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
 	}
 	x.Sent(now, place.Unread, place.Tokens)
 	return placeAnswer{place: place}, true
 }
 
-func parse(list []string) []netip.AddrPort {
+// moves returns from where and to where a hub has parts moved.
+func moves(p *peer.Placed) (fetch, save []netip.AddrPort, err error) {
+	if fetch, err = parse(p.Fetch); err != nil {
+		return nil, nil, err
+	}
+	save, err = parse(p.Save)
+	return fetch, save, err
+}
+
+// parse reads addresses; an empty text means none.
+func parse(list []string) ([]netip.AddrPort, error) {
 	if len(list) == 0 {
-		return nil
+		return nil, nil
 	}
 	out := make([]netip.AddrPort, len(list))
 	for i, text := range list {
-		out[i], _ = netip.ParseAddrPort(text) // An empty text means none.
+		if text == "" {
+			continue
+		}
+		at, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = at
 	}
-	return out
+	return out, nil
 }
 
 func format(list []netip.AddrPort) []string {
