--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -260,7 +260,7 @@
 			hub.tables.directory.Silence("b")
 		}, [2]error{}, "", 2, "hub, "},
 		{"the hub had heard of them, and an engine ended", func(hub, _, _ *Daemon) {
-			hub.tables.warm()
+			hub.warm(&hub.tables)
 			hub.tables.directory.Silence("a")
 		}, [2]error{}, "", 1, "hub, "},
 		{"the hub does not answer", func(_, _, _ *Daemon) {}, [2]error{silent}, "", 2, "hub, "},
@@ -347,7 +347,7 @@
 	for _, e := range d.follow(late, &d.tables) {
 		names[e.(followSource).name] = e.(followSource).hold
 	}
-	if len(names) != 3 || names["s"] != newsHold || d.tables.warm() {
+	if len(names) != 3 || names["s"] != newsHold || d.warm(&d.tables) {
 		t.Errorf("followed %v", names)
 	}
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -179,7 +179,7 @@
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
 	t.askedAsHub = now
 	table := d.current.Load()
-	if table == nil || table.Pools[m.Ask.Pool] == nil || !t.warm() {
+	if table == nil || table.Pools[m.Ask.Pool] == nil || !d.warm(t) {
 		return nil
 	}
 	job := &deliver.Job{
@@ -215,7 +215,7 @@
 
 // warm says that most sources of kept parts were heard of since this box follows
 // them. Sources that end later make no odds.
-func (t *tables) warm() bool {
+func (d *Daemon) warm(t *tables) bool {
 	if t.warmed {
 		return true
 	}
@@ -226,6 +226,9 @@
 		}
 	}
 	t.warmed = heard > 0 && float64(heard) >= warmShare*float64(len(t.followed))
+	if t.warmed {
+		d.Log.Info("hub knows what is kept", "heard", heard, "followed", len(t.followed))
+	}
 	return t.warmed
 }
 
