--- a/entry/place.go
+++ b/entry/place.go
@@ -27,7 +27,7 @@
 	overdueMargin = 1500 * time.Millisecond
 )
 
-// askPlace asks the loop for a place.
+// askPlace asks the loop for a place. In a large fleet the loop asks hubs first.
 func (d *Daemon) askPlace(ctx context.Context, ask deliver.Ask) (deliver.Place, error) {
 	reply := make(chan placeAnswer, 1)
 	select {
@@ -36,7 +36,7 @@
 		return deliver.Place{}, d.timeUp()
 	}
 	select {
-	case answer := <-reply: // The loop answers at once; it waits for nothing.
+	case answer := <-reply: // At once, or after two calls to hubs at most.
 		return answer.place, answer.err
 	case <-d.ended:
 		return deliver.Place{}, d.timeUp()
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -110,7 +110,8 @@
 	// domain, share and megabits are the box's, by which hubs are ranked.
 	domain          string
 	share, megabits float64
-	// calling says that a call is under way, failed that the last one failed.
+	// calling says that gossip with it is under way, failed that it did not answer
+	// the last gossip, or too many asks for places since.
 	calling, failed bool
 	// misses counts places in a row that it was asked for in vain.
 	misses int
