perf(pace): how quickly engines read and sources move is learnt from first events

Cause: each box guessed how busy a store's link was from its own moves of two seconds times the number of boxes, so one long move made a link look saturated. Change: package pace learns the line through first events (what an engine needs at once and for a token) and, for requests that fetched, how much longer the moves took than they should; boxes tell each other by gossip. affinity.Links and the count of placers go, with their tests' subject (TestLinks, TestPlacers); pace's and entry's tests hold what replaces them. A store that turns slow or well is logged.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -4,7 +4,7 @@
 // best-ranked one by rendezvous hash takes it, so that all boxes send the same
 // prompts to the same engine without asking each other.
 //
-//	c := affinity.Chooser{Directory: d, Placers: placers, ...}
+//	c := affinity.Chooser{Directory: d, Reading: reading, Stretch: stretch, ...}
 //	choice, ok := c.Choose(now, ask, fleet.Pool("menu"))
 package affinity
 
@@ -14,13 +14,11 @@
 
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/pace"
 )
 
 // What things cost, as time.
 const (
-	// readToken is the time to read one prompt token: the platform's engines
-	// read 112 in a millisecond.
-	readToken = time.Millisecond / 112
 	// againToken is what reading a token again is worth avoiding, beyond the
 	// time: at the platform's prices 1,000 of them cost a third of a request.
 	againToken = 50 * time.Microsecond
@@ -99,9 +97,12 @@
 	Kept int
 	// Fetch and Save hold a source for each part, or nil.
 	Fetch, Save []*Source
-	// Unread are the tokens that the engine has to read.
-	Unread int
-	Rule   string
+	// Unread are the tokens that the engine has to read, Ahead those that other
+	// requests have it read before.
+	Unread, Ahead int
+	// Moves are those that the engine needs before it can read the rest.
+	Moves []pace.Move
+	Rule  string
 }
 
 // Chooser chooses engines. Set the exported fields before first use; it is not
@@ -112,15 +113,15 @@
 	Stores func() []*Source
 	// Token is the time to move one token between two engines.
 	Token func() time.Duration
-	// Placers is how many boxes order moves from the same sources, at about the
-	// same rate.
-	Placers func() int
+	// Reading is the time that an engine takes to read one prompt token, Stretch
+	// by how much moves from a source take longer than over an unused link; both
+	// as learnt.
+	Reading func() time.Duration
+	Stretch func(now time.Time, source string) float64
 
 	// Load returns the memory that requests of all boxes take up at an engine,
 	// and the prompt tokens that wait there to be read.
 	Load func(t *fleet.Target) (tokens, unread int)
-
-	links Links
 }
 
 // candidate is one engine and its cost.
@@ -130,13 +131,15 @@
 	// kept counts the leading parts that the engine keeps, reached those that it
 	// keeps or can fetch.
 	kept, reached int
-	cost          time.Duration
-	rank          uint64
+	// ahead are the tokens that the engine has to read for other requests.
+	ahead int
+	cost  time.Duration
+	rank  uint64
 }
 
 // Choose returns the engine for a prompt, or false if none takes new work.
 func (c *Chooser) Choose(now time.Time, ask Ask, targets []*fleet.Target) (Choice, bool) {
-	s := search{Chooser: c, now: now, ask: ask, targets: targets}
+	s := search{Chooser: c, now: now, ask: ask, targets: targets, read: c.Reading()}
 	var all []candidate
 	least := time.Duration(-1)
 	for _, t := range targets {
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -19,6 +19,8 @@
 	stores  []*affinity.Source
 	chooser affinity.Chooser
 	ask     affinity.Ask
+	// stretch is by how much moves take longer, by source.
+	stretch map[string]float64
 }
 
 func key(version int64, i int) directory.Key { return directory.Key(100*version + int64(i)) }
@@ -32,7 +34,8 @@
 		{Name: "large", Address: netip.MustParseAddrPort("10.0.0.2:1"), Domain: "z", Capacity: 1000000, Token: 2 * time.Microsecond, First: 6 * time.Millisecond},
 	}
 	x.chooser = affinity.Chooser{
-		Directory: x.d, Stores: func() []*affinity.Source { return x.stores }, Placers: func() int { return 1 },
+		Directory: x.d, Stores: func() []*affinity.Source { return x.stores },
+		Reading: func() time.Duration { return time.Millisecond / 112 }, Stretch: func(_ time.Time, name string) float64 { return max(x.stretch[name], 1) },
 		Token: func() time.Duration { return time.Microsecond },
 		Load:  func(t *fleet.Target) (int, int) { return t.Tokens, t.Unread },
 	}
@@ -125,6 +128,12 @@
 		{"old weights: their parts are not saved any more", func(x *bench) { x.ask.Wanted = 2 }, [3]string{}, [3]string{}, 10500},
 		{"the store fell silent", func(x *bench) { x.keeps("large", 1, 0, 1); x.d.Silence("large") }, [3]string{}, [3]string{"quick", "large", ""}, 10500},
 		{"no room", func(x *bench) { x.stores[0].Capacity, x.stores[1].Capacity = 100, 100 }, [3]string{}, [3]string{}, 10500},
+		{"the large store has turned slow", func(x *bench) { x.keeps("large", 1, 0, 1); x.stretch = map[string]float64{"large": 50} }, [3]string{}, [3]string{}, 10500},
+		{"the large store has turned slow, the other engine has it too", func(x *bench) {
+			x.keeps("large", 1, 0, 1)
+			x.keeps(other, 1, 0, 1)
+			x.stretch = map[string]float64{"large": 50}
+		}, [3]string{other, other, ""}, [3]string{}, 2000},
 		{"the large store's link is slower than reading", func(x *bench) { x.keeps("large", 1, 0, 1); x.stores[1].Token = time.Millisecond }, [3]string{}, [3]string{}, 10500},
 	}
 	for _, tt := range tests {
@@ -156,26 +165,3 @@
 	}
 	return list[i].Name
 }
-
-func TestLinks(t *testing.T) {
-	var l affinity.Links
-	const move = 100 * time.Millisecond
-	if got := l.Busy(start, "s"); got != 1 {
-		t.Errorf("an unused link: %v", got)
-	}
-	for range 5 {
-		l.Note(start, "s", move, 2)
-	}
-	if got := l.Busy(start, "s"); got != 2 {
-		t.Errorf("a link that is half busy: %v, want 2", got)
-	}
-	for range 100 {
-		l.Note(start, "s", move, 2)
-	}
-	if got := l.Busy(start, "s"); got > 21 {
-		t.Errorf("a link that is overrun: %v", got)
-	}
-	if got := l.Busy(start.Add(time.Minute), "s"); got > 1.0001 {
-		t.Errorf("a minute later: %v", got)
-	}
-}
--- a/affinity/parts.go
+++ b/affinity/parts.go
@@ -5,15 +5,16 @@
 
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/placement"
 )
 
 // plan says what the engine chosen does with the prompt's parts.
 func (s *search) plan(one candidate) Choice {
 	l := s.locate(one.version)
-	choice := Choice{Target: one.target, Version: one.version, Keys: l.keys, Kept: one.kept}
+	choice := Choice{Target: one.target, Version: one.version, Keys: l.keys, Kept: one.kept, Ahead: one.ahead}
 	s.planFetch(l, one, &choice)
-	s.noteMoves(&choice, one)
+	s.planMoves(&choice, one)
 	s.planSpare(l, &choice)
 	if one.version >= s.ask.Wanted { // Parts of older weights are about to be freed.
 		s.planSave(&choice)
@@ -43,7 +44,7 @@
 
 // fetch names the source of one part, if there is one.
 func (s *search) fetch(l *located, part int, choice *Choice) {
-	from, _ := l.parts[part].best(s.ask.Parts[part].Tokens, choice.Target)
+	from, _ := l.parts[part].best(s.ask.Parts[part].Tokens, s.read, choice.Target)
 	if from == nil {
 		return
 	}
@@ -62,11 +63,13 @@
 	return took
 }
 
-// noteMoves counts the moves of a choice on the sources' links.
-func (s *search) noteMoves(choice *Choice, one candidate) {
+// planMoves lists the moves that the engine waits for.
+func (s *search) planMoves(choice *Choice, one candidate) {
 	for i := one.kept; i < one.reached; i++ {
 		from := choice.Fetch[i]
-		s.links.Note(s.now, from.Name, from.move(s.ask.Parts[i].Tokens, choice.Target), s.Placers())
+		choice.Moves = append(choice.Moves, pace.Move{
+			Source: placement.Hash(from.Name), Takes: from.move(s.ask.Parts[i].Tokens, choice.Target),
+		})
 	}
 }
 
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -16,6 +16,8 @@
 	now     time.Time
 	ask     Ask
 	targets []*fleet.Target
+	// read is the time to read one token.
+	read time.Duration
 	// found holds what was looked up, for each weight version in use.
 	found []located
 }
@@ -37,8 +39,8 @@
 // holder is where a part can be fetched from.
 type holder struct {
 	Source
-	// busy stretches the time of a move, as others are under way.
-	busy float64
+	// stretch is by how much moves from there take longer than they should.
+	stretch float64
 }
 
 // locate returns where the prompt's parts of a version are kept.
@@ -61,7 +63,7 @@
 	var h holders
 	for _, store := range s.Stores() {
 		if s.Directory.Whole(store.Name, key) {
-			h.stores = append(h.stores, holder{*store, s.links.Busy(s.now, store.Name)})
+			h.stores = append(h.stores, holder{*store, s.Stretch(s.now, store.Name)})
 		}
 	}
 	for _, t := range s.targets {
@@ -69,7 +71,7 @@
 			continue
 		}
 		peer := Source{Name: t.ID, Address: t.Address, Domain: t.Domain, First: peerFirst, Token: s.Token()}
-		h.engines = append(h.engines, holder{peer, s.links.Busy(s.now, t.ID)})
+		h.engines = append(h.engines, holder{peer, s.Stretch(s.now, t.ID)})
 	}
 	return h
 }
@@ -81,7 +83,8 @@
 	one := candidate{target: t, version: version, rank: placement.Weight(s.ask.Home, placement.Hash(t.ID))}
 	one.kept = s.Directory.Run(t.ID, l.keys, s.now)
 	running, unread := s.Load(t)
-	one.cost = time.Duration(unread) * readToken
+	one.ahead = unread
+	one.cost = time.Duration(unread) * s.read
 	one.cost += crowding(running+s.ask.Tokens, s.ask.Capacity)
 	var moves time.Duration
 	one.reached, moves = s.reach(l, t, one.kept)
@@ -104,7 +107,7 @@
 func (s *search) reach(l *located, t *fleet.Target, kept int) (int, time.Duration) {
 	var took time.Duration
 	for i := kept; i < s.ask.last(); i++ {
-		from, cost := l.parts[i].best(s.ask.Parts[i].Tokens, t)
+		from, cost := l.parts[i].best(s.ask.Parts[i].Tokens, s.read, t)
 		if from == nil {
 			return i, took
 		}
@@ -117,7 +120,7 @@
 func (s *search) reading(l *located, from int) time.Duration {
 	var cost time.Duration
 	for i := from; i < len(s.ask.Parts); i++ {
-		cost += time.Duration(s.ask.Parts[i].Tokens) * readToken
+		cost += time.Duration(s.ask.Parts[i].Tokens) * s.read
 		if l.parts[i].any() {
 			cost += time.Duration(s.ask.Parts[i].Tokens) * againToken
 		}
@@ -128,8 +131,8 @@
 // best returns the store or other engine that brings a part soonest, if that is
 // sooner than reading it. Engines drop parts at any time, stores don't, so a
 // store is taken if there is one.
-func (h holders) best(tokens int, t *fleet.Target) (*holder, time.Duration) {
-	least := time.Duration(tokens) * (readToken + againToken)
+func (h holders) best(tokens int, read time.Duration, t *fleet.Target) (*holder, time.Duration) {
+	least := time.Duration(tokens) * (read + againToken)
 	if from, took := quickest(h.stores, tokens, t, least); from != nil {
 		return from, took
 	}
@@ -145,7 +148,7 @@
 		if h.Name == t.ID {
 			continue
 		}
-		if took := time.Duration(float64(h.move(tokens, t)) * h.busy); took < least {
+		if took := time.Duration(float64(h.move(tokens, t)) * h.stretch); took < least {
 			best, least = h, took
 		}
 	}
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/routing"
 )
 
@@ -92,6 +93,11 @@
 	// Unread is how many prompt tokens the target was thought to read, Tokens
 	// the memory that the request takes up.
 	Unread, Tokens int
+	// At is when the request was placed, Ahead how many prompt tokens of others
+	// the target was thought to read before, and Moves what it fetches.
+	At    time.Time
+	Ahead int
+	Moves []pace.Move
 	// Kept, Fetched and Saved are the prompt tokens that the target was thought
 	// to keep, told to fetch, and told to save.
 	Kept, Fetched, Saved int
--- a/entry/build.go
+++ b/entry/build.go
@@ -79,7 +79,8 @@
 		Directory: d.tables.directory,
 		Stores:    func() []*affinity.Source { return d.tables.stores },
 		Token:     func() time.Duration { return d.tables.engineToken },
-		Placers:   d.placers,
+		Reading:   func() time.Duration { _, token := d.tables.pace.Reading(); return token },
+		Stretch:   func(now time.Time, source string) float64 { return d.tables.stretch(now, source) },
 		Load:      func(x *fleet.Target) (int, int) { return d.load(&d.tables, x) },
 	}
 	d.budget = retry.Budget{
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		m.calling = true
-		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(t), Replaced: t.replacedLately(now)}}
+		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t), Replaced: t.replacedLately(now)}}
 		if t.hub == name {
 			call.m.List = t.hubList
 		}
@@ -117,22 +117,25 @@
 
 // told is what this box tells of: its own requests, and in a large fleet those
 // of the boxes that tell it.
-func (d *Daemon) told(t *tables) []peer.Share {
-	own := ownShares(t)
+func (d *Daemon) told(now time.Time, t *tables) []peer.Share {
+	own := t.ownShares(now)
 	if !t.large() || d.spoke.Load() {
 		return own
 	}
 	sum := t.others.Without(t.hubs())
 	for _, s := range own {
-		all := sum[s.Target]
-		sum[s.Target] = peer.Share{Target: s.Target, Tokens: all.Tokens + s.Tokens, Unread: all.Unread + s.Unread}
+		sum[s.Target] = s.Plus(sum[s.Target])
 	}
 	return slices.Collect(maps.Values(sum))
 }
 
-// ownShares lists what this box's requests take up.
-func ownShares(t *tables) []peer.Share {
+// ownShares lists what this box's requests take up, and how long the moves took
+// that they waited for.
+func (t *tables) ownShares(now time.Time) []peer.Share {
 	var list []peer.Share
+	t.pace.Each(now, func(source uint64, asked, took time.Duration) {
+		list = append(list, peer.Share{Target: source, AskedMS: int(asked.Milliseconds()), TookMS: int(took.Milliseconds())})
+	})
 	for _, id := range t.fleet.All() {
 		x := t.fleet.Target(id)
 		if x.Tokens > 0 || x.Unread > 0 {
@@ -179,7 +182,7 @@
 		answer.Replaced = t.replacedLately(now)
 		t.heard(now, m.From, m.Shares)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
-			answer.Shares = d.told(t)
+			answer.Shares = d.told(now, t)
 			break
 		}
 		t.askedAsHub = now
@@ -236,8 +239,8 @@
 	if t.others.Boxes() == 0 {
 		return x.Tokens + t.usual.Tokens, x.Unread + t.usual.Unread
 	}
-	tokens, unread = t.others.Of(placement.Hash(x.ID))
-	return tokens + x.Tokens, unread + x.Unread
+	others := t.others.Of(placement.Hash(x.ID))
+	return others.Tokens + x.Tokens, others.Unread + x.Unread
 }
 
 // spread is what other boxes' requests take up at each of some targets, if each
--- a/entry/hub.go
+++ b/entry/hub.go
@@ -103,15 +103,6 @@
 	return ""
 }
 
-// placers is how many boxes order moves of kept parts at about this box's rate.
-func (d *Daemon) placers() int {
-	t := &d.tables
-	if t.large() && !d.spoke.Load() {
-		return len(t.hubs())
-	}
-	return t.boxes()
-}
-
 // lone says that this box lives on hubs, and that none answers.
 func (d *Daemon) lone(now time.Time, t *tables) bool {
 	return d.spoke.Load() && now.Sub(t.hubHeard) > loneAfter
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -385,29 +385,6 @@
 	}
 }
 
-// TestPlacers counts the boxes that order moves of kept parts: all of a small
-// fleet, and of a large one only the hubs, as long as this box hears one.
-func TestPlacers(t *testing.T) {
-	small := newDaemon("b1")
-	small.tables.members["b1"], small.tables.members["b2"] = &member{}, &member{}
-	tests := []struct {
-		name string
-		d    *Daemon
-		want int
-	}{
-		{"a small fleet", small, 2},
-		{"a hub", listed("box-00"), 4},
-		{"a box without hubs", listed("box-05"), 20},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			if got := tt.d.placers(); got != tt.want {
-				t.Errorf("%d boxes place, want %d", got, tt.want)
-			}
-		})
-	}
-}
-
 // TestSpoiltPlace has a hub's place passed over whose addresses can't be read.
 func TestSpoiltPlace(t *testing.T) {
 	tests := []struct {
--- /dev/null
+++ b/entry/pace_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/pace"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+)
+
+// TestSlowSource shows that a box learns from its own requests and from other
+// boxes that moves from a source take long, and tells what it saw itself.
+func TestSlowSource(t *testing.T) {
+	const move, took = 80 * time.Millisecond, 800 * time.Millisecond
+	source := placement.Hash("large")
+	own := func(d *Daemon) {
+		d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+		for range 5 {
+			d.update(start.Add(took), answerBegan{deliver.Place{Target: "a", Scope: "m@1", At: start, Moves: []pace.Move{{Source: source, Takes: move}}}})
+		}
+	}
+	tests := []struct {
+		name        string
+		see         func(d *Daemon)
+		least, most float64
+		tells       bool
+	}{
+		{"nothing was seen", func(*Daemon) {}, 1, 1, false},
+		{"own requests waited", own, 5, 20, true},
+		{"another box's did", func(d *Daemon) {
+			d.tables.members["b2"] = &member{}
+			d.tables.heard(start, "b2", []peer.Share{{Target: source, AskedMS: 400, TookMS: 4000}})
+		}, 5, 20, false},
+		{"own ones waited, many of another box's did not", func(d *Daemon) {
+			own(d)
+			d.tables.members["b2"] = &member{}
+			d.tables.heard(start, "b2", []peer.Share{{Target: source, AskedMS: 8000, TookMS: 8000}})
+		}, 1, 2, true},
+		{"a request of a plain service", func(d *Daemon) {
+			d.update(start.Add(took), answerBegan{deliver.Place{Target: "a", At: start, Moves: []pace.Move{{Source: source, Takes: move}}}})
+		}, 1, 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			tt.see(d)
+			now := start.Add(took)
+			if got := d.tables.stretch(now, "large"); got < tt.least || got > tt.most {
+				t.Errorf("stretch %.1f, want %.1f to %.1f", got, tt.least, tt.most)
+			}
+			if tells := len(d.tables.ownShares(now)) > 0; tells != tt.tells {
+				t.Errorf("tells of it: %v", tells)
+			}
+		})
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -154,7 +154,7 @@
 	place := deliver.Place{
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
 		Scope: scope(choice.Version, job), Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
-		Save: addresses(choice.Save),
+		Save: addresses(choice.Save), At: now, Ahead: choice.Ahead, Moves: choice.Moves,
 	}
 	if t.timed {
 		place.Fetch = addresses(choice.Fetch)
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/refusal"
@@ -128,6 +129,10 @@
 		Target: x.ID, Address: x.Address, Version: p.Version, Scope: scope(p.Version, job), Unread: p.Unread,
 		Tokens: job.Input + job.Output, Fetch: fetch, Save: save, FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
+		At: now, Ahead: p.Ahead,
+	}
+	for _, m := range p.Moves {
+		place.Moves = append(place.Moves, pace.Move{Source: m.Source, Takes: time.Duration(m.TakesUS) * time.Microsecond})
 	}
 	x.Sent(now, place.Unread, place.Tokens)
 	return placeAnswer{place: place}, true
@@ -197,10 +202,14 @@
 		return &peer.Placed{Refused: refused.Code, Reason: refused.Reason}
 	}
 	t.charge(m.From, place)
+	var moves []peer.Move
+	for _, m := range place.Moves {
+		moves = append(moves, peer.Move{Source: m.Source, TakesUS: m.Takes.Microseconds()})
+	}
 	return &peer.Placed{
 		Target: place.Target, Version: place.Version, Fetch: format(place.Fetch), Save: format(place.Save),
 		UntilMS: place.FetchUntil.Milliseconds(), Kept: place.Kept, Fetched: place.Fetched, Saved: place.Saved,
-		Unread: place.Unread, Rule: place.Rule,
+		Unread: place.Unread, Rule: place.Rule, Ahead: place.Ahead, Moves: moves,
 	}
 }
 
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -28,6 +28,7 @@
 	t.due.sweep = now.Add(time.Second)
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
+	d.noteSlow(now, t)
 	d.Sweep(now)
 	d.countTables(t)
 	return d.follow(now, t)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -9,6 +9,7 @@
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/shares"
 )
@@ -32,6 +33,11 @@
 	// others is what other boxes' requests take up, by the hash of the target's
 	// ID.
 	others *shares.Sum
+	// pace is how quickly engines read and sources move, as this box's requests
+	// saw it.
+	pace pace.Record
+	// slow marks the stores that were logged as slow.
+	slow map[string]bool
 	// usual is what other boxes' requests are taken to take up at each engine if
 	// none of them is heard, as of the last placing.
 	usual peer.Share
@@ -122,7 +128,7 @@
 func newTables() tables {
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), followed: make(map[string]context.CancelFunc),
-		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool),
+		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool), slow: make(map[string]bool),
 	}
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -18,9 +18,7 @@
 	case suspectAsked:
 		m.reply <- looksDead(now, t, m.target)
 	case answerBegan:
-		if x := t.fleet.Target(m.place.Target); x != nil {
-			x.Began(now, m.place.Unread)
-		}
+		d.answerBegan(now, t, m.place)
 	case sendingEnded:
 		d.sendingEnded(now, t, m)
 	case operatorRead:
--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,118 @@
+package pace_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/pace"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	ms    = time.Millisecond
+	store = uint64(7)
+)
+
+// read feeds requests without moves to a record, with noise.
+func read(r *pace.Record, n int, base, token time.Duration) {
+	draw := rand.New(rand.NewPCG(1, 2))
+	for range n {
+		tokens := draw.IntN(10000)
+		noise := time.Duration(draw.IntN(40)-20) * ms
+		r.See(start, pace.Sample{Took: base + time.Duration(tokens)*token + noise, Tokens: tokens})
+	}
+}
+
+// TestReading says what is learnt of engines that read at different rates.
+func TestReading(t *testing.T) {
+	tests := []struct {
+		name        string
+		samples     int
+		base, token time.Duration
+		within      float64
+	}{
+		{"none: the first guess", 0, 50 * ms, ms / 112, 0.001},
+		{"as guessed", 200, 50 * ms, ms / 112, 0.15},
+		{"half as quick", 200, 60 * ms, ms / 50, 0.15},
+		{"ten times slower", 200, 80 * ms, ms / 11, 0.15},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var r pace.Record
+			read(&r, tt.samples, tt.base, tt.token)
+			base, token := r.Reading()
+			if ratio := float64(token) / float64(tt.token); ratio < 1-tt.within || ratio > 1+tt.within {
+				t.Errorf("a token takes %v, want %v", token, tt.token)
+			}
+			if off := (base - tt.base).Abs(); off > 30*ms {
+				t.Errorf("a first event takes %v, want %v", base, tt.base)
+			}
+		})
+	}
+}
+
+// TestReadingBounded shows that requests which waited for something else don't
+// make the line useless.
+func TestReadingBounded(t *testing.T) {
+	var r pace.Record
+	for range 300 {
+		r.See(start, pace.Sample{Took: time.Hour, Tokens: 10})
+		r.See(start, pace.Sample{Took: 0, Tokens: 10000})
+	}
+	if base, token := r.Reading(); base > 500*ms || token <= 0 {
+		t.Errorf("base %v, token %v", base, token)
+	}
+}
+
+// TestStretch says what is learnt of a source's link.
+func TestStretch(t *testing.T) {
+	tests := []struct {
+		name string
+		// moves take 80 ms over an unused link, and took this long.
+		moves int
+		took  time.Duration
+		later time.Duration
+		least float64
+		most  float64
+	}{
+		{"never used", 0, 0, 0, 1, 1},
+		{"as expected", 20, 80 * ms, 0, 1, 1.05},
+		{"quicker than expected", 20, 10 * ms, 0, 1, 1},
+		{"a single late answer", 1, 400 * ms, 0, 1, 3},
+		{"four times slower", 20, 320 * ms, 0, 3, 4},
+		{"slow a while ago", 20, 320 * ms, 30 * time.Second, 1, 1.05},
+		{"hardly moving", 20, time.Minute, 0, 10, 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var r pace.Record
+			base, _ := r.Reading()
+			for range tt.moves {
+				r.See(start, pace.Sample{Took: base + tt.took, Moves: []pace.Move{{Source: store, Takes: 80 * ms}}})
+			}
+			got := pace.Stretch(r.Moved(start.Add(tt.later), store))
+			if got < tt.least || got > tt.most {
+				t.Errorf("stretch %.2f, want %.2f to %.2f", got, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// TestEach shows that sources without recent moves are forgotten.
+func TestEach(t *testing.T) {
+	var r pace.Record
+	r.See(start, pace.Sample{Took: 100 * ms, Moves: []pace.Move{{Source: store, Takes: 80 * ms}}})
+	count := func(at time.Time) int {
+		n := 0
+		r.Each(at, func(uint64, time.Duration, time.Duration) { n++ })
+		return n
+	}
+	if n := count(start); n != 1 {
+		t.Errorf("%d sources", n)
+	}
+	if n := count(start.Add(time.Minute)); n != 0 {
+		t.Errorf("%d sources a minute later", n)
+	}
+}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -42,6 +42,18 @@
 	// Refused is the code of a refusal, Reason what people read.
 	Refused string `cbor:"11,keyasint,omitempty"`
 	Reason  string `cbor:"12,keyasint,omitempty"`
+	// Ahead are the tokens that other requests have the target read before.
+	Ahead int `cbor:"13,keyasint,omitempty"`
+	// Moves are the fetches that the target waits for.
+	Moves []Move `cbor:"14,keyasint,omitempty"`
+}
+
+// Move is one fetch of kept parts.
+type Move struct {
+	// Source is the hash of the source's name, TakesUS how long the move takes
+	// over an unused link, in microseconds.
+	Source  uint64 `cbor:"1,keyasint"`
+	TakesUS int64  `cbor:"2,keyasint"`
 }
 
 // View is what a hub read of the platform, for boxes that need not read it
--- a/peer/message.go
+++ b/peer/message.go
@@ -65,14 +65,33 @@
 	Age int `cbor:"7,keyasint,omitempty"`
 }
 
-// Share is what one box's requests take up at a target.
+// Share is what one box's requests take up at a target or a store.
 type Share struct {
-	// Target is the hash of the target's ID.
+	// Target is the hash of the target's ID or of the store's name.
 	Target uint64 `cbor:"1,keyasint"`
 	// Tokens is the memory that running requests need, Unread the part of their
 	// prompts that is still to be read.
 	Tokens int `cbor:"2,keyasint,omitempty"`
 	Unread int `cbor:"3,keyasint,omitempty"`
+	// AskedMS is how long the moves from there that ended lately should have
+	// taken, TookMS how long they took, in milliseconds.
+	AskedMS int `cbor:"4,keyasint,omitempty"`
+	TookMS  int `cbor:"5,keyasint,omitempty"`
+}
+
+// Empty says that the share tells of nothing.
+func (s Share) Empty() bool {
+	return s.Tokens == 0 && s.Unread == 0 && s.AskedMS == 0 && s.TookMS == 0
+}
+
+// Plus returns the sum of two shares of one target.
+func (s Share) Plus(b Share) Share {
+	return Share{s.Target, s.Tokens + b.Tokens, s.Unread + b.Unread, s.AskedMS + b.AskedMS, s.TookMS + b.TookMS}
+}
+
+// Less returns the share without a part of it.
+func (s Share) Less(b Share) Share {
+	return Share{s.Target, s.Tokens - b.Tokens, s.Unread - b.Unread, s.AskedMS - b.AskedMS, s.TookMS - b.TookMS}
 }
 
 // Leaving tells how long ago a target was said to be leaving, by itself or by
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -53,22 +53,18 @@
 }
 
 func (s *Sum) add(b *box, share peer.Share) {
-	b.shares[share.Target] = plus(b.shares[share.Target], share, 1)
-	s.change(share, 1)
+	b.shares[share.Target] = share.Plus(b.shares[share.Target])
+	s.total[share.Target] = share.Plus(s.total[share.Target])
 }
 
-// change adds a share to the total, or takes it away if the sign is -1.
-func (s *Sum) change(share peer.Share, sign int) {
-	sum := plus(s.total[share.Target], share, sign)
-	if sum.Tokens == 0 && sum.Unread == 0 {
+// take takes a share away from the total.
+func (s *Sum) take(share peer.Share) {
+	left := s.total[share.Target].Less(share)
+	if left.Empty() {
 		delete(s.total, share.Target)
 		return
 	}
-	s.total[share.Target] = sum
-}
-
-func plus(a, b peer.Share, sign int) peer.Share {
-	return peer.Share{Target: b.Target, Tokens: a.Tokens + sign*b.Tokens, Unread: a.Unread + sign*b.Unread}
+	s.total[share.Target] = left
 }
 
 // Expire forgets the boxes that were not heard since a time.
@@ -87,18 +83,15 @@
 	}
 	delete(s.boxes, name)
 	for _, share := range b.shares {
-		s.change(share, -1)
+		s.take(share)
 	}
 }
 
 // Boxes counts the boxes heard.
 func (s *Sum) Boxes() int { return len(s.boxes) }
 
-// Of returns what all boxes heard take up at a target.
-func (s *Sum) Of(target uint64) (tokens, unread int) {
-	share := s.total[target]
-	return share.Tokens, share.Unread
-}
+// Of returns what all boxes heard tell of a target or store.
+func (s *Sum) Of(target uint64) peer.Share { return s.total[target] }
 
 // Without returns what the boxes heard take up by target, but for some boxes.
 func (s *Sum) Without(names []string) map[uint64]peer.Share {
@@ -109,7 +102,7 @@
 			continue
 		}
 		for target, share := range b.shares {
-			rest[target] = plus(rest[target], share, -1)
+			rest[target] = rest[target].Less(share)
 		}
 	}
 	return rest
--- a/shares/shares_test.go
+++ b/shares/shares_test.go
@@ -43,9 +43,8 @@
 			s.Set(start, "a", []peer.Share{share(7, 10, 1), share(8, 1, 1)})
 			s.Set(start, "b", []peer.Share{share(7, 20, 2)})
 			tt.change(s)
-			tokens, unread := s.Of(7)
-			if tokens != tt.tokens || unread != tt.unread || s.Boxes() != tt.boxes {
-				t.Errorf("%d, %d of %d boxes, want %d, %d of %d", tokens, unread, s.Boxes(), tt.tokens, tt.unread, tt.boxes)
+			if got := s.Of(7); got.Tokens != tt.tokens || got.Unread != tt.unread || s.Boxes() != tt.boxes {
+				t.Errorf("%d, %d of %d boxes, want %d, %d of %d", got.Tokens, got.Unread, s.Boxes(), tt.tokens, tt.unread, tt.boxes)
 			}
 		})
 	}
@@ -59,8 +58,8 @@
 	if rest[7] != share(7, 20, 2) || rest[8] != share(8, 5, 0) {
 		t.Errorf("rest %v", rest)
 	}
-	if tokens, _ := s.Of(7); tokens != 30 {
-		t.Errorf("the sum changed to %d", tokens)
+	if got := s.Of(7); got.Tokens != 30 {
+		t.Errorf("the sum changed to %d", got.Tokens)
 	}
 }
 
@@ -91,9 +90,28 @@
 			for _, one := range told {
 				want += one[target]
 			}
-			if tokens, unread := s.Of(target); tokens != want || unread != want {
-				t.Fatalf("target %d: %d, %d, want %d", target, tokens, unread, want)
+			if got := s.Of(target); got.Tokens != want || got.Unread != want {
+				t.Fatalf("target %d: %d, %d, want %d", target, got.Tokens, got.Unread, want)
 			}
 		}
 	}
 }
+
+// TestMoves shows that what boxes tell of moves is summed up and forgotten like
+// the rest, and that a share that tells only of them is not taken for an empty one.
+func TestMoves(t *testing.T) {
+	s := shares.New()
+	s.Set(start, "a", []peer.Share{{Target: 7, AskedMS: 80, TookMS: 100}})
+	s.Set(start, "b", []peer.Share{{Target: 7, AskedMS: 20, TookMS: 300}})
+	if got := s.Of(7); got.AskedMS != 100 || got.TookMS != 400 {
+		t.Errorf("moves of %d ms took %d ms", got.AskedMS, got.TookMS)
+	}
+	s.Set(start, "b", nil)
+	if got := s.Of(7); got.AskedMS != 80 || got.TookMS != 100 {
+		t.Errorf("without b: moves of %d ms took %d ms", got.AskedMS, got.TookMS)
+	}
+	s.Expire(start.Add(time.Second))
+	if got := s.Of(7); !got.Empty() {
+		t.Errorf("left: %+v", got)
+	}
+}
