perf(entry): prompts are admitted by what their route's requests take up as a rule

Change: entry/admit.go learns what a route's requests take up and admits by that; a prompt must still fit at all. Hubs get it with the question.

--- /dev/null
+++ b/entry/admit_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+)
+
+// TestAdmissionBySize shows that a long prompt is admitted where its route's
+// usual one is, as long as it fits at all.
+func TestAdmissionBySize(t *testing.T) {
+	const usual = 10000
+	tests := []struct {
+		name         string
+		taken, asked int
+		admitted     bool
+	}{
+		{"a usual one, room for it", 80000, usual, true},
+		{"a long one, room for a usual one", 80000, 30000, true},
+		{"a usual one, no room for it", 83000, usual, false},
+		{"a short one, no room for a usual one", 83000, 1000, false},
+		{"a long one that does not fit", 80000, 40000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.tables.members["b2"] = &member{}
+			for range 200 {
+				d.tables.usualTokens(job("long", usual))
+			}
+			d.tables.heard(start, "b2", []peer.Share{{Target: placement.Hash("a"), Tokens: tt.taken}})
+			_, err := d.place(start, &d.tables, deliver.Ask{Job: job("long", tt.asked)})
+			if (err == nil) != tt.admitted {
+				t.Errorf("admitted: %v (%v)", err == nil, err)
+			}
+		})
+	}
+}
+
+// TestUsual shows that what requests take up as a rule is learnt by route, and
+// that a hub admits by what the asking box learnt.
+func TestUsual(t *testing.T) {
+	d := newDaemon("b1")
+	if got := d.tables.usualTokens(job("long", 8000)); got != 8000 {
+		t.Errorf("the first one: %d", got)
+	}
+	for range 200 {
+		d.tables.usualTokens(job("short", 1000))
+		d.tables.usualTokens(job("long", 12000))
+	}
+	if got := d.tables.usualTokens(job("long", 12000)); got < 11500 || got > 12000 {
+		t.Errorf("the long route's: %d", got)
+	}
+	if got := d.tables.usualTokens(job("short", 1000)); got != 1000 {
+		t.Errorf("the short route's: %d", got)
+	}
+	if got := roomOf(&peer.PlaceAsk{Fill: 0.9, Usual: 700}); got != (room{0.9, 700}) {
+		t.Errorf("a hub's: %+v", got)
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -13,10 +13,8 @@
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/directory"
-	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/nearest"
 	"github.com/thymewind/thymewind/refusal"
-	"github.com/thymewind/thymewind/routing"
 )
 
 const (
@@ -92,43 +90,17 @@
 	return refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", job.Pool.Name)
 }
 
-// How far engines' memory is filled. Beyond it requests wait for others to end,
-// and parts that were kept are read again, which makes all of them slower.
-const (
-	fillLeast = 0.92
-	fillMost  = 1.15
-)
-
-// fill is the share of an engine's memory up to which a request is admitted:
-// the least urgent kind of a pool makes room for the others.
-func (d *Daemon) fill(job *deliver.Job) float64 {
-	if routing.Urgency(job.Route, job.Account) > 0 && job.Route.Urgency >= d.current.Load().LeastUrgent(job.Pool.Name) {
-		return fillLeast
-	}
-	return fillMost
-}
-
-// share is the part of an engine's memory that is taken up with the request.
-func (d *Daemon) share(t *tables, x *fleet.Target, ask affinity.Ask) float64 {
-	if ask.Capacity <= 0 {
-		return 0
-	}
-	running, _ := d.load(t, x)
-	return float64(running+ask.Tokens) / float64(ask.Capacity)
-}
-
 func tried(ask deliver.Ask) func(string) bool {
 	return func(id string) bool { return slices.Contains(ask.Tried, id) }
 }
 
 func (d *Daemon) placeModel(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, *refusal.Refusal) {
-	return d.chooseEngine(now, t, ask, d.Settings.Domain, d.fill(ask.Job))
+	return d.chooseEngine(now, t, ask, d.Settings.Domain, d.room(t, ask.Job))
 }
 
 // chooseEngine chooses an engine and plans the moves of kept parts, for a box in
-// a failure domain. Fill is the share of an engine's memory up to which the
-// request is admitted.
-func (d *Daemon) chooseEngine(now time.Time, t *tables, ask deliver.Ask, domain string, fill float64) (deliver.Place, *refusal.Refusal) {
+// a failure domain.
+func (d *Daemon) chooseEngine(now time.Time, t *tables, ask deliver.Ask, domain string, r room) (deliver.Place, *refusal.Refusal) {
 	job := ask.Job
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
@@ -148,8 +120,8 @@
 	if !ok {
 		return deliver.Place{}, refuseNone(job)
 	}
-	if share := d.share(t, choice.Target, question); share > fill {
-		return deliver.Place{}, refusal.New(refusal.DidNotRun, 503, "crowded", "the engines' memory is taken up: %.2f at the best of them", share)
+	if refused := d.refuseCrowded(t, choice.Target, question, r); refused != nil {
+		return deliver.Place{}, refused
 	}
 	place := deliver.Place{
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -54,8 +54,9 @@
 		return nil, false
 	}
 	job := m.ask.Job
+	r := d.room(t, job)
 	ask := peer.PlaceAsk{
-		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.Input + job.Output, Fill: d.fill(job), Tried: m.ask.Tried,
+		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.Input + job.Output, Fill: r.fill, Usual: r.usual, Tried: m.ask.Tried,
 	}
 	if job.Account != nil && job.Account.Isolated {
 		ask.Walled = job.Account.Name
@@ -197,7 +198,7 @@
 	for _, p := range m.Ask.Parts {
 		job.Parts = append(job.Parts, deliver.Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, t.domainOf(m.From), m.Ask.Fill)
+	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, t.domainOf(m.From), roomOf(m.Ask))
 	if refused != nil {
 		return &peer.Placed{Refused: refused.Code, Reason: refused.Reason}
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -36,6 +36,8 @@
 	// pace is how quickly engines read and sources move, as this box's requests
 	// saw it.
 	pace pace.Record
+	// sizes is what requests take up as a rule, in tokens, by route.
+	sizes map[string]float64
 	// slow marks the stores that were logged as slow.
 	slow map[string]bool
 	// usual is what other boxes' requests are taken to take up at each engine if
@@ -128,7 +130,7 @@
 func newTables() tables {
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), followed: make(map[string]context.CancelFunc),
-		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool), slow: make(map[string]bool),
+		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool), slow: make(map[string]bool), sizes: make(map[string]float64),
 	}
 }
 
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -13,8 +13,10 @@
 	Parts  []Part `cbor:"5,keyasint,omitempty"`
 	// Tokens is the memory that the request takes up.
 	Tokens int `cbor:"6,keyasint,omitempty"`
-	// Fill is the share of an engine's memory up to which it is admitted.
+	// Fill is the share of an engine's memory up to which it is admitted, if it
+	// takes up Usual tokens, as its route's requests do as a rule.
 	Fill  float64  `cbor:"7,keyasint,omitempty"`
+	Usual int      `cbor:"9,keyasint,omitempty"`
 	Tried []string `cbor:"8,keyasint,omitempty"`
 }
 
