perf(strain): the least urgent get less of the engines' memory while answers are late

Cause: how many requests an engine carries in time depends on its rates, which no configuration tells. Change: package strain learns the share of answers that came late; deliver says it of each stream that came whole. The limit of the least urgent falls by up to 0.35, and is logged when it begins to and ends.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -153,6 +153,9 @@
 	Failed bool
 	// Unreachable says that no connection or no answer came.
 	Unreachable bool
+	// Late says that the first event or a pause came later than the route's goals,
+	// Whole that the stream came to its end; only then Late means anything.
+	Late, Whole bool
 	Verdict     int
 	Version     int64
 }
--- /dev/null
+++ b/deliver/late_test.go
@@ -0,0 +1,57 @@
+package deliver_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+)
+
+// delayed reads one text, after a wait.
+type delayed struct {
+	wait time.Duration
+	text io.Reader
+}
+
+func (d *delayed) Read(p []byte) (int, error) {
+	time.Sleep(d.wait)
+	d.wait = 0
+	return d.text.Read(p)
+}
+
+// TestLate shows that a stream counts as late if its first event or a pause came
+// later than the route's goals, and only if it came whole.
+func TestLate(t *testing.T) {
+	const first, second, third = "id: 1\n\n", "id: 2\n\n", "id: 3\n\n"
+	after := func(wait time.Duration, text string) io.Reader { return &delayed{wait, strings.NewReader(text)} }
+	tests := []struct {
+		name        string
+		body        io.Reader
+		late, whole bool
+	}{
+		{"in time", io.MultiReader(after(90*time.Millisecond, first), after(40*time.Millisecond, second), after(40*time.Millisecond, third)), false, true},
+		{"the first event is late", io.MultiReader(after(110*time.Millisecond, first), after(0, second)), true, true},
+		{"a long pause", io.MultiReader(after(0, first), after(60*time.Millisecond, second), after(0, third)), true, true},
+		{"a long pause, then cut", io.MultiReader(after(0, first), after(60*time.Millisecond, second), broken{}), false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := route(false, true, false, 1)
+				r.Goal, r.Pause = 100*time.Millisecond, 50*time.Millisecond
+				s := (&targets{}).server(r)
+				s.Send = func(context.Context, deliver.Sending) (*deliver.Reply, error) { return streamReply(tt.body), nil }
+				var ended deliver.Ended
+				s.Ended = func(e deliver.Ended) { ended = e }
+				ask(s)
+				if ended.Whole != tt.whole || (ended.Whole && ended.Late != tt.late) {
+					t.Errorf("whole %v, late %v", ended.Whole, ended.Late)
+				}
+			})
+		})
+	}
+}
--- a/deliver/pass.go
+++ b/deliver/pass.go
@@ -89,7 +89,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			x.Ended(Ended{Place: place, Job: x.job, Began: true})
+			x.Ended(Ended{Place: place, Job: x.job, Began: true, Whole: true, Late: x.late})
 			x.outcome.Cause = ""
 			x.head(reply)
 			return nil, nil
@@ -97,6 +97,7 @@
 		if err != nil {
 			return x.cutStream(place, err)
 		}
+		x.time()
 		id := eventstream.ID(event)
 		if x.begun && id != "" && !later(id, x.after) {
 			continue // The caller has it from the run before.
@@ -115,6 +116,18 @@
 	}
 }
 
+// time notes when an event came, and whether that was later than the route's
+// goals. Without a goal nothing is late.
+func (x *run) time() {
+	now := x.Now()
+	waited, goal := now.Sub(x.event), x.job.Route.Pause
+	if x.event.IsZero() {
+		waited, goal = now.Sub(x.job.Received), x.job.Route.Goal
+	}
+	x.event = now
+	x.late = x.late || (goal > 0 && waited > goal)
+}
+
 // cutStream handles a stream that broke off.
 func (x *run) cutStream(place Place, err error) (*refusal.Refusal, error) {
 	failed := x.ctx.Err() == nil
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -41,8 +41,11 @@
 	failures int
 	// begun says that an answer's head went to the caller.
 	begun bool
-	// after is the last event passed on.
+	// after is the last event passed on, event when one last came, and late says
+	// that one came later than the route's goals.
 	after   string
+	event   time.Time
+	late    bool
 	outcome Outcome
 }
 
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -33,11 +33,11 @@
 }
 
 // room is what a request is admitted by: the least urgent kind of a pool makes
-// room for the others.
+// room for the others, the more so while answers are late.
 func (d *Daemon) room(t *tables, job *deliver.Job) room {
 	r := room{fill: fillMost, usual: t.usualTokens(job)}
 	if routing.Urgency(job.Route, job.Account) > 0 && job.Route.Urgency >= d.current.Load().LeastUrgent(job.Pool.Name) {
-		r.fill = fillLeast
+		r.fill = fillLeast - t.strain(job.Pool.Name).Reserve()
 	}
 	return r
 }
@@ -71,3 +71,16 @@
 
 // roomOf returns what another box's request is admitted by.
 func roomOf(ask *peer.PlaceAsk) room { return room{ask.Fill, ask.Usual} }
+
+// noteStrain logs the pools whose answers are late so often that the least urgent
+// get less room, and those that are well again.
+func (d *Daemon) noteStrain(t *tables) {
+	for pool, g := range t.strains {
+		strained := g.Reserve() > 0
+		if strained == t.strained[pool] {
+			continue
+		}
+		t.strained[pool] = strained
+		d.Log.Info("pool's answers", "pool", pool, "late_too_often", strained, "late", g.Late(), "reserve", g.Reserve())
+	}
+}
--- a/entry/admit_test.go
+++ b/entry/admit_test.go
@@ -63,3 +63,38 @@
 		t.Errorf("a hub's: %+v", got)
 	}
 }
+
+// TestAdmissionWhileLate shows that the least urgent get less room while answers
+// are late, the others as much as ever, and both get it back.
+func TestAdmissionWhileLate(t *testing.T) {
+	tests := []struct {
+		name, route string
+		late        []bool
+		admitted    bool
+	}{
+		{"answers in time, least urgent", "long", []bool{false}, true},
+		{"answers late, least urgent", "long", []bool{true}, false},
+		{"answers late, urgent", "short", []bool{true}, true},
+		{"answers in time again, least urgent", "long", []bool{true, false}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.tables.members["b2"] = &member{}
+			d.tables.heard(start, "b2", []peer.Share{{Target: placement.Hash("a"), Tokens: 75000}})
+			for _, late := range tt.late {
+				for range 100 {
+					x := d.tables.fleet.Target("a")
+					x.Sent(start, 0, 0)
+					d.update(start, sendingEnded{deliver.Ended{Place: deliver.Place{Target: "a"}, Job: job("long", 0), Began: true, Whole: true, Late: late}})
+				}
+			}
+			_, err := d.place(start, &d.tables, deliver.Ask{Job: job(tt.route, 5000)})
+			if (err == nil) != tt.admitted {
+				t.Errorf("admitted: %v (%v)", err == nil, err)
+			}
+		})
+	}
+}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -29,6 +29,7 @@
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
 	d.noteSlow(now, t)
+	d.noteStrain(t)
 	d.Sweep(now)
 	d.countTables(t)
 	return d.follow(now, t)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/shares"
+	"github.com/thymewind/thymewind/strain"
 )
 
 // tables are what the loop owns. Only the loop touches them.
@@ -38,6 +39,10 @@
 	pace pace.Record
 	// sizes is what requests take up as a rule, in tokens, by route.
 	sizes map[string]float64
+	// strains are the shares of late answers, by pool.
+	strains map[string]*strain.Gauge
+	// strained marks the pools that were logged as answering late.
+	strained map[string]bool
 	// slow marks the stores that were logged as slow.
 	slow map[string]bool
 	// usual is what other boxes' requests are taken to take up at each engine if
@@ -130,7 +135,7 @@
 func newTables() tables {
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), followed: make(map[string]context.CancelFunc),
-		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool), slow: make(map[string]bool), sizes: make(map[string]float64),
+		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool), slow: make(map[string]bool), sizes: make(map[string]float64), strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
 	}
 }
 
@@ -161,6 +166,16 @@
 	}
 }
 
+// strain returns the share of late answers of a pool.
+func (t *tables) strain(pool string) *strain.Gauge {
+	g := t.strains[pool]
+	if g == nil {
+		g = &strain.Gauge{}
+		t.strains[pool] = g
+	}
+	return g
+}
+
 // model returns the rollout of a model.
 func (t *tables) model(name string) *weights {
 	w := t.weights[name]
--- a/entry/update.go
+++ b/entry/update.go
@@ -90,6 +90,9 @@
 		return
 	}
 	x.Ended(now, m.Began, m.Place.Unread, m.Place.Tokens, m.Failed)
+	if m.Whole {
+		t.strain(x.Pool).See(m.Late)
+	}
 	if m.Verdict != 0 {
 		x.Heard(now)
 	}
--- /dev/null
+++ b/strain/strain_test.go
@@ -0,0 +1,50 @@
+package strain_test
+
+import (
+	"testing"
+
+	"github.com/thymewind/thymewind/strain"
+)
+
+// TestReserve says how much memory is left free after some answers of which one
+// in so many was late.
+func TestReserve(t *testing.T) {
+	tests := []struct {
+		name        string
+		answers     int
+		oneIn       int
+		least, most float64
+	}{
+		{"none seen", 0, 1, 0, 0},
+		{"all in time", 200, 1000, 0, 0},
+		{"one late answer of few", 3, 3, 0, 0.001},
+		{"one in fifty late", 500, 50, 0, 0.001},
+		{"one in five late", 500, 5, 0.1, 0.35},
+		{"all late", 500, 1, 0.35, 0.35},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g strain.Gauge
+			for i := range tt.answers {
+				g.See((i+1)%tt.oneIn == 0)
+			}
+			if got := g.Reserve(); got < tt.least || got > tt.most {
+				t.Errorf("reserve %.3f at %.2f late, want %.3f to %.3f", got, g.Late(), tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// TestRecover shows that the memory is given back once answers are in time.
+func TestRecover(t *testing.T) {
+	var g strain.Gauge
+	for range 500 {
+		g.See(true)
+	}
+	for range 70 {
+		g.See(false)
+	}
+	if got := g.Reserve(); got != 0 {
+		t.Errorf("still reserved: %.3f", got)
+	}
+}
