feat(entry): mechanisms can be switched off one by one, to measure what each is worth

Cause: what is worth nothing should be removed, and nothing said so. Ruled out: build tags and patches of a scratch copy, which rot unseen. No behaviour changes without that setting.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -22,13 +22,13 @@
 	// againToken is what reading a token again is worth avoiding, beyond the
 	// time: at the platform's prices 1,000 of them cost a third of a request.
 	againToken = 50 * time.Microsecond
-	// slack is the difference in cost that is not worth leaving the
+	// Slack is the usual difference in cost that is not worth leaving the
 	// best-ranked engine for; a request's first event takes some 50 ms.
-	slack = 25 * time.Millisecond
+	Slack = 25 * time.Millisecond
 	// elsewhere is the cost of an engine in another failure domain than the box:
 	// the bytes between domains have their price, and a box that uses a third of
 	// the engines opens a third of the connections, at a quarter of a short
-	// request's worth each. It is above slack, so that the rank does not outweigh
+	// request's worth each. It is above Slack, so that the rank does not outweigh
 	// it.
 	elsewhere = 30 * time.Millisecond
 	// oldWeights is the cost of running on weights older than the newest.
@@ -119,6 +119,12 @@
 	Reading func() time.Duration
 	Stretch func(now time.Time, source string) float64
 
+	// Slack is the difference in cost within which the best-ranked engine is taken.
+	Slack time.Duration
+	// Saves, FromStores and FromEngines say whether parts may be saved to a
+	// source, or fetched from it.
+	Saves, FromStores, FromEngines func(*Source) bool
+
 	// Load returns the memory that requests of all boxes take up at an engine,
 	// and the prompt tokens that wait there to be read.
 	Load func(t *fleet.Target) (tokens, unread int)
@@ -160,7 +166,7 @@
 		if one.rank > all[home].rank {
 			home = i
 		}
-		if one.cost <= least+slack && (best < 0 || one.rank > all[best].rank) {
+		if one.cost <= least+c.Slack && (best < 0 || one.rank > all[best].rank) {
 			best = i
 		}
 	}
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -23,6 +23,9 @@
 	stretch map[string]float64
 }
 
+// all sources are used.
+func all(*affinity.Source) bool { return true }
+
 func key(version int64, i int) directory.Key { return directory.Key(100*version + int64(i)) }
 
 func newBench() *bench {
@@ -37,7 +40,8 @@
 		Directory: x.d, Stores: func() []*affinity.Source { return x.stores },
 		Reading: func() time.Duration { return time.Millisecond / 112 }, Stretch: func(_ time.Time, name string) float64 { return max(x.stretch[name], 1) },
 		Token: func() time.Duration { return time.Microsecond },
-		Load:  func(t *fleet.Target) (int, int) { return t.Tokens, t.Unread },
+		Slack: affinity.Slack, Saves: all, FromStores: all, FromEngines: all,
+		Load: func(t *fleet.Target) (int, int) { return t.Tokens, t.Unread },
 	}
 	x.ask = affinity.Ask{
 		Domain: "z", Home: 7, Parts: []affinity.Part{{Tokens: 500}, {Tokens: 8000}, {Tokens: 2000}}, Model: "m", Tokens: 10600, Capacity: 180000,
--- a/affinity/parts.go
+++ b/affinity/parts.go
@@ -109,7 +109,7 @@
 			return nil
 		}
 		free := s.Capacity - c.Directory.Tokens(s.Name)
-		if free < tokens*2 {
+		if free < tokens*2 || !c.Saves(s) {
 			continue
 		}
 		weight := float64(placement.Weight(uint64(key), placement.Hash(s.Name))>>1 + 1<<62)
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -62,7 +62,7 @@
 func (s *search) holders(key directory.Key) holders {
 	var h holders
 	for _, store := range s.Stores() {
-		if s.Directory.Whole(store.Name, key) {
+		if s.FromStores(store) && s.Directory.Whole(store.Name, key) {
 			h.stores = append(h.stores, holder{*store, s.Stretch(s.now, store.Name)})
 		}
 	}
@@ -71,6 +71,9 @@
 			continue
 		}
 		peer := Source{Name: t.ID, Address: t.Address, Domain: t.Domain, First: peerFirst, Token: s.Token()}
+		if !s.FromEngines(&peer) {
+			continue
+		}
 		h.engines = append(h.engines, holder{peer, s.Stretch(s.now, t.ID)})
 	}
 	return h
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -208,7 +208,7 @@
 	Spend func(pool string) bool
 	Earn  func(pool string)
 	// Suspect says whether a target looks dead by now, so that a request that
-	// may be repeated need not wait for it any longer.
+	// may be repeated need not wait for it any longer. Without it none is hurried.
 	Suspect func(ctx context.Context, target string) bool
 	Now     func() time.Time
 	Draw    func() uint64
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -116,7 +116,7 @@
 func (x *run) try(place Place) (*refusal.Refusal, error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	if x.repeatable() && x.sent+1 < x.job.Route.Attempts {
+	if x.Suspect != nil && x.repeatable() && x.sent+1 < x.job.Route.Attempts {
 		answered := make(chan struct{})
 		go x.hurry(ctx, cancel, answered, place.Target)
 		return x.exchange(ctx, func() { close(answered) }, place)
--- /dev/null
+++ b/entry/ablate.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/strain"
+)
+
+// seams are the mechanisms that can be switched off one by one, to measure what
+// each is worth. All are on unless the settings name them under "without".
+type seams struct {
+	// usual is what a job's requests take up as a rule.
+	usual func(t *tables, job *deliver.Job) int
+	// reserve is what the least urgent leave free while answers are late, and
+	// fillLeast up to where they are admitted otherwise.
+	reserve   func(g *strain.Gauge) float64
+	fillLeast float64
+	// hear takes over what other boxes' requests take up.
+	hear func(now time.Time, t *tables, name string, list []peer.Share)
+	// clears says below which version parts may be freed.
+	clears func(now time.Time, w *weights) int64
+	// near is the failure domain whose engines are taken first.
+	near func(domain string) string
+}
+
+func newSeams() seams {
+	return seams{
+		usual:     (*tables).usualTokens,
+		reserve:   (*strain.Gauge).Reserve,
+		fillLeast: fillLeast,
+		hear:      func(now time.Time, t *tables, name string, list []peer.Share) { t.heard(now, name, list) },
+		clears:    func(now time.Time, w *weights) int64 { return w.clearing.Below(now) },
+		near:      func(domain string) string { return domain },
+	}
+}
+
+// ablate switches off the mechanisms that the settings name. It is the only place
+// that does.
+func (d *Daemon) ablate() {
+	off := func(mechanism string) bool { return slices.Contains(d.Settings.Without, mechanism) }
+	if off(settings.Saves) {
+		d.engines.Saves = func(*affinity.Source) bool { return false }
+	}
+	if off(settings.StoreFetches) {
+		d.engines.FromStores = func(*affinity.Source) bool { return false }
+	}
+	if off(settings.EngineFetches) {
+		d.engines.FromEngines = func(*affinity.Source) bool { return false }
+	}
+	if off(settings.LearntMoves) {
+		d.engines.Stretch = func(time.Time, string) float64 { return 1 }
+	}
+	if off(settings.LearntReading) {
+		d.engines.Reading = func() time.Duration { return time.Millisecond / 112 }
+	}
+	if off(settings.RankSlack) {
+		d.engines.Slack = 0
+	}
+	if off(settings.OwnDomain) {
+		d.near = func(string) string { return "" }
+	}
+	if off(settings.LeastUrgent) {
+		d.fillLeast = fillMost
+		d.reserve = func(*strain.Gauge) float64 { return 0 }
+	}
+	if off(settings.Reserve) {
+		d.reserve = func(*strain.Gauge) float64 { return 0 }
+	}
+	if off(settings.UsualSize) {
+		d.usual = func(_ *tables, job *deliver.Job) int { return job.Input + job.Output }
+	}
+	if off(settings.Freeing) {
+		d.clears = func(time.Time, *weights) int64 { return 0 }
+	}
+	if off(settings.Loads) {
+		d.hear = func(time.Time, *tables, string, []peer.Share) {}
+	}
+	if off(settings.Hurry) {
+		d.server.Suspect = nil
+	}
+	if len(d.Settings.Without) > 0 {
+		d.Log.Warn("mechanisms are switched off, to be measured", "without", d.Settings.Without)
+	}
+}
--- /dev/null
+++ b/entry/ablate_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/pace"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+)
+
+// TestAblate shows for each mechanism that it is on as a rule and off where the
+// settings say so.
+func TestAblate(t *testing.T) {
+	const source = "large"
+	tests := []struct {
+		mechanism string
+		on        func(d *Daemon) bool
+	}{
+		{settings.Saves, func(d *Daemon) bool { return d.engines.Saves(&affinity.Source{}) }},
+		{settings.StoreFetches, func(d *Daemon) bool { return d.engines.FromStores(&affinity.Source{}) }},
+		{settings.EngineFetches, func(d *Daemon) bool { return d.engines.FromEngines(&affinity.Source{}) }},
+		{settings.LearntMoves, func(d *Daemon) bool {
+			d.tables.members["b2"] = &member{}
+			d.tables.heard(start, "b2", []peer.Share{{Target: placement.Hash(source), AskedMS: 500, TookMS: 5000}})
+			return d.engines.Stretch(start, source) > 2
+		}},
+		{settings.LearntReading, func(d *Daemon) bool {
+			before := d.engines.Reading()
+			for range 100 {
+				d.tables.pace.See(start, pace.Sample{Took: before * 40000, Tokens: 10000})
+			}
+			return d.engines.Reading() > 2*before
+		}},
+		{settings.RankSlack, func(d *Daemon) bool { return d.engines.Slack > 0 }},
+		{settings.OwnDomain, func(d *Daemon) bool { return d.near("a") == "a" }},
+		{settings.LeastUrgent, func(d *Daemon) bool { return d.room(&d.tables, job("long", 10)).fill < fillMost }},
+		{settings.Reserve, func(d *Daemon) bool {
+			for range 100 {
+				d.tables.strain("models").See(true)
+			}
+			return d.room(&d.tables, job("long", 10)).fill < fillLeast
+		}},
+		{settings.UsualSize, func(d *Daemon) bool {
+			d.room(&d.tables, job("long", 1000))
+			return d.room(&d.tables, job("long", 9000)).usual < 9000
+		}},
+		{settings.Freeing, func(d *Daemon) bool {
+			w := d.tables.model("m")
+			w.name(start, 2)
+			w.clearing.See(start, 2)
+			return d.clears(start.Add(60e9), w) == 2
+		}},
+		{settings.Loads, func(d *Daemon) bool {
+			d.tables.members["b2"] = &member{}
+			d.hear(start, &d.tables, "b2", []peer.Share{{Target: 7, Tokens: 1}})
+			return d.tables.others.Of(7).Tokens == 1
+		}},
+		{settings.Hurry, func(d *Daemon) bool { return d.server.Suspect != nil }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.mechanism, func(t *testing.T) {
+			for _, off := range []bool{false, true} {
+				d := newDaemon("b1")
+				if off {
+					d.Settings.Without = []string{tt.mechanism}
+					d.build()
+				}
+				d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+				if on := tt.on(d); on == off {
+					t.Errorf("switched off: %v, on: %v", off, on)
+				}
+			}
+		})
+	}
+	if n := len(strings.Split(settings.Mechanisms(), ", ")); n != len(tests) {
+		t.Errorf("%d mechanisms, %d tests", n, len(tests))
+	}
+}
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -35,9 +35,9 @@
 // room is what a request is admitted by: the least urgent kind of a pool makes
 // room for the others, the more so while answers are late.
 func (d *Daemon) room(t *tables, job *deliver.Job) room {
-	r := room{fill: fillMost, usual: t.usualTokens(job)}
+	r := room{fill: fillMost, usual: d.usual(t, job)}
 	if routing.Urgency(job.Route, job.Account) > 0 && job.Route.Urgency >= d.current.Load().LeastUrgent(job.Pool.Name) {
-		r.fill = fillLeast - t.strain(job.Pool.Name).Reserve()
+		r.fill = d.fillLeast - d.reserve(t.strain(job.Pool.Name))
 	}
 	return r
 }
--- a/entry/build.go
+++ b/entry/build.go
@@ -59,6 +59,7 @@
 	budget   retry.Budget
 	server   deliver.Server
 	peers    peer.Node
+	seams
 	// lines bounds the log's lines on whole answers; all others are written.
 	lines *rate.Limiter
 }
@@ -70,6 +71,7 @@
 	d.bounds.Store(&d.Settings.Bounds)
 	d.tables = newTables()
 	d.messages = make(chan message, backlog)
+	d.seams = newSeams()
 	d.counts = newCounters(d.Registry)
 	d.ended = make(chan struct{})
 	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.assumeRole, d.gossip}
@@ -79,9 +81,11 @@
 		Directory: d.tables.directory,
 		Stores:    func() []*affinity.Source { return d.tables.stores },
 		Token:     func() time.Duration { return d.tables.engineToken },
-		Reading:   func() time.Duration { _, token := d.tables.pace.Reading(); return token },
-		Stretch:   func(now time.Time, source string) float64 { return d.tables.stretch(now, source) },
-		Load:      func(x *fleet.Target) (int, int) { return d.load(&d.tables, x) },
+		Slack:     affinity.Slack,
+		Saves:     every, FromStores: every, FromEngines: every,
+		Reading: func() time.Duration { _, token := d.tables.pace.Reading(); return token },
+		Stretch: func(now time.Time, source string) float64 { return d.tables.stretch(now, source) },
+		Load:    func(x *fleet.Target) (int, int) { return d.load(&d.tables, x) },
 	}
 	d.budget = retry.Budget{
 		Share: d.bounds.Load().RetryShare * retryUse,
@@ -91,8 +95,12 @@
 	d.buildLease()
 	d.buildServer()
 	d.buildPeers()
+	d.ablate()
 }
 
+// every source is used.
+func every(*affinity.Source) bool { return true }
+
 func (d *Daemon) buildPeers() {
 	d.peers = peer.Node{
 		Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
--- a/entry/free.go
+++ b/entry/free.go
@@ -38,7 +38,7 @@
 	if w.freeing || !w.toFree(t) || !t.timed || t.storeAway || now.Before(w.freeAgain) {
 		return nil
 	}
-	version := w.clearing.Below(now)
+	version := d.clears(now, w)
 	if version <= w.freed {
 		return nil
 	}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -180,7 +180,7 @@
 	default:
 		d.hearReplaced(now, t, m)
 		answer.Replaced = t.replacedLately(now)
-		t.heard(now, m.From, m.Shares)
+		d.hear(now, t, m.From, m.Shares)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
 			answer.Shares = d.told(now, t)
 			break
@@ -211,7 +211,7 @@
 		t.hubHeard = now
 		return d.viewRead(now, t, m.name, m.asked, m.m.View)
 	}
-	t.heard(now, m.name, m.m.Shares)
+	d.hear(now, t, m.name, m.m.Shares)
 	return nil
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -105,7 +105,7 @@
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
 	question := affinity.Ask{
-		Domain: domain, Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
+		Domain: d.near(domain), Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
 		Overdue: w.wanted > 0 && d.bounds.Load().WeightsWithin > 0 && now.Sub(w.named) > d.bounds.Load().WeightsWithin-overdueMargin,
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -36,6 +36,9 @@
 	Bounds Bounds `yaml:"bounds"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
+	// Without names mechanisms that are switched off, to measure what each is
+	// worth; empty but for that.
+	Without []string `yaml:"without"`
 }
 
 // Store is the table service.
@@ -111,6 +114,7 @@
 	s.checkAddresses(d)
 	s.checkBox(d)
 	s.checkBounds(d)
+	s.checkWithout(d)
 }
 
 func (s *Settings) checkAddresses(d *document.Document) {
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -33,6 +33,8 @@
 		{"no time unit", "5000ms", "5000", []string{"s.yaml:9:"}},
 		{"too short a stop", "stop: 8s", "stop: 1ms", []string{"s.yaml:8:9: bounds.stop"}},
 		{"below zero", "0.2", "-1", []string{"retry_share"}},
+		{"a mechanism switched off", "bounds:", "without: [saves, hurry]\nbounds:", nil},
+		{"an unknown mechanism", "bounds:", "without: [magic]\nbounds:", []string{"without"}},
 		{"several at once", "name: \"entry-1\"", "log_level: loud", []string{"name: must be set", "s.yaml:1:12: log_level"}},
 	}
 	for _, tt := range tests {
