--- a/entry/ablate_test.go
+++ b/entry/ablate_test.go
@@ -66,7 +66,7 @@
 				d := newDaemon("b1")
 				if off {
 					d.Settings.Without = []string{tt.mechanism}
-					d.build()
+					d.ablate()
 				}
 				d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
 				if on := tt.on(d); on == off {
