--- a/entry/admit_test.go
+++ b/entry/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
@@ -9,6 +10,41 @@
 	"github.com/thymewind/thymewind/placement"
 )
 
+// TestAdmission shows that the least urgent kind leaves room for the others.
+func TestAdmission(t *testing.T) {
+	tests := []struct {
+		name, route string
+		taken       int
+		admitted    bool
+	}{
+		{"room for all", "long", 50000, true},
+		{"nearly full, least urgent", "long", 90000, false},
+		{"nearly full, urgent", "short", 90000, true},
+		{"over full, urgent", "short", 140000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.now = func() time.Time { return start }
+			d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.tables.members["b1"], d.tables.members["b2"] = &member{}, &member{}
+			d.update(start, peerAsks{peer.Message{From: "b2", Shares: []peer.Share{{Target: placement.Hash("a"), Tokens: tt.taken}}}, make(chan peer.Message, 1)})
+			place, err := d.place(start, &d.tables, deliver.Ask{Job: job(tt.route, 5000)})
+			if (err == nil) != tt.admitted {
+				t.Fatalf("place %+v, %v", place, err)
+			}
+			want := 0
+			if tt.admitted {
+				want = 5000
+			}
+			if x := d.tables.fleet.Target("a"); x.Tokens != want {
+				t.Errorf("counted %d tokens, want %d", x.Tokens, want)
+			}
+		})
+	}
+}
+
 // TestAdmissionBySize shows that a long prompt is admitted where its route's
 // usual one is, as long as it fits at all.
 func TestAdmissionBySize(t *testing.T) {
--- /dev/null
+++ b/entry/free_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/clearing"
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// TestFreeing shows when parts made on older weights may be freed: not before
+// each fetch has ended, and only with a list that lacks nothing.
+func TestFreeing(t *testing.T) {
+	const (
+		// later is when no fetch on older weights can run any more, soon is right
+		// after the last engine got the newer ones.
+		soon  = 10*time.Second + time.Millisecond
+		later = 20 * time.Second
+	)
+	tests := []struct {
+		name   string
+		change func(d *Daemon, now time.Time)
+		after  time.Duration
+		frees  bool
+	}{
+		{"too early", func(*Daemon, time.Time) {}, soon, false},
+		{"late enough", func(*Daemon, time.Time) {}, later, true},
+		{"an engine with older weights went without notice", func(d *Daemon, now time.Time) {
+			d.update(now, targetsRead{now, Targets{Listed: []fleet.Entry{engine("c", 1)}}, false})
+			d.update(now, targetsRead{now, Targets{Gone: []string{"c"}}, false})
+		}, later, false},
+		{"an engine with the newer weights went without notice", func(d *Daemon, now time.Time) {
+			d.update(now, targetsRead{now, Targets{Gone: []string{"b"}}, false})
+		}, later, true},
+		{"the store came back meanwhile", func(d *Daemon, now time.Time) { d.update(now, storeBack{}) }, later, false},
+		{"the store is away", func(d *Daemon, now time.Time) { d.update(now, storeLost{errors.New("away")}) }, later, false},
+		{"the clock is not known", func(d *Daemon, _ time.Time) { d.tables.timed = false }, later, false},
+		{"they were cleared already", func(d *Daemon, _ time.Time) { d.tables.model("m").freed = 2 }, later, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.tables.timed, d.tables.ownKnown = true, true
+			d.tables.stores = []*affinity.Source{{Name: "s"}}
+			d.update(start, operatorRead{start, Operator{Weights: map[string]int64{"m": 2}}})
+			w := d.tables.model("m")
+			w.clearing.See(start, 1)
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 2), engine("b", 2)}}, false})
+			w.clearing.See(start.Add(10*time.Second), 2)
+			tt.change(d, start.Add(later-time.Second))
+			if effects := d.freeOld(start.Add(tt.after), &d.tables, "m", w); (len(effects) > 0) != tt.frees {
+				t.Errorf("effects %v, want some: %v", effects, tt.frees)
+			}
+		})
+	}
+}
+
+// TestFreeingDuringRollout shows that parts of a version that no engine has any
+// more go while a still newer one is brought to the engines.
+func TestFreeingDuringRollout(t *testing.T) {
+	d := newDaemon("b1")
+	now := start
+	d.now = func() time.Time { return now }
+	d.lease.Now = d.now
+	d.tables.timed, d.tables.ownKnown = true, true
+	d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}}})
+	d.tables.stores = []*affinity.Source{{Name: "s"}}
+	d.update(now, targetsRead{now, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 2), engine("b", 2), engine("c", 2)}}, false})
+	d.rollWeights(now, &d.tables)
+	now = now.Add(10 * time.Second)
+	d.update(now, operatorRead{now, Operator{Weights: map[string]int64{"m": 3}}})
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	d.tables.readEpoch, _, _ = d.lease.Held()
+	var frees, orders int
+	for _, e := range d.rollWeights(now, &d.tables) {
+		switch e := e.(type) {
+		case freeParts:
+			frees++
+			if e.version != 2 {
+				t.Errorf("freed below %d, want 2", e.version)
+			}
+		case announce:
+			orders++
+		}
+	}
+	if frees != 1 || orders != 1 {
+		t.Errorf("%d times freed, %d times ordered", frees, orders)
+	}
+}
+
+// TestFreedAgain tries to clear a store again that did not answer, some times.
+func TestFreedAgain(t *testing.T) {
+	d := newDaemon("b1")
+	w := d.tables.model("m")
+	for try := 1; try <= freeMost; try++ {
+		w.freeing = true
+		d.update(start, freedOld{"m", 2, errors.New("no answer")})
+		if w.freeing {
+			t.Fatal("the next try never comes")
+		}
+		if done := w.freed == 2; done != (try == freeMost) {
+			t.Errorf("after %d failures: given up %v", try, done)
+		}
+	}
+	if w.freeTries != 0 || !w.freeAgain.After(start) {
+		t.Errorf("%d tries, again at %v", w.freeTries, w.freeAgain)
+	}
+}
+
+// TestFetchOfOldParts bounds a fetch by what this box knows of the weights.
+func TestFetchOfOldParts(t *testing.T) {
+	tests := []struct {
+		name   string
+		wanted int64
+		proved time.Duration
+		want   time.Duration
+	}{
+		{"the newest weights", 1, time.Second, clearing.FetchFor(true, 0)},
+		{"older weights", 2, time.Second, clearing.FetchFor(false, 0)},
+		{"cut off", 1, time.Minute, clearing.FetchFor(false, 0)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.began = start
+			d.tables.timed = true
+			d.update(start, operatorRead{start.Add(-tt.proved), Operator{Table: configuration(1), Weights: map[string]int64{"m": tt.wanted}}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			place, refused := d.placeModel(start, &d.tables, deliver.Ask{Job: job("long", 10)})
+			if refused != nil || place.FetchUntil != tt.want {
+				t.Errorf("until %v, refused %v, want %v", place.FetchUntil, refused, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/weights_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/table"
+)
+
+// TestWeightsOrders follows a rollout by one box: only with the lease, two at a
+// time, none that another holder ordered a moment ago.
+func TestWeightsOrders(t *testing.T) {
+	d := newDaemon("b1")
+	now := start
+	d.now = func() time.Time { return now }
+	d.lease.Now = d.now
+	d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}}})
+	d.update(now, targetsRead{now, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1), engine("b", 1), engine("c", 1), engine("d", 2)}}, false})
+	if effects := d.rollWeights(now, &d.tables); len(effects) != 1 {
+		t.Fatalf("without the lease: %v", effects)
+	}
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if effects := d.rollWeights(now, &d.tables); len(effects) != 0 {
+		t.Fatalf("orders before the earlier holder's rows were read: %v", effects)
+	}
+	last := table.Row{Key: rolloutPrefix + "m", Value: []byte(`{"epoch":0,"version":2,"loading":["a"],"recent":["a"]}`)}
+	d.update(now, leaseStepped{read: true, rows: []table.Row{last}})
+	if got := ordered(t, d, now); got != "b c " {
+		t.Errorf("ordered %q, want all but a, which another box ordered", got)
+	}
+	if !d.tables.fleet.Target("b").Loading(now) {
+		t.Error("a target that was ordered takes requests")
+	}
+	d.update(now, orderEnded{"b", "m", 2, nil})
+	d.update(now, orderEnded{"c", "m", 2, nil})
+	if got := ordered(t, d, now); got != "" {
+		t.Errorf("ordered %q too early", got)
+	}
+	now = now.Add(d.bounds.Load().Takeover + holdSlack + time.Millisecond)
+	d.tables.readEpoch = 1
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	epoch, _, _ := d.lease.Held()
+	d.tables.readEpoch = epoch
+	if got := ordered(t, d, now); got != "a " {
+		t.Errorf("ordered %q, want a", got)
+	}
+}
+
+// ordered runs the rollout and returns the targets that get orders.
+func ordered(t *testing.T, d *Daemon, now time.Time) string {
+	t.Helper()
+	got := ""
+	for _, e := range d.rollWeights(now, &d.tables) {
+		a, ok := e.(announce)
+		if !ok {
+			continue
+		}
+		for _, sent := range d.update(now, announced{a.model, nil}) {
+			got += sent.(sendOrder).order.Target + " "
+		}
+	}
+	return got
+}
+
+// TestNotAnnounced shows that no order goes out that a successor would not know
+// of.
+func TestNotAnnounced(t *testing.T) {
+	d := newDaemon("b1")
+	d.tables.model("m").planned = []string{"a"}
+	if effects := d.update(start, announced{"m", errors.New("lost")}); len(effects) != 0 {
+		t.Errorf("effects %v", effects)
+	}
+}
+
+// TestLateRow shows that a row of an earlier holder, written late, is not
+// taken over.
+func TestLateRow(t *testing.T) {
+	d := newDaemon("b1")
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+	row := func(epoch, loading string) {
+		d.update(start, ownRead{change: Own{Rows: []table.Row{{Key: rolloutPrefix + "m", Value: []byte(`{"epoch":` + epoch + `,"version":2,"loading":[` + loading + `],"done":[]}`)}}}})
+	}
+	row("4", "")
+	row("3", `"a"`)
+	if d.tables.fleet.Target("a").Loading(start) {
+		t.Error("a late row counts")
+	}
+	row("4", `"a"`)
+	if !d.tables.fleet.Target("a").Loading(start) {
+		t.Error("the holder's row does not count")
+	}
+}
+
+// TestLearn takes what targets say of their weights.
+func TestLearn(t *testing.T) {
+	tests := []struct {
+		name    string
+		ended   deliver.Ended
+		version int64
+		loading bool
+		known   bool
+	}{
+		{"other weights, told", deliver.Ended{Verdict: deliver.OtherVersion, Version: 3}, 3, false, true},
+		{"other weights, not told", deliver.Ended{Verdict: deliver.OtherVersion}, 1, true, true},
+		{"turned away during a rollout", deliver.Ended{Verdict: deliver.DidNotRun}, 1, true, true},
+		{"another replica has the address", deliver.Ended{Verdict: deliver.Elsewhere}, 0, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.tables.model("m").wanted = 2
+			x := d.tables.fleet.Target("a")
+			x.Sent(start, 0, 0)
+			tt.ended.Place, tt.ended.Job = deliver.Place{Target: "a"}, job("long", 10)
+			d.update(start, sendingEnded{tt.ended})
+			if known := d.tables.fleet.Target("a") != nil; known != tt.known {
+				t.Errorf("known %v", known)
+			}
+			if tt.known && (x.Versions["m"] != tt.version || x.Loading(start) != tt.loading) {
+				t.Errorf("version %d, loading %v", x.Versions["m"], x.Loading(start))
+			}
+		})
+	}
+}
