fix(pace): a move counts as slow beyond the scatter of first events only

Ruled out: passing over short moves, which would hide a store that is stuck. Change: what moves take beyond what they should counts from 60 ms on; test first failed with stretches of 6 for scattered short moves (by the table's new rows, seen with the line taken out again below).

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -46,6 +46,10 @@
 	trust = 150 * time.Millisecond
 	// mostStretch bounds the estimate, so that costs stay finite.
 	mostStretch = 20
+	// scatter is by how much first events miss the line through them, as a rule. What
+	// moves seem to take longer than they should counts from there on only:
+	// without it, sources of short moves passed for three times slower.
+	scatter = 60 * time.Millisecond
 	// longestTook bounds a sample; longer waits have other causes, as targets
 	// that died.
 	longestTook = 4 * time.Second
@@ -82,6 +86,7 @@
 	if all <= 0 {
 		return
 	}
+	took = min(took, all) + max(took-all-scatter, 0)
 	for _, m := range s.Moves {
 		r.of(now, m.Source).add(m.Takes, time.Duration(float64(took)*float64(m.Takes)/float64(all)))
 	}
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -70,27 +70,30 @@
 func TestStretch(t *testing.T) {
 	tests := []struct {
 		name string
-		// moves take 80 ms over an unused link, and took this long.
+		// moves take so long over an unused link, and took this long.
 		moves int
+		takes time.Duration
 		took  time.Duration
 		later time.Duration
 		least float64
 		most  float64
 	}{
-		{"never used", 0, 0, 0, 1, 1},
-		{"as expected", 20, 80 * ms, 0, 1, 1.05},
-		{"quicker than expected", 20, 10 * ms, 0, 1, 1},
-		{"a single late answer", 1, 400 * ms, 0, 1, 3},
-		{"four times slower", 20, 320 * ms, 0, 3, 4},
-		{"slow a while ago", 20, 320 * ms, 30 * time.Second, 1, 1.05},
-		{"hardly moving", 20, time.Minute, 0, 10, 20},
+		{"never used", 0, 80 * ms, 0, 0, 1, 1},
+		{"as expected", 20, 80 * ms, 80 * ms, 0, 1, 1.05},
+		{"quicker than expected", 20, 80 * ms, 10 * ms, 0, 1, 1},
+		{"a single late answer", 1, 80 * ms, 400 * ms, 0, 1, 3},
+		{"four times slower", 20, 80 * ms, 320 * ms, 0, 3, 4},
+		{"slow a while ago", 20, 80 * ms, 320 * ms, 30 * time.Second, 1, 1.05},
+		{"short moves, scattered", 200, 2 * ms, 40 * ms, 0, 1, 1},
+		{"short moves, stuck", 20, 2 * ms, 600 * ms, 0, 10, 20},
+		{"hardly moving", 20, 80 * ms, time.Minute, 0, 10, 20},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var r pace.Record
 			base, _ := r.Reading()
 			for range tt.moves {
-				r.See(start, pace.Sample{Took: base + tt.took, Moves: []pace.Move{{Source: store, Takes: 80 * ms}}})
+				r.See(start, pace.Sample{Took: base + tt.took, Moves: []pace.Move{{Source: store, Takes: tt.takes}}})
 			}
 			got := pace.Stretch(r.Moved(start.Add(tt.later), store))
 			if got < tt.least || got > tt.most {
