--- a/deliver/pass.go
+++ b/deliver/pass.go
@@ -97,7 +97,7 @@
 		if err != nil {
 			return x.cutStream(place, err)
 		}
-		x.time()
+		x.noteEvent()
 		id := eventstream.ID(event)
 		if x.begun && id != "" && !later(id, x.after) {
 			continue // The caller has it from the run before.
@@ -116,9 +116,9 @@
 	}
 }
 
-// time notes when an event came, and whether that was later than the route's
+// noteEvent notes when an event came, and whether that was later than the route's
 // goals. Without a goal nothing is late.
-func (x *run) time() {
+func (x *run) noteEvent() {
 	now := x.Now()
 	waited, goal := now.Sub(x.event), x.job.Route.Pause
 	if x.event.IsZero() {
