test(entry): older weights past their bound, failing

Cause: each box keeps one time for a model's weights, that of the newest naming as it heard of it. A newer naming replaces it, and a start sets it anew; each gives weights that were replaced up to 12 s more.

Ruled out: a request that waited in the engine (it began 56 and 74 ms after it came), a box that did not know of the naming (all logged it within 3 ms).

--- /dev/null
+++ b/entry/overdue_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// TestEachNamingHasItsBound names two versions one after the other and asks on
+// which weights a request may begin.
+//
+// Requests were seen to begin on weights 12.4 s after a newer version was named,
+// though 12 s are allowed. A still newer version had come 6.6 s after that one
+// while engines crashed and came back with the old weights. Boxes kept one time,
+// that of the newest naming, so the third version restarted the second one's
+// clock. The logs proved it: the box had heard of the second version within a
+// millisecond, and knew which weights the engine had. Each naming now has a time
+// of its own.
+func TestEachNamingHasItsBound(t *testing.T) {
+	const between = 6600 * time.Millisecond
+	tests := []struct {
+		after   time.Duration // Since the second version was named.
+		engines []int64
+		want    int64 // The version that the request begins on, 0 if it is refused.
+	}{
+		{2 * time.Second, []int64{1}, 1},
+		{2 * time.Second, []int64{1, 2}, 2},
+		{between + time.Second, []int64{1}, 1},
+		{12100 * time.Millisecond, []int64{1}, 0},
+		{12100 * time.Millisecond, []int64{1, 2}, 2},
+		{12100 * time.Millisecond, []int64{2}, 2},
+		{between + 12100*time.Millisecond, []int64{1, 2}, 0},
+		{between + 12100*time.Millisecond, []int64{2, 3}, 3},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("engines %v after %v", tt.engines, tt.after), func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}}})
+			named := start.Add(time.Minute)
+			for i, version := range []int64{2, 3} {
+				at := named.Add(time.Duration(i) * between)
+				if at.After(named.Add(tt.after)) {
+					break
+				}
+				d.update(at, operatorRead{at, Operator{}})
+				d.update(at, operatorRead{at, Operator{Weights: map[string]int64{"m": version}}})
+			}
+			now := named.Add(tt.after)
+			var listed []fleet.Entry
+			for i, version := range tt.engines {
+				listed = append(listed, engine(fmt.Sprint("i-", i), version))
+			}
+			d.update(now, targetsRead{now, Targets{Whole: true, Listed: listed}, false})
+			place, err := d.place(now, &d.tables, deliver.Ask{Job: job("short", 10)})
+			if place.Version != tt.want || (err != nil) != (tt.want == 0) {
+				t.Errorf("placed on version %d, %v, want version %d", place.Version, err, tt.want)
+			}
+		})
+	}
+}
