feat(entry): requests' lines tell the newest weights and for how long theirs were replaced

Cause: the logs of the incident say on which version a request was placed, not which one the box took for the newest nor since when; whether the box's reckoning or its knowledge was wrong could only be read from the code. The line now has newest and replaced_for, and a histogram counts requests on replaced weights by age.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -82,6 +82,10 @@
 	Address netip.AddrPort
 	// Version is the weight version that the target must have; zero for none.
 	Version int64
+	// Newest is the newest version that the placing box knew, Replaced for how
+	// long it took Version to be replaced; zero if Version is the newest.
+	Newest   int64
+	Replaced time.Duration
 	// Scope separates kept parts by weight version and walled account.
 	Scope string
 	// Fetch and Save are per part, or empty; an unset address means none.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,12 +13,17 @@
 	members       prometheus.Gauge
 	peerBytes     *prometheus.CounterVec
 	unlogged      prometheus.Counter
+	replaced      prometheus.Histogram
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
 // 0.6 s.
 var latencies = []float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2, 5, 15}
 
+// weightsAges are the histogram's bounds in seconds, around the usual bound of
+// 12 s for requests on replaced weights.
+var weightsAges = []float64{0.5, 1.5, 3, 5, 8, 10, 11, 12, 15}
+
 func newCounters(r *prometheus.Registry) counters {
 	c := counters{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_requests_total", Help: "Requests by pool, status and cause."}, []string{"pool", "status", "cause"}),
@@ -33,7 +38,8 @@
 	}
 	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
-	r.MustRegister(c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	c.replaced = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "thymewind_entry_replaced_weights_seconds", Help: "How long the weights of a placed request had been replaced by newer ones; only requests on replaced weights count.", Buckets: weightsAges})
+	r.MustRegister(c.replaced, c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
 	return c
 }
 
--- a/entry/note.go
+++ b/entry/note.go
@@ -16,6 +16,9 @@
 		}
 		d.counts.took.WithLabelValues(pool).Observe(o.Took.Seconds())
 	}
+	if o.Place.Replaced > 0 {
+		d.counts.replaced.Observe(o.Place.Replaced.Seconds())
+	}
 	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
 	if kind(o) == answered && !d.lines.Allow() {
 		d.counts.unlogged.Inc()
@@ -29,7 +32,7 @@
 		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "proved_ago", d.provedAgo(d.now()))
 	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
-		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version)
+		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version, "newest", o.Place.Newest, "replaced_for", o.Place.Replaced)
 	}
 	d.Log.Info("request", fields...)
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -132,6 +132,8 @@
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
 		At: now, Ahead: p.Ahead,
 	}
+	w := t.model(job.Model)
+	place.Newest, place.Replaced = w.wanted, w.replaced(now, p.Version)
 	for _, m := range p.Moves {
 		place.Moves = append(place.Moves, pace.Move{Source: m.Source, Takes: time.Duration(m.TakesUS) * time.Microsecond})
 	}
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -70,6 +70,15 @@
 	w.clearing.Name(at, version)
 }
 
+// replaced returns for how long a version has been replaced by a newer one, as
+// far as this box reckons.
+func (w *weights) replaced(now time.Time, version int64) time.Duration {
+	if version >= w.wanted {
+		return 0
+	}
+	return now.Sub(w.named)
+}
+
 // mayOrder says that the rows of the lease's earlier holder were read.
 func (t *tables) mayOrder(epoch uint64) bool { return t.readEpoch == epoch }
 
