fix(entry): each version of the weights has its own bound, which outlives newer namings and restarts

Cause: a box kept one time for a model's weights, when it heard of the newest version. A newer naming replaced it, and a start of the box set it anew, so requests went on to weights that had been replaced for up to twice the bound. Class: a bound counted from the last event that a process heard, in place of the event that it belongs to; and a preference (older weights are dearer) where a limit was due.

Change: package naming keeps for each version the earliest time at which it can have been named; package clockbound dates that by the table service's own clock, so that it can be written beside the rollout and read by a box that starts. Requests are placed on no version older than required, neither by the own box nor by a hub; one that waits at an engine is broken off a quarter of a second before the bound; a box that can't know the newest weights any more (proof older than the bound less its margin) sends nothing to engines. What nobody recorded is taken to have been named 4 s before a box's first read, and that assumption is recorded too.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -79,8 +79,8 @@
 	// Model is the one asked for, Wanted its newest version, or zero.
 	Model  string
 	Wanted int64
-	// Overdue says that older versions must not be used any more.
-	Overdue bool
+	// Least is the lowest version that may be used, or zero.
+	Least int64
 	// Skip passes over engines for which it returns true.
 	Skip func(id string) bool
 }
@@ -191,7 +191,7 @@
 	if !t.Open(now) || t.Loading(now) || t.Silent(now, silentAfter) || (ask.Skip != nil && ask.Skip(t.ID)) {
 		return false
 	}
-	return !ask.Overdue || t.Versions[ask.Model] >= ask.Wanted
+	return t.Versions[ask.Model] >= ask.Least
 }
 
 // crowding is the cost of memory that requests take up: what is left keeps
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -96,7 +96,7 @@
 			other.Unread = 50000
 		}, home},
 		{"old weights are overdue", func(x *bench, _, other *fleet.Target) {
-			x.ask.Wanted, x.ask.Overdue = 2, true
+			x.ask.Wanted, x.ask.Least = 2, 2
 			other.Versions["m"] = 2
 			other.Unread = 50000
 		}, other},
--- /dev/null
+++ b/clockbound/clockbound_test.go
@@ -0,0 +1,62 @@
+package clockbound_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/clockbound"
+)
+
+var start = time.Unix(1000, 0)
+
+// answer is one sight of a clock that is an hour ahead.
+type answer struct {
+	asked, read, answered time.Duration
+}
+
+// TestBounds shows that the other clock's times are never dated too late, and as
+// closely as the quickest answer allows.
+func TestBounds(t *testing.T) {
+	const ahead = time.Hour
+	tests := []struct {
+		name    string
+		answers []answer
+		within  time.Duration // How far the bounds may be apart.
+	}{
+		{"a quick answer", []answer{{0, 2 * time.Millisecond, 4 * time.Millisecond}}, 4 * time.Millisecond},
+		{"a held one", []answer{{0, 1500 * time.Millisecond, 1501 * time.Millisecond}}, 1501 * time.Millisecond},
+		{"a held one after a quick one", []answer{{0, time.Millisecond, 3 * time.Millisecond}, {time.Second, 2400 * time.Millisecond, 2500 * time.Millisecond}}, 10 * time.Millisecond},
+		{"the answer lay unread", []answer{{0, time.Millisecond, 9 * time.Second}, {9 * time.Second, 9001 * time.Millisecond, 9002 * time.Millisecond}}, 10 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c clockbound.Clock
+			for _, a := range tt.answers {
+				if !c.See(start.Add(a.asked), start.Add(a.answered), a.read+ahead) {
+					t.Error("the clock is said to have jumped")
+				}
+			}
+			at, ok := c.Earliest(time.Minute + ahead)
+			if early := start.Add(time.Minute).Sub(at); !ok || early < 0 || early > tt.within {
+				t.Errorf("dated %v too early", early)
+			}
+			told, ok := c.Least(start.Add(time.Minute))
+			if low := time.Minute + ahead - told; !ok || low < 0 || low > tt.within {
+				t.Errorf("told %v too low", low)
+			}
+		})
+	}
+}
+
+// TestJump shows that a clock that began anew is noticed and followed.
+func TestJump(t *testing.T) {
+	var c clockbound.Clock
+	c.See(start, start.Add(time.Millisecond), time.Hour)
+	later := start.Add(time.Minute)
+	if c.See(later, later.Add(time.Millisecond), time.Second) {
+		t.Error("the jump was not noticed")
+	}
+	if at, _ := c.Earliest(time.Second); at.Before(later) || at.After(later.Add(time.Millisecond)) {
+		t.Errorf("dated %v", at)
+	}
+}
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -86,6 +86,9 @@
 	// long it took Version to be replaced; zero if Version is the newest.
 	Newest   int64
 	Replaced time.Duration
+	// BeginBy is when the target must have begun to answer, as its weights must not
+	// be used for a request that begins later; zero if it may begin at any time.
+	BeginBy time.Time
 	// Scope separates kept parts by weight version and walled account.
 	Scope string
 	// Fetch and Save are per part, or empty; an unset address means none.
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -116,12 +116,23 @@
 func (x *run) try(place Place) (*refusal.Refusal, error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
+	if !place.BeginBy.IsZero() {
+		late := time.AfterFunc(place.BeginBy.Sub(x.Now()), func() { cancel(errReplaced) })
+		defer late.Stop()
+		return x.hurried(ctx, cancel, func() { late.Stop() }, place)
+	}
+	return x.hurried(ctx, cancel, func() {}, place)
+}
+
+// hurried sends the request and, if it may be repeated, breaks that off once the
+// target looks dead; answered is called when an answer or an error has come.
+func (x *run) hurried(ctx context.Context, cancel context.CancelCauseFunc, answered func(), place Place) (*refusal.Refusal, error) {
 	if x.Suspect != nil && x.repeatable() && x.sent+1 < x.job.Route.Attempts {
-		answered := make(chan struct{})
-		go x.hurry(ctx, cancel, answered, place.Target)
-		return x.exchange(ctx, func() { close(answered) }, place)
+		over := make(chan struct{})
+		go x.hurry(ctx, cancel, over, place.Target)
+		return x.exchange(ctx, func() { answered(); close(over) }, place)
 	}
-	return x.exchange(ctx, func() {}, place)
+	return x.exchange(ctx, answered, place)
 }
 
 // hurry breaks a sending off once it waited for long and its target looks dead.
@@ -143,8 +154,13 @@
 	}
 }
 
-// errSilent says that a target gave no sign of an answer for too long.
-var errSilent = errors.New("the target is silent")
+var (
+	// errSilent says that a target gave no sign of an answer for too long.
+	errSilent = errors.New("the target is silent")
+	// errReplaced says that a request did not begin while it still might on the
+	// target's weights.
+	errReplaced = errors.New("the target's weights must not be used any more")
+)
 
 func (x *run) patience() time.Duration {
 	return min(max(silence*x.job.Route.Goal, leastSilence), mostSilence)
@@ -154,7 +170,7 @@
 	reply, err := x.Send(ctx, Sending{Job: x.job, Place: place, Left: x.job.Until.Sub(x.Now()), After: x.after})
 	answered()
 	if err != nil {
-		if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errReplaced) {
 			err = cause
 		}
 		return x.noAnswer(place, err)
@@ -186,8 +202,8 @@
 	notSent := errors.Is(err, exchange.ErrNotSent)
 	left := x.caller.Err() != nil
 	over := !left && x.ctx.Err() != nil
-	full := errors.Is(err, exchange.ErrFull)
-	failed := !left && !full
+	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, errReplaced)
+	failed := !left && !blameless
 	x.Ended(Ended{Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over})
 	x.outcome.Cause = err.Error()
 	if notSent {
--- a/entry/free_test.go
+++ b/entry/free_test.go
@@ -123,7 +123,7 @@
 	}{
 		{"the newest weights", 1, time.Second, clearing.FetchFor(true, 0)},
 		{"older weights", 2, time.Second, clearing.FetchFor(false, 0)},
-		{"cut off", 1, time.Minute, clearing.FetchFor(false, 0)},
+		{"cut off", 1, 10 * time.Second, clearing.FetchFor(false, 0)},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- /dev/null
+++ b/entry/named_test.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/table"
+)
+
+// bound is how long a request may begin on replaced weights in these tests.
+const bound = 12 * time.Second
+
+// namesTwo has a daemon with the lease read version 2, which was named 10 s after
+// start, when the table service's clock showed 110 s.
+func namesTwo(t *testing.T, engines ...fleet.Entry) (*Daemon, time.Time) {
+	t.Helper()
+	d := newDaemon("b1")
+	now := start
+	d.now = func() time.Time { return now }
+	d.lease.Now = d.now
+	d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}, Clock: 100 * time.Second}})
+	d.update(now, targetsRead{now, Targets{Whole: true, Listed: engines}, false})
+	now = start.Add(10 * time.Second)
+	d.update(now, operatorRead{now.Add(-time.Second), Operator{Weights: map[string]int64{"m": 2}, Clock: 110 * time.Second}})
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	d.tables.readEpoch, _, _ = d.lease.Held()
+	return d, now
+}
+
+// rowWritten runs the rollout and returns the row that it writes, if any.
+func rowWritten(d *Daemon, now time.Time) (table.Row, bool) {
+	for _, e := range d.rollWeights(now, &d.tables) {
+		if a, ok := e.(announce); ok {
+			return a.row, true
+		}
+	}
+	return table.Row{}, false
+}
+
+// TestRestartedBoxKnowsTheNaming starts a box 4 s after a naming: it takes the
+// time of that from the rollout's row, whichever it reads first. Without a row it
+// takes the naming for a little older than its own first read.
+func TestRestartedBoxKnowsTheNaming(t *testing.T) {
+	holder, now := namesTwo(t, engine("a", 1))
+	row, written := rowWritten(holder, now)
+	if !written {
+		t.Fatal("the rollout is not told")
+	}
+	own := ownRead{change: Own{Rows: []table.Row{row}}}
+	operator := func(at time.Time) message {
+		return operatorRead{at, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}, Clock: 114 * time.Second}}
+	}
+	// The holder's proof is half a second older than the naming.
+	recorded := 10*time.Second - feedLag + bound - overdueMargin
+	assumed := 14*time.Second - unrecordedFor + bound - overdueMargin
+	tests := []struct {
+		name string
+		read func(d *Daemon, at time.Time)
+		ends time.Duration // When requests may no longer be sent to version 1.
+	}{
+		{"the row is read first", func(d *Daemon, at time.Time) { d.update(at, own); d.update(at, operator(at)) }, recorded},
+		{"the row is read last", func(d *Daemon, at time.Time) { d.update(at, operator(at)); d.update(at, own) }, recorded},
+		{"there is no row", func(d *Daemon, at time.Time) { d.update(at, operator(at)) }, assumed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b2")
+			tt.read(d, start.Add(14*time.Second))
+			w := d.tables.model("m")
+			if got := w.least(start.Add(tt.ends-time.Millisecond), bound); got > 1 {
+				t.Errorf("version %d is required too early", got)
+			}
+			if got := w.least(start.Add(tt.ends), bound); got != 2 {
+				t.Errorf("version %d is required, want 2", got)
+			}
+		})
+	}
+}
+
+// TestAssumptionsLast shows that a box that could only assume when a version was
+// named records that, so that boxes that start again and again don't assume it
+// anew.
+func TestAssumptionsLast(t *testing.T) {
+	first := func(row *table.Row, at time.Duration) *Daemon {
+		d := newDaemon("b1")
+		d.now = func() time.Time { return start.Add(at) }
+		d.lease.Now = d.now
+		if row != nil {
+			d.update(d.now(), ownRead{change: Own{Rows: []table.Row{*row}}})
+		}
+		d.update(d.now(), operatorRead{d.now(), Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}, Clock: at + time.Hour}})
+		d.update(d.now(), targetsRead{d.now(), Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+		return d
+	}
+	d := first(nil, 0)
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	d.tables.readEpoch, _, _ = d.lease.Held()
+	row, written := rowWritten(d, start)
+	if !written {
+		t.Fatal("the rollout is not told")
+	}
+	d = first(&row, 8*time.Second)
+	if got := d.tables.model("m").least(start.Add(bound-overdueMargin-unrecordedFor), bound); got != 2 {
+		t.Errorf("version %d is required, want 2 as the first box assumed", got)
+	}
+}
+
+// TestNamingIsToldBesidesLoads shows that a naming is recorded although no engine
+// can be ordered yet, and only once.
+func TestNamingIsToldBesidesLoads(t *testing.T) {
+	d, now := namesTwo(t, engine("a", 1), engine("b", 1), engine("c", 1))
+	row, _ := rowWritten(d, now)
+	d.update(now, announced{"m", nil})
+	if _, again := rowWritten(d, now); again {
+		t.Error("the row is written again without need")
+	}
+	d.update(now, operatorRead{now, Operator{Weights: map[string]int64{"m": 3}, Clock: 110 * time.Second}})
+	row, written := rowWritten(d, now)
+	var told rolloutRow
+	if err := json.Unmarshal(row.Value, &told); !written || err != nil {
+		t.Fatalf("written %v, %v", written, err)
+	}
+	newest := told.Namings[len(told.Namings)-1]
+	if newest.Version != 3 || newest.Assumed || newest.AtMS != 110000 {
+		t.Errorf("told %+v", newest)
+	}
+	d.update(now, announced{"m", nil})
+	if _, again := rowWritten(d, now); again {
+		t.Error("the row is written again without need")
+	}
+}
+
+// TestHubTellsNamings shows that a box that takes a hub's view keeps the same
+// bound, counted from when it asked.
+func TestHubTellsNamings(t *testing.T) {
+	hub, spoke := largeFleet("box-00"), largeFleet("box-05")
+	hub.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}}})
+	hub.update(start, operatorRead{start, Operator{Weights: map[string]int64{"m": 2}}})
+	later := start.Add(5 * time.Second)
+	hub.update(later, operatorRead{later, Operator{}})
+	hub.update(later, operatorRead{later, Operator{Weights: map[string]int64{"m": 3}}})
+	answer := hub.peerAsks(later, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05"})
+	spoke.update(later.Add(200*time.Millisecond), peerCalled{"box-00", later, answer, nil})
+	w := spoke.tables.model("m")
+	if w.wanted != 3 {
+		t.Errorf("newest %d, want 3", w.wanted)
+	}
+	if got := w.least(start.Add(bound-overdueMargin), bound); got != 2 {
+		t.Errorf("version %d is required, want 2", got)
+	}
+}
+
+// TestHubsPlaceOnOldWeights has a hub that lacks a naming place a request: the box
+// that sends it keeps the bound.
+func TestHubsPlaceOnOldWeights(t *testing.T) {
+	tests := []struct {
+		name    string
+		named   time.Duration // How long ago version 2 was named.
+		refused bool
+	}{
+		{"within the bound", bound - overdueMargin - time.Millisecond, false},
+		{"after it", bound - overdueMargin, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			spoke := listed("box-05")
+			w := spoke.tables.model("m")
+			w.name(start, 2)
+			w.names.Prove(2, start.Add(-tt.named))
+			answer, ok := spoke.accept(start, &spoke.tables, job("long", 10), &peer.Placed{Target: "a", Version: 1})
+			if ok == tt.refused {
+				t.Fatalf("accepted: %v", ok)
+			}
+			if want := start.Add(bound - beginMargin - tt.named); ok && !answer.place.BeginBy.Equal(want) {
+				t.Errorf("to begin by %v, want %v", answer.place.BeginBy, want)
+			}
+		})
+	}
+}
+
+// TestWeightsUnknown shows that a box that can't know any more which weights are
+// the newest sends nothing to engines.
+func TestWeightsUnknown(t *testing.T) {
+	tests := []struct {
+		proved time.Duration
+		code   string
+	}{
+		{bound - overdueMargin - time.Millisecond, ""},
+		{bound - overdueMargin, "stale"},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint("proved ", tt.proved, " ago"), func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			_, err := d.place(start.Add(tt.proved), &d.tables, deliver.Ask{Job: job("short", 10)})
+			if code := refusedFor(err); code != tt.code {
+				t.Errorf("refused for %q, want %q", code, tt.code)
+			}
+		})
+	}
+}
+
+// refusedFor returns a refusal's code, or an empty text for none.
+func refusedFor(err error) string {
+	if err == nil {
+		return ""
+	}
+	return refusal.Of(err, refusal.Unknown, 0).Code
+}
--- a/entry/order.go
+++ b/entry/order.go
@@ -68,7 +68,7 @@
 		return
 	}
 	x.Versions[m.model] = max(x.Versions[m.model], m.version)
-	d.Log.Info("target has the weights", "target", m.target, "model", m.model, "version", m.version, "since_named", now.Sub(w.named))
+	d.Log.Info("target has the weights", "target", m.target, "model", m.model, "version", m.version, "since_named", w.age(now, m.version))
 }
 
 // learn takes from a target's refusal what it says of its weights.
--- a/entry/overdue_test.go
+++ b/entry/overdue_test.go
@@ -53,6 +53,7 @@
 			for i, version := range tt.engines {
 				listed = append(listed, engine(fmt.Sprint("i-", i), version))
 			}
+			d.update(now, operatorRead{now, Operator{}})
 			d.update(now, targetsRead{now, Targets{Whole: true, Listed: listed}, false})
 			place, err := d.place(now, &d.tables, deliver.Ask{Job: job("short", 10)})
 			if place.Version != tt.want || (err != nil) != (tt.want == 0) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -13,6 +13,7 @@
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/nearest"
 	"github.com/thymewind/thymewind/refusal"
 )
@@ -21,8 +22,6 @@
 	// expectFor is how long a part that was sent somewhere is expected there
 	// without being told of.
 	expectFor = 1500 * time.Millisecond
-	// overdueMargin is how long before the bound older weights are given up.
-	overdueMargin = 1500 * time.Millisecond
 )
 
 // askPlace asks the loop for a place. In a large fleet the loop asks hubs first.
@@ -90,6 +89,17 @@
 	return refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", job.Pool.Name)
 }
 
+// refuseEngine refuses a request that no engine takes, and says whether that is
+// for the weights' sake.
+func refuseEngine(now time.Time, job *deliver.Job, ask affinity.Ask, targets []*fleet.Target) *refusal.Refusal {
+	for _, x := range targets {
+		if x.Open(now) && x.Versions[ask.Model] < ask.Least {
+			return refusal.New(refusal.DidNotRun, 503, "old_weights", "the engines of %s that take work have weights older than version %d", job.Pool.Name, ask.Least)
+		}
+	}
+	return refuseNone(job)
+}
+
 func tried(ask deliver.Ask) func(string) bool {
 	return func(id string) bool { return slices.Contains(ask.Tried, id) }
 }
@@ -102,11 +112,14 @@
 // a failure domain.
 func (d *Daemon) chooseEngine(now time.Time, t *tables, ask deliver.Ask, domain string, r room) (deliver.Place, *refusal.Refusal) {
 	job := ask.Job
+	if d.weightsUnknown(now) {
+		return deliver.Place{}, refusal.New(refusal.DidNotRun, 503, "stale", "what the newest weights are was last known %v ago", d.provedAgo(now))
+	}
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
 	question := affinity.Ask{
 		Domain: d.near(domain), Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
-		Overdue: w.wanted > 0 && d.bounds.Load().WeightsWithin > 0 && now.Sub(w.named) > d.bounds.Load().WeightsWithin-overdueMargin,
+		Least: w.least(now, d.bounds.Load().WeightsWithin),
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
 				keys[version] = keysOf(job, scope(version, job))
@@ -118,7 +131,7 @@
 	t.usual = t.spread(targets)
 	choice, ok := d.engines.Choose(now, question, targets)
 	if !ok {
-		return deliver.Place{}, refuseNone(job)
+		return deliver.Place{}, refuseEngine(now, job, question, targets)
 	}
 	if refused := d.refuseCrowded(t, choice.Target, question, r); refused != nil {
 		return deliver.Place{}, refused
@@ -127,7 +140,7 @@
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
 		Scope: scope(choice.Version, job), Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
 		Save: addresses(choice.Save), At: now, Ahead: choice.Ahead, Moves: choice.Moves,
-		Newest: w.wanted, Replaced: w.replaced(now, choice.Version),
+		Newest: w.wanted, Replaced: w.replaced(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin),
 	}
 	if t.timed {
 		place.Fetch = addresses(choice.Fetch)
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -46,7 +46,7 @@
 
 // placeRemotely hands a model request to the hub, if this box has one.
 func (d *Daemon) placeRemotely(now time.Time, t *tables, m placeAsked) ([]effect, bool) {
-	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() || len(m.asked) >= hubAsks {
+	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() || len(m.asked) >= hubAsks || d.weightsUnknown(now) {
 		return nil, false
 	}
 	hub := d.placer(now, t, m.asked)
@@ -121,6 +121,11 @@
 	if x == nil || !x.Open(now) || x.Avoided(now) {
 		return placeAnswer{}, false
 	}
+	w := t.model(job.Model)
+	within := d.bounds.Load().WeightsWithin
+	if p.Version < w.least(now, within) {
+		return placeAnswer{}, false
+	}
 	fetch, save, err := moves(p)
 	if err != nil {
 		d.Log.Error("a hub's place can't be used", "request", job.ID, "target", p.Target, "err", err)
@@ -131,9 +136,8 @@
 		Tokens: job.Input + job.Output, Fetch: fetch, Save: save, FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
 		At: now, Ahead: p.Ahead,
+		Newest: w.wanted, Replaced: w.replaced(now, p.Version), BeginBy: w.beginBy(p.Version, within),
 	}
-	w := t.model(job.Model)
-	place.Newest, place.Replaced = w.wanted, w.replaced(now, p.Version)
 	for _, m := range p.Moves {
 		place.Moves = append(place.Moves, pace.Move{Source: m.Source, Takes: time.Duration(m.TakesUS) * time.Microsecond})
 	}
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -58,6 +58,9 @@
 	// Weights are the newest versions by model, as far as they changed.
 	Weights map[string]int64
 	Version uint64
+	// Clock is the table service's steady clock when it made the answer, or zero
+	// if it did not tell.
+	Clock time.Duration
 }
 
 // Targets is what the list of targets says.
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -26,6 +26,8 @@
 	// Recent are the targets that were ordered anything lately. A successor
 	// leaves them alone for a while.
 	Recent []string `json:"recent"`
+	// Namings are the versions named lately, and when.
+	Namings []recordedNaming `json:"namings,omitempty"`
 	// Freed is the version for which the stores were cleared of older parts.
 	Freed int64 `json:"freed"`
 }
@@ -51,7 +53,7 @@
 
 // tellRollout makes the effect that writes the rollout's row.
 func (d *Daemon) tellRollout(now time.Time, t *tables, model string, w *weights, epoch uint64) effect {
-	w.announcing = true
+	w.announcing, w.recording = true, w.wanted
 	for _, id := range w.planned {
 		w.recent[id] = now
 	}
@@ -59,6 +61,7 @@
 	row := rolloutRow{
 		Epoch: epoch, Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
 		Recent: slices.Sorted(maps.Keys(w.recent)), Freed: w.freed,
+		Namings: w.namings(t),
 	}
 	for _, id := range t.fleet.All() {
 		if t.fleet.Target(id).Versions[model] == w.wanted {
@@ -79,6 +82,8 @@
 	w.announcing = false
 	if m.err != nil {
 		d.Log.Warn("rollout not announced", "model", m.model, "err", m.err)
+	} else {
+		w.recorded = max(w.recorded, w.recording)
 	}
 	epoch, _, held := d.lease.Held()
 	planned := w.planned
@@ -132,6 +137,7 @@
 		return
 	}
 	w := t.model(model)
+	w.namingsRead(now, t, row.Namings)
 	if row.Epoch < w.epoch {
 		return // Written late, over a newer one.
 	}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -28,6 +28,9 @@
 	t.due.sweep = now.Add(time.Second)
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
+	for _, w := range t.weights {
+		w.forget(now, d.bounds.Load().WeightsWithin)
+	}
 	d.noteSlow(now, t)
 	d.noteStrain(t)
 	d.Sweep(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -7,8 +7,10 @@
 
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/clearing"
+	"github.com/thymewind/thymewind/clockbound"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/naming"
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/shares"
@@ -27,6 +29,10 @@
 	followed map[string]context.CancelFunc
 	// weights are the models whose newest version was named.
 	weights map[string]*weights
+	// clockOfTable is the table service's clock, toldClock what it showed in the
+	// last answer about the operator's rows; zero if that did not tell.
+	clockOfTable clockbound.Clock
+	toldClock    time.Duration
 	// clock is the targets' common clock less this process's own.
 	clock time.Duration
 	// timed says that clock was told.
@@ -86,9 +92,14 @@
 
 // weights is one model's rollout as this box sees it.
 type weights struct {
-	// wanted is the newest version named, seen at named.
+	// wanted is the newest version named, names when each version was.
 	wanted int64
-	named  time.Time
+	names  naming.Record
+	// told and assumed are the table service's clock when a version was not named
+	// yet, as was proved or is assumed; recorded is the newest version of which the
+	// rollout's row tells that, recording the one in the row being written.
+	told, assumed       map[int64]time.Duration
+	recorded, recording int64
 	// ordered are the orders that this box has under way, by target.
 	ordered map[string]bool
 	// recent is when this box ordered targets anything, barred until when it
@@ -182,7 +193,7 @@
 func (t *tables) model(name string) *weights {
 	w := t.weights[name]
 	if w == nil {
-		w = &weights{ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
+		w = &weights{told: make(map[int64]time.Duration), assumed: make(map[int64]time.Duration), ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- a/entry/update.go
+++ b/entry/update.go
@@ -61,13 +61,8 @@
 // operatorRead takes over what the operator wrote. A lower version is never
 // taken.
 func (d *Daemon) operatorRead(now time.Time, t *tables, m operatorRead) []effect {
+	d.weightsRead(now, t, m)
 	d.prove(m.asked)
-	for model, version := range m.change.Weights {
-		if w := t.model(model); version > w.wanted {
-			d.Log.Info("weights named", "model", model, "version", version, "before", w.wanted)
-			w.name(now, version)
-		}
-	}
 	if err := m.change.Unusable; err != nil {
 		d.Log.Error("configuration can't be used; the last good one stays", "err", err, "in_force", d.version())
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -15,12 +15,10 @@
 func (d *Daemon) view(now time.Time, t *tables, have uint64) *peer.View {
 	v := &peer.View{
 		Configuration: d.version(), ProofMS: d.provedAgo(now).Milliseconds(), List: t.listNumber,
-		Weights: make(map[string]peer.Newest, len(t.weights)),
+		Namings: make(map[string][]peer.Naming, len(t.weights)),
 	}
 	for model, w := range t.weights {
-		if w.wanted > 0 {
-			v.Weights[model] = peer.Newest{Version: w.wanted, AgeMS: now.Sub(w.named).Milliseconds()}
-		}
+		v.Namings[model] = w.namingsTold(now)
 	}
 	if have == t.listNumber || t.listNumber == 0 {
 		return v
@@ -55,12 +53,7 @@
 	case v.Configuration == d.version():
 		d.prove(proof)
 	}
-	for model, newest := range v.Weights {
-		if w := t.model(model); newest.Version > w.wanted {
-			w.name(now.Add(-time.Duration(newest.AgeMS)*time.Millisecond), newest.Version)
-			d.Log.Info("weights named", "model", model, "version", w.wanted, "hub", hub)
-		}
-	}
+	d.namingsFromHub(now, t, hub, asked, v)
 	if v.List != 0 && (t.hub != hub || t.hubList != v.List) {
 		d.entriesRead(now, t, v.Entries)
 		t.hub, t.hubList = hub, v.List
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		effects = append(effects, d.freeOld(now, t, model, w)...)
-		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 {
+		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 || behind && w.unrecorded(t) {
 			effects = append(effects, d.tellRollout(now, t, model, w, epoch))
 		}
 	}
@@ -64,21 +64,6 @@
 	return effects
 }
 
-// name takes a newer version over, which was named at a time.
-func (w *weights) name(at time.Time, version int64) {
-	w.wanted, w.named = version, at
-	w.clearing.Name(at, version)
-}
-
-// replaced returns for how long a version has been replaced by a newer one, as
-// far as this box reckons.
-func (w *weights) replaced(now time.Time, version int64) time.Duration {
-	if version >= w.wanted {
-		return 0
-	}
-	return now.Sub(w.named)
-}
-
 // mayOrder says that the rows of the lease's earlier holder were read.
 func (t *tables) mayOrder(epoch uint64) bool { return t.readEpoch == epoch }
 
--- /dev/null
+++ b/naming/naming_test.go
@@ -0,0 +1,64 @@
+package naming_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/naming"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestRequired asks on which versions requests may begin, 12 s after each naming.
+func TestRequired(t *testing.T) {
+	tests := []struct {
+		name string
+		note func(r *naming.Record)
+		now  float64
+		want int64
+	}{
+		{"nothing is known", func(*naming.Record) {}, 100, 0},
+		{"within the bound", func(r *naming.Record) { r.Prove(5, at(0)) }, 11.9, 0},
+		{"after the bound", func(r *naming.Record) { r.Prove(5, at(0)) }, 12, 5},
+		{"a newer naming leaves the bound alone", func(r *naming.Record) { r.Prove(5, at(0)); r.Prove(6, at(7)) }, 12, 5},
+		{"the newer one has its own bound", func(r *naming.Record) { r.Prove(5, at(0)); r.Prove(6, at(7)) }, 19, 6},
+		{"told in another order", func(r *naming.Record) { r.Prove(6, at(7)); r.Prove(5, at(0)) }, 12, 5},
+		{"a later proof counts", func(r *naming.Record) { r.Prove(5, at(0)); r.Prove(5, at(3)) }, 14, 0},
+		{"an earlier proof does not", func(r *naming.Record) { r.Prove(5, at(3)); r.Prove(5, at(0)) }, 14, 0},
+		{"a proof replaces an assumption", func(r *naming.Record) { r.Assume(5, at(4)); r.Prove(5, at(0)) }, 12, 5},
+		{"an assumption replaces no proof", func(r *naming.Record) { r.Prove(5, at(4)); r.Assume(5, at(0)) }, 12, 0},
+		{"an earlier assumption counts", func(r *naming.Record) { r.Assume(5, at(4)); r.Assume(5, at(0)) }, 12, 5},
+		{"a later assumption does not", func(r *naming.Record) { r.Assume(5, at(0)); r.Assume(5, at(4)) }, 12, 5},
+		{"forgotten, but for the newest", func(r *naming.Record) { r.Prove(4, at(0)); r.Prove(5, at(1)); r.Forget(at(50)) }, 13, 5},
+		{"not forgotten before its time", func(r *naming.Record) { r.Prove(4, at(0)); r.Prove(5, at(60)); r.Forget(at(50)) }, 61, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var r naming.Record
+			tt.note(&r)
+			if got := r.Required(at(tt.now), 12*time.Second); got != tt.want {
+				t.Errorf("Required = %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestReplacedAt(t *testing.T) {
+	var r naming.Record
+	r.Prove(5, at(0))
+	r.Prove(6, at(7))
+	tests := []struct {
+		version int64
+		want    time.Time
+		known   bool
+	}{{4, at(0), true}, {5, at(7), true}, {6, time.Time{}, false}}
+	for _, tt := range tests {
+		if got, known := r.ReplacedAt(tt.version); !got.Equal(tt.want) || known != tt.known {
+			t.Errorf("version %d: %v, %v, want %v, %v", tt.version, got, known, tt.want, tt.known)
+		}
+	}
+}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -67,15 +67,19 @@
 	ProofMS       int64 `cbor:"2,keyasint"`
 	// List numbers the hub's list of targets; it is sent when the asking box
 	// has another one.
-	List    uint64            `cbor:"3,keyasint"`
-	Entries []Entry           `cbor:"4,keyasint,omitempty"`
-	Weights map[string]Newest `cbor:"5,keyasint,omitempty"`
+	List    uint64  `cbor:"3,keyasint"`
+	Entries []Entry `cbor:"4,keyasint,omitempty"`
+	// Namings are the versions of each model's weights that were named lately.
+	Namings map[string][]Naming `cbor:"6,keyasint,omitempty"`
 }
 
-// Newest is a model's newest weight version and how long ago it was named.
-type Newest struct {
+// Naming is a version of a model's weights and how long ago it was named at most,
+// when the answer was made.
+type Naming struct {
 	Version int64 `cbor:"1,keyasint"`
 	AgeMS   int64 `cbor:"2,keyasint"`
+	// Assumed says that no read proved the age.
+	Assumed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Entry is one target of a hub's list.
