fix(entry): an order that another replica refuses ends at once and frees its place

Cause: in the incident one of two engines that were ordered had crashed; its address answered 421 for the rest of the 6 s that a load may take, and the order went on being sent each 0.2 s. With two places among those that load, half of the rollout stood still meanwhile.

Change: the adapter says that another replica has the address; the order ends, the target is gone for good and the next engine is ordered. Orders to a target that can't be reached at all still wait: it may be the link.

--- a/entry/order.go
+++ b/entry/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,7 +29,7 @@
 			if err = d.order(ctx, e); err == nil {
 				ordered = true
 			}
-			if trace.IsAccessDenied(err) {
+			if trace.IsAccessDenied(err) || errors.Is(err, ErrReplaced) {
 				return err
 			}
 		}
@@ -53,22 +54,29 @@
 	return d.Platform.Order(ctx, e.at, e.order)
 }
 
-func (d *Daemon) orderEnded(now time.Time, t *tables, m orderEnded) {
+// orderEnded frees the order's place among those that load. A target that was
+// replaced must not hold it until loadLongest is over: with two places a rollout
+// would stand still for half of that.
+func (d *Daemon) orderEnded(now time.Time, t *tables, m orderEnded) []effect {
 	w := t.model(m.model)
 	delete(w.ordered, m.target)
 	w.recent[m.target] = now
 	x := t.fleet.Target(m.target)
 	if x == nil {
-		return
+		return nil
+	}
+	if errors.Is(m.err, ErrReplaced) {
+		return d.replaced(now, t, m.target, "its answer to an order")
 	}
 	x.LoadingUntil = time.Time{}
 	t.changed()
 	if m.err != nil {
 		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
-		return
+		return nil
 	}
 	x.Versions[m.model] = max(x.Versions[m.model], m.version)
 	d.Log.Info("target has the weights", "target", m.target, "model", m.model, "version", m.version, "since_named", w.age(now, m.version))
+	return nil
 }
 
 // learn takes from a target's refusal what it says of its weights.
--- a/entry/update.go
+++ b/entry/update.go
@@ -43,7 +43,7 @@
 	case freedOld:
 		return d.freedOld(now, t, m)
 	case orderEnded:
-		d.orderEnded(now, t, m)
+		return d.orderEnded(now, t, m)
 	case hubPlaced:
 		return d.hubPlaced(now, t, m)
 	case configurationFromHub:
--- a/entry/weights_test.go
+++ b/entry/weights_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
 )
 
@@ -131,3 +133,39 @@
 		})
 	}
 }
+
+// TestOrderToAnother has an order meet another replica at the target's address.
+// The target is gone for good, so that its place among those that load is free
+// for the next one at once and not after loadLongest.
+func TestOrderToAnother(t *testing.T) {
+	d := newDaemon("b1")
+	d.now = func() time.Time { return start }
+	d.lease.Now = d.now
+	d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}}})
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1), engine("b", 1), engine("c", 1)}}, false})
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	epoch, _, _ := d.lease.Held()
+	d.tables.readEpoch = epoch
+	if got := ordered(t, d, start); got != "a b " {
+		t.Fatalf("ordered %q", got)
+	}
+	orders := 0
+	d.Platform.Report = func(context.Context, netip.AddrPort) (Report, error) { return Report{}, nil }
+	d.Platform.Order = func(context.Context, netip.AddrPort, rollout.Order) error {
+		orders++
+		return ErrReplaced
+	}
+	err := d.bring(context.Background(), sendOrder{rollout.Order{Target: "a", Model: "m", Version: 2, Epoch: epoch}, netip.AddrPort{}})
+	if !errors.Is(err, ErrReplaced) || orders != 1 {
+		t.Fatalf("%d orders, %v", orders, err)
+	}
+	d.update(start, orderEnded{"a", "m", 2, err})
+	if d.tables.fleet.Target("a") != nil {
+		t.Error("the target is still there")
+	}
+	if got := ordered(t, d, start); got != "c " {
+		t.Errorf("ordered %q, want c", got)
+	}
+}
