fix(entry): a late read proves no time; rows and clocks that begin anew are mended; a lost target frees its place

Now only a read that was held for a second dates a naming by itself. - Times told by the table service's clock outlived it when that began anew. - A row written late, over a newer one, lacked a naming that nobody wrote again. - A row that could not be written was tried each tick; now each 0.5 s. - A request that never left the box counted as sent when its bound cut it. - A target that can't be reached held one of two places for 6 s in a rollout; now for three looks. - Versions were forgotten by time, which a reload of the bound could turn into a hole; now 64 stay. - A hub that can't know the newest weights hands no refusal to others; a view without namings (of an older program) proves nothing.

Not taken: a bound for requests placed while no newer version is known and the proof is 10 s old; callers give a stream up 2.4 s after the last event, and such a box is not in touch.

--- a/clockbound/clockbound.go
+++ b/clockbound/clockbound.go
@@ -13,6 +13,10 @@
 // passes: kernels slew a clock by at most 500 parts in a million.
 const drift = 500e-6
 
+// resolution is how much less than its time the other clock may tell: clocks are
+// told in whole milliseconds.
+const resolution = time.Millisecond
+
 // Clock is another machine's clock as seen from here. The zero value is ready; it
 // is not safe for concurrent use.
 type Clock struct {
@@ -34,7 +38,7 @@
 	}
 	aged := time.Duration(drift * float64(answered.Sub(c.seen)))
 	low := max(c.low-aged, told-answered.Sub(c.origin))
-	high := min(c.high+aged, told-asked.Sub(c.origin))
+	high := min(c.high+aged, told+resolution-asked.Sub(c.origin))
 	if low > high {
 		c.begin(asked, answered, told)
 		return false
@@ -44,7 +48,7 @@
 }
 
 func (c *Clock) begin(asked, answered time.Time, told time.Duration) {
-	c.low, c.high, c.seen = told-answered.Sub(c.origin), told-asked.Sub(c.origin), answered
+	c.low, c.high, c.seen = told-answered.Sub(c.origin), told+resolution-asked.Sub(c.origin), answered
 }
 
 // Seen says that there was an answer.
@@ -61,3 +65,9 @@
 func (c *Clock) Least(at time.Time) (time.Duration, bool) {
 	return at.Sub(c.origin) + c.low, c.Seen()
 }
+
+// Most returns the most that the other clock can have shown at a local time, or
+// false if the clock was never seen.
+func (c *Clock) Most(at time.Time) (time.Duration, bool) {
+	return at.Sub(c.origin) + c.high, c.Seen()
+}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	if !place.BeginBy.IsZero() {
-		late := time.AfterFunc(place.BeginBy.Sub(x.Now()), func() { cancel(errReplaced) })
+		late := time.AfterFunc(place.BeginBy.Sub(x.Now()), func() { cancel(errOverdue) })
 		defer late.Stop()
 		return x.hurried(ctx, cancel, func() { late.Stop() }, place)
 	}
@@ -157,9 +157,9 @@
 var (
 	// errSilent says that a target gave no sign of an answer for too long.
 	errSilent = errors.New("the target is silent")
-	// errReplaced says that a request did not begin while it still might on the
+	// errOverdue says that a request did not begin while it still might on the
 	// target's weights.
-	errReplaced = errors.New("the target's weights must not be used any more")
+	errOverdue = errors.New("the target's weights must not be used any more")
 )
 
 func (x *run) patience() time.Duration {
@@ -170,11 +170,15 @@
 	reply, err := x.Send(ctx, Sending{Job: x.job, Place: place, Left: x.job.Until.Sub(x.Now()), After: x.after})
 	answered()
 	if err != nil {
-		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errReplaced) {
-			err = cause
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errOverdue) {
+			err = fmt.Errorf("%w: %w", cause, err)
 		}
 		return x.noAnswer(place, err)
 	}
+	if errors.Is(context.Cause(ctx), errOverdue) {
+		reply.Close() // It came as the request was broken off.
+		return x.noAnswer(place, errOverdue)
+	}
 	defer reply.Close()
 	if reply.Verdict != MayHaveRun {
 		return x.turnedAway(place, reply)
@@ -202,7 +206,7 @@
 	notSent := errors.Is(err, exchange.ErrNotSent)
 	left := x.caller.Err() != nil
 	over := !left && x.ctx.Err() != nil
-	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, errReplaced)
+	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, errOverdue)
 	failed := !left && !blameless
 	x.Ended(Ended{Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over})
 	x.outcome.Cause = err.Error()
--- a/entry/named.go
+++ b/entry/named.go
@@ -22,16 +22,26 @@
 	beginMargin = 250 * time.Millisecond
 	// feedLag is how long the table service takes at most to answer a held read
 	// once there is a change: twice the slowest answer that it is known to give, 60
-	// times the usual 4 ms. Without it a naming could be as old as the read before,
-	// 1.5 s, which older engines then lack for serving.
+	// times the usual 4 ms.
 	feedLag = 500 * time.Millisecond
+	// heldAtLeast is how long a read must have been held, by the service's clock,
+	// before its answer tells of a change that came meanwhile: feedLag, and as much
+	// for the way there. Without it each naming would be dated by the answer
+	// before, up to 1.5 s too early, which older engines then lack for serving.
+	heldAtLeast = 2 * feedLag
 	// unrecordedFor is how long before this box first read a version it is taken
 	// to have been named if nobody told: the record is written some 0.5 s after
 	// a naming, 2.9 s if the lease's holder ends then.
 	unrecordedFor = 4 * time.Second
-	// namingsFor is how many bounds long a naming is remembered: after one it can
+	// toldFor is how many bounds long a naming is told to others: after one it can
 	// only be the lowest version allowed.
-	namingsFor = 2
+	toldFor = 2
+	// soundProof is how old the proof of a sound box gets: reads are held for
+	// 1.5 s, so it is at most 3 s old.
+	soundProof = 3200 * time.Millisecond
+	// tellAgain is the pause after the rollout's row could not be written; each
+	// try has its price.
+	tellAgain = 500 * time.Millisecond
 )
 
 // recordedNaming is a naming as the rollout's row tells it.
@@ -69,8 +79,9 @@
 
 // clockRead takes over the table service's clock. It returns what that showed at a
 // time at which nothing of what was just read was there yet: at the answer before,
-// or a moment before this one if the read was held until then. It returns zero if
-// that is not known.
+// or a moment before this one if the read was held that long. A read that was late
+// may find a change that is as old as the answer before. It returns zero if that
+// is not known.
 func (d *Daemon) clockRead(now time.Time, t *tables, m operatorRead) time.Duration {
 	before, told := t.toldClock, m.change.Clock
 	t.toldClock = told
@@ -79,12 +90,15 @@
 	}
 	if !t.clockOfTable.See(m.asked, now, told) {
 		d.Log.Warn("the table service's clock jumped", "told", told, "before", before)
+		for _, w := range t.weights {
+			w.forgetClock()
+		}
 		return 0
 	}
-	if before == 0 {
-		return 0
+	if asked, _ := t.clockOfTable.Most(m.asked); before > 0 && told-asked >= heldAtLeast {
+		return max(before, told-feedLag)
 	}
-	return max(before, told-feedLag)
+	return before
 }
 
 // unnamedAt returns a time at which the operator had not named yet what was just
@@ -108,7 +122,15 @@
 	w.clearing.Name(at, version)
 }
 
-// age returns for how long a version can have been named at most.
+// forgetClock drops times that were told by a clock that began anew, and has those
+// of this box recorded by the new one.
+func (w *weights) forgetClock() {
+	clear(w.unnamedAt)
+	clear(w.assumedAt)
+	w.recorded = 0
+}
+
+// age returns for how long a version, or a newer one, can have been named at most.
 func (w *weights) age(now time.Time, version int64) time.Duration {
 	at, known := w.names.ReplacedAt(version - 1)
 	if !known {
@@ -117,8 +139,8 @@
 	return now.Sub(at)
 }
 
-// replaced returns for how long a version can have been replaced by a newer one.
-func (w *weights) replaced(now time.Time, version int64) time.Duration {
+// replacedFor returns for how long a version can have been replaced by a newer one.
+func (w *weights) replacedFor(now time.Time, version int64) time.Duration {
 	at, known := w.names.ReplacedAt(version)
 	if !known {
 		return 0
@@ -149,25 +171,25 @@
 // sends nothing to engines, as it can't tell.
 func (d *Daemon) weightsUnknown(now time.Time) bool {
 	within := d.bounds.Load().WeightsWithin
-	return within > 0 && d.provedAgo(now) >= within-overdueMargin
+	return within > 0 && d.provedAgo(now) >= max(within-overdueMargin, soundProof)
 }
 
 // record notes the table service's clock when a version was not named yet.
 func (w *weights) record(version int64, told time.Duration) {
 	if told > 0 {
-		w.told[version] = max(w.told[version], told)
+		w.unnamedAt[version] = max(w.unnamedAt[version], told)
 	}
 }
 
 // date turns what was told by the table service's clock into this box's times. A
 // time that lies ahead was told by another clock and says nothing.
 func (w *weights) date(now time.Time, t *tables) {
-	for version, told := range w.told {
+	for version, told := range w.unnamedAt {
 		if at, ok := t.clockOfTable.Earliest(told); ok && !at.After(now) {
 			w.names.Prove(version, at)
 		}
 	}
-	for version, told := range w.assumed {
+	for version, told := range w.assumedAt {
 		if at, ok := t.clockOfTable.Earliest(told); ok && !at.After(now) {
 			w.names.Assume(version, at)
 		}
@@ -175,8 +197,10 @@
 }
 
 // namingsRead takes over when versions were named, as the rollout's row tells.
-// Whoever wrote it, it stays true.
+// Whoever wrote it, it stays true. A row that was written late, over a newer one,
+// lacks a naming, which then has to be recorded again.
 func (w *weights) namingsRead(now time.Time, t *tables, list []recordedNaming) {
+	w.recorded = 0
 	for _, n := range list {
 		told := time.Duration(n.AtMS) * time.Millisecond
 		w.recorded = max(w.recorded, n.Version)
@@ -184,18 +208,18 @@
 			w.record(n.Version, told)
 			continue
 		}
-		if before, known := w.assumed[n.Version]; !known || told < before {
-			w.assumed[n.Version] = told
+		if before, known := w.assumedAt[n.Version]; !known || told < before {
+			w.assumedAt[n.Version] = told
 		}
 	}
 	w.date(now, t)
 }
 
 // namings lists what is known of namings for the rollout's row.
-func (w *weights) namings(t *tables) []recordedNaming {
+func (w *weights) namings(now time.Time, t *tables, within time.Duration) []recordedNaming {
 	var list []recordedNaming
-	for _, n := range w.names.All() {
-		told, known := w.told[n.Version]
+	for _, n := range w.names.Since(now.Add(-toldFor * within)) {
+		told, known := w.unnamedAt[n.Version]
 		if !known {
 			told, known = t.clockOfTable.Least(n.At)
 		}
@@ -212,19 +236,18 @@
 	return t.clockOfTable.Seen() && w.wanted > w.recorded
 }
 
-// forget drops namings that can't matter any more.
-func (w *weights) forget(now time.Time, within time.Duration) {
-	w.names.Forget(now.Add(-namingsFor * within))
-	list := w.names.All()
-	over := func(version int64, _ time.Duration) bool { return len(list) > 0 && version < list[0].Version }
-	maps.DeleteFunc(w.told, over)
-	maps.DeleteFunc(w.assumed, over)
+// forgetOld drops times of versions that are not remembered any more.
+func (w *weights) forgetOld() {
+	least := w.names.Least()
+	over := func(version int64, _ time.Duration) bool { return version < least }
+	maps.DeleteFunc(w.unnamedAt, over)
+	maps.DeleteFunc(w.assumedAt, over)
 }
 
 // namingsTold lists a model's namings for a box that takes this one's view.
-func (w *weights) namingsTold(now time.Time) []peer.Naming {
+func (w *weights) namingsTold(now time.Time, within time.Duration) []peer.Naming {
 	var list []peer.Naming
-	for _, n := range w.names.All() {
+	for _, n := range w.names.Since(now.Add(-toldFor * within)) {
 		list = append(list, peer.Naming{Version: n.Version, AgeMS: now.Sub(n.At).Milliseconds(), Assumed: n.Assumed})
 	}
 	return list
--- a/entry/order.go
+++ b/entry/order.go
@@ -8,17 +8,32 @@
 	"github.com/gravitational/trace"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/exchange"
 	"github.com/thymewind/thymewind/fleet"
 )
 
 // errNotHeld says that this box must not give orders any more.
 var errNotHeld = trace.AccessDenied("the lease is not held")
 
+const (
+	// unreachableTries is how many looks in a row may fail to reach a target before
+	// its place among those that load goes to another: a process that crashed is
+	// back after some seconds, under another ID, and a lost packet costs one look.
+	unreachableTries = 3
+	// orderAgain is how long a target that did not load waits for its next order,
+	// so that others come first.
+	orderAgain = time.Second
+)
+
+// errUnreachable says that a target that was to load could not be reached.
+var errUnreachable = errors.New("the target can't be reached")
+
 // bring has one target load weights and waits until it has them.
 func (d *Daemon) bring(ctx context.Context, e sendOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, loadLongest)
 	defer cancel()
 	ordered := false
+	unreachable := 0
 	for {
 		report, err := d.Platform.Report(ctx, e.at)
 		if err == nil && report.Versions[e.order.Model] >= e.order.Version {
@@ -36,6 +51,11 @@
 		if err != nil {
 			d.Log.Warn("order not confirmed", "target", e.order.Target, "version", e.order.Version, "err", err)
 		}
+		if !errors.Is(err, exchange.ErrNotSent) {
+			unreachable = 0
+		} else if unreachable++; unreachable == unreachableTries {
+			return errUnreachable
+		}
 		d.pause(ctx, loadLook)
 		if ctx.Err() != nil {
 			return trace.LimitExceeded("the target does not have the version after %v", loadLongest)
@@ -71,6 +91,7 @@
 	x.LoadingUntil = time.Time{}
 	t.changed()
 	if m.err != nil {
+		w.barred[m.target] = now.Add(orderAgain)
 		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
 		return nil
 	}
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -136,7 +136,7 @@
 		Tokens: job.Input + job.Output, Fetch: fetch, Save: save, FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
 		At: now, Ahead: p.Ahead,
-		Newest: w.wanted, Replaced: w.replaced(now, p.Version), BeginBy: w.beginBy(p.Version, within),
+		Newest: w.wanted, Replaced: w.replacedFor(now, p.Version), BeginBy: w.beginBy(p.Version, within),
 	}
 	for _, m := range p.Moves {
 		place.Moves = append(place.Moves, pace.Move{Source: m.Source, Takes: time.Duration(m.TakesUS) * time.Microsecond})
@@ -191,7 +191,7 @@
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
 	t.askedAsHub = now
 	table := d.current.Load()
-	if table == nil || table.Pools[m.Ask.Pool] == nil || !d.warm(t) {
+	if table == nil || table.Pools[m.Ask.Pool] == nil || !d.warm(t) || d.weightsUnknown(now) {
 		return nil
 	}
 	job := &deliver.Job{
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -61,7 +61,7 @@
 	row := rolloutRow{
 		Epoch: epoch, Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
 		Recent: slices.Sorted(maps.Keys(w.recent)), Freed: w.freed,
-		Namings: w.namings(t),
+		Namings: w.namings(now, t, d.bounds.Load().WeightsWithin),
 	}
 	for _, id := range t.fleet.All() {
 		if t.fleet.Target(id).Versions[model] == w.wanted {
@@ -81,6 +81,7 @@
 	w := t.model(m.model)
 	w.announcing = false
 	if m.err != nil {
+		w.tellAgain = now.Add(tellAgain)
 		d.Log.Warn("rollout not announced", "model", m.model, "err", m.err)
 	} else {
 		w.recorded = max(w.recorded, w.recording)
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/thymewind/thymewind/nearest"
@@ -29,7 +30,8 @@
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
 	for _, w := range t.weights {
-		w.forget(now, d.bounds.Load().WeightsWithin)
+		w.forgetOld()
+		maps.DeleteFunc(w.barred, func(_ string, until time.Time) bool { return now.After(until) })
 	}
 	d.noteSlow(now, t)
 	d.noteStrain(t)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -95,11 +95,14 @@
 	// wanted is the newest version named, names when each version was.
 	wanted int64
 	names  naming.Record
-	// told and assumed are the table service's clock when a version was not named
-	// yet, as was proved or is assumed; recorded is the newest version of which the
-	// rollout's row tells that, recording the one in the row being written.
-	told, assumed       map[int64]time.Duration
+	// unnamedAt and assumedAt are what the table service's clock showed when a
+	// version was not named yet, as was proved or is assumed.
+	unnamedAt, assumedAt map[int64]time.Duration
+	// recorded is the newest version of which the rollout's row tells that,
+	// recording the one in the row being written; after a write that failed, the
+	// next one may begin at tellAgain.
 	recorded, recording int64
+	tellAgain           time.Time
 	// ordered are the orders that this box has under way, by target.
 	ordered map[string]bool
 	// recent is when this box ordered targets anything, barred until when it
@@ -193,7 +196,7 @@
 func (t *tables) model(name string) *weights {
 	w := t.weights[name]
 	if w == nil {
-		w = &weights{told: make(map[int64]time.Duration), assumed: make(map[int64]time.Duration), ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
+		w = &weights{unnamedAt: make(map[int64]time.Duration), assumedAt: make(map[int64]time.Duration), ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- a/entry/view.go
+++ b/entry/view.go
@@ -18,7 +18,7 @@
 		Namings: make(map[string][]peer.Naming, len(t.weights)),
 	}
 	for model, w := range t.weights {
-		v.Namings[model] = w.namingsTold(now)
+		v.Namings[model] = w.namingsTold(now, d.bounds.Load().WeightsWithin)
 	}
 	if have == t.listNumber || t.listNumber == 0 {
 		return v
@@ -42,6 +42,10 @@
 		d.Log.Warn("hub can't prove the configuration", "hub", hub, "proved_ago", age)
 		t.members[hub].retry = now.Add(gossipAgain)
 	}
+	if v.Namings == nil {
+		d.Log.Warn("hub tells no weights, so its view proves nothing", "hub", hub)
+		return nil
+	}
 	proof := asked.Add(-time.Duration(v.ProofMS) * time.Millisecond)
 	var effects []effect
 	switch {
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -50,7 +50,7 @@
 		}
 		work = true
 		epoch, _, held := d.lease.Held()
-		if !held || w.announcing || !t.mayOrder(epoch) {
+		if !held || w.announcing || !t.mayOrder(epoch) || now.Before(w.tellAgain) {
 			continue
 		}
 		effects = append(effects, d.freeOld(now, t, model, w)...)
--- a/entry/weights_test.go
+++ b/entry/weights_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/exchange"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
@@ -169,3 +172,31 @@
 		t.Errorf("ordered %q, want c", got)
 	}
 }
+
+// TestOrderToNobody has an engine that can't be reached hold its place among those
+// that load for a few looks only. In an outage of one engine the rollout would
+// otherwise stand still for 6 s at each try.
+func TestOrderToNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemon("b1")
+		looks := 0
+		d.Platform.Report = func(context.Context, netip.AddrPort) (Report, error) {
+			looks++
+			return Report{}, fmt.Errorf("%w: refused", exchange.ErrNotSent)
+		}
+		err := d.bring(context.Background(), sendOrder{order: rollout.Order{Target: "a", Model: "m", Version: 2}})
+		if !errors.Is(err, errUnreachable) || looks != unreachableTries {
+			t.Errorf("%d looks, %v", looks, err)
+		}
+		d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+		d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}}})
+		d.update(start, orderEnded{"a", "m", 2, err})
+		w := d.tables.model("m")
+		for _, after := range []time.Duration{0, orderAgain} {
+			replicas := d.replicas(start.Add(after), &d.tables, "m", w)
+			if barred := replicas[0].Barred; barred != (after < orderAgain) {
+				t.Errorf("after %v: barred %v", after, barred)
+			}
+		}
+	})
+}
--- a/naming/naming.go
+++ b/naming/naming.go
@@ -18,6 +18,10 @@
 	"time"
 )
 
+// most is how many versions are remembered. Namings come seconds apart at the
+// quickest, and only those within the bound and the one before matter.
+const most = 64
+
 // Naming is one version and the earliest time at which it can have been named.
 type Naming struct {
 	Version int64
@@ -36,9 +40,13 @@
 // Prove notes that a version was not named yet at a time. Of several proofs the
 // latest counts, and each counts more than what was assumed.
 func (r *Record) Prove(version int64, at time.Time) {
-	n := r.entry(version, at)
-	if n.Assumed || at.After(n.At) {
-		*n = Naming{Version: version, At: at}
+	i, known := r.find(version)
+	if !known {
+		r.insert(i, Naming{Version: version, At: at})
+		return
+	}
+	if n := r.list[i]; n.Assumed || at.After(n.At) {
+		r.list[i] = Naming{Version: version, At: at}
 	}
 }
 
@@ -47,7 +55,7 @@
 func (r *Record) Assume(version int64, at time.Time) {
 	i, known := r.find(version)
 	if !known {
-		r.list = slices.Insert(r.list, i, Naming{version, at, true})
+		r.insert(i, Naming{version, at, true})
 		return
 	}
 	if n := &r.list[i]; n.Assumed && at.Before(n.At) {
@@ -55,13 +63,12 @@
 	}
 }
 
-// entry returns a version's naming and makes it if there is none.
-func (r *Record) entry(version int64, at time.Time) *Naming {
-	i, known := r.find(version)
-	if !known {
-		r.list = slices.Insert(r.list, i, Naming{Version: version, At: at})
+// insert adds a naming and forgets the lowest version if there are too many.
+func (r *Record) insert(i int, n Naming) {
+	r.list = slices.Insert(r.list, i, n)
+	if len(r.list) > most {
+		r.list = slices.Delete(r.list, 0, 1)
 	}
-	return &r.list[i]
 }
 
 func (r *Record) find(version int64) (int, bool) {
@@ -91,17 +98,22 @@
 	return first, !first.IsZero()
 }
 
-// All returns the namings by rising version.
-func (r *Record) All() []Naming { return slices.Clone(r.list) }
-
-// Forget drops the versions that were named before a time, but for the newest of
-// them: the others can't change what Required returns for bounds that end later.
-func (r *Record) Forget(before time.Time) {
+// Since returns the namings by rising version, without those that were replaced
+// before a time already.
+func (r *Record) Since(before time.Time) []Naming {
 	newest := int64(0)
 	for _, n := range r.list {
 		if n.At.Before(before) {
 			newest = n.Version
 		}
 	}
-	r.list = slices.DeleteFunc(r.list, func(n Naming) bool { return n.Version < newest })
+	return slices.DeleteFunc(slices.Clone(r.list), func(n Naming) bool { return n.Version < newest })
+}
+
+// Least returns the lowest version that is remembered, or zero if there is none.
+func (r *Record) Least() int64 {
+	if len(r.list) == 0 {
+		return 0
+	}
+	return r.list[0].Version
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -69,8 +69,9 @@
 	// has another one.
 	List    uint64  `cbor:"3,keyasint"`
 	Entries []Entry `cbor:"4,keyasint,omitempty"`
-	// Namings are the versions of each model's weights that were named lately.
-	Namings map[string][]Naming `cbor:"6,keyasint,omitempty"`
+	// Namings are the versions of each model's weights that were named lately. It
+	// is nil only if the hub does not tell them.
+	Namings map[string][]Naming `cbor:"6,keyasint"`
 }
 
 // Naming is a version of a model's weights and how long ago it was named at most,
