feat(entry): the retry budget holds over all boxes, whatever each has saved up

Looked at, the bound was not kept in two cases: a box that did not know the others yet could save as many as one of ten may (85 boxes cut off from the rows: 85 times a tenth of the bound), and where boxes outnumber seven tenths of the bound each still saved one. Change: one while the others are unknown; beyond the bound's room, one for the first boxes by name. Ruled out: tokens that expire with the window; the sum over adjacent windows can then be twice the share. Deployments: 6 to 9 boxes save as before once they know each other; not measured apart.

--- a/entry/build.go
+++ b/entry/build.go
@@ -89,7 +89,7 @@
 	}
 	d.budget = retry.Budget{
 		Share: d.bounds.Load().RetryShare * retryUse,
-		Burst: d.burst(presumed), Empty: true,
+		Burst: d.burst(&d.tables), Empty: true,
 	}
 	d.lines = rate.NewLimiter(answeredLines, answeredLines)
 	d.buildLease()
@@ -110,12 +110,6 @@
 	}
 }
 
-// burst is how many retries a box may save up, when so many share the bound.
-// At least ten are reckoned with, as boxes may join before they are known.
-func (d *Daemon) burst(boxes int) float64 {
-	return max(1, d.bounds.Load().RetryExtra*retryUse/float64(max(boxes, presumed)))
-}
-
 // buildLease prepares the lease of the rollout.
 func (d *Daemon) buildLease() {
 	d.lease = lease.Lease{
--- /dev/null
+++ b/entry/burst.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+)
+
+// burstBoxes is how many boxes share the retries that may be saved up at least:
+// boxes may join before the others know them.
+const burstBoxes = 10
+
+// burst is how many retries this box may save up, so that all boxes together stay
+// within the platform's bound whatever each has saved: a share of it or, where
+// that is less than one, one for as many boxes as the bound has room for. A box
+// that does not know the others yet saves one.
+func (d *Daemon) burst(t *tables) float64 {
+	all := d.bounds.Load().RetryExtra * retryUse
+	boxes := len(t.members)
+	if boxes == 0 {
+		return min(1, all)
+	}
+	if float64(boxes) <= all {
+		return max(1, all/float64(max(boxes, burstBoxes)))
+	}
+	rank := slices.Index(slices.Sorted(maps.Keys(t.members)), d.Settings.Name)
+	if rank >= 0 && float64(rank+1) <= all {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/entry/burst_test.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/retry"
+)
+
+// What all boxes do in a phase of a history, step by step.
+const (
+	asks = iota
+	asksMuch
+	retries
+	rests
+	startsAgain
+	actions
+)
+
+// The histories' platform: a window is some steps long.
+const (
+	window     = 10
+	phases     = 6
+	retryRatio = 0.2
+	retryExtra = 40
+)
+
+// phase is an action for some steps, up to two windows.
+type phase struct{ action, steps int }
+
+func phaseOf(n int) phase { return phase{n % actions, 1 + n/actions} }
+
+// fleetOf returns one daemon for each box of a fleet whose boxes know each other.
+func fleetOf(t *testing.T, boxes int) []*Daemon {
+	t.Helper()
+	list := make([]*Daemon, boxes)
+	members := make(map[string]*member, boxes)
+	for i := range list {
+		list[i] = newDaemon(fmt.Sprintf("b%03d", i))
+		list[i].bounds.Load().RetryExtra = retryExtra
+		list[i].tables.members = members
+		members[list[i].Settings.Name] = &member{}
+	}
+	return list
+}
+
+// act has a box do one thing and returns its requests and retries.
+func act(b *retry.Budget, action int) (requests, retried int) {
+	switch action {
+	case asks, asksMuch:
+		requests = 1 + 50*(action-asks)
+	case startsAgain:
+		*b = retry.Budget{Share: b.Share, Burst: b.Burst, Empty: true}
+	case retries:
+		for b.Spend("p") {
+			retried++
+		}
+	}
+	for range requests {
+		b.Request("p")
+	}
+	return requests, retried
+}
+
+// withinBudget says that whatever boxes have saved up, in each window all of them
+// together retry no more often than their requests in it allow, and the extra.
+func withinBudget(t *testing.T, burst func(*Daemon) float64) gopter.Prop {
+	sizes := []int{1, 6, 28, 29, 85, 330}
+	bursts := make(map[int][]float64)
+	for _, boxes := range sizes {
+		for _, d := range fleetOf(t, boxes) {
+			bursts[boxes] = append(bursts[boxes], burst(d))
+		}
+	}
+	return prop.ForAll(func(size int, history []int) bool {
+		var fleet []retry.Budget
+		for _, most := range bursts[sizes[size]] {
+			fleet = append(fleet, retry.Budget{Share: retryRatio * retryUse, Burst: most, Empty: true})
+		}
+		return keepsBudget(fleet, history)
+	}, gen.IntRange(0, len(sizes)-1), gen.SliceOfN(phases, gen.IntRange(0, 2*window*actions-1)))
+}
+
+// keepsBudget plays a history on a fleet and checks each window.
+func keepsBudget(fleet []retry.Budget, history []int) bool {
+	var requests, retried []int
+	for _, n := range history {
+		p := phaseOf(n)
+		for range p.steps {
+			asked, again := 0, 0
+			for i := range fleet {
+				a, r := act(&fleet[i], p.action)
+				asked, again = asked+a, again+r
+			}
+			requests, retried = append(requests, asked), append(retried, again)
+			from := max(0, len(requests)-window)
+			if float64(sum(retried[from:])) > retryRatio*float64(sum(requests[from:]))+retryExtra {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func sum(list []int) int {
+	total := 0
+	for _, n := range list {
+		total += n
+	}
+	return total
+}
+
+// TestRetriesOverAllBoxes shows that boxes keep the platform's bound together,
+// each by itself.
+func TestRetriesOverAllBoxes(t *testing.T) {
+	proof.Holds(t, withinBudget(t, func(d *Daemon) float64 { return d.burst(&d.tables) }))
+}
+
+// TestRetriesOverAllBoxesNeedTheBoxesCounted has each box save up as much as ten
+// boxes may.
+func TestRetriesOverAllBoxesNeedTheBoxesCounted(t *testing.T) {
+	proof.Breaks(t, withinBudget(t, func(*Daemon) float64 { return retryExtra * retryUse / burstBoxes }))
+}
+
+// TestRetriesOverAllBoxesNeedFewSavers has each of many boxes save up one.
+func TestRetriesOverAllBoxesNeedFewSavers(t *testing.T) {
+	proof.Breaks(t, withinBudget(t, func(d *Daemon) float64 { return max(1, d.burst(&d.tables)) }))
+}
+
+// TestBurst says how many retries a box may save up.
+func TestBurst(t *testing.T) {
+	const all = retryExtra * retryUse
+	tests := []struct {
+		name  string
+		boxes int
+		box   string
+		want  float64
+	}{
+		{"the others are not known", 0, "b000", 1},
+		{"few boxes", 6, "b000", all / burstBoxes},
+		{"as many as there is room for", 28, "b027", 1},
+		{"more boxes, one of the first", 85, "b027", 1},
+		{"more boxes, one of the others", 85, "b028", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon(tt.box)
+			d.bounds.Load().RetryExtra = retryExtra
+			for i := range tt.boxes {
+				d.tables.members[fmt.Sprintf("b%03d", i)] = &member{}
+			}
+			if got := d.burst(&d.tables); got < tt.want-1e-9 || got > tt.want+1e-9 {
+				t.Errorf("%v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/entry/join.go
+++ b/entry/join.go
@@ -77,7 +77,7 @@
 	}
 	d.Log.Info("box known", "name", name, "at", row.Peers)
 	t.members[name] = &member{at: row.Peers, domain: row.Domain, share: row.Share, megabits: row.Megabits}
-	d.budget.Bound(d.burst(t.boxes()))
+	d.budget.Bound(d.burst(t))
 }
 
 // credentialRead takes over what the boxes show each other.
