--- /dev/null
+++ b/dated/dated_test.go
@@ -0,0 +1,103 @@
+package dated_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/clockbound"
+	"github.com/thymewind/thymewind/dated"
+)
+
+var start = time.Unix(1000, 0)
+
+// clock is an hour ahead of this box's, and known to 2 ms.
+func clock() *clockbound.Clock {
+	c := &clockbound.Clock{}
+	c.See(start, start.Add(time.Millisecond), time.Hour)
+	return c
+}
+
+// TestRows passes namings from one box to another by rows.
+func TestRows(t *testing.T) {
+	const near = 5 * time.Millisecond
+	tests := []struct {
+		name    string
+		note    func(n *dated.Namings)
+		want    time.Duration // When version 5 was named, since start.
+		assumed bool
+	}{
+		{"proved, and told by the common clock", func(n *dated.Namings) { n.Prove(5, start, time.Hour+3*time.Second) }, 3 * time.Second, false},
+		{"proved by this box's clock only", func(n *dated.Namings) { n.Prove(5, start.Add(3*time.Second), 0) }, 3 * time.Second, false},
+		{"assumed", func(n *dated.Namings) { n.Assume(5, start.Add(3*time.Second)) }, 3 * time.Second, true},
+		{"the later of two proofs", func(n *dated.Namings) {
+			n.Prove(5, start, time.Hour+3*time.Second)
+			n.Prove(5, start, time.Hour+2*time.Second)
+		}, 3 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var a, b dated.Namings
+			tt.note(&a)
+			a.Date(start.Add(time.Minute), clock())
+			rows := a.Rows(start, clock())
+			b.Read(start.Add(time.Minute), clock(), rows)
+			got := b.Since(start)
+			if len(got) != 1 || got[0].Assumed != tt.assumed {
+				t.Fatalf("read %+v", got)
+			}
+			if early := start.Add(tt.want).Sub(got[0].At); early < 0 || early > near {
+				t.Errorf("dated %v too early", early)
+			}
+		})
+	}
+}
+
+// TestReadBeforeTheClock reads rows before the common clock is known.
+func TestReadBeforeTheClock(t *testing.T) {
+	var n dated.Namings
+	n.Read(start, &clockbound.Clock{}, []dated.Row{{Version: 5, AtMS: time.Hour.Milliseconds()}})
+	if got := n.Since(start.Add(-time.Hour)); len(got) != 0 {
+		t.Fatalf("dated without a clock: %+v", got)
+	}
+	n.Date(start.Add(time.Second), clock())
+	if got := n.Since(start.Add(-time.Hour)); len(got) != 1 {
+		t.Errorf("not dated with the clock: %+v", got)
+	}
+}
+
+// TestMissing says when a naming has to be written.
+func TestMissing(t *testing.T) {
+	c := clock()
+	var n dated.Namings
+	n.Prove(5, start, time.Hour)
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"not written", func() {}, true},
+		{"being written", func() { n.Rows(start, c) }, true},
+		{"written", n.Written, false},
+		{"read without it", func() { n.Read(start, c, nil) }, true},
+		{"read with it", func() { n.Read(start, c, []dated.Row{{Version: 5, AtMS: 1}}) }, false},
+		{"the clock began anew", n.ForgetClock, true},
+	}
+	for _, s := range steps {
+		s.do()
+		if got := n.Missing(5, c); got != s.want {
+			t.Errorf("%s: missing %v", s.name, got)
+		}
+	}
+	if n.Missing(5, &clockbound.Clock{}) {
+		t.Error("missing although no clock dates it")
+	}
+}
+
+// TestAhead shows that a time that lies ahead is not believed.
+func TestAhead(t *testing.T) {
+	var n dated.Namings
+	n.Read(start, clock(), []dated.Row{{Version: 5, AtMS: (2 * time.Hour).Milliseconds()}})
+	if got := n.Since(start); len(got) != 0 {
+		t.Errorf("read %+v", got)
+	}
+}
--- a/entry/named.go
+++ b/entry/named.go
@@ -44,15 +44,6 @@
 	tellAgain = 500 * time.Millisecond
 )
 
-// recordedNaming is a naming as the rollout's row tells it.
-type recordedNaming struct {
-	Version int64 `json:"version"`
-	// AtMS is the table service's clock when the version was not named yet.
-	AtMS int64 `json:"at_ms"`
-	// Assumed says that no read proved that.
-	Assumed bool `json:"assumed,omitempty"`
-}
-
 // weightsRead takes over which versions the operator named.
 func (d *Daemon) weightsRead(now time.Time, t *tables, m operatorRead) {
 	unnamed := d.clockRead(now, t, m)
@@ -65,15 +56,14 @@
 		w.name(now, version)
 		at, proved := d.unnamedAt(t, unnamed)
 		if proved {
-			w.names.Prove(version, at)
-			w.record(version, unnamed)
+			w.names.Prove(version, at, unnamed)
 		} else {
 			w.names.Assume(version, now.Add(-unrecordedFor))
 		}
 		d.Log.Info("weights named", "model", model, "version", version, "before", before, "at_most_ago", w.age(now, version), "proved", proved)
 	}
 	for _, w := range t.weights {
-		w.date(now, t)
+		w.names.Date(now, &t.clockOfTable)
 	}
 }
 
@@ -91,7 +81,7 @@
 	if !t.clockOfTable.See(m.asked, now, told) {
 		d.Log.Warn("the table service's clock jumped", "told", told, "before", before)
 		for _, w := range t.weights {
-			w.forgetClock()
+			w.names.ForgetClock()
 		}
 		return 0
 	}
@@ -122,14 +112,6 @@
 	w.clearing.Name(at, version)
 }
 
-// forgetClock drops times that were told by a clock that began anew, and has those
-// of this box recorded by the new one.
-func (w *weights) forgetClock() {
-	clear(w.unnamedAt)
-	clear(w.assumedAt)
-	w.recorded = 0
-}
-
 // age returns for how long a version, or a newer one, can have been named at most.
 func (w *weights) age(now time.Time, version int64) time.Duration {
 	at, known := w.names.ReplacedAt(version - 1)
@@ -174,76 +156,6 @@
 	return within > 0 && d.provedAgo(now) >= max(within-overdueMargin, soundProof)
 }
 
-// record notes the table service's clock when a version was not named yet.
-func (w *weights) record(version int64, told time.Duration) {
-	if told > 0 {
-		w.unnamedAt[version] = max(w.unnamedAt[version], told)
-	}
-}
-
-// date turns what was told by the table service's clock into this box's times. A
-// time that lies ahead was told by another clock and says nothing.
-func (w *weights) date(now time.Time, t *tables) {
-	for version, told := range w.unnamedAt {
-		if at, ok := t.clockOfTable.Earliest(told); ok && !at.After(now) {
-			w.names.Prove(version, at)
-		}
-	}
-	for version, told := range w.assumedAt {
-		if at, ok := t.clockOfTable.Earliest(told); ok && !at.After(now) {
-			w.names.Assume(version, at)
-		}
-	}
-}
-
-// namingsRead takes over when versions were named, as the rollout's row tells.
-// Whoever wrote it, it stays true. A row that was written late, over a newer one,
-// lacks a naming, which then has to be recorded again.
-func (w *weights) namingsRead(now time.Time, t *tables, list []recordedNaming) {
-	w.recorded = 0
-	for _, n := range list {
-		told := time.Duration(n.AtMS) * time.Millisecond
-		w.recorded = max(w.recorded, n.Version)
-		if !n.Assumed {
-			w.record(n.Version, told)
-			continue
-		}
-		if before, known := w.assumedAt[n.Version]; !known || told < before {
-			w.assumedAt[n.Version] = told
-		}
-	}
-	w.date(now, t)
-}
-
-// namings lists what is known of namings for the rollout's row.
-func (w *weights) namings(now time.Time, t *tables, within time.Duration) []recordedNaming {
-	var list []recordedNaming
-	for _, n := range w.names.Since(now.Add(-toldFor * within)) {
-		told, known := w.unnamedAt[n.Version]
-		if !known {
-			told, known = t.clockOfTable.Least(n.At)
-		}
-		if known {
-			list = append(list, recordedNaming{n.Version, told.Milliseconds(), n.Assumed})
-		}
-	}
-	return list
-}
-
-// unrecorded says that the row lacks the newest naming, so that a box that starts
-// could not know of its time.
-func (w *weights) unrecorded(t *tables) bool {
-	return t.clockOfTable.Seen() && w.wanted > w.recorded
-}
-
-// forgetOld drops times of versions that are not remembered any more.
-func (w *weights) forgetOld() {
-	least := w.names.Least()
-	over := func(version int64, _ time.Duration) bool { return version < least }
-	maps.DeleteFunc(w.unnamedAt, over)
-	maps.DeleteFunc(w.assumedAt, over)
-}
-
 // namingsTold lists a model's namings for a box that takes this one's view.
 func (w *weights) namingsTold(now time.Time, within time.Duration) []peer.Naming {
 	var list []peer.Naming
@@ -263,7 +175,7 @@
 			if n.Assumed {
 				w.names.Assume(n.Version, at)
 			} else {
-				w.names.Prove(n.Version, at)
+				w.names.Prove(n.Version, at, 0)
 			}
 			if n.Version > w.wanted {
 				w.name(now, n.Version)
--- a/entry/named_test.go
+++ b/entry/named_test.go
@@ -128,7 +128,7 @@
 	if age := w.age(now, 2); age < 5*time.Second {
 		t.Errorf("the naming is %v old, want over 5 s", age)
 	}
-	if !w.unrecorded(&d.tables) {
+	if !w.names.Missing(2, &d.tables.clockOfTable) {
 		t.Error("the naming is not recorded again")
 	}
 }
@@ -257,7 +257,7 @@
 			spoke := listed("box-05")
 			w := spoke.tables.model("m")
 			w.name(start, 2)
-			w.names.Prove(2, start.Add(-tt.named))
+			w.names.Prove(2, start.Add(-tt.named), 0)
 			answer, ok := spoke.accept(start, &spoke.tables, job("long", 10), &peer.Placed{Target: "a", Version: 1})
 			if ok == tt.refused {
 				t.Fatalf("accepted: %v", ok)
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/thymewind/thymewind/dated"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
 )
@@ -27,7 +28,7 @@
 	// leaves them alone for a while.
 	Recent []string `json:"recent"`
 	// Namings are the versions named lately, and when.
-	Namings []recordedNaming `json:"namings,omitempty"`
+	Namings []dated.Row `json:"namings,omitempty"`
 	// Freed is the version for which the stores were cleared of older parts.
 	Freed int64 `json:"freed"`
 }
@@ -53,7 +54,7 @@
 
 // tellRollout makes the effect that writes the rollout's row.
 func (d *Daemon) tellRollout(now time.Time, t *tables, model string, w *weights, epoch uint64) effect {
-	w.announcing, w.recording = true, w.wanted
+	w.announcing = true
 	for _, id := range w.planned {
 		w.recent[id] = now
 	}
@@ -61,7 +62,7 @@
 	row := rolloutRow{
 		Epoch: epoch, Version: w.wanted, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
 		Recent: slices.Sorted(maps.Keys(w.recent)), Freed: w.freed,
-		Namings: w.namings(now, t, d.bounds.Load().WeightsWithin),
+		Namings: w.names.Rows(now.Add(-toldFor*d.bounds.Load().WeightsWithin), &t.clockOfTable),
 	}
 	for _, id := range t.fleet.All() {
 		if t.fleet.Target(id).Versions[model] == w.wanted {
@@ -84,7 +85,7 @@
 		w.tellAgain = now.Add(tellAgain)
 		d.Log.Warn("rollout not announced", "model", m.model, "err", m.err)
 	} else {
-		w.recorded = max(w.recorded, w.recording)
+		w.names.Written()
 	}
 	epoch, _, held := d.lease.Held()
 	planned := w.planned
@@ -138,7 +139,7 @@
 		return
 	}
 	w := t.model(model)
-	w.namingsRead(now, t, row.Namings)
+	w.names.Read(now, &t.clockOfTable, row.Namings)
 	if row.Epoch < w.epoch {
 		return // Written late, over a newer one.
 	}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -30,7 +30,7 @@
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
 	for _, w := range t.weights {
-		w.forgetOld()
+		w.names.Trim()
 		maps.DeleteFunc(w.barred, func(_ string, until time.Time) bool { return now.After(until) })
 	}
 	d.noteSlow(now, t)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -8,9 +8,9 @@
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/clockbound"
+	"github.com/thymewind/thymewind/dated"
 	"github.com/thymewind/thymewind/directory"
 	"github.com/thymewind/thymewind/fleet"
-	"github.com/thymewind/thymewind/naming"
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/shares"
@@ -94,15 +94,9 @@
 type weights struct {
 	// wanted is the newest version named, names when each version was.
 	wanted int64
-	names  naming.Record
-	// unnamedAt and assumedAt are what the table service's clock showed when a
-	// version was not named yet, as was proved or is assumed.
-	unnamedAt, assumedAt map[int64]time.Duration
-	// recorded is the newest version of which the rollout's row tells that,
-	// recording the one in the row being written; after a write that failed, the
-	// next one may begin at tellAgain.
-	recorded, recording int64
-	tellAgain           time.Time
+	names  dated.Namings
+	// tellAgain is when the rollout's row may be written again after that failed.
+	tellAgain time.Time
 	// ordered are the orders that this box has under way, by target.
 	ordered map[string]bool
 	// recent is when this box ordered targets anything, barred until when it
@@ -196,7 +190,7 @@
 func (t *tables) model(name string) *weights {
 	w := t.weights[name]
 	if w == nil {
-		w = &weights{unnamedAt: make(map[int64]time.Duration), assumedAt: make(map[int64]time.Duration), ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
+		w = &weights{ordered: make(map[string]bool), recent: make(map[string]time.Time), barred: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		effects = append(effects, d.freeOld(now, t, model, w)...)
-		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 || behind && w.unrecorded(t) {
+		if w.planned = d.plan.Next(w.wanted, replicas); len(w.planned) > 0 || behind && w.names.Missing(w.wanted, &t.clockOfTable) {
 			effects = append(effects, d.tellRollout(now, t, model, w, epoch))
 		}
 	}
