feat(comeback): refused callers are told when a place is likely

Cause: every refused caller was told 60 to 180 ms, whatever kept it from being served. Most callers try twice in all, so in an outage of the platform's table service, or while a pool had no open target, nearly all of them were refused twice and never served.

Change: package comeback, by the cause of the refusal. What lasts (no proof of the configuration, no configuration, a pool without targets) is expected to end when its like did before, or to last as long again as it has beyond that; callers return over half of that time behind it, the most urgent over its first third. Boxes tell each other with their gossip whether they refuse callers: while another one serves, a caller is told to return at once, and finds it, as the one that refuses is not ready. For want of memory callers return within a tenth to three tenths of the route's goal. All else stays 60 to 180 ms. Each refusal's log line says what the caller was told; ends of what lasted are logged.

Tried and not taken: the rate at which memory comes free, one caller after the other, and later returns where few asks got a place.

No test was changed but for two signatures.

--- /dev/null
+++ b/comeback/play_test.go
@@ -0,0 +1,387 @@
+package comeback_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/comeback"
+)
+
+// kind is a kind of request.
+type kind struct {
+	urgency        int
+	tokens         float64       // Memory of a usual request.
+	share          float64       // Of all requests.
+	goal, deadline time.Duration // From the first try on.
+	runs           time.Duration // How long a usual one runs.
+	first          time.Duration // From the place to the first event.
+}
+
+// kinds are like those of a deployment in use.
+var kinds = []kind{
+	{0, 2500, 0.3, 400 * time.Millisecond, 3 * time.Second, 250 * time.Millisecond, 60 * time.Millisecond},
+	{1, 1200, 0.35, 400 * time.Millisecond, 12 * time.Second, 1200 * time.Millisecond, 60 * time.Millisecond},
+	{2, 12500, 0.35, 600 * time.Millisecond, 15 * time.Second, 1800 * time.Millisecond, 120 * time.Millisecond},
+}
+
+const (
+	boxes    = 8
+	engines  = 8
+	capacity = 60000.0
+	// ends is when the last caller comes, from which time those who came count.
+	ends, from = 40 * time.Second, 10 * time.Second
+	histories  = 24
+	outage     = "outage"
+	noTarget   = "no target"
+)
+
+// scene is what happens while callers come.
+type scene struct {
+	name string
+	// load is the memory asked for per memory there is, burst the same from 10 s
+	// to 15 s, unless it is zero.
+	load, burst float64
+	// outages are how many begin, one each 10 s, and how long they last; the share
+	// of boxes that they hit is hit.
+	outages           int
+	shortest, longest time.Duration
+	hit               float64
+	// gone is for how long no target takes work from 10 s on.
+	gone time.Duration
+	// rollout has the engines load weights from 10 s on, two at a time.
+	rollout time.Duration
+	// goal is all kinds', unless it is zero.
+	goal time.Duration
+}
+
+var scenes = []scene{
+	{name: "overload of 1.3", load: 1.3},
+	{name: "overload of 1.6 for 5 s", load: 0.8, burst: 1.6},
+	{name: "outage of 5 s", load: 0.7, outages: 1, shortest: 5 * time.Second, longest: 5 * time.Second, hit: 1},
+	{name: "three outages of 2 to 3 s", load: 0.7, outages: 3, shortest: 2 * time.Second, longest: 3 * time.Second, hit: 1},
+	{name: "outage of 5 s at 2 boxes of 8", load: 0.7, outages: 1, shortest: 5 * time.Second, longest: 5 * time.Second, hit: 0.25},
+	{name: "no target for 2 s", load: 0.7, gone: 2 * time.Second},
+	{name: "load of weights", load: 0.75, rollout: 2500 * time.Millisecond},
+	{name: "load of weights, goals of 1.2 s", load: 0.75, rollout: 2500 * time.Millisecond, goal: 1200 * time.Millisecond},
+	{name: "overload of 1.3, goals of 1.2 s", load: 1.3, goal: 1200 * time.Millisecond},
+}
+
+// event is something at a time.
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type queue []event
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n }
+func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+// caller is one request over all its tries.
+type caller struct {
+	kind
+	size          float64
+	began, served time.Duration
+	tries, most   int
+}
+
+// way says when a caller refused for a cause should return.
+type way func(p *play, b *box, c *caller, cause string) time.Duration
+
+// constant is a tenth of a second, whatever the cause.
+func constant(p *play, _ *box, _ *caller, _ string) time.Duration {
+	return 60*time.Millisecond + time.Duration(p.rng.Float64()*120)*time.Millisecond
+}
+
+// estimated is what the package says, when boxes tell each other whether they
+// serve.
+func estimated(p *play, b *box, c *caller, cause string) time.Duration {
+	switch {
+	case cause == "":
+		return b.returns.Crowded(c.goal, c.urgency)
+	case cause == outage && slices.ContainsFunc(p.boxes, func(b *box) bool { return !b.out }):
+		return b.returns.Soon(c.urgency)
+	}
+	return b.returns.Lasting(p.time(), cause, c.urgency)
+}
+
+// alone is the same for boxes that know nothing of each other.
+func alone(p *play, b *box, c *caller, cause string) time.Duration {
+	if cause == outage {
+		return b.returns.Lasting(p.time(), cause, c.urgency)
+	}
+	return estimated(p, b, c, cause)
+}
+
+type box struct {
+	returns comeback.Estimator
+	out     bool
+}
+
+// play is one history.
+type play struct {
+	scene
+	way way
+	// arrivals draws who comes when, the same for all ways.
+	arrivals, rng *rand.Rand
+	now           time.Duration
+	events        queue
+	n             int
+	used          [engines]float64
+	loading       [engines]time.Duration
+	boxes         []*box
+	all           []*caller
+}
+
+func newPlay(s scene, w way, seed uint64) *play {
+	p := &play{scene: s, way: w, arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2))}
+	for range boxes {
+		p.boxes = append(p.boxes, &box{returns: comeback.Estimator{Draw: p.rng.Float64}})
+	}
+	return p
+}
+
+func (p *play) time() time.Time { return time.Unix(1000, 0).Add(p.now) }
+
+func (p *play) after(d time.Duration, do func()) {
+	p.n++
+	heap.Push(&p.events, event{p.now + d, p.n, do})
+}
+
+func (p *play) run() []*caller {
+	need := 0.0
+	for _, k := range kinds {
+		need += k.share * k.tokens * k.runs.Seconds()
+	}
+	p.arrive(engines * capacity * 0.92 / need)
+	p.disturb()
+	for len(p.events) > 0 {
+		e := heap.Pop(&p.events).(event)
+		p.now = e.at
+		e.do()
+	}
+	return p.all
+}
+
+// arrive has callers come, so many a second at full load.
+func (p *play) arrive(full float64) {
+	load := p.load
+	if p.burst > 0 && p.now > 10*time.Second && p.now < 15*time.Second {
+		load = p.burst
+	}
+	p.after(time.Duration(p.arrivals.ExpFloat64()/(load*full)*float64(time.Second)), func() {
+		if p.now > ends {
+			return
+		}
+		p.arrive(full)
+		p.come()
+	})
+}
+
+// come has one caller come: four in five of them try twice, the others up to four
+// times.
+func (p *play) come() {
+	drawn, i := p.arrivals.Float64(), 0
+	for ; i < len(kinds)-1 && drawn >= kinds[i].share; i++ {
+		drawn -= kinds[i].share
+	}
+	c := &caller{kind: kinds[i], size: 0.3 + 0.7*p.arrivals.ExpFloat64(), began: p.now, most: 2}
+	if p.goal > 0 {
+		c.goal = p.goal
+	}
+	if p.arrivals.Float64() < 0.2 {
+		c.most += 1 + p.arrivals.IntN(2)
+	}
+	if p.now >= from {
+		p.all = append(p.all, c)
+	}
+	p.try(c)
+}
+
+func (p *play) disturb() {
+	for i := range p.outages {
+		begin := time.Duration(i+1) * 10 * time.Second
+		length := p.shortest + time.Duration(p.arrivals.Float64()*float64(p.longest-p.shortest))
+		for _, b := range p.boxes[:int(p.hit*boxes)] {
+			p.after(begin, func() { b.out = true; b.returns.Began(p.time(), outage) })
+			p.after(begin+length, func() { b.out = false; b.returns.Over(p.time(), outage) })
+		}
+	}
+	for i := range engines {
+		if p.gone > 0 {
+			p.after(10*time.Second, func() { p.loading[i] = p.now + p.gone })
+		}
+		if p.rollout > 0 {
+			p.after(10*time.Second+time.Duration(i/2)*p.rollout, func() { p.loading[i] = p.now + p.rollout })
+		}
+	}
+}
+
+// try is one try of a caller. A box that refuses for want of a configuration is
+// not ready, so new connections go to others while there are any.
+func (p *play) try(c *caller) {
+	c.tries++
+	b := p.boxes[p.rng.IntN(boxes)]
+	if b.out && c.tries > 1 {
+		b = p.boxes[boxes-1]
+	}
+	if b.out {
+		p.refused(c, p.way(p, b, c, outage))
+		return
+	}
+	best := p.best()
+	if best < 0 {
+		b.returns.Began(p.time(), noTarget)
+		p.refused(c, p.way(p, b, c, noTarget))
+		return
+	}
+	b.returns.Over(p.time(), noTarget)
+	fill := 1.15
+	if c.urgency == len(kinds)-1 {
+		fill = 0.92
+	}
+	if p.used[best]+c.tokens > fill*capacity {
+		p.refused(c, p.way(p, b, c, ""))
+		return
+	}
+	p.serve(c, best)
+}
+
+// best is the engine with the most memory left, or -1 if none takes work.
+func (p *play) best() int {
+	best := -1
+	for i := range engines {
+		if p.loading[i] <= p.now && (best < 0 || p.used[i] < p.used[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *play) serve(c *caller, engine int) {
+	tokens := c.size * c.tokens
+	p.used[engine] += tokens
+	c.served = p.now + c.first - c.began
+	p.after(time.Duration(c.size*float64(c.runs)), func() { p.used[engine] -= tokens })
+}
+
+// refused has a caller return as told, for up to a third of the time left.
+func (p *play) refused(c *caller, wait time.Duration) {
+	left := c.began + c.deadline - p.now
+	if c.tries >= c.most || left < 50*time.Millisecond {
+		return
+	}
+	p.after(min(wait, left/3), func() { p.try(c) })
+}
+
+// figures is what callers got.
+type figures struct {
+	// inTime and served are shares of the callers, least the share served of the
+	// kind served least.
+	inTime, served, least float64
+	// tries are per served request.
+	tries              float64
+	median, p95, worst time.Duration
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("in time %.4f, served %.4f (least served kind %.4f), tries %.3f, median %v, 95 in 100 %v, longest %v",
+		f.inTime, f.served, f.least, f.tries, f.median.Round(time.Millisecond), f.p95.Round(time.Millisecond), f.worst.Round(time.Millisecond))
+}
+
+// played plays a scene with some histories in one way.
+func played(s scene, w way) figures {
+	var all []*caller
+	for seed := range uint64(histories) {
+		all = append(all, newPlay(s, w, seed).run()...)
+	}
+	var times []time.Duration
+	var f figures
+	came, served := make([]float64, len(kinds)), make([]float64, len(kinds))
+	for _, c := range all {
+		came[c.urgency]++
+		if c.served == 0 {
+			continue
+		}
+		served[c.urgency]++
+		f.tries += float64(c.tries)
+		times = append(times, c.served)
+		if c.served <= c.goal {
+			f.inTime++
+		}
+	}
+	slices.Sort(times)
+	n := float64(len(times))
+	f.tries /= n
+	f.inTime /= float64(len(all))
+	f.served = n / float64(len(all))
+	f.least = 1
+	for i := range kinds {
+		f.least = min(f.least, served[i]/came[i])
+	}
+	f.median, f.p95, f.worst = times[len(times)/2], times[len(times)*95/100], times[len(times)-1]
+	return f
+}
+
+// TestBoxesTell shows what it buys that boxes tell each other whether they serve:
+// callers of the few that don't are told to return at once.
+func TestBoxesTell(t *testing.T) {
+	for _, s := range scenes {
+		if s.outages == 0 || s.hit == 1 {
+			continue
+		}
+		told, untold := played(s, estimated), played(s, alone)
+		if told.inTime < untold.inTime+0.02 {
+			t.Errorf("%s: in time %.4f, and %.4f if boxes know nothing of each other", s.name, told.inTime, untold.inTime)
+		}
+	}
+}
+
+// TestCallersAreServed compares what callers get with what a constant time to come
+// back gives them; -v prints the table.
+func TestCallersAreServed(t *testing.T) {
+	tests := map[string]struct {
+		// served is how much larger the share served must be, least that of the kind
+		// served least, and inTime how much smaller the share in time may be.
+		served, least, inTime float64
+	}{
+		"overload of 1.3":                 {-0.005, -0.01, 0.005},
+		"overload of 1.6 for 5 s":         {-0.005, -0.01, 0.005},
+		"outage of 5 s":                   {0.04, 0.005, 0.025},
+		"three outages of 2 to 3 s":       {0.08, 0.03, 0.045},
+		"outage of 5 s at 2 boxes of 8":   {-0.003, -0.005, 0.003},
+		"no target for 2 s":               {0.02, 0.005, 0.015},
+		"load of weights":                 {-0.005, -0.01, 0.005},
+		"load of weights, goals of 1.2 s": {0.002, 0.005, 0},
+		"overload of 1.3, goals of 1.2 s": {0, 0, 0},
+	}
+	for _, s := range scenes {
+		t.Run(s.name, func(t *testing.T) {
+			before, after := played(s, constant), played(s, estimated)
+			t.Logf("%s, a constant: %v", s.name, before)
+			t.Logf("%s, estimated: %v", s.name, after)
+			if s.hit > 0 && s.hit < 1 {
+				t.Logf("%s, boxes alone: %v", s.name, played(s, alone))
+			}
+			want := tests[s.name]
+			if after.served < before.served+want.served || after.least < before.least+want.least {
+				t.Errorf("served %.4f (least %.4f), want %.3f (%.3f) more than %.4f (%.4f)", after.served, after.least, want.served, want.least, before.served, before.least)
+			}
+			if after.inTime < before.inTime-want.inTime {
+				t.Errorf("in time %.4f, want at most %.3f less than %.4f", after.inTime, want.inTime, before.inTime)
+			}
+		})
+	}
+}
--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -17,9 +17,10 @@
 
 // admit finds the route and the account of a call. It reads no body.
 func (s *Server) admit(call *Call) (*Job, *refusal.Refusal) {
+	job := &Job{Call: call}
 	table := s.Table()
 	if table == nil {
-		return nil, s.notNow("no_configuration", "this box has no configuration yet")
+		return nil, s.notNow(job, "no_configuration", "this box has no configuration yet")
 	}
 	if table.MaxHeader > 0 && call.HeadBytes > table.MaxHeader {
 		return nil, refusal.New(refusal.DidNotRun, http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the head has over %d bytes", table.MaxHeader)
@@ -29,10 +30,10 @@
 	if r == nil {
 		return nil, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
 	}
-	job := &Job{Call: call, Route: r}
+	job.Route = r
 	if table.Keyed(r) {
 		if !s.Fresh(s.Now()) {
-			return nil, s.notNow("stale", "this box can't tell whether the key is still good")
+			return nil, s.notNow(job, "stale", "this box can't tell whether the key is still good")
 		}
 		account, known := table.Account(call.Key)
 		if !known {
@@ -42,7 +43,7 @@
 	}
 	job.Pool = table.Pools[r.Pick(s.Draw())]
 	if job.Pool == nil {
-		return nil, s.notNow("no_pool", "the route's pool is not configured")
+		return nil, s.notNow(job, "no_pool", "the route's pool is not configured")
 	}
 	job.Until = call.Received.Add(hold(r, call))
 	return job, nil
@@ -61,8 +62,8 @@
 }
 
 // notNow refuses a request that has not run, with a time to come back.
-func (s *Server) notNow(code, format string, args ...any) *refusal.Refusal {
-	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, code, format, args...).After(s.ComeBack())
+func (s *Server) notNow(job *Job, code, format string, args ...any) *refusal.Refusal {
+	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, code, format, args...).After(s.ComeBack(code, job))
 }
 
 // read takes the whole body in, within the configured bound and the request's
@@ -79,7 +80,7 @@
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time")
 	}
 	if limited && connection.SetReadDeadline(time.Time{}) != nil {
-		return s.notNow("connection_lost", "the caller's connection can't be used any more")
+		return s.notNow(job, "connection_lost", "the caller's connection can't be used any more")
 	}
 	if err != nil {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole: %v", err)
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -174,6 +174,8 @@
 	Cause, Reason string
 	// First and Took are from the receipt to the first byte and to the end.
 	First, Took time.Duration
+	// ComeBack is when a refused caller was told to return.
+	ComeBack time.Duration
 	// Left says that the caller went away.
 	Left bool
 	// Broken says that an answer was begun and broken off.
@@ -212,8 +214,9 @@
 	Suspect func(ctx context.Context, target string) bool
 	Now     func() time.Time
 	Draw    func() uint64
-	// ComeBack says when a refused caller should return.
-	ComeBack func() time.Duration
+	// ComeBack says when a caller should return who was refused with a code; of
+	// the job, only the call and what was found of its route are set.
+	ComeBack func(code string, job *Job) time.Duration
 	Note     func(Outcome)
 	Retried  func(Retried)
 }
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -63,6 +63,7 @@
 	x.outcome.Left = ctx.Err() != nil
 	if refused != nil {
 		x.outcome.Status, x.outcome.Cause, x.outcome.Reason = refused.Status, refused.Code, refused.Reason
+		x.outcome.ComeBack = refused.RetryAfter
 	}
 	s.Note(x.outcome)
 	if x.outcome.Broken {
@@ -214,7 +215,7 @@
 	if x.begun {
 		return x.broken(x.outcome.Cause)
 	}
-	return x.giveUp(x.notNow("turned_away", "%s turned the request away with %d", place.Target, reply.Status)), nil
+	return x.giveUp(x.notNow(x.job, "turned_away", "%s turned the request away with %d", place.Target, reply.Status)), nil
 }
 
 // again says whether one more sending is allowed; it takes it from the budget
@@ -235,7 +236,7 @@
 		return x.broken(err.Error())
 	}
 	if x.ran == 0 {
-		return x.giveUp(x.notNow("unreachable", "no target could be reached: %v", err)), nil
+		return x.giveUp(x.notNow(x.job, "unreachable", "no target could be reached: %v", err)), nil
 	}
 	if x.ctx.Err() != nil {
 		return refusal.New(refusal.Unknown, http.StatusGatewayTimeout, "timeout", "no answer came in time"), nil
--- a/entry/build.go
+++ b/entry/build.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/comeback"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/lease"
@@ -25,9 +26,6 @@
 	// proofMargin is taken off the bound after which keys are not trusted: for
 	// the time between the check and the target's start of work.
 	proofMargin = 700 * time.Millisecond
-	// comeBackAfter is when a refused caller is told to return. Most refusals
-	// are over as soon as another target is found.
-	comeBackAfter = 120 * time.Millisecond
 	// answeredLines is how many lines on whole answers are logged a second; a
 	// line costs about 10 us.
 	answeredLines = 100
@@ -58,6 +56,7 @@
 	services nearest.Chooser
 	budget   retry.Budget
 	server   deliver.Server
+	returns  comeback.Estimator
 	peers    peer.Node
 	seams
 	// lines bounds the log's lines on whole answers; all others are written.
@@ -91,6 +90,8 @@
 		Share: d.bounds.Load().RetryShare * retryUse,
 		Burst: d.burst(presumed), Empty: true,
 	}
+	d.returns = comeback.Estimator{Draw: rand.Float64}
+	d.returns.Began(d.began, noConfiguration)
 	d.lines = rate.NewLimiter(answeredLines, answeredLines)
 	d.buildLease()
 	d.buildServer()
@@ -146,8 +147,6 @@
 	return proved != nil && now.Sub(*proved) < bound-proofMargin
 }
 
-func (d *Daemon) comeBack() time.Duration { return comeBackAfter/2 + d.jitter(comeBackAfter) }
-
 // jitter draws a time below the given one.
 func (d *Daemon) jitter(below time.Duration) time.Duration { return rand.N(below) }
 
--- /dev/null
+++ b/entry/comeback.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// What keeps callers from being served for a while. Of a pool, noTarget and its
+// name.
+const (
+	noProof         = "no proof of the configuration"
+	noConfiguration = "no configuration"
+	noTarget        = "no target of "
+)
+
+// comeBack says when a caller should return who was refused with a code.
+func (d *Daemon) comeBack(code string, job *deliver.Job) time.Duration {
+	now, urgency := d.now(), urgencyOf(job)
+	switch code {
+	case "crowded":
+		return d.returns.Crowded(job.Route.Goal, urgency)
+	case "no_target":
+		return d.returns.Lasting(now, noTarget+job.Pool.Name, urgency)
+	case "no_configuration":
+		return d.returns.Lasting(now, noConfiguration, urgency)
+	case "stale":
+		if d.openElsewhere(now) {
+			return d.returns.Soon(urgency)
+		}
+		d.returns.Began(now, noProof)
+		return d.returns.Lasting(now, noProof, urgency)
+	}
+	return d.returns.Soon(urgency)
+}
+
+// urgencyOf returns a job's rank, or the first rank if its route is not known.
+func urgencyOf(job *deliver.Job) int {
+	if job.Route == nil {
+		return 0
+	}
+	return routing.Urgency(job.Route, job.Account)
+}
+
+// notePlace notes since when a pool has no target that takes work. That none is
+// left beside those that a request was sent to says nothing of the pool.
+func (d *Daemon) notePlace(now time.Time, ask deliver.Ask, refused *refusal.Refusal) {
+	pool := ask.Job.Pool.Name
+	switch {
+	case refused == nil || refused.Code != "no_target":
+		if lasted := d.returns.Over(now, noTarget+pool); lasted > 0 {
+			d.Log.Info("pool has targets again", "pool", pool, "without_for", lasted)
+		}
+	case len(ask.Tried) == 0:
+		d.returns.Began(now, noTarget+pool)
+	}
+}
+
+// noteOpen notes that callers who need a key are admitted again. How long they
+// were refused counts, not the outage of the table service behind it: it begins
+// seconds later.
+func (d *Daemon) noteOpen(now time.Time) {
+	if !d.fresh(now) {
+		return
+	}
+	if lasted := d.returns.Over(now, noProof); lasted > 0 {
+		d.Log.Info("callers with keys are admitted again", "refused_for", lasted)
+	}
+}
+
+// shut says that this box refuses callers who need a key.
+func (d *Daemon) shut(now time.Time) bool { return d.current.Load() == nil || !d.fresh(now) }
+
+// hearOpen notes that another box admits callers. One that is shut as well says
+// nothing of the others.
+func (d *Daemon) hearOpen(now time.Time, m peer.Message) {
+	if !m.Stale {
+		d.elsewhere.Store(&now)
+	}
+}
+
+// openElsewhere says that another box admits callers, so that one refused here
+// finds it by returning at once: a box that refuses is not ready, and gets no new
+// connections.
+func (d *Daemon) openElsewhere(now time.Time) bool {
+	at := d.elsewhere.Load()
+	return at != nil && now.Sub(*at) < heardFor
+}
--- /dev/null
+++ b/entry/comeback_test.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// refusing is a box at a time that a test sets, whose draws are all zero: what it
+// tells callers is the least that it would.
+func refusing(now *time.Time) *Daemon {
+	d := newDaemon("b1")
+	d.now = func() time.Time { return *now }
+	d.returns.Draw = func() float64 { return 0 }
+	d.update(*now, operatorRead{*now, Operator{Table: configuration(1)}})
+	return d
+}
+
+const soonest = 60 * time.Millisecond
+
+// TestComeBackByCause says when refused callers are told to return.
+func TestComeBackByCause(t *testing.T) {
+	tests := []struct {
+		name, code string
+		happen     func(d *Daemon)
+		passed     time.Duration
+		want       time.Duration
+	}{
+		{"turned away", "turned_away", func(*Daemon) {}, 0, soonest},
+		{"unreachable", "unreachable", func(*Daemon) {}, 0, soonest},
+		{"crowded: by the route's goal", "crowded", func(*Daemon) {}, 0, 120 * time.Millisecond},
+		{"no proof", "stale", stale, 2 * time.Second, 2 * time.Second},
+		{"no proof, the first one refused", "stale", func(*Daemon) {}, 2 * time.Second, soonest},
+		{"no proof, and one again", "stale", func(d *Daemon) {
+			stale(d)
+			d.update(start, operatorRead{start, Operator{}})
+		}, 2 * time.Second, soonest},
+		{"no proof, and an old one", "stale", func(d *Daemon) {
+			stale(d)
+			d.update(start, operatorRead{start.Add(-time.Minute), Operator{}})
+		}, 2 * time.Second, 2 * time.Second},
+		{"no proof, another box admits callers", "stale", func(d *Daemon) {
+			stale(d)
+			d.update(start.Add(1500*time.Millisecond), peerAsks{peer.Message{Kind: peer.KindGossip, From: "b2"}, make(chan peer.Message, 1)})
+		}, 2 * time.Second, soonest},
+		{"no proof, another box answers that it admits callers", "stale", func(d *Daemon) {
+			stale(d)
+			d.tables.members["b2"] = &member{}
+			d.update(start.Add(1500*time.Millisecond), peerCalled{name: "b2", m: peer.Message{Kind: peer.KindGossip}})
+		}, 2 * time.Second, soonest},
+		{"no proof, another box is shut as well", "stale", func(d *Daemon) {
+			stale(d)
+			d.update(start.Add(1500*time.Millisecond), peerAsks{peer.Message{Kind: peer.KindGossip, From: "b2", Stale: true}, make(chan peer.Message, 1)})
+		}, 2 * time.Second, 2 * time.Second},
+		{"no proof, another box admitted callers long ago", "stale", func(d *Daemon) {
+			stale(d)
+			d.update(start, peerAsks{peer.Message{Kind: peer.KindGossip, From: "b2"}, make(chan peer.Message, 1)})
+		}, 2 * time.Second, 2 * time.Second},
+		{"no target for a while", "no_target", func(d *Daemon) { asked(d, start) }, 700 * time.Millisecond, 700 * time.Millisecond},
+		{"no target beside those tried", "no_target", func(d *Daemon) { asked(d, start, "a") }, 700 * time.Millisecond, soonest},
+		{"no target, and one again", "no_target", func(d *Daemon) {
+			asked(d, start)
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			asked(d, start)
+		}, 700 * time.Millisecond, soonest},
+		{"no target, and one again by a hub", "no_target", func(d *Daemon) {
+			asked(d, start)
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.accept(start, &d.tables, deliver.Ask{Job: job("short", 10)}, &peer.Placed{Target: "a"})
+		}, 700 * time.Millisecond, soonest},
+		{"no target told by a hub", "no_target", func(d *Daemon) {
+			d.accept(start, &d.tables, deliver.Ask{Job: job("short", 10)}, &peer.Placed{Refused: "no_target"})
+		}, 700 * time.Millisecond, 700 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			d := refusing(&now)
+			tt.happen(d)
+			now = start.Add(tt.passed)
+			j := job("short", 10)
+			j.Route.Goal = 1200 * time.Millisecond
+			if got := d.comeBack(tt.code, j); got != tt.want {
+				t.Errorf("come back after %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// stale has a caller refused for want of a proof, of which the last is old.
+func stale(d *Daemon) {
+	old := start.Add(-time.Minute)
+	d.proved.Store(&old)
+	d.comeBack("stale", job("short", 10))
+}
+
+// asked asks for a place.
+func asked(d *Daemon, now time.Time, tried ...string) error {
+	_, err := d.place(now, &d.tables, deliver.Ask{Job: job("short", 10), Tried: tried})
+	return err
+}
+
+// TestNoConfigurationYet shows that a box without a configuration expects to be
+// without one for as long again, and that its callers' routes need not be known.
+func TestNoConfigurationYet(t *testing.T) {
+	d := newDaemon("b1")
+	d.returns.Draw = func() float64 { return 0 }
+	d.now = func() time.Time { return d.began.Add(900 * time.Millisecond) }
+	if got := d.comeBack("no_configuration", &deliver.Job{Call: &deliver.Call{}}); got != 900*time.Millisecond {
+		t.Errorf("come back after %v", got)
+	}
+	d.update(d.now(), operatorRead{d.now(), Operator{Table: configuration(1)}})
+	if got := d.comeBack("no_configuration", &deliver.Job{Call: &deliver.Call{}}); got != soonest {
+		t.Errorf("come back after %v though there is a configuration", got)
+	}
+}
+
+// TestTellsWhetherShut shows that a box tells others that it refuses callers.
+func TestTellsWhetherShut(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration
+		closed bool
+	}{
+		{"just proved", 0, false},
+		{"proved too long ago", 5 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			d := refusing(&now)
+			now = start.Add(tt.after)
+			reply := make(chan peer.Message, 1)
+			d.update(now, peerAsks{peer.Message{Kind: peer.KindGossip, From: "b2", Stale: true}, reply})
+			if got := <-reply; got.Stale != tt.closed {
+				t.Errorf("answers that it is shut: %v", got.Stale)
+			}
+			credential := "c"
+			d.credential.Store(&credential)
+			d.tables.members["b2"] = &member{at: netip.MustParseAddrPort("10.0.0.2:1")}
+			effects := d.gossip(now, &d.tables)
+			if len(effects) != 1 || effects[0].(callPeer).m.Stale != tt.closed {
+				t.Errorf("calls with %+v", effects)
+			}
+		})
+	}
+}
+
+// TestRefusedPlaceComesBack shows that the time goes out with the refusal.
+func TestRefusedPlaceComesBack(t *testing.T) {
+	now := start
+	d := refusing(&now)
+	err := asked(d, now)
+	if got := refusal.Of(err, "", 0); got.Code != "no_target" || got.RetryAfter != soonest {
+		t.Errorf("refused %+v", got)
+	}
+	now = now.Add(time.Second)
+	if got := refusal.Of(asked(d, now), "", 0); got.RetryAfter != time.Second {
+		t.Errorf("refused %+v", got)
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -46,6 +46,8 @@
 	// be the newest; both are for readers outside the loop.
 	current atomic.Pointer[routing.Table]
 	proved  atomic.Pointer[time.Time]
+	// elsewhere is when another box last said that it can admit callers.
+	elsewhere atomic.Pointer[time.Time]
 	// bounds are the platform's as last read.
 	bounds atomic.Pointer[settings.Bounds]
 	// raw is the configuration as it was read, for boxes that ask this one.
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		m.calling = true
-		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t), Replaced: t.replacedLately(now)}}
+		call := callPeer{name: name, at: m.at, asked: now, m: peer.Message{Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t), Replaced: t.replacedLately(now), Stale: d.shut(now)}}
 		if t.hub == name {
 			call.m.List = t.hubList
 		}
@@ -147,7 +147,8 @@
 		}
 	default:
 		d.hearReplaced(now, t, m)
-		answer.Replaced = t.replacedLately(now)
+		d.hearOpen(now, m)
+		answer.Replaced, answer.Stale = t.replacedLately(now), d.shut(now)
 		d.hear(now, t, m.From, m.Shares)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
 			answer.Shares = d.told(now, t)
@@ -175,6 +176,7 @@
 		return nil
 	}
 	d.hearReplaced(now, t, m.m)
+	d.hearOpen(now, m.m)
 	if d.spoke.Load() {
 		t.hubHeard = now
 		return d.viewRead(now, t, m.name, m.asked, m.m.View)
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -401,7 +401,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := listed("box-05")
 			tt.p.Target, tt.p.Version = "a", 1
-			if _, ok := d.accept(start, &d.tables, job("long", 10), &tt.p); ok != tt.ok {
+			if _, ok := d.accept(start, &d.tables, deliver.Ask{Job: job("long", 10)}, &tt.p); ok != tt.ok {
 				t.Errorf("accepted %v", ok)
 			}
 		})
--- a/entry/note.go
+++ b/entry/note.go
@@ -26,7 +26,7 @@
 		"rule", o.Place.Rule, "sent", o.Sent, "first", o.First, "took", o.Took, "configuration", d.version(),
 	}
 	if o.Cause != "" {
-		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "proved_ago", d.provedAgo(d.now()))
+		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "come_back", o.ComeBack, "proved_ago", d.provedAgo(d.now()))
 	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
 		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version)
--- a/entry/place.go
+++ b/entry/place.go
@@ -31,13 +31,13 @@
 	select {
 	case d.messages <- placeAsked{ask: ask, reply: reply}:
 	case <-ctx.Done():
-		return deliver.Place{}, d.timeUp()
+		return deliver.Place{}, d.timeUp(ask.Job)
 	}
 	select {
 	case answer := <-reply: // At once, or after two calls to hubs at most.
 		return answer.place, answer.err
 	case <-d.ended:
-		return deliver.Place{}, d.timeUp()
+		return deliver.Place{}, d.timeUp(ask.Job)
 	}
 }
 
@@ -60,8 +60,8 @@
 	return x == nil || x.Avoided(now) || x.Silent(now, nearest.SilentAfter)
 }
 
-func (d *Daemon) timeUp() error {
-	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up before the request was placed").After(d.comeBack())
+func (d *Daemon) timeUp(job *deliver.Job) error {
+	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up before the request was placed").After(d.comeBack("timeout", job))
 }
 
 // place chooses a target and counts the request there.
@@ -71,8 +71,9 @@
 		choose = d.placeModel
 	}
 	place, refused := choose(now, t, ask)
+	d.notePlace(now, ask, refused)
 	if refused != nil {
-		return place, refused.After(d.comeBack())
+		return place, refused.After(d.comeBack(refused.Code, ask.Job))
 	}
 	t.fleet.Target(place.Target).Sent(now, place.Unread, place.Tokens)
 	return place, nil
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -82,7 +82,7 @@
 	} else {
 		t.members[m.hub].misses = 0
 		t.hubHeard = now
-		if answer, ok := d.accept(now, t, m.m.ask.Job, m.placed); ok {
+		if answer, ok := d.accept(now, t, m.m.ask, m.placed); ok {
 			m.m.reply <- answer
 			return nil
 		}
@@ -112,10 +112,12 @@
 
 // accept turns a hub's answer into this box's, unless this box knows something
 // against the target.
-func (d *Daemon) accept(now time.Time, t *tables, job *deliver.Job, p *peer.Placed) (placeAnswer, bool) {
+func (d *Daemon) accept(now time.Time, t *tables, request deliver.Ask, p *peer.Placed) (placeAnswer, bool) {
+	job := request.Job
 	if p.Refused != "" {
-		refused := refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason).After(d.comeBack())
-		return placeAnswer{err: refused}, true
+		refused := refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason)
+		d.notePlace(now, request, refused)
+		return placeAnswer{err: refused.After(d.comeBack(p.Refused, job))}, true
 	}
 	x := t.fleet.Target(p.Target)
 	if x == nil || !x.Open(now) || x.Avoided(now) {
@@ -136,6 +138,7 @@
 		place.Moves = append(place.Moves, pace.Move{Source: m.Source, Takes: time.Duration(m.TakesUS) * time.Microsecond})
 	}
 	x.Sent(now, place.Unread, place.Tokens)
+	d.notePlace(now, request, nil)
 	return placeAnswer{place: place}, true
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -79,6 +79,7 @@
 	d.counts.configuration.Set(float64(next.Version))
 	d.raw.Store(&m.change.Raw)
 	d.current.Store(next)
+	d.returns.Over(now, noConfiguration)
 	d.listStores(t, next)
 	return d.follow(now, t)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -73,6 +73,7 @@
 	if last := d.proved.Load(); last == nil || at.After(*last) {
 		d.proved.Store(&at)
 	}
+	d.noteOpen(d.now())
 }
 
 // entriesRead takes over a hub's whole list of targets.
--- a/peer/message.go
+++ b/peer/message.go
@@ -39,6 +39,9 @@
 	Placed *Placed   `cbor:"15,keyasint,omitempty"`
 	// Replaced are targets whose address another replica was found to have.
 	Replaced []string `cbor:"17,keyasint,omitempty"`
+	// Stale says that the sender refuses callers, as it can't tell whether its
+	// configuration is in force.
+	Stale bool `cbor:"18,keyasint,omitempty"`
 	// Statement is an operator's question.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is an answer in JSON, or a configuration.
