feat(entry): what can't be served is refused on arrival

Cause: a call with less time left than any like it took was read, placed and sent, and ran in vain. A prompt larger than an engine's memory was told that the engines are crowded and came back for the same, or was sent to an engine that turned it away; a model that no engine has was sent to an engine as well.

Change: package quickest learns the least time of whole answers by route and pool; a call with under 0.7 of it left is refused before its body is read (no_time), if at least 50 were seen within the last 15 to 30 s. What no engine can hold (over_memory) or has the model for, by the configuration and by the list (no_model), is refused before a hub is asked. All three have not run, and are told the longest time to come back. thymewind_entry_refusals_total counts refused requests by code; the log line has the code and what it was decided by, as each refusal's has.

Ruled out: 413 for over_memory. Callers would not come back, but the configuration may change between two tries, and boxes don't have it at the same moment.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -46,7 +46,23 @@
 		return nil, s.notNow(job, "no_pool", "the route's pool is not configured")
 	}
 	job.Until = call.Received.Add(hold(r, call))
-	return job, nil
+	return job, s.refuseHasty(job)
+}
+
+// refuseHasty returns why a call can't be answered in its time, or nil. It saves
+// its caller the wait, and a target the work. A stream that is taken up needs less
+// than a whole one.
+func (s *Server) refuseHasty(job *Job) *refusal.Refusal {
+	if s.Least == nil || job.After != "" {
+		return nil
+	}
+	now := s.Now()
+	left := job.Until.Sub(now)
+	least, known := s.Least(now, job)
+	if !known || left >= least {
+		return nil
+	}
+	return s.notNow(job, "no_time", "%v are left, and no request of %s was answered in under %v lately", left, job.Route.Name, least)
 }
 
 // hold is how long a request is held: the route's bound or the caller's.
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -174,7 +174,9 @@
 	Cause, Reason string
 	// First and Took are from the receipt to the first byte and to the end.
 	First, Took time.Duration
-	// ComeBack is when a refused caller was told to return.
+	// Refused is the code of the refusal that the caller got, ComeBack when it said
+	// to return.
+	Refused  string
 	ComeBack time.Duration
 	// Left says that the caller went away.
 	Left bool
@@ -212,8 +214,11 @@
 	// Suspect says whether a target looks dead by now, so that a request that
 	// may be repeated need not wait for it any longer. Without it none is hurried.
 	Suspect func(ctx context.Context, target string) bool
-	Now     func() time.Time
-	Draw    func() uint64
+	// Least is the time in which no request like a job's can be expected to be
+	// answered whole, if that is known. Without it none is refused for its deadline.
+	Least func(now time.Time, job *Job) (time.Duration, bool)
+	Now   func() time.Time
+	Draw  func() uint64
 	// ComeBack says when a caller should return who was refused with a code; of
 	// the job, only the call and what was found of its route are set.
 	ComeBack func(code string, job *Job) time.Duration
--- /dev/null
+++ b/deliver/hasty_test.go
@@ -0,0 +1,63 @@
+package deliver_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// TestHasty shows that a call whose caller waits for less than any like it took is
+// refused before its body is read, and nothing else is.
+func TestHasty(t *testing.T) {
+	tests := []struct {
+		name    string
+		known   bool
+		least   time.Duration
+		timeout time.Duration
+		late    time.Duration // Since the call was received.
+		after   string
+		refused bool
+	}{
+		{"time enough", true, 100 * time.Millisecond, time.Second, 0, "", false},
+		{"no bound of the caller's", true, 100 * time.Millisecond, 0, 0, "", false},
+		{"less than any took", true, 100 * time.Millisecond, 80 * time.Millisecond, 0, "", true},
+		{"less is left than any took", true, 100 * time.Millisecond, time.Second, 950 * time.Millisecond, "", true},
+		{"less than the route's bound", true, 4 * time.Second, time.Minute, 0, "", true},
+		{"not known what they take", false, 100 * time.Millisecond, 80 * time.Millisecond, 0, "", false},
+		{"takes up a stream", true, 100 * time.Millisecond, 80 * time.Millisecond, 0, "2", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := &targets{}
+			s := x.server(route(true, false, false, 1))
+			s.Least = func(time.Time, *deliver.Job) (time.Duration, bool) { return tt.least, tt.known }
+			now := time.Unix(1000, 0)
+			s.Now = func() time.Time { return now }
+			s.Place = func(context.Context, deliver.Ask) (deliver.Place, error) {
+				return deliver.Place{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "placed", "got as far as that")
+			}
+			var told deliver.Outcome
+			s.Note = func(o deliver.Outcome) { told = o }
+			body := strings.NewReader("body")
+			call := deliver.Call{ID: "r", Path: "/x", Host: "h", Body: body, Timeout: tt.timeout, After: tt.after, Received: now.Add(-tt.late)}
+			err := s.Serve(context.Background(), httptest.NewRecorder(), &call)
+			var refused *refusal.Refusal
+			if !errors.As(err, &refused) || refused.Outcome != refusal.DidNotRun || (refused.Code == "no_time") != tt.refused {
+				t.Fatalf("refused %+v", refused)
+			}
+			if told.Refused != refused.Code || told.ComeBack != refused.RetryAfter {
+				t.Errorf("told of %q, %v", told.Refused, told.ComeBack)
+			}
+			if unread := body.Len() > 0; unread != tt.refused || x.sent > 0 {
+				t.Errorf("body left unread: %v; sent %d times", unread, x.sent)
+			}
+		})
+	}
+}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -63,7 +63,7 @@
 	x.outcome.Left = ctx.Err() != nil
 	if refused != nil {
 		x.outcome.Status, x.outcome.Cause, x.outcome.Reason = refused.Status, refused.Code, refused.Reason
-		x.outcome.ComeBack = refused.RetryAfter
+		x.outcome.Refused, x.outcome.ComeBack = refused.Code, refused.RetryAfter
 	}
 	s.Note(x.outcome)
 	if x.outcome.Broken {
--- a/entry/build.go
+++ b/entry/build.go
@@ -16,6 +16,7 @@
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/nearest"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/quickest"
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/rollout"
 )
@@ -57,6 +58,7 @@
 	budget   retry.Budget
 	server   deliver.Server
 	returns  comeback.Estimator
+	quickest quickest.Record
 	peers    peer.Node
 	seams
 	// lines bounds the log's lines on whole answers; all others are written.
@@ -130,8 +132,8 @@
 		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.Platform.Send,
 		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
 		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
-		Suspect: d.suspect,
-		Spend:   d.budget.Spend, Earn: d.budget.Request,
+		Suspect: d.suspect, Least: d.least,
+		Spend: d.budget.Spend, Earn: d.budget.Request,
 		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
 	}
 }
--- a/entry/comeback.go
+++ b/entry/comeback.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/thymewind/thymewind/comeback"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/refusal"
@@ -33,6 +34,8 @@
 		}
 		d.returns.Began(now, noProof)
 		return d.returns.Lasting(now, noProof, urgency)
+	case "no_time", "no_model", "over_memory":
+		return comeback.Longest
 	}
 	return d.returns.Soon(urgency)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,6 +13,7 @@
 	members       prometheus.Gauge
 	peerBytes     *prometheus.CounterVec
 	unlogged      prometheus.Counter
+	refusals      *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -33,7 +34,8 @@
 	}
 	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
-	r.MustRegister(c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
+	r.MustRegister(c.refusals, c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
 	return c
 }
 
--- a/entry/note.go
+++ b/entry/note.go
@@ -17,6 +17,10 @@
 		d.counts.took.WithLabelValues(pool).Observe(o.Took.Seconds())
 	}
 	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
+	d.learnLeast(o)
+	if o.Refused != "" {
+		d.counts.refusals.WithLabelValues(o.Refused).Inc()
+	}
 	if kind(o) == answered && !d.lines.Allow() {
 		d.counts.unlogged.Inc()
 		return
--- /dev/null
+++ b/entry/refuse.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// refuseForGood returns why no target will ever run a request under this
+// configuration, or nil. Its caller was told before that the engines are crowded,
+// and came back for the same.
+func (d *Daemon) refuseForGood(t *tables, job *deliver.Job) *refusal.Refusal {
+	engine := job.Pool.Engine
+	if engine == nil {
+		return nil
+	}
+	tokens := job.Input + job.Output
+	if engine.Capacity > 0 && (job.Input > engine.Capacity || float64(tokens)/float64(engine.Capacity) > fillMost) {
+		return d.never(job, "over_memory", "the request takes up %d tokens, and an engine of %s has %d", tokens, job.Pool.Name, engine.Capacity)
+	}
+	unknown := job.Model != "" && len(engine.Models) > 0 && !slices.Contains(engine.Models, job.Model)
+	if unknown && !slices.ContainsFunc(t.fleet.Pool(job.Pool.Name), func(x *fleet.Target) bool { return has(x, job.Model) }) {
+		return d.never(job, "no_model", "no engine of %s serves the model %q", job.Pool.Name, job.Model)
+	}
+	return nil
+}
+
+func (d *Daemon) never(job *deliver.Job, code, format string, args ...any) *refusal.Refusal {
+	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, code, format, args...).After(d.comeBack(code, job))
+}
+
+// has says that a target lists a model, in whatever version.
+func has(x *fleet.Target, model string) bool {
+	_, listed := x.Versions[model]
+	return listed
+}
+
+// least is the time in which no request like a job's was answered lately.
+func (d *Daemon) least(now time.Time, job *deliver.Job) (time.Duration, bool) {
+	return d.quickest.Least(now, alike(job))
+}
+
+// learnLeast learns from a whole answer, except of streams that were taken up, as
+// they need less time.
+func (d *Daemon) learnLeast(o deliver.Outcome) {
+	if o.Job != nil && o.Status == http.StatusOK && kind(o) == answered && o.Call.After == "" {
+		d.quickest.See(d.now(), alike(o.Job), o.Took)
+	}
+}
+
+// alike names the requests that are expected to take about as long.
+func alike(job *deliver.Job) string { return job.Route.Name + " at " + job.Pool.Name }
--- /dev/null
+++ b/entry/refuse_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/comeback"
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/quickest"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// TestRefusedForGood shows that a request that no target can ever run is refused as
+// such on arrival, without asking a hub, and all others are placed.
+func TestRefusedForGood(t *testing.T) {
+	tests := []struct {
+		name          string
+		model         string
+		input, output int
+		versions      map[string]int64
+		code          string // Empty if placed.
+	}{
+		{"fits", "m", 50000, 100, map[string]int64{"m": 1}, ""},
+		{"fits only just", "m", 100000, 15000, map[string]int64{"m": 1}, ""},
+		{"prompt larger than an engine's memory", "m", 100001, 0, map[string]int64{"m": 1}, "over_memory"},
+		{"larger with its answer", "m", 90000, 25001, map[string]int64{"m": 1}, "over_memory"},
+		{"no such model", "x", 50, 10, map[string]int64{"m": 1}, "no_model"},
+		{"no such model in the configuration, but at a target", "x", 50, 10, map[string]int64{"m": 1, "x": 0}, ""},
+		{"no model named", "", 50, 10, map[string]int64{"m": 1}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			d := refusing(&now)
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{{ID: "a", Pool: "models", Versions: tt.versions}}}, false})
+			j := job("short", 0)
+			j.Model, j.Input, j.Output = tt.model, tt.input, tt.output
+			reply := make(chan placeAnswer, 1)
+			d.update(start, placeAsked{ask: deliver.Ask{Job: j}, reply: reply})
+			got := <-reply
+			if tt.code == "" {
+				if got.err != nil {
+					t.Fatalf("refused: %v", got.err)
+				}
+				return
+			}
+			refused := refusal.Of(got.err, "", 0)
+			if refused.Code != tt.code || refused.Outcome != refusal.DidNotRun || refused.Status != http.StatusServiceUnavailable || refused.RetryAfter != comeback.Longest {
+				t.Errorf("refused %+v", refused)
+			}
+		})
+	}
+}
+
+// TestNoHubIsAsked shows that no hub is asked for what none can place.
+func TestNoHubIsAsked(t *testing.T) {
+	d := largeFleet("box-05")
+	d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	for _, tokens := range []int{200000, 10} {
+		reply := make(chan placeAnswer, 1)
+		effects := d.update(start, placeAsked{ask: deliver.Ask{Job: job("short", tokens)}, reply: reply})
+		if refused := len(reply) > 0; refused == (len(effects) > 0) || refused != (tokens == 200000) {
+			t.Errorf("%d tokens: refused %v, effects %v", tokens, refused, effects)
+		}
+	}
+}
+
+// TestLeastIsLearnt shows which ends of requests tell how quickly their like can be
+// served, and that refusals are counted by their code.
+func TestLeastIsLearnt(t *testing.T) {
+	took := 100 * time.Millisecond
+	tests := []struct {
+		name    string
+		n       int
+		outcome deliver.Outcome
+		known   bool
+	}{
+		{"whole answers", quickest.Enough, deliver.Outcome{Status: 200, Took: took}, true},
+		{"few whole answers", quickest.Enough - 1, deliver.Outcome{Status: 200, Took: took}, false},
+		{"a target's failures", quickest.Enough, deliver.Outcome{Status: 500, Took: took}, false},
+		{"broken off", quickest.Enough, deliver.Outcome{Status: 200, Broken: true, Took: took}, false},
+		{"callers that left", quickest.Enough, deliver.Outcome{Status: 200, Left: true, Took: took}, false},
+		{"refused", quickest.Enough, deliver.Outcome{Status: 503, Cause: "crowded", Refused: "crowded", Took: took}, false},
+		{"streams taken up", quickest.Enough, deliver.Outcome{Call: &deliver.Call{After: "7"}, Status: 200, Took: took}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			d := refusing(&now)
+			o := tt.outcome
+			o.Job = job("short", 10)
+			if o.Call == nil {
+				o.Call = o.Job.Call
+			}
+			for range tt.n {
+				d.note(o)
+			}
+			if least, known := d.server.Least(now, o.Job); known != tt.known || known && least >= took {
+				t.Errorf("least %v, %v", least, known)
+			}
+			if _, known := d.server.Least(now, job("long", 10)); known {
+				t.Error("another route's is known")
+			}
+			want := 0.0
+			if o.Refused != "" {
+				want = float64(tt.n)
+			}
+			if got := counted(t, d, o.Refused); got != want {
+				t.Errorf("counted %v refusals, want %v", got, want)
+			}
+		})
+	}
+}
+
+// counted is how many refusals of a code were counted.
+func counted(t *testing.T, d *Daemon, code string) float64 {
+	t.Helper()
+	families, err := d.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "thymewind_entry_refusals_total" && m.GetLabel()[0].GetValue() == code {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -10,6 +10,10 @@
 	t := &d.tables
 	switch m := m.(type) {
 	case placeAsked:
+		if refused := d.refuseForGood(t, m.ask.Job); refused != nil {
+			m.reply <- placeAnswer{err: refused}
+			return nil
+		}
 		if effects, remote := d.placeRemotely(now, t, m); remote {
 			return effects
 		}
--- /dev/null
+++ b/quickest/quickest_test.go
@@ -0,0 +1,90 @@
+package quickest_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/quickest"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestLeast says what is known of a kind's least time.
+func TestLeast(t *testing.T) {
+	see := func(r *quickest.Record, after time.Duration, n int, took time.Duration) {
+		for range n {
+			r.See(start.Add(after), "k", took)
+		}
+	}
+	tests := []struct {
+		name   string
+		happen func(r *quickest.Record)
+		after  time.Duration
+		want   time.Duration
+		known  bool
+	}{
+		{"nothing", func(*quickest.Record) {}, 0, 0, false},
+		{"too few", func(r *quickest.Record) { see(r, 0, quickest.Enough-1, 100*time.Millisecond) }, 0, 70 * time.Millisecond, false},
+		{"enough", func(r *quickest.Record) { see(r, 0, quickest.Enough, 100*time.Millisecond) }, 0, 70 * time.Millisecond, true},
+		{"one was quicker", func(r *quickest.Record) {
+			see(r, 0, quickest.Enough, 100*time.Millisecond)
+			see(r, 0, 1, 50*time.Millisecond)
+		}, 0, 35 * time.Millisecond, true},
+		{"a window ago", func(r *quickest.Record) { see(r, 0, quickest.Enough, 100*time.Millisecond) }, 20 * time.Second, 70 * time.Millisecond, true},
+		{"a quicker one a window ago", func(r *quickest.Record) {
+			see(r, 0, 1, 50*time.Millisecond)
+			see(r, 20*time.Second, quickest.Enough, 100*time.Millisecond)
+		}, 21 * time.Second, 35 * time.Millisecond, true},
+		{"a quicker one long ago", func(r *quickest.Record) {
+			see(r, 0, 1, 50*time.Millisecond)
+			see(r, 16*time.Second, quickest.Enough, 100*time.Millisecond)
+			see(r, 32*time.Second, 1, 100*time.Millisecond)
+		}, 32 * time.Second, 70 * time.Millisecond, true},
+		{"forgotten when nothing is served", func(r *quickest.Record) { see(r, 0, quickest.Enough, 100*time.Millisecond) }, 31 * time.Second, 0, false},
+		{"another kind's", func(r *quickest.Record) {
+			for range quickest.Enough {
+				r.See(start, "other", time.Millisecond)
+			}
+		}, 0, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var r quickest.Record
+			tt.happen(&r)
+			got, known := r.Least(start.Add(tt.after), "k")
+			if known != tt.known || known && got != tt.want {
+				t.Errorf("least %v, %v, want %v, %v", got, known, tt.want, tt.known)
+			}
+		})
+	}
+}
+
+// TestFewAreWronged says how many requests would have been served within the time
+// that is told, with times that spread as those of a service do: a log-normal of
+// 30 ms with a sigma of 0.5, and its least of 50.
+func TestFewAreWronged(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	draw := func() time.Duration {
+		return time.Duration(30 * math.Exp(0.5*rng.NormFloat64()) * float64(time.Millisecond))
+	}
+	wronged, all := 0, 0
+	for range 300 {
+		var r quickest.Record
+		for range quickest.Enough {
+			r.See(start, "k", draw())
+		}
+		least, _ := r.Least(start, "k")
+		for range 1000 {
+			all++
+			if draw() < least {
+				wronged++
+			}
+		}
+	}
+	t.Logf("%d of %d", wronged, all)
+	if share := float64(wronged) / float64(all); share > 0.004 {
+		t.Errorf("%.4f of the requests would have been served in less than what is told", share)
+	}
+}
