--- a/entry/build.go
+++ b/entry/build.go
@@ -10,11 +10,13 @@
 	"golang.org/x/time/rate"
 
 	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/comeback"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/nearest"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/quickest"
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/rollout"
 )
@@ -25,9 +27,6 @@
 	// proofMargin is taken off the bound after which keys are not trusted: for
 	// the time between the check and the target's start of work.
 	proofMargin = 700 * time.Millisecond
-	// comeBackAfter is when a refused caller is told to return. Most refusals
-	// are over as soon as another target is found.
-	comeBackAfter = 120 * time.Millisecond
 	// answeredLines is how many lines on whole answers are logged a second; a
 	// line costs about 10 us.
 	answeredLines = 100
@@ -58,6 +57,8 @@
 	services nearest.Chooser
 	budget   retry.Budget
 	server   deliver.Server
+	returns  comeback.Estimator
+	quickest quickest.Record
 	peers    peer.Node
 	seams
 	// lines bounds the log's lines on whole answers; all others are written.
@@ -91,6 +92,8 @@
 		Share: d.bounds.Load().RetryShare * retryUse,
 		Burst: d.burst(&d.tables), Empty: true,
 	}
+	d.returns = comeback.Estimator{Draw: rand.Float64}
+	d.returns.Began(d.began, noConfiguration)
 	d.lines = rate.NewLimiter(answeredLines, answeredLines)
 	d.buildLease()
 	d.buildServer()
@@ -123,8 +126,8 @@
 		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.Platform.Send,
 		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
 		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
-		Suspect: d.suspect,
-		Spend:   d.budget.Spend, Earn: d.budget.Request,
+		Suspect: d.suspect, Least: d.least,
+		Spend: d.budget.Spend, Earn: d.budget.Request,
 		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
 	}
 }
@@ -140,8 +143,6 @@
 	return proved != nil && now.Sub(*proved) < bound-proofMargin
 }
 
-func (d *Daemon) comeBack() time.Duration { return comeBackAfter/2 + d.jitter(comeBackAfter) }
-
 // jitter draws a time below the given one.
 func (d *Daemon) jitter(below time.Duration) time.Duration { return rand.N(below) }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,6 +13,7 @@
 	members       prometheus.Gauge
 	peerBytes     *prometheus.CounterVec
 	unlogged      prometheus.Counter
+	refusals      *prometheus.CounterVec
 	replaced      prometheus.Histogram
 }
 
@@ -39,7 +40,11 @@
 	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
 	c.replaced = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "thymewind_entry_replaced_weights_seconds", Help: "How long the weights of a placed request had been replaced by newer ones; only requests on replaced weights count.", Buckets: weightsAges})
-	r.MustRegister(c.replaced, c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
+	r.MustRegister(
+		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals,
+	)
 	return c
 }
 
--- a/entry/named_test.go
+++ b/entry/named_test.go
@@ -258,7 +258,7 @@
 			w := spoke.tables.model("m")
 			w.name(start, 2)
 			w.names.Prove(2, start.Add(-tt.named), 0)
-			answer, ok := spoke.accept(start, &spoke.tables, job("long", 10), &peer.Placed{Target: "a", Version: 1})
+			answer, ok := spoke.accept(start, &spoke.tables, deliver.Ask{Job: job("long", 10)}, &peer.Placed{Target: "a", Version: 1})
 			if ok == tt.refused {
 				t.Fatalf("accepted: %v", ok)
 			}
--- a/entry/note.go
+++ b/entry/note.go
@@ -20,6 +20,10 @@
 		d.counts.replaced.Observe(o.Place.Replaced.Seconds())
 	}
 	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
+	d.learnLeast(o)
+	if o.Refused != "" {
+		d.counts.refusals.WithLabelValues(o.Refused).Inc()
+	}
 	if kind(o) == answered && !d.lines.Allow() {
 		d.counts.unlogged.Inc()
 		return
@@ -29,7 +33,7 @@
 		"rule", o.Place.Rule, "sent", o.Sent, "first", o.First, "took", o.Took, "configuration", d.version(),
 	}
 	if o.Cause != "" {
-		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "proved_ago", d.provedAgo(d.now()))
+		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "come_back", o.ComeBack, "proved_ago", d.provedAgo(d.now()))
 	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
 		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version, "newest", o.Place.Newest, "replaced_for", o.Place.Replaced)
--- a/entry/update.go
+++ b/entry/update.go
@@ -10,6 +10,10 @@
 	t := &d.tables
 	switch m := m.(type) {
 	case placeAsked:
+		if refused := d.refuseForGood(t, m.ask.Job); refused != nil {
+			m.reply <- placeAnswer{err: refused}
+			return nil
+		}
 		if effects, remote := d.placeRemotely(now, t, m); remote {
 			return effects
 		}
@@ -74,6 +78,7 @@
 	d.counts.configuration.Set(float64(next.Version))
 	d.raw.Store(&m.change.Raw)
 	d.current.Store(next)
+	d.returns.Over(now, noConfiguration)
 	d.listStores(t, next)
 	return d.follow(now, t)
 }
