feat(store): silent connections to the table service are found out and replaced

Cause: a read of the operator's rows whose connection went silent was given up 3 s after it was sent, with a proof 4.5 s old, while keys are trusted for 4.3 s; a read of the list or of our own rows only after 11.5 s, while leaving targets have to be heeded 5 s after a silence began. Each unused connection that was silent as well cost one call more. Change: package patience learns how long answers take; a connection counts as silent after four times the slowest seen lately, 0.5 s at least and 1.5 s at most, doubled by each call in vain. Then unused connections are closed, a read is made once more, not held, a change never; one log line, one counter by where the connection led. The list and our own rows are held 3 s, not 10 s. Tests, seen failing: TestSilentHeldRead and TestSilentUnused (error after the whole patience, four calls for four connections), TestSilentList (a leaving target got work for 10.5 s; now some 3.5 s, 5 s are allowed). TestSlowLink: answers ten times as slow, no false alarm in 50 calls, no new connection. Ruled out: TCP keep-alive alone, as a proxy or a hung process answers it.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -38,8 +38,14 @@
 	// idleFor is how long an unused connection to a target is kept.
 	idleFor = 20 * time.Second
 	// storePatience bounds a call to the table service, which usually answers
-	// in 4 ms and in a slow hour in a quarter of a second.
+	// in 4 ms and in a slow hour in a quarter of a second. It is also waited until
+	// the first answers came.
 	storePatience = 1500 * time.Millisecond
+	// storeLeast is the least wait before a connection to it counts as silent:
+	// twice a slow hour's answers. With the hold of a read, a proof of the
+	// configuration is then 3.5 s old at most, and keys are trusted for 4.3 s;
+	// with storePatience alone it was 4.5 s.
+	storeLeast = 500 * time.Millisecond
 	// logLines is how many log lines wait to be written; more are dropped.
 	logLines = 2048
 	// memoryShare is the part of the box's memory at which the runtime works
@@ -108,7 +114,7 @@
 	dialer := net.Dialer{}
 	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor}
 	rows := &store.Store{
-		Base: "http://" + s.Store.Address.String(), Patience: storePatience,
+		Base: "http://" + s.Store.Address.String(), Least: storeLeast, Patience: storePatience,
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: dialFor}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
 		}},
@@ -120,5 +126,6 @@
 		Reload: reload,
 		Sweep:  connections.Sweep,
 	}
+	rows.Silent = func(call string, waited time.Duration) { d.Silence(entry.ToTableService, call, waited) }
 	return d.Run(ctx)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,10 @@
 package entry
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // counters are the daemon's metrics; docs/METRICS.md names them.
 type counters struct {
@@ -14,6 +18,7 @@
 	peerBytes     *prometheus.CounterVec
 	unlogged      prometheus.Counter
 	replaced      prometheus.Histogram
+	silent        *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -39,7 +44,8 @@
 	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
 	c.replaced = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "thymewind_entry_replaced_weights_seconds", Help: "How long the weights of a placed request had been replaced by newer ones; only requests on replaced weights count.", Buckets: weightsAges})
-	r.MustRegister(c.replaced, c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	c.silent = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_silent_connections_total", Help: "Connections given up as they said nothing, by what they led to."}, []string{"to"})
+	r.MustRegister(c.silent, c.replaced, c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
 	return c
 }
 
@@ -54,3 +60,17 @@
 	d.counts.kept.Set(float64(kept))
 	d.counts.members.Set(float64(t.boxes()))
 }
+
+// Silence notes that a connection was given up as it said nothing for long: to
+// what it led, and what was waited for. It may be called once Run has begun.
+func (d *Daemon) Silence(to, call string, waited time.Duration) {
+	d.counts.silent.WithLabelValues(to).Inc()
+	d.Log.Warn("silent connection given up", "to", to, "call", call, "waited", waited)
+}
+
+// What silent connections led to.
+const (
+	ToTableService = "table service"
+	ToTarget       = "target"
+	ToBox          = "box"
+)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -20,9 +20,11 @@
 	// startHold is the same while a box that was never there before waits for the
 	// others' rows; it then reads twice within the time that keys are trusted.
 	startHold = 3 * time.Second
-	// hold is how long the other reads are held. They are broken off when the
-	// operator's rows can't be read.
-	hold = 10 * time.Second
+	// hold is how long the other reads are held. A connection that went silent is
+	// found out only behind it, and leaving targets have to be heeded 5 s after
+	// that (3 s in which it is excused, and 2 s): hold and the longest wait for an
+	// answer stay below. Held for 10 s, a box went on for up to 11.5 s.
+	hold = 3 * time.Second
 	// againAfter is the pause after a failed read; each call has its price.
 	againAfter = 250 * time.Millisecond
 	// targetsEvery is the least time between two reads of the list: many
