feat(exchange): a silent kept connection costs one request, not one each

Cause: requests that met a kept connection gone silent gave it up one by one, each with the next kept one; held calls to sources of kept parts took 1.4 s to notice and then took the source for dead. Change: an exchange that is given up on a kept connection, on which nothing came for 0.7 s while it was read, closes the unused ones to the target that were not heard since, with a line and a counter. Requests of callers are made again only as before: if repeatable, or unsent. Ruled out: resets of kept connections by TCP_USER_TIMEOUT, as requests that may not be repeated have to wait for their answer all the same.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -37,6 +38,10 @@
 	dialFor = 400 * time.Millisecond
 	// idleFor is how long an unused connection to a target is kept.
 	idleFor = 20 * time.Second
+	// silentAfter is how long a kept connection to a target says nothing before a
+	// call that is given up shows that it is silent. A held call to a source is
+	// given up after 0.8 s; requests usually have their answer's head sooner.
+	silentAfter = 700 * time.Millisecond
 	// storePatience bounds a call to the table service, which usually answers
 	// in 4 ms and in a slow hour in a quarter of a second. It is also waited until
 	// the first answers came.
@@ -112,7 +117,7 @@
 
 func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
 	dialer := net.Dialer{}
-	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor}
+	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor, SilentAfter: silentAfter}
 	rows := &store.Store{
 		Base: "http://" + s.Store.Address.String(), Least: storeLeast, Patience: storePatience,
 		HTTP: &http.Client{Transport: &http.Transport{
@@ -127,5 +132,6 @@
 		Sweep:  connections.Sweep,
 	}
 	rows.Silent = func(call string, waited time.Duration) { d.Silence(entry.ToTableService, call, waited) }
+	connections.Silent = func(at netip.AddrPort, waited time.Duration) { d.Silence(entry.ToTarget, at.String(), waited) }
 	return d.Run(ctx)
 }
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -22,6 +22,8 @@
 	reader *bufio.Reader
 	// used says that an exchange was done on it before.
 	used bool
+	// waiting is since when bytes are waited for; zero if they are not.
+	waiting time.Time
 	// unused is when the last exchange ended.
 	unused time.Time
 	// said is how long the target says that it keeps the connection; zero if
@@ -30,7 +32,9 @@
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	return &connection{Conn: conn, at: at, reader: bufio.NewReaderSize(conn, readBuffer)}
+	c := &connection{Conn: conn, at: at}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
 }
 
 // idleFor is how long the connection may stay unused: four fifths of what the
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -153,6 +153,8 @@
 }
 
 func (a *Answer) discard() {
-	a.cancel()
+	if !a.cancel() { // The request was given up.
+		a.noteSilence()
+	}
 	a.client.drop(a.conn)
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -37,6 +37,11 @@
 	Idle time.Duration
 	// PerTarget bounds the connections to one address; zero is no bound.
 	PerTarget func(at netip.AddrPort) int
+	// SilentAfter is how long a kept connection may say nothing before an exchange
+	// that is given up shows that it is silent; zero never takes one for that.
+	SilentAfter time.Duration
+	// Silent hears of each such connection; nil hears nothing.
+	Silent func(at netip.AddrPort, waited time.Duration)
 	// Dialed hears of each new connection; nil hears nothing.
 	Dialed func(at netip.AddrPort)
 
