feat(peer): one call in vain is enough to replace a silent connection between boxes

Cause: a connection counted as silent after a fixed second, which a call that is given up after 0.3 s reaches only in the next try, a second later: a box's shares were missing for 2.6 s, and places were asked for in vain meanwhile. Change: the wait is learnt from the answers of all peers, 0.25 s at least and 1 s at most, and counts from the last piece of anything that came, so that a whole configuration on a thin link does not look like silence. Gossip then goes on in the next round (0.15 s), not after a second; a line and a counter. TestSlowPeers: answers ten times as late, and an answer of 800 KB that takes a second: no false alarm, one connection.

--- a/entry/build.go
+++ b/entry/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -105,6 +106,7 @@
 	d.peers = peer.Node{
 		Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
 		Shown:    func() string { return *d.credential.Load() },
+		Silent:   func(at netip.AddrPort, waited time.Duration) { d.Silence(ToBox, at.String(), waited) },
 		Sent:     func(n int) { d.counts.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		Received: func(n int) { d.counts.peerBytes.WithLabelValues("received").Add(float64(n)) },
 	}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/netip"
 	"slices"
@@ -165,6 +166,10 @@
 		return nil
 	}
 	x.calling = false
+	if errors.Is(m.err, peer.ErrSilent) {
+		x.retry = now.Add(gossipEvery) // A new connection may work.
+		return nil
+	}
 	failed := m.err != nil || m.m.Error != ""
 	if failed != x.failed {
 		d.Log.Info("box heard", "name", m.name, "answers", !failed, "err", m.err)
--- a/peer/link.go
+++ b/peer/link.go
@@ -19,9 +19,13 @@
 	// writeFor bounds the writing of one message; a whole configuration takes a
 	// second on a link of 10 Mbit/s.
 	writeFor = 2 * time.Second
-	// silentFor is how long a connection with unanswered calls may say nothing
-	// before it is given up. A peer answers in milliseconds.
-	silentFor = time.Second
+	// leastSilent and mostSilent bound how long a connection with unanswered calls
+	// may say nothing before it is given up. A peer answers in milliseconds, so the
+	// least is what counts as a rule; it lies below the time after which gossip is
+	// given up, so that one call in vain is enough. With a fixed second, the shares
+	// of a box behind a silent connection were missing for 2.6 s.
+	leastSilent = 250 * time.Millisecond
+	mostSilent  = time.Second
 	// queued is how many messages may wait to be written.
 	queued = 64
 )
@@ -94,7 +98,7 @@
 	defer l.mu.Unlock()
 	l.wire, l.dialled, l.dialling = nil, err, nil
 	if err == nil {
-		l.wire = newWire(l.node, conn)
+		l.wire = newWire(l.node, l.at, conn)
 	}
 	close(done)
 }
@@ -117,6 +121,7 @@
 // order.
 type wire struct {
 	node *Node
+	at   netip.AddrPort
 	conn *websocket.Conn
 	// queue holds messages that wait to be written.
 	queue chan []byte
@@ -125,20 +130,24 @@
 	once  sync.Once
 
 	mu sync.Mutex
-	// last numbers the calls; waiting holds those that have no answer yet. Each
-	// channel has room for the answer.
+	// last numbers the calls; waiting holds those that have no answer yet.
 	last    uint64
-	waiting map[uint64]chan Message
-	// asked is when the first call went out since the last answer came; zero if
-	// none did.
+	waiting map[uint64]pending
+	// asked is when the first call went out since anything came; zero if none did.
 	asked time.Time
 }
 
-func newWire(n *Node, conn *websocket.Conn) *wire {
+// pending is a call that has no answer yet; the channel has room for it.
+type pending struct {
+	answer chan Message
+	asked  time.Time
+}
+
+func newWire(n *Node, at netip.AddrPort, conn *websocket.Conn) *wire {
 	conn.SetReadLimit(maxMessage)
 	w := &wire{
-		node: n, conn: conn, queue: make(chan []byte, queued), ended: make(chan struct{}),
-		waiting: make(map[uint64]chan Message),
+		node: n, at: at, conn: conn, queue: make(chan []byte, queued), ended: make(chan struct{}),
+		waiting: make(map[uint64]pending),
 	}
 	go w.read()
 	go w.write()
@@ -174,8 +183,7 @@
 	case <-w.ended:
 		return Message{}, errLost
 	case <-ctx.Done():
-		w.doubt()
-		return Message{}, ctx.Err()
+		return Message{}, w.doubt(ctx.Err())
 	}
 	select {
 	case a := <-answer:
@@ -183,8 +191,7 @@
 	case <-w.ended:
 		return Message{}, errLost
 	case <-ctx.Done():
-		w.doubt()
-		return Message{}, ctx.Err()
+		return Message{}, w.doubt(ctx.Err())
 	}
 }
 
@@ -192,13 +199,14 @@
 func (w *wire) expect() (uint64, chan Message) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now()
 	if w.asked.IsZero() {
-		w.asked = time.Now()
+		w.asked = now
 	}
 	w.last++
-	answer := make(chan Message, 1)
-	w.waiting[w.last] = answer
-	return w.last, answer
+	p := pending{make(chan Message, 1), now}
+	w.waiting[w.last] = p
+	return w.last, p.answer
 }
 
 func (w *wire) forget(number uint64) {
@@ -207,13 +215,35 @@
 	delete(w.waiting, number)
 }
 
-// doubt ends the connection if calls went out and nothing came for long.
-func (w *wire) doubt() {
+// doubt ends the connection if calls went out and nothing came for long; then it
+// returns ErrSilent in place of the error that the call was given up with.
+func (w *wire) doubt(err error) error {
 	w.mu.Lock()
-	silent := !w.asked.IsZero() && time.Since(w.asked) > silentFor
+	asked := w.asked
 	w.mu.Unlock()
-	if silent {
-		w.end()
+	waited := time.Since(asked)
+	if asked.IsZero() || waited < w.node.bound.Wait() {
+		return err
+	}
+	if !w.live() {
+		return errLost
+	}
+	w.end()
+	w.node.bound.Silent()
+	if w.node.Silent != nil {
+		w.node.Silent(w.at, waited)
+	}
+	return ErrSilent
+}
+
+// heard notes that something came: nothing is waited for in vain, but what is
+// asked from now on.
+func (w *wire) heard() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked = time.Time{}
+	if len(w.waiting) > 0 {
+		w.asked = time.Now()
 	}
 }
 
@@ -222,17 +252,20 @@
 func (w *wire) read() {
 	defer w.end()
 	for {
-		m, err := w.node.read(context.Background(), w.conn)
+		m, err := w.node.read(context.Background(), w.conn, w.heard)
 		if err != nil {
 			return // The calls that wait learn it from ended.
 		}
 		w.mu.Lock()
-		w.asked = time.Time{}
-		answer := w.waiting[m.Number]
+		p, known := w.waiting[m.Number]
 		delete(w.waiting, m.Number)
+		if len(w.waiting) == 0 {
+			w.asked = time.Time{}
+		}
 		w.mu.Unlock()
-		if answer != nil {
-			answer <- m
+		if known {
+			w.node.bound.Answered(time.Since(p.asked))
+			p.answer <- m
 		}
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,6 +18,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/patience"
 )
 
 // maxMessage bounds one message, in bytes. A whole configuration fits.
@@ -29,6 +32,10 @@
 	atOnce = 64
 )
 
+// ErrSilent says that the connection said nothing for so long that it was given up.
+// The next call makes a new one.
+var ErrSilent = trace.ConnectionProblem(nil, "the connection is silent")
+
 // Node calls peers and answers them. Set the exported fields before first use;
 // it is safe for concurrent use after that.
 type Node struct {
@@ -42,9 +49,15 @@
 	HTTP *http.Client
 	// Scheme is ws or wss.
 	Scheme string
+	// Silent hears of each connection that is given up as silent; nil hears nothing.
+	Silent func(at netip.AddrPort, waited time.Duration)
 	// Sent and Received hear of the bytes that travel.
 	Sent, Received func(bytes int)
 
+	once sync.Once
+	// bound is how long answers are waited for, by the times seen of all peers.
+	bound patience.Bound
+
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
 }
@@ -90,7 +103,7 @@
 func (n *Node) next(ctx context.Context, conn *websocket.Conn) (Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*idle)
 	defer cancel()
-	return n.read(ctx, conn)
+	return n.read(ctx, conn, func() {})
 }
 
 // answer answers one message. A peer that can't be written to notices itself.
@@ -121,6 +134,7 @@
 
 // Call sends a message to the peer at an address and returns its answer.
 func (n *Node) Call(ctx context.Context, at netip.AddrPort, m Message) (Message, error) {
+	n.once.Do(func() { n.bound.Least, n.bound.Most = leastSilent, mostSilent })
 	answer, err := n.link(at).call(ctx, m)
 	if err != nil {
 		return Message{}, trace.Wrap(err, "peer %v", at)
@@ -156,9 +170,14 @@
 // Close drops all links.
 func (n *Node) Close() { n.Sweep(time.Now().Add(2 * idle)) }
 
-func (n *Node) read(ctx context.Context, conn *websocket.Conn) (Message, error) {
+// read reads one message and tells heard of each piece of it.
+func (n *Node) read(ctx context.Context, conn *websocket.Conn, heard func()) (Message, error) {
 	var m Message
-	kind, data, err := conn.Read(ctx)
+	kind, pieces, err := conn.Reader(ctx)
+	if err != nil {
+		return m, err
+	}
+	data, err := io.ReadAll(hearing{pieces, heard})
 	if err != nil {
 		return m, err
 	}
@@ -169,6 +188,20 @@
 	return m, trace.Wrap(cbor.Unmarshal(data, &m))
 }
 
+// hearing tells of each piece that is read.
+type hearing struct {
+	io.Reader
+	heard func()
+}
+
+func (h hearing) Read(b []byte) (int, error) {
+	n, err := h.Reader.Read(b)
+	if n > 0 {
+		h.heard()
+	}
+	return n, err
+}
+
 func (n *Node) send(conn *websocket.Conn, data []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeFor)
 	defer cancel()
--- /dev/null
+++ b/peer/silent_test.go
@@ -0,0 +1,96 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/internal/loopback"
+	"github.com/thymewind/thymewind/peer"
+)
+
+// linked is a caller of a peer behind a proxy, and how often it said that a
+// connection is silent.
+func linked(t *testing.T) (*peer.Node, *loopback.Proxy, *atomic.Int64) {
+	t.Helper()
+	answering := node("secret")
+	answering.Handle = func(_ context.Context, m peer.Message) peer.Message {
+		if m.Statement == "large" {
+			return peer.Message{Statement: strings.Repeat("x", 800<<10)}
+		}
+		return peer.Message{Statement: m.Statement}
+	}
+	server := httptest.NewServer(answering.Handler())
+	t.Cleanup(server.Close)
+	n := caller(t)
+	link := loopback.New(t, netip.MustParseAddrPort(server.Listener.Addr().String()))
+	said := &atomic.Int64{}
+	n.Silent = func(netip.AddrPort, time.Duration) { said.Add(1) }
+	return n, link, said
+}
+
+// callFor is a call that is given up after a time.
+func callFor(n *peer.Node, at netip.AddrPort, what string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := n.Call(ctx, at, peer.Message{Statement: what})
+	return err
+}
+
+// gossipFor is how long the daemon waits for such an answer.
+const gossipFor = 300 * time.Millisecond
+
+// TestSilentConnection silences the connection to a peer: that costs one call, and
+// the next one goes over a new connection.
+func TestSilentConnection(t *testing.T) {
+	n, link, said := linked(t)
+	for range 3 {
+		if err := callFor(n, link.At, "quick", time.Minute); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if link.Hush(func(string) bool { return true }) != 1 {
+		t.Fatal("no connection")
+	}
+	if err := callFor(n, link.At, "quick", gossipFor); !errors.Is(err, peer.ErrSilent) {
+		t.Errorf("the first call: %v", err)
+	}
+	if err := callFor(n, link.At, "quick", time.Minute); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+	if said.Load() != 1 || link.Came() != 2 {
+		t.Errorf("said %d times, %d connections", said.Load(), link.Came())
+	}
+}
+
+// TestSlowPeers have answers come ten times as late, or in many pieces: no
+// connection is taken for silent.
+func TestSlowPeers(t *testing.T) {
+	n, link, said := linked(t)
+	link.Set(loopback.Delays)
+	for _, each := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond} {
+		link.SetDelay(each)
+		for range 30 {
+			if err := callFor(n, link.At, "quick", gossipFor); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	// The answer of 800 KB in chunks of 16 KB takes a second.
+	large := make(chan error, 1)
+	go func() { large <- callFor(n, link.At, "large", time.Minute) }()
+	for range 3 {
+		_ = callFor(n, link.At, "quick", gossipFor/2) // Behind the large one; it may be late.
+	}
+	if err := <-large; err != nil {
+		t.Errorf("a large message: %v", err)
+	}
+	if said.Load() != 0 || link.Came() != 1 {
+		t.Errorf("said %d times, %d connections", said.Load(), link.Came())
+	}
+}
