fix(peer): each link learns its own wait

Change: the bound is the link's. Test, seen failing (it hung): TestSilentConnection with three peers silent at the same time.

--- a/peer/link.go
+++ b/peer/link.go
@@ -10,6 +10,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/patience"
 )
 
 const (
@@ -38,6 +40,8 @@
 type link struct {
 	node *Node
 	at   netip.AddrPort
+	// bound is how long an answer is waited for, by the times seen of this peer.
+	bound *patience.Bound
 
 	mu sync.Mutex
 	// wire is the connection in use; nil if there is none.
@@ -98,7 +102,7 @@
 	defer l.mu.Unlock()
 	l.wire, l.dialled, l.dialling = nil, err, nil
 	if err == nil {
-		l.wire = newWire(l.node, l.at, conn)
+		l.wire = newWire(l, conn)
 	}
 	close(done)
 }
@@ -120,9 +124,10 @@
 // wire is one connection to a peer. Calls share it and are answered in any
 // order.
 type wire struct {
-	node *Node
-	at   netip.AddrPort
-	conn *websocket.Conn
+	node  *Node
+	at    netip.AddrPort
+	bound *patience.Bound
+	conn  *websocket.Conn
 	// queue holds messages that wait to be written.
 	queue chan []byte
 	// ended is closed when the connection is.
@@ -143,10 +148,10 @@
 	asked  time.Time
 }
 
-func newWire(n *Node, at netip.AddrPort, conn *websocket.Conn) *wire {
+func newWire(l *link, conn *websocket.Conn) *wire {
 	conn.SetReadLimit(maxMessage)
 	w := &wire{
-		node: n, at: at, conn: conn, queue: make(chan []byte, queued), ended: make(chan struct{}),
+		node: l.node, at: l.at, bound: l.bound, conn: conn, queue: make(chan []byte, queued), ended: make(chan struct{}),
 		waiting: make(map[uint64]pending),
 	}
 	go w.read()
@@ -222,14 +227,14 @@
 	asked := w.asked
 	w.mu.Unlock()
 	waited := time.Since(asked)
-	if asked.IsZero() || waited < w.node.bound.Wait() {
+	if asked.IsZero() || waited < w.bound.Wait() {
 		return err
 	}
 	if !w.live() {
 		return errLost
 	}
 	w.end()
-	w.node.bound.Silent()
+	w.bound.Silent()
 	if w.node.Silent != nil {
 		w.node.Silent(w.at, waited)
 	}
@@ -264,7 +269,7 @@
 		}
 		w.mu.Unlock()
 		if known {
-			w.node.bound.Answered(time.Since(p.asked))
+			w.bound.Answered(time.Since(p.asked))
 			p.answer <- m
 		}
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -54,10 +54,6 @@
 	// Sent and Received hear of the bytes that travel.
 	Sent, Received func(bytes int)
 
-	once sync.Once
-	// bound is how long answers are waited for, by the times seen of all peers.
-	bound patience.Bound
-
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
 }
@@ -134,7 +130,6 @@
 
 // Call sends a message to the peer at an address and returns its answer.
 func (n *Node) Call(ctx context.Context, at netip.AddrPort, m Message) (Message, error) {
-	n.once.Do(func() { n.bound.Least, n.bound.Most = leastSilent, mostSilent })
 	answer, err := n.link(at).call(ctx, m)
 	if err != nil {
 		return Message{}, trace.Wrap(err, "peer %v", at)
@@ -150,7 +145,7 @@
 	}
 	l, ok := n.links[at]
 	if !ok {
-		l = &link{node: n, at: at}
+		l = &link{node: n, at: at, bound: &patience.Bound{Least: leastSilent, Most: mostSilent}}
 		n.links[at] = l
 	}
 	return l
--- a/peer/silent_test.go
+++ b/peer/silent_test.go
@@ -45,26 +45,33 @@
 // gossipFor is how long the daemon waits for such an answer.
 const gossipFor = 300 * time.Millisecond
 
-// TestSilentConnection silences the connection to a peer: that costs one call, and
-// the next one goes over a new connection.
+// TestSilentConnection silences the connections to three peers at the same time:
+// each costs one call, and the next one goes over a new connection.
 func TestSilentConnection(t *testing.T) {
-	n, link, said := linked(t)
+	n, first, said := linked(t)
+	links := []*loopback.Proxy{first, loopback.New(t, first.At), loopback.New(t, first.At)}
 	for range 3 {
-		if err := callFor(n, link.At, "quick", time.Minute); err != nil {
-			t.Fatal(err)
+		for _, link := range links {
+			if err := callFor(n, link.At, "quick", time.Minute); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
-	if link.Hush(func(string) bool { return true }) != 1 {
-		t.Fatal("no connection")
+	for _, link := range links {
+		link.Hush(func(string) bool { return true })
 	}
-	if err := callFor(n, link.At, "quick", gossipFor); !errors.Is(err, peer.ErrSilent) {
-		t.Errorf("the first call: %v", err)
+	for _, link := range links {
+		if err := callFor(n, link.At, "quick", gossipFor); !errors.Is(err, peer.ErrSilent) {
+			t.Errorf("the first call: %v", err)
+		}
 	}
-	if err := callFor(n, link.At, "quick", time.Minute); err != nil {
-		t.Errorf("the next call: %v", err)
+	for _, link := range links {
+		if err := callFor(n, link.At, "quick", time.Minute); err != nil {
+			t.Errorf("the next call: %v", err)
+		}
 	}
-	if said.Load() != 1 || link.Came() != 2 {
-		t.Errorf("said %d times, %d connections", said.Load(), link.Came())
+	if said.Load() != 3 || links[1].Came() != 2 || links[2].Came() != 2 {
+		t.Errorf("said %d times, %d and %d connections", said.Load(), links[1].Came(), links[2].Came())
 	}
 }
 
