feat(entry): connections of callers that vanish end after 6 s

Cause: a caller without power says nothing; a write to it hung for minutes and its request went on at the target. Change: accepted connections, of callers and of boxes, are probed after 3 s without traffic and each second then, and end when nothing was acknowledged for 6 s (twice the time in which cuts are excused, so they outlive those). golang.org/x/sys, which was there indirectly, names the option. Ruled out: a write deadline for each answer, as it does not end the request of a caller that vanished while its target is at work.

--- a/entry/listen.go
+++ b/entry/listen.go
@@ -44,7 +44,7 @@
 		if !l.at.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.at.String())
+		listener, err := listenTCP(l.at.String(), vanishedFor)
 		if err != nil {
 			return nil, trace.Wrap(err, "listening on %v", l.at)
 		}
--- /dev/null
+++ b/entry/vanish_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// accepted connects a caller to a listener and returns the box's end.
+func accepted(t *testing.T, vanished time.Duration) *net.TCPConn {
+	t.Helper()
+	l, err := listenTCP("127.0.0.1:0", vanished)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+// TestVanished has a caller take nothing any more, as one that is gone does: a
+// write to it ends.
+func TestVanished(t *testing.T) {
+	conn := accepted(t, 4*time.Second)
+	if err := conn.SetWriteDeadline(time.Now().Add(time.Minute)); err != nil { // Far beyond.
+		t.Fatal(err)
+	}
+	began := time.Now()
+	var err error
+	for piece := make([]byte, 1<<20); err == nil; {
+		_, err = conn.Write(piece)
+	}
+	if took := time.Since(began); took > 30*time.Second {
+		t.Errorf("the write hung for %v: %v", took, err)
+	}
+}
+
+// TestProbes reads from the kernel how connections are probed.
+func TestProbes(t *testing.T) {
+	raw, err := accepted(t, vanishedFor).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name   string
+		option int
+		want   int
+	}{
+		{"unacknowledged, in ms", unix.TCP_USER_TIMEOUT, 6000},
+		{"first probe, in s", unix.TCP_KEEPIDLE, 3},
+		{"between probes, in s", unix.TCP_KEEPINTVL, 1},
+		{"probes", unix.TCP_KEEPCNT, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := 0
+			var asked error
+			if err := raw.Control(func(fd uintptr) { got, asked = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, tt.option) }); err != nil || asked != nil {
+				t.Fatal(err, asked)
+			}
+			if got != tt.want {
+				t.Errorf("got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
