feat(deliver): a stream whose connection goes silent goes on at another target

Cause: a stream under way, or a request on a kept connection, that went silent was held until its time was up (12 s and more) while its target lived, as the news of the target came over other connections. Change: a stream that may be resumed is broken off after a pause of three times the route's (0.4 s at least, 1.5 s at most) if its target looks dead or a connection to it was found silent in the last 3 s, or after 3 s whatever the target looks like, and goes on behind its last event, if a try is left and the retry budget allows it. Repeatable requests without an answer go by the same sign. Others are held to their end: silence is no ground to end an answer. Tests, seen failing: TestSilentStream (held for 10 s), TestLooksDead (silence of a connection did not count). TestSluggishCaller: pauses of the caller's own. Ruled out: any later answer of the target as the sign, as engines answer by urgency and not in order.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -132,6 +131,6 @@
 		Sweep:  connections.Sweep,
 	}
 	rows.Silent = func(call string, waited time.Duration) { d.Silence(entry.ToTableService, call, waited) }
-	connections.Silent = func(at netip.AddrPort, waited time.Duration) { d.Silence(entry.ToTarget, at.String(), waited) }
+	connections.Silent = d.SilentTarget
 	return d.Run(ctx)
 }
--- a/deliver/pass.go
+++ b/deliver/pass.go
@@ -1,6 +1,7 @@
 package deliver
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -83,11 +84,17 @@
 }
 
 // stream passes events on as they come, whole ones only.
-func (x *run) stream(place Place, reply *Reply) (*refusal.Refusal, error) {
+func (x *run) stream(ctx context.Context, place Place, reply *Reply) (*refusal.Refusal, error) {
 	events := eventstream.Reader{From: reply.Body}
+	wait := &pauses{}
+	if x.Suspect != nil && x.job.Route.Resumable && x.sent < x.job.Route.Attempts {
+		go x.watchPauses(ctx, x.cancel, place.Target, wait)
+	}
 	flush := http.NewResponseController(x.w)
 	for {
+		wait.begin(x.Now())
 		event, err := events.Next()
+		wait.end()
 		if errors.Is(err, io.EOF) {
 			x.Ended(Ended{Place: place, Job: x.job, Began: true, Whole: true, Late: x.late})
 			x.outcome.Cause = ""
@@ -95,6 +102,9 @@
 			return nil, nil
 		}
 		if err != nil {
+			if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+				err = cause
+			}
 			return x.cutStream(place, err)
 		}
 		x.noteEvent()
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -33,7 +33,9 @@
 	w   http.ResponseWriter
 	// caller ends when the caller leaves, ctx when the time is up as well.
 	caller, ctx context.Context
-	tried       []string
+	// cancel breaks the sending under way off.
+	cancel context.CancelCauseFunc
+	tried  []string
 	// sent counts the targets that may have got the request, ran those of them
 	// that may have run it.
 	sent, ran int
@@ -116,6 +118,7 @@
 func (x *run) try(place Place) (*refusal.Refusal, error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
+	x.cancel = cancel
 	if !place.BeginBy.IsZero() {
 		late := time.AfterFunc(place.BeginBy.Sub(x.Now()), func() { cancel(errOverdue) })
 		defer late.Stop()
@@ -196,7 +199,7 @@
 		return x.broken(fmt.Sprintf("the stream can't be resumed: %d", reply.Status))
 	}
 	if reply.Events && reply.Status == http.StatusOK {
-		return x.stream(place, reply)
+		return x.stream(ctx, place, reply)
 	}
 	return x.whole(place, reply)
 }
--- /dev/null
+++ b/deliver/silent_test.go
@@ -0,0 +1,108 @@
+package deliver_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+)
+
+// hushed reads a text and then nothing more until its context ends.
+type hushed struct {
+	ctx  context.Context
+	text io.Reader
+}
+
+func (h *hushed) Read(p []byte) (int, error) {
+	if n, err := h.text.Read(p); err == nil {
+		return n, nil
+	}
+	<-h.ctx.Done()
+	return 0, context.Cause(h.ctx)
+}
+
+// sluggish is a caller that takes each event only after a time.
+type sluggish struct {
+	*httptest.ResponseRecorder
+	each time.Duration
+}
+
+func (s *sluggish) Write(b []byte) (int, error) {
+	time.Sleep(s.each)
+	return s.ResponseRecorder.Write(b)
+}
+
+// TestSilentStream has a stream's connection say nothing more behind its second
+// event. One that may be resumed goes on at another target, soon if that target
+// looks dead or its connections silent, and after a hopeless pause otherwise; any
+// other is held to its end, as silence is no ground to end an answer.
+func TestSilentStream(t *testing.T) {
+	const two = "id: 1\n\nid: 2\n\n"
+	tests := []struct {
+		name      string
+		resumable bool
+		attempts  int
+		suspect   bool
+		pause     time.Duration
+		sent      int
+		took      time.Duration
+	}{
+		{"its target looks dead", true, 2, true, 300 * time.Millisecond, 2, 900 * time.Millisecond},
+		{"no goal for pauses", true, 2, true, 0, 2, 1500 * time.Millisecond},
+		{"its target lives", true, 2, false, 300 * time.Millisecond, 2, 3 * time.Second},
+		{"no try left", true, 1, true, 300 * time.Millisecond, 1, 10 * time.Second},
+		{"not resumable", false, 2, true, 300 * time.Millisecond, 1, 10 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := route(false, true, tt.resumable, tt.attempts)
+				r.Timeout, r.Pause = 10*time.Second, tt.pause
+				x := &targets{}
+				s := x.server(r)
+				s.Suspect = func(context.Context, string) bool { return tt.suspect }
+				s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+					if x.sent++; x.sent == 1 {
+						return streamReply(&hushed{ctx, strings.NewReader(two)}), nil
+					}
+					return streamed(sending, false), nil
+				}
+				got := ask(s)
+				if x.sent != tt.sent || got.cut == (tt.sent == 2) {
+					t.Errorf("sent %d times, cut %v: %q", x.sent, got.cut, got.body)
+				}
+				if tt.sent == 2 && got.body != wholeStream {
+					t.Errorf("got %q", got.body)
+				}
+				if got.took < tt.took || got.took > tt.took+tt.took/2 {
+					t.Errorf("took %v, want %v", got.took, tt.took)
+				}
+			})
+		})
+	}
+}
+
+// TestSluggishCaller has a caller take each event after 5 s: the pauses are its
+// own, and nothing is sent again.
+func TestSluggishCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := route(false, true, true, 2)
+		r.Timeout, r.Pause = time.Minute, 300*time.Millisecond
+		x := &targets{}
+		s := x.server(r)
+		w := &sluggish{httptest.NewRecorder(), 5 * time.Second}
+		call := &deliver.Call{ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{}, Received: time.Now()}
+		if err := s.Serve(context.Background(), w, call); err != nil {
+			t.Fatal(err)
+		}
+		if x.sent != 1 || w.Body.String() != wholeStream {
+			t.Errorf("sent %d times: %q", x.sent, w.Body.String())
+		}
+	})
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
@@ -31,6 +32,9 @@
 	reply  chan<- bool
 }
 
+// silenceSeen tells that a connection to a target was found silent.
+type silenceSeen struct{ at netip.AddrPort }
+
 // answerBegan tells that an answer's head came from the place.
 type answerBegan struct{ place deliver.Place }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -68,6 +69,13 @@
 	d.Log.Warn("silent connection given up", "to", to, "call", call, "waited", waited)
 }
 
+// SilentTarget is Silence for a connection to a target. Requests that wait there on
+// others may wait in vain as well.
+func (d *Daemon) SilentTarget(at netip.AddrPort, waited time.Duration) {
+	d.Silence(ToTarget, at.String(), waited)
+	d.report(silenceSeen{at})
+}
+
 // What silent connections led to.
 const (
 	ToTableService = "table service"
--- a/entry/place.go
+++ b/entry/place.go
@@ -53,10 +53,20 @@
 	return false
 }
 
-// looksDead says that a target is gone, can't be reached, or says nothing.
+// silenceFor is how long a connection to a target that was found silent counts
+// against requests that wait on other connections there: some rounds of the wait
+// after which such a request asks whether its target looks dead, 0.4 to 1.5 s.
+const silenceFor = 3 * time.Second
+
+// looksDead says that a target is gone, can't be reached, says nothing, or that
+// connections to it went silent lately.
 func looksDead(now time.Time, t *tables, id string) bool {
 	x := t.fleet.Target(id)
-	return x == nil || x.Avoided(now) || x.Silent(now, nearest.SilentAfter)
+	if x == nil || x.Avoided(now) || x.Silent(now, nearest.SilentAfter) {
+		return true
+	}
+	at, silent := t.silences[x.Address]
+	return silent && now.Sub(at) < silenceFor
 }
 
 func (d *Daemon) timeUp() error {
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -37,3 +37,37 @@
 		})
 	}
 }
+
+// TestLooksDead says when a request that waits should ask another target.
+func TestLooksDead(t *testing.T) {
+	at := netip.MustParseAddrPort("10.0.0.9:80")
+	tests := []struct {
+		name   string
+		happen func(d *Daemon)
+		after  time.Duration
+		want   bool
+	}{
+		{"well", func(*Daemon) {}, 0, false},
+		{"gone", func(d *Daemon) { d.tables.fleet.Drop("e1") }, 0, true},
+		{"failed", func(d *Daemon) { d.tables.fleet.Target("e1").Fail(start) }, 0, true},
+		{"a connection to it was silent", func(d *Daemon) { d.update(start, silenceSeen{at}) }, time.Second, true},
+		{"one was silent long ago", func(d *Daemon) { d.update(start, silenceSeen{at}) }, time.Minute, false},
+		{"one to another target was", func(d *Daemon) { d.update(start, silenceSeen{netip.MustParseAddrPort("10.0.0.8:80")}) }, time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			e := engine("e1", 1)
+			e.Address = at
+			d.tables.fleet.List(e)
+			tt.happen(d)
+			if got := looksDead(start.Add(tt.after), &d.tables, "e1"); got != tt.want {
+				t.Errorf("looksDead = %v", got)
+			}
+			d.sweep(start.Add(time.Hour), &d.tables)
+			if n := len(d.tables.silences); n != 0 {
+				t.Errorf("%d silences are remembered", n)
+			}
+		})
+	}
+}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"time"
 
 	"github.com/thymewind/thymewind/nearest"
@@ -33,6 +34,7 @@
 		w.names.Trim()
 		maps.DeleteFunc(w.barred, func(_ string, until time.Time) bool { return now.After(until) })
 	}
+	maps.DeleteFunc(t.silences, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > silenceFor })
 	d.noteSlow(now, t)
 	d.noteStrain(t)
 	d.Sweep(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -54,6 +54,8 @@
 	// usual is what other boxes' requests are taken to take up at each engine if
 	// none of them is heard, as of the last placing.
 	usual peer.Share
+	// silences is when connections to targets were last found silent, by address.
+	silences map[netip.AddrPort]time.Time
 	// members are the boxes that ever wrote their row, this one included.
 	members map[string]*member
 	// storeAway says that the table service does not answer.
@@ -144,7 +146,8 @@
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), followed: make(map[string]context.CancelFunc),
 		weights: make(map[string]*weights), members: make(map[string]*member), probing: make(map[string]bool),
-		slow: make(map[string]bool), sizes: make(map[string]float64),
+		silences: make(map[netip.AddrPort]time.Time),
+		slow:     make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
 	}
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -17,6 +17,8 @@
 		m.reply <- placeAnswer{place, err}
 	case suspectAsked:
 		m.reply <- looksDead(now, t, m.target)
+	case silenceSeen:
+		t.silences[m.at] = now
 	case answerBegan:
 		d.answerBegan(now, t, m.place)
 	case sendingEnded:
