--- a/peer/silent_test.go
+++ b/peer/silent_test.go
@@ -101,3 +101,25 @@
 		t.Errorf("said %d times, %d connections", said.Load(), link.Came())
 	}
 }
+
+// TestSilentAsks has only short calls, as those for places are: some in vain are
+// enough to replace a silent connection.
+func TestSilentAsks(t *testing.T) {
+	const within = 100 * time.Millisecond
+	n, link, said := linked(t)
+	for range 3 {
+		if err := callFor(n, link.At, "quick", time.Minute); err != nil {
+			t.Fatal(err)
+		}
+	}
+	link.Hush(func(string) bool { return true })
+	vain := 0
+	for said.Load() == 0 && vain < 10 {
+		if callFor(n, link.At, "quick", within) != nil {
+			vain++
+		}
+	}
+	if err := callFor(n, link.At, "quick", time.Minute); err != nil || vain > 3 {
+		t.Errorf("%d calls in vain, then %v", vain, err)
+	}
+}
