fix(entry): a new box proves its keys in time from the start

Cause: found by TestSilentList: a box that was never there before holds its reads for 3 s, so that proofs got 4.5 s old while keys are trusted for 4.3 s. Change: held 1.8 s; one read more in the time in which it waits for others' rows. Test, seen failing: TestProofsInTime, for each hold.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -18,8 +18,10 @@
 	// hubHold is the same at a hub, whose proofs have to reach others in time.
 	hubHold = 300 * time.Millisecond
 	// startHold is the same while a box that was never there before waits for the
-	// others' rows; it then reads twice within the time that keys are trusted.
-	startHold = 3 * time.Second
+	// others' rows; it then reads twice within the time that keys are trusted, also
+	// if one connection goes silent. With 3 s, each new box refused keys for 0.2 s,
+	// twice in its first 6 s.
+	startHold = 1800 * time.Millisecond
 	// hold is how long the other reads are held. A connection that went silent is
 	// found out only behind it, and leaving targets have to be heeded 5 s after
 	// that (3 s in which it is excused, and 2 s): hold and the longest wait for an
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -35,3 +35,17 @@
 		})
 	}
 }
+
+// TestProofsInTime has a read of the operator's rows sent right behind the last
+// one, and its connection silent: it is given up, and made again, before the keys
+// that the last one proved are refused.
+func TestProofsInTime(t *testing.T) {
+	// silent is the least wait of the table service's client behind a hold, again
+	// what the second read and the way to the loop take in a slow hour.
+	const trusted, silent, again = 5 * time.Second, 500 * time.Millisecond, 200 * time.Millisecond
+	for _, each := range []time.Duration{proofHold, hubHold, startHold} {
+		if age := 2*each + silent + again; age > trusted-proofMargin {
+			t.Errorf("held for %v, proofs get %v old, over %v", each, age, trusted-proofMargin)
+		}
+	}
+}
