fix(entry): a read that was made again, not held, dates no naming as a held one

Cause: a read of the operator's rows whose connection was silent is made again without a hold; its answer comes seconds after the first was sent, and was taken for that of a held read, which dates a naming by itself. One named at the start of the silence would have been dated 2 to 3 s too late, in all boxes. Change: the answer says when the call that was answered was sent. Proofs of the configuration count from there as well, so they are younger after a silence.

--- a/entry/platform.go
+++ b/entry/platform.go
@@ -61,6 +61,9 @@
 	// Clock is the table service's steady clock when it made the answer, or zero
 	// if it did not tell.
 	Clock time.Duration
+	// Asked is when the read that was answered was sent; it may have been made
+	// again, not held. Unset, it is when the read was asked for.
+	Asked time.Time
 }
 
 // Targets is what the list of targets says.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -70,6 +70,9 @@
 		}
 		d.back(ctx)
 		after = change.Version
+		if !change.Asked.IsZero() {
+			asked = change.Asked
+		}
 		d.tell(ctx, operatorRead{asked, change})
 	}
 }
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -49,3 +50,22 @@
 		}
 	}
 }
+
+// TestAskedAgain has a read of the operator's rows made again, as its connection
+// was silent: the loop learns when the read that was answered was sent, as that
+// one was not held and a change that it tells may be older.
+func TestAskedAgain(t *testing.T) {
+	again := start.Add(time.Hour)
+	d := newDaemon("b1")
+	d.Platform.Operator = func(context.Context, uint64, time.Duration) (Operator, error) { return Operator{Asked: again}, nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	d.outage.start(ctx)
+	ended := make(chan struct{})
+	go func() { defer close(ended); d.watchOperator(ctx) }()
+	m, ok := (<-d.messages).(operatorRead)
+	cancel()
+	<-ended
+	if !ok || !m.asked.Equal(again) {
+		t.Errorf("asked %v, want %v", m.asked, again)
+	}
+}
