--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -37,9 +37,19 @@
 	dialFor = 400 * time.Millisecond
 	// idleFor is how long an unused connection to a target is kept.
 	idleFor = 20 * time.Second
+	// silentAfter is how long a kept connection to a target says nothing before a
+	// call that is given up shows that it is silent. A held call to a source is
+	// given up after 0.8 s; requests usually have their answer's head sooner.
+	silentAfter = 700 * time.Millisecond
 	// storePatience bounds a call to the table service, which usually answers
-	// in 4 ms and in a slow hour in a quarter of a second.
+	// in 4 ms and in a slow hour in a quarter of a second. It is also waited until
+	// the first answers came.
 	storePatience = 1500 * time.Millisecond
+	// storeLeast is the least wait before a connection to it counts as silent:
+	// twice a slow hour's answers. With the hold of a read, a proof of the
+	// configuration is then 3.5 s old at most, and keys are trusted for 4.3 s;
+	// with storePatience alone it was 4.5 s.
+	storeLeast = 500 * time.Millisecond
 	// logLines is how many log lines wait to be written; more are dropped.
 	logLines = 2048
 	// memoryShare is the part of the box's memory at which the runtime works
@@ -106,9 +116,9 @@
 
 func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
 	dialer := net.Dialer{}
-	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor}
+	connections := &exchange.Client{Dial: dialer.DialContext, DialFor: dialFor, Idle: idleFor, SilentAfter: silentAfter}
 	rows := &store.Store{
-		Base: "http://" + s.Store.Address.String(), Patience: storePatience,
+		Base: "http://" + s.Store.Address.String(), Least: storeLeast, Patience: storePatience,
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: dialFor}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
 		}},
@@ -120,5 +130,7 @@
 		Reload: reload,
 		Sweep:  connections.Sweep,
 	}
+	rows.Silent = func(call string, waited time.Duration) { d.Silence(entry.ToTableService, call, waited) }
+	connections.Silent = d.SilentTarget
 	return d.Run(ctx)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,11 @@
 package entry
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"net/netip"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // counters are the daemon's metrics; docs/METRICS.md names them.
 type counters struct {
@@ -15,6 +20,7 @@
 	unlogged      prometheus.Counter
 	refusals      *prometheus.CounterVec
 	replaced      prometheus.Histogram
+	silent        *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -41,9 +47,10 @@
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
 	c.replaced = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "thymewind_entry_replaced_weights_seconds", Help: "How long the weights of a placed request had been replaced by newer ones; only requests on replaced weights count.", Buckets: weightsAges})
 	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
+	c.silent = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_silent_connections_total", Help: "Connections given up as they said nothing, by what they led to."}, []string{"to"})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent,
 	)
 	return c
 }
@@ -59,3 +66,24 @@
 	d.counts.kept.Set(float64(kept))
 	d.counts.members.Set(float64(t.boxes()))
 }
+
+// Silence notes that a connection was given up as it said nothing for long: to
+// what it led, and what was waited for. It may be called once Run has begun.
+func (d *Daemon) Silence(to, call string, waited time.Duration) {
+	d.counts.silent.WithLabelValues(to).Inc()
+	d.Log.Warn("silent connection given up", "to", to, "call", call, "waited", waited)
+}
+
+// SilentTarget is Silence for a connection to a target. Requests that wait there on
+// others may wait in vain as well.
+func (d *Daemon) SilentTarget(at netip.AddrPort, waited time.Duration) {
+	d.Silence(ToTarget, at.String(), waited)
+	d.report(silenceSeen{at})
+}
+
+// What silent connections led to.
+const (
+	ToTableService = "table service"
+	ToTarget       = "target"
+	ToBox          = "box"
+)
--- /dev/null
+++ b/entry/silent_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/peer"
+)
+
+// TestSilentBox has gossip with a box fail: over a silent connection it is called
+// again in the next round, as a new one may work; otherwise after a pause.
+func TestSilentBox(t *testing.T) {
+	tests := []struct {
+		name   string
+		err    error
+		failed bool
+		again  time.Duration
+	}{
+		{"answered", nil, false, 0},
+		{"silent", peer.ErrSilent, false, gossipEvery},
+		{"unreachable", errors.New("refused"), true, gossipAgain},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			m := &member{at: netip.MustParseAddrPort("10.0.0.2:7700"), calling: true}
+			d.tables.members["b2"] = m
+			d.update(start, peerCalled{name: "b2", err: tt.err})
+			if m.failed != tt.failed || m.calling {
+				t.Errorf("failed %v, calling %v", m.failed, m.calling)
+			}
+			if early := start.Add(tt.again - 1); tt.again > 0 && !early.Before(m.retry) || start.Add(tt.again).Before(m.retry) {
+				t.Errorf("called again after %v, want %v", m.retry.Sub(start), tt.again)
+			}
+		})
+	}
+}
+
+// TestLooksDead says when a request that waits should ask another target.
+func TestLooksDead(t *testing.T) {
+	at := netip.MustParseAddrPort("10.0.0.9:80")
+	tests := []struct {
+		name   string
+		happen func(d *Daemon)
+		after  time.Duration
+		want   bool
+	}{
+		{"well", func(*Daemon) {}, 0, false},
+		{"gone", func(d *Daemon) { d.tables.fleet.Drop("e1") }, 0, true},
+		{"failed", func(d *Daemon) { d.tables.fleet.Target("e1").Fail(start) }, 0, true},
+		{"a connection to it was silent", func(d *Daemon) { d.update(start, silenceSeen{at}) }, time.Second, true},
+		{"one was silent long ago", func(d *Daemon) { d.update(start, silenceSeen{at}) }, time.Minute, false},
+		{"one to another target was", func(d *Daemon) { d.update(start, silenceSeen{netip.MustParseAddrPort("10.0.0.8:80")}) }, time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			e := engine("e1", 1)
+			e.Address = at
+			d.tables.fleet.List(e)
+			tt.happen(d)
+			if got := looksDead(start.Add(tt.after), &d.tables, "e1"); got != tt.want {
+				t.Errorf("looksDead = %v", got)
+			}
+			d.sweep(start.Add(time.Hour), &d.tables)
+			if n := len(d.tables.silences); n != 0 {
+				t.Errorf("%d silences are remembered", n)
+			}
+		})
+	}
+}
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -35,3 +36,36 @@
 		})
 	}
 }
+
+// TestProofsInTime has a read of the operator's rows sent right behind the last
+// one, and its connection silent: it is given up, and made again, before the keys
+// that the last one proved are refused.
+func TestProofsInTime(t *testing.T) {
+	// silent is the least wait of the table service's client behind a hold, again
+	// what the second read and the way to the loop take in a slow hour.
+	const trusted, silent, again = 5 * time.Second, 500 * time.Millisecond, 200 * time.Millisecond
+	for _, each := range []time.Duration{proofHold, hubHold, startHold} {
+		if age := 2*each + silent + again; age > trusted-proofMargin {
+			t.Errorf("held for %v, proofs get %v old, over %v", each, age, trusted-proofMargin)
+		}
+	}
+}
+
+// TestAskedAgain has a read of the operator's rows made again, as its connection
+// was silent: the loop learns when the read that was answered was sent, as that
+// one was not held and a change that it tells may be older.
+func TestAskedAgain(t *testing.T) {
+	again := start.Add(time.Hour)
+	d := newDaemon("b1")
+	d.Platform.Operator = func(context.Context, uint64, time.Duration) (Operator, error) { return Operator{Asked: again}, nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	d.outage.start(ctx)
+	ended := make(chan struct{})
+	go func() { defer close(ended); d.watchOperator(ctx) }()
+	m, ok := (<-d.messages).(operatorRead)
+	cancel()
+	<-ended
+	if !ok || !m.asked.Equal(again) {
+		t.Errorf("asked %v, want %v", m.asked, again)
+	}
+}
