fix(exchange): a request given up is reset at once and nothing of it arrives later

Cause: when a request's context ended, only a deadline was set on the connection. Three things followed. An answer that nobody was reading, as its caller took nothing, kept its target at work until the caller's connection failed, without end if it never did. After the ordinary close the kernel went on sending what it still held: a target that read late got the whole request, 0.6 s after the caller had left in the test, and seconds later behind a link that was down. And a request whose context had ended before went out over a kept connection, as only new ones look at it. Change: the end of the context closes the connection itself, with a reset that throws away what was not sent; Do looks at the context once it has a connection, and puts a sound one back. Ruled out: closing without a reset; TestUnsentIsThrownAway then still fails. Seen failing before: TestEndedBefore (the error did not say that nothing was sent), TestUnsentIsThrownAway (3 of 3), TestCancelWithoutReader (the target waited on after 10 s). With the change 20 of 20 with -race.

--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -30,7 +30,18 @@
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	return &connection{Conn: conn, at: at, reader: bufio.NewReaderSize(conn, readBuffer)}
+	return &connection{Conn: conn, at: at, reader: bufio.NewReaderSize(conn, readBuffer), unused: time.Now()}
+}
+
+// abort closes the connection with a reset, whatever is being read or written on
+// it. What still waits here to be sent is thrown away: after an ordinary close the
+// kernel goes on sending, and a target that was slow to read, or behind a link that
+// was down, would get the whole request long after its caller gave it up.
+func (c *connection) abort() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // If it fails, the close is an ordinary one.
+	}
+	_ = c.Close() // Nothing is left to learn from a connection that is given up.
 }
 
 // idleFor is how long the connection may stay unused: four fifths of what the
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -39,14 +38,20 @@
 
 // Do sends a request and waits for the head of the answer until ctx ends. The
 // error is ErrNotSent if no byte left this box; otherwise the target may have
-// run the request. After an error there is no answer to close.
+// run the request. After an error there is no answer to close. When ctx ends
+// before the answer was read whole, the connection is reset at once, also while
+// whoever has the answer does something else.
 func (c *Client) Do(ctx context.Context, at netip.AddrPort, request *Request) (*Answer, error) {
 	conn, err := c.take(ctx, at)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := ctx.Err(); err != nil {
+		c.shelve(conn) // Nothing was sent on it: the next request saves a new connection.
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	a := &Answer{client: c, conn: conn, written: make(chan struct{})}
-	a.cancel = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	a.cancel = context.AfterFunc(ctx, conn.abort)
 	if err := a.write(request); err != nil {
 		a.discard()
 		return nil, trace.Wrap(err)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -138,6 +138,11 @@
 // keep puts a connection back for the next request.
 func (c *Client) keep(conn *connection) {
 	conn.unused = time.Now()
+	c.shelve(conn)
+}
+
+// shelve makes a connection that can be used ready for the next request.
+func (c *Client) shelve(conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
