fix(entry): a request whose caller left gets no place and asks no hub

Cause: the loop placed and counted a request whose caller had gone, and a call to a hub went on under a context of the loop's own: after 0.1 s the next hub was asked, after 0.2 s the box placed alone, and the request arrived at a target over a kept connection, 194 to 197 ms after the caller had left (three ways of leaving, through the real listener). Change: what asks for a place carries the request's context. When it has ended the loop answers at once and counts nothing, a call to a hub ends with it, no further hub is asked, and the hub is not blamed for the call. A hub that had placed it counts it until the box tells next, 0.3 s at most. A box that calls another before it read the credential is refused; it panicked. Ruled out: leaving the counting as it is and only ending the wait, as the place then stays counted until nobody ends it. Seen failing without the checks: TestCallerLeftUnplaced (4 of 4 rows, counted at "a", box-01 blamed), TestHubAskEnds.

--- a/entry/build.go
+++ b/entry/build.go
@@ -104,12 +104,21 @@
 func (d *Daemon) buildPeers() {
 	d.peers = peer.Node{
 		Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
-		Shown:    func() string { return *d.credential.Load() },
+		Shown:    d.shown,
 		Sent:     func(n int) { d.counts.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		Received: func(n int) { d.counts.peerBytes.WithLabelValues("received").Add(float64(n)) },
 	}
 }
 
+// shown is what this box shows other boxes: nothing, which they refuse, until it
+// has read the credential.
+func (d *Daemon) shown() string {
+	if credential := d.credential.Load(); credential != nil {
+		return *credential
+	}
+	return ""
+}
+
 // burst is how many retries a box may save up, when so many share the bound.
 // At least ten are reckoned with, as boxes may join before they are known.
 func (d *Daemon) burst(boxes int) float64 {
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -272,7 +273,7 @@
 			spoke := listed("box-05")
 			tt.change(hubs["box-00"], hubs["box-01"], spoke)
 			reply := make(chan placeAnswer, 1)
-			effects := spoke.update(start, placeAsked{ask: deliver.Ask{Job: job("long", 1000)}, reply: reply})
+			effects := spoke.update(start, placeAsked{ctx: context.Background(), ask: deliver.Ask{Job: job("long", 1000)}, reply: reply})
 			asks := 0
 			for ; len(effects) == 1; asks++ {
 				asked := effects[0].(askHub)
--- /dev/null
+++ b/entry/leave_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/peer"
+)
+
+// TestCallerLeftUnplaced has the caller leave before its request has a place: none
+// is counted for it, no further hub is asked, and no hub is blamed.
+func TestCallerLeftUnplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		// asks is how many hubs are asked before the caller leaves; the last one's
+		// call then comes to err, or to a place.
+		asks int
+		err  error
+	}{
+		{"before the loop took the request up", 0, nil},
+		{"while a hub was asked, which then placed", 1, nil},
+		{"while a hub was asked, whose call was given up", 1, context.Canceled},
+		{"while the next hub was asked", 2, context.Canceled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			hub, spoke := listed("box-00"), listed("box-05")
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			reply := make(chan placeAnswer, 1)
+			var m message = placeAsked{ctx: ctx, ask: deliver.Ask{Job: job("long", 1000)}, reply: reply}
+			for i := range tt.asks {
+				asked := spoke.update(start, m)[0].(askHub)
+				answer := hubPlaced{hub: asked.hub, m: asked.m, err: errors.New("no answer")}
+				if i == tt.asks-1 {
+					answer.err = tt.err
+				}
+				if answer.err == nil {
+					answer.placed = hub.peerAsks(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", Ask: &asked.ask}).Placed
+				}
+				m = answer
+			}
+			cancel()
+			if effects := spoke.update(start, m); len(effects) > 0 {
+				t.Fatalf("effects %+v", effects)
+			}
+			if got := <-reply; got.err == nil {
+				t.Errorf("placed at %q", got.place.Target)
+			}
+			for _, id := range spoke.tables.fleet.All() {
+				if x := spoke.tables.fleet.Target(id); x.InFlight != 0 || x.Tokens != 0 || x.Unread != 0 {
+					t.Errorf("counted at %q: %+v", id, x)
+				}
+			}
+			if last := fmt.Sprintf("box-%02d", max(tt.asks-1, 0)); spoke.tables.members[last].misses != 0 {
+				t.Errorf("%s was blamed", last)
+			}
+		})
+	}
+}
+
+// TestHubAskEnds has the call to a hub end with the request that it is for.
+func TestHubAskEnds(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	spoke := largeFleet("box-05")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ask := askHub{at: netip.MustParseAddrPort(silent.Addr().String()), m: placeAsked{ctx: ctx}}
+	if got := spoke.askHub(context.Background(), ask); !errors.Is(got.err, context.Canceled) {
+		t.Errorf("err = %v", got.err)
+	}
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
@@ -12,6 +13,9 @@
 
 // placeAsked asks for a place; the loop answers on reply, which has room.
 type placeAsked struct {
+	// ctx ends when the caller left or its time is up; the request then gets no
+	// place any more and counts nowhere.
+	ctx   context.Context
 	ask   deliver.Ask
 	reply chan<- placeAnswer
 	// asked are the hubs that were asked before.
--- a/entry/place.go
+++ b/entry/place.go
@@ -29,12 +29,12 @@
 func (d *Daemon) askPlace(ctx context.Context, ask deliver.Ask) (deliver.Place, error) {
 	reply := make(chan placeAnswer, 1)
 	select {
-	case d.messages <- placeAsked{ask: ask, reply: reply}:
+	case d.messages <- placeAsked{ctx: ctx, ask: ask, reply: reply}:
 	case <-ctx.Done():
 		return deliver.Place{}, d.timeUp()
 	}
 	select {
-	case answer := <-reply: // At once, or after two calls to hubs at most.
+	case answer := <-reply: // At once, or after two calls to hubs at most, which end with ctx.
 		return answer.place, answer.err
 	case <-d.ended:
 		return deliver.Place{}, d.timeUp()
@@ -61,7 +61,7 @@
 }
 
 func (d *Daemon) timeUp() error {
-	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up before the request was placed").After(d.comeBack())
+	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up, or the caller left, before the request was placed").After(d.comeBack())
 }
 
 // place chooses a target and counts the request there.
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -44,6 +44,21 @@
 	err    error
 }
 
+// placeAsked has a hub place the request, or places it here. One whose caller
+// left, or whose time is up, is not counted at any target and costs no hub's work.
+func (d *Daemon) placeAsked(now time.Time, t *tables, m placeAsked) []effect {
+	if m.ctx.Err() != nil {
+		m.reply <- placeAnswer{err: d.timeUp()}
+		return nil
+	}
+	if effects, remote := d.placeRemotely(now, t, m); remote {
+		return effects
+	}
+	place, err := d.place(now, t, m.ask)
+	m.reply <- placeAnswer{place, err}
+	return nil
+}
+
 // placeRemotely hands a model request to the hub, if this box has one.
 func (d *Daemon) placeRemotely(now time.Time, t *tables, m placeAsked) ([]effect, bool) {
 	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() || len(m.asked) >= hubAsks {
@@ -70,13 +85,18 @@
 func (d *Daemon) askHub(ctx context.Context, e askHub) hubPlaced {
 	ctx, cancel := context.WithTimeout(ctx, placeFor)
 	defer cancel()
+	defer context.AfterFunc(e.m.ctx, cancel)()
 	answer, err := d.peers.Call(ctx, e.at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Ask: &e.ask})
 	return hubPlaced{e.hub, e.m, answer.Placed, err}
 }
 
 // hubPlaced passes the hub's place on, if this box knows nothing against it.
-// Otherwise another hub is asked, or this box places the request alone.
+// Otherwise another hub is asked, or this box places the request alone. A call
+// that ended with its request says nothing against the hub.
 func (d *Daemon) hubPlaced(now time.Time, t *tables, m hubPlaced) []effect {
+	if m.m.ctx.Err() != nil {
+		return d.placeAsked(now, t, m.m)
+	}
 	if m.err != nil || m.placed == nil {
 		d.hubFailed(now, t, m.hub, m.err)
 	} else {
@@ -89,12 +109,7 @@
 		m.m.ask.Tried = append(slices.Clone(m.m.ask.Tried), m.placed.Target)
 	}
 	m.m.asked = append(m.m.asked, m.hub)
-	if effects, remote := d.placeRemotely(now, t, m.m); remote {
-		return effects
-	}
-	place, err := d.place(now, t, m.m.ask)
-	m.m.reply <- placeAnswer{place, err}
-	return nil
+	return d.placeAsked(now, t, m.m)
 }
 
 func (d *Daemon) hubFailed(now time.Time, t *tables, hub string, err error) {
--- a/entry/update.go
+++ b/entry/update.go
@@ -10,11 +10,7 @@
 	t := &d.tables
 	switch m := m.(type) {
 	case placeAsked:
-		if effects, remote := d.placeRemotely(now, t, m); remote {
-			return effects
-		}
-		place, err := d.place(now, t, m.ask)
-		m.reply <- placeAnswer{place, err}
+		return d.placeAsked(now, t, m)
 	case suspectAsked:
 		m.reply <- looksDead(now, t, m.target)
 	case answerBegan:
