fix(deliver): a request whose caller left goes no further, and gives back what it took

Cause: four ways in which a request outlived its caller. A caller that reads nothing and closes one direction held its request up in a write without end. A further try was taken from the budget and noted, though its caller had left. A retry that was paid for and never left this box was lost to the budget, and the next try paid again. Change: the connection is asked before each placing and each further try; the caller's leaving ends what is being written to it; what was paid stands for the next try and is given back if none is made. A caller that may still read is told the truth: 503 only if no target may have run the request, else 502. A body that comes too late also ends the context in the HTTP server: its caller is still owed the 408, and it is no longer counted as having left.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -67,19 +67,22 @@
 
 // read takes the whole body in, within the configured bound and the request's
 // time.
-func (s *Server) read(w http.ResponseWriter, job *Job) *refusal.Refusal {
-	bound := s.Table().MaxBody
+func (x *run) read(job *Job) *refusal.Refusal {
+	bound := x.Table().MaxBody
 	if bound <= 0 {
 		bound = 4 << 20 // The largest that the platform configures today.
 	}
-	connection := http.NewResponseController(w)
+	connection := http.NewResponseController(x.w)
 	limited := connection.SetReadDeadline(job.Until) == nil // Only a real connection can.
 	body, err := io.ReadAll(io.LimitReader(job.Call.Body, bound+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time")
 	}
+	if err != nil && x.left() {
+		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "caller_left", "the caller left in the middle of the body: %v", err)
+	}
 	if limited && connection.SetReadDeadline(time.Time{}) != nil {
-		return s.notNow("connection_lost", "the caller's connection can't be used any more")
+		return x.notNow("connection_lost", "the caller's connection can't be used any more")
 	}
 	if err != nil {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole: %v", err)
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -47,6 +47,9 @@
 	After string
 	// Received is when the head was read.
 	Received time.Time
+	// Gone says whether the caller has closed its connection, also before the
+	// request's context tells; nil knows nothing.
+	Gone func() bool
 }
 
 // Part is a piece of a prompt that other prompts may share.
@@ -174,8 +177,10 @@
 	Cause, Reason string
 	// First and Took are from the receipt to the first byte and to the end.
 	First, Took time.Duration
-	// Left says that the caller went away.
-	Left bool
+	// Left says that the caller went away, Ending how long after that was seen all
+	// that was under way for it had ended.
+	Left   bool
+	Ending time.Duration
 	// Broken says that an answer was begun and broken off.
 	Broken bool
 }
@@ -203,10 +208,11 @@
 	// sending is told to Ended exactly once.
 	Began func(Place)
 	Ended func(Ended)
-	// Spend asks the retry budget of a pool for one more sending, and Earn
-	// notes a request for the pool.
-	Spend func(pool string) bool
-	Earn  func(pool string)
+	// Spend asks the retry budget of a pool for one more sending, Refund gives one
+	// back that never left this box, and Earn notes a request for the pool.
+	Spend  func(pool string) bool
+	Refund func(pool string)
+	Earn   func(pool string)
 	// Suspect says whether a target looks dead by now, so that a request that
 	// may be repeated need not wait for it any longer. Without it none is hurried.
 	Suspect func(ctx context.Context, target string) bool
--- a/deliver/deliver_test.go
+++ b/deliver/deliver_test.go
@@ -129,7 +129,8 @@
 			return deliver.Place{Target: "t" + strconv.Itoa(x.placed)}, nil
 		},
 		Send: x.send, Began: func(deliver.Place) {}, Ended: func(deliver.Ended) { x.ended++ },
-		Spend: func(string) bool { x.spent++; return true }, Earn: func(string) {},
+		Spend:  func(string) bool { x.spent++; return true },
+		Refund: func(string) { x.spent-- }, Earn: func(string) {},
 		Suspect: func(context.Context, string) bool { return true },
 		Now:     time.Now, Draw: func() uint64 { return 0 }, ComeBack: func() time.Duration { return time.Second },
 		Note: func(deliver.Outcome) {}, Retried: func(deliver.Retried) {},
--- /dev/null
+++ b/deliver/leave_test.go
@@ -0,0 +1,154 @@
+package deliver_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// TestCallerLeaves has the caller leave at each point of a request's way. What was
+// taken for it is given back, nothing is sent any more, and what a caller behind a
+// connection closed in one direction is told is true.
+func TestCallerLeaves(t *testing.T) {
+	tests := []struct {
+		name   string
+		route  *routing.Route
+		script []int
+		// during is the sending in which the caller leaves, from 1; 0 is before the
+		// body was read.
+		during int
+		// closed says that only the connection tells, not the context.
+		closed bool
+		sent   int
+		// outcome is the refusal's.
+		outcome string
+	}{
+		{"before it was read", route(true, false, false, 3), nil, 0, true, 0, refusal.DidNotRun},
+		{"before it was read, as the context tells", route(true, false, false, 3), nil, 0, false, 0, refusal.DidNotRun},
+		{"at a target that hangs", route(false, false, false, 1), []int{hangs}, 1, false, 1, refusal.Unknown},
+		{"at a target that hangs, may be repeated", route(true, false, false, 3), []int{hangs}, 1, false, 1, refusal.Unknown},
+		{"at a target that turns it away", route(true, false, false, 3), []int{turnsAway}, 1, true, 1, refusal.DidNotRun},
+		{"at a target that loses it", route(true, false, false, 3), []int{runsAndIsLost}, 1, true, 1, refusal.Unknown},
+		{"at a target that breaks off, may be repeated", route(true, false, false, 3), []int{breaksOff}, 1, true, 1, refusal.Unknown},
+		{"at a target that is not reached", route(true, false, false, 3), []int{unreachable}, 1, true, 1, refusal.DidNotRun},
+		{"before a paid retry left this box", route(true, false, false, 3), []int{turnsAway, unreachable}, 2, false, 2, refusal.DidNotRun},
+		{"before a paid retry left this box, after a run", route(true, false, false, 3), []int{runsAndIsLost, unreachable}, 2, false, 2, refusal.Unknown},
+		{"at a paid retry's target", route(true, false, false, 3), []int{turnsAway, hangs}, 2, false, 2, refusal.Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := &targets{script: tt.script}
+				s := x.server(tt.route)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				gone := false
+				leave := func() {
+					gone = true
+					if !tt.closed {
+						cancel()
+					}
+				}
+				send := s.Send
+				s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+					if x.sent+1 == tt.during {
+						leave()
+					}
+					return send(ctx, sending)
+				}
+				var noted deliver.Outcome
+				s.Note = func(o deliver.Outcome) { noted = o }
+				retried := 0
+				s.Retried = func(deliver.Retried) { retried++ }
+				if tt.during == 0 {
+					leave()
+				}
+				began := time.Now()
+				err := s.Serve(ctx, httptest.NewRecorder(), &deliver.Call{
+					ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{},
+					Received: began, Gone: func() bool { return gone },
+				})
+				refused := new(refusal.Refusal)
+				if !errors.As(err, &refused) || refused.Outcome != tt.outcome {
+					t.Errorf("told %v, want outcome %q", err, tt.outcome)
+				}
+				if x.sent != tt.sent || x.placed != x.ended {
+					t.Errorf("sent %d, want %d; placed %d, ended %d", x.sent, tt.sent, x.placed, x.ended)
+				}
+				if retries := max(x.arrived-1, 0); x.spent != retries {
+					t.Errorf("%d retries paid, %d arrived", x.spent, retries)
+				}
+				if want := max(tt.sent-1, 0); retried != want {
+					t.Errorf("noted %d retries, want %d", retried, want)
+				}
+				if !noted.Left {
+					t.Errorf("noted %+v", noted)
+				}
+				if took := time.Since(began); took != 0 {
+					t.Errorf("took %v", took)
+				}
+			})
+		})
+	}
+}
+
+// TestPaidOnce has a retry that was paid for not reach its target: the next try
+// takes its place.
+func TestPaidOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{script: []int{turnsAway, unreachable}}
+		got := ask(x.server(route(true, false, false, 3)))
+		if got.status != http.StatusOK || x.sent != 3 || x.spent != 1 {
+			t.Errorf("got %+v, sent %d times, paid %d", got, x.sent, x.spent)
+		}
+	})
+}
+
+// blocked is a response that takes no more bytes until it is told to give up.
+type blocked struct {
+	http.ResponseWriter
+	ended chan struct{}
+}
+
+func (b *blocked) Write([]byte) (int, error) {
+	<-b.ended
+	return 0, errBroken
+}
+
+// SetWriteDeadline is called by http.ResponseController.
+func (b *blocked) SetWriteDeadline(time.Time) error {
+	close(b.ended)
+	return nil
+}
+
+// TestCallerTakesNothing has a caller that reads nothing leave: what is being
+// written to it ends, and with it the request.
+func TestCallerTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{}
+		s := x.server(route(true, false, false, 1))
+		var noted deliver.Outcome
+		s.Note = func(o deliver.Outcome) { noted = o }
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, cancel)
+		began := time.Now()
+		func() {
+			defer func() { _ = recover() }() // A begun answer is broken off.
+			_ = s.Serve(ctx, &blocked{httptest.NewRecorder(), make(chan struct{})}, &deliver.Call{
+				ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{}, Received: began,
+			})
+		}()
+		if took := time.Since(began); took != time.Second || !noted.Left || !noted.Broken {
+			t.Errorf("took %v, noted %+v", took, noted)
+		}
+	})
+}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -39,6 +39,10 @@
 	sent, ran int
 	// failures counts tries that never reached a target.
 	failures int
+	// paid says that the budget gave a sending that has not left this box yet.
+	paid bool
+	// gone says that the caller was found to have closed its connection.
+	gone bool
 	// begun says that an answer's head went to the caller.
 	begun bool
 	// after is the last event passed on, event when one last came, and late says
@@ -57,10 +61,15 @@
 // http.ErrAbortHandler to break off an answer that can't be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
 	x := &run{Server: s, w: w, caller: ctx, after: call.After, outcome: Outcome{Call: call}}
+	departed := x.watch()
 	refused := x.serve()
+	x.outcome.Ending = departed()
 	x.outcome.Took = s.Now().Sub(call.Received)
 	x.outcome.Sent = x.sent
-	x.outcome.Left = ctx.Err() != nil
+	x.outcome.Left = x.gone || (ctx.Err() != nil && x.hungUp())
+	if x.paid {
+		s.Refund(x.job.Pool.Name)
+	}
 	if refused != nil {
 		x.outcome.Status, x.outcome.Cause, x.outcome.Reason = refused.Status, refused.Code, refused.Reason
 	}
@@ -80,7 +89,7 @@
 		return refused
 	}
 	x.job, x.outcome.Job = job, job
-	if refused := x.read(x.w, job); refused != nil {
+	if refused := x.read(job); refused != nil {
 		return refused
 	}
 	x.Earn(job.Pool.Name)
@@ -88,6 +97,9 @@
 	defer cancel()
 	x.ctx = ctx
 	for {
+		if x.left() {
+			return x.giveUp(x.notNow("caller_left", "the caller closed its connection"))
+		}
 		place, err := x.Place(x.ctx, Ask{Job: job, Tried: x.tried})
 		if err != nil {
 			return x.giveUp(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
@@ -163,7 +175,7 @@
 	if reply.Verdict != MayHaveRun {
 		return x.turnedAway(place, reply)
 	}
-	x.sent++
+	x.arrived()
 	x.ran++
 	x.Began(place)
 	if reply.Status >= http.StatusInternalServerError && x.job.Route.Repeatable && x.again(true) {
@@ -193,7 +205,7 @@
 	if notSent {
 		x.failures++
 	} else {
-		x.sent++
+		x.arrived()
 		x.ran++
 	}
 	mayRepeat := notSent || x.repeatable()
@@ -205,7 +217,7 @@
 
 // turnedAway handles a target's promise that it did not run the request.
 func (x *run) turnedAway(place Place, reply *Reply) (*refusal.Refusal, error) {
-	x.sent++
+	x.arrived()
 	x.Ended(Ended{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun, Verdict: reply.Verdict, Version: reply.Version})
 	x.outcome.Cause = fmt.Sprintf("turned away with %d", reply.Status)
 	if x.again(true) {
@@ -217,16 +229,24 @@
 	return x.giveUp(x.notNow("turned_away", "%s turned the request away with %d", place.Target, reply.Status)), nil
 }
 
+// arrived counts a sending that may have reached its target.
+func (x *run) arrived() {
+	x.sent++
+	x.paid = false
+}
+
 // again says whether one more sending is allowed; it takes it from the budget
-// if the last one reached a target.
+// if an earlier one reached a target. What was taken for one that never left this
+// box stands for the next.
 func (x *run) again(reached bool) bool {
-	if x.sent >= x.job.Route.Attempts || x.failures >= unsent || x.job.Until.Sub(x.Now()) < tight {
+	if x.sent >= x.job.Route.Attempts || x.failures >= unsent || x.job.Until.Sub(x.Now()) < tight || x.left() {
 		return false
 	}
 	if !reached && x.sent == 0 {
 		return true
 	}
-	return x.Spend(x.job.Pool.Name)
+	x.paid = x.paid || x.Spend(x.job.Pool.Name)
+	return x.paid
 }
 
 // failed ends a request whose last sending got no answer.
--- a/entry/build.go
+++ b/entry/build.go
@@ -139,7 +139,7 @@
 		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
 		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
 		Suspect: d.suspect,
-		Spend:   d.budget.Spend, Earn: d.budget.Request,
+		Spend:   d.budget.Spend, Refund: d.budget.Refund, Earn: d.budget.Request,
 		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
 	}
 }
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -10,6 +10,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/thymewind/thymewind/hangup"
 )
 
 // How callers are served and how a stop goes.
@@ -49,7 +51,7 @@
 			return nil, trace.Wrap(err, "listening on %v", l.at)
 		}
 		listeners = append(listeners, listener)
-		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headWithin, IdleTimeout: idleFor, MaxHeaderBytes: headBytes, ErrorLog: d.Log.StandardLog()})
+		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headWithin, IdleTimeout: idleFor, MaxHeaderBytes: headBytes, ErrorLog: d.Log.StandardLog(), ConnContext: hangup.Keep})
 	}
 	for i, s := range servers {
 		d.effects.Go(func() {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -53,6 +53,13 @@
 	return true
 }
 
+// Refund gives back a retry that was taken and never made.
+func (b *Budget) Refund(pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved[b.known(pool)] = min(b.Burst, b.saved[pool]+1)
+}
+
 func (b *Budget) known(pool string) string {
 	if b.saved == nil {
 		b.saved = make(map[string]float64)
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -61,3 +61,30 @@
 		t.Errorf("%d retries after more requests, want 2", got)
 	}
 }
+
+// TestRefund gives back retries that were never made, within what can be saved.
+func TestRefund(t *testing.T) {
+	tests := []struct {
+		name          string
+		spent, refund int
+		want          int
+	}{
+		{"all of what was taken", 2, 2, 3},
+		{"a part of it", 3, 1, 1},
+		{"no more than can be saved", 1, 5, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := retry.Budget{Burst: 3}
+			for range tt.spent {
+				b.Spend("p")
+			}
+			for range tt.refund {
+				b.Refund("p")
+			}
+			if got := spend(&b); got != tt.want {
+				t.Errorf("%d retries, want %d", got, tt.want)
+			}
+		})
+	}
+}
