feat(entry): how long work goes on for callers that left

thymewind_entry_caller_left_seconds is from when a caller was seen to leave until all that was under way for it here had ended, by pool; the request's log line has the same as ended_after. The outcome caller_left was there, the time was not.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,6 +7,7 @@
 	requests      *prometheus.CounterVec
 	retries       *prometheus.CounterVec
 	first, took   *prometheus.HistogramVec
+	ending        *prometheus.HistogramVec
 	configuration prometheus.Gauge
 	targets       prometheus.Gauge
 	kept          prometheus.Gauge
@@ -19,6 +20,11 @@
 // 0.6 s.
 var latencies = []float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2, 5, 15}
 
+// endings are the bounds in seconds of how long work goes on for callers that
+// left. It takes some milliseconds; the platform's users count what takes over
+// half a second.
+var endings = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1}
+
 func newCounters(r *prometheus.Registry) counters {
 	c := counters{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_requests_total", Help: "Requests by pool, status and cause."}, []string{"pool", "status", "cause"}),
@@ -32,8 +38,9 @@
 		members:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_boxes", Help: "Boxes thought to share the work."}),
 	}
 	c.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_peer_bytes_total", Help: "Bytes between boxes."}, []string{"direction"})
+	c.ending = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_caller_left_seconds", Help: "From when a caller was seen to leave until all that was under way for it had ended.", Buckets: endings}, []string{"pool"})
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
-	r.MustRegister(c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
+	r.MustRegister(c.ending, c.unlogged, c.peerBytes, c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members)
 	return c
 }
 
--- a/entry/note.go
+++ b/entry/note.go
@@ -16,6 +16,9 @@
 		}
 		d.counts.took.WithLabelValues(pool).Observe(o.Took.Seconds())
 	}
+	if o.Left {
+		d.counts.ending.WithLabelValues(pool).Observe(o.Ending.Seconds())
+	}
 	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
 	if kind(o) == answered && !d.lines.Allow() {
 		d.counts.unlogged.Inc()
@@ -28,6 +31,9 @@
 	if o.Cause != "" {
 		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "proved_ago", d.provedAgo(d.now()))
 	}
+	if o.Left {
+		fields = append(fields, "ended_after", o.Ending)
+	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
 		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version)
 	}
