fix(deliver): a caller that sent the beginning of a next request is seen to leave

Cause: the HTTP server watches a connection by reading a byte ahead, and stops once there is one. Change: the connection is asked every 0.2 s while a request is under way. Ruled out: asking only at the points where a request goes on, as one that waits for an answer passes none.

--- a/deliver/leave.go
+++ b/deliver/leave.go
@@ -7,14 +7,22 @@
 	"time"
 )
 
-// watch waits for the caller to leave and then ends what is being written to it: a
-// caller that took nothing any more would hold its request up for good. What is
-// returned ends the watch and says how long ago the caller was seen to leave, or
-// zero if it was not.
-func (x *run) watch() (departed func() time.Duration) {
+// lookEvery is how often a caller's connection is asked whether it is closed, while
+// its request is under way. The server itself stops looking once a byte of the next
+// request has come. Two looks lie within the half second after which the platform's
+// users count what still goes on; a look takes a third of a microsecond.
+const lookEvery = 200 * time.Millisecond
+
+// watch waits for the caller to leave, as the server or its connection tells. It
+// then ends the run's context and what is being written to the caller: one that
+// took nothing any more would hold its request up for good. What is returned ends
+// the watch and says whether the caller left, and how long ago that was seen.
+func (x *run) watch(ctx context.Context) (departed func() (time.Duration, bool)) {
+	ctx, cancel := context.WithCancel(ctx)
+	x.caller = ctx
 	var left atomic.Pointer[time.Time]
 	connection := http.NewResponseController(x.w)
-	stop := context.AfterFunc(x.caller, func() {
+	stop := context.AfterFunc(ctx, func() {
 		if !x.hungUp() {
 			return
 		}
@@ -22,12 +30,33 @@
 		left.Store(&now)
 		_ = connection.SetWriteDeadline(now) // Only a real connection can; others never hold up.
 	})
-	return func() time.Duration {
+	if x.outcome.Call.Gone != nil {
+		go x.look(ctx, cancel)
+	}
+	return func() (time.Duration, bool) {
 		stop()
+		gone := x.gone || (ctx.Err() != nil && x.hungUp())
+		cancel()
 		if at := left.Load(); at != nil {
-			return x.Now().Sub(*at)
+			return x.Now().Sub(*at), gone
+		}
+		return 0, gone
+	}
+}
+
+// look ends the run's context once the caller's connection is closed.
+func (x *run) look(ctx context.Context, cancel context.CancelFunc) {
+	ticks := time.NewTicker(lookEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			if x.outcome.Call.Gone() {
+				cancel()
+			}
 		}
-		return 0
 	}
 }
 
--- a/deliver/leave_test.go
+++ b/deliver/leave_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,20 +30,22 @@
 		// closed says that only the connection tells, not the context.
 		closed bool
 		sent   int
-		// outcome is the refusal's.
+		// outcome is the refusal's, took how long after the leaving all has ended.
 		outcome string
+		took    time.Duration
 	}{
-		{"before it was read", route(true, false, false, 3), nil, 0, true, 0, refusal.DidNotRun},
-		{"before it was read, as the context tells", route(true, false, false, 3), nil, 0, false, 0, refusal.DidNotRun},
-		{"at a target that hangs", route(false, false, false, 1), []int{hangs}, 1, false, 1, refusal.Unknown},
-		{"at a target that hangs, may be repeated", route(true, false, false, 3), []int{hangs}, 1, false, 1, refusal.Unknown},
-		{"at a target that turns it away", route(true, false, false, 3), []int{turnsAway}, 1, true, 1, refusal.DidNotRun},
-		{"at a target that loses it", route(true, false, false, 3), []int{runsAndIsLost}, 1, true, 1, refusal.Unknown},
-		{"at a target that breaks off, may be repeated", route(true, false, false, 3), []int{breaksOff}, 1, true, 1, refusal.Unknown},
-		{"at a target that is not reached", route(true, false, false, 3), []int{unreachable}, 1, true, 1, refusal.DidNotRun},
-		{"before a paid retry left this box", route(true, false, false, 3), []int{turnsAway, unreachable}, 2, false, 2, refusal.DidNotRun},
-		{"before a paid retry left this box, after a run", route(true, false, false, 3), []int{runsAndIsLost, unreachable}, 2, false, 2, refusal.Unknown},
-		{"at a paid retry's target", route(true, false, false, 3), []int{turnsAway, hangs}, 2, false, 2, refusal.Unknown},
+		{"before it was read", route(true, false, false, 3), nil, 0, true, 0, refusal.DidNotRun, 0},
+		{"before it was read, as the context tells", route(true, false, false, 3), nil, 0, false, 0, refusal.DidNotRun, 0},
+		{"at a target that hangs", route(false, false, false, 1), []int{hangs}, 1, false, 1, refusal.Unknown, 0},
+		{"at a target that hangs, may be repeated", route(true, false, false, 3), []int{hangs}, 1, false, 1, refusal.Unknown, 0},
+		{"at a target that hangs, as only the connection tells", route(false, false, false, 1), []int{hangs}, 1, true, 1, refusal.Unknown, 200 * time.Millisecond},
+		{"at a target that turns it away", route(true, false, false, 3), []int{turnsAway}, 1, true, 1, refusal.DidNotRun, 0},
+		{"at a target that loses it", route(true, false, false, 3), []int{runsAndIsLost}, 1, true, 1, refusal.Unknown, 0},
+		{"at a target that breaks off, may be repeated", route(true, false, false, 3), []int{breaksOff}, 1, true, 1, refusal.Unknown, 0},
+		{"at a target that is not reached", route(true, false, false, 3), []int{unreachable}, 1, true, 1, refusal.DidNotRun, 0},
+		{"before a paid retry left this box", route(true, false, false, 3), []int{turnsAway, unreachable}, 2, false, 2, refusal.DidNotRun, 0},
+		{"before a paid retry left this box, after a run", route(true, false, false, 3), []int{runsAndIsLost, unreachable}, 2, false, 2, refusal.Unknown, 0},
+		{"at a paid retry's target", route(true, false, false, 3), []int{turnsAway, hangs}, 2, false, 2, refusal.Unknown, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -51,9 +54,9 @@
 				s := x.server(tt.route)
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
-				gone := false
+				var gone atomic.Bool
 				leave := func() {
-					gone = true
+					gone.Store(true)
 					if !tt.closed {
 						cancel()
 					}
@@ -75,7 +78,7 @@
 				began := time.Now()
 				err := s.Serve(ctx, httptest.NewRecorder(), &deliver.Call{
 					ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{},
-					Received: began, Gone: func() bool { return gone },
+					Received: began, Gone: gone.Load,
 				})
 				refused := new(refusal.Refusal)
 				if !errors.As(err, &refused) || refused.Outcome != tt.outcome {
@@ -93,7 +96,7 @@
 				if !noted.Left {
 					t.Errorf("noted %+v", noted)
 				}
-				if took := time.Since(began); took != 0 {
+				if took := time.Since(began); took != tt.took {
 					t.Errorf("took %v", took)
 				}
 			})
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -60,13 +60,12 @@
 // *refusal.Refusal, returned only if nothing was written. It panics with
 // http.ErrAbortHandler to break off an answer that can't be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
-	x := &run{Server: s, w: w, caller: ctx, after: call.After, outcome: Outcome{Call: call}}
-	departed := x.watch()
+	x := &run{Server: s, w: w, after: call.After, outcome: Outcome{Call: call}}
+	departed := x.watch(ctx)
 	refused := x.serve()
-	x.outcome.Ending = departed()
+	x.outcome.Ending, x.outcome.Left = departed()
 	x.outcome.Took = s.Now().Sub(call.Received)
 	x.outcome.Sent = x.sent
-	x.outcome.Left = x.gone || (ctx.Err() != nil && x.hungUp())
 	if x.paid {
 		s.Refund(x.job.Pool.Name)
 	}
