--- a/deliver/leave_test.go
+++ b/deliver/leave_test.go
@@ -11,7 +11,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/internal/proof"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -155,3 +160,106 @@
 		}
 	})
 }
+
+// leaver is a caller that leaves in one of its request's sendings.
+type leaver struct {
+	// during is the sending, from 1, or 0 for before the body was read.
+	during int
+	// closed says that only the connection tells of it, untold that nothing does.
+	closed, untold bool
+}
+
+// serve has the caller's request served until it ends. It returns what the caller
+// was told, if it was a refusal, how many sendings there were before it left, and
+// how long all went on after that.
+func (l leaver) serve(s *deliver.Server, x *targets) (refused *refusal.Refusal, before int, took time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var gone atomic.Bool
+	var left time.Time
+	leave := func() {
+		left, before = time.Now(), x.sent
+		gone.Store(!l.untold)
+		if !l.closed && !l.untold {
+			cancel()
+		}
+	}
+	send := s.Send
+	s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+		reply, err := send(ctx, sending)
+		if x.sent == l.during && left.IsZero() {
+			leave()
+		}
+		return reply, err
+	}
+	if l.during == 0 {
+		leave()
+	}
+	defer func() {
+		_ = recover() // A begun answer is broken off.
+		if !left.IsZero() {
+			took = time.Since(left)
+		}
+	}()
+	err := s.Serve(ctx, httptest.NewRecorder(), &deliver.Call{
+		ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{},
+		Received: time.Now(), Gone: gone.Load,
+	})
+	errors.As(err, &refused)
+	return refused, before, took
+}
+
+// leavesNothing says, for any trouble of the targets and any moment at which the
+// caller leaves: nothing is sent for it any more; each place is given back; only
+// retries that left this box are paid for; what may have run is not said not to
+// have run.
+func leavesNothing(t *testing.T, tamper func(*deliver.Server, *leaver)) gopter.Prop {
+	return prop.ForAll(func(repeatable, stream, resumable, closed bool, attempts, during int, script []int) bool {
+		good := true
+		synctest.Test(t, func(*testing.T) {
+			x := &targets{script: script}
+			s := x.server(route(repeatable, stream, resumable, attempts))
+			l := leaver{during: during, closed: closed}
+			tamper(s, &l)
+			refused, before, took := l.serve(s, x)
+			left := during == 0 || x.sent >= during
+			promised := refused != nil && refused.Outcome == refusal.DidNotRun
+			good = !(left && x.sent > before) &&
+				!(promised && x.ran > 0) &&
+				x.placed == x.ended &&
+				x.spent == max(x.arrived-1, 0) &&
+				took <= 200*time.Millisecond
+		})
+		return good
+	}, gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(), gen.IntRange(1, 3), gen.IntRange(0, 4), gen.SliceOfN(6, gen.IntRange(0, ways-1)))
+}
+
+func TestLeavesNothing(t *testing.T) {
+	proof.Holds(t, leavesNothing(t, func(*deliver.Server, *leaver) {}))
+}
+
+// TestLeavesNothingNeedsToBeTold has neither the context nor the connection tell.
+func TestLeavesNothingNeedsToBeTold(t *testing.T) {
+	proof.Breaks(t, leavesNothing(t, func(_ *deliver.Server, l *leaver) { l.untold = true }))
+}
+
+// TestLeavesNothingNeedsTheRefund keeps what was paid for a retry that was never
+// made.
+func TestLeavesNothingNeedsTheRefund(t *testing.T) {
+	proof.Breaks(t, leavesNothing(t, func(s *deliver.Server, _ *leaver) {
+		s.Refund = func(string) {}
+	}))
+}
+
+// TestLeavesNothingNeedsTheEnd has places not given back when a sending ended
+// without an answer.
+func TestLeavesNothingNeedsTheEnd(t *testing.T) {
+	proof.Breaks(t, leavesNothing(t, func(s *deliver.Server, _ *leaver) {
+		ended := s.Ended
+		s.Ended = func(e deliver.Ended) {
+			if e.Began {
+				ended(e)
+			}
+		}
+	}))
+}
