perf(deliver): callers' connections are asked from the loop, not from a goroutine each

A caller whose next request has begun to come is now seen to leave within 0.3 s (259 to 262 ms in the test, 195 ms before). Ruled out: leaving it, as the price is small but the share of control is not.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/thymewind/thymewind/pace"
@@ -222,4 +223,8 @@
 	ComeBack func() time.Duration
 	Note     func(Outcome)
 	Retried  func(Retried)
+
+	mu sync.Mutex
+	// watched are the requests that Look sees to, with how to end each.
+	watched map[*run]context.CancelFunc
 }
--- a/deliver/leave.go
+++ b/deliver/leave.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
 )
 
-// lookEvery is how often a caller's connection is asked whether it is closed, while
-// its request is under way. The server itself stops looking once a byte of the next
-// request has come. Two looks lie within the half second after which the platform's
-// users count what still goes on; a look takes a third of a microsecond.
-const lookEvery = 200 * time.Millisecond
-
 // watch waits for the caller to leave, as the server or its connection tells. It
 // then ends the run's context and what is being written to the caller: one that
 // took nothing any more would hold its request up for good. What is returned ends
@@ -30,10 +25,9 @@
 		left.Store(&now)
 		_ = connection.SetWriteDeadline(now) // Only a real connection can; others never hold up.
 	})
-	if x.outcome.Call.Gone != nil {
-		go x.look(ctx, cancel)
-	}
+	x.enter(x, cancel)
 	return func() (time.Duration, bool) {
+		x.leave(x)
 		stop()
 		gone := x.gone || (ctx.Err() != nil && x.hungUp())
 		cancel()
@@ -44,22 +38,44 @@
 	}
 }
 
-// look ends the run's context once the caller's connection is closed.
-func (x *run) look(ctx context.Context, cancel context.CancelFunc) {
-	ticks := time.NewTicker(lookEvery)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C:
-			if x.outcome.Call.Gone() {
-				cancel()
-			}
+// Look ends the requests whose callers have closed their connections. The HTTP
+// server tells of most by itself, but stops looking once a byte of the next request
+// has come. Call it some times a second.
+func (s *Server) Look() {
+	for x, cancel := range s.underWay() {
+		if x.outcome.Call.Gone() {
+			cancel()
 		}
 	}
 }
 
+// underWay returns the requests whose connections can be asked, with how to end
+// each.
+func (s *Server) underWay() map[*run]context.CancelFunc {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.watched)
+}
+
+// enter has Look see to a request, leave ends that.
+func (s *Server) enter(x *run, cancel context.CancelFunc) {
+	if x.outcome.Call.Gone == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watched == nil {
+		s.watched = make(map[*run]context.CancelFunc)
+	}
+	s.watched[x] = cancel
+}
+
+func (s *Server) leave(x *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watched, x)
+}
+
 // left says that the caller went away. Its connection is asked too, as its context
 // tells of a close only some time after the body was read: a box that was behind
 // for 0.6 s passed on requests whose callers had left before, every time.
--- a/deliver/leave_test.go
+++ b/deliver/leave_test.go
@@ -80,6 +80,7 @@
 				if tt.during == 0 {
 					leave()
 				}
+				time.AfterFunc(200*time.Millisecond, s.Look)
 				began := time.Now()
 				err := s.Serve(ctx, httptest.NewRecorder(), &deliver.Call{
 					ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{},
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -35,6 +35,22 @@
 	return d.follow(now, t)
 }
 
+// lookEvery is how often callers' connections are asked whether they are closed. Two
+// looks lie within the half second after which the platform's users count what still
+// goes on for a caller that left. A goroutine and a timer for each request in place of
+// this took a third more processor time.
+const lookEvery = 2 * tick
+
+// lookAtCallers ends requests whose callers left unseen by the HTTP server.
+func (d *Daemon) lookAtCallers(now time.Time, t *tables) []effect {
+	if now.Before(t.due.callers) {
+		return nil
+	}
+	t.due.callers = now.Add(lookEvery)
+	d.server.Look()
+	return nil
+}
+
 // probeEvery is how often a silent target is asked for its health. Each probe
 // has its price, and until one succeeds the target gets no work.
 const probeEvery = 500 * time.Millisecond
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -113,7 +113,7 @@
 
 // due is when the systems next have something to do.
 type due struct {
-	sweep, lease, probe, gossip time.Time
+	sweep, lease, probe, gossip, callers time.Time
 }
 
 // member is another box.
