--- /dev/null
+++ b/deliver/leave_test.go
@@ -0,0 +1,266 @@
+package deliver_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// TestCallerLeaves has the caller leave at each point of a request's way. What was
+// taken for it is given back, nothing is sent any more, and what a caller behind a
+// connection closed in one direction is told is true.
+func TestCallerLeaves(t *testing.T) {
+	tests := []struct {
+		name   string
+		route  *routing.Route
+		script []int
+		// during is the sending in which the caller leaves, from 1; 0 is before the
+		// body was read.
+		during int
+		// closed says that only the connection tells, not the context.
+		closed bool
+		sent   int
+		// outcome is the refusal's, took how long after the leaving all has ended.
+		outcome string
+		took    time.Duration
+	}{
+		{"before it was read", route(true, false, false, 3), nil, 0, true, 0, refusal.DidNotRun, 0},
+		{"before it was read, as the context tells", route(true, false, false, 3), nil, 0, false, 0, refusal.DidNotRun, 0},
+		{"at a target that hangs", route(false, false, false, 1), []int{hangs}, 1, false, 1, refusal.Unknown, 0},
+		{"at a target that hangs, may be repeated", route(true, false, false, 3), []int{hangs}, 1, false, 1, refusal.Unknown, 0},
+		{"at a target that hangs, as only the connection tells", route(false, false, false, 1), []int{hangs}, 1, true, 1, refusal.Unknown, 200 * time.Millisecond},
+		{"at a target that turns it away", route(true, false, false, 3), []int{turnsAway}, 1, true, 1, refusal.DidNotRun, 0},
+		{"at a target that loses it", route(true, false, false, 3), []int{runsAndIsLost}, 1, true, 1, refusal.Unknown, 0},
+		{"at a target that breaks off, may be repeated", route(true, false, false, 3), []int{breaksOff}, 1, true, 1, refusal.Unknown, 0},
+		{"at a target that is not reached", route(true, false, false, 3), []int{unreachable}, 1, true, 1, refusal.DidNotRun, 0},
+		{"before a paid retry left this box", route(true, false, false, 3), []int{turnsAway, unreachable}, 2, false, 2, refusal.DidNotRun, 0},
+		{"before a paid retry left this box, after a run", route(true, false, false, 3), []int{runsAndIsLost, unreachable}, 2, false, 2, refusal.Unknown, 0},
+		{"at a paid retry's target", route(true, false, false, 3), []int{turnsAway, hangs}, 2, false, 2, refusal.Unknown, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := &targets{script: tt.script}
+				s := x.server(tt.route)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				var gone atomic.Bool
+				leave := func() {
+					gone.Store(true)
+					if !tt.closed {
+						cancel()
+					}
+				}
+				send := s.Send
+				s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+					if x.sent+1 == tt.during {
+						leave()
+					}
+					return send(ctx, sending)
+				}
+				var noted deliver.Outcome
+				s.Note = func(o deliver.Outcome) { noted = o }
+				retried := 0
+				s.Retried = func(deliver.Retried) { retried++ }
+				if tt.during == 0 {
+					leave()
+				}
+				time.AfterFunc(200*time.Millisecond, s.Look)
+				began := time.Now()
+				err := s.Serve(ctx, httptest.NewRecorder(), &deliver.Call{
+					ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{},
+					Received: began, Gone: gone.Load,
+				})
+				refused := new(refusal.Refusal)
+				if !errors.As(err, &refused) || refused.Outcome != tt.outcome {
+					t.Errorf("told %v, want outcome %q", err, tt.outcome)
+				}
+				if x.sent != tt.sent || x.placed != x.ended {
+					t.Errorf("sent %d, want %d; placed %d, ended %d", x.sent, tt.sent, x.placed, x.ended)
+				}
+				if retries := max(x.arrived-1, 0); x.spent != retries {
+					t.Errorf("%d retries paid, %d arrived", x.spent, retries)
+				}
+				if want := max(tt.sent-1, 0); retried != want {
+					t.Errorf("noted %d retries, want %d", retried, want)
+				}
+				if !noted.Left {
+					t.Errorf("noted %+v", noted)
+				}
+				if took := time.Since(began); took != tt.took {
+					t.Errorf("took %v", took)
+				}
+			})
+		})
+	}
+}
+
+// TestPaidOnce has a retry that was paid for not reach its target: the next try
+// takes its place.
+func TestPaidOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{script: []int{turnsAway, unreachable}}
+		got := ask(x.server(route(true, false, false, 3)))
+		if got.status != http.StatusOK || x.sent != 3 || x.spent != 1 {
+			t.Errorf("got %+v, sent %d times, paid %d", got, x.sent, x.spent)
+		}
+	})
+}
+
+// blocked is a response that takes no more bytes until it is told to give up.
+type blocked struct {
+	http.ResponseWriter
+	ended chan struct{}
+}
+
+func (b *blocked) Write([]byte) (int, error) {
+	<-b.ended
+	return 0, errBroken
+}
+
+// SetWriteDeadline is called by http.ResponseController.
+func (b *blocked) SetWriteDeadline(time.Time) error {
+	close(b.ended)
+	return nil
+}
+
+// TestCallerTakesNothing has a caller that reads nothing leave: what is being
+// written to it ends, and with it the request.
+func TestCallerTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{}
+		s := x.server(route(true, false, false, 1))
+		var noted deliver.Outcome
+		s.Note = func(o deliver.Outcome) { noted = o }
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, cancel)
+		began := time.Now()
+		func() {
+			defer func() { _ = recover() }() // A begun answer is broken off.
+			_ = s.Serve(ctx, &blocked{httptest.NewRecorder(), make(chan struct{})}, &deliver.Call{
+				ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{}, Received: began,
+			})
+		}()
+		if took := time.Since(began); took != time.Second || !noted.Left || !noted.Broken {
+			t.Errorf("took %v, noted %+v", took, noted)
+		}
+	})
+}
+
+// leaver is a caller that leaves in one of its request's sendings.
+type leaver struct {
+	// during is the sending, from 1, or 0 for before the body was read.
+	during int
+	// closed says that only the connection tells of it, untold that nothing does.
+	closed, untold bool
+}
+
+// serve has the caller's request served until it ends. It returns what the caller
+// was told, if it was a refusal, how many sendings there were before it left, and
+// how long all went on after that.
+func (l leaver) serve(s *deliver.Server, x *targets) (refused *refusal.Refusal, before int, took time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var gone atomic.Bool
+	var left time.Time
+	leave := func() {
+		left, before = time.Now(), x.sent
+		gone.Store(!l.untold)
+		if !l.closed && !l.untold {
+			cancel()
+		}
+	}
+	send := s.Send
+	s.Send = func(ctx context.Context, sending deliver.Sending) (*deliver.Reply, error) {
+		reply, err := send(ctx, sending)
+		if x.sent == l.during && left.IsZero() {
+			leave()
+		}
+		return reply, err
+	}
+	if l.during == 0 {
+		leave()
+	}
+	defer func() {
+		_ = recover() // A begun answer is broken off.
+		if !left.IsZero() {
+			took = time.Since(left)
+		}
+	}()
+	err := s.Serve(ctx, httptest.NewRecorder(), &deliver.Call{
+		ID: "r", Method: "POST", Path: "/x", Host: "h", Body: strings.NewReader("b"), Header: http.Header{},
+		Received: time.Now(), Gone: gone.Load,
+	})
+	errors.As(err, &refused)
+	return refused, before, took
+}
+
+// leavesNothing says, for any trouble of the targets and any moment at which the
+// caller leaves: nothing is sent for it any more; each place is given back; only
+// retries that left this box are paid for; what may have run is not said not to
+// have run.
+func leavesNothing(t *testing.T, tamper func(*deliver.Server, *leaver)) gopter.Prop {
+	return prop.ForAll(func(repeatable, stream, resumable, closed bool, attempts, during int, script []int) bool {
+		good := true
+		synctest.Test(t, func(*testing.T) {
+			x := &targets{script: script}
+			s := x.server(route(repeatable, stream, resumable, attempts))
+			l := leaver{during: during, closed: closed}
+			tamper(s, &l)
+			refused, before, took := l.serve(s, x)
+			left := during == 0 || x.sent >= during
+			promised := refused != nil && refused.Outcome == refusal.DidNotRun
+			good = !(left && x.sent > before) &&
+				!(promised && x.ran > 0) &&
+				x.placed == x.ended &&
+				x.spent == max(x.arrived-1, 0) &&
+				took <= 200*time.Millisecond
+		})
+		return good
+	}, gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(), gen.IntRange(1, 3), gen.IntRange(0, 4), gen.SliceOfN(6, gen.IntRange(0, ways-1)))
+}
+
+func TestLeavesNothing(t *testing.T) {
+	proof.Holds(t, leavesNothing(t, func(*deliver.Server, *leaver) {}))
+}
+
+// TestLeavesNothingNeedsToBeTold has neither the context nor the connection tell.
+func TestLeavesNothingNeedsToBeTold(t *testing.T) {
+	proof.Breaks(t, leavesNothing(t, func(_ *deliver.Server, l *leaver) { l.untold = true }))
+}
+
+// TestLeavesNothingNeedsTheRefund keeps what was paid for a retry that was never
+// made.
+func TestLeavesNothingNeedsTheRefund(t *testing.T) {
+	proof.Breaks(t, leavesNothing(t, func(s *deliver.Server, _ *leaver) {
+		s.Refund = func(string) {}
+	}))
+}
+
+// TestLeavesNothingNeedsTheEnd has places not given back when a sending ended
+// without an answer.
+func TestLeavesNothingNeedsTheEnd(t *testing.T) {
+	proof.Breaks(t, leavesNothing(t, func(s *deliver.Server, _ *leaver) {
+		ended := s.Ended
+		s.Ended = func(e deliver.Ended) {
+			if e.Began {
+				ended(e)
+			}
+		}
+	}))
+}
--- a/entry/build.go
+++ b/entry/build.go
@@ -76,7 +76,7 @@
 	d.seams = newSeams()
 	d.counts = newCounters(d.Registry)
 	d.ended = make(chan struct{})
-	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.assumeRole, d.gossip}
+	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.assumeRole, d.gossip, d.lookAtCallers}
 	d.plan = rollout.Plan{Least: atOnce, Share: atOnceShare}
 	d.services = nearest.Chooser{Domain: d.Settings.Domain}
 	d.engines = affinity.Chooser{
@@ -108,13 +108,22 @@
 func (d *Daemon) buildPeers() {
 	d.peers = peer.Node{
 		Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
-		Shown:    func() string { return *d.credential.Load() },
+		Shown:    d.shown,
 		Silent:   func(at netip.AddrPort, waited time.Duration) { d.Silence(ToBox, at.String(), waited) },
 		Sent:     func(n int) { d.counts.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		Received: func(n int) { d.counts.peerBytes.WithLabelValues("received").Add(float64(n)) },
 	}
 }
 
+// shown is what this box shows other boxes: nothing, which they refuse, until it
+// has read the credential.
+func (d *Daemon) shown() string {
+	if credential := d.credential.Load(); credential != nil {
+		return *credential
+	}
+	return ""
+}
+
 // buildLease prepares the lease of the rollout.
 func (d *Daemon) buildLease() {
 	d.lease = lease.Lease{
@@ -129,7 +138,7 @@
 		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
 		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
 		Suspect: d.suspect, Least: d.least,
-		Spend: d.budget.Spend, Earn: d.budget.Request,
+		Spend: d.budget.Spend, Refund: d.budget.Refund, Earn: d.budget.Request,
 		Now: d.now, Draw: rand.Uint64, ComeBack: d.comeBack, Note: d.note, Retried: d.noteRetry,
 	}
 }
--- a/entry/note.go
+++ b/entry/note.go
@@ -19,6 +19,9 @@
 	if o.Place.Replaced > 0 {
 		d.counts.replaced.Observe(o.Place.Replaced.Seconds())
 	}
+	if o.Left {
+		d.counts.ending.WithLabelValues(pool).Observe(o.Ending.Seconds())
+	}
 	d.counts.requests.WithLabelValues(pool, strconv.Itoa(o.Status), kind(o)).Inc()
 	d.learnLeast(o)
 	if o.Refused != "" {
@@ -35,6 +38,9 @@
 	if o.Cause != "" {
 		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "come_back", o.ComeBack, "proved_ago", d.provedAgo(d.now()))
 	}
+	if o.Left {
+		fields = append(fields, "ended_after", o.Ending)
+	}
 	if o.Job != nil && len(o.Job.Parts) > 0 {
 		fields = append(fields, "tokens", o.Job.Input, "kept", o.Place.Kept, "fetched", o.Place.Fetched, "unread", o.Place.Unread, "saved", o.Place.Saved, "version", o.Place.Version, "newest", o.Place.Newest, "replaced_for", o.Place.Replaced)
 	}
--- a/entry/refuse_test.go
+++ b/entry/refuse_test.go
@@ -38,7 +38,7 @@
 			j := job("short", 0)
 			j.Model, j.Input, j.Output = tt.model, tt.input, tt.output
 			reply := make(chan placeAnswer, 1)
-			d.update(start, placeAsked{ask: deliver.Ask{Job: j}, reply: reply})
+			d.update(start, placeAsked{ctx: t.Context(), ask: deliver.Ask{Job: j}, reply: reply})
 			got := <-reply
 			if tt.code == "" {
 				if got.err != nil {
@@ -60,7 +60,7 @@
 	d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
 	for _, tokens := range []int{200000, 10} {
 		reply := make(chan placeAnswer, 1)
-		effects := d.update(start, placeAsked{ask: deliver.Ask{Job: job("short", tokens)}, reply: reply})
+		effects := d.update(start, placeAsked{ctx: t.Context(), ask: deliver.Ask{Job: job("short", tokens)}, reply: reply})
 		if refused := len(reply) > 0; refused == (len(effects) > 0) || refused != (tokens == 200000) {
 			t.Errorf("%d tokens: refused %v, effects %v", tokens, refused, effects)
 		}
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -32,11 +32,22 @@
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	c := &connection{Conn: conn, at: at}
+	c := &connection{Conn: conn, at: at, unused: time.Now()}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
 
+// abort closes the connection with a reset, whatever is being read or written on
+// it. What still waits here to be sent is thrown away: after an ordinary close the
+// kernel goes on sending, and a target that was slow to read, or behind a link that
+// was down, would get the whole request long after its caller gave it up.
+func (c *connection) abort() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // If it fails, the close is an ordinary one.
+	}
+	_ = c.Close() // Nothing is left to learn from a connection that is given up.
+}
+
 // idleFor is how long the connection may stay unused: four fifths of what the
 // target said, so that a request never crosses the target's close, or usual.
 func (c *connection) idleFor(usual time.Duration) time.Duration {
