--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -42,9 +42,9 @@
 	full    = 0.85
 	// peerFirst is what a move from another engine waits at least.
 	peerFirst = 2 * time.Millisecond
-	// silentAfter is how long an engine with requests may say nothing. Its
+	// SilentAfter is how long an engine with requests may say nothing. Its
 	// events are asked for all the time, which it answers within a second.
-	silentAfter = 1200 * time.Millisecond
+	SilentAfter = 1200 * time.Millisecond
 )
 
 // Source is a store of kept parts.
@@ -188,7 +188,7 @@
 }
 
 func usable(now time.Time, ask Ask, t *fleet.Target) bool {
-	if !t.Open(now) || t.Loading(now) || t.Silent(now, silentAfter) || (ask.Skip != nil && ask.Skip(t.ID)) {
+	if !t.Open(now) || t.Loading(now) || t.Silent(now, SilentAfter) || (ask.Skip != nil && ask.Skip(t.ID)) {
 		return false
 	}
 	return t.Versions[ask.Model] >= ask.Least
--- a/deliver/pause.go
+++ b/deliver/pause.go
@@ -40,7 +40,10 @@
 			continue
 		}
 		waited := x.Now().Sub(*since)
-		if waited >= hopeless || waited >= x.longPause() && x.Suspect(ctx, target) {
+		if waited < hopeless && (waited < x.longPause() || !x.Suspect(ctx, target)) {
+			continue
+		}
+		if x.reserve() {
 			cancel(errSilent)
 			return
 		}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/thymewind/thymewind/exchange"
@@ -43,6 +44,9 @@
 	failures int
 	// paid says that the budget gave a sending that has not left this box yet.
 	paid bool
+	// reserved says that the budget gave a sending for which the one under way was
+	// broken off.
+	reserved atomic.Bool
 	// gone says that the caller was found to have closed its connection.
 	gone bool
 	// begun says that an answer's head went to the caller.
@@ -68,7 +72,7 @@
 	x.outcome.Ending, x.outcome.Left = departed()
 	x.outcome.Took = s.Now().Sub(call.Received)
 	x.outcome.Sent = x.sent
-	if x.paid {
+	if x.paid || x.reserved.Load() {
 		s.Refund(x.job.Pool.Name)
 	}
 	if refused != nil {
@@ -161,7 +165,15 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			if x.Suspect(ctx, target) {
+			if !x.Suspect(ctx, target) {
+				continue
+			}
+			select {
+			case <-answered: // While the loop was asked.
+				return
+			default:
+			}
+			if x.reserve() {
 				cancel(errSilent)
 				return
 			}
@@ -268,10 +280,21 @@
 	if !reached && x.sent == 0 {
 		return true
 	}
-	x.paid = x.paid || x.Spend(x.job.Pool.Name)
+	x.paid = x.paid || x.reserved.Swap(false) || x.Spend(x.job.Pool.Name)
 	return x.paid
 }
 
+// reserve takes one more sending from the budget before the one under way is broken
+// off for it. Without it nothing is broken off: an answer that may yet come is
+// better than none.
+func (x *run) reserve() bool {
+	if x.job.Until.Sub(x.Now()) < tight || !x.Spend(x.job.Pool.Name) {
+		return false
+	}
+	x.reserved.Store(true)
+	return true
+}
+
 // failed ends a request whose last sending got no answer.
 func (x *run) failed(err error) (*refusal.Refusal, error) {
 	if x.begun {
--- a/deliver/silent_test.go
+++ b/deliver/silent_test.go
@@ -106,3 +106,63 @@
 		}
 	})
 }
+
+// TestNothingIsBrokenOffForNothing has a target that looks dead answer after all,
+// while the budget gives no other try: the answer that comes late is passed on.
+func TestNothingIsBrokenOffForNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		stream bool
+		pause  time.Duration // Before the answer's head, or in the stream.
+	}{
+		{"an answer that may be repeated", false, 1200 * time.Millisecond},
+		{"a stream that may be resumed", true, hopelessPause},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := route(true, tt.stream, true, 3)
+				r.Timeout, r.Pause = 10*time.Second, 300*time.Millisecond
+				s := (&targets{}).server(r)
+				s.Spend = func(string) bool { return false }
+				s.Send = func(ctx context.Context, _ deliver.Sending) (*deliver.Reply, error) {
+					late := &ending{ctx, &delayed{tt.pause, strings.NewReader("id: 2\n\n")}}
+					if tt.stream {
+						return streamReply(io.MultiReader(strings.NewReader("id: 1\n\n"), late)), nil
+					}
+					select {
+					case <-time.After(tt.pause):
+						return reply(http.StatusOK, deliver.MayHaveRun, strings.NewReader("whole")), nil
+					case <-ctx.Done():
+						return nil, ctx.Err()
+					}
+				}
+				if got := ask(s); got.refused != nil || got.cut || got.status != http.StatusOK {
+					t.Errorf("got %+v", got)
+				}
+			})
+		})
+	}
+}
+
+// hopelessPause is longer than the pause after which a stream's connection counts as
+// silent whatever its target looks like.
+const hopelessPause = 3500 * time.Millisecond
+
+// TestUnusedTryIsGivenBack has an answer come just as its sending is given up for
+// another try: what the budget gave for that is given back.
+func TestUnusedTryIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := (&targets{}).server(route(true, false, false, 2))
+		spent, refunded := 0, 0
+		s.Spend = func(string) bool { spent++; return true }
+		s.Refund = func(string) { refunded++ }
+		s.Send = func(ctx context.Context, _ deliver.Sending) (*deliver.Reply, error) {
+			<-ctx.Done()
+			return reply(http.StatusOK, deliver.MayHaveRun, strings.NewReader("whole")), nil
+		}
+		if got := ask(s); got.status != http.StatusOK || spent != 1 || refunded != 1 {
+			t.Errorf("got %+v, spent %d, given back %d", got, spent, refunded)
+		}
+	})
+}
--- a/entry/named.go
+++ b/entry/named.go
@@ -21,8 +21,8 @@
 	// older weights is broken off; it covers the way to the engine.
 	beginMargin = 250 * time.Millisecond
 	// feedLag is how long the table service takes at most to answer a held read
-	// once there is a change: twice the slowest answer that it is known to give, 60
-	// times the usual 4 ms.
+	// once there is a change: its slowest answers take 60 times the usual 4 ms, a
+	// quarter of a second, and this is twice that.
 	feedLag = 500 * time.Millisecond
 	// heldAtLeast is how long a read must have been held, by the service's clock,
 	// before its answer tells of a change that came meanwhile: feedLag, and as much
@@ -85,7 +85,7 @@
 		}
 		return 0
 	}
-	if asked, _ := t.clockOfTable.Most(m.asked); before > 0 && told-asked >= heldAtLeast {
+	if asked, _ := t.clockOfTable.Most(m.asked); m.change.Held && before > 0 && told-asked >= heldAtLeast {
 		return max(before, told-feedLag)
 	}
 	return before
@@ -138,14 +138,18 @@
 	return w.names.Required(now, within-overdueMargin)
 }
 
-// beginBy returns when a request must have begun on a version; zero if no bound
-// is known.
-func (w *weights) beginBy(version int64, within time.Duration) time.Time {
-	at, replaced := w.names.ReplacedAt(version)
-	if within == 0 || !replaced {
+// beginBy returns when a request must have begun on a version: by the bound of the
+// version that replaced it or, as a newer one may have been named since, of the last
+// proof of what the operator wrote. It is zero if there is no bound.
+func (w *weights) beginBy(version int64, within time.Duration, proved *time.Time) time.Time {
+	if within == 0 || proved == nil {
 		return time.Time{}
 	}
-	return at.Add(within - beginMargin)
+	from := *proved
+	if at, replaced := w.names.ReplacedAt(version); replaced && at.Before(from) {
+		from = at
+	}
+	return from.Add(within - beginMargin)
 }
 
 // weightsUnknown says that this box's last proof of what the operator wrote is so
--- a/entry/named_test.go
+++ b/entry/named_test.go
@@ -29,7 +29,7 @@
 	d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}, Clock: 100 * time.Second}})
 	d.update(now, targetsRead{now, Targets{Whole: true, Listed: engines}, false})
 	now = start.Add(10 * time.Second)
-	d.update(now, operatorRead{now.Add(-heldAtLeast - 10*time.Millisecond), Operator{Weights: map[string]int64{"m": 2}, Clock: 110 * time.Second}})
+	d.update(now, operatorRead{now.Add(-heldAtLeast - 10*time.Millisecond), Operator{Weights: map[string]int64{"m": 2}, Clock: 110 * time.Second, Held: true}})
 	if err := d.lease.Step(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -94,19 +94,21 @@
 	const gap = 4 * time.Second
 	tests := []struct {
 		name string
-		held time.Duration
+		took time.Duration
+		held bool
 		most time.Duration // How old the naming can be.
 	}{
-		{"answered at once after a gap", 0, gap},
-		{"held for a moment after a gap", heldAtLeast / 2, gap},
-		{"held", heldAtLeast + 10*time.Millisecond, feedLag},
+		{"answered at once after a gap", 0, true, gap},
+		{"held for a moment after a gap", heldAtLeast / 2, true, gap},
+		{"not held, and slow", heldAtLeast + 10*time.Millisecond, false, gap},
+		{"held", heldAtLeast + 10*time.Millisecond, true, feedLag},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			d := newDaemon("b1")
 			d.update(start, operatorRead{start, Operator{Weights: map[string]int64{"m": 1}, Clock: 100 * time.Second}})
 			now := start.Add(gap)
-			d.update(now, operatorRead{now.Add(-tt.held), Operator{Weights: map[string]int64{"m": 2}, Clock: 100*time.Second + gap}})
+			d.update(now, operatorRead{now.Add(-tt.took), Operator{Weights: map[string]int64{"m": 2}, Clock: 100*time.Second + gap, Held: tt.held}})
 			if got := d.tables.model("m").age(now, 2); got < tt.most || got > tt.most+5*time.Millisecond {
 				t.Errorf("%v old, want %v", got, tt.most)
 			}
@@ -269,6 +271,18 @@
 	}
 }
 
+// TestBeginByTheLastProof has a box with an old proof place a request on the newest
+// weights that it knows: a newer version may have been named right after the proof.
+func TestBeginByTheLastProof(t *testing.T) {
+	d := newDaemon("b1")
+	d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}}})
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+	place, err := d.place(start.Add(10*time.Second), &d.tables, deliver.Ask{Job: job("short", 10)})
+	if want := start.Add(bound - beginMargin); err != nil || !place.BeginBy.Equal(want) {
+		t.Errorf("to begin by %v, %v, want %v", place.BeginBy, err, want)
+	}
+}
+
 // TestWeightsUnknown shows that a box that can't know any more which weights are
 // the newest sends nothing to engines.
 func TestWeightsUnknown(t *testing.T) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -60,15 +60,25 @@
 
 // looksDead says that a target is gone, can't be reached, says nothing, or that
 // connections to it went silent lately.
-func looksDead(now time.Time, t *tables, id string) bool {
+func (d *Daemon) looksDead(now time.Time, t *tables, id string) bool {
 	x := t.fleet.Target(id)
-	if x == nil || x.Avoided(now) || x.Silent(now, nearest.SilentAfter) {
+	if x == nil || x.Avoided(now) || d.saysNothing(now, t, x) {
 		return true
 	}
 	at, silent := t.silences[x.Address]
 	return silent && now.Sub(at) < silenceFor
 }
 
+// saysNothing says that nothing came from a target for longer than a live one keeps
+// silent. An engine may have requests wait for seconds and tells by its news that it
+// lives, which only a box that follows them hears.
+func (d *Daemon) saysNothing(now time.Time, t *tables, x *fleet.Target) bool {
+	if table := d.current.Load(); table == nil || table.Pools[x.Pool] == nil || table.Pools[x.Pool].Engine == nil {
+		return x.Silent(now, nearest.SilentAfter)
+	}
+	return t.followed[x.ID] != nil && x.Silent(now, affinity.SilentAfter)
+}
+
 func (d *Daemon) timeUp(job *deliver.Job) error {
 	return refusal.New(refusal.DidNotRun, 503, "timeout", "the time was up, or the caller left, before the request was placed").After(d.comeBack("timeout", job))
 }
@@ -151,7 +161,7 @@
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
 		Scope: scope(choice.Version, job), Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
 		Save: addresses(choice.Save), At: now, Ahead: choice.Ahead, Moves: choice.Moves,
-		Newest: w.wanted, Replaced: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin),
+		Newest: w.wanted, Replaced: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin, d.proved.Load()),
 	}
 	if t.timed {
 		place.Fetch = addresses(choice.Fetch)
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -61,6 +61,8 @@
 	// Clock is the table service's steady clock when it made the answer, or zero
 	// if it did not tell.
 	Clock time.Duration
+	// Held says that the service held that read until there was a change.
+	Held bool
 	// Asked is when the read that was answered was sent; it may have been made
 	// again, not held. Unset, it is when the read was asked for.
 	Asked time.Time
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 )
 
@@ -61,7 +62,7 @@
 			e.Address = at
 			d.tables.fleet.List(e)
 			tt.happen(d)
-			if got := looksDead(start.Add(tt.after), &d.tables, "e1"); got != tt.want {
+			if got := d.looksDead(start.Add(tt.after), &d.tables, "e1"); got != tt.want {
 				t.Errorf("looksDead = %v", got)
 			}
 			d.sweep(start.Add(time.Hour), &d.tables)
@@ -71,3 +72,33 @@
 		})
 	}
 }
+
+// TestEngineSaysNothing has a request wait at an engine, as in a queue: only an
+// engine that does not answer for its news either looks dead, which only a box that
+// follows them can tell.
+func TestEngineSaysNothing(t *testing.T) {
+	tests := []struct {
+		name     string
+		followed bool
+		after    time.Duration
+		want     bool
+	}{
+		{"news are asked for, for a while", true, time.Second, false},
+		{"news are asked for, for longer", true, 1300 * time.Millisecond, true},
+		{"news are not asked for", false, 10 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			if tt.followed {
+				d.tables.followed["a"] = func() {}
+			}
+			d.tables.fleet.Target("a").Sent(start, 0, 0)
+			if got := d.looksDead(start.Add(tt.after), &d.tables, "a"); got != tt.want {
+				t.Errorf("looks dead: %v", got)
+			}
+		})
+	}
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -12,7 +12,7 @@
 	case placeAsked:
 		return d.placeAsked(now, t, m)
 	case suspectAsked:
-		m.reply <- looksDead(now, t, m.target)
+		m.reply <- d.looksDead(now, t, m.target)
 	case silenceSeen:
 		t.silences[m.at] = now
 	case answerBegan:
--- a/entry/view.go
+++ b/entry/view.go
@@ -18,6 +18,9 @@
 		Namings: make(map[string][]peer.Naming, len(t.weights)),
 	}
 	for model, w := range t.weights {
+		if w.wanted == 0 {
+			continue // Only named by callers.
+		}
 		v.Namings[model] = w.namingsTold(now, d.bounds.Load().WeightsWithin)
 	}
 	if have == t.listNumber || t.listNumber == 0 {
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -24,6 +24,8 @@
 	used bool
 	// waiting is since when bytes are waited for; zero if they are not.
 	waiting time.Time
+	// opened is when the connection was made.
+	opened time.Time
 	// unused is when the last exchange ended.
 	unused time.Time
 	// said is how long the target says that it keeps the connection; zero if
@@ -32,7 +34,7 @@
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	c := &connection{Conn: conn, at: at, unused: time.Now()}
+	c := &connection{Conn: conn, at: at, opened: time.Now(), unused: time.Now()}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -118,6 +118,7 @@
 		}
 		a.response, a.Status, a.Header = response, response.StatusCode, response.Header
 		a.conn.heed(response.Header.Get("Keep-Alive"))
+		a.client.hear(a.conn)
 		return nil
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -48,6 +49,8 @@
 	mu sync.Mutex
 	// idle holds unused connections, the last used at the end.
 	idle map[netip.AddrPort][]*connection
+	// heard holds the last answers' heads, by address.
+	heard map[netip.AddrPort][]head
 	// open counts connections, used or not.
 	open map[netip.AddrPort]int
 }
@@ -183,6 +186,7 @@
 			delete(c.idle, at)
 		}
 	}
+	maps.DeleteFunc(c.heard, func(_ netip.AddrPort, list []head) bool { return now.Sub(list[len(list)-1].at) >= c.Idle })
 	return old
 }
 
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -16,18 +16,52 @@
 	return n, err
 }
 
+// heads is how many of the last answers' heads from an address are remembered. The
+// news of an engine alone brings one in 0.4 s at most.
+const heads = 16
+
+// head is when an answer began, on a connection that was made at a time.
+type head struct{ at, opened time.Time }
+
+// hear notes that an answer began.
+func (c *Client) hear(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.SilentAfter == 0 {
+		return
+	}
+	if c.heard == nil {
+		c.heard = make(map[netip.AddrPort][]head)
+	}
+	list := c.heard[conn.at]
+	if len(list) == heads {
+		list = slices.Delete(list, 0, 1)
+	}
+	c.heard[conn.at] = append(list, head{time.Now(), conn.opened})
+}
+
+// answersSince says that the target began an answer since a time on a connection
+// that was there before.
+func (c *Client) answersSince(at netip.AddrPort, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.heard[at], func(h head) bool { return h.at.After(since) && h.opened.Before(since) })
+}
+
 // noteSilence looks whether an exchange that was given up shows that its
 // connection is silent. Only a kept one shows that: a target may be slow to answer
-// on a new one. The unused connections on which nothing came since either may be
-// silent as well and are closed, as each would cost a request: one costs one in
-// all.
+// on a new one. A busy target that has a request wait shows nothing either, as long
+// as it answers on other connections as old: taken for silent, it had all requests
+// that waited there run twice once a single caller left. The unused connections on
+// which nothing came since either may be silent as well and are closed, as each
+// would cost a request: one costs one in all.
 func (a *Answer) noteSilence() {
 	c, conn := a.client, a.conn
 	if c.SilentAfter == 0 || !conn.used || conn.waiting.IsZero() {
 		return
 	}
 	waited := time.Since(conn.waiting)
-	if waited < c.SilentAfter {
+	if waited < c.SilentAfter || c.answersSince(conn.at, conn.waiting) {
 		return
 	}
 	c.forgetUnheard(conn.at, conn.waiting)
--- a/exchange/silent_test.go
+++ b/exchange/silent_test.go
@@ -173,3 +173,56 @@
 		t.Errorf("the next request: %d, %v; said %d times", status, err, said.Load())
 	}
 }
+
+// TestBusyIsNotSilent has a target let one request wait while it answers others, on
+// connections as old: it is not taken for silent when that one is given up.
+func TestBusyIsNotSilent(t *testing.T) {
+	tests := []struct {
+		name   string
+		others bool // Whether other requests are answered meanwhile.
+		said   int64
+	}{
+		{"others are answered", true, 0},
+		{"nothing is answered", false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := serve(t, func(_ int, conn *net.TCPConn, requests func() *http.Request) {
+				for r := requests(); r != nil; r = requests() {
+					if r.URL.Path == "/queued" {
+						continue // It waits for its turn.
+					}
+					_, _ = io.WriteString(conn, ok)
+				}
+			})
+			said := &atomic.Int64{}
+			c := client()
+			c.SilentAfter, c.Silent = silentAfter, func(netip.AddrPort, time.Duration) { said.Add(1) }
+			keep(t, c, x.at, 5)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() {
+				_, err := c.Do(ctx, x.at, &exchange.Request{Method: "GET", Path: "/queued", Header: http.Header{}})
+				done <- err
+			}()
+			for end := time.After(3 * silentAfter); ; {
+				select {
+				case <-end:
+				case <-time.After(silentAfter / 10):
+					if tt.others {
+						_, _, _ = ask(c, x.at, &exchange.Request{Method: "GET", Path: "/"})
+					}
+					continue
+				}
+				break
+			}
+			cancel()
+			if err := <-done; !errors.Is(err, context.Canceled) {
+				t.Fatal(err)
+			}
+			if got := said.Load(); got != tt.said {
+				t.Errorf("said silent %d times, want %d", got, tt.said)
+			}
+		})
+	}
+}
