fix(entry): an engine that comes in behind fetches no parts made on older weights

Cause: six engines cut off from the platform crash behind the cut while weights are named. The others load, the lease's holder sees no engine with older weights and clears the stores. Just then the six come into the list, started on the older weights, and within 4 ms boxes order fetches of parts that are being freed. The waits in clearing cover engines that were listed; nobody can wait for one that was not. Ruled out: the list lacking engines in an outage (Doubt), the table service was sound; a later end of fetches (the order to free was under way already). Change: a target notes the weights with which it came into the list although newer ones were named (fleet.Target.Behind); for that version no source is named for it, neither in what it costs nor in the fetch. Not covered: a box whose reads of the operator's rows fail while its reads of the list succeed may take such an engine in before it hears of the naming.

--- a/affinity/parts.go
+++ b/affinity/parts.go
@@ -44,7 +44,7 @@
 
 // fetch names the source of one part, if there is one.
 func (s *search) fetch(l *located, part int, choice *Choice) {
-	from, _ := l.parts[part].best(s.ask.Parts[part].Tokens, s.read, choice.Target)
+	from, _ := s.best(l, part, choice.Target)
 	if from == nil {
 		return
 	}
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -110,7 +110,7 @@
 func (s *search) reach(l *located, t *fleet.Target, kept int) (int, time.Duration) {
 	var took time.Duration
 	for i := kept; i < s.ask.last(); i++ {
-		from, cost := l.parts[i].best(s.ask.Parts[i].Tokens, s.read, t)
+		from, cost := s.best(l, i, t)
 		if from == nil {
 			return i, took
 		}
@@ -119,6 +119,15 @@
 	return max(kept, s.ask.last()), took
 }
 
+// best returns where an engine should fetch a part from and how long that takes,
+// or nil if it had better read the part.
+func (s *search) best(l *located, part int, t *fleet.Target) (*holder, time.Duration) {
+	if behind, late := t.Behind[s.ask.Model]; late && behind == l.version {
+		return nil, 0
+	}
+	return l.parts[part].best(s.ask.Parts[part].Tokens, s.read, t)
+}
+
 // reading is the cost of reading the parts from one on.
 func (s *search) reading(l *located, from int) time.Duration {
 	var cost time.Duration
--- a/entry/free_test.go
+++ b/entry/free_test.go
@@ -139,3 +139,51 @@
 		})
 	}
 }
+
+// TestNoFetchByLateEngine has an engine come in with older weights while the
+// stores are cleared of parts made on them: nobody could wait for its fetches,
+// so none is ordered. One that was listed before the naming holds the clearing
+// back, and fetches.
+func TestNoFetchByLateEngine(t *testing.T) {
+	tests := []struct {
+		name    string
+		steps   func(d *Daemon)
+		fetched int
+	}{
+		{"listed before the naming", func(d *Daemon) { list(d, 1); nameVersion(d, 2) }, 500},
+		{"came in behind", func(d *Daemon) { nameVersion(d, 2); list(d, 1) }, 0},
+		{"went and came back behind", func(d *Daemon) { list(d, 1); nameVersion(d, 2); listNone(d); list(d, 1) }, 0},
+		{"came in on the newest", func(d *Daemon) { nameVersion(d, 1); list(d, 1) }, 500},
+		{"came in behind and loaded, before the next naming", func(d *Daemon) {
+			nameVersion(d, 1)
+			list(d, 0)
+			list(d, 1)
+			nameVersion(d, 2)
+		}, 500},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, prompt := withStore()
+			listNone(d)
+			tt.steps(d)
+			d.follow(start.Add(loneAfter+time.Millisecond), &d.tables)
+			d.update(start, newsRead{source: "s", news: News{Epoch: 1, Changes: []Change{{Kept: true, Scope: "m@1", Part: "p", Tokens: 500}}}})
+			place, refused := d.placeModel(start, &d.tables, deliver.Ask{Job: prompt})
+			if refused != nil || place.Fetched != tt.fetched || (place.Fetch != nil) != (tt.fetched > 0) {
+				t.Errorf("fetched %d by %v, refused %v, want %d", place.Fetched, place.Fetch, refused, tt.fetched)
+			}
+		})
+	}
+}
+
+func list(d *Daemon, version int64) {
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{engine("x", version)}}, false})
+}
+
+func listNone(d *Daemon) {
+	d.update(start, targetsRead{start, Targets{Whole: true}, false})
+}
+
+func nameVersion(d *Daemon, version int64) {
+	d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": version}}})
+}
--- a/entry/list.go
+++ b/entry/list.go
@@ -35,6 +35,16 @@
 	return d.follow(now, t)
 }
 
+// noteBehind notes weights older than the newest named with which a target comes
+// into the list.
+func (t *tables) noteBehind(x *fleet.Target) {
+	for model, version := range x.Versions {
+		if version < t.model(model).wanted {
+			x.Behind[model] = version
+		}
+	}
+}
+
 // listTarget takes an entry over. It returns nil if the target is known to be
 // replaced.
 func (d *Daemon) listTarget(t *tables, e fleet.Entry) *fleet.Target {
@@ -44,6 +54,7 @@
 	switch {
 	case x == nil: // Its address is another replica's by now.
 	case fresh:
+		t.noteBehind(x)
 		d.Log.Info("target in", "target", e.ID, "pool", e.Pool, "at", e.Address, "domain", e.Domain, "leaving", e.Leaving)
 	case x.Leaving && !wasLeaving:
 		d.Log.Info("target leaves", "target", e.ID, "pool", e.Pool)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -56,7 +56,7 @@
 	}
 	t, known := f.byID[e.ID]
 	if !known {
-		t = &Target{ID: e.ID, Pool: e.Pool, Versions: make(map[string]int64)}
+		t = &Target{ID: e.ID, Pool: e.Pool, Versions: make(map[string]int64), Behind: make(map[string]int64)}
 		f.byID[e.ID] = t
 		f.pools[e.Pool] = insert(f.pools[e.Pool], t)
 	}
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -17,6 +17,11 @@
 	Leaving bool
 	// Versions are the weight versions by model, as far as known.
 	Versions map[string]int64
+	// Behind are the weight versions, by model, with which it came into the list
+	// although newer ones were named: the stores may be being cleared of parts
+	// made on them, as nobody knew of it, so it fetches none. That costs it the
+	// reading of shared parts until it has newer weights, within seconds.
+	Behind map[string]int64
 	// Orders counts the orders that the replica took, as the list tells.
 	Orders uint64
 	// LoadingUntil is until when it is thought to load weights.
