fix(entry): a box without a proof of the newest weights goes on for two bounds

Cause: the limit refused all model requests once the proof was older than the bound less its margin. The time to begin by the last proof goes with it: it would cut what is placed then. Ruled out as the cause: crowded engines (9 refusals), come-back times (the refusals are the loss).

--- a/entry/named.go
+++ b/entry/named.go
@@ -36,9 +36,12 @@
 	// toldFor is how many bounds long a naming is told to others: after one it can
 	// only be the lowest version allowed.
 	toldFor = 2
-	// soundProof is how old the proof of a sound box gets: reads are held for
-	// 1.5 s, so it is at most 3 s old.
-	soundProof = 3200 * time.Millisecond
+	// unknownFor is how many bounds long a box goes on without a proof of which
+	// weights are the newest. Nothing can be named while the table service is away,
+	// for some 10 s as seen, and a box that it answers has a proof that is 3.5 s old
+	// at most; after one bound alone, 1 in 100 callers were refused for nothing on a
+	// day with an outage of 8 s under a bound of 10 s.
+	unknownFor = 2
 	// tellAgain is the pause after the rollout's row could not be written; each
 	// try has its price.
 	tellAgain = 500 * time.Millisecond
@@ -138,26 +141,22 @@
 	return w.names.Required(now, within-overdueMargin)
 }
 
-// beginBy returns when a request must have begun on a version: by the bound of the
-// version that replaced it or, as a newer one may have been named since, of the last
-// proof of what the operator wrote. It is zero if there is no bound.
-func (w *weights) beginBy(version int64, within time.Duration, proved *time.Time) time.Time {
-	if within == 0 || proved == nil {
+// beginBy returns when a request must have begun on a version; zero if no newer one
+// is known.
+func (w *weights) beginBy(version int64, within time.Duration) time.Time {
+	at, replaced := w.names.ReplacedAt(version)
+	if within == 0 || !replaced {
 		return time.Time{}
 	}
-	from := *proved
-	if at, replaced := w.names.ReplacedAt(version); replaced && at.Before(from) {
-		from = at
-	}
-	return from.Add(within - beginMargin)
+	return at.Add(within - beginMargin)
 }
 
 // weightsUnknown says that this box's last proof of what the operator wrote is so
-// old that any version that it knows may have been replaced for too long. It then
-// sends nothing to engines, as it can't tell.
+// old that any version that it knows may have been replaced for long. It then sends
+// nothing to engines, as it can't tell.
 func (d *Daemon) weightsUnknown(now time.Time) bool {
 	within := d.bounds.Load().WeightsWithin
-	return within > 0 && d.provedAgo(now) >= max(within-overdueMargin, soundProof)
+	return within > 0 && d.provedAgo(now) >= unknownFor*within
 }
 
 // namingsTold lists a model's namings for a box that takes this one's view.
--- a/entry/place.go
+++ b/entry/place.go
@@ -161,7 +161,7 @@
 		Target: choice.Target.ID, Address: choice.Target.Address, Version: choice.Version,
 		Scope: scope(choice.Version, job), Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
 		Save: addresses(choice.Save), At: now, Ahead: choice.Ahead, Moves: choice.Moves,
-		Newest: w.wanted, Replaced: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin, d.proved.Load()),
+		Newest: w.wanted, Replaced: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin),
 	}
 	if t.timed {
 		place.Fetch = addresses(choice.Fetch)
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -157,7 +157,7 @@
 		Tokens: job.Input + job.Output, Fetch: fetch, Save: save, FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
 		At: now, Ahead: p.Ahead,
-		Newest: w.wanted, Replaced: w.replacedFor(now, p.Version), BeginBy: w.beginBy(p.Version, within, d.proved.Load()),
+		Newest: w.wanted, Replaced: w.replacedFor(now, p.Version), BeginBy: w.beginBy(p.Version, within),
 	}
 	for _, m := range p.Moves {
 		place.Moves = append(place.Moves, pace.Move{Source: m.Source, Takes: time.Duration(m.TakesUS) * time.Microsecond})
