--- a/comeback/comeback.go
+++ b/comeback/comeback.go
@@ -28,7 +28,7 @@
 	least = soon / 2
 	// Longest bounds how long something is expected to last yet. Callers give up
 	// after 1 to 15 s and wait for up to a third of the time that they have left.
-	// With 3 s one caller in 1,000 more was served on days with long outages, but
+	// With 3 s one caller in 1,000 more was served in long outages, but
 	// those who returned so late kept as many others from being answered in time.
 	Longest = 1500 * time.Millisecond
 	// fromGoal and spanGoal are, as shares of the route's goal, from when on and
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -154,45 +154,6 @@
 	return x.exchange(ctx, answered, place)
 }
 
-// hurry breaks a sending off once it waited for long and its target looks dead.
-func (x *run) hurry(ctx context.Context, cancel context.CancelCauseFunc, answered <-chan struct{}, target string) {
-	timer := time.NewTicker(x.patience())
-	defer timer.Stop()
-	for {
-		select {
-		case <-answered:
-			return
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			if !x.Suspect(ctx, target) {
-				continue
-			}
-			select {
-			case <-answered: // While the loop was asked.
-				return
-			default:
-			}
-			if x.reserve() {
-				cancel(errSilent)
-				return
-			}
-		}
-	}
-}
-
-var (
-	// errSilent says that a target gave no sign of an answer for too long.
-	errSilent = errors.New("the target is silent")
-	// errOverdue says that a request did not begin while it still might on the
-	// target's weights.
-	errOverdue = errors.New("the target's weights must not be used any more")
-)
-
-func (x *run) patience() time.Duration {
-	return min(max(silence*x.job.Route.Goal, leastSilence), mostSilence)
-}
-
 func (x *run) exchange(ctx context.Context, answered func(), place Place) (*refusal.Refusal, error) {
 	reply, err := x.Send(ctx, Sending{Job: x.job, Place: place, Left: x.job.Until.Sub(x.Now()), After: x.after})
 	answered()
@@ -284,17 +245,6 @@
 	return x.paid
 }
 
-// reserve takes one more sending from the budget before the one under way is broken
-// off for it. Without it nothing is broken off: an answer that may yet come is
-// better than none.
-func (x *run) reserve() bool {
-	if x.job.Until.Sub(x.Now()) < tight || !x.Spend(x.job.Pool.Name) {
-		return false
-	}
-	x.reserved.Store(true)
-	return true
-}
-
 // failed ends a request whose last sending got no answer.
 func (x *run) failed(err error) (*refusal.Refusal, error) {
 	if x.begun {
