--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/gravitational/trace"
@@ -89,11 +90,33 @@
 	return nil
 }
 
+// do sends a request. A refusal that says when to return is heeded, as by any
+// caller: on a busy machine an engine may look silent for a moment.
 func do(call *sling.Sling) (*http.Response, string, error) {
 	request, err := call.Set("Authorization", "Bearer "+os.Getenv("OPENAI_API_KEY")).Request()
 	if err != nil {
 		return nil, "", trace.Wrap(err)
 	}
+	for try := 1; ; try++ {
+		response, data, err := once(request)
+		if err == nil || response == nil || response.StatusCode != http.StatusServiceUnavailable || try == tries {
+			return response, data, err
+		}
+		after, failed := time.ParseDuration(response.Header.Get("Retry-After") + "s")
+		if failed != nil {
+			return response, data, err
+		}
+		time.Sleep(after)
+		if request.Body, failed = request.GetBody(); failed != nil {
+			return response, data, trace.Wrap(failed)
+		}
+	}
+}
+
+// tries is how often a request is sent at most.
+const tries = 5
+
+func once(request *http.Request) (*http.Response, string, error) {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return nil, "", trace.Wrap(err)
