fix(entry): the list of a hub that is cut off is not taken in place of a sound one's

A target that had gone from a sound hub's list came back by it, not marked as leaving. Change: such a list is not taken after another hub's; configuration and namings keep their own ages. Test, failing first: TestStaleList.

--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -192,6 +192,43 @@
 	}
 }
 
+// TestStaleList has a box ask a hub that is cut off from the table service, after a
+// sound one told that a target is gone: the cut-off hub's list, which still has it,
+// must not bring it back. A box that has no list takes what it gets.
+//
+// In a large fleet one request was seen to reach a target 3.2 s after that had said
+// that it leaves, while a hub was cut off; boxes took its list as they had given up
+// another hub.
+func TestStaleList(t *testing.T) {
+	entries := []peer.Entry{{ID: "a", Pool: "models", Address: "10.1.0.1:1"}, {ID: "b", Pool: "models", Address: "10.1.0.2:1"}}
+	tests := []struct {
+		name  string
+		first bool // Whether a sound hub was heard before.
+		proof time.Duration
+		back  bool
+	}{
+		{"the hub is cut off", true, staleView + time.Millisecond, false},
+		{"the hub is sound", true, staleView, true},
+		{"nothing is known yet", false, time.Minute, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			spoke := largeFleet("box-05")
+			hear := func(hub string, proof time.Duration, list uint64, entries []peer.Entry) {
+				view := &peer.View{Namings: map[string][]peer.Naming{}, ProofMS: proof.Milliseconds(), List: list, Entries: entries}
+				spoke.update(start, peerCalled{hub, start, peer.Message{View: view}, nil})
+			}
+			if tt.first {
+				hear("box-01", 0, 7, entries[1:])
+			}
+			hear("box-00", tt.proof, 3, entries)
+			if back := spoke.tables.fleet.Target("a") != nil; back != tt.back {
+				t.Errorf("the target is there: %v", back)
+			}
+		})
+	}
+}
+
 // TestStaleView shows that a hub that is cut off from the table service makes
 // nobody's keys good, and that a box then reads for itself.
 func TestStaleView(t *testing.T) {
--- a/entry/view.go
+++ b/entry/view.go
@@ -41,7 +41,8 @@
 	if v == nil {
 		return nil
 	}
-	if age := time.Duration(v.ProofMS) * time.Millisecond; age > staleView {
+	age := time.Duration(v.ProofMS) * time.Millisecond
+	if age > staleView {
 		d.Log.Warn("hub can't prove the configuration", "hub", hub, "proved_ago", age)
 		t.members[hub].retry = now.Add(gossipAgain)
 	}
@@ -61,6 +62,11 @@
 		d.prove(proof)
 	}
 	d.namingsFromHub(now, t, hub, asked, v)
+	// The list of another hub that is cut off brings targets back that are gone, and
+	// work would be sent there for as long as that hub is asked.
+	if age > staleView && t.hubList != 0 && t.hub != hub {
+		return effects
+	}
 	if v.List != 0 && (t.hub != hub || t.hubList != v.List) {
 		d.entriesRead(now, t, v.Entries)
 		t.hub, t.hubList = hub, v.List
