fix(entry): the table service is asked with calls that are not held while it is lost

Cause: in an outage with calls that hang, each read of the operator's rows was held for 1.5 s and given up after 3 s, and asked once more. One that went out just before the service came back kept a box from knowing for 2.4 s; a configuration written right then was in force 2.45 s later (bound 2 s). Change: while the service is lost, reads are not held and made once: its return is known after one answer's time and the pause, 1.75 s at most. Test, failing first: TestReadsInAnOutage (held 1.5 s on each of five reads).

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -77,9 +77,13 @@
 	}
 }
 
-// operatorHold is how long a read of the operator's rows is held.
+// operatorHold is how long a read of the operator's rows is held: not at all while
+// the table service is lost, so that its return is known within the time of one
+// answer, 1.5 s at most, and not after a hold on a connection that stays silent.
 func (d *Daemon) operatorHold() time.Duration {
 	switch {
+	case d.outage.lost():
+		return 0
 	case d.waiting.Load():
 		return startHold
 	case d.serving.Load():
@@ -137,6 +141,13 @@
 	o.ctx, o.cancel = context.WithCancel(ctx)
 }
 
+// lost says that the table service is away.
+func (o *outage) lost() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.away
+}
+
 // reading returns a context that ends when the table service is lost.
 func (o *outage) reading() context.Context {
 	o.mu.Lock()
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -69,3 +72,31 @@
 		t.Errorf("asked %v, want %v", m.asked, again)
 	}
 }
+
+// TestReadsInAnOutage shows that a box that lost the table service asks it with
+// calls that are not held: one that is held when the service comes back, on a
+// connection that stays silent, would be given up only 3 s later, and a
+// configuration has to be in force within 2 s. The first held call has the box wait
+// for changes again.
+func TestReadsInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemon("b1")
+		ctx, cancel := context.WithCancel(t.Context())
+		d.outage.start(ctx)
+		var holds []time.Duration
+		d.Platform.Operator = func(_ context.Context, _ uint64, hold time.Duration) (Operator, error) {
+			holds = append(holds, hold)
+			switch len(holds) {
+			case 2, 3:
+				return Operator{}, errors.New("no answer")
+			case 5:
+				cancel()
+			}
+			return Operator{}, nil
+		}
+		d.watchOperator(ctx)
+		if want := []time.Duration{proofHold, proofHold, 0, 0, proofHold}; !slices.Equal(holds, want) {
+			t.Errorf("held for %v, want %v", holds, want)
+		}
+	})
+}
