feat(affinity): an engine with memory left before a cheaper full one, and a price on late first events

Cause: a prompt went to the cheapest engine only and was refused if that had no memory left, though others had: kept parts lie in fewer of 99 engines than of 9. And cost grew evenly with the wait, although an answer behind its goal counts for a fifth.

Change: full engines are chosen only if all are; a first event that is reckoned behind its goal costs up to 200 ms. The goal travels to hubs.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -9,7 +9,9 @@
 package affinity
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/thymewind/thymewind/directory"
@@ -34,6 +36,11 @@
 	elsewhere = 80 * time.Millisecond
 	// oldWeights is the cost of running on weights older than the newest.
 	oldWeights = 80 * time.Millisecond
+	// late is the cost of a first event behind the goal: callers count such an answer
+	// for a fifth, which is as much as reading 4,000 tokens again. It rises from
+	// nearly of the goal on, as what is reckoned misses by some tenths of it.
+	late   = 200 * time.Millisecond
+	nearly = 0.5
 	// doubt is the cost of a target that failed lately.
 	doubt = 2 * time.Second
 	// crowded is the cost of an engine whose memory is taken up, waiting what
@@ -82,6 +89,12 @@
 	Wanted int64
 	// Least is the lowest version that may be used, or zero.
 	Least int64
+	// Full says that an engine has no memory left for the prompt, of which so many
+	// tokens are taken up; nil takes none for full. A full one is chosen only if all
+	// are.
+	Full func(taken int) bool
+	// Goal is when the first event should have come, or zero if there is no such time.
+	Goal time.Duration
 	// Skip passes over engines for which it returns true.
 	Skip func(id string) bool
 }
@@ -118,6 +131,9 @@
 	// by how much moves from a source take longer than over an unused link; both
 	// as learnt.
 	Reading func() time.Duration
+	// Base is the time to the first event of a prompt without anything to read; nil
+	// takes it for nothing.
+	Base    func() time.Duration
 	Stretch func(now time.Time, source string) float64
 
 	// Slack is the difference in cost within which the best-ranked engine is taken.
@@ -140,6 +156,7 @@
 	kept, reached int
 	// ahead are the tokens that the engine has to read for other requests.
 	ahead int
+	full  bool
 	cost  time.Duration
 	rank  uint64
 }
@@ -147,33 +164,50 @@
 // Choose returns the engine for a prompt, or false if none takes new work.
 func (c *Chooser) Choose(now time.Time, ask Ask, targets []*fleet.Target) (Choice, bool) {
 	s := search{Chooser: c, now: now, ask: ask, targets: targets, read: c.Reading()}
+	if c.Base != nil {
+		s.base = c.Base()
+	}
 	var all []candidate
-	least := time.Duration(-1)
 	for _, t := range targets {
-		if !usable(now, ask, t) {
-			continue
-		}
-		one := s.weigh(t)
-		all = append(all, one)
-		if least < 0 || one.cost < least {
-			least = one.cost
+		if usable(now, ask, t) {
+			all = append(all, s.weigh(t))
 		}
 	}
 	if len(all) == 0 {
 		return Choice{}, false
 	}
-	best, home := -1, 0
-	for i, one := range all {
-		if one.rank > all[home].rank {
-			home = i
+	home := slices.MaxFunc(all, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
+	best := c.best(withRoom(all))
+	choice := s.plan(best)
+	choice.Rule = rule(best.target == home.target, best.reached > best.kept)
+	return choice, true
+}
+
+// withRoom returns the candidates that are not full, or all if each is.
+func withRoom(all []candidate) []candidate {
+	var list []candidate
+	for _, one := range all {
+		if !one.full {
+			list = append(list, one)
 		}
-		if one.cost <= least+c.Slack && (best < 0 || one.rank > all[best].rank) {
-			best = i
+	}
+	if len(list) == 0 {
+		return all
+	}
+	return list
+}
+
+// best returns the best-ranked of the candidates that cost about as little as the
+// cheapest.
+func (c *Chooser) best(list []candidate) candidate {
+	cheapest := slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	best := cheapest
+	for _, one := range list {
+		if one.cost <= cheapest.cost+c.Slack && one.rank > best.rank {
+			best = one
 		}
 	}
-	choice := s.plan(all[best])
-	choice.Rule = rule(best == home, all[best].reached > all[best].kept)
-	return choice, true
+	return best
 }
 
 // rule says in words why an engine was chosen, for logs.
@@ -195,6 +229,15 @@
 	return t.Versions[ask.Model] >= ask.Least
 }
 
+// lateness is the cost of a first event that is reckoned for a time.
+func lateness(first, goal time.Duration) time.Duration {
+	if goal <= 0 {
+		return 0
+	}
+	share := (float64(first)/float64(goal) - nearly) / (1 - nearly)
+	return time.Duration(min(max(share, 0), 1) * float64(late))
+}
+
 // crowding is the cost of memory that requests take up: what is left keeps
 // parts, and when none is left requests wait for others to end, for some
 // hundred milliseconds.
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// keepsAlone has an engine keep the shared parts, beside a store that is too slow to
+// fetch them from, and have little memory left.
+func (x *bench) keepsAlone(e *fleet.Target) {
+	x.keeps(e.ID, 1, 0, 1)
+	x.keeps("large", 1, 0, 1)
+	x.stretch = map[string]float64{"large": 50}
+	x.chooser.FromEngines = func(*affinity.Source) bool { return false }
+	e.Tokens = 175000
+}
+
 func (x *bench) choose(t *testing.T) affinity.Choice {
 	t.Helper()
 	choice, ok := x.chooser.Choose(start, x.ask, []*fleet.Target{x.a, x.b})
@@ -100,6 +110,15 @@
 			other.Versions["m"] = 2
 			other.Unread = 50000
 		}, other},
+		{"cheaper where it is kept, though little memory is left", func(x *bench, home, _ *fleet.Target) { x.keepsAlone(home) }, home},
+		{"cheaper where it is kept, but no memory is left", func(x *bench, home, _ *fleet.Target) {
+			x.keepsAlone(home)
+			x.ask.Full = func(taken int) bool { return taken > 170000 }
+		}, other},
+		{"no memory is left anywhere", func(x *bench, home, _ *fleet.Target) {
+			x.keepsAlone(home)
+			x.ask.Full = func(int) bool { return true }
+		}, home},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -16,8 +16,8 @@
 	now     time.Time
 	ask     Ask
 	targets []*fleet.Target
-	// read is the time to read one token.
-	read time.Duration
+	// read is the time to read one token, base that to a first event beside it.
+	read, base time.Duration
 	// found holds what was looked up, for each weight version in use.
 	found []located
 }
@@ -87,12 +87,14 @@
 	one.kept = s.Directory.Run(t.ID, l.keys, s.now)
 	running, unread := s.Load(s.now, t)
 	one.ahead = unread
-	one.cost = time.Duration(unread) * s.read
-	one.cost += crowding(running+s.ask.Tokens, s.ask.Capacity)
+	one.full = s.ask.Full != nil && s.ask.Full(running)
+	wait := time.Duration(unread) * s.read
 	var moves time.Duration
 	one.reached, moves = s.reach(l, t, one.kept)
-	one.cost += moves
-	one.cost += s.reading(l, one.reached)
+	read, again := s.reading(l, one.reached)
+	one.cost = wait + moves + read + again
+	one.cost += lateness(s.base+wait+moves+read, s.ask.Goal)
+	one.cost += crowding(running+s.ask.Tokens, s.ask.Capacity)
 	if t.Domain != s.ask.Domain {
 		one.cost += elsewhere
 	}
@@ -128,16 +130,16 @@
 	return l.parts[part].best(s.ask.Parts[part].Tokens, s.read, t)
 }
 
-// reading is the cost of reading the parts from one on.
-func (s *search) reading(l *located, from int) time.Duration {
-	var cost time.Duration
+// reading is the time to read the parts from one on, and what it costs beyond that
+// to read those again that are kept somewhere.
+func (s *search) reading(l *located, from int) (took, again time.Duration) {
 	for i := from; i < len(s.ask.Parts); i++ {
-		cost += time.Duration(s.ask.Parts[i].Tokens) * s.read
+		took += time.Duration(s.ask.Parts[i].Tokens) * s.read
 		if l.parts[i].any() {
-			cost += time.Duration(s.ask.Parts[i].Tokens) * againToken
+			again += time.Duration(s.ask.Parts[i].Tokens) * againToken
 		}
 	}
-	return cost
+	return took, again
 }
 
 // best returns the store or other engine that brings a part soonest, if that is
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -34,6 +34,13 @@
 	usual int
 }
 
+// admits says that an engine with some memory taken up has room for a request of so
+// many tokens.
+func (r room) admits(taken, tokens, capacity int) bool {
+	share := func(tokens int) float64 { return float64(taken+tokens) / float64(capacity) }
+	return capacity <= 0 || share(r.usual) <= r.fill && share(tokens) <= fillMost
+}
+
 // room is what a request is admitted by: the least urgent kind of a pool makes
 // room for the others, the more so while answers are late.
 func (d *Daemon) room(t *tables, job *deliver.Job) room {
@@ -59,14 +66,11 @@
 
 // refuseCrowded returns why an engine can't take a request more, or nil.
 func (d *Daemon) refuseCrowded(now time.Time, t *tables, x *fleet.Target, ask affinity.Ask, r room) *refusal.Refusal {
-	if ask.Capacity <= 0 {
-		return nil
-	}
 	running, _ := d.load(now, t, x)
-	share := func(tokens int) float64 { return float64(running+tokens) / float64(ask.Capacity) }
-	if share(r.usual) <= r.fill && share(ask.Tokens) <= fillMost {
+	if r.admits(running, ask.Tokens, ask.Capacity) {
 		return nil
 	}
+	share := func(tokens int) float64 { return float64(running+tokens) / float64(ask.Capacity) }
 	return refusal.New(refusal.DidNotRun, 503, "crowded",
 		"the engines' memory is taken up: %.2f at the best of them, %.2f with a usual request, of %.2f", share(ask.Tokens), share(r.usual), r.fill)
 }
--- a/entry/build.go
+++ b/entry/build.go
@@ -87,6 +87,7 @@
 		Slack:     affinity.Slack,
 		Saves:     every, FromStores: every, FromEngines: every,
 		Reading: d.readingToken,
+		Base:    func() time.Duration { base, _ := d.tables.pace.Reading(); return base },
 		Stretch: func(now time.Time, source string) float64 { return d.tables.stretch(now, source) },
 		Load:    func(now time.Time, x *fleet.Target) (int, int) { return d.load(now, &d.tables, x) },
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -142,7 +142,10 @@
 	w := t.model(job.Model)
 	question := affinity.Ask{
 		Domain: d.near(domain), Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: tried(ask),
-		Least: w.least(now, d.bounds.Load().WeightsWithin),
+		Least: w.least(now, d.bounds.Load().WeightsWithin), Goal: job.Route.Goal,
+		Full: func(taken int) bool {
+			return !r.admits(taken, job.Input+job.Output, job.Pool.Engine.Capacity)
+		},
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
 				keys[version] = keysOf(job, scope(version, job))
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -75,7 +75,7 @@
 	job := m.ask.Job
 	r := d.room(t, job)
 	ask := peer.PlaceAsk{
-		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.Input + job.Output, Fill: r.fill, Usual: r.usual, Tried: m.ask.Tried,
+		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.Input + job.Output, Fill: r.fill, Usual: r.usual, Tried: m.ask.Tried, GoalMS: job.Route.Goal.Milliseconds(),
 	}
 	if job.Account != nil && job.Account.Isolated {
 		ask.Walled = job.Account.Name
@@ -218,7 +218,7 @@
 	}
 	job := &deliver.Job{
 		Call: &deliver.Call{ID: m.Ask.Request, Model: m.Ask.Model, Input: m.Ask.Tokens},
-		Pool: table.Pools[m.Ask.Pool],
+		Pool: table.Pools[m.Ask.Pool], Route: &routing.Route{Goal: time.Duration(m.Ask.GoalMS) * time.Millisecond},
 	}
 	if m.Ask.Walled != "" {
 		job.Account = &routing.Account{Name: m.Ask.Walled, Isolated: true}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -18,6 +18,8 @@
 	Fill  float64  `cbor:"7,keyasint,omitempty"`
 	Usual int      `cbor:"9,keyasint,omitempty"`
 	Tried []string `cbor:"8,keyasint,omitempty"`
+	// GoalMS is when the first event should have come, in milliseconds.
+	GoalMS int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
