perf(entry): boxes that live on hubs ask a lost table service less often

Ruled out: the list and the system's own rows.

Change: such a box waits longer after each failed read, up to a second, and ends the wait when a hub's view is fresh: hubs read on and tell within 0.3 s.

Tests were seen failing before.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -29,6 +29,10 @@
 	hold = 3 * time.Second
 	// againAfter is the pause after a failed read; each call has its price.
 	againAfter = 250 * time.Millisecond
+	// spokeAgain is the longest pause after failed reads of a box that lives on
+	// hubs. They read on and tell within 0.3 s that the service is back. With
+	// againAfter, 185 such boxes made 6,000 of a day's 12,200 calls in an outage of 8 s.
+	spokeAgain = time.Second
 	// targetsEvery is the least time between two reads of the list: many
 	// entries that change at once then cost one call.
 	targetsEvery = 400 * time.Millisecond
@@ -57,18 +61,22 @@
 // the table service is lost or back.
 func (d *Daemon) watchOperator(ctx context.Context) {
 	var after uint64
+	failed := 0
 	for ctx.Err() == nil {
 		asked := d.now()
 		if d.viewed(asked) {
+			failed = 0
 			d.pause(ctx, viewLook)
 			continue
 		}
 		change, err := d.Platform.Operator(ctx, after, d.operatorHold())
 		if err != nil {
+			failed++
 			d.lost(ctx, err)
-			d.pause(ctx, againAfter)
+			d.waitToRead(ctx, failed)
 			continue
 		}
+		failed = 0
 		d.back(ctx)
 		after = change.Version
 		if !change.Asked.IsZero() {
@@ -78,6 +86,18 @@
 	}
 }
 
+// waitToRead waits after some failed reads in a row of the operator's rows. A box
+// that lives on hubs waits longer each time, until a hub's view is fresh again.
+func (d *Daemon) waitToRead(ctx context.Context, failed int) {
+	until := d.now().Add(againAfter)
+	if d.spoke.Load() {
+		until = d.now().Add(min(againAfter<<min(failed-1, 8), spokeAgain))
+	}
+	for now := d.now(); ctx.Err() == nil && now.Before(until) && !d.viewed(now); now = d.now() {
+		d.pause(ctx, min(until.Sub(now), againAfter))
+	}
+}
+
 // operatorHold is how long a read of the operator's rows is held: not at all while
 // the table service is lost, so that its return is known within the time of one
 // answer, 1.5 s at most, and not after a hold on a connection that stays silent.
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -100,3 +100,66 @@
 		}
 	})
 }
+
+// TestFewReadsInAnOutage bounds the reads in an outage of 8 s of a box that lives on
+// hubs: they are as many as such boxes, and each call has its price. It reads again
+// within a second of the service's return if no hub tells of that, and stops at once
+// if one does.
+func TestFewReadsInAnOutage(t *testing.T) {
+	const lasts = 8 * time.Second
+	tests := []struct {
+		name  string
+		spoke bool
+		least int
+		most  int
+	}{
+		{"a hub", false, 30, 33},
+		{"a box behind hubs", true, 8, 11},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDaemon("b1")
+				d.now = time.Now
+				d.spoke.Store(tt.spoke)
+				ctx, cancel := context.WithCancel(t.Context())
+				d.outage.start(ctx)
+				began := time.Now()
+				reads := 0
+				d.Platform.Operator = func(context.Context, uint64, time.Duration) (Operator, error) {
+					if time.Since(began) < lasts {
+						reads++
+						return Operator{}, errors.New("no answer")
+					}
+					cancel()
+					return Operator{}, nil
+				}
+				d.watchOperator(ctx)
+				if reads < tt.least || reads > tt.most {
+					t.Errorf("%d reads, want %d to %d", reads, tt.least, tt.most)
+				}
+				if late := time.Since(began) - lasts; late > spokeAgain {
+					t.Errorf("read %v after the service was back", late)
+				}
+			})
+		})
+	}
+}
+
+// TestViewEndsTheWait has a hub's fresh view end the wait for the next read.
+func TestViewEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemon("b1")
+		d.now = time.Now
+		d.spoke.Store(true)
+		time.AfterFunc(100*time.Millisecond, func() {
+			now := time.Now()
+			d.proved.Store(&now)
+		})
+		began := time.Now()
+		d.waitToRead(t.Context(), 9)
+		if took := time.Since(began); took > againAfter {
+			t.Errorf("waited for %v", took)
+		}
+	})
+}
