--- a/entry/ablate.go
+++ b/entry/ablate.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,8 +24,6 @@
 	hear func(now time.Time, t *tables, m peer.Message)
 	// clears says below which version parts may be freed.
 	clears func(now time.Time, w *weights) int64
-	// chance says yes once in so many times.
-	chance func(oneIn int) bool
 	// near is the failure domain whose engines are taken first.
 	near func(domain string) string
 }
@@ -41,7 +38,6 @@
 			t.heardReads(now, m.From, m.Reads)
 		},
 		clears: func(now time.Time, w *weights) int64 { return w.clearing.Below(now) },
-		chance: func(oneIn int) bool { return rand.N(oneIn) == 0 },
 		near:   func(domain string) string { return domain },
 	}
 }
--- a/entry/build.go
+++ b/entry/build.go
@@ -62,6 +62,8 @@
 	quickest quickest.Record
 	peers    peer.Node
 	seams
+	// chance says yes once in so many times.
+	chance func(oneIn int) bool
 	// lines bounds the log's lines on whole answers; all others are written.
 	lines *rate.Limiter
 }
@@ -95,6 +97,7 @@
 		Share: d.bounds.Load().RetryShare * retryUse,
 		Burst: d.burst(&d.tables), Empty: true,
 	}
+	d.chance = func(oneIn int) bool { return rand.N(oneIn) == 0 }
 	d.returns = comeback.Estimator{Draw: rand.Float64}
 	d.returns.Began(d.began, noConfiguration)
 	d.lines = rate.NewLimiter(answeredLines, answeredLines)
