--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -99,6 +99,13 @@
 			home.Domain, x.ask.Domain = "y", "z"
 			other.Unread = 20000
 		}, home},
+		{"home is a little busy, the other in another domain", func(_ *bench, home, other *fleet.Target) {
+			home.Unread, other.Domain = 7000, "y"
+		}, home},
+		{"and home's first event would come behind the goal", func(x *bench, home, other *fleet.Target) {
+			home.Unread, other.Domain = 7000, "y"
+			x.ask.Goal = 150 * time.Millisecond
+		}, other},
 		{"home has old weights", func(x *bench, _, other *fleet.Target) { x.ask.Wanted = 2; other.Versions["m"] = 2 }, other},
 		{"home has old weights, the other is busy", func(x *bench, _, other *fleet.Target) {
 			x.ask.Wanted = 2
