feat(entry,fingerprint): lines tell which tries ask for the same, and which targets refuse connections

Cause: the incident's logs could not tell whether tries with different IDs were the same work, nor a crash from a connection that was broken off. Change: a fingerprint of account, method, host, path and body in the lines of requests that were sent and not answered whole; cut_after, refused; a counter of requests cut off. No decision changes.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -16,8 +16,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -70,6 +72,24 @@
 	Body []byte
 	// Until is when the request gets its final answer at the latest.
 	Until time.Time
+
+	// sum is the fingerprint, once it was asked for.
+	sum atomic.Pointer[fingerprint.Sum]
+}
+
+// Fingerprint names what the request asks for. It is worked out when it is first asked
+// for, as that takes some microseconds and most requests never need it.
+func (j *Job) Fingerprint() fingerprint.Sum {
+	if sum := j.sum.Load(); sum != nil {
+		return *sum
+	}
+	account := ""
+	if j.Account != nil {
+		account = j.Account.Name
+	}
+	sum := fingerprint.Of(account, j.Method, j.Host, j.Path, j.Body)
+	j.sum.Store(&sum)
+	return sum
 }
 
 // Ask is what a place is asked for.
@@ -166,6 +186,9 @@
 	Failed bool
 	// Unreachable says that no connection or no answer came.
 	Unreachable bool
+	// Cut says that the target may have run the request and that no whole answer came,
+	// not by the caller's doing. Refused says that its address refuses connections.
+	Cut, Refused bool
 	// Late says that the first event or a pause came later than the route's goals,
 	// Whole that the stream came to its end; only then Late means anything.
 	Late, Whole bool
--- a/deliver/pass.go
+++ b/deliver/pass.go
@@ -64,7 +64,8 @@
 	if err == nil {
 		_, err = io.Copy(x.w, reply.Body)
 	}
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: err != nil && x.ctx.Err() == nil})
+	failed := err != nil && x.ctx.Err() == nil
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Cut: failed})
 	if err != nil {
 		return x.broken(err.Error())
 	}
@@ -75,7 +76,7 @@
 // cut handles an answer that broke off before anything of it was passed on.
 func (x *run) cut(place Place, err error) (*refusal.Refusal, error) {
 	failed := x.ctx.Err() == nil
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed})
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, Cut: failed})
 	x.outcome.Cause = "the answer broke off: " + err.Error()
 	if failed && x.repeatable() && x.again(true) {
 		return nil, errNext
@@ -141,7 +142,7 @@
 // cutStream handles a stream that broke off.
 func (x *run) cutStream(place Place, err error) (*refusal.Refusal, error) {
 	failed := x.ctx.Err() == nil
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed})
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, Cut: failed})
 	x.outcome.Cause = "the stream broke off: " + err.Error()
 	if failed && x.job.Route.Resumable && x.again(true) {
 		return nil, errNext
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/thymewind/thymewind/exchange"
@@ -196,7 +197,10 @@
 	over := !left && x.ctx.Err() != nil
 	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, errOverdue)
 	failed := !left && !blameless
-	x.Ended(Ended{Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over})
+	x.Ended(Ended{
+		Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over,
+		Cut: failed && !notSent, Refused: errors.Is(err, syscall.ECONNREFUSED),
+	})
 	x.outcome.Cause = err.Error()
 	if notSent {
 		x.failures++
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,7 @@
 	refusals      *prometheus.CounterVec
 	replaced      prometheus.Histogram
 	silent        *prometheus.CounterVec
+	cut           *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -59,9 +60,10 @@
 	c.replaced = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "thymewind_entry_replaced_weights_seconds", Help: "How long the weights of a placed request had been replaced by newer ones; only requests on replaced weights count.", Buckets: weightsAges})
 	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
 	c.silent = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_silent_connections_total", Help: "Connections given up as they said nothing, by what they led to."}, []string{"to"})
+	c.cut = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_cut_total", Help: "Requests that a target may have run and gave no whole answer to, by pool."}, []string{"pool"})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut,
 	)
 	return c
 }
--- a/entry/note.go
+++ b/entry/note.go
@@ -38,6 +38,9 @@
 	if o.Cause != "" {
 		fields = append(fields, "cause", o.Cause, "reason", o.Reason, "come_back", o.ComeBack, "proved_ago", d.provedAgo(d.now()))
 	}
+	if o.Cause != "" && o.Sent > 0 {
+		fields = append(fields, "fingerprint", o.Job.Fingerprint())
+	}
 	if o.Left {
 		fields = append(fields, "ended_after", o.Ending)
 	}
@@ -66,5 +69,5 @@
 // noteRetry logs and counts one more try.
 func (d *Daemon) noteRetry(r deliver.Retried) {
 	d.counts.retries.WithLabelValues(r.Job.Pool.Name).Inc()
-	d.Log.Info("another try", "request", r.Job.ID, "after", r.Place.Target, "cause", r.Cause, "resumed_behind", r.Resumed)
+	d.Log.Info("another try", "request", r.Job.ID, "after", r.Place.Target, "cause", r.Cause, "resumed_behind", r.Resumed, "fingerprint", r.Job.Fingerprint())
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -105,11 +105,21 @@
 	}
 	if m.Unreachable {
 		x.Fail(now)
-		d.Log.Warn("target failed a request", "target", x.ID, "pool", x.Pool, "request", m.Job.ID, "grey", x.Grey(now))
+		d.noteFailed(now, x, m)
 	}
 	d.learn(now, t, x, m)
 }
 
+// noteFailed logs and counts a request that a target failed.
+func (d *Daemon) noteFailed(now time.Time, x *fleet.Target, m sendingEnded) {
+	fields := []any{"target", x.ID, "pool", x.Pool, "request", m.Job.ID, "grey", x.Grey(now), "refused", m.Refused}
+	if m.Cut {
+		d.counts.cut.WithLabelValues(x.Pool).Inc()
+		fields = append(fields, "cut_after", now.Sub(m.Place.At), "fingerprint", m.Job.Fingerprint())
+	}
+	d.Log.Warn("target failed a request", fields...)
+}
+
 // probed takes over a target's health.
 func (d *Daemon) probed(now time.Time, t *tables, m probed) {
 	delete(t.probing, m.target)
--- /dev/null
+++ b/fingerprint/fingerprint_test.go
@@ -0,0 +1,60 @@
+package fingerprint_test
+
+import (
+	"testing"
+
+	"github.com/thymewind/thymewind/fingerprint"
+)
+
+// TestOf shows that each field counts, and that none runs into the next.
+func TestOf(t *testing.T) {
+	same := fingerprint.Of("cafe", "POST", "h", "/a/b", []byte("body"))
+	tests := []struct {
+		name string
+		sum  fingerprint.Sum
+		want bool
+	}{
+		{"asked again", fingerprint.Of("cafe", "POST", "h", "/a/b", []byte("body")), true},
+		{"another account", fingerprint.Of("bistro", "POST", "h", "/a/b", []byte("body")), false},
+		{"another method", fingerprint.Of("cafe", "PUT", "h", "/a/b", []byte("body")), false},
+		{"another host", fingerprint.Of("cafe", "POST", "g", "/a/b", []byte("body")), false},
+		{"another path", fingerprint.Of("cafe", "POST", "h", "/a/c", []byte("body")), false},
+		{"another body", fingerprint.Of("cafe", "POST", "h", "/a/b", []byte("bodx")), false},
+		{"path and body meet elsewhere", fingerprint.Of("cafe", "POST", "h", "/a/bb", []byte("ody")), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := tt.sum == same; got != tt.want {
+				t.Errorf("the same: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestParse reads back what was written, and nothing else.
+func TestParse(t *testing.T) {
+	sum := fingerprint.Of("cafe", "GET", "h", "/", nil)
+	tests := []struct {
+		text string
+		want bool
+	}{
+		{sum.String(), true},
+		{"", false},
+		{sum.String()[:30], false},
+		{sum.String() + "00", false},
+		{"not hexadecimal digits, though 32", false},
+	}
+	for _, tt := range tests {
+		got, ok := fingerprint.Parse(tt.text)
+		if ok != tt.want || ok && got != sum {
+			t.Errorf("%q: %v, %v", tt.text, got, ok)
+		}
+	}
+}
+
+func BenchmarkOf(b *testing.B) {
+	body := make([]byte, 2400)
+	for b.Loop() {
+		fingerprint.Of("cafe", "POST", "shop.example", "/ask/7", body)
+	}
+}
