--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -187,8 +187,11 @@
 	// Unreachable says that no connection or no answer came.
 	Unreachable bool
 	// Cut says that the target may have run the request and that no whole answer came,
-	// not by the caller's doing. Refused says that its address refuses connections.
-	Cut, Refused bool
+	// not by the caller's doing; Left that the caller went away before that. Answered
+	// says that the whole answer came.
+	Cut, Left, Answered bool
+	// Refused says that the target's address refuses connections.
+	Refused bool
 	// Late says that the first event or a pause came later than the route's goals,
 	// Whole that the stream came to its end; only then Late means anything.
 	Late, Whole bool
--- a/deliver/pass.go
+++ b/deliver/pass.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return x.cut(place, err)
 	}
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: reply.Status >= http.StatusInternalServerError})
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: reply.Status >= http.StatusInternalServerError, Answered: true})
 	x.outcome.Cause = ""
 	x.head(reply)
 	if _, err := x.w.Write(first); err != nil {
@@ -65,7 +65,7 @@
 		_, err = io.Copy(x.w, reply.Body)
 	}
 	failed := err != nil && x.ctx.Err() == nil
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Cut: failed})
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Cut: failed, Answered: err == nil, Left: x.caller.Err() != nil})
 	if err != nil {
 		return x.broken(err.Error())
 	}
@@ -76,7 +76,7 @@
 // cut handles an answer that broke off before anything of it was passed on.
 func (x *run) cut(place Place, err error) (*refusal.Refusal, error) {
 	failed := x.ctx.Err() == nil
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, Cut: failed})
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, Cut: failed, Left: x.caller.Err() != nil})
 	x.outcome.Cause = "the answer broke off: " + err.Error()
 	if failed && x.repeatable() && x.again(true) {
 		return nil, errNext
@@ -97,7 +97,7 @@
 		event, err := events.Next()
 		wait.end()
 		if errors.Is(err, io.EOF) {
-			x.Ended(Ended{Place: place, Job: x.job, Began: true, Whole: true, Late: x.late})
+			x.Ended(Ended{Place: place, Job: x.job, Began: true, Whole: true, Late: x.late, Answered: true})
 			x.outcome.Cause = ""
 			x.head(reply)
 			return nil, nil
@@ -118,7 +118,7 @@
 			err = flush.Flush()
 		}
 		if err != nil {
-			x.Ended(Ended{Place: place, Job: x.job, Began: true})
+			x.Ended(Ended{Place: place, Job: x.job, Began: true, Left: true})
 			return x.broken("the caller can't be written to: " + err.Error())
 		}
 		if id != "" {
@@ -142,7 +142,7 @@
 // cutStream handles a stream that broke off.
 func (x *run) cutStream(place Place, err error) (*refusal.Refusal, error) {
 	failed := x.ctx.Err() == nil
-	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, Cut: failed})
+	x.Ended(Ended{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, Cut: failed, Left: x.caller.Err() != nil})
 	x.outcome.Cause = "the stream broke off: " + err.Error()
 	if failed && x.job.Route.Resumable && x.again(true) {
 		return nil, errNext
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -199,7 +199,7 @@
 	failed := !left && !blameless
 	x.Ended(Ended{
 		Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over,
-		Cut: failed && !notSent, Refused: errors.Is(err, syscall.ECONNREFUSED),
+		Cut: failed && !notSent, Left: left && !notSent, Refused: errors.Is(err, syscall.ECONNREFUSED),
 	})
 	x.outcome.Cause = err.Error()
 	if notSent {
--- a/entry/ablate.go
+++ b/entry/ablate.go
@@ -7,6 +7,7 @@
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/strain"
 )
@@ -26,6 +27,8 @@
 	clears func(now time.Time, w *weights) int64
 	// near is the failure domain whose engines are taken first.
 	near func(domain string) string
+	// quarantined says whether a request must reach no target.
+	quarantined func(now time.Time, t *tables, sum fingerprint.Sum) bool
 }
 
 func newSeams() seams {
@@ -39,6 +42,9 @@
 		},
 		clears: func(now time.Time, w *weights) int64 { return w.clearing.Below(now) },
 		near:   func(domain string) string { return domain },
+		quarantined: func(now time.Time, t *tables, sum fingerprint.Sum) bool {
+			return t.quarantined(now, sum)
+		},
 	}
 }
 
@@ -86,6 +92,9 @@
 	if off(settings.Hurry) {
 		d.server.Suspect = nil
 	}
+	if off(settings.Quarantine) {
+		d.quarantined = func(time.Time, *tables, fingerprint.Sum) bool { return false }
+	}
 	if len(d.Settings.Without) > 0 {
 		d.Log.Warn("mechanisms are switched off, to be measured", "without", d.Settings.Without)
 	}
--- a/entry/ablate_test.go
+++ b/entry/ablate_test.go
@@ -58,6 +58,13 @@
 			d.hear(start, &d.tables, peer.Message{From: "b2", Shares: []peer.Share{{Target: 7, Tokens: 1}}})
 			return d.tables.others.Of(7).Tokens == 1
 		}},
+		{settings.Quarantine, func(d *Daemon) bool {
+			sum := work("same").Fingerprint()
+			for _, life := range []string{"a", "b", "c"} {
+				d.tables.quarantine.Ended(start, sum, life)
+			}
+			return d.quarantined(start, &d.tables, sum)
+		}},
 		{settings.Hurry, func(d *Daemon) bool { return d.server.Suspect != nil }},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/entry/crash.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/quarantine"
+)
+
+// A request may take down each target that begins to run it, and come again, with another
+// ID, at any box. What it did to its targets therefore counts for all that ask for the
+// same, over all boxes: each tells in a row of its own which requests ran on targets that
+// ended (crashrow.go), and refuses what quarantine.Threshold targets ended under. Of 12
+// targets 3 to 5 end in place of all 12 (TestCrashingRequest).
+
+// lifeText names a target's life among boxes.
+func lifeText(life fleet.Life) string {
+	if life.Born.IsZero() {
+		return life.ID
+	}
+	return life.ID + lifeMark + strconv.FormatInt(unixMS(life.Born), 10)
+}
+
+// lifeMark stands between a target's ID and when its life began.
+const lifeMark = "@"
+
+// lifeID returns the target's ID.
+func lifeID(life string) string {
+	if at := strings.LastIndex(life, lifeMark); at >= 0 {
+		return life[:at]
+	}
+	return life
+}
+
+// lifeOf names the life that a request was placed on.
+func lifeOf(p deliver.Place) string { return lifeText(fleet.Life{ID: p.Target, Born: p.Born}) }
+
+// watchEnd takes from a request's end whether its target lives.
+func (d *Daemon) watchEnd(now time.Time, t *tables, m sendingEnded) {
+	life := lifeOf(m.Place)
+	if m.Began || m.Verdict == deliver.DidNotRun || m.Verdict == deliver.OtherVersion {
+		t.crashes.Alive(life, m.Place.At)
+	}
+	over := false
+	switch {
+	case m.Refused:
+		d.targetEnded(now, t, life, "its address refuses connections")
+	case m.Answered:
+		d.answered(now, t, m.Job)
+	case m.Cut:
+		over = t.crashes.Cut(now, life, m.Job.Fingerprint())
+	case m.Left:
+		over = t.crashes.Left(now, life, m.Job.Fingerprint())
+	}
+	if over {
+		d.reportEnded(now, t, life, []fingerprint.Sum{m.Job.Fingerprint()}, "known before")
+	}
+}
+
+// targetEnded notes that a target's life is over, and holds that against the requests that
+// were cut off there since it last answered.
+func (d *Daemon) targetEnded(now time.Time, t *tables, life, foundBy string) {
+	sums := t.crashes.Ended(now, life)
+	if len(sums) == 0 {
+		return
+	}
+	d.counts.ended.Inc()
+	d.reportEnded(now, t, life, sums, foundBy)
+}
+
+// reportEnded counts requests that ran on a target when it ended, and has the other boxes
+// told.
+func (d *Daemon) reportEnded(now time.Time, t *tables, life string, sums []fingerprint.Sum, foundBy string) {
+	d.Log.Warn("target ended under requests", "target", life, "requests", len(sums), "found_by", foundBy)
+	for _, sum := range sums {
+		d.endedUnder(now, t, life, sum, d.Settings.Name)
+	}
+	t.reports.add(now, life, sums)
+}
+
+// endedUnder counts one request that ran on a target when it ended.
+func (d *Daemon) endedUnder(now time.Time, t *tables, life string, sum fingerprint.Sum, from string) {
+	if !t.quarantine.Ended(now, sum, life) {
+		return
+	}
+	d.Log.Warn("request is refused from now on", "fingerprint", sum, "targets_ended", quarantine.Threshold, "last", life, "told_by", from)
+}
+
+// examineDoubted asks targets that cut requests off whether they live, if this box does not
+// follow their news anyway. One whose process is gone refuses the connection, which is not
+// charged for.
+func (d *Daemon) examineDoubted(now time.Time, t *tables) []effect {
+	var effects []effect
+	for _, life := range t.crashes.Due(now) {
+		x := t.fleet.Target(lifeID(life))
+		if x == nil || lifeText(x.Life()) != life || t.followed[x.ID] != nil || t.probing[x.ID] {
+			continue
+		}
+		if p, ok := d.examination(now, x); ok {
+			t.probing[x.ID] = true
+			effects = append(effects, p)
+		}
+	}
+	return effects
+}
+
+// examination is how a target is asked whether it lives; false if it can't be.
+func (d *Daemon) examination(now time.Time, x *fleet.Target) (probe, bool) {
+	table := d.current.Load()
+	if table == nil || table.Pools[x.Pool] == nil {
+		return probe{}, false
+	}
+	pool := table.Pools[x.Pool]
+	p := probe{target: x.ID, path: pool.HealthPath, at: x.Address, life: x.Life(), engine: pool.Engine != nil, doubted: true, asked: now}
+	return p, p.engine || p.path != ""
+}
+
+// ask asks a target for its health, or an engine for its report, which it gives at once.
+func (d *Daemon) ask(ctx context.Context, p probe) error {
+	if !p.engine {
+		return d.Platform.Healthy(ctx, p.at, p.path, p.target)
+	}
+	report, err := d.Platform.Report(ctx, p.at)
+	if err == nil && !p.life.Born.IsZero() && report.Born.After(p.life.Born) {
+		return ErrReplaced
+	}
+	return err
+}
+
+// examined takes from a probe's answer whether the target lives.
+func (d *Daemon) examined(now time.Time, t *tables, m probed) {
+	life := lifeText(m.life)
+	switch {
+	case m.err == nil || errors.Is(m.err, ErrUnwell):
+		t.crashes.Alive(life, m.asked)
+	case errors.Is(m.err, syscall.ECONNREFUSED):
+		d.targetEnded(now, t, life, "its address refuses connections")
+	}
+}
+
+// newsOfLife takes from an engine's news, or from its failing to tell any, whether it lives.
+func (d *Daemon) newsOfLife(now time.Time, t *tables, x *fleet.Target, m newsRead) {
+	switch {
+	case m.err == nil:
+		t.crashes.Alive(lifeText(x.Life()), m.asked)
+	case errors.Is(m.err, syscall.ECONNREFUSED):
+		d.targetEnded(now, t, lifeText(x.Life()), "its news")
+	}
+}
+
+// probe asks a target for its health.
+type probe struct {
+	target, path string
+	at           netip.AddrPort
+	// life is the target's at asked, when the question was decided on.
+	life  fleet.Life
+	asked time.Time
+	// engine says that its report is asked for, doubted that it may have ended.
+	engine, doubted bool
+}
+
+// probed tells a target's health.
+type probed struct {
+	probe
+	err error
+}
--- /dev/null
+++ b/entry/crash_test.go
@@ -0,0 +1,388 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/quarantine"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/table"
+)
+
+// engines is a box that knows eight engines, e0 to e7.
+func engines(name string) *Daemon {
+	d := newDaemon(name)
+	d.now = func() time.Time { return start }
+	d.tables.members["b2"] = &member{}
+	d.tables.settled = true
+	d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	var list []fleet.Entry
+	for i := range 8 {
+		list = append(list, engine(fmt.Sprintf("e%d", i), 1))
+	}
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: list}, false})
+	return d
+}
+
+// work is a request for something; equal names ask for the same.
+func work(name string) *deliver.Job {
+	j := job("long", 10)
+	j.ID, j.Body = "r", []byte(name)
+	return j
+}
+
+// placeAt is where a request was sent at a time.
+func placeAt(ms int, target string) deliver.Place {
+	return deliver.Place{Target: target, At: start.Add(time.Duration(ms) * time.Millisecond)}
+}
+
+// Messages that tell of targets.
+func cutOff(target, name string) message {
+	return sendingEnded{deliver.Ended{Place: placeAt(0, target), Job: work(name), Failed: true, Unreachable: true, Cut: true}}
+}
+
+func refusesDial(target string) message {
+	return sendingEnded{deliver.Ended{Place: placeAt(0, target), Job: work("another"), Failed: true, Unreachable: true, Refused: true}}
+}
+
+func answersAt(ms int, target string) message { return answerBegan{placeAt(ms, target)} }
+
+// code returns the code with which a request is refused a place at once, or an empty text.
+func code(d *Daemon, at time.Time, j *deliver.Job) string {
+	reply := make(chan placeAnswer, 1)
+	d.placeAsked(at, &d.tables, placeAsked{ctx: context.Background(), ask: deliver.Ask{Job: j}, reply: reply})
+	var refused *refusal.Refusal
+	select {
+	case answer := <-reply:
+		if errors.As(answer.err, &refused) {
+			return refused.Code
+		}
+	default: // A hub is asked.
+	}
+	return ""
+}
+
+// TestEndedUnder goes through the ways to find out that a target ended under a request, or
+// that it did not.
+func TestEndedUnder(t *testing.T) {
+	refusedNews := func(target string) message {
+		return newsRead{source: target, err: fmt.Errorf("dial: %w", syscall.ECONNREFUSED)}
+	}
+	tests := []struct {
+		name string
+		// after follows the request's being cut off at a target.
+		after func(target string) []message
+		want  bool
+	}{
+		{"its address refuses connections", func(x string) []message { return []message{refusesDial(x)} }, true},
+		{"its news can't be had, as its address refuses connections", func(x string) []message { return []message{refusedNews(x)} }, true},
+		{"its news can't be had", func(x string) []message { return []message{newsRead{source: x, err: errors.New("reset")}} }, false},
+		{"the list drops it", func(x string) []message { return []message{targetsRead{start, Targets{Gone: []string{x}}, false}} }, true},
+		{"it leaves and the list drops it", func(x string) []message {
+			leaving := engine(x, 1)
+			leaving.Leaving = true
+			return []message{targetsRead{start, Targets{Listed: []fleet.Entry{leaving}}, false}, targetsRead{start, Targets{Gone: []string{x}}, false}}
+		}, false},
+		{"its address is another's", func(x string) []message { return []message{probed{probe{target: x}, ErrReplaced}} }, true},
+		{"another box found it replaced", func(x string) []message {
+			return []message{peerCalled{name: "b2", m: peer.Message{Replaced: []peer.Life{{ID: x}}}}}
+		}, true},
+		{"asked for its health, it refuses connections", func(x string) []message {
+			return []message{probed{probe{target: x, life: fleet.Life{ID: x}, asked: start.Add(time.Second)}, syscall.ECONNREFUSED}}
+		}, true},
+		{"asked for its health, it says that it is not well, and then ends", func(x string) []message {
+			return []message{probed{probe{target: x, life: fleet.Life{ID: x}, asked: start.Add(time.Second)}, ErrUnwell}, refusesDial(x)}
+		}, false},
+		{"it answers what was sent later, and then ends", func(x string) []message { return []message{answersAt(1, x), refusesDial(x)} }, false},
+		{"it answers what was sent before, and then ends", func(x string) []message { return []message{answersAt(-1, x), refusesDial(x)} }, true},
+		{"it tells news that was asked for later, and then ends", func(x string) []message {
+			return []message{newsRead{source: x, asked: start.Add(time.Millisecond)}, refusesDial(x)}
+		}, false},
+		{"it tells news that was asked for before, and then ends", func(x string) []message {
+			return []message{newsRead{source: x, asked: start.Add(-time.Millisecond)}, refusesDial(x)}
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := engines("b1")
+			for i := range quarantine.Threshold {
+				target := fmt.Sprintf("e%d", i)
+				d.update(start, cutOff(target, "same"))
+				for _, m := range tt.after(target) {
+					d.update(start, m)
+				}
+			}
+			later := start.Add(10 * time.Second)
+			d.tables.crashes.Expire(later)
+			d.update(later, operatorRead{later, Operator{}})
+			if got := code(d, later, work("same")) == codeQuarantined; got != tt.want {
+				t.Errorf("refused: %v, want %v", got, tt.want)
+			}
+			if got := code(d, later, work("another")); got == codeQuarantined {
+				t.Error("another request is refused")
+			}
+		})
+	}
+}
+
+// TestDoubtedCount refuses a request at once while three targets may have ended under it,
+// and serves it again once one of them is heard.
+func TestDoubtedCount(t *testing.T) {
+	d := engines("b1")
+	for i := range quarantine.Threshold {
+		d.update(start, cutOff(fmt.Sprintf("e%d", i), "same"))
+	}
+	if got := code(d, start, work("same")); got != codeQuarantined {
+		t.Errorf("refused with %q", got)
+	}
+	d.update(start, answersAt(1, "e1"))
+	if got := code(d, start, work("same")); got == codeQuarantined {
+		t.Error("refused though one of the targets lives")
+	}
+}
+
+// TestMerelyRan has requests run on target after target as these end, and be answered now
+// and then: they are served on.
+func TestMerelyRan(t *testing.T) {
+	d := engines("b1")
+	for i := range 30 {
+		target := fmt.Sprintf("e%d", i%8)
+		d.update(start, cutOff(target, "bystander"))
+		d.update(start, refusesDial(target))
+		if i%2 == 1 {
+			d.update(start, sendingEnded{deliver.Ended{Place: placeAt(1, "e7"), Job: work("bystander"), Began: true, Answered: true}})
+		}
+		if got := code(d, start, work("bystander")); got == codeQuarantined {
+			t.Fatalf("refused after %d targets", i+1)
+		}
+	}
+}
+
+// TestCallerLeaves holds a target's end against a request whose caller left right before.
+func TestCallerLeaves(t *testing.T) {
+	d := engines("b1")
+	for i := range quarantine.Threshold {
+		target := fmt.Sprintf("e%d", i)
+		d.update(start, sendingEnded{deliver.Ended{Place: placeAt(0, target), Job: work("same"), Left: true}})
+		if got := code(d, start, work("same")); got == codeQuarantined {
+			t.Fatal("refused as callers left")
+		}
+		d.update(start, refusesDial(target))
+	}
+	if got := code(d, start, work("same")); got != codeQuarantined {
+		t.Errorf("refused with %q", got)
+	}
+}
+
+// rowsOf has a box tell what it found and returns its rows.
+func rowsOf(t *testing.T, d *Daemon, now time.Time) []table.Row {
+	t.Helper()
+	effects := d.tellCrashes(now, &d.tables)
+	if len(effects) != 1 {
+		t.Fatalf("%d effects", len(effects))
+	}
+	e := effects[0].(writeCrashes)
+	d.update(now, crashesWritten{lives: e.lives})
+	return e.tx.Put
+}
+
+// TestRowsTravel has three boxes find one target each that ended under a request, and a
+// fourth one refuse it by their rows alone; so does each of them, and one of them when it
+// has started anew.
+func TestRowsTravel(t *testing.T) {
+	var boxes []*Daemon
+	var rows []table.Row
+	for i, name := range []string{"b1", "b2", "b3"} {
+		d := engines(name)
+		target := fmt.Sprintf("e%d", i)
+		d.update(start, cutOff(target, "same"))
+		d.update(start, cutOff(target, "bystander of "+name))
+		d.update(start, refusesDial(target))
+		rows = append(rows, rowsOf(t, d, start)...)
+		boxes = append(boxes, d)
+	}
+	boxes = append(boxes, engines("b4"), engines("b1"))
+	for _, d := range boxes {
+		d.update(start, ownRead{Own{Whole: true, Rows: rows}, true})
+		if got := code(d, start, work("same")); got != codeQuarantined {
+			t.Errorf("%s refuses with %q", d.Settings.Name, got)
+		}
+		if got := code(d, start, work("bystander of b1")); got == codeQuarantined {
+			t.Errorf("%s refuses a request that merely ran there", d.Settings.Name)
+		}
+	}
+	again := boxes[4]
+	if effects := again.tellCrashes(start, &again.tables); len(effects) != 0 || len(again.tables.reports.byLife) != 1 {
+		t.Errorf("a box that started anew tells its own rows again: %v", effects)
+	}
+}
+
+// TestSpoiltRows has other writers' rows stand among the boxes' own.
+func TestSpoiltRows(t *testing.T) {
+	many, err := json.Marshal(crashRow{Sums: slices.Repeat([]string{work("same").Fingerprint().String()}, crashSums+1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := engines("b1")
+	for i, value := range []string{"", "7", `{"sums":7}`, `{"sums":["xyz","",null]}`, string(many)} {
+		d.update(start, ownRead{Own{Rows: []table.Row{{Key: crashPrefix + "b2/e" + fmt.Sprint(i), Value: []byte(value)}}}, true})
+	}
+	d.update(start, ownRead{Own{Rows: []table.Row{{Key: crashPrefix + "nobody", Value: []byte(`{}`)}}}, true})
+	if n := d.tables.quarantine.Len(); n != 0 {
+		t.Errorf("%d requests are counted", n)
+	}
+}
+
+// TestRowsAreWritten writes each row once, again after a failure, and never more than
+// there may be; rows of what is refused go last.
+func TestRowsAreWritten(t *testing.T) {
+	d := engines("b1")
+	d.update(start, cutOff("e0", "same"))
+	d.update(start, refusesDial("e0"))
+	first := d.tellCrashes(start, &d.tables)[0].(writeCrashes)
+	if again := d.tellCrashes(start, &d.tables); len(again) != 0 {
+		t.Error("two writes at once")
+	}
+	d.update(start, crashesWritten{lives: first.lives, err: errors.New("lost")})
+	if early := d.tellCrashes(start.Add(crashAgain-1), &d.tables); len(early) != 0 {
+		t.Error("no pause after a failed write")
+	}
+	if rows := rowsOf(t, d, start.Add(crashAgain)); len(rows) != 1 || rows[0].Key != "ended/b1/e0" {
+		t.Errorf("rows %v", rows)
+	}
+	now := start.Add(time.Second)
+	for i := range 2 {
+		d.endedUnder(now, &d.tables, fmt.Sprint("x", i), work("same").Fingerprint(), "b2")
+	}
+	gone := 0
+	for i := range 3 * crashRows {
+		now = now.Add(time.Second)
+		d.reportEnded(now, &d.tables, fmt.Sprint("n", i), []fingerprint.Sum{{byte(i)}}, "test")
+		e := d.tellCrashes(now, &d.tables)[0].(writeCrashes)
+		d.update(now, crashesWritten{lives: e.lives})
+		gone += len(e.tx.Delete)
+		if slices.Contains(e.tx.Delete, "ended/b1/e0") {
+			t.Error("the row of what is refused went before others")
+		}
+	}
+	if n := len(d.tables.reports.byLife); n != crashRows || gone != 2*crashRows+1 {
+		t.Errorf("%d rows stand, %d went", n, gone)
+	}
+	late := d.tellCrashes(now.Add(quarantine.Keep+time.Second), &d.tables)[0].(writeCrashes)
+	if len(late.tx.Delete) != crashRows-1 || slices.Contains(late.tx.Delete, "ended/b1/e0") {
+		t.Errorf("an hour later %d rows go", len(late.tx.Delete))
+	}
+}
+
+// TestRefusedTravels has a box that lives on a hub refuse what the hub refuses, and serve
+// it again once another box has answered it.
+func TestRefusedTravels(t *testing.T) {
+	hub, spoke := listed("box-00"), listed("box-05")
+	sum := work("same").Fingerprint()
+	for i := range quarantine.Threshold {
+		hub.endedUnder(start, &hub.tables, fmt.Sprint("e", i), sum, "box-07")
+	}
+	ask := func(now time.Time) peer.Message {
+		return hub.peerAsks(now, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05", Refuses: spoke.tables.hubRefuses})
+	}
+	answer := ask(start)
+	spoke.update(start, peerCalled{"box-00", start, answer, nil})
+	if got := code(spoke, start, work("same")); got != codeQuarantined {
+		t.Errorf("refused with %q", got)
+	}
+	if again := ask(start); len(answer.View.Refused) != 1 || len(again.View.Refused) != 0 || again.View.Refuses != answer.View.Refuses {
+		t.Errorf("the set is told again: %v", again.View.Refused)
+	}
+	hub.update(start, sendingEnded{deliver.Ended{Place: placeAt(0, "a"), Job: work("same"), Began: true, Answered: true}})
+	spoke.update(start, peerCalled{"box-00", start, ask(start), nil})
+	if got := code(spoke, start, work("same")); got == codeQuarantined {
+		t.Error("refused though it was answered")
+	}
+}
+
+// TestEndedIsGossiped has boxes tell each other what they cannot write.
+func TestEndedIsGossiped(t *testing.T) {
+	b1, b2 := engines("b1"), engines("b2")
+	b2.tables.members["b1"] = &member{}
+	b1.update(start, cutOff("e0", "same"))
+	b1.update(start, refusesDial("e0"))
+	told := b1.peerAsks(start, &b1.tables, peer.Message{Kind: peer.KindGossip, From: "b2"})
+	b2.update(start, peerCalled{"b1", start, told, nil})
+	if got := b2.tables.quarantine.Lives(work("same").Fingerprint()); got != 1 {
+		t.Errorf("%d targets count, want 1", got)
+	}
+	late := b1.peerAsks(start.Add(tellFor+time.Second), &b1.tables, peer.Message{Kind: peer.KindGossip, From: "b2"})
+	if len(late.Ended) != 0 {
+		t.Error("told for ever")
+	}
+}
+
+// TestExamine asks a target that cut a request off whether it lives, unless its news tell.
+func TestExamine(t *testing.T) {
+	tests := []struct {
+		name string
+		box  *Daemon
+		want int
+	}{
+		{"a box that follows its news", engines("b1"), 0},
+		{"a box that lives on a hub", listed("box-05"), 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			target := tt.box.tables.fleet.All()[0]
+			tt.box.update(start, cutOff(target, "same"))
+			later := start.Add(time.Second)
+			effects := tt.box.examineDoubted(later, &tt.box.tables)
+			if len(effects) != tt.want {
+				t.Fatalf("%d questions", len(effects))
+			}
+			if again := tt.box.examineDoubted(later, &tt.box.tables); len(again) != 0 {
+				t.Error("asked twice")
+			}
+			for _, e := range effects {
+				p := e.(probe)
+				tt.box.update(later, probed{p, syscall.ECONNREFUSED})
+				if tt.box.tables.quarantine.Lives(work("same").Fingerprint()) != 1 {
+					t.Error("the answer does not count")
+				}
+			}
+		})
+	}
+}
+
+// TestLifeText names lives so that two of one ID differ.
+func TestLifeText(t *testing.T) {
+	plain, born := fleet.Life{ID: "i-7f"}, fleet.Life{ID: "i-7f", Born: start}
+	if lifeText(plain) == lifeText(born) || lifeID(lifeText(plain)) != "i-7f" || lifeID(lifeText(born)) != "i-7f" || strings.Contains(lifeText(plain), lifeMark) {
+		t.Errorf("%q and %q", lifeText(plain), lifeText(born))
+	}
+}
+
+// BenchmarkRefuseQuarantined is what a request costs the loop while some are remembered.
+func BenchmarkRefuseQuarantined(b *testing.B) {
+	d := engines("b1")
+	for _, remembered := range []int{0, 1} {
+		b.Run(fmt.Sprintf("%d remembered", remembered), func(b *testing.B) {
+			if remembered > 0 {
+				d.endedUnder(start, &d.tables, "e0", fingerprint.Sum{1}, "b2")
+			}
+			body := make([]byte, 2400)
+			for b.Loop() {
+				j := work("")
+				j.Body = body
+				d.refuseQuarantined(start, &d.tables, j)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/crashrow.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/quarantine"
+	"github.com/thymewind/thymewind/table"
+)
+
+// crashPrefix begins the keys of the rows that tell which requests ran on a target when it
+// ended: behind it stand the telling box and the target's life. No other box writes them,
+// so that none is lost, whichever boxes can reach each other.
+const crashPrefix = "ended/"
+
+const (
+	// crashRows bounds the rows of one box, crashSums the requests in each: an engine
+	// runs 128 at once.
+	crashRows = 32
+	crashSums = 256
+	// crashAgain is the pause after a write that failed. Boxes have 3 s to hear of what
+	// is told there.
+	crashAgain = 300 * time.Millisecond
+)
+
+// crashRow is the value of such a row.
+type crashRow struct {
+	Sums []string `json:"sums"`
+	// AtMS is when the target ended, in Unix milliseconds, by which the row is dropped
+	// an hour later: seconds make no odds.
+	AtMS int64 `json:"at_ms"`
+}
+
+// reports are this box's own rows.
+type reports struct {
+	byLife map[string]*report
+	// writing says that a write is under way; after a failed one the next waits until
+	// again.
+	writing bool
+	again   time.Time
+}
+
+// report is one of them.
+type report struct {
+	sums map[fingerprint.Sum]bool
+	at   time.Time
+	// written says that the row stands as it is here.
+	written bool
+}
+
+// add notes requests that ran on a target when it ended.
+func (r *reports) add(now time.Time, life string, sums []fingerprint.Sum) {
+	if r.byLife == nil {
+		r.byLife = make(map[string]*report)
+	}
+	x := r.byLife[life]
+	if x == nil {
+		x = &report{sums: make(map[fingerprint.Sum]bool, len(sums)), at: now}
+		r.byLife[life] = x
+	}
+	for _, sum := range sums {
+		if !x.sums[sum] && len(x.sums) < crashSums {
+			x.sums[sum], x.written = true, false
+		}
+	}
+}
+
+// surplus returns the lives whose rows are to go: the oldest of too many, those last that
+// hold a request that is refused, and all that are too old.
+func (r *reports) surplus(now time.Time, refused func(fingerprint.Sum) bool) []string {
+	lives := make([]string, 0, len(r.byLife))
+	weight := make(map[string]int, len(r.byLife))
+	for life, x := range r.byLife {
+		lives = append(lives, life)
+		for sum := range x.sums {
+			if refused(sum) {
+				weight[life] = 1
+			}
+		}
+	}
+	slices.SortFunc(lives, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight[a], weight[b]), r.byLife[a].at.Compare(r.byLife[b].at))
+	})
+	many := max(len(lives)-crashRows, 0)
+	gone := slices.Clone(lives[:many])
+	for _, life := range lives[many:] {
+		if now.Sub(r.byLife[life].at) > quarantine.Keep && weight[life] == 0 {
+			gone = append(gone, life)
+		}
+	}
+	return gone
+}
+
+// writeCrashes brings this box's rows into line.
+type writeCrashes struct {
+	tx    table.Transaction
+	lives []string
+}
+
+// crashesWritten tells what came of it.
+type crashesWritten struct {
+	lives []string
+	err   error
+}
+
+// tellCrashes has the rows written that changed, all in one call.
+func (d *Daemon) tellCrashes(now time.Time, t *tables) []effect {
+	r := &t.reports
+	if r.writing || now.Before(r.again) {
+		return nil
+	}
+	e := writeCrashes{}
+	if len(r.byLife) > 0 {
+		for _, life := range r.surplus(now, func(sum fingerprint.Sum) bool { return t.quarantine.Lives(sum) >= quarantine.Threshold }) {
+			e.tx.Delete = append(e.tx.Delete, d.crashKey(life))
+			delete(r.byLife, life)
+		}
+	}
+	for life, x := range r.byLife {
+		if !x.written {
+			x.written = true
+			e.lives = append(e.lives, life)
+			e.tx.Put = append(e.tx.Put, table.Row{Key: d.crashKey(life), Value: x.value()})
+		}
+	}
+	if len(e.tx.Put)+len(e.tx.Delete) == 0 {
+		return nil
+	}
+	r.writing = true
+	return []effect{e}
+}
+
+func (d *Daemon) crashKey(life string) string { return crashPrefix + d.Settings.Name + "/" + life }
+
+func (x *report) value() []byte {
+	row := crashRow{AtMS: x.at.UnixMilli()}
+	for sum := range x.sums {
+		row.Sums = append(row.Sums, sum.String())
+	}
+	slices.Sort(row.Sums)
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // The row's own type always encodes.
+	}
+	return value
+}
+
+func (d *Daemon) writeCrashes(ctx context.Context, e writeCrashes) crashesWritten {
+	return crashesWritten{e.lives, d.Platform.Commit(ctx, e.tx)}
+}
+
+// crashesWritten has what was not written, or may not have been, written again: the same
+// row twice does no harm.
+func (d *Daemon) crashesWritten(now time.Time, t *tables, m crashesWritten) {
+	r := &t.reports
+	r.writing = false
+	if m.err == nil {
+		return
+	}
+	d.Log.Warn("boxes were not told which requests ran on targets that ended; trying again", "targets", len(m.lives), "err", m.err)
+	r.again = now.Add(crashAgain)
+	for _, life := range m.lives {
+		if x := r.byLife[life]; x != nil {
+			x.written = false
+		}
+	}
+}
+
+// crashRead takes over a row of any box. One of this box's own was written before it
+// started anew.
+func (d *Daemon) crashRead(now time.Time, t *tables, key string, value []byte) {
+	box, life, ok := strings.Cut(key, "/")
+	var row crashRow
+	if err := json.Unmarshal(value, &row); !ok || err != nil || len(row.Sums) > crashSums {
+		d.Log.Error("a row of requests that ran on a target when it ended can't be read", "key", key, "requests", len(row.Sums), "err", err)
+		return
+	}
+	var sums []fingerprint.Sum
+	for _, text := range row.Sums {
+		sum, ok := fingerprint.Parse(text)
+		if !ok {
+			d.Log.Error("a row holds what is no fingerprint", "key", key, "text", text)
+			continue
+		}
+		sums = append(sums, sum)
+		d.endedUnder(now, t, life, sum, box)
+	}
+	if box == d.Settings.Name && t.reports.byLife[life] == nil {
+		t.reports.add(now, life, sums)
+		own := t.reports.byLife[life]
+		own.written = true
+		if at := time.UnixMilli(row.AtMS); at.Before(now) {
+			own.at = at
+		}
+	}
+}
+
+// endedLately lists what this box found lately of requests that ran on targets when these
+// ended, for boxes that can't read the rows now.
+func (t *tables) endedLately(now time.Time) []peer.EndedUnder {
+	var list []peer.EndedUnder
+	for life, x := range t.reports.byLife {
+		if now.Sub(x.at) > tellFor {
+			continue
+		}
+		told := peer.EndedUnder{Life: life}
+		for sum := range x.sums {
+			told.Sums = append(told.Sums, sum)
+		}
+		list = append(list, told)
+	}
+	return list
+}
+
+// hearQuarantine takes over what another box says of requests that ran on targets when
+// these ended, and of such that were answered after all.
+func (d *Daemon) hearQuarantine(now time.Time, t *tables, m peer.Message) {
+	for _, told := range m.Ended {
+		for _, sum := range told.Sums[:min(len(told.Sums), crashSums)] {
+			d.endedUnder(now, t, told.Life, sum, m.From)
+		}
+	}
+	for _, sum := range m.Acquitted {
+		if _, known := t.acquitted[sum]; !known {
+			d.acquit(now, t, sum, m.From)
+		}
+	}
+}
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -47,12 +47,6 @@
 	at    netip.AddrPort
 }
 
-// probe asks a target for its health.
-type probe struct {
-	target, path string
-	at           netip.AddrPort
-}
-
 // run starts effects; each tells the loop what came of it.
 func (d *Daemon) run(ctx context.Context, effects []effect) {
 	for _, e := range effects {
@@ -83,7 +77,9 @@
 		report, err := d.Platform.Report(ctx, e.at)
 		d.tell(ctx, loadedAsked{e.target, report, err})
 	case probe:
-		d.tell(ctx, probed{e.target, d.Platform.Healthy(ctx, e.at, e.path, e.target)})
+		d.tell(ctx, probed{e, d.ask(ctx, e)})
+	case writeCrashes:
+		d.tell(ctx, d.writeCrashes(ctx, e))
 	}
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -137,7 +137,7 @@
 	var since uint64
 	for ctx.Err() == nil {
 		began := d.now()
-		m := newsRead{source: e.name}
+		m := newsRead{source: e.name, asked: began}
 		m.news, m.err = d.Platform.News(ctx, e.at, since, e.hold)
 		if m.err == nil && m.news.Gap && since > 0 {
 			m.news, m.err = d.Platform.List(ctx, e.at)
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -75,7 +75,7 @@
 	t.due.gossip = now.Add(d.gossipPause(t))
 	return d.callPartners(now, t, peer.Message{
 		Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t), Reads: t.reads.Told(now),
-		Replaced: t.replacedLately(now), Stale: d.shut(now),
+		Replaced: t.replacedLately(now), Stale: d.shut(now), Ended: t.endedLately(now), Acquitted: t.acquittedLately(now),
 	})
 }
 
@@ -109,7 +109,7 @@
 		m.calling = true
 		call := callPeer{name: name, at: m.at, asked: now, m: message}
 		if t.hub == name {
-			call.m.List = t.hubList
+			call.m.List, call.m.Refuses = t.hubList, t.hubRefuses
 		}
 		effects = append(effects, call)
 	}
@@ -185,8 +185,10 @@
 		}
 	default:
 		d.hearReplaced(now, t, m)
+		d.hearQuarantine(now, t, m)
 		d.hearOpen(now, m)
 		answer.Replaced, answer.Stale = t.replacedLately(now), d.shut(now)
+		answer.Ended, answer.Acquitted = t.endedLately(now), t.acquittedLately(now)
 		d.hear(now, t, m)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
 			answer.Shares, answer.Reads = d.told(now, t), t.reads.Told(now)
@@ -195,6 +197,7 @@
 		}
 		t.askedAsHub = now
 		answer.View = d.view(now, t, m.List)
+		t.tellRefused(answer.View, m.Refuses)
 	}
 	return answer
 }
@@ -219,6 +222,7 @@
 		return nil
 	}
 	d.hearReplaced(now, t, m.m)
+	d.hearQuarantine(now, t, m.m)
 	d.hearOpen(now, m.m)
 	if d.spoke.Load() {
 		t.hubHeard = now
--- a/entry/hub.go
+++ b/entry/hub.go
@@ -155,7 +155,7 @@
 	t.hubHeard = now
 	d.Log.Info("role in the fleet", "hub", hub, "boxes", len(t.members), "of_domain", len(t.ranked(d.Settings.Domain)))
 	if !hub {
-		t.hub, t.hubList = "", 0
+		t.hub, t.hubList, t.hubRefuses = "", 0, 0
 	}
 	return d.follow(now, t)
 }
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -184,7 +184,7 @@
 // knows to be replaced.
 func TestViewOfReplaced(t *testing.T) {
 	spoke := listed("box-05")
-	spoke.update(start, probed{"a", ErrReplaced})
+	spoke.update(start, probed{probe{target: "a"}, ErrReplaced})
 	entries := []peer.Entry{{ID: "a", Pool: "models", Address: "10.1.0.1:1"}, {ID: "b", Pool: "models", Address: "10.1.0.2:1"}}
 	spoke.update(start, peerCalled{"box-00", start, peer.Message{View: &peer.View{Namings: map[string][]peer.Naming{}, Configuration: 1, List: 7, Entries: entries}}, nil})
 	if spoke.tables.fleet.Target("a") != nil || spoke.tables.fleet.Target("b") == nil {
--- a/entry/list.go
+++ b/entry/list.go
@@ -76,6 +76,7 @@
 // it kept, its news and that it was loading.
 func (d *Daemon) reborn(now time.Time, t *tables, before, x *fleet.Target) {
 	d.Log.Warn("target has started again", "target", x.ID, "pool", x.Pool, "born", x.Born, "before", before.Born, "in_flight", before.InFlight)
+	d.targetEnded(now, t, lifeText(before.Life()), "its entry")
 	t.doubtGone(now, before)
 	t.forget(x.ID)
 	t.changed()
@@ -108,6 +109,9 @@
 		return
 	}
 	d.Log.Info("target gone", "target", id, "pool", x.Pool, "in_flight", x.InFlight)
+	if !x.Leaving {
+		d.targetEnded(now, t, lifeText(x.Life()), "the list")
+	}
 	d.drop(t, id)
 }
 
@@ -138,6 +142,7 @@
 		t.doubtGone(now, x) // It may be back, with its weights.
 	}
 	d.Log.Warn("a target's life is over", "target", life.ID, "born", life.Born, "told_by", from)
+	d.targetEnded(now, t, lifeText(life), from)
 	t.forget(life.ID)
 	t.changed()
 	return d.follow(now, t)
--- a/entry/message.go
+++ b/entry/message.go
@@ -79,7 +79,9 @@
 	news   News
 	// listed says that the news is all that the source keeps.
 	listed bool
-	err    error
+	// asked is when it was asked for.
+	asked time.Time
+	err   error
 }
 
 // leaseStepped tells that the step of the rollout's lease ended. While the
@@ -109,9 +111,3 @@
 	model string
 	err   error
 }
-
-// probed tells a target's health.
-type probed struct {
-	target string
-	err    error
-}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,6 +25,8 @@
 	replaced      prometheus.Histogram
 	silent        *prometheus.CounterVec
 	cut           *prometheus.CounterVec
+	ended         prometheus.Counter
+	quarantined   prometheus.Gauge
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -61,9 +63,11 @@
 	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
 	c.silent = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_silent_connections_total", Help: "Connections given up as they said nothing, by what they led to."}, []string{"to"})
 	c.cut = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_cut_total", Help: "Requests that a target may have run and gave no whole answer to, by pool."}, []string{"pool"})
+	c.ended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_ended_targets_total", Help: "Targets that were found to have ended while requests of this box ran there."})
+	c.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined", Help: "Requests, by what they ask for, that are refused as targets ended under them."})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined,
 	)
 	return c
 }
@@ -79,6 +83,7 @@
 	}
 	d.counts.kept.Set(float64(kept))
 	d.counts.members.Set(float64(t.boxes()))
+	d.counts.quarantined.Set(float64(len(t.quarantine.Refused())))
 }
 
 // Silence notes that a connection was given up as it said nothing for long: to
--- a/entry/news.go
+++ b/entry/news.go
@@ -12,6 +12,9 @@
 		return nil // It came while the following was stopped.
 	}
 	x := t.fleet.Target(m.source)
+	if x != nil {
+		d.newsOfLife(now, t, x, m)
+	}
 	if m.err != nil {
 		t.directory.Silence(m.source)
 		if x != nil {
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -14,6 +14,7 @@
 	if x := t.fleet.Of(fleet.Life{ID: p.Target, Born: p.Born}); x != nil {
 		x.Began(now, p.Unread)
 	}
+	t.crashes.Alive(lifeOf(p), p.At)
 	t.overdue.Done(placement.Hash(p.Target), p.At)
 	if p.Scope != "" {
 		t.pace.See(now, pace.Sample{Took: now.Sub(p.At), Tokens: p.Ahead + p.Unread, Moves: p.Moves})
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -41,10 +41,13 @@
 	Report func(ctx context.Context, at netip.AddrPort) (Report, error)
 	Order  func(ctx context.Context, at netip.AddrPort, o rollout.Order) error
 	// Healthy asks whether this very replica says that it is well. It fails with
-	// ErrReplaced if another one answers.
+	// ErrReplaced if another one answers, and with ErrUnwell if it says that it is not.
 	Healthy func(ctx context.Context, at netip.AddrPort, path, id string) error
 }
 
+// ErrUnwell says that the very replica meant answers, and that it is not well.
+var ErrUnwell = errors.New("the replica says that it is not well")
+
 // ErrReplaced says that the address called belongs to another replica than the
 // one meant, which is gone for good.
 var ErrReplaced = errors.New("another replica has the address")
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -117,6 +117,9 @@
 		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
 			d.memberRead(t, name, row.Value)
 		}
+		if key, ok := strings.CutPrefix(row.Key, crashPrefix); ok {
+			d.crashRead(now, t, key, row.Value)
+		}
 		if row.Key == keyCredential {
 			d.credentialRead(row.Value)
 		}
--- a/entry/settings/without.go
+++ b/entry/settings/without.go
@@ -32,11 +32,13 @@
 	Loads = "loads"
 	// Hurry asks another target where one that does not answer looks dead.
 	Hurry = "hurry"
+	// Quarantine refuses requests under which targets ended.
+	Quarantine = "quarantine"
 )
 
 // mechanisms are all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -32,6 +32,8 @@
 	t.fleet.Expire(now.Add(-replacedFor))
 	t.reads.Expire(now)
 	t.gate.Expire(now)
+	t.crashes.Expire(now)
+	t.quarantine.Expire(now)
 	for _, w := range t.weights {
 		w.names.Trim()
 		maps.DeleteFunc(w.barred, func(_ string, until time.Time) bool { return now.After(until) })
@@ -83,7 +85,7 @@
 				continue
 			}
 			t.probing[x.ID] = true
-			effects = append(effects, probe{x.ID, pool.HealthPath, x.Address})
+			effects = append(effects, probe{target: x.ID, path: pool.HealthPath, at: x.Address, life: x.Life(), asked: now})
 		}
 	}
 	return effects
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -10,12 +10,15 @@
 	"github.com/thymewind/thymewind/clearing"
 	"github.com/thymewind/thymewind/clockbound"
 	"github.com/thymewind/thymewind/congestion"
+	"github.com/thymewind/thymewind/crash"
 	"github.com/thymewind/thymewind/dated"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/overdue"
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/quarantine"
 	"github.com/thymewind/thymewind/shares"
 	"github.com/thymewind/thymewind/strain"
 	"github.com/thymewind/thymewind/warming"
@@ -111,6 +114,16 @@
 	// evacuatedAt is when what the operator asks for of domains was as the fleet has
 	// it; what is older by a hub's view changes nothing.
 	evacuatedAt time.Time
+	// crashes finds out which requests ran on targets that ended, quarantine keeps
+	// those away that take targets down, and reports are what this box tells of them.
+	crashes    crash.Watch
+	quarantine quarantine.Book
+	reports    reports
+	// acquitted are requests that were answered after all, with since when that is
+	// known, for boxes that may not know.
+	acquitted map[fingerprint.Sum]time.Time
+	// hubRefuses numbers the set of requests that the hub was last heard to refuse.
+	hubRefuses uint64
 	// settled says that the other boxes are known, so that this one knows its
 	// role.
 	settled bool
@@ -175,6 +188,7 @@
 		silences: make(map[netip.AddrPort]time.Time),
 		slow:     make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
+		acquitted: make(map[fingerprint.Sum]time.Time),
 		congested: make(map[string]*congestion.Gauge), congestedNow: make(map[string]bool),
 	}
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -57,6 +57,8 @@
 		m.reply <- d.peerAsks(now, t, m.m)
 	case probed:
 		d.probed(now, t, m)
+	case crashesWritten:
+		d.crashesWritten(now, t, m)
 	}
 	return nil
 }
@@ -89,6 +91,7 @@
 // sendingEnded learns from how a sending went.
 func (d *Daemon) sendingEnded(now time.Time, t *tables, m sendingEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.At)
+	d.watchEnd(now, t, m)
 	x := t.fleet.Of(fleet.Life{ID: m.Place.Target, Born: m.Place.Born})
 	if x == nil {
 		return
@@ -123,6 +126,7 @@
 // probed takes over a target's health.
 func (d *Daemon) probed(now time.Time, t *tables, m probed) {
 	delete(t.probing, m.target)
+	d.examined(now, t, m)
 	x := t.fleet.Target(m.target)
 	if x == nil {
 		return
@@ -131,9 +135,11 @@
 		d.replaced(now, t, x.Life(), "its health")
 		return
 	}
-	if m.err != nil {
-		x.Fail(now)
+	if m.err == nil {
+		x.Heard(now)
 		return
 	}
-	x.Heard(now)
+	if !m.doubted { // One that is busy has the question wait.
+		x.Fail(now)
+	}
 }
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -184,8 +184,8 @@
 	}{
 		{"its epoch changed", newsRead{source: "a", news: News{Epoch: 2}}, true},
 		{"its epoch is as before", newsRead{source: "a", news: News{Epoch: 1}}, false},
-		{"another one answers for its health", probed{"a", ErrReplaced}, true},
-		{"its health is bad", probed{"a", errors.New("503")}, false},
+		{"another one answers for its health", probed{probe{target: "a"}, ErrReplaced}, true},
+		{"its health is bad", probed{probe{target: "a"}, errors.New("503")}, false},
 		{"another box tells", peerCalled{name: "b2", m: peer.Message{Replaced: []peer.Life{{ID: "a"}}}}, true},
 		{"a request was refused by another one", sendingEnded{deliver.Ended{
 			Place: deliver.Place{Target: "a"}, Job: job("long", 10), Verdict: deliver.Elsewhere,
--- a/entry/view.go
+++ b/entry/view.go
@@ -62,6 +62,7 @@
 	case v.Configuration == d.version():
 		d.prove(proof)
 	}
+	d.refusedFromHub(now, t, hub, v)
 	d.namingsFromHub(now, t, hub, asked, v)
 	d.evacuationsFromHub(now, t, hub, proof, v.Evacuated)
 	// The list of another hub that is cut off brings targets back that are gone, and
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/thymewind/thymewind/fingerprint"
+
 // KindPlace asks a hub to place a request.
 const KindPlace = "place"
 
@@ -79,6 +81,10 @@
 	Namings map[string][]Naming `cbor:"6,keyasint"`
 	// Evacuated are the failure domains that are to get no work.
 	Evacuated []string `cbor:"7,keyasint,omitempty"`
+	// Refused are the requests that the hub refuses as targets ended under them, and
+	// Refuses numbers that set; it is sent when the asking box has another one.
+	Refused []fingerprint.Sum `cbor:"8,keyasint,omitempty"`
+	Refuses uint64            `cbor:"9,keyasint,omitempty"`
 }
 
 // Naming is a version of a model's weights and how long ago it was named at most,
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/thymewind/thymewind/fingerprint"
+
 // The kinds of message.
 const (
 	// KindGossip exchanges soft state.
@@ -40,6 +42,12 @@
 	// Replaced are targets' lives that were found to be over, as another replica has
 	// the address or as the target started again.
 	Replaced []Life `cbor:"20,keyasint,omitempty"`
+	// Ended are requests that ran on targets when these ended, as the sender found
+	// lately; Acquitted are such that were answered after all.
+	Ended     []EndedUnder      `cbor:"23,keyasint,omitempty"`
+	Acquitted []fingerprint.Sum `cbor:"24,keyasint,omitempty"`
+	// Refuses numbers the set of requests that the hub was last heard to refuse.
+	Refuses uint64 `cbor:"25,keyasint,omitempty"`
 	// Stale says that the sender refuses callers, as it can't tell whether its
 	// configuration is in force.
 	Stale bool `cbor:"18,keyasint,omitempty"`
@@ -64,6 +72,13 @@
 	BornMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// EndedUnder tells which requests ran on a target when it ended.
+type EndedUnder struct {
+	// Life names the target's life as all boxes do.
+	Life string            `cbor:"1,keyasint"`
+	Sums []fingerprint.Sum `cbor:"2,keyasint"`
+}
+
 // Load is one target's report as it travels.
 type Load struct {
 	// Target is target.ID of the name and address, so that a new target at
