--- a/entry/crash.go
+++ b/entry/crash.go
@@ -17,9 +17,10 @@
 
 // A request may take down each target that begins to run it, and come again, with another
 // ID, at any box. What it did to its targets therefore counts for all that ask for the
-// same, over all boxes: each tells in a row of its own which requests ran on targets that
+// same, over all boxes: each tells in rows of its own which requests ran on targets that
 // ended (crashrow.go), and refuses what quarantine.Threshold targets ended under. Of 12
-// targets 3 to 5 end in place of all 12 (TestCrashingRequest).
+// targets 6 end in place of all: three for each of two boxes to which it comes each 5 ms,
+// before either has heard of the other's (TestCrashingRequest).
 
 // lifeText names a target's life among boxes.
 func lifeText(life fleet.Life) string {
