fix: ages, leases and deadlines count the time for which the machine was suspended

Cause: the runtime's steady clock stands still while a machine is suspended. A proof that keys hold, a lease, a deadline of before was as young to it as it had been, however long the machine slept. The class: an age taken from a clock that need not run. Ruled out: the time of day (it is set by hand and steps); the kernel's clock at each call (a system call each; asked only when the time of day moved against the steady clock by 50 ms). Change: boottime.Now is the steady clock's time and that for which it stood still. Timers stand still too: Look ends requests whose time, or whose time to begin by, is over; requests and orders carry NotAfter, so that a connection made across a suspension sends nothing late; a write to a caller that left is ended by a deadline long ago.

--- a/build.go
+++ b/build.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/caller"
 	"github.com/thymewind/thymewind/charge"
@@ -77,7 +78,7 @@
 
 // build puts the parts together.
 func (d *Daemon) build() error {
-	d.now = time.Now
+	d.now = boottime.Now
 	d.random = rand.Uint64
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -90,7 +90,7 @@
 		bound = 4 << 20 // The largest that the platform configures today.
 	}
 	connection := http.NewResponseController(x.w)
-	limited := connection.SetReadDeadline(job.Until) == nil // Only a real connection can.
+	limited := connection.SetReadDeadline(time.Now().Add(job.Until.Sub(x.Now()))) == nil // Only a real connection can.
 	body, err := io.ReadAll(io.LimitReader(job.Call.Body, bound+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time")
--- a/deliver/leave.go
+++ b/deliver/leave.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// longAgo as a connection's deadline ends what is under way there.
+var longAgo = time.Unix(1, 0)
+
 // watch waits for the caller to leave, as the server or its connection tells. It
 // then ends the run's context and what is being written to the caller: one that
 // took nothing any more would hold its request up for good. What is returned ends
@@ -23,7 +26,7 @@
 		}
 		now := x.Now()
 		left.Store(&now)
-		_ = connection.SetWriteDeadline(now) // Only a real connection can; others never hold up.
+		_ = connection.SetWriteDeadline(longAgo) // Only a real connection can; others never hold up.
 	})
 	x.enter(x, cancel)
 	return func() (time.Duration, bool) {
@@ -38,19 +41,44 @@
 	}
 }
 
-// Look ends the requests whose callers have closed their connections. The HTTP
-// server tells of most by itself, but stops looking once a byte of the next request
-// has come. Call it some times a second.
+// Look ends the requests whose callers have closed their connections, and those whose
+// time is up. The HTTP server tells of most callers by itself, but stops looking once a
+// byte of the next request has come; timers end most that are late, but stood still if
+// the machine was suspended. Call it some times a second.
 func (s *Server) Look() {
+	now := s.Now()
 	for x, cancel := range s.underWay() {
-		if x.outcome.Call.Gone() {
+		if x.outcome.Call.Gone != nil && x.outcome.Call.Gone() {
 			cancel()
 		}
+		x.begin.end(now)
+		x.over.end(now)
 	}
 }
 
-// underWay returns the requests whose connections can be asked, with how to end
-// each.
+// limit is a time at which something ends, by the daemon's clock. A timer ends it too, and
+// as a rule first.
+type limit struct {
+	at atomic.Pointer[limited]
+}
+
+// limited is what a limit ends.
+type limited struct {
+	at  time.Time
+	end func()
+}
+
+func (l *limit) set(at time.Time, end func()) { l.at.Store(&limited{at, end}) }
+
+func (l *limit) clear() { l.at.Store(nil) }
+
+func (l *limit) end(now time.Time) {
+	if x := l.at.Load(); x != nil && !now.Before(x.at) {
+		x.end()
+	}
+}
+
+// underWay returns the requests under way, with how to end each.
 func (s *Server) underWay() map[*run]context.CancelFunc {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -59,9 +87,6 @@
 
 // enter has Look see to a request, leave ends that.
 func (s *Server) enter(x *run, cancel context.CancelFunc) {
-	if x.outcome.Call.Gone == nil {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.watched == nil {
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -35,6 +35,9 @@
 	w   http.ResponseWriter
 	// caller ends when the caller leaves, ctx when the time is up as well.
 	caller, ctx context.Context
+	// over is when the request has to be over, begin when the target has to have
+	// begun; unset if it may begin at any time, or has.
+	over, begin limit
 	// cancel breaks the sending under way off.
 	cancel context.CancelCauseFunc
 	tried  []string
@@ -100,9 +103,10 @@
 		return refused
 	}
 	x.Earn(job.Pool.Name)
-	ctx, cancel := context.WithDeadline(x.caller, job.Until)
+	ctx, cancel := context.WithTimeout(x.caller, job.Until.Sub(x.Now()))
 	defer cancel()
 	x.ctx = ctx
+	x.over.set(job.Until, cancel)
 	for {
 		if x.left() {
 			return x.giveUp(x.notNow(x.job, "caller_left", "the caller closed its connection"))
@@ -137,9 +141,15 @@
 	defer cancel(nil)
 	x.cancel = cancel
 	if !place.BeginBy.IsZero() {
-		late := time.AfterFunc(place.BeginBy.Sub(x.Now()), func() { cancel(errOverdue) })
-		defer late.Stop()
-		return x.hurried(ctx, cancel, func() { late.Stop() }, place)
+		overdue := func() { cancel(errOverdue) }
+		late := time.AfterFunc(place.BeginBy.Sub(x.Now()), overdue)
+		x.begin.set(place.BeginBy, overdue)
+		answered := func() {
+			late.Stop()
+			x.begin.clear()
+		}
+		defer answered()
+		return x.hurried(ctx, cancel, answered, place)
 	}
 	return x.hurried(ctx, cancel, func() {}, place)
 }
@@ -195,7 +205,7 @@
 	notSent := errors.Is(err, exchange.ErrNotSent)
 	left := x.caller.Err() != nil
 	over := !left && x.ctx.Err() != nil
-	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, errOverdue)
+	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, exchange.ErrLate) || errors.Is(err, errOverdue)
 	failed := !left && !blameless
 	x.Ended(Ended{
 		Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over,
--- /dev/null
+++ b/deliver/suspended_test.go
@@ -0,0 +1,81 @@
+package deliver_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+)
+
+// TestSuspended suspends the machine while a request waits at a target: the timers that
+// end it stand still meanwhile. It is ended at the next look all the same, where its time
+// is up or its target's weights must not be used any more.
+func TestSuspended(t *testing.T) {
+	const (
+		route15 = 15 * time.Second // The route's time, of which a second has passed.
+		look    = 200 * time.Millisecond
+	)
+	tests := []struct {
+		name    string
+		asleep  time.Duration
+		beginBy time.Duration
+		status  int
+		took    time.Duration
+	}{
+		{"for less than is left", 5 * time.Second, 0, http.StatusGatewayTimeout, route15 - 5*time.Second},
+		{"for longer than is left", 20 * time.Second, 0, http.StatusGatewayTimeout, time.Second + look},
+		{"past the time to begin by", 5 * time.Second, 3 * time.Second, http.StatusBadGateway, time.Second + look},
+		{"not past the time to begin by", time.Second, 3 * time.Second, http.StatusBadGateway, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var asleep atomic.Int64
+				now := func() time.Time { return time.Now().Add(time.Duration(asleep.Load())) }
+				began := time.Now()
+				x := &targets{}
+				r := route(false, false, false, 1)
+				r.Timeout = route15
+				s := x.server(r)
+				s.Now = now
+				s.Place = func(context.Context, deliver.Ask) (deliver.Place, error) {
+					p := deliver.Place{Target: "old"}
+					if tt.beginBy > 0 {
+						p.BeginBy = began.Add(tt.beginBy)
+					}
+					return p, nil
+				}
+				s.Send = func(ctx context.Context, _ deliver.Sending) (*deliver.Reply, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				done := make(chan struct{})
+				go func() {
+					<-time.After(time.Second)
+					asleep.Store(int64(tt.asleep))
+					for {
+						select {
+						case <-done:
+							return
+						case <-time.After(look):
+							s.Look()
+						}
+					}
+				}()
+				got := ask(s)
+				took := time.Since(began)
+				close(done)
+				if got.refused == nil || got.refused.Status != tt.status {
+					t.Fatalf("refused %+v, want %d", got.refused, tt.status)
+				}
+				if over := took - tt.took; over < 0 || over > look {
+					t.Errorf("took %v awake, want %v and a look at most", took, tt.took)
+				}
+			})
+		})
+	}
+}
--- a/duty.go
+++ b/duty.go
@@ -208,7 +208,7 @@
 	if !ok {
 		return trace.CompareFailed("the lease has run out")
 	}
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(d.now()))
 	defer cancel()
 	o := orderRow{ID: newID(), Epoch: epoch, Target: e.target, Version: e.version, At: d.now().UTC()}
 	value, err := json.Marshal(o)
@@ -222,7 +222,7 @@
 	if held, _, ok := e.lease.Held(); !ok || held != epoch {
 		return trace.CompareFailed("the lease has run out")
 	}
-	err = d.engines.Send(ctx, e.address, engine.Order{ID: o.ID, Epoch: epoch, Version: e.version, Deadline: until})
+	err = d.engines.Send(ctx, e.address, engine.Order{ID: o.ID, Epoch: epoch, Version: e.version, Deadline: time.Now().Add(until.Sub(d.now()))})
 	r := decision.Record{
 		At: d.now(), Kind: decision.Ordered, Pool: e.pool, Rule: "configured weights", Result: e.target,
 		Inputs: fmt.Sprintf("load %s under epoch %d, order %s", e.version, epoch, o.ID),
--- a/entry/build.go
+++ b/entry/build.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/thymewind/thymewind/affinity"
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/comeback"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
@@ -72,7 +73,7 @@
 
 // build puts the parts together.
 func (d *Daemon) build() {
-	d.now = time.Now
+	d.now = boottime.Now
 	d.began = d.now()
 	d.bounds.Store(&d.Settings.Bounds)
 	d.tables = newTables()
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -93,7 +93,7 @@
 	end := d.now().Add(bounds.Stop - leaveBefore)
 	d.closing.Store(true)
 	time.Sleep(bounds.Notice)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(d.now()))
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
--- a/entry/order.go
+++ b/entry/order.go
@@ -69,8 +69,9 @@
 	if !held || epoch != e.order.Epoch {
 		return errNotHeld
 	}
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(d.now()))
 	defer cancel()
+	e.order.Until = until
 	return d.Platform.Order(ctx, e.at, e.order)
 }
 
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/thymewind/thymewind/boottime"
 )
 
 // readBuffer holds an answer's head and some events, in bytes. Larger buffers
@@ -34,7 +36,7 @@
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	c := &connection{Conn: conn, at: at, opened: time.Now(), unused: time.Now()}
+	c := &connection{Conn: conn, at: at, opened: boottime.Now(), unused: boottime.Now()}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
@@ -77,7 +79,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	if c.said > 0 && time.Since(c.unused) >= c.idleFor(c.said) {
+	if c.said > 0 && boottime.Since(c.unused) >= c.idleFor(c.said) {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -46,7 +46,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if err := ctx.Err(); err != nil {
+	err = ctx.Err()
+	if err == nil && request.late() {
+		err = ErrLate
+	}
+	if err != nil {
 		c.shelve(conn) // Nothing was sent on it: the next request saves a new connection.
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/thymewind/thymewind/boottime"
 )
 
 // ErrNotSent says that no byte of the request left this box.
@@ -27,6 +29,9 @@
 // use. It comes with ErrNotSent.
 var ErrFull = errors.New("all connections to the target are in use")
 
+// ErrLate says that the request's NotAfter was over. It comes with ErrNotSent.
+var ErrLate = errors.New("it is too late to send the request")
+
 // Client keeps connections to targets. Set the exported fields before first
 // use; it is safe for concurrent use after that.
 type Client struct {
@@ -64,8 +69,15 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// NotAfter is when the request must not leave this box any more, by the clock of
+	// package boottime; zero lets it leave at any time. A context tells that late if
+	// the machine was suspended while a connection was made.
+	NotAfter time.Time
 }
 
+// late says that the request must not leave this box any more.
+func (r *Request) late() bool { return !r.NotAfter.IsZero() && !boottime.Now().Before(r.NotAfter) }
+
 // take returns a kept connection that looks sound, or a new one.
 func (c *Client) take(ctx context.Context, at netip.AddrPort) (*connection, error) {
 	for {
@@ -152,7 +164,7 @@
 
 // keep puts a connection back for the next request.
 func (c *Client) keep(conn *connection) {
-	conn.unused = time.Now()
+	conn.unused = boottime.Now()
 	c.shelve(conn)
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/exchange"
 )
 
@@ -320,3 +321,35 @@
 		t.Error("a connection that is closed rests")
 	}
 }
+
+// TestNotAfter lets nothing leave when it is too late, also if the connection was made in
+// time; the connection is kept.
+func TestNotAfter(t *testing.T) {
+	now := boottime.Now()
+	tests := []struct {
+		name string
+		by   time.Time
+		want error
+	}{
+		{"at any time", time.Time{}, nil},
+		{"in time", now.Add(time.Hour), nil},
+		{"too late", now.Add(-time.Nanosecond), exchange.ErrLate},
+	}
+	x := serve(t, func(_ int, conn *net.TCPConn, requests func() *http.Request) {
+		for requests() != nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	c := client()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h", NotAfter: tt.by})
+			if !errors.Is(err, tt.want) || tt.want != nil && !errors.Is(err, exchange.ErrNotSent) {
+				t.Errorf("%v, want %v", err, tt.want)
+			}
+			if !c.Linked(x.at) {
+				t.Error("the connection is not kept")
+			}
+		})
+	}
+}
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -4,11 +4,13 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/thymewind/thymewind/boottime"
 )
 
 // Read reads and notes since when it waits, if nothing comes.
 func (c *connection) Read(b []byte) (int, error) {
-	c.waiting = time.Now()
+	c.waiting = boottime.Now()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.waiting = time.Time{}
@@ -37,7 +39,7 @@
 	if len(list) == heads {
 		list = slices.Delete(list, 0, 1)
 	}
-	c.heard[conn.at] = append(list, head{time.Now(), conn.opened})
+	c.heard[conn.at] = append(list, head{boottime.Now(), conn.opened})
 }
 
 // answersSince says that the target began an answer since a time on a connection
@@ -60,7 +62,7 @@
 	if c.SilentAfter == 0 || !conn.used || conn.waiting.IsZero() {
 		return
 	}
-	waited := time.Since(conn.waiting)
+	waited := boottime.Since(conn.waiting)
 	if waited < c.SilentAfter || c.answersSince(conn.at, conn.waiting) {
 		return
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/patience"
 )
 
@@ -66,7 +67,7 @@
 // first.
 func (l *link) connect(ctx context.Context) (*wire, error) {
 	l.mu.Lock()
-	l.used = time.Now()
+	l.used = boottime.Now()
 	if l.wire != nil && l.wire.live() {
 		defer l.mu.Unlock()
 		return l.wire, nil
--- a/peer/node.go
+++ b/peer/node.go
@@ -19,6 +19,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/patience"
 )
 
@@ -163,7 +164,7 @@
 }
 
 // Close drops all links.
-func (n *Node) Close() { n.Sweep(time.Now().Add(2 * idle)) }
+func (n *Node) Close() { n.Sweep(boottime.Now().Add(2 * idle)) }
 
 // read reads one message and tells heard of each piece of it.
 func (n *Node) read(ctx context.Context, conn *websocket.Conn, heard func()) (Message, error) {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Order tells one target to load weights.
@@ -22,6 +23,8 @@
 	// After is how many orders the target must have taken before; an order that
 	// is carried out late then comes to nothing.
 	After uint64
+	// Until is when the lease ends: the order must not be sent later.
+	Until time.Time
 }
 
 // Replica is a target as the rollout sees it.
