--- a/entry/build.go
+++ b/entry/build.go
@@ -49,19 +49,21 @@
 
 // parts are the packages that the daemon is put together from.
 type parts struct {
-	now      func() time.Time
-	began    time.Time
-	systems  []system
-	outage   outage
-	lease    lease.Lease
-	plan     rollout.Plan
-	engines  affinity.Chooser
-	services nearest.Chooser
-	budget   retry.Budget
-	server   deliver.Server
-	returns  comeback.Estimator
-	quickest quickest.Record
-	peers    peer.Node
+	now func() time.Time
+	// suspended is for how long the machine was suspended in all.
+	suspended func() time.Duration
+	began     time.Time
+	systems   []system
+	outage    outage
+	lease     lease.Lease
+	plan      rollout.Plan
+	engines   affinity.Chooser
+	services  nearest.Chooser
+	budget    retry.Budget
+	server    deliver.Server
+	returns   comeback.Estimator
+	quickest  quickest.Record
+	peers     peer.Node
 	seams
 	// chance says yes once in so many times.
 	chance func(oneIn int) bool
@@ -74,6 +76,7 @@
 // build puts the parts together.
 func (d *Daemon) build() {
 	d.now = boottime.Now
+	d.suspended = boottime.Suspended
 	d.began = d.now()
 	d.bounds.Store(&d.Settings.Bounds)
 	d.tables = newTables()
@@ -81,7 +84,7 @@
 	d.seams = newSeams()
 	d.counts = newCounters(d.Registry)
 	d.ended = make(chan struct{})
-	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.askLoading, d.examineDoubted, d.tellCrashes, d.assumeRole, d.gossip, d.lookAtCallers}
+	d.systems = []system{d.sweep, d.probeSilent, d.rollWeights, d.askLoading, d.examineDoubted, d.tellCrashes, d.noteSuspension, d.assumeRole, d.gossip, d.lookAtCallers}
 	d.plan = rollout.Plan{Least: atOnce, Share: atOnceShare}
 	d.services = nearest.Chooser{Domain: d.Settings.Domain}
 	d.tables.reads.Token = d.readingToken
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -27,6 +27,7 @@
 	cut           *prometheus.CounterVec
 	ended         prometheus.Counter
 	quarantined   prometheus.Gauge
+	suspended     prometheus.Counter
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -65,9 +66,10 @@
 	c.cut = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_cut_total", Help: "Requests that a target may have run and gave no whole answer to, by pool."}, []string{"pool"})
 	c.ended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_ended_targets_total", Help: "Targets that were found to have ended while requests of this box ran there."})
 	c.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined", Help: "Requests, by what they ask for, that are refused as targets ended under them."})
+	c.suspended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_suspended_seconds_total", Help: "For how long the machine was suspended while this process ran."})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended,
 	)
 	return c
 }
--- /dev/null
+++ b/entry/suspended.go
@@ -0,0 +1,24 @@
+package entry
+
+import "time"
+
+// leastSuspension is the shortest suspension of the machine that is logged: shorter ones
+// change nothing that is believed.
+const leastSuspension = 100 * time.Millisecond
+
+// noteSuspension logs that the machine was suspended. All ages count that time anyway; the
+// kernel is asked here so that a step of the time of day can't hide it for longer than the
+// time between two looks.
+func (d *Daemon) noteSuspension(now time.Time, t *tables) []effect {
+	if now.Before(t.due.suspension) {
+		return nil
+	}
+	t.due.suspension = now.Add(lookEvery)
+	all := d.suspended()
+	if slept := all - t.suspended; slept >= leastSuspension {
+		t.suspended = all
+		d.counts.suspended.Add(slept.Seconds())
+		d.Log.Warn("this box was suspended", "for", slept, "proved_ago", d.provedAgo(d.now()), "configuration", d.version())
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/suspended_test.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/rollout"
+)
+
+// TestSuspendedBox suspends a box between two looks: each age counts that time, and nothing
+// that was proved before is trusted, whatever arrives first.
+func TestSuspendedBox(t *testing.T) {
+	d := newDaemon("b1")
+	asleep := time.Duration(0)
+	awake := start
+	d.now = func() time.Time { return awake.Add(asleep) }
+	d.suspended = func() time.Duration { return asleep }
+	d.buildLease()
+	d.update(d.now(), operatorRead{d.now(), Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}}})
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	held := func() bool { _, _, ok := d.lease.Held(); return ok }
+	tests := []struct {
+		name   string
+		asleep time.Duration
+		fresh  bool
+		held   bool
+		weigh  bool
+	}{
+		{"awake", 0, true, true, true},
+		{"for less than any bound", time.Second, true, true, true},
+		{"past the lease", 3 * time.Second, true, false, true},
+		{"past the bound on keys", 5 * time.Second, false, false, true},
+		{"past the bound on weights", 25 * time.Second, false, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			asleep = tt.asleep
+			if got := d.fresh(d.now()); got != tt.fresh {
+				t.Errorf("keys are trusted: %v", got)
+			}
+			if got := held(); got != tt.held {
+				t.Errorf("the lease is held: %v", got)
+			}
+			if got := !d.weightsUnknown(d.now()); got != tt.weigh {
+				t.Errorf("weights are known: %v", got)
+			}
+			d.noteSuspension(d.now(), &d.tables)
+			if d.tables.suspended != tt.asleep {
+				t.Errorf("noted %v", d.tables.suspended)
+			}
+		})
+	}
+}
+
+// TestReadAcrossSuspension has an answer wait in the machine while that is suspended: what
+// it proves is as old as the question.
+func TestReadAcrossSuspension(t *testing.T) {
+	d := newDaemon("b1")
+	asked := start
+	d.now = func() time.Time { return asked.Add(10 * time.Second) }
+	d.update(d.now(), operatorRead{asked, Operator{Table: configuration(1)}})
+	if d.fresh(d.now()) {
+		t.Error("keys are trusted by an answer that was 10 s old when it was read")
+	}
+}
+
+// TestOrderEndsWithLease gives an order its lease's end, behind which it must not leave the
+// box: a machine that is suspended while the connection is made would send it later.
+func TestOrderEndsWithLease(t *testing.T) {
+	d := newDaemon("b1")
+	d.now = func() time.Time { return start }
+	d.buildLease()
+	if err := d.lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var sent rollout.Order
+	d.Platform.Order = func(_ context.Context, _ netip.AddrPort, o rollout.Order) error {
+		sent = o
+		return nil
+	}
+	epoch, until, _ := d.lease.Held()
+	if err := d.order(context.Background(), sendOrder{order: rollout.Order{Epoch: epoch}}); err != nil {
+		t.Fatal(err)
+	}
+	if !sent.Until.Equal(until) {
+		t.Errorf("until %v, want %v", sent.Until, until)
+	}
+}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -124,6 +124,8 @@
 	acquitted map[fingerprint.Sum]time.Time
 	// hubRefuses numbers the set of requests that the hub was last heard to refuse.
 	hubRefuses uint64
+	// suspended is for how long the machine was, as far as that was logged.
+	suspended time.Duration
 	// settled says that the other boxes are known, so that this one knows its
 	// role.
 	settled bool
@@ -162,7 +164,7 @@
 
 // due is when the systems next have something to do.
 type due struct {
-	sweep, lease, probe, gossip, callers time.Time
+	sweep, lease, probe, gossip, callers, suspension time.Time
 }
 
 // member is another box.
