feat(entry): a request that is refused for what it did is tried again, twice at most, by one box for all

A request that many ask for all the time runs on three targets of a domain that is lost at once, and is then refused everywhere, so that nothing could acquit it but answers that were under way. A whole answer acquits it on all boxes. With one row for all, no more than two leave, whatever comes and restarts.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -62,17 +62,26 @@
 func code(d *Daemon, at time.Time, j *deliver.Job) string {
 	reply := make(chan placeAnswer, 1)
 	d.placeAsked(at, &d.tables, placeAsked{ctx: context.Background(), ask: deliver.Ask{Job: j}, reply: reply})
-	var refused *refusal.Refusal
 	select {
 	case answer := <-reply:
-		if errors.As(answer.err, &refused) {
-			return refused.Code
-		}
+		return codeOf(answer.err)
 	default: // A hub is asked.
 	}
 	return ""
 }
 
+// codeOf returns the code of a refusal, or an empty text.
+func codeOf(err error) string {
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	return ""
+}
+
+// gossipFrom is another box's gossip without anything to tell.
+func gossipFrom(name string) peer.Message { return peer.Message{Kind: peer.KindGossip, From: name} }
+
 // TestEndedUnder goes through the ways to find out that a target ended under a request, or
 // that it did not.
 func TestEndedUnder(t *testing.T) {
--- a/entry/crashrow.go
+++ b/entry/crashrow.go
@@ -40,6 +40,9 @@
 // reports are this box's own rows.
 type reports struct {
 	byLife map[string]*report
+	// drop are the keys of rows beside them that are to go, such as the count of trials
+	// of a request that was answered. If that fails they stand, and fewer are tried.
+	drop []string
 	// writing says that a write is under way; after a failed one the next waits until
 	// again.
 	writing bool
@@ -115,7 +118,8 @@
 	if r.writing || now.Before(r.again) {
 		return nil
 	}
-	e := writeCrashes{}
+	e := writeCrashes{tx: table.Transaction{Delete: r.drop}}
+	r.drop = nil
 	if len(r.byLife) > 0 {
 		for _, life := range r.surplus(now, func(sum fingerprint.Sum) bool { return t.quarantine.Lives(sum) >= quarantine.Threshold }) {
 			e.tx.Delete = append(e.tx.Delete, d.crashKey(life))
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -78,6 +78,8 @@
 		d.tell(ctx, loadedAsked{e.target, report, err})
 	case probe:
 		d.tell(ctx, probed{e, d.ask(ctx, e)})
+	case claimTrial:
+		d.tell(ctx, d.claimTrial(ctx, e))
 	case writeCrashes:
 		d.tell(ctx, d.writeCrashes(ctx, e))
 	}
--- a/entry/message.go
+++ b/entry/message.go
@@ -21,6 +21,8 @@
 	reply chan<- placeAnswer
 	// asked are the hubs that were asked before.
 	asked []string
+	// trial says that it is placed whatever its like did to targets.
+	trial bool
 }
 
 // placeAnswer is a place or the refusal.
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -52,9 +52,8 @@
 		m.reply <- placeAnswer{err: d.timeUp(m.ask.Job)}
 		return nil
 	}
-	if refused := d.refuseQuarantined(now, t, m.ask.Job); refused != nil {
-		m.reply <- placeAnswer{err: refused}
-		return nil
+	if effects, done := d.refuseOrTry(now, t, m); done {
+		return effects
 	}
 	if refused := d.refuseForGood(t, m.ask.Job); refused != nil {
 		m.reply <- placeAnswer{err: refused}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -50,6 +50,10 @@
 		return
 	}
 	t.acquitted[sum] = now
+	if _, tried := t.trials[sum]; tried {
+		delete(t.trials, sum)
+		t.reports.drop = append(t.reports.drop, trialPrefix+sum.String())
+	}
 	if refused {
 		d.Log.Info("request is not refused any more, as it was answered", "fingerprint", sum, "told_by", from)
 	}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -35,6 +35,7 @@
 	t.gate.Expire(now)
 	t.crashes.Expire(now)
 	t.quarantine.Expire(now)
+	t.expireTrials()
 	for _, w := range t.weights {
 		w.names.Trim()
 		maps.DeleteFunc(w.barred, func(_ string, until time.Time) bool { return now.After(until) })
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -119,6 +119,8 @@
 	crashes    crash.Watch
 	quarantine quarantine.Book
 	reports    reports
+	// trials is when this box may claim the next trial of a request that it refuses.
+	trials map[fingerprint.Sum]time.Time
 	// acquitted are requests that were answered after all, with since when that is
 	// known, for boxes that may not know.
 	acquitted map[fingerprint.Sum]time.Time
@@ -190,7 +192,7 @@
 		silences: make(map[netip.AddrPort]time.Time),
 		slow:     make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
-		acquitted: make(map[fingerprint.Sum]time.Time),
+		acquitted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time),
 		congested: make(map[string]*congestion.Gauge), congestedNow: make(map[string]bool),
 	}
 }
--- /dev/null
+++ b/entry/trial_test.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/table"
+)
+
+// codeWithTrial has a request come to a box and returns the code it is refused with, or an empty
+// text if it is placed. What the box does about a trial is done.
+func codeWithTrial(t *testing.T, d *Daemon, now time.Time, j *deliver.Job) string {
+	t.Helper()
+	d.now = func() time.Time { return now }
+	reply := make(chan placeAnswer, 1)
+	effects := d.placeAsked(now, &d.tables, placeAsked{ctx: context.Background(), ask: deliver.Ask{Job: j}, reply: reply})
+	for _, e := range effects {
+		d.update(now, d.claimTrial(context.Background(), e.(claimTrial)))
+	}
+	answer := <-reply
+	if answer.err == nil {
+		return ""
+	}
+	return codeOf(answer.err)
+}
+
+// quarantining are two boxes with one table service that refuse a request.
+func quarantining() []*Daemon {
+	boxes := []*Daemon{engines("b1"), engines("b2")}
+	boxes[1].Platform = boxes[0].Platform
+	for _, d := range boxes {
+		for _, life := range []string{"x", "y", "z"} {
+			d.endedUnder(start, &d.tables, life, work("same").Fingerprint(), "b3")
+		}
+	}
+	return boxes
+}
+
+// TestTrials counts how often a request that takes targets down is sent once it is refused,
+// however often it comes and at which box.
+func TestTrials(t *testing.T) {
+	boxes := quarantining()
+	var sent []time.Duration
+	for now := start; now.Before(start.Add(3 * nextTrial)); now = now.Add(time.Second) {
+		for _, d := range boxes {
+			d.prove(now)
+			if codeWithTrial(t, d, now, work("same")) != codeQuarantined {
+				sent = append(sent, now.Sub(start))
+			}
+		}
+	}
+	if len(sent) != trials || sent[0] != firstTrial || sent[1] < nextTrial {
+		t.Errorf("sent after %v", sent)
+	}
+}
+
+// TestPopular refuses a request that merely ran on three targets as these were lost, until
+// a trial was answered; then all boxes serve it.
+func TestPopular(t *testing.T) {
+	boxes := quarantining()
+	now := start
+	for codeWithTrial(t, boxes[0], now, work("same")) == codeQuarantined {
+		if now = now.Add(100 * time.Millisecond); now.After(start.Add(2 * firstTrial)) {
+			t.Fatal("never tried")
+		}
+	}
+	if codeWithTrial(t, boxes[1], now, work("same")) != codeQuarantined {
+		t.Error("sent by another box beside its trial")
+	}
+	boxes[0].update(now, sendingEnded{deliver.Ended{Place: placeAt(0, "e1"), Job: work("same"), Began: true, Answered: true}})
+	told := boxes[0].peerAsks(now, &boxes[0].tables, gossipFrom("b2"))
+	boxes[1].update(now, peerCalled{"b2", now, told, nil})
+	for _, d := range boxes {
+		if code := codeWithTrial(t, d, now, work("same")); code != "" {
+			t.Errorf("%s refuses with %q", d.Settings.Name, code)
+		}
+	}
+	drop := boxes[0].tellCrashes(now, &boxes[0].tables)[0].(writeCrashes).tx.Delete
+	if len(drop) != 1 || drop[0] != trialPrefix+work("same").Fingerprint().String() {
+		t.Errorf("dropped %v", drop)
+	}
+}
+
+// TestTrialUnsure makes no trial while the table service can't count it, nor by a row that
+// can't be read.
+func TestTrialUnsure(t *testing.T) {
+	failing := errors.New("away")
+	tests := []struct {
+		name   string
+		read   func(context.Context, string) (table.Row, error)
+		commit func(context.Context, table.Transaction) error
+	}{
+		{"it can't be read", func(context.Context, string) (table.Row, error) { return table.Row{}, failing }, nil},
+		{"the row is another writer's", func(context.Context, string) (table.Row, error) { return table.Row{Value: []byte("seven")}, nil }, nil},
+		{"the answer is lost", nil, func(context.Context, table.Transaction) error { return table.ErrLost }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := quarantining()[0]
+			if tt.read != nil {
+				d.Platform.Read = tt.read
+			}
+			if tt.commit != nil {
+				d.Platform.Commit = tt.commit
+			}
+			for _, after := range []time.Duration{0, firstTrial, 2 * firstTrial} {
+				if code := codeWithTrial(t, d, start.Add(after), work("same")); code != codeQuarantined {
+					t.Errorf("after %v: %q", after, code)
+				}
+			}
+		})
+	}
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -57,6 +57,8 @@
 		m.reply <- d.peerAsks(now, t, m.m)
 	case probed:
 		d.probed(now, t, m)
+	case trialClaimed:
+		return d.trialClaimed(now, t, m)
 	case crashesWritten:
 		d.crashesWritten(now, t, m)
 	}
