feat(entry): what one box finds out of a target's end bears out the doubts of all

A box whose caller left asks the target nothing and hears of its end by the list alone, some 4 s later, which is past the time in which boxes must know. Change: a life that any box found to be over, by its rows or gossip, is over for all; hubs pass it on to the boxes that live on them. Ran: TestOneFindsOut, seen failing without it; go test ./entry, TestCrashingRequest, green.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/thymewind/thymewind/crash"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
@@ -77,6 +79,25 @@
 	d.reportEnded(now, t, life, sums, foundBy)
 }
 
+// lifeOver takes over that another box found a target's life to be over: that bears out
+// this box's own doubts, and is told on to boxes that hear of it from here only. A box whose
+// caller left asks the target nothing, and would know by the list alone, 4 s later.
+func (d *Daemon) lifeOver(now time.Time, t *tables, life, from string) {
+	if _, known := t.over[life]; known || len(t.over) >= overMost {
+		return
+	}
+	t.over[life] = now
+	d.targetEnded(now, t, life, from)
+}
+
+// overMost bounds the lives that other boxes found to be over.
+const overMost = 256
+
+// expireOver forgets them.
+func (t *tables) expireOver(now time.Time) {
+	maps.DeleteFunc(t.over, func(_ string, at time.Time) bool { return now.Sub(at) > crash.Remember })
+}
+
 // reportEnded counts requests that ran on a target when it ended, and has the other boxes
 // told.
 func (d *Daemon) reportEnded(now time.Time, t *tables, life string, sums []fingerprint.Sum, foundBy string) {
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -337,6 +337,29 @@
 	}
 }
 
+// TestOneFindsOut has one box find out that a target ended; another one, where a caller had
+// left a request there, holds that against the request, and its hub passes the news on.
+func TestOneFindsOut(t *testing.T) {
+	hub, spoke, finder := listed("box-00"), listed("box-05"), listed("box-07")
+	spoke.update(start, sendingEnded{deliver.Ended{Place: placeAt(0, "a"), Job: work("same"), Left: true}})
+	finder.update(start, cutOff("a", "bystander"))
+	finder.update(start, refusesDial("a"))
+	hub.update(start, ownRead{Own{Rows: rowsOf(t, finder, start)}, true})
+	told := hub.peerAsks(start, &hub.tables, gossipFrom("box-05"))
+	told.View = nil // Its list has no addresses, so it would tell the same.
+	spoke.update(start, peerCalled{"box-00", start, told, nil})
+	if got := spoke.tables.quarantine.Lives(work("same").Fingerprint()); got != 1 {
+		t.Errorf("%d targets count, want 1", got)
+	}
+	if rows := rowsOf(t, spoke, start); len(rows) != 1 || rows[0].Key != "ended/box-05/a" {
+		t.Errorf("rows %v", rows)
+	}
+	later := start.Add(tellFor + time.Second)
+	if late := hub.peerAsks(later, &hub.tables, gossipFrom("box-05")); len(late.Ended) != 0 {
+		t.Errorf("told for ever: %v", late.Ended)
+	}
+}
+
 // TestExamine asks a target that cut a request off whether it lives, unless its news tell.
 func TestExamine(t *testing.T) {
 	tests := []struct {
--- a/entry/crashrow.go
+++ b/entry/crashrow.go
@@ -185,6 +185,7 @@
 		d.Log.Error("a row of requests that ran on a target when it ended can't be read", "key", key, "requests", len(row.Sums), "err", err)
 		return
 	}
+	d.lifeOver(now, t, life, box)
 	var sums []fingerprint.Sum
 	for _, text := range row.Sums {
 		sum, ok := fingerprint.Parse(text)
@@ -206,7 +207,7 @@
 }
 
 // endedLately lists what this box found lately of requests that ran on targets when these
-// ended, for boxes that can't read the rows now.
+// ended, for boxes that can't read the rows now, and of which other targets it heard.
 func (t *tables) endedLately(now time.Time) []peer.EndedUnder {
 	var list []peer.EndedUnder
 	for life, x := range t.reports.byLife {
@@ -219,6 +220,11 @@
 		}
 		list = append(list, told)
 	}
+	for life, at := range t.over {
+		if now.Sub(at) <= tellFor && t.reports.byLife[life] == nil {
+			list = append(list, peer.EndedUnder{Life: life})
+		}
+	}
 	return list
 }
 
@@ -226,6 +232,7 @@
 // these ended, and of such that were answered after all.
 func (d *Daemon) hearQuarantine(now time.Time, t *tables, m peer.Message) {
 	for _, told := range m.Ended {
+		d.lifeOver(now, t, told.Life, m.From)
 		for _, sum := range told.Sums[:min(len(told.Sums), crashSums)] {
 			d.endedUnder(now, t, told.Life, sum, m.From)
 		}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -36,6 +36,7 @@
 	t.crashes.Expire(now)
 	t.quarantine.Expire(now)
 	t.expireTrials()
+	t.expireOver(now)
 	for _, w := range t.weights {
 		w.names.Trim()
 		maps.DeleteFunc(w.barred, func(_ string, until time.Time) bool { return now.After(until) })
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -119,6 +119,9 @@
 	crashes    crash.Watch
 	quarantine quarantine.Book
 	reports    reports
+	// over are targets' lives that other boxes found to be over, with since when that is
+	// known here.
+	over map[string]time.Time
 	// trials is when this box may claim the next trial of a request that it refuses.
 	trials map[fingerprint.Sum]time.Time
 	// acquitted are requests that were answered after all, with since when that is
@@ -192,7 +195,7 @@
 		silences: make(map[netip.AddrPort]time.Time),
 		slow:     make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
-		acquitted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time),
+		acquitted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time), over: make(map[string]time.Time),
 		congested: make(map[string]*congestion.Gauge), congestedNow: make(map[string]bool),
 	}
 }
