--- a/boottime/boottime_test.go
+++ b/boottime/boottime_test.go
@@ -117,6 +117,9 @@
 	if left := boottime.Until(first.Add(time.Hour)); left > time.Hour || left < 59*time.Minute {
 		t.Errorf("%v are left", left)
 	}
+	if !boottime.Counts() {
+		t.Error("this kernel does not tell of suspensions")
+	}
 	if boottime.Suspended() < 0 {
 		t.Error("suspended for less than nothing")
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/entry/settings"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -84,7 +85,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.Log.Info("started", "callers", d.Settings.Callers, "ready", d.Settings.Ready, "store", d.Settings.Store.Address)
+	d.Log.Info("started", "callers", d.Settings.Callers, "ready", d.Settings.Ready, "store", d.Settings.Store.Address, "counts_suspensions", boottime.Counts())
 	var work sync.WaitGroup
 	d.outage.start(background)
 	work.Go(func() { d.loop(background) })
