fix: model requests under which three engines ended are refused on our own interface, too

Cause: the same as on the users' platform: relay bounds the attempts of one try, and nothing bounded those of all tries. Change: the loop holds an engine's end (its address refuses connections) against the requests that it cut off, refuses what three engines ended under, and passes ends and acquittals on by gossip.

--- a/build.go
+++ b/build.go
@@ -83,12 +83,12 @@
 	d.messages = make(chan message, backlog)
 	d.counts = newCounters(d.Registry)
 	d.records = decision.Ring{Size: d.Settings.Limits.Records, Box: d.Settings.Name}
-	d.tables = tables{pending: make(map[string]bool), held: make(map[string]*duty), departed: make(map[string]departure)}
+	d.tables = tables{pending: make(map[string]bool), held: make(map[string]*duty), departed: make(map[string]departure), takedowns: newTakedowns()}
 	d.supersedes = (*configuration.Configuration).Supersedes
 	d.shutdown = (*http.Server).Shutdown
 	d.buildBoard()
 	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
-	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.watchRoom, d.count}
+	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.expireTakedowns, d.watchRoom, d.count}
 	d.buildPlatform()
 	d.buildLedger()
 	if err := d.buildPeers(); err != nil {
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -131,6 +131,12 @@
 	return slices.SortedFunc(maps.Keys(x.sums), func(a, b fingerprint.Sum) int { return strings.Compare(string(a[:]), string(b[:])) })
 }
 
+// Over says whether a life is known to be over.
+func (w *Watch) Over(life string) bool {
+	_, over := w.ended[life]
+	return over
+}
+
 // Doubted says whether a life may be over.
 func (w *Watch) Doubted(life string) bool { return w.doubted[life] != nil }
 
--- a/effect.go
+++ b/effect.go
@@ -70,8 +70,9 @@
 	case readConfiguration:
 		return d.readConfiguration(ctx, e)
 	case readLoad:
+		asked := d.now()
 		load, err := d.engines.Load(ctx, e.address)
-		return loadRead{e.target, load, err}
+		return loadRead{e.target, load, err, asked}
 	case stepLease:
 		return leaseStepped{e.duty, e.lease.Step(ctx)}
 	case readOrders:
--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -143,7 +144,7 @@
 	request.GetBody = nil
 	response, err := c.HTTP.Do(request)
 	if err != nil && !connected.Load() {
-		return nil, trace.Wrap(ErrNotSent, "engine %v: %v", at, err)
+		return nil, trace.Wrap(fmt.Errorf("%w: engine %v: %w", ErrNotSent, at, err))
 	}
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "engine %v", at)
--- a/gossip.go
+++ b/gossip.go
@@ -94,6 +94,7 @@
 	t.turn += maxTurn
 	m.Demand = t.demand(now)
 	m.Use = t.use(now)
+	t.takedowns.tellTakedowns(now, &m)
 	return m
 }
 
@@ -142,6 +143,7 @@
 	for _, l := range m.Loads {
 		t.heardLoad(now, l)
 	}
+	d.hearTakedowns(now, t, m)
 	for _, l := range m.Leaving {
 		if x, known := t.byID[l.Target]; known && l.Age >= 0 {
 			t.MarkLeaving(x, now.Add(-time.Duration(l.Age)*time.Millisecond), m.From)
--- a/message.go
+++ b/message.go
@@ -50,6 +50,8 @@
 	target string
 	load   engine.Load
 	err    error
+	// asked is when it was asked for.
+	asked time.Time
 }
 
 // configurationRead is a revision from the table service or from a peer.
--- a/place.go
+++ b/place.go
@@ -11,6 +11,7 @@
 // kept if that is worth it.
 func (d *Daemon) ended(now time.Time, t *tables, m attemptEnded) []effect {
 	d.recordEnded(now, m)
+	d.watchEnd(now, t, m.Ended)
 	if t.Ended(now, m.Ended) {
 		return []effect{exportCache{m.Placed}}
 	}
--- /dev/null
+++ b/quarantine_test.go
@@ -0,0 +1,167 @@
+package thymewind
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/account"
+	"github.com/thymewind/thymewind/boxes"
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/quarantine"
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/route"
+	"github.com/thymewind/thymewind/stream"
+)
+
+// box is a daemon that knows eight engines and another box.
+func box(t *testing.T, name string, now time.Time) *Daemon {
+	t.Helper()
+	d := newDaemon(t)
+	d.Settings.Name = name
+	c := inForce(1)
+	c.Accounts = map[string]account.Account{"cafe": {Name: "cafe", Weight: 1}}
+	d.update(now, configurationRead{configuration: c})
+	list := []boxes.Box{{Name: "other", Role: boxes.RoleEntry, Peer: netip.MustParseAddrPort("10.0.1.1:1")}}
+	for i := range 8 {
+		list = append(list, boxes.Box{
+			Name: fmt.Sprintf("e%d", i), Role: boxes.RoleEngine, Pool: "menu", Domain: "zone-a", Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1)),
+		})
+	}
+	d.update(now, boxesRead{list: list})
+	for i := range 8 {
+		d.update(now, loadRead{target: fmt.Sprintf("e%d", i), load: engine.Load{Version: "v1", Slots: 8}})
+	}
+	return d
+}
+
+// asking is a request for something; equal prompts ask for the same.
+func asking(prompt string, attempt int) route.Ask {
+	return route.Ask{Request: "r", Account: "cafe", Model: "m", Prompt: prompt, Tokens: 10, Attempt: attempt}
+}
+
+// placeFor places a request and returns the refusal's code, or an empty text.
+func placeFor(d *Daemon, now time.Time, ask route.Ask) (route.Placed, string) {
+	reply := make(chan placeAnswer, 1)
+	d.update(now, placeAsked{ask, reply})
+	answer := <-reply
+	var refused *refusal.Refusal
+	if errors.As(answer.err, &refused) {
+		return answer.placed, refused.Code
+	}
+	return answer.placed, ""
+}
+
+// takesDown has a request come until it is refused, at most so often, and end the engine
+// that it is placed on each time. It returns how many ended.
+func takesDown(t *testing.T, d *Daemon, now time.Time, prompt string, most int) int {
+	t.Helper()
+	dead := make(map[string]bool)
+	for len(dead) < most {
+		placed, code := placeFor(d, now, asking(prompt, 1))
+		if code == "quarantined" {
+			break
+		}
+		if code != "" {
+			t.Fatalf("refused with %q", code)
+		}
+		d.update(now, attemptEnded{route.Ended{Placed: placed, Failed: true, Cut: !dead[placed.Target], Dead: dead[placed.Target]}})
+		d.update(now, loadRead{target: placed.Target, err: fmt.Errorf("dial: %w", syscall.ECONNREFUSED)})
+		dead[placed.Target] = true
+		now = now.Add(time.Second)
+	}
+	return len(dead)
+}
+
+// TestTakedowns has a request that no engine survives come again and again at one box, then
+// at another that heard of it, and at a third that heard of it from that one only.
+func TestTakedowns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second, third := box(t, "b1", now), box(t, "b2", now), box(t, "b3", now)
+	if n := takesDown(t, first, now, "same", 8); n != quarantine.Threshold {
+		t.Errorf("%d engines ended", n)
+	}
+	now = now.Add(10 * time.Second)
+	if _, code := placeFor(first, now, asking("another", 1)); code != "" {
+		t.Errorf("another request is refused with %q", code)
+	}
+	second.update(now, peerAnswered{message: first.state(now, &first.tables)})
+	third.update(now, peerAnswered{message: second.state(now, &second.tables)})
+	for _, d := range []*Daemon{second, third} {
+		if n := takesDown(t, d, now, "same", 1); n != 0 {
+			t.Errorf("%s does not refuse it", d.Settings.Name)
+		}
+	}
+	late := now.Add(2 * endedNews)
+	if m := third.state(late, &third.tables); len(m.Ended) != 0 {
+		t.Errorf("told on for ever: %v", m.Ended)
+	}
+}
+
+// TestTakedownsDoubted cuts a request off at three engines that live on: it is served, and
+// so is one that was answered in between.
+func TestTakedownsDoubted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		// after is what is heard of an engine once it cut the request off.
+		after func(d *Daemon, placed route.Placed, at time.Time)
+	}{
+		{"the engine reports", func(d *Daemon, placed route.Placed, at time.Time) {
+			d.update(at, loadRead{target: placed.Target, load: engine.Load{Version: "v1", Slots: 8}, asked: at})
+		}},
+		{"the engine ends, and another one answers", func(d *Daemon, placed route.Placed, at time.Time) {
+			d.update(at, loadRead{target: placed.Target, err: syscall.ECONNREFUSED})
+			other, _ := placeFor(d, at, asking("same", 1))
+			d.update(at, attemptEnded{route.Ended{Placed: other, End: stream.Frame{Request: "r"}}})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := box(t, "b1", now)
+			at := now
+			for range 2 * quarantine.Threshold {
+				placed, code := placeFor(d, at, asking("same", 1))
+				if code == "quarantined" {
+					t.Fatal("refused")
+				}
+				if code != "" {
+					break // No engine is left to try.
+				}
+				d.update(at, attemptEnded{route.Ended{Placed: placed, Failed: true, Cut: true}})
+				at = at.Add(3 * time.Second)
+				tt.after(d, placed, at)
+			}
+		})
+	}
+}
+
+// TestTakedownsAcquitted has a box hear that a request was answered elsewhere.
+func TestTakedownsAcquitted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := box(t, "b1", now)
+	takesDown(t, d, now, "same", 8)
+	now = now.Add(10 * time.Second)
+	d.update(now, peerAnswered{message: peer.Message{Acquitted: []fingerprint.Sum{asking("same", 1).Fingerprint()}}})
+	if _, code := placeFor(d, now, asking("same", 1)); code != "" {
+		t.Errorf("refused with %q", code)
+	}
+	if m := d.state(now, &d.tables); len(m.Acquitted) != 1 {
+		t.Error("not told on")
+	}
+}
+
+// TestTakedownsOfAccounts keeps accounts apart: what one asks for refuses no other.
+func TestTakedownsOfAccounts(t *testing.T) {
+	mine, theirs := asking("same", 1), asking("same", 1)
+	theirs.Account = "bistro"
+	if mine.Fingerprint() == theirs.Fingerprint() || strings.Contains(mine.Fingerprint().String(), "cafe") {
+		t.Error("accounts meet")
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -136,6 +137,7 @@
 	case errors.Is(err, engine.ErrNotSent):
 		j.mayRun = before
 		ended.Failed = true
+		ended.Dead = errors.Is(err, syscall.ECONNREFUSED)
 		return ended, trace.Wrap(err)
 	case err == nil:
 		err = j.read(frames, watch, placed, sent, &ended)
@@ -150,6 +152,7 @@
 	}
 	if err != nil {
 		ended.Failed = ctx.Err() == nil
+		ended.Cut = ended.Failed
 		j.stop(ctx, placed, before)
 		return ended, trace.Wrap(err)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -8,9 +8,11 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/reuse"
 	"github.com/thymewind/thymewind/stream"
@@ -41,8 +43,15 @@
 	Home prefix.Key
 }
 
+// Fingerprint names what a model request asks for.
+func (a Ask) Fingerprint() fingerprint.Sum {
+	return fingerprint.Of(a.Account, "generate", a.Model, strconv.Itoa(a.Tokens), []byte(a.Prompt))
+}
+
 // Placed is the loop's answer.
 type Placed struct {
+	// Ask is what was asked for.
+	Ask     Ask
 	Request string
 	Account string
 	Pool    string
@@ -88,6 +97,9 @@
 	Placed Placed
 	// Failed says that the target broke off or could not be reached.
 	Failed bool
+	// Cut says that it may have run and that no whole answer came, not by the caller's
+	// doing; Dead that its address refuses connections.
+	Cut, Dead bool
 	// Refused says that the target refused before starting.
 	Refused bool
 	// Leaving says that the target says that it is leaving.
--- a/tables.go
+++ b/tables.go
@@ -28,6 +28,8 @@
 	// watched names the targets whose load this box reads.
 	watched []string
 	thaw    thaw
+	// takedowns is what is known of requests that take engines down.
+	takedowns takedowns
 	// turn is where the next message to peers begins in the targets.
 	turn int
 	// held are the duties by name, held or not.
--- a/thaw.go
+++ b/thaw.go
@@ -49,7 +49,7 @@
 func (d *Daemon) placeOrKeep(now time.Time, t *tables, m placeAsked) []effect {
 	t.notice(now)
 	if !t.looking() {
-		placed, err := t.Place(now, m.ask)
+		placed, err := d.place(now, t, m.ask)
 		m.reply <- placeAnswer{placed, err}
 		return nil
 	}
@@ -59,7 +59,7 @@
 
 // looked ends one of the looks, if it was asked for since the daemon thawed,
 // and with the last places what was kept.
-func (t *tables) looked(now, asked time.Time, look *bool) {
+func (d *Daemon) looked(now time.Time, t *tables, asked time.Time, look *bool) {
 	if asked.Before(t.thaw.since) {
 		return
 	}
@@ -68,7 +68,7 @@
 		return
 	}
 	for _, m := range t.thaw.kept {
-		placed, err := t.Place(now, m.ask)
+		placed, err := d.place(now, t, m.ask)
 		m.reply <- placeAnswer{placed, err}
 	}
 	t.thaw.kept = nil
--- a/update.go
+++ b/update.go
@@ -18,14 +18,14 @@
 	case attemptEnded:
 		return d.ended(now, t, m)
 	case boxesRead:
-		defer t.looked(now, m.asked, &t.thaw.boxes)
+		defer d.looked(now, t, m.asked, &t.thaw.boxes)
 		return d.boxesRead(now, t, m)
 	case loadRead:
 		d.loadRead(now, t, m)
 	case peerHolds:
 		return append(d.boxesRead(now, t, m.boxes), d.configurationRead(now, t, m.configuration)...)
 	case configurationRead:
-		defer t.looked(now, m.asked, &t.thaw.configuration)
+		defer d.looked(now, t, m.asked, &t.thaw.configuration)
 		return d.configurationRead(now, t, m)
 	case leaseStepped:
 		return d.leaseStepped(now, t, m)
@@ -182,6 +182,7 @@
 	if !known {
 		return
 	}
+	d.loadOfLife(now, t, m)
 	if m.err != nil {
 		d.counts.loadErrors.Inc()
 		t.Fail(now, x)
