--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -28,8 +28,8 @@
 	// Keep is how long a fingerprint is remembered after a target ended under it or it
 	// was refused last. Forgotten, it takes Threshold targets down again.
 	Keep = time.Hour
-	// Most bounds the fingerprints remembered, at some 350 bytes each with one life, as measured. A target that
-	// crashes adds what ran there, 128 on the engines known.
+	// Most bounds the fingerprints remembered, at 350 bytes each with one life, as
+	// measured. A target that crashes adds what ran there, 128 on the engines known.
 	Most = 4096
 	// mostLives bounds what is remembered of one fingerprint: with this many, more
 	// tell nothing new.
