refactor(entry): a quarantine is lifted; no words of courts

Cause: reading the diff as a newcomer. 'Acquit' stood for what the field calls lifting a quarantine. Names and comments only.

--- a/entry/crashrow.go
+++ b/entry/crashrow.go
@@ -237,9 +237,9 @@
 			d.endedUnder(now, t, told.Life, sum, m.From)
 		}
 	}
-	for _, sum := range m.Acquitted {
-		if _, known := t.acquitted[sum]; !known {
-			d.acquit(now, t, sum, m.From)
+	for _, sum := range m.Lifted {
+		if _, known := t.lifted[sum]; !known {
+			d.lift(now, t, sum, m.From)
 		}
 	}
 }
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -75,7 +75,7 @@
 	t.due.gossip = now.Add(d.gossipPause(t))
 	return d.callPartners(now, t, peer.Message{
 		Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t), Reads: t.reads.Told(now),
-		Replaced: t.replacedLately(now), Stale: d.shut(now), Ended: t.endedLately(now), Acquitted: t.acquittedLately(now),
+		Replaced: t.replacedLately(now), Stale: d.shut(now), Ended: t.endedLately(now), Lifted: t.liftedLately(now),
 	})
 }
 
@@ -188,7 +188,7 @@
 		d.hearQuarantine(now, t, m)
 		d.hearOpen(now, m)
 		answer.Replaced, answer.Stale = t.replacedLately(now), d.shut(now)
-		answer.Ended, answer.Acquitted = t.endedLately(now), t.acquittedLately(now)
+		answer.Ended, answer.Lifted = t.endedLately(now), t.liftedLately(now)
 		d.hear(now, t, m)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
 			answer.Shares, answer.Reads = d.told(now, t), t.reads.Told(now)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -40,16 +40,16 @@
 	if t.quarantine.Len() == 0 {
 		return
 	}
-	d.acquit(now, t, job.Fingerprint(), "request "+job.ID)
+	d.lift(now, t, job.Fingerprint(), "request "+job.ID)
 }
 
-// acquit drops what speaks against a request and has other boxes told.
-func (d *Daemon) acquit(now time.Time, t *tables, sum fingerprint.Sum, from string) {
+// lift drops what speaks against a request and has other boxes told.
+func (d *Daemon) lift(now time.Time, t *tables, sum fingerprint.Sum, from string) {
 	refused := t.quarantine.Lives(sum) >= quarantine.Threshold
 	if !t.quarantine.Answered(now, sum) {
 		return
 	}
-	t.acquitted[sum] = now
+	t.lifted[sum] = now
 	if _, tried := t.trials[sum]; tried {
 		delete(t.trials, sum)
 		t.reports.drop = append(t.reports.drop, trialPrefix+sum.String())
@@ -60,12 +60,12 @@
 	}
 }
 
-// acquittedLately lists the requests that were answered so lately that other boxes may not
+// liftedLately lists the requests that were answered so lately that other boxes may not
 // know.
-func (t *tables) acquittedLately(now time.Time) []fingerprint.Sum {
-	maps.DeleteFunc(t.acquitted, func(_ fingerprint.Sum, at time.Time) bool { return now.Sub(at) > tellFor })
+func (t *tables) liftedLately(now time.Time) []fingerprint.Sum {
+	maps.DeleteFunc(t.lifted, func(_ fingerprint.Sum, at time.Time) bool { return now.Sub(at) > tellFor })
 	var list []fingerprint.Sum
-	for sum := range t.acquitted {
+	for sum := range t.lifted {
 		list = append(list, sum)
 	}
 	return list
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -124,9 +124,9 @@
 	over map[string]time.Time
 	// trials is when this box may claim the next trial of a request that it refuses.
 	trials map[fingerprint.Sum]time.Time
-	// acquitted are requests that were answered after all, with since when that is
+	// lifted are requests that were answered after all, with since when that is
 	// known, for boxes that may not know.
-	acquitted map[fingerprint.Sum]time.Time
+	lifted map[fingerprint.Sum]time.Time
 	// hubRefuses numbers the set of requests that the hub was last heard to refuse.
 	hubRefuses uint64
 	// suspended is for how long the machine was, as far as that was logged.
@@ -195,7 +195,7 @@
 		silences: make(map[netip.AddrPort]time.Time),
 		slow:     make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
-		acquitted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time), over: make(map[string]time.Time),
+		lifted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time), over: make(map[string]time.Time),
 		congested: make(map[string]*congestion.Gauge), congestedNow: make(map[string]bool),
 	}
 }
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -14,10 +14,10 @@
 
 // What speaks against a request that is refused may be chance: one that callers ask for all
 // the time runs everywhere, so also on three targets of a failure domain that is lost. As
-// all boxes refuse it, only answers that were under way could acquit it. It is therefore
-// tried again, by one box for all: whose claim the table service takes. The platform bears
-// three sendings of a request that does take targets down, later than 3 s after the third
-// of these; one is left for what boxes did not find out.
+// all boxes refuse it, only answers that were under way could lift its quarantine. It is
+// therefore tried again, by the box whose claim the table service takes, for all of them.
+// The platform bears three sendings of a request that does take targets down, later than
+// 3 s after the third of these; one is left for what boxes did not find out.
 const (
 	// trials is how often a request is tried in all.
 	trials = 2
--- a/peer/message.go
+++ b/peer/message.go
@@ -43,9 +43,9 @@
 	// the address or as the target started again.
 	Replaced []Life `cbor:"20,keyasint,omitempty"`
 	// Ended are requests that ran on targets when these ended, as the sender found
-	// lately; Acquitted are such that were answered after all.
-	Ended     []EndedUnder      `cbor:"23,keyasint,omitempty"`
-	Acquitted []fingerprint.Sum `cbor:"24,keyasint,omitempty"`
+	// lately; Lifted are such that were answered after all.
+	Ended  []EndedUnder      `cbor:"23,keyasint,omitempty"`
+	Lifted []fingerprint.Sum `cbor:"24,keyasint,omitempty"`
 	// Refuses numbers the set of requests that the hub was last heard to refuse.
 	Refuses uint64 `cbor:"25,keyasint,omitempty"`
 	// Stale says that the sender refuses callers, as it can't tell whether its
--- a/quarantine.go
+++ b/quarantine.go
@@ -26,10 +26,10 @@
 	// a request was answered after all.
 	endedNews = 30 * time.Second
 	// maxEnded bounds the ends told in one message, maxSums the requests of each, and
-	// maxAcquitted the answered ones: some 5 KB in all, right after crashes only.
-	maxEnded     = 8
-	maxSums      = 32
-	maxAcquitted = 16
+	// maxLifted the answered ones: some 5 KB in all, right after crashes only.
+	maxEnded  = 8
+	maxSums   = 32
+	maxLifted = 16
 )
 
 // takedowns is what this box knows of requests that take engines down.
@@ -38,10 +38,10 @@
 	book  quarantine.Book
 	// lives counts the lives of each engine that this box saw end.
 	lives map[string]int
-	// ended are the ends that are told on, acquitted the requests that were answered,
+	// ended are the ends that are told on, lifted the requests that were answered,
 	// with since when this box knows.
-	ended     map[string]ending
-	acquitted map[fingerprint.Sum]time.Time
+	ended  map[string]ending
+	lifted map[fingerprint.Sum]time.Time
 }
 
 // ending is one engine's end.
@@ -51,7 +51,7 @@
 }
 
 func newTakedowns() takedowns {
-	return takedowns{lives: make(map[string]int), ended: make(map[string]ending), acquitted: make(map[fingerprint.Sum]time.Time)}
+	return takedowns{lives: make(map[string]int), ended: make(map[string]ending), lifted: make(map[fingerprint.Sum]time.Time)}
 }
 
 // life names the life of an engine that this box knows: an engine does not tell.
@@ -91,7 +91,7 @@
 	case e.Cut && k.watch.Cut(now, life, sum()):
 		d.endedUnder(now, t, life, []fingerprint.Sum{sum()}, d.Settings.Name)
 	case e.End.Request != "" && k.book.Len() > 0 && k.book.Answered(now, sum()):
-		k.acquitted[sum()] = now
+		k.lifted[sum()] = now
 	}
 }
 
@@ -142,9 +142,9 @@
 			m.Ended = append(m.Ended, peer.EndedUnder{Life: life, Sums: news.sums[:min(len(news.sums), maxSums)]})
 		}
 	}
-	for sum, at := range k.acquitted {
-		if now.Sub(at) < endedNews && len(m.Acquitted) < maxAcquitted {
-			m.Acquitted = append(m.Acquitted, sum)
+	for sum, at := range k.lifted {
+		if now.Sub(at) < endedNews && len(m.Lifted) < maxLifted {
+			m.Lifted = append(m.Lifted, sum)
 		}
 	}
 }
@@ -157,9 +157,9 @@
 			d.endedUnder(now, t, told.Life, told.Sums[:min(len(told.Sums), maxSums)], m.From)
 		}
 	}
-	for _, sum := range m.Acquitted {
-		if _, known := k.acquitted[sum]; !known {
-			k.acquitted[sum] = now
+	for _, sum := range m.Lifted {
+		if _, known := k.lifted[sum]; !known {
+			k.lifted[sum] = now
 			k.book.Answered(now, sum)
 		}
 	}
@@ -173,6 +173,6 @@
 	k.watch.Expire(now)
 	k.book.Expire(now)
 	maps.DeleteFunc(k.ended, func(_ string, news ending) bool { return now.Sub(news.at) > remember })
-	maps.DeleteFunc(k.acquitted, func(_ fingerprint.Sum, at time.Time) bool { return now.Sub(at) > remember })
+	maps.DeleteFunc(k.lifted, func(_ fingerprint.Sum, at time.Time) bool { return now.Sub(at) > remember })
 	return nil
 }
--- a/quarantine_test.go
+++ b/quarantine_test.go
@@ -142,17 +142,17 @@
 	}
 }
 
-// TestTakedownsAcquitted has a box hear that a request was answered elsewhere.
-func TestTakedownsAcquitted(t *testing.T) {
+// TestTakedownsLifted has a box hear that a request was answered elsewhere.
+func TestTakedownsLifted(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := box(t, "b1", now)
 	takesDown(t, d, now, "same", 8)
 	now = now.Add(10 * time.Second)
-	d.update(now, peerAnswered{message: peer.Message{Acquitted: []fingerprint.Sum{asking("same", 1).Fingerprint()}}})
+	d.update(now, peerAnswered{message: peer.Message{Lifted: []fingerprint.Sum{asking("same", 1).Fingerprint()}}})
 	if _, code := placeFor(d, now, asking("same", 1)); code != "" {
 		t.Errorf("refused with %q", code)
 	}
-	if m := d.state(now, &d.tables); len(m.Acquitted) != 1 {
+	if m := d.state(now, &d.tables); len(m.Lifted) != 1 {
 		t.Error("not told on")
 	}
 }
