feat(entry,notice): lines and counters of what targets say of themselves in their answers

Cause sought: whether answers tell a box that their target leaves, or wants no requests for a while, could not be read off logs or metrics, nor what was sent there after it. Change: both words are decoded once, in the adapter, of answers to requests, news, reports, orders and health; package notice remembers them by the target's life; a request that goes out against them is logged with how long ago it was placed. Nothing is decided by it yet.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -166,6 +167,8 @@
 	Header http.Header
 	// Verdict says whether the request may have run.
 	Verdict int
+	// Said is what the target says of itself, if it is the one placed that answers.
+	Said notice.Said
 	// Version is the target's weight version, if it told.
 	Version int64
 	// Length is the body's in bytes, or -1.
--- a/entry/build.go
+++ b/entry/build.go
@@ -17,6 +17,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/nearest"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/quickest"
 	"github.com/thymewind/thymewind/retry"
@@ -63,7 +64,9 @@
 	server    deliver.Server
 	returns   comeback.Estimator
 	quickest  quickest.Record
-	peers     peer.Node
+	// notices are what targets said of themselves.
+	notices notice.Book
+	peers   peer.Node
 	seams
 	// chance says yes once in so many times.
 	chance func(oneIn int) bool
@@ -146,7 +149,7 @@
 
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
-		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.Platform.Send,
+		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.send,
 		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
 		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
 		Suspect: d.suspect, Least: d.least,
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -149,9 +149,12 @@
 // ask asks a target for its health, or an engine for its report, which it gives at once.
 func (d *Daemon) ask(ctx context.Context, p probe) error {
 	if !p.engine {
-		return d.Platform.Healthy(ctx, p.at, p.path, p.target)
+		said, err := d.Platform.Healthy(ctx, p.at, p.path, p.target)
+		d.heed(p.life, said, "its health")
+		return err
 	}
 	report, err := d.Platform.Report(ctx, p.at)
+	d.heed(p.life, report.Said, "its report")
 	if err == nil && !p.life.Born.IsZero() && report.Born.After(p.life.Born) {
 		return ErrReplaced
 	}
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
 )
@@ -75,6 +76,7 @@
 		d.tell(ctx, d.callPeer(ctx, e))
 	case askLoaded:
 		report, err := d.Platform.Report(ctx, e.at)
+		d.heed(fleet.Life{ID: e.target}, report.Said, "its report")
 		d.tell(ctx, loadedAsked{e.target, report, err})
 	case probe:
 		d.tell(ctx, probed{e, d.ask(ctx, e)})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -28,6 +28,8 @@
 	ended         prometheus.Counter
 	quarantined   prometheus.Gauge
 	suspended     prometheus.Counter
+	said          *prometheus.CounterVec
+	against       *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -67,9 +69,11 @@
 	c.ended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_ended_targets_total", Help: "Targets that were found to have ended while requests of this box ran there."})
 	c.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined", Help: "Requests, by what they ask for, that are refused as targets ended under them."})
 	c.suspended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_suspended_seconds_total", Help: "For how long the machine was suspended while this process ran."})
+	c.said = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_said_total", Help: "How often targets began to say of themselves that they leave, or that they want no requests for a while."}, []string{"said"})
+	c.against = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_against_total", Help: "Requests sent to targets against what these said of themselves."}, []string{"said"})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.against,
 	)
 	return c
 }
--- a/entry/order.go
+++ b/entry/order.go
@@ -36,6 +36,7 @@
 	unreachable := 0
 	for {
 		report, err := d.Platform.Report(ctx, e.at)
+		d.heed(fleet.Life{ID: e.order.Target}, report.Said, "its report")
 		if err == nil && report.Versions[e.order.Model] >= e.order.Version {
 			return nil
 		}
@@ -72,7 +73,9 @@
 	ctx, cancel := context.WithTimeout(ctx, until.Sub(d.now()))
 	defer cancel()
 	e.order.Until = until
-	return d.Platform.Order(ctx, e.at, e.order)
+	said, err := d.Platform.Order(ctx, e.at, e.order)
+	d.heed(fleet.Life{ID: e.order.Target}, said, "an order")
+	return err
 }
 
 // orderEnded frees the order's place among those that load. A target that was
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -8,6 +8,7 @@
 
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/table"
@@ -39,10 +40,10 @@
 	Free func(ctx context.Context, at netip.AddrPort, epoch uint64, until time.Duration, parts []Part) error
 	// Report asks an engine for its own state, Order tells it to load weights.
 	Report func(ctx context.Context, at netip.AddrPort) (Report, error)
-	Order  func(ctx context.Context, at netip.AddrPort, o rollout.Order) error
+	Order  func(ctx context.Context, at netip.AddrPort, o rollout.Order) (notice.Said, error)
 	// Healthy asks whether this very replica says that it is well. It fails with
 	// ErrReplaced if another one answers, and with ErrUnwell if it says that it is not.
-	Healthy func(ctx context.Context, at netip.AddrPort, path, id string) error
+	Healthy func(ctx context.Context, at netip.AddrPort, path, id string) (notice.Said, error)
 }
 
 // ErrUnwell says that the very replica meant answers, and that it is not well.
@@ -116,6 +117,8 @@
 	Born time.Time
 	// Clock is the time on the targets' common clock, or zero.
 	Clock time.Duration
+	// Said is what the source says of itself, also beside an error.
+	Said notice.Said
 }
 
 // Change is a part that a source keeps whole, or no longer keeps.
@@ -127,6 +130,8 @@
 
 // Report is what an engine says of itself.
 type Report struct {
+	// Said stands beside an error, too.
+	Said notice.Said
 	// Busy says that an order is under way.
 	Busy bool
 	// Born is when its life began; zero if it does not tell.
--- a/entry/suspended_test.go
+++ b/entry/suspended_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/rollout"
 )
 
@@ -78,9 +79,9 @@
 		t.Fatal(err)
 	}
 	var sent rollout.Order
-	d.Platform.Order = func(_ context.Context, _ netip.AddrPort, o rollout.Order) error {
+	d.Platform.Order = func(_ context.Context, _ netip.AddrPort, o rollout.Order) (notice.Said, error) {
 		sent = o
-		return nil
+		return notice.Said{}, nil
 	}
 	epoch, until, _ := d.lease.Held()
 	if err := d.order(context.Background(), sendOrder{order: rollout.Order{Epoch: epoch}}); err != nil {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -35,6 +35,7 @@
 	t.gate.Expire(now)
 	t.crashes.Expire(now)
 	t.quarantine.Expire(now)
+	d.notices.Expire(now)
 	t.expireTrials()
 	t.expireOver(now)
 	for _, w := range t.weights {
--- a/entry/weights_test.go
+++ b/entry/weights_test.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/exchange"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
 )
@@ -156,9 +157,9 @@
 	}
 	orders := 0
 	d.Platform.Report = func(context.Context, netip.AddrPort) (Report, error) { return Report{}, nil }
-	d.Platform.Order = func(context.Context, netip.AddrPort, rollout.Order) error {
+	d.Platform.Order = func(context.Context, netip.AddrPort, rollout.Order) (notice.Said, error) {
 		orders++
-		return ErrReplaced
+		return notice.Said{}, ErrReplaced
 	}
 	err := d.bring(context.Background(), sendOrder{rollout.Order{Target: "a", Model: "m", Version: 2, Epoch: epoch}, netip.AddrPort{}})
 	if !errors.Is(err, ErrReplaced) || orders != 1 {
--- /dev/null
+++ b/notice/notice.go
@@ -0,0 +1,203 @@
+// Package notice keeps what targets said of themselves in their answers: that they
+// leave, or that they want no requests from this box for a while.
+//
+//	b := notice.Book{}
+//	b.Hear(now, life, notice.Said{Backoff: 3 * time.Second}) // where the answer is read
+//	...
+//	err := b.Allow(now, life) // right before a request leaves this box: ErrBackoff
+//
+// A target's own word comes with each of its answers, also while the platform's list of
+// targets can't be read, and it is the first to know.
+package notice
+
+import (
+	"errors"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+)
+
+const (
+	// Longest bounds for how long a target is left alone at its own word. Targets seen
+	// ask for some seconds; one that names a year must not be lost for that.
+	Longest = 5 * time.Minute
+	// keep is for how long a target that leaves is remembered after its word was heard
+	// or asked for last. One that leaves is gone within a minute, but a list that is old
+	// may name it again.
+	keep = time.Hour
+	// most bounds the targets remembered, at some 200 bytes each: the fleet's targets
+	// several times over.
+	most = 4096
+)
+
+// Reasons why no request may be sent to a target.
+var (
+	// ErrLeaving says that the target takes no new work any more.
+	ErrLeaving = errors.New("the target said that it leaves")
+	// ErrBackoff says that the target asked for a time without requests, which lasts.
+	ErrBackoff = errors.New("the target asked for a time without requests")
+)
+
+// Said is what an answer says of its target. The zero value says nothing.
+type Said struct {
+	// Leaving says that the target takes no new work.
+	Leaving bool
+	// Backoff is for how long the target wants no requests from this box, counted from
+	// its answer; zero if it does not say.
+	Backoff time.Duration
+}
+
+// Book is what one box heard. The zero value is ready; it is safe for concurrent use.
+type Book struct {
+	mu   sync.RWMutex
+	byID map[string]*record
+	// size is len(byID), so that a request asks for no lock while nothing was heard.
+	size atomic.Int64
+}
+
+// record is what one life of a target said.
+type record struct {
+	born    time.Time
+	leaving bool
+	// until is when the time without requests is over.
+	until time.Time
+	// last is when the target was last heard or asked for.
+	last time.Time
+}
+
+// of says whether the record is of a life. One that does not tell its birth is taken
+// for the one known.
+func (r *record) of(life fleet.Life) bool {
+	return life.Born.IsZero() || r.born.IsZero() || life.Born.Equal(r.born)
+}
+
+// Hear notes what a life's answer said, and returns what of it is news. A later life
+// makes what an earlier one said void; what that one said late changes nothing.
+func (b *Book) Hear(now time.Time, life fleet.Life, said Said) Said {
+	if said == (Said{}) {
+		return said
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.byID[life.ID]
+	switch {
+	case r != nil && r.of(life):
+	case r != nil && life.Born.Before(r.born):
+		return Said{}
+	default:
+		r = b.add(now, life)
+	}
+	r.last = now
+	var news Said
+	if said.Leaving && !r.leaving {
+		r.leaving, news.Leaving = true, true
+	}
+	if said.Backoff <= 0 {
+		return news
+	}
+	if !now.Before(r.until) {
+		news.Backoff = said.Backoff
+	}
+	if until := now.Add(min(said.Backoff, Longest)); until.After(r.until) {
+		r.until = until
+	}
+	return news
+}
+
+// add begins a life's record. A full book forgets the one heard of longest ago.
+func (b *Book) add(now time.Time, life fleet.Life) *record {
+	if b.byID == nil {
+		b.byID = make(map[string]*record)
+	}
+	if len(b.byID) >= most {
+		b.dropOldest(now)
+	}
+	r := &record{born: life.Born}
+	b.byID[life.ID] = r
+	b.size.Store(int64(len(b.byID)))
+	return r
+}
+
+func (b *Book) dropOldest(now time.Time) {
+	oldest, at := "", now
+	for id, r := range b.byID {
+		if !r.last.After(at) {
+			oldest, at = id, r.last
+		}
+	}
+	delete(b.byID, oldest)
+}
+
+// find returns what a life said, or nil.
+func (b *Book) find(life fleet.Life) *record {
+	if b.size.Load() == 0 {
+		return nil
+	}
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	r := b.byID[life.ID]
+	if r == nil || !r.of(life) {
+		return nil
+	}
+	copied := *r
+	return &copied
+}
+
+// Allow returns why no request may be sent to a life of a target, or nil.
+func (b *Book) Allow(now time.Time, life fleet.Life) error {
+	r := b.find(life)
+	switch {
+	case r == nil:
+		return nil
+	case r.leaving:
+		return ErrLeaving
+	case now.Before(r.until):
+		return ErrBackoff
+	}
+	return nil
+}
+
+// Leaves says whether a life said that it leaves.
+func (b *Book) Leaves(life fleet.Life) bool {
+	r := b.find(life)
+	return r != nil && r.leaving
+}
+
+// Until is until when a life wants no requests; zero if it did not ask for that.
+func (b *Book) Until(life fleet.Life) time.Time {
+	if r := b.find(life); r != nil {
+		return r.until
+	}
+	return time.Time{}
+}
+
+// Touch remembers a life for longer, as the platform's list names it.
+func (b *Book) Touch(now time.Time, life fleet.Life) {
+	if b.size.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.byID[life.ID]; r != nil && r.of(life) {
+		r.last = now
+	}
+}
+
+// Expire forgets what makes no odds any more. Call it now and then.
+func (b *Book) Expire(now time.Time) {
+	if b.size.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.byID, func(_ string, r *record) bool {
+		if r.leaving {
+			return now.Sub(r.last) > keep
+		}
+		return !now.Before(r.until)
+	})
+	b.size.Store(int64(len(b.byID)))
+}
