fix(entry,notice,exchange): what targets say of themselves in their answers is a limit

Cause: of an answer's head only status, weight version and connection were read; the list alone closed a target, and it can't be read in an outage; a refusal was a weight. Class: a belief is taken from one source, which is away or silent, while another at hand is not read; and a weight stands where a limit is asked for. Ruled out: restarts, cuts, freezes; requests held up in the box as the incidents' cause (their callers sent them 0.4 to 12 s after the answer), though these are now kept back, too. Change: the book of notices is written where an answer is read, before any of it is passed on, and asked right before the first byte of a request leaves, at each placing, for hubs' places (asking boxes tell hubs which targets are closed to them) and when a list names a target anew. A hub's own time without requests does not bind what it places for others. Callers who find no other target are refused at once as backoff, told when the first one takes requests again.

--- a/comeback/comeback.go
+++ b/comeback/comeback.go
@@ -124,6 +124,12 @@
 	return e.within(left, max(time.Duration(span*float64(left)), soon), urgency)
 }
 
+// Ends returns when a caller should return whose cause of refusal ends in a time that is
+// known. It is Longest at most: another box, which the caller may meet, need not wait.
+func (e *Estimator) Ends(left time.Duration, urgency int) time.Duration {
+	return e.within(min(max(left, least), Longest), soon, urgency)
+}
+
 // Crowded returns when a caller should return whose request found no memory free,
 // on a route with a goal, or zero.
 func (e *Estimator) Crowded(goal time.Duration, urgency int) time.Duration {
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -147,6 +147,9 @@
 	Left time.Duration
 	// After is the last event that was passed on, for a stream that is resumed.
 	After string
+	// Allow is asked right before the request leaves this box; its error keeps it here.
+	// Nil allows it.
+	Allow func() error
 }
 
 // Verdicts on whether a target ran a request.
--- a/deliver/deliver_test.go
+++ b/deliver/deliver_test.go
@@ -20,6 +20,7 @@
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/exchange"
 	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -34,6 +35,7 @@
 	breaksOff
 	fails
 	hangs
+	heldBack
 	ways
 )
 
@@ -62,6 +64,9 @@
 	if way == unreachable {
 		return nil, fmt.Errorf("%w: refused", exchange.ErrNotSent)
 	}
+	if way == heldBack {
+		return nil, fmt.Errorf("%w: %w", exchange.ErrNotSent, notice.ErrBackoff)
+	}
 	x.arrived++
 	switch way {
 	case turnsAway:
@@ -307,6 +312,23 @@
 	})
 }
 
+// TestHeldBack has a request be kept from its target at the last moment: that says nothing
+// against the target, costs no budget, and another one is tried, once or more.
+func TestHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{script: []int{heldBack}}
+		s := x.server(route(false, false, false, 1))
+		s.Ended = func(e deliver.Ended) {
+			if e.Place.Target == "t1" && (e.Failed || e.Unreachable || e.Cut || e.Began) {
+				t.Errorf("told of the target: %+v", e)
+			}
+		}
+		if got := ask(s); got.status != http.StatusOK || x.arrived != 1 || x.spent != 0 {
+			t.Errorf("%d arrived, %d spent, got %+v", x.arrived, x.spent, got)
+		}
+	})
+}
+
 // TestTimeLeft shows that targets are given what is left, not more.
 func TestTimeLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 )
 
@@ -205,7 +206,8 @@
 	notSent := errors.Is(err, exchange.ErrNotSent)
 	left := x.caller.Err() != nil
 	over := !left && x.ctx.Err() != nil
-	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, exchange.ErrLate) || errors.Is(err, errOverdue)
+	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, exchange.ErrLate) || errors.Is(err, errOverdue) ||
+		errors.Is(err, notice.ErrLeaving) || errors.Is(err, notice.ErrBackoff)
 	failed := !left && !blameless
 	x.Ended(Ended{
 		Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over,
--- a/entry/comeback.go
+++ b/entry/comeback.go
@@ -42,6 +42,14 @@
 	return d.returns.Soon(urgency)
 }
 
+// returnAfter is comeBack where the cause may be one whose end is known.
+func (d *Daemon) returnAfter(now time.Time, t *tables, code string, job *deliver.Job) time.Duration {
+	if code == codeBackoff {
+		return d.returns.Ends(t.backoffLeft(now, job.Pool.Name), urgencyOf(job))
+	}
+	return d.comeBack(code, job)
+}
+
 // urgencyOf returns a job's rank, or the first rank if its route is not known.
 func urgencyOf(job *deliver.Job) int {
 	if job.Route == nil {
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -143,7 +143,7 @@
 	}
 	pool := table.Pools[x.Pool]
 	p := probe{target: x.ID, path: pool.HealthPath, at: x.Address, life: x.Life(), engine: pool.Engine != nil, doubted: true, asked: now}
-	return p, p.engine || p.path != ""
+	return p, p.engine || p.path != "" && !x.BacksOff(now) // A question for its health waits like a request.
 }
 
 // ask asks a target for its health, or an engine for its report, which it gives at once.
--- a/entry/list.go
+++ b/entry/list.go
@@ -55,6 +55,9 @@
 	wasLeaving := before != nil && before.Leaving
 	wasCold := before != nil && before.Cold(now)
 	x, fresh := t.fleet.List(now, e)
+	if x != nil {
+		d.applyNotices(now, x)
+	}
 	if x != nil && e.Cold > 0 && !wasCold {
 		d.Log.Info("target is cold", "target", e.ID, "pool", e.Pool, "domain", e.Domain, "for", e.Cold)
 	}
@@ -65,7 +68,7 @@
 			d.reborn(now, t, before, x)
 		}
 		t.noteBehind(x)
-		d.Log.Info("target in", "target", e.ID, "born", e.Born, "pool", e.Pool, "at", e.Address, "domain", e.Domain, "leaving", e.Leaving)
+		d.Log.Info("target in", "target", e.ID, "born", e.Born, "pool", e.Pool, "at", e.Address, "domain", e.Domain, "leaving", x.Leaving)
 	case x.Leaving && !wasLeaving:
 		d.Log.Info("target leaves", "target", e.ID, "pool", e.Pool)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,7 +29,7 @@
 	quarantined   prometheus.Gauge
 	suspended     prometheus.Counter
 	said          *prometheus.CounterVec
-	against       *prometheus.CounterVec
+	heldBack      *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -70,10 +70,10 @@
 	c.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined", Help: "Requests, by what they ask for, that are refused as targets ended under them."})
 	c.suspended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_suspended_seconds_total", Help: "For how long the machine was suspended while this process ran."})
 	c.said = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_said_total", Help: "How often targets began to say of themselves that they leave, or that they want no requests for a while."}, []string{"said"})
-	c.against = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_against_total", Help: "Requests sent to targets against what these said of themselves."}, []string{"said"})
+	c.heldBack = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_held_back_total", Help: "Requests kept from targets at the last moment, by what these had said of themselves."}, []string{"said"})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.against,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack,
 	)
 	return c
 }
--- a/entry/news.go
+++ b/entry/news.go
@@ -16,7 +16,7 @@
 		d.newsOfLife(now, t, x, m)
 	}
 	if x != nil && m.err != nil {
-		d.heed(x.Life(), m.news.Said, "its news")
+		d.heedNews(now, t, x, m.news.Said)
 	}
 	if m.err != nil {
 		t.directory.Silence(m.source)
@@ -40,7 +40,7 @@
 		d.Log.Warn("store restarted and lost what it kept", "store", m.source, "epoch", m.news.Epoch)
 	}
 	if x != nil {
-		d.heed(x.Life(), m.news.Said, "its news")
+		d.heedNews(now, t, x, m.news.Said)
 		x.Heard(now)
 		x.Unheard = false // It is the life that it was.
 	}
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -3,22 +3,41 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"time"
 
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/refusal"
 )
 
+// What a target says of itself in an answer is a limit, and the first word of it: the list
+// of targets tells later, and nothing while the table service is away. So it is noted where
+// the answer is read, before any of it is passed on, and asked for right before a request
+// leaves this box, whoever placed it and however long ago. Without it a target that leaves
+// got requests for as long as an outage lasted, and one that wanted none ten in 3 s.
+
 // What targets say of themselves, for counters.
 const (
 	saidLeaving = "leaving"
 	saidBackoff = "backoff"
 )
 
-// send sends a request to the target placed, and notes what its answer says of it.
+// codeBackoff is the refusal's code where all targets want no requests for a while.
+const codeBackoff = "backoff"
+
+// targetSaid tells that a target said something of itself; the book of notices has it.
+type targetSaid struct{ life fleet.Life }
+
+// lifePlaced is the life that a request was placed on.
+func lifePlaced(p deliver.Place) fleet.Life { return fleet.Life{ID: p.Target, Born: p.Born} }
+
+// send sends a request to the target placed, unless that said something against it
+// meanwhile, and notes what the answer says of the target.
 func (d *Daemon) send(ctx context.Context, s deliver.Sending) (*deliver.Reply, error) {
-	life := fleet.Life{ID: s.Place.Target, Born: s.Place.Born}
-	d.noteAgainst(life, s)
+	life := lifePlaced(s.Place)
+	s.Allow = func() error { return d.allow(life, s) }
 	reply, err := d.Platform.Send(ctx, s)
 	if err == nil {
 		d.heed(life, reply.Said, "request "+s.Job.ID)
@@ -26,8 +45,32 @@
 	return reply, err
 }
 
-// heed notes what an answer says of its target.
+// allow returns why a request must not leave for its target any more, or nil.
+func (d *Daemon) allow(life fleet.Life, s deliver.Sending) error {
+	now := d.now()
+	err := d.notices.Allow(now, life)
+	if err == nil {
+		return nil
+	}
+	word := saidBackoff
+	if errors.Is(err, notice.ErrLeaving) {
+		word = saidLeaving
+	}
+	d.counts.heldBack.WithLabelValues(word).Inc()
+	d.Log.Info("request is kept from a target at the last moment", "request", s.Job.ID, "target", life.ID, "said", word, "placed_ago", now.Sub(s.Place.At), "rule", s.Place.Rule)
+	return err
+}
+
+// heed notes what an answer says of its target. It is for callers outside the loop.
 func (d *Daemon) heed(life fleet.Life, said notice.Said, from string) {
+	if d.hearNotice(life, said, from) {
+		d.report(targetSaid{life})
+	}
+}
+
+// hearNotice puts what an answer says of its target into the book, and says whether any of
+// it is news.
+func (d *Daemon) hearNotice(life fleet.Life, said notice.Said, from string) bool {
 	news := d.notices.Hear(d.now(), life, said)
 	if news.Leaving {
 		d.counts.said.WithLabelValues(saidLeaving).Inc()
@@ -37,18 +80,51 @@
 		d.counts.said.WithLabelValues(saidBackoff).Inc()
 		d.Log.Info("target wants no requests", "target", life.ID, "born", life.Born, "for", news.Backoff, "told_by", from)
 	}
+	return news != (notice.Said{})
 }
 
-// noteAgainst tells of a request that goes to a target against its word.
-func (d *Daemon) noteAgainst(life fleet.Life, s deliver.Sending) {
-	err := d.notices.Allow(d.now(), life)
-	if err == nil {
-		return
+// heedNews does so in the loop, with what a target's news say.
+func (d *Daemon) heedNews(now time.Time, t *tables, x *fleet.Target, said notice.Said) {
+	if d.hearNotice(x.Life(), said, "its news") {
+		d.targetSaid(now, t, x.Life())
 	}
-	word := saidBackoff
-	if errors.Is(err, notice.ErrLeaving) {
-		word = saidLeaving
+}
+
+// targetSaid takes over what a target said of itself, for choosing.
+func (d *Daemon) targetSaid(now time.Time, t *tables, life fleet.Life) {
+	if x := t.fleet.Of(life); x != nil && d.applyNotices(now, x) {
+		t.changed()
+	}
+}
+
+// applyNotices has a target as listed be what it said of itself, also where an old list
+// names it anew. It says whether it leaves and did not before.
+func (d *Daemon) applyNotices(now time.Time, x *fleet.Target) bool {
+	before := x.Leaving
+	d.notices.Touch(now, x.Life())
+	x.Leaving = x.Leaving || d.notices.Leaves(x.Life())
+	x.BackoffUntil = d.notices.Until(x.Life())
+	return x.Leaving && !before
+}
+
+// refuseBackoff returns the refusal of a request whose pool has targets that would take
+// work, but none from the box that sends it; nil if there are none.
+func refuseBackoff(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) *refusal.Refusal {
+	waits := func(x *fleet.Target) bool { return x.Open(now) && closed(x) }
+	if !slices.ContainsFunc(t.fleet.Pool(ask.Job.Pool.Name), waits) {
+		return nil
+	}
+	return refusal.New(refusal.DidNotRun, 503, codeBackoff, "the targets of %s that take work asked for a time without requests", ask.Job.Pool.Name)
+}
+
+// backoffLeft is for how long yet the first target of a pool wants no requests, zero if none
+// that takes work asked for that.
+func (t *tables) backoffLeft(now time.Time, pool string) time.Duration {
+	left := time.Duration(0)
+	for _, x := range t.fleet.Pool(pool) {
+		if span := x.BackoffUntil.Sub(now); x.Open(now) && span > 0 && (left == 0 || span < left) {
+			left = span
+		}
 	}
-	d.counts.against.WithLabelValues(word).Inc()
-	d.Log.Warn("request goes to a target against its word", "request", s.Job.ID, "target", life.ID, "said", word, "placed_ago", d.now().Sub(s.Place.At), "rule", s.Place.Rule)
+	return left
 }
--- /dev/null
+++ b/entry/notice_test.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/comeback"
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+var (
+	leaving = notice.Said{Leaving: true}
+	resting = notice.Said{Backoff: 3 * time.Second}
+)
+
+// knows makes a daemon know engines.
+func knows(d *Daemon, ids ...string) *Daemon {
+	d.now = func() time.Time { return start }
+	var list []fleet.Entry
+	for _, id := range ids {
+		list = append(list, engine(id, 1))
+	}
+	d.update(start, operatorRead{start, Operator{Table: configuration(1), Weights: map[string]int64{"m": 1}, Evacuations: map[string]bool{}, Whole: true}})
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: list}, false})
+	return d
+}
+
+// say has a target say something of itself, as its answers do.
+func say(d *Daemon, now time.Time, life fleet.Life, said notice.Said) {
+	d.notices.Hear(now, life, said)
+	d.update(now, targetSaid{life})
+}
+
+// placedOn lists the targets on which a box places requests one after the other, each
+// tried once, until it refuses; and the refusal.
+func placedOn(d *Daemon, now time.Time) ([]string, *refusal.Refusal) {
+	var tried []string
+	for {
+		place, err := d.place(now, &d.tables, deliver.Ask{Job: job("long", 1000), Tried: tried})
+		if err != nil {
+			slices.Sort(tried)
+			return tried, refusal.Of(err, "", 0)
+		}
+		tried = append(tried, place.Target)
+	}
+}
+
+// TestTargetsWordCloses says which targets get requests after one said something.
+func TestTargetsWordCloses(t *testing.T) {
+	later := fleet.Entry{ID: "a", Pool: "models", Versions: map[string]int64{"m": 1}, Born: start.Add(time.Second)}
+	tests := []struct {
+		name   string
+		happen func(d *Daemon)
+		after  time.Duration
+		want   string
+	}{
+		{"nothing", func(*Daemon) {}, 0, "[a b]"},
+		{"it leaves", func(d *Daemon) { say(d, start, fleet.Life{ID: "a"}, leaving) }, time.Hour / 2, "[b]"},
+		{"it wants no requests", func(d *Daemon) { say(d, start, fleet.Life{ID: "a"}, resting) }, 2 * time.Second, "[b]"},
+		{"that is over", func(d *Daemon) { say(d, start, fleet.Life{ID: "a"}, resting) }, 3 * time.Second, "[a b]"},
+		{"its news say that it leaves", func(d *Daemon) {
+			d.tables.followed["a"] = func() {}
+			d.update(start, newsRead{source: "a", news: News{Said: leaving}, asked: start})
+		}, 0, "[b]"},
+		{"its news are refused, with a time", func(d *Daemon) {
+			d.tables.followed["a"] = func() {}
+			d.update(start, newsRead{source: "a", news: News{Said: resting}, asked: start, err: errors.New("503")})
+		}, 2500 * time.Millisecond, "[b]"},
+		{"it leaves, goes from the list, and an old list names it", func(d *Daemon) {
+			say(d, start, fleet.Life{ID: "a"}, leaving)
+			d.update(start, targetsRead{start, Targets{Gone: []string{"a"}}, false})
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{engine("a", 1)}}, false})
+		}, 0, "[b]"},
+		{"it wants no requests, and a list names it anew", func(d *Daemon) {
+			say(d, start, fleet.Life{ID: "a"}, resting)
+			d.update(start, targetsRead{start, Targets{Gone: []string{"a"}}, false})
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{engine("a", 1)}}, false})
+		}, time.Second, "[b]"},
+		{"it left, and a later life has its ID", func(d *Daemon) {
+			d.notices.Hear(start, fleet.Life{ID: "a", Born: start.Add(-time.Hour)}, notice.Said{Leaving: true, Backoff: time.Minute})
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{later}}, false})
+		}, 0, "[a b]"},
+		{"both leave", func(d *Daemon) {
+			say(d, start, fleet.Life{ID: "a"}, leaving)
+			say(d, start, fleet.Life{ID: "b"}, leaving)
+		}, 0, "[]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := knows(newDaemon("b1"), "a", "b")
+			tt.happen(d)
+			now := start.Add(tt.after)
+			proved := now
+			d.proved.Store(&proved)
+			if got, _ := placedOn(d, now); fmt.Sprint(got) != tt.want {
+				t.Errorf("placed on %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestAllWantNone says what callers are told when all targets want no requests: the truth
+// about when the first one takes some again, within bounds.
+func TestAllWantNone(t *testing.T) {
+	tests := []struct {
+		name   string
+		spans  [2]time.Duration
+		from   time.Duration
+		within time.Duration
+	}{
+		{"soon", [2]time.Duration{500 * time.Millisecond, time.Minute}, 500 * time.Millisecond, 700 * time.Millisecond},
+		{"for long", [2]time.Duration{time.Hour, time.Hour}, comeback.Longest, comeback.Longest + 200*time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := knows(newDaemon("b1"), "a", "b")
+			for i, id := range []string{"a", "b"} {
+				say(d, start, fleet.Life{ID: id}, notice.Said{Backoff: tt.spans[i]})
+			}
+			_, refused := placedOn(d, start)
+			if refused.Code != codeBackoff || refused.Outcome != refusal.DidNotRun || refused.RetryAfter < tt.from || refused.RetryAfter > tt.within {
+				t.Errorf("refused as %q, %v, come back after %v", refused.Code, refused.Outcome, refused.RetryAfter)
+			}
+		})
+	}
+}
+
+// TestHubPlacesAgainstWord has a hub that heard nothing place for a box that did, and a hub
+// that wants left alone by a target place there for others.
+func TestHubPlacesAgainstWord(t *testing.T) {
+	for _, said := range []notice.Said{leaving, resting} {
+		t.Run(fmt.Sprintf("%+v", said), func(t *testing.T) {
+			d := knows(largeFleet("box-05"), "a", "b")
+			say(d, start, fleet.Life{ID: "a"}, said)
+			if _, ok := d.accept(start, &d.tables, deliver.Ask{Job: job("long", 1000)}, &peer.Placed{Target: "a", Version: 1}); ok {
+				t.Error("the hub's place is taken")
+			}
+			reply := make(chan placeAnswer, 1)
+			effects := d.update(start, placeAsked{ctx: context.Background(), ask: deliver.Ask{Job: job("long", 1000)}, reply: reply})
+			ask := effects[0].(askHub).ask
+			if want := short(d.tables.fleet.Target("a")); len(ask.Closed) != 1 || ask.Closed[0] != want {
+				t.Fatalf("told the hub of %v, want %v", ask.Closed, want)
+			}
+			hub := knows(largeFleet("box-00"), "a", "b")
+			hub.tables.warmed = true
+			for range 20 {
+				if placed := hub.placeForPeer(start, &hub.tables, peer.Message{From: "box-05", Ask: &ask}); placed.Target != "b" {
+					t.Fatalf("the hub places on %q", placed.Target)
+				}
+			}
+			ask.Closed = append(ask.Closed, short(hub.tables.fleet.Target("b")))
+			if placed := hub.placeForPeer(start, &hub.tables, peer.Message{From: "box-05", Ask: &ask}); placed.Refused != codeBackoff {
+				t.Errorf("the hub refuses as %q", placed.Refused)
+			}
+		})
+	}
+}
+
+// TestHubsOwnBackoff has a target want no requests from a hub: other boxes' requests are
+// placed there all the same.
+func TestHubsOwnBackoff(t *testing.T) {
+	hub := knows(largeFleet("box-00"), "a")
+	hub.tables.warmed = true
+	say(hub, start, fleet.Life{ID: "a"}, resting)
+	ask := peer.PlaceAsk{Request: "r", Pool: "models", Model: "m", Tokens: 1000, Fill: 1, Usual: 1000}
+	if placed := hub.placeForPeer(start, &hub.tables, peer.Message{From: "box-05", Ask: &ask}); placed.Target != "a" {
+		t.Errorf("placed on %q, refused as %q", placed.Target, placed.Refused)
+	}
+	if got, _ := placedOn(hub, start); len(got) > 0 {
+		t.Errorf("its own request is placed on %v", got)
+	}
+}
+
+// TestAllowedAtLast asks right before a request leaves, however long ago it was placed.
+func TestAllowedAtLast(t *testing.T) {
+	tests := []struct {
+		name string
+		life fleet.Life
+		said notice.Said
+		want error
+	}{
+		{"nothing", fleet.Life{ID: "a"}, notice.Said{}, nil},
+		{"it leaves", fleet.Life{ID: "a"}, leaving, notice.ErrLeaving},
+		{"it wants no requests", fleet.Life{ID: "a"}, resting, notice.ErrBackoff},
+		{"another leaves", fleet.Life{ID: "b"}, leaving, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := knows(newDaemon("b1"), "a", "b")
+			asked := errors.New("not asked")
+			d.Platform.Send = func(_ context.Context, s deliver.Sending) (*deliver.Reply, error) {
+				d.notices.Hear(start, tt.life, tt.said) // While the request waits for its connection.
+				asked = s.Allow()
+				return &deliver.Reply{}, nil
+			}
+			if _, err := d.send(context.Background(), deliver.Sending{Job: job("long", 1000), Place: deliver.Place{Target: "a"}}); err != nil {
+				t.Fatal(err)
+			}
+			if !errors.Is(asked, tt.want) || (asked == nil) != (tt.want == nil) {
+				t.Errorf("allowed: %v, want %v", asked, tt.want)
+			}
+		})
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -96,7 +96,7 @@
 	place, refused := choose(now, t, ask)
 	d.notePlace(now, ask, refused)
 	if refused != nil {
-		return place, refused.After(d.comeBack(refused.Code, ask.Job))
+		return place, refused.After(d.returnAfter(now, t, refused.Code, ask.Job))
 	}
 	t.sent(now, place)
 	t.reads.Place(now, placement.Hash(place.Target), place.Unread)
@@ -107,48 +107,65 @@
 	if refused := d.refuseCongested(t, ask); refused != nil {
 		return deliver.Place{}, refused
 	}
-	x, ok := d.services.Choose(now, t.fleet.Pool(ask.Job.Pool.Name), d.skip(now, t, ask))
+	x, ok := d.services.Choose(now, t.fleet.Pool(ask.Job.Pool.Name), d.skip(now, t, ask, backsOff(now)))
 	if !ok {
-		return deliver.Place{}, d.refuseNone(now, t, ask)
+		return deliver.Place{}, d.refuseNone(now, t, ask, backsOff(now))
 	}
 	d.takeCold(now, t, ask.Job.Pool, x)
 	return deliver.Place{Target: x.ID, Born: x.Born, Address: x.Address, At: now, Rule: "nearest"}, nil
 }
 
-func (d *Daemon) refuseNone(now time.Time, t *tables, ask deliver.Ask) *refusal.Refusal {
+func (d *Daemon) refuseNone(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) *refusal.Refusal {
 	pool := ask.Job.Pool
 	if cold := d.heldBack(now, t, ask); cold > 0 {
 		return refusal.New(refusal.DidNotRun, 503, "warming", "no target of %s takes work now but %d that are cold and have got what they bear", pool.Name, cold)
 	}
+	if refused := refuseBackoff(now, t, ask, closed); refused != nil {
+		return refused
+	}
 	return refusal.New(refusal.DidNotRun, 503, "no_target", "no target of %s takes work now", pool.Name)
 }
 
 // refuseEngine refuses a request that no engine takes, and says whether that is
 // for the weights' sake.
-func (d *Daemon) refuseEngine(now time.Time, t *tables, request deliver.Ask, ask affinity.Ask, targets []*fleet.Target) *refusal.Refusal {
+func (d *Daemon) refuseEngine(now time.Time, t *tables, request deliver.Ask, ask affinity.Ask, targets []*fleet.Target, from sender) *refusal.Refusal {
 	for _, x := range targets {
 		if x.Open(now) && x.Versions[ask.Model] < ask.Least {
 			return refusal.New(refusal.DidNotRun, 503, "old_weights", "the engines of %s that take work have weights older than version %d", request.Job.Pool.Name, ask.Least)
 		}
 	}
-	return d.refuseNone(now, t, request)
+	return d.refuseNone(now, t, request, from.closed)
 }
 
-// skip passes over targets that were tried before, and over cold ones that have got
-// what this box may send them.
-func (d *Daemon) skip(now time.Time, t *tables, ask deliver.Ask) func(id string) bool {
+// skip passes over targets that were tried before, over those closed to the box that
+// sends the request, and over cold ones that have got what this box may send them.
+func (d *Daemon) skip(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) func(id string) bool {
 	return func(id string) bool {
-		return slices.Contains(ask.Tried, id) || d.overCold(now, t, ask.Job.Pool, t.fleet.Target(id))
+		x := t.fleet.Target(id)
+		return slices.Contains(ask.Tried, id) || closed(x) || d.overCold(now, t, ask.Job.Pool, x)
 	}
 }
 
+// backsOff says which targets want no requests from this box.
+func backsOff(now time.Time) func(*fleet.Target) bool {
+	return func(x *fleet.Target) bool { return x.BacksOff(now) }
+}
+
+// sender is the box that sends a request, as far as its place depends on that.
+type sender struct {
+	domain string
+	room   room
+	// linked says to which targets it has a connection that rests, closed which of them
+	// must get no request from it.
+	linked, closed func(*fleet.Target) bool
+}
+
 func (d *Daemon) placeModel(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, *refusal.Refusal) {
-	return d.chooseEngine(now, t, ask, d.Settings.Domain, d.room(t, ask.Job), d.linked)
+	return d.chooseEngine(now, t, ask, sender{d.Settings.Domain, d.room(t, ask.Job), d.linked, backsOff(now)})
 }
 
-// chooseEngine chooses an engine and plans the moves of kept parts, for a box in
-// a failure domain.
-func (d *Daemon) chooseEngine(now time.Time, t *tables, ask deliver.Ask, domain string, r room, linked func(*fleet.Target) bool) (deliver.Place, *refusal.Refusal) {
+// chooseEngine chooses an engine and plans the moves of kept parts.
+func (d *Daemon) chooseEngine(now time.Time, t *tables, ask deliver.Ask, from sender) (deliver.Place, *refusal.Refusal) {
 	job := ask.Job
 	if d.weightsUnknown(now) {
 		return deliver.Place{}, refusal.New(refusal.DidNotRun, 503, "stale", "what the newest weights are was last known %v ago", d.provedAgo(now))
@@ -156,10 +173,10 @@
 	keys := make(map[int64][]directory.Key)
 	w := t.model(job.Model)
 	question := affinity.Ask{
-		Domain: d.near(domain), Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: d.skip(now, t, ask),
-		Least: w.least(now, d.bounds.Load().WeightsWithin), Goal: job.Route.Goal, Linked: linked,
+		Domain: d.near(from.domain), Home: home(job), Tokens: job.Input + job.Output, Capacity: job.Pool.Engine.Capacity, Parts: partsOf(job), Model: job.Model, Wanted: w.wanted, Skip: d.skip(now, t, ask, from.closed),
+		Least: w.least(now, d.bounds.Load().WeightsWithin), Goal: job.Route.Goal, Linked: from.linked,
 		Full: func(taken int) bool {
-			return !r.admits(taken, job.Input+job.Output, job.Pool.Engine.Capacity)
+			return !from.room.admits(taken, job.Input+job.Output, job.Pool.Engine.Capacity)
 		},
 		Keys: func(version int64) []directory.Key {
 			if keys[version] == nil {
@@ -172,9 +189,9 @@
 	t.usual = t.spread(targets)
 	choice, ok := d.engines.Choose(now, question, targets)
 	if !ok {
-		return deliver.Place{}, d.refuseEngine(now, t, ask, question, targets)
+		return deliver.Place{}, d.refuseEngine(now, t, ask, question, targets, from)
 	}
-	if refused := d.refuseCrowded(now, t, choice.Target, question, r); refused != nil {
+	if refused := d.refuseCrowded(now, t, choice.Target, question, from.room); refused != nil {
 		return deliver.Place{}, refused
 	}
 	d.takeCold(now, t, job.Pool, choice.Target)
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -85,6 +85,9 @@
 		if d.linked(x) {
 			ask.Linked = append(ask.Linked, short(x))
 		}
+		if x.BacksOff(now) || d.notices.Leaves(x.Life()) {
+			ask.Closed = append(ask.Closed, short(x)) // The hub may not know, or may itself use it.
+		}
 	}
 	if job.Account != nil && job.Account.Isolated {
 		ask.Walled = job.Account.Name
@@ -145,10 +148,10 @@
 	if p.Refused != "" {
 		refused := refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason)
 		d.notePlace(now, request, refused)
-		return placeAnswer{err: refused.After(d.comeBack(p.Refused, job))}, true
+		return placeAnswer{err: refused.After(d.returnAfter(now, t, p.Refused, job))}, true
 	}
 	x := t.fleet.Target(p.Target)
-	if x == nil || !x.Open(now) || x.Avoided(now) {
+	if x == nil || !x.Open(now) || x.Avoided(now) || x.BacksOff(now) {
 		return placeAnswer{}, false
 	}
 	w := t.model(job.Model)
@@ -235,7 +238,7 @@
 	for _, p := range m.Ask.Parts {
 		job.Parts = append(job.Parts, deliver.Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, t.domainOf(m.From), roomOf(m.Ask), linkedTo(m.Ask.Linked))
+	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, sender{t.domainOf(m.From), roomOf(m.Ask), among(m.Ask.Linked), among(m.Ask.Closed)})
 	if refused != nil {
 		return &peer.Placed{Refused: refused.Code, Reason: refused.Reason}
 	}
@@ -294,7 +297,7 @@
 // short names a target among those of its pool, in four bytes.
 func short(x *fleet.Target) uint32 { return uint32(placement.Hash(x.ID)) }
 
-// linkedTo says to which targets another box has a connection that rests.
-func linkedTo(list []uint32) func(*fleet.Target) bool {
+// among says which targets another box named.
+func among(list []uint32) func(*fleet.Target) bool {
 	return func(x *fleet.Target) bool { return slices.Contains(list, short(x)) }
 }
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		for _, x := range t.fleet.Pool(name) {
-			if t.probing[x.ID] || x.Leaving || x.Evacuated || (!x.Avoided(now) && !nearest.Silent(now, x)) {
+			if t.probing[x.ID] || x.Leaving || x.Evacuated || x.BacksOff(now) || (!x.Avoided(now) && !nearest.Silent(now, x)) {
 				continue
 			}
 			t.probing[x.ID] = true
--- a/entry/update.go
+++ b/entry/update.go
@@ -16,6 +16,8 @@
 		return d.placeAsked(now, t, m)
 	case suspectAsked:
 		m.reply <- d.looksDead(now, t, m.target)
+	case targetSaid:
+		d.targetSaid(now, t, m.life)
 	case silenceSeen:
 		t.silences[m.at] = now
 	case answerBegan:
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -47,8 +47,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	err = ctx.Err()
-	if err == nil && request.late() {
-		err = ErrLate
+	if err == nil {
+		err = request.barred()
 	}
 	if err != nil {
 		c.shelve(conn) // Nothing was sent on it: the next request saves a new connection.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -73,6 +73,21 @@
 	// package boottime; zero lets it leave at any time. A context tells that late if
 	// the machine was suspended while a connection was made.
 	NotAfter time.Time
+	// Allow is asked right before the first byte leaves this box, when a connection
+	// stands, however long that took; its error, which comes with ErrNotSent, keeps the
+	// request here. Nil allows it.
+	Allow func() error
+}
+
+// barred returns why the request must not leave this box, or nil.
+func (r *Request) barred() error {
+	if r.late() {
+		return ErrLate
+	}
+	if r.Allow != nil {
+		return r.Allow()
+	}
+	return nil
 }
 
 // late says that the request must not leave this box any more.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -353,3 +353,38 @@
 		})
 	}
 }
+
+// TestAllow asks right before a request leaves, on a new connection and on one that is
+// kept; what is kept back costs no connection.
+func TestAllow(t *testing.T) {
+	x := serve(t, func(_ int, conn *net.TCPConn, requests func() *http.Request) {
+		for requests() != nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := client()
+	dialed := 0
+	c.Dialed = func(netip.AddrPort) { dialed++ }
+	errNot := errors.New("not allowed")
+	steps := []struct {
+		name  string
+		allow error
+	}{
+		{"on a new connection", errNot},
+		{"on the one that was kept", nil},
+		{"on a kept one", errNot},
+		{"and again", nil},
+	}
+	for _, s := range steps {
+		_, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h", Allow: func() error { return s.allow }})
+		if s.allow == nil && err != nil {
+			t.Errorf("%s: %v", s.name, err)
+		}
+		if s.allow != nil && (!errors.Is(err, errNot) || !errors.Is(err, exchange.ErrNotSent)) {
+			t.Errorf("%s: %v", s.name, err)
+		}
+	}
+	if len(x.requests) != 2 || dialed != 1 {
+		t.Errorf("%d requests came over %d connections", len(x.requests), dialed)
+	}
+}
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -15,8 +15,11 @@
 	Domain  string
 	Pool    string
 	Slots   int
-	// Leaving is set once the list says so and never unset.
+	// Leaving is set once the list, or the target itself, says so and never unset.
 	Leaving bool
+	// BackoffUntil is until when the target wants no requests from this box, as it said;
+	// zero if it did not. It says nothing of other boxes' requests.
+	BackoffUntil time.Time
 	// Evacuated says that its failure domain is to get no work.
 	Evacuated bool
 	// Versions are the weight versions by model, as far as known.
@@ -182,5 +185,8 @@
 	return !t.failedAt.IsZero() && (t.backAt.IsZero() || now.Sub(t.backAt) < cold)
 }
 
+// BacksOff says that the target wants no requests from this box.
+func (t *Target) BacksOff(now time.Time) bool { return now.Before(t.BackoffUntil) }
+
 // Loading says that the target is thought to load weights.
 func (t *Target) Loading(now time.Time) bool { return now.Before(t.LoadingUntil) }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -25,6 +25,9 @@
 	// Linked are the targets to which the asking box has a connection that rests,
 	// each by the lower half of its ID's hash.
 	Linked []uint32 `cbor:"11,keyasint,omitempty"`
+	// Closed are the targets to which the asking box must send nothing, as they said
+	// themselves, named likewise.
+	Closed []uint32 `cbor:"12,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
