fix(relay,forward,dispatch): what targets say of themselves is heard with the head of their answers

Cause, the same on our own interface: that a target leaves was read in refusals and in plain services' answers, told at the answer's end, which may be minutes later, and not in engines' streams; Retry-After was not read at all. Ruled out: engines' reports, which tell the first every 0.5 s, make up for it only where there are any; plain services have none. Change: one function reads both words from any answer's head; Relay and Forwarder tell them before any of the answer is passed on; a target that wants no requests is not usable for that time, five minutes at most. route.Ended tells of leaving no more; the property test's event is the new message, under the same rule. Tests: forward and relay TestSaid, TestWantsNoRequests; each fails without its part (the fields did not exist before).

--- a/build.go
+++ b/build.go
@@ -173,7 +173,7 @@
 		Place: d.askPlace, Generate: d.engines.Generate, Resume: d.engines.Resume, Cancel: d.engines.Cancel,
 		Accept: (*stream.Checker).Accept,
 		Stall:  stall,
-		Ended:  d.tellEnded, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
+		Ended:  d.tellEnded, Said: d.tellSaid, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
 		CancelPatience: cancelPatience, ComeBack: comeBack,
 	}
 	sender := forward.Sender{Dial: dialer.DialContext}
@@ -182,7 +182,7 @@
 		Record: d.records.Add, Patience: tablePatience, ComeBack: comeBack,
 	}
 	d.forward = forward.Forwarder{
-		Place: d.askPlace, Ended: d.tellEnded, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry,
+		Place: d.askPlace, Ended: d.tellEnded, Said: d.tellSaid, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry,
 		Attempts: attempts, ComeBack: comeBack,
 	}
 	d.front = caller.Front{
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/pool"
 	"github.com/thymewind/thymewind/retention"
 	"github.com/thymewind/thymewind/reuse"
@@ -20,9 +21,6 @@
 		return false
 	}
 	x.InFlight--
-	if e.Leaving {
-		b.MarkLeaving(x, now, "its own answer")
-	}
 	switch {
 	case e.Failed:
 		b.Fail(now, x)
@@ -37,6 +35,21 @@
 	return false
 }
 
+// Said takes in what a target says of itself in an answer, as soon as its head has come:
+// the answer itself may last for minutes.
+func (b *Board) Said(now time.Time, placed route.Placed, said notice.Said) {
+	x, known := b.Targets.Lookup(placed.Target)
+	if !known || x.Address != placed.Address {
+		return
+	}
+	if said.Leaving {
+		b.MarkLeaving(x, now, "its own answer")
+	}
+	if until := now.Add(min(said.Backoff, notice.Longest)); until.After(x.BackoffUntil) {
+		x.BackoffUntil = until
+	}
+}
+
 // learn takes in what a whole answer tells about cache and decides whether the
 // prompt's cache is kept.
 func (b *Board) learn(now time.Time, e route.Ended) (export bool) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/stream"
 )
 
@@ -26,6 +27,16 @@
 // HeaderLeaving is set on every answer of a target that takes no new work.
 const HeaderLeaving = "Target-Leaving"
 
+// Said reads what any answer of a target, an engine's or a plain service's, says of that
+// target itself.
+func Said(response *http.Response) notice.Said {
+	said := notice.Said{Leaving: response.Header.Get(HeaderLeaving) != ""}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		said.Backoff = notice.Seconds(response.Header.Get("Retry-After"))
+	}
+	return said
+}
+
 // maxFrame bounds one line of a stream, in bytes.
 const maxFrame = 1 << 20
 
@@ -40,6 +51,8 @@
 
 // Frames reads the frames of one stream.
 type Frames struct {
+	// Said is what the answer's head says of the engine.
+	Said notice.Said
 	// Next returns the next frame, or io.EOF behind the last.
 	Next func() (stream.Frame, error)
 	// Close ends the reading; the engine keeps the run for a while.
@@ -153,7 +166,9 @@
 		defer response.Body.Close()
 		return nil, refusal(response)
 	}
-	return framesOf(response.Body), nil
+	frames := framesOf(response.Body)
+	frames.Said = Said(response)
+	return frames, nil
 }
 
 // refusal turns an answer that is not a stream into an error.
@@ -163,9 +178,9 @@
 		return trace.Errorf("the engine answers status %d: %s", response.StatusCode, reason)
 	}
 	return &Refusal{
-		Status:  response.StatusCode,
-		Reason:  string(reason),
-		Leaving: response.Header.Get(HeaderLeaving) != "",
+		Status: response.StatusCode,
+		Reason: string(reason),
+		Said:   Said(response),
 	}
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/notice"
 )
 
 // Run asks an engine for one answer.
@@ -76,8 +77,8 @@
 type Refusal struct {
 	Status int
 	Reason string
-	// Leaving says that the engine takes no new work any more.
-	Leaving bool
+	// Said is what the engine says of itself.
+	Said notice.Said
 }
 
 // Error implements error.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -15,7 +15,7 @@
 // If it breaks off, so does the caller's connection: a part never looks whole.
 func (x *exchange) answer(w http.ResponseWriter, response *http.Response, placed route.Placed) {
 	defer func() { _ = response.Body.Close() }()
-	leaving := response.Header.Get(engine.HeaderLeaving) != ""
+	x.Said(placed, engine.Said(response))
 	hop.Drop(response.Header)
 	for name, values := range response.Header {
 		w.Header()[name] = values
@@ -24,7 +24,7 @@
 	w.WriteHeader(response.StatusCode)
 	copied := &tee{to: w, flush: http.NewResponseController(w), persist: x.once}
 	_, err := io.Copy(copied, response.Body)
-	x.Ended(route.Ended{Placed: placed, Failed: err != nil && !copied.gone, Leaving: leaving})
+	x.Ended(route.Ended{Placed: placed, Failed: err != nil && !copied.gone})
 	if err == nil && x.once {
 		x.permit.Answered(x.ctx, claim.Answer{
 			Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: copied.kept, Cut: copied.over,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/route"
 )
@@ -52,6 +53,9 @@
 	Place func(ctx context.Context, ask route.Ask) (route.Placed, error)
 	// Ended hears of every attempt that was placed, exactly once.
 	Ended func(route.Ended)
+	// Said hears what the head of an answer says of its target, before any of the answer
+	// is passed on.
+	Said func(route.Placed, notice.Said)
 	// Permits gives marked requests the permission to run.
 	Permits *permit.Office
 	// Send does one exchange on a connection of its own and says whether any
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -22,9 +22,11 @@
 
 	"github.com/thymewind/thymewind/claim"
 	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/forward"
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
@@ -121,7 +123,7 @@
 			Lookup: book.Lookup, Take: book.Take, Release: book.Release, Finish: book.Finish,
 			Record: func(decision.Record) {}, Patience: 2 * time.Second, ComeBack: comeBack,
 		},
-		Ended: func(route.Ended) {}, Send: send, Retry: func(string) bool { return true }, Attempts: 3, ComeBack: comeBack,
+		Ended: func(route.Ended) {}, Said: func(route.Placed, notice.Said) {}, Send: send, Retry: func(string) bool { return true }, Attempts: 3, ComeBack: comeBack,
 	}
 }
 
@@ -283,3 +285,46 @@
 		t.Errorf("wrote %v, the target read %d requests, want true and 1", wrote, requests.Load())
 	}
 }
+
+// TestSaid has targets say something of themselves in the head of an answer that lasts: it
+// is heard before any of the answer is passed on.
+func TestSaid(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		header http.Header
+		want   notice.Said
+	}{
+		{"nothing", http.StatusOK, http.Header{}, notice.Said{}},
+		{"it leaves", http.StatusOK, http.Header{engine.HeaderLeaving: {"1"}}, notice.Said{Leaving: true}},
+		{"it wants no requests", http.StatusServiceUnavailable, http.Header{"Retry-After": {"3"}}, notice.Said{Backoff: 3 * time.Second}},
+		{"the request alone is to wait", http.StatusTooManyRequests, http.Header{"Retry-After": {"3"}}, notice.Said{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var heard []notice.Said
+			body := &counting{}
+			f := forwarder(t.Context(), &fake.Table{}, &fake.Script{}, func(*http.Request, netip.AddrPort, time.Duration) (*http.Response, bool, error) {
+				return &http.Response{StatusCode: tt.status, Header: tt.header, Body: io.NopCloser(body)}, true, nil
+			})
+			f.Said = func(_ route.Placed, said notice.Said) {
+				if body.read > 0 {
+					t.Error("heard behind the answer's beginning")
+				}
+				heard = append(heard, said)
+			}
+			serve(f, http.MethodGet, "")
+			if len(heard) != 1 || heard[0] != tt.want {
+				t.Errorf("heard %+v, want %+v", heard, tt.want)
+			}
+		})
+	}
+}
+
+// counting is an empty body that counts how often it is read.
+type counting struct{ read int }
+
+func (c *counting) Read([]byte) (int, error) {
+	c.read++
+	return 0, io.EOF
+}
--- a/internal/measure/traffic.go
+++ b/internal/measure/traffic.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/dispatch"
 	api "github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/reuse"
 	"github.com/thymewind/thymewind/route"
@@ -176,7 +177,8 @@
 			return
 		}
 		if !e.submit(r) {
-			t.retry(r, route.Ended{Placed: r.placed, Refused: true, Leaving: e.leaving})
+			t.board.Said(t.now, r.placed, notice.Said{Leaving: e.leaving})
+			t.retry(r, route.Ended{Placed: r.placed, Refused: true})
 			return
 		}
 	}
--- a/message.go
+++ b/message.go
@@ -6,6 +6,7 @@
 	"github.com/thymewind/thymewind/boxes"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/route"
 )
 
@@ -27,6 +28,12 @@
 // attemptEnded tells how an attempt that was placed went.
 type attemptEnded struct{ route.Ended }
 
+// targetSaid tells what the head of an answer says of its target.
+type targetSaid struct {
+	placed route.Placed
+	said   notice.Said
+}
+
 // boxesRead is the platform's list, or why it can't be read.
 type boxesRead struct {
 	list []boxes.Box
--- a/place.go
+++ b/place.go
@@ -21,6 +21,14 @@
 	return nil
 }
 
+// targetSaid takes in what a target says of itself, and explains it.
+func (d *Daemon) targetSaid(now time.Time, t *tables, m targetSaid) {
+	if x, known := t.Targets.Lookup(m.placed.Target); known && m.said.Backoff > 0 && !now.Before(x.BackoffUntil) {
+		d.Log.Info("target wants no requests", "target", x.Name, "for", m.said.Backoff, "request", m.placed.Request)
+	}
+	t.Said(now, m.placed, m.said)
+}
+
 func (d *Daemon) recordEnded(now time.Time, m attemptEnded) {
 	u := m.End.Usage
 	r := decision.Record{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/route"
 	"github.com/thymewind/thymewind/stream"
 )
@@ -51,6 +52,9 @@
 	Accept func(c *stream.Checker, f stream.Frame) (string, error)
 	// Ended hears of every attempt that was placed, exactly once.
 	Ended func(route.Ended)
+	// Said hears what the head of an answer says of its target, before any of the answer
+	// is passed on.
+	Said func(route.Placed, notice.Said)
 	// Retry asks the retry budget for one more attempt and says whether there
 	// is any left.
 	Retry func(pool string) bool
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/internal/proof"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/relay"
 	"github.com/thymewind/thymewind/route"
@@ -159,6 +160,9 @@
 	cancel: func(e *engines) func(context.Context, netip.AddrPort, string, int) (bool, error) { return e.cancel },
 }
 
+// unheard is for tests in which targets say nothing of themselves.
+func unheard(route.Placed, notice.Said) {}
+
 // outcome is what the caller got.
 type outcome struct {
 	text    string
@@ -180,7 +184,7 @@
 			}, nil
 		},
 		Generate: e.generate, Resume: e.resume, Cancel: s.cancel(e), Accept: s.accept,
-		Ended: func(route.Ended) {}, Retry: func(string) bool { return true },
+		Ended: func(route.Ended) {}, Said: unheard, Retry: func(string) bool { return true },
 		Now: func() time.Time { return time.Time{} }, Attempts: 3, Resumes: 2, Stall: time.Minute,
 		ComeBack: func() time.Duration { return time.Second },
 	}
@@ -296,7 +300,7 @@
 			return frames, err
 		},
 		Resume: e.resume, Cancel: e.cancel, Accept: (*stream.Checker).Accept,
-		Ended: func(route.Ended) {}, Retry: func(string) bool { return true }, Now: time.Now,
+		Ended: func(route.Ended) {}, Said: unheard, Retry: func(string) bool { return true }, Now: time.Now,
 		Attempts: 2, Resumes: 2, Stall: 2 * time.Second, ComeBack: func() time.Duration { return time.Second },
 	}
 	began := time.Now()
@@ -333,7 +337,7 @@
 				return frames, err
 			},
 			Resume: e.resume, Cancel: e.cancel, Accept: (*stream.Checker).Accept, Ended: func(route.Ended) {},
-			Retry: func(string) bool { return true }, Now: time.Now, Attempts: 3, Resumes: 2, Stall: 2 * time.Second,
+			Said: unheard, Retry: func(string) bool { return true }, Now: time.Now, Attempts: 3, Resumes: 2, Stall: 2 * time.Second,
 			ComeBack: func() time.Duration { return time.Second },
 		}
 		_, err := r.Run(context.Background(), relay.Request{
@@ -348,3 +352,47 @@
 		}
 	})
 }
+
+// TestSaid has an engine say in the head of its stream that it leaves: that is heard before
+// any text is passed on, and again at each resume.
+func TestSaid(t *testing.T) {
+	tests := []struct {
+		name string
+		said notice.Said
+	}{
+		{"nothing", notice.Said{}},
+		{"it leaves", notice.Said{Leaving: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &engines{queued: make(map[string]bool), versions: make(map[string]string)}
+			passed := 0
+			var heard []notice.Said
+			r := relay.Relay{
+				Place: func(_ context.Context, ask route.Ask) (route.Placed, error) {
+					return route.Placed{Attempt: ask.Attempt, Version: "v1", FirstToken: time.Minute}, nil
+				},
+				Generate: func(ctx context.Context, at netip.AddrPort, run engine.Run) (*engine.Frames, error) {
+					frames, err := e.generate(ctx, at, run)
+					frames.Said = tt.said
+					return frames, err
+				},
+				Resume: e.resume, Cancel: e.cancel, Accept: (*stream.Checker).Accept, Ended: func(route.Ended) {},
+				Said: func(_ route.Placed, said notice.Said) {
+					if passed > 0 {
+						t.Error("heard behind the answer's beginning")
+					}
+					heard = append(heard, said)
+				},
+				Retry: func(string) bool { return true }, Now: time.Now, Attempts: 1, Resumes: 1, Stall: time.Minute,
+				ComeBack: func() time.Duration { return time.Second },
+			}
+			_, err := r.Run(t.Context(), relay.Request{
+				ID: "r", Open: func(route.Placed) {}, Write: func(string, int) error { passed++; return nil },
+			})
+			if err != nil || len(heard) != 1 || heard[0] != tt.said {
+				t.Errorf("heard %+v, want %+v, %v", heard, tt.said, err)
+			}
+		})
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -132,7 +132,7 @@
 	case errors.As(err, &refused):
 		j.mayRun = before
 		ended.Refused = true
-		ended.Leaving = refused.Leaving
+		j.Said(placed, refused.Said)
 		return ended, trace.Wrap(err)
 	case errors.Is(err, engine.ErrNotSent):
 		j.mayRun = before
@@ -140,6 +140,7 @@
 		ended.Dead = errors.Is(err, syscall.ECONNREFUSED)
 		return ended, trace.Wrap(err)
 	case err == nil:
+		j.Said(placed, frames.Said)
 		err = j.read(frames, watch, placed, sent, &ended)
 	}
 	for try := 0; err != nil && try < j.Resumes && resumable(err) && watch.ctx.Err() == nil; try++ {
@@ -147,6 +148,7 @@
 		if resumeErr != nil {
 			break
 		}
+		j.Said(placed, frames.Said)
 		j.checker.Next(placed.Attempt)
 		err = j.read(frames, watch, placed, sent, &ended)
 	}
--- a/request.go
+++ b/request.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/thymewind/thymewind/decision"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/prefix"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/resume"
@@ -67,6 +68,13 @@
 	_ = d.send(context.Background(), attemptEnded{e})
 }
 
+// tellSaid tells the loop what an answer's head says of its target, if it says anything.
+func (d *Daemon) tellSaid(placed route.Placed, said notice.Said) {
+	if said != (notice.Said{}) {
+		_ = d.send(context.Background(), targetSaid{placed, said})
+	}
+}
+
 // spendRetry asks the budget for one more attempt.
 func (d *Daemon) spendRetry(pool string) bool {
 	if !d.budget.Spend(pool) {
--- a/route/route.go
+++ b/route/route.go
@@ -102,8 +102,6 @@
 	Cut, Dead bool
 	// Refused says that the target refused before starting.
 	Refused bool
-	// Leaving says that the target says that it is leaving.
-	Leaving bool
 	// FirstToken is the time from sending to the first text; zero if none came.
 	FirstToken time.Duration
 	// Took is the time from sending to the end of the answer.
--- a/target/target.go
+++ b/target/target.go
@@ -23,8 +23,9 @@
 	Leaving bool
 	// Loading says that it loads weights and starts no run meanwhile.
 	Loading bool
-	// AvoidUntil keeps new work off after failures.
-	AvoidUntil time.Time
+	// AvoidUntil keeps new work off after failures, BackoffUntil as the target asked for a
+	// time without requests.
+	AvoidUntil, BackoffUntil time.Time
 	// Running, Waiting and Slots are the target's last report.
 	Running, Waiting, Slots int
 	// SentSince counts this daemon's own dispatches since the report.
@@ -63,11 +64,15 @@
 }
 
 // Usable says whether new work may be sent at now. A target is unusable from
-// the moment anyone says that it is leaving.
+// the moment anyone says that it is leaving, and for the time for which it asked for no
+// requests.
 func (t *Target) Usable(now time.Time) bool {
-	return t.Listed && !t.Leaving && !t.Loading && (t.AvoidUntil.IsZero() || !now.Before(t.AvoidUntil))
+	return t.Listed && !t.Leaving && !t.Loading && over(now, t.AvoidUntil) && over(now, t.BackoffUntil)
 }
 
+// over says that a time is over, or was never set.
+func over(now, until time.Time) bool { return until.IsZero() || !now.Before(until) }
+
 // Report takes the target's own report over, which tells how it was at a time
 // that lies back a while. busy is how long the prompts that were still to be
 // computed then take.
--- a/update.go
+++ b/update.go
@@ -15,6 +15,8 @@
 	switch m := m.(type) {
 	case placeAsked:
 		return d.placeOrKeep(now, t, m)
+	case targetSaid:
+		d.targetSaid(now, t, m)
 	case attemptEnded:
 		return d.ended(now, t, m)
 	case boxesRead:
--- a/update_test.go
+++ b/update_test.go
@@ -22,6 +22,7 @@
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/internal/proof"
 	"github.com/thymewind/thymewind/model"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/pool"
 	"github.com/thymewind/thymewind/route"
@@ -114,7 +115,7 @@
 		said := peer.Message{Kind: peer.KindGossip, From: "entry-2", Leaving: []peer.Leaving{{Target: target.ID(name, address(name))}}}
 		d.update(now, peerSaid{said, make(chan peer.Message, 1)})
 	case answersLeaving:
-		d.update(now, attemptEnded{route.Ended{Placed: route.Placed{Pool: "menu", Target: name, Address: address(name)}, Refused: true, Leaving: true}})
+		d.update(now, targetSaid{route.Placed{Pool: "menu", Target: name, Address: address(name)}, notice.Said{Leaving: true}})
 	case asked:
 		reply := make(chan placeAnswer, 1)
 		d.update(now, placeAsked{route.Ask{Request: "r", Model: "m", Attempt: 1}, reply})
@@ -369,3 +370,36 @@
 		t.Errorf("the peer thinks that the target is busy for %v, want 6s", got)
 	}
 }
+
+// TestWantsNoRequests has engines ask for a time without requests: they get none meanwhile,
+// though their reports say that they are free, and some when it is over.
+func TestWantsNoRequests(t *testing.T) {
+	d := newDaemon(t)
+	now := time.Unix(1000, 0)
+	d.update(now, configurationRead{configuration: inForce(1)})
+	(&world{left: make(map[string]bool)}).happens(d, now, "engine-0", listedLive)
+	for i := range 3 {
+		d.update(now, loadRead{target: fmt.Sprintf("engine-%d", i), load: engine.Load{Version: "v1", Slots: 8}})
+	}
+	place := func(now time.Time) error {
+		reply := make(chan placeAnswer, 1)
+		d.update(now, placeAsked{route.Ask{Request: "r", Model: "m", Attempt: 1}, reply})
+		return (<-reply).err
+	}
+	if err := place(now); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		name := fmt.Sprintf("engine-%d", i)
+		d.update(now, targetSaid{route.Placed{Target: name, Address: address(name)}, notice.Said{Backoff: 3 * time.Second}})
+		d.update(now, loadRead{target: name, load: engine.Load{Version: "v1", Slots: 8}})
+	}
+	for _, tt := range []struct {
+		after  time.Duration
+		placed bool
+	}{{0, false}, {2999 * time.Millisecond, false}, {3 * time.Second, true}} {
+		if err := place(now.Add(tt.after)); (err == nil) != tt.placed {
+			t.Errorf("after %v: %v", tt.after, err)
+		}
+	}
+}
