test(soak,entry): replicas say in their answers that they leave, or want no requests, among all other troubles

Hypothesis: across outages, cuts, restarts, second lives, freezes and reused addresses the new limits hold as well; the list says what replicas say late, never, or takes it back. TestAnswersReachTheLoop: a part that a scratch copy lacked without a test failing.

--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -210,3 +210,28 @@
 		})
 	}
 }
+
+// TestAnswersReachTheLoop has a request's answer say something of its target: the next
+// request is not even placed there, so that none is tried there in vain.
+func TestAnswersReachTheLoop(t *testing.T) {
+	for _, said := range []notice.Said{leaving, resting} {
+		t.Run(fmt.Sprintf("%+v", said), func(t *testing.T) {
+			d := knows(newDaemon("b1"), "a", "b")
+			d.Platform.Send = func(context.Context, deliver.Sending) (*deliver.Reply, error) {
+				return &deliver.Reply{Status: 200, Said: said}, nil
+			}
+			if _, err := d.send(context.Background(), deliver.Sending{Job: job("long", 1000), Place: deliver.Place{Target: "a"}}); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case m := <-d.messages:
+				d.update(start, m)
+			default:
+				t.Fatal("the loop is not told")
+			}
+			if got, _ := placedOn(d, start); fmt.Sprint(got) != "[b]" {
+				t.Errorf("placed on %v", got)
+			}
+		})
+	}
+}
--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -40,7 +40,7 @@
 type Proxy struct {
 	// At is where it listens.
 	At       netip.AddrPort
-	upstream string
+	upstream atomic.Pointer[string]
 	mode     atomic.Int32
 	delay    atomic.Int64
 	came     atomic.Int64
@@ -68,7 +68,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Proxy{At: netip.MustParseAddrPort(l.Addr().String()), upstream: upstream.String(), links: make(map[*link]bool)}
+	p := &Proxy{At: netip.MustParseAddrPort(l.Addr().String()), links: make(map[*link]bool)}
+	p.Lead(upstream)
 	p.SetDelay(usualDelay)
 	t.Cleanup(func() { _ = l.Close(); p.cut() })
 	go func() {
@@ -92,6 +93,13 @@
 	}
 }
 
+// Lead ends what is open and leads new connections to another address.
+func (p *Proxy) Lead(upstream netip.AddrPort) {
+	to := upstream.String()
+	p.upstream.Store(&to)
+	p.cut()
+}
+
 // SetDelay changes what Delays holds a chunk for.
 func (p *Proxy) SetDelay(length time.Duration) { p.delay.Store(int64(length)) }
 
@@ -149,7 +157,7 @@
 		reset(down)
 		return
 	}
-	up, err := net.Dial("tcp", p.upstream)
+	up, err := net.Dial("tcp", *p.upstream.Load())
 	if err != nil {
 		reset(down)
 		return
