fix(entry): a report counts for the life that gave it; boxes decide themselves why a hub has no open target

Cause, found by reading: reports and answers to orders were noted under the target's ID without its birth, which stands for every life, so that a target that started again under its ID would have stayed closed; and a hub whose list is old refused a box's request when all targets that it knew were closed to that box, though the box knew of others. Ruled out: answers to requests and news, which carried the life. Change: what is sent in the background carries the life; a report's own birth goes before it. A box that hears that a hub knows only closed targets refuses for its own reason, or asks on.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -154,7 +154,7 @@
 		return err
 	}
 	report, err := d.Platform.Report(ctx, p.at)
-	d.heed(p.life, report.Said, "its report")
+	d.heedReport(p.life, report)
 	if err == nil && !p.life.Born.IsZero() && report.Born.After(p.life.Born) {
 		return ErrReplaced
 	}
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -46,6 +46,8 @@
 type sendOrder struct {
 	order rollout.Order
 	at    netip.AddrPort
+	// life is the target's when the order was decided on.
+	life fleet.Life
 }
 
 // run starts effects; each tells the loop what came of it.
@@ -76,7 +78,7 @@
 		d.tell(ctx, d.callPeer(ctx, e))
 	case askLoaded:
 		report, err := d.Platform.Report(ctx, e.at)
-		d.heed(fleet.Life{ID: e.target}, report.Said, "its report")
+		d.heedReport(e.life, report)
 		d.tell(ctx, loadedAsked{e.target, report, err})
 	case probe:
 		d.tell(ctx, probed{e, d.ask(ctx, e)})
--- a/entry/loading.go
+++ b/entry/loading.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/thymewind/thymewind/fleet"
 )
 
 // The box that gives orders says which targets it is about to order. When each of
@@ -21,6 +23,8 @@
 type askLoaded struct {
 	target string
 	at     netip.AddrPort
+	// life is the target's when it was asked.
+	life fleet.Life
 }
 
 // loadedAsked is what it said.
@@ -44,7 +48,7 @@
 			continue
 		}
 		t.loading[id] = x.LoadingUntil // Until the answer is there.
-		effects = append(effects, askLoaded{id, x.Address})
+		effects = append(effects, askLoaded{id, x.Address, x.Life()})
 	}
 	return effects
 }
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// heedReport does so with a report of a target whose life was the one given when it was
+// asked; the report may be a later one's.
+func (d *Daemon) heedReport(life fleet.Life, report Report) {
+	if !report.Born.IsZero() {
+		life.Born = report.Born
+	}
+	d.heed(life, report.Said, "its report")
+}
+
 // hearNotice puts what an answer says of its target into the book, and says whether any of
 // it is news.
 func (d *Daemon) hearNotice(life fleet.Life, said notice.Said, from string) bool {
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -88,6 +89,17 @@
 			d.notices.Hear(start, fleet.Life{ID: "a", Born: start.Add(-time.Hour)}, notice.Said{Leaving: true, Backoff: time.Minute})
 			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{later}}, false})
 		}, 0, "[a b]"},
+		{"its report says that it leaves, and a later life has its ID", func(d *Daemon) {
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{{ID: "a", Pool: "models", Versions: map[string]int64{"m": 1}, Born: start}}}, false})
+			d.Platform.Report = func(context.Context, netip.AddrPort) (Report, error) { return Report{Said: leaving}, nil }
+			d.do(context.Background(), askLoaded{"a", netip.AddrPort{}, d.tables.fleet.Target("a").Life()})
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{later}}, false})
+		}, 0, "[a b]"},
+		{"its report says that it leaves", func(d *Daemon) {
+			d.Platform.Report = func(context.Context, netip.AddrPort) (Report, error) { return Report{Said: leaving}, nil }
+			d.do(context.Background(), askLoaded{"a", netip.AddrPort{}, d.tables.fleet.Target("a").Life()})
+			d.update(start, <-d.messages)
+		}, 0, "[b]"},
 		{"both leave", func(d *Daemon) {
 			say(d, start, fleet.Life{ID: "a"}, leaving)
 			say(d, start, fleet.Life{ID: "b"}, leaving)
@@ -164,6 +176,41 @@
 	}
 }
 
+// TestClosedAtHub has a hub know no targets but those that the asking box told it are
+// closed: the box refuses for its own reason, and asks on if it knows of another target.
+func TestClosedAtHub(t *testing.T) {
+	tests := []struct {
+		name   string
+		happen func(d *Daemon)
+		tried  []string
+		want   string
+	}{
+		{"they want no requests", func(d *Daemon) {
+			say(d, start, fleet.Life{ID: "a"}, resting)
+			say(d, start, fleet.Life{ID: "b"}, resting)
+		}, nil, codeBackoff},
+		{"they leave", func(d *Daemon) {
+			say(d, start, fleet.Life{ID: "a"}, leaving)
+			say(d, start, fleet.Life{ID: "b"}, leaving)
+		}, nil, "no_target"},
+		{"one is open", func(d *Daemon) { say(d, start, fleet.Life{ID: "a"}, resting) }, nil, ""},
+		{"one is open and was tried", func(d *Daemon) { say(d, start, fleet.Life{ID: "a"}, resting) }, []string{"b"}, codeBackoff},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := knows(largeFleet("box-05"), "a", "b")
+			tt.happen(d)
+			answer, done := d.accept(start, &d.tables, deliver.Ask{Job: job("long", 1000), Tried: tt.tried}, &peer.Placed{Refused: codeBackoff})
+			if done != (tt.want != "") {
+				t.Fatalf("refused: %v", done)
+			}
+			if got := refusal.Of(answer.err, "", 0); done && (got.Code != tt.want || got.RetryAfter == 0) {
+				t.Errorf("refused as %q, come back after %v", got.Code, got.RetryAfter)
+			}
+		})
+	}
+}
+
 // TestHubsOwnBackoff has a target want no requests from a hub: other boxes' requests are
 // placed there all the same.
 func TestHubsOwnBackoff(t *testing.T) {
--- a/entry/order.go
+++ b/entry/order.go
@@ -36,7 +36,7 @@
 	unreachable := 0
 	for {
 		report, err := d.Platform.Report(ctx, e.at)
-		d.heed(fleet.Life{ID: e.order.Target}, report.Said, "its report")
+		d.heedReport(e.life, report)
 		if err == nil && report.Versions[e.order.Model] >= e.order.Version {
 			return nil
 		}
@@ -74,7 +74,7 @@
 	defer cancel()
 	e.order.Until = until
 	said, err := d.Platform.Order(ctx, e.at, e.order)
-	d.heed(fleet.Life{ID: e.order.Target}, said, "an order")
+	d.heed(e.life, said, "an order")
 	return err
 }
 
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -122,7 +122,9 @@
 			m.m.reply <- answer
 			return nil
 		}
-		m.m.ask.Tried = append(slices.Clone(m.m.ask.Tried), m.placed.Target)
+		if m.placed.Target != "" {
+			m.m.ask.Tried = append(slices.Clone(m.m.ask.Tried), m.placed.Target)
+		}
 	}
 	m.m.asked = append(m.m.asked, m.hub)
 	return d.placeAsked(now, t, m.m)
@@ -145,6 +147,9 @@
 // against the target.
 func (d *Daemon) accept(now time.Time, t *tables, request deliver.Ask, p *peer.Placed) (placeAnswer, bool) {
 	job := request.Job
+	if p.Refused == codeBackoff {
+		return d.closedAtHub(now, t, request)
+	}
 	if p.Refused != "" {
 		refused := refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason)
 		d.notePlace(now, request, refused)
@@ -179,6 +184,18 @@
 	return placeAnswer{place: place}, true
 }
 
+// closedAtHub refuses a request for which a hub knows no targets but those that this box
+// told it are closed. If this box knows others, the hub's list is old: another is asked.
+func (d *Daemon) closedAtHub(now time.Time, t *tables, request deliver.Ask) (placeAnswer, bool) {
+	fits := func(x *fleet.Target) bool { return x.Open(now) && !x.BacksOff(now) && !slices.Contains(request.Tried, x.ID) }
+	if slices.ContainsFunc(t.fleet.Pool(request.Job.Pool.Name), fits) {
+		return placeAnswer{}, false
+	}
+	refused := d.refuseNone(now, t, request, backsOff(now))
+	d.notePlace(now, request, refused)
+	return placeAnswer{err: refused.After(d.returnAfter(now, t, refused.Code, request.Job))}, true
+}
+
 // moves returns from where and to where a hub has parts moved.
 func moves(p *peer.Placed) (fetch, save []netip.AddrPort, err error) {
 	if fetch, err = parse(p.Fetch); err != nil {
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -105,7 +105,7 @@
 		d.Log.Info("target is ordered to load weights", "target", id, "model", m.model, "version", w.wanted, "epoch", epoch, "after_orders", x.Orders)
 		effects = append(effects, sendOrder{rollout.Order{
 			Target: id, Model: m.model, Version: w.wanted, Holder: d.Settings.Name, Epoch: epoch, After: x.Orders,
-		}, x.Address})
+		}, x.Address, x.Life()})
 	}
 	return effects
 }
--- a/entry/weights_test.go
+++ b/entry/weights_test.go
@@ -161,7 +161,7 @@
 		orders++
 		return notice.Said{}, ErrReplaced
 	}
-	err := d.bring(context.Background(), sendOrder{rollout.Order{Target: "a", Model: "m", Version: 2, Epoch: epoch}, netip.AddrPort{}})
+	err := d.bring(context.Background(), sendOrder{rollout.Order{Target: "a", Model: "m", Version: 2, Epoch: epoch}, netip.AddrPort{}, fleet.Life{}})
 	if !errors.Is(err, ErrReplaced) || orders != 1 {
 		t.Fatalf("%d orders, %v", orders, err)
 	}
