--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -187,7 +187,9 @@
 // closedAtHub refuses a request for which a hub knows no targets but those that this box
 // told it are closed. If this box knows others, the hub's list is old: another is asked.
 func (d *Daemon) closedAtHub(now time.Time, t *tables, request deliver.Ask) (placeAnswer, bool) {
-	fits := func(x *fleet.Target) bool { return x.Open(now) && !x.BacksOff(now) && !slices.Contains(request.Tried, x.ID) }
+	fits := func(x *fleet.Target) bool {
+		return x.Open(now) && !x.BacksOff(now) && !slices.Contains(request.Tried, x.ID)
+	}
 	if slices.ContainsFunc(t.fleet.Pool(request.Job.Pool.Name), fits) {
 		return placeAnswer{}, false
 	}
