fix(entry): an older list does not open a target that a newer one closed

A hub that is cut off brought back what the box had itself read to be gone, also where it had taken no hub's list before; a target that the list had said to leave was open again if it went and an old list then named it as ready, as what was known went with its entry. Ruled out: entries that lapse in an outage and come back, which said nothing of leaving. Change: a hub's list with an old proof is not taken if it is older than the box's own read; that the list said that a life leaves is kept where the target's own word is.

--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -508,3 +508,31 @@
 		}
 	}
 }
+
+// TestOwnListIsNewer shows that the list of a hub that is cut off does not bring back
+// what this box itself read to be gone, whether it took a hub's list before or not.
+func TestOwnListIsNewer(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a hub was heard before: %v", heard), func(t *testing.T) {
+			spoke := largeFleet("box-05")
+			entries := []peer.Entry{{ID: "a", Pool: "models", Address: "10.1.0.1:1"}}
+			hear := func(at time.Time, proof time.Duration, list uint64) {
+				view := &peer.View{Namings: map[string][]peer.Naming{}, ProofMS: proof.Milliseconds(), List: list, Entries: entries}
+				spoke.update(at, peerCalled{"box-00", at, peer.Message{View: view}, nil})
+			}
+			if heard {
+				hear(start, 0, 3)
+			}
+			later := start.Add(3 * time.Second)
+			spoke.update(later, targetsRead{later, Targets{Gone: []string{"a"}}, false})
+			hear(later.Add(time.Second), 4*time.Second, 4)
+			if spoke.tables.fleet.Target("a") != nil {
+				t.Error("a target that is gone is back by an older list")
+			}
+			hear(later.Add(2*time.Second), 0, 5)
+			if spoke.tables.fleet.Target("a") == nil {
+				t.Error("a target that is back is not there")
+			}
+		})
+	}
+}
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -107,9 +107,11 @@
 }
 
 // applyNotices has a target as listed be what it said of itself, also where an old list
-// names it anew. It says whether it leaves and did not before.
+// names it anew; that the list once said that it leaves is kept likewise. It says whether it
+// leaves and did not before.
 func (d *Daemon) applyNotices(now time.Time, x *fleet.Target) bool {
 	before := x.Leaving
+	d.notices.Hear(now, x.Life(), notice.Said{Leaving: x.Leaving})
 	d.notices.Touch(now, x.Life())
 	x.Leaving = x.Leaving || d.notices.Leaves(x.Life())
 	x.BackoffUntil = d.notices.Until(x.Life())
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -80,6 +80,13 @@
 			d.update(start, targetsRead{start, Targets{Gone: []string{"a"}}, false})
 			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{engine("a", 1)}}, false})
 		}, 0, "[b]"},
+		{"the list says that it leaves, it goes, and an old list names it as ready", func(d *Daemon) {
+			gone := engine("a", 1)
+			gone.Leaving = true
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{gone}}, false})
+			d.update(start, targetsRead{start, Targets{Gone: []string{"a"}}, false})
+			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{engine("a", 1)}}, false})
+		}, 0, "[b]"},
 		{"it wants no requests, and a list names it anew", func(d *Daemon) {
 			say(d, start, fleet.Life{ID: "a"}, resting)
 			d.update(start, targetsRead{start, Targets{Gone: []string{"a"}}, false})
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -90,6 +90,8 @@
 	// begins at random, so that a hub that starts again never gives another
 	// list the same number, and is zero until the list was read.
 	listNumber uint64
+	// listRead is when this box last asked the platform for the list itself.
+	listRead time.Time
 	// hub is whose list this box has, numbered hubList.
 	hub     string
 	hubList uint64
--- a/entry/view.go
+++ b/entry/view.go
@@ -65,9 +65,10 @@
 	d.refusedFromHub(now, t, hub, v)
 	d.namingsFromHub(now, t, hub, asked, v)
 	d.evacuationsFromHub(now, t, hub, proof, v.Evacuated)
-	// The list of another hub that is cut off brings targets back that are gone, and
-	// work would be sent there for as long as that hub is asked.
-	if age > staleView && t.hubList != 0 && t.hub != hub {
+	// The list of a hub that is cut off brings targets back that are gone, and work would
+	// be sent there for as long as that hub is asked: neither that of another hub is taken,
+	// nor one older than what this box read itself.
+	if age > staleView && (t.hubList != 0 && t.hub != hub || proof.Before(t.listRead)) {
 		return effects
 	}
 	if v.List != 0 && (t.hub != hub || t.hubList != v.List) {
