feat(entry): a source that turns calls for its news away is asked again when it says

Cause: the same word in another kind of answer: a call for news that is answered 503 with a time was repeated each 0.3 s. Only callers' requests are counted by the users' rule; the source asked all the same. Change: the pause after such a refusal is what the source said, 0.3 to 3 s.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -22,8 +22,10 @@
 	// loneEvery is the time between two calls to one store by a box that hears no
 	// hub. They are not held and so priced.
 	loneEvery = time.Second
-	// newsAgain is the pause after a call that failed.
+	// newsAgain is the pause after a call that failed, newsLater the longest if the source
+	// turned it away and asked for more: without news its parts are read again elsewhere.
 	newsAgain = 300 * time.Millisecond
+	newsLater = 3 * time.Second
 )
 
 // listStores takes the stores of kept parts from the configuration.
@@ -148,7 +150,7 @@
 		}
 		d.tell(ctx, m)
 		if m.err != nil {
-			d.pause(ctx, newsAgain)
+			d.pause(ctx, max(newsAgain, min(m.news.Said.Backoff, newsLater)))
 			continue
 		}
 		since = m.news.Next
