refactor(deliver,entry): which failures are a box's own stands in one place; a backoff is no lack of targets

A pool whose targets want no requests for a while was noted as one that has targets again, and that was logged. Which errors blame no target is a list. TestAllWantNone checks the former.

--- a/deliver/run.go
+++ b/deliver/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -206,9 +207,7 @@
 	notSent := errors.Is(err, exchange.ErrNotSent)
 	left := x.caller.Err() != nil
 	over := !left && x.ctx.Err() != nil
-	blameless := errors.Is(err, exchange.ErrFull) || errors.Is(err, exchange.ErrLate) || errors.Is(err, errOverdue) ||
-		errors.Is(err, notice.ErrLeaving) || errors.Is(err, notice.ErrBackoff)
-	failed := !left && !blameless
+	failed := !left && !blameless(err)
 	x.Ended(Ended{
 		Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over,
 		Cut: failed && !notSent, Left: left && !notSent, Refused: errors.Is(err, syscall.ECONNREFUSED),
@@ -227,6 +226,12 @@
 	return nil, errNext
 }
 
+// blameless says that a sending failed for a reason of this box's own.
+func blameless(err error) bool {
+	own := []error{exchange.ErrFull, exchange.ErrLate, errOverdue, notice.ErrLeaving, notice.ErrBackoff}
+	return slices.ContainsFunc(own, func(reason error) bool { return errors.Is(err, reason) })
+}
+
 // turnedAway handles a target's promise that it did not run the request.
 func (x *run) turnedAway(place Place, reply *Reply) (*refusal.Refusal, error) {
 	x.arrived()
--- a/entry/comeback.go
+++ b/entry/comeback.go
@@ -63,6 +63,7 @@
 func (d *Daemon) notePlace(now time.Time, ask deliver.Ask, refused *refusal.Refusal) {
 	pool := ask.Job.Pool.Name
 	switch {
+	case refused != nil && refused.Code == codeBackoff: // Neither: the end is known by itself.
 	case refused == nil || refused.Code != "no_target" && refused.Code != "old_weights":
 		if lasted := d.returns.Over(now, noTarget+pool); lasted > 0 {
 			d.Log.Info("pool has targets again", "pool", pool, "without_for", lasted)
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -145,6 +145,9 @@
 				say(d, start, fleet.Life{ID: id}, notice.Said{Backoff: tt.spans[i]})
 			}
 			_, refused := placedOn(d, start)
+			if d.returns.Over(start, noTarget+"models") != 0 {
+				t.Error("the pool counts as one without targets")
+			}
 			if refused.Code != codeBackoff || refused.Outcome != refusal.DidNotRun || refused.RetryAfter < tt.from || refused.RetryAfter > tt.within {
 				t.Errorf("refused as %q, %v, come back after %v", refused.Code, refused.Outcome, refused.RetryAfter)
 			}
