perf(entry): naming closed targets to a hub asks no lock a target; benchmarks of hubs' views

Hypothesis: a request that a hub places pays for each target that its box looks up in the book, which holds each target that left for an hour. Change: what the target's table entry says is asked, which the book is applied to anyway.

--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -81,14 +81,7 @@
 	ask := peer.PlaceAsk{
 		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.Input + job.Output, Fill: r.fill, Usual: r.usual, Tried: m.ask.Tried, GoalMS: job.Route.Goal.Milliseconds(),
 	}
-	for _, x := range t.fleet.Pool(job.Pool.Name) {
-		if d.linked(x) {
-			ask.Linked = append(ask.Linked, short(x))
-		}
-		if x.BacksOff(now) || d.notices.Leaves(x.Life()) {
-			ask.Closed = append(ask.Closed, short(x)) // The hub may not know, or may itself use it.
-		}
-	}
+	ask.Linked, ask.Closed = d.nameTargets(now, t.fleet.Pool(job.Pool.Name))
 	if job.Account != nil && job.Account.Isolated {
 		ask.Walled = job.Account.Name
 	}
@@ -98,6 +91,20 @@
 	return []effect{askHub{hub, t.members[hub].at, m, ask}}, true
 }
 
+// nameTargets lists the targets to which this box has a connection that rests, and those
+// to which it must send nothing, of which the hub may not know, or that it may itself use.
+func (d *Daemon) nameTargets(now time.Time, targets []*fleet.Target) (linked, closed []uint32) {
+	for _, x := range targets {
+		if d.linked(x) {
+			linked = append(linked, short(x))
+		}
+		if x.BacksOff(now) || x.Leaving {
+			closed = append(closed, short(x))
+		}
+	}
+	return linked, closed
+}
+
 func (d *Daemon) askHub(ctx context.Context, e askHub) hubPlaced {
 	ctx, cancel := context.WithTimeout(ctx, placeFor)
 	defer cancel()
--- /dev/null
+++ b/entry/slopes_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+)
+
+// sizes are how many targets hubs tell of: of the deployments known, and the largest asked
+// for.
+var sizes = []int{60, 300, 600, 3000}
+
+// hubBefore is a hub that knows so many engines.
+func hubBefore(targets int) *Daemon {
+	d := largeFleet("box-00")
+	d.now = func() time.Time { return start }
+	var list []fleet.Entry
+	for i := range targets {
+		e := engine(fmt.Sprintf("i-%010x", i), 3)
+		e.Domain, e.Slots = "quezon", 64
+		e.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8744)
+		list = append(list, e)
+	}
+	d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	d.update(start, targetsRead{start, Targets{Whole: true, Listed: list}, false})
+	return d
+}
+
+// BenchmarkView tells what a hub's view costs, by targets, with the list of these, which is
+// sent whole to each box after each change, and without. Bytes are those on the wire.
+func BenchmarkView(b *testing.B) {
+	for _, n := range sizes {
+		hub := hubBefore(n)
+		for _, tt := range []struct {
+			name string
+			have uint64
+		}{{"changed", 0}, {"unchanged", hub.tables.listNumber}} {
+			b.Run(fmt.Sprintf("%s/%d", tt.name, n), func(b *testing.B) {
+				var wire []byte
+				for b.Loop() {
+					var err error
+					wire, err = cbor.Marshal(peer.Message{View: hub.view(start, &hub.tables, tt.have)})
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(len(wire)), "wire-bytes")
+			})
+		}
+		b.Run(fmt.Sprintf("taken/%d", n), func(b *testing.B) {
+			spoke := largeFleet("box-05")
+			view := hub.view(start, &hub.tables, 0)
+			for b.Loop() {
+				spoke.entriesRead(start, &spoke.tables, view.Entries)
+			}
+		})
+	}
+}
+
+// BenchmarkNameTargets tells what a request that a hub places pays for naming the targets to
+// which its box is linked (here all), and those that are closed to it.
+func BenchmarkNameTargets(b *testing.B) {
+	for _, n := range sizes {
+		for _, closed := range []int{0, n / 10} {
+			d := hubBefore(n)
+			for i := range closed {
+				say(d, start, fleet.Life{ID: fmt.Sprintf("i-%010x", i)}, leaving)
+			}
+			b.Run(fmt.Sprintf("%d of %d", closed, n), func(b *testing.B) {
+				for b.Loop() {
+					d.nameTargets(start, d.tables.fleet.Pool("models"))
+				}
+			})
+		}
+	}
+}
