--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,4 @@
 	$(GO) test -run '^$$' -fuzz '^FuzzNews$$' -fuzztime $(FUZZ_FOR) ./platform/replica
 	$(GO) test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZ_FOR) ./platform/manifest
 	$(GO) test -run '^$$' -fuzz '^FuzzWeights$$' -fuzztime $(FUZZ_FOR) ./platform/manifest
+	$(GO) test -run '^$$' -fuzz '^FuzzSeconds$$' -fuzztime $(FUZZ_FOR) ./notice
