--- a/entry/follow.go
+++ b/entry/follow.go
@@ -23,7 +23,8 @@
 	// hub. They are not held and so priced.
 	loneEvery = time.Second
 	// newsAgain is the pause after a call that failed, newsLater the longest if the source
-	// turned it away and asked for more: without news its parts are read again elsewhere.
+	// turned it away and asked for more, which is what targets seen ask for: without news
+	// its parts are read again elsewhere.
 	newsAgain = 300 * time.Millisecond
 	newsLater = 3 * time.Second
 )
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -16,7 +16,8 @@
 // of targets tells later, and nothing while the table service is away. So it is noted where
 // the answer is read, before any of it is passed on, and asked for right before a request
 // leaves this box, whoever placed it and however long ago. Without it a target that leaves
-// got requests for as long as an outage lasted, and one that wanted none ten in 3 s.
+// got 142 requests in 0.7 s of an outage (TestTargetSaysItLeaves), and one of two that wanted
+// none for 3 s half of all (TestAllBackOff); with it none, and those that were on their way.
 
 // What targets say of themselves, for counters.
 const (
