--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -13,7 +13,6 @@
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/refusal"
-	"github.com/thymewind/thymewind/routing"
 )
 
 const (
@@ -24,9 +23,6 @@
 	// does so alone. Alone it knows of no kept part, so the whole prompt is read:
 	// a prompt of 12,000 tokens then costs more than it earns.
 	hubAsks = 2
-	// warmShare is the share of the sources of kept parts that a hub must have
-	// heard of once before it places requests for others.
-	warmShare = 0.8
 )
 
 // askHub asks a hub for a place.
@@ -233,88 +229,6 @@
 	return out, nil
 }
 
-func format(list []netip.AddrPort) []string {
-	if list == nil {
-		return nil
-	}
-	out := make([]string, len(list))
-	for i, at := range list {
-		if at.IsValid() {
-			out[i] = at.String()
-		}
-	}
-	return out
-}
-
-// placeForPeer places another box's request, by all that this box knows. It
-// returns nil if that is too little.
-func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
-	t.askedAsHub = now
-	table := d.current.Load()
-	if table == nil || table.Pools[m.Ask.Pool] == nil || !d.warm(t) || d.weightsUnknown(now) || d.evacuationsUnknown(now) {
-		return nil
-	}
-	job := &deliver.Job{
-		Call: &deliver.Call{ID: m.Ask.Request, Model: m.Ask.Model, Input: m.Ask.Tokens},
-		Pool: table.Pools[m.Ask.Pool], Route: &routing.Route{Goal: time.Duration(m.Ask.GoalMS) * time.Millisecond},
-	}
-	if m.Ask.Walled != "" {
-		job.Account = &routing.Account{Name: m.Ask.Walled, Isolated: true}
-	}
-	for _, p := range m.Ask.Parts {
-		job.Parts = append(job.Parts, deliver.Part{ID: p.ID, Tokens: p.Tokens})
-	}
-	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, sender{t.domainOf(m.From), roomOf(m.Ask), among(m.Ask.Linked), among(m.Ask.Closed)})
-	if refused != nil {
-		return &peer.Placed{Refused: refused.Code, Reason: refused.Reason}
-	}
-	t.charge(m.From, place)
-	t.reads.Place(now, placement.Hash(place.Target), place.Unread)
-	var moves []peer.Move
-	for _, m := range place.Moves {
-		moves = append(moves, peer.Move{Source: m.Source, TakesUS: m.Takes.Microseconds()})
-	}
-	return &peer.Placed{
-		Target: place.Target, Version: place.Version, Fetch: format(place.Fetch), Save: format(place.Save),
-		UntilMS: place.FetchUntil.Milliseconds(), Kept: place.Kept, Fetched: place.Fetched, Saved: place.Saved,
-		Unread: place.Unread, Rule: place.Rule, Ahead: place.Ahead, Moves: moves,
-	}
-}
-
-// domainOf returns the failure domain of a box, or an empty text if it is not
-// known.
-func (t *tables) domainOf(box string) string {
-	if m := t.members[box]; m != nil {
-		return m.domain
-	}
-	return ""
-}
-
-// warm says that most sources of kept parts were heard of since this box follows
-// them. Sources that end later make no odds.
-func (d *Daemon) warm(t *tables) bool {
-	if t.warmed {
-		return true
-	}
-	heard := 0
-	for name := range t.followed {
-		if t.directory.Heard(name) {
-			heard++
-		}
-	}
-	t.warmed = heard > 0 && float64(heard) >= warmShare*float64(len(t.followed))
-	if t.warmed {
-		d.Log.Info("hub knows what is kept", "heard", heard, "followed", len(t.followed))
-	}
-	return t.warmed
-}
-
-// charge counts a request that was just placed for another box, until that box
-// tells of it itself.
-func (t *tables) charge(box string, place deliver.Place) {
-	t.others.Add(box, peer.Share{Target: placement.Hash(place.Target), Tokens: place.Tokens})
-}
-
 // linked says that this box has a connection to a target that rests.
 func (d *Daemon) linked(x *fleet.Target) bool {
 	return d.Platform.Linked == nil || d.Platform.Linked(x.Address)
@@ -322,8 +236,3 @@
 
 // short names a target among those of its pool, in four bytes.
 func short(x *fleet.Target) uint32 { return uint32(placement.Hash(x.ID)) }
-
-// among says which targets another box named.
-func among(list []uint32) func(*fleet.Target) bool {
-	return func(x *fleet.Target) bool { return slices.Contains(list, short(x)) }
-}
