feat(entry): a box tells when a target limits the requests of all boxes

Logs could not tell whether a box knew of the rate that a target names: no line or counter held it. The rate is decoded in the adapter into typed fields, kept by the target's life, logged when it begins, changes by a fifth or ends, and counted with the requests placed on such targets. Nothing is chosen by it yet.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -150,11 +150,11 @@
 func (d *Daemon) ask(ctx context.Context, p probe) error {
 	if !p.engine {
 		said, err := d.Platform.Healthy(ctx, p.at, p.path, p.target)
-		d.heed(p.life, said, "its health")
+		d.heed(p.asked, p.life, said, "its health")
 		return err
 	}
 	report, err := d.Platform.Report(ctx, p.at)
-	d.heedReport(p.life, report)
+	d.heedReport(p.asked, p.life, report)
 	if err == nil && !p.life.Born.IsZero() && report.Born.After(p.life.Born) {
 		return ErrReplaced
 	}
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -77,8 +77,9 @@
 	case callPeer:
 		d.tell(ctx, d.callPeer(ctx, e))
 	case askLoaded:
+		asked := d.now()
 		report, err := d.Platform.Report(ctx, e.at)
-		d.heedReport(e.life, report)
+		d.heedReport(asked, e.life, report)
 		d.tell(ctx, loadedAsked{e.target, report, err})
 	case probe:
 		d.tell(ctx, probed{e, d.ask(ctx, e)})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -30,6 +30,7 @@
 	suspended     prometheus.Counter
 	said          *prometheus.CounterVec
 	heldBack      *prometheus.CounterVec
+	limited       prometheus.Counter
 	canaries      *prometheus.CounterVec
 }
 
@@ -70,12 +71,13 @@
 	c.ended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_ended_targets_total", Help: "Targets that were found to have ended while requests of this box ran there."})
 	c.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined", Help: "Requests, by what they ask for, that are refused as targets ended under them."})
 	c.suspended = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_suspended_seconds_total", Help: "For how long the machine was suspended while this process ran."})
-	c.said = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_said_total", Help: "How often targets began to say of themselves that they leave, or that they want no requests for a while."}, []string{"said"})
+	c.said = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_said_total", Help: "How often targets began to say of themselves that they leave, that they want no requests for a while, or how many they take."}, []string{"said"})
 	c.heldBack = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_held_back_total", Help: "Requests kept from targets at the last moment, by what these had said of themselves."}, []string{"said"})
+	c.limited = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_limited_total", Help: "Requests placed on targets that limit the requests of all boxes."})
 	c.canaries = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_canaries_total", Help: "Versions of pools' software that were tried out, by what this box learnt of them."}, []string{"what"})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack, c.canaries,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack, c.limited, c.canaries,
 	)
 	return c
 }
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -23,6 +23,7 @@
 const (
 	saidLeaving = "leaving"
 	saidBackoff = "backoff"
+	saidLimit   = "limit"
 )
 
 // codeBackoff is the refusal's code where all targets want no requests for a while.
@@ -39,9 +40,13 @@
 func (d *Daemon) send(ctx context.Context, s deliver.Sending) (*deliver.Reply, error) {
 	life := lifePlaced(s.Place)
 	s.Allow = func() error { return d.allow(life, s) }
+	asked := d.now()
+	if d.notices.Limit(life).Named {
+		d.counts.limited.Inc()
+	}
 	reply, err := d.Platform.Send(ctx, s)
 	if err == nil {
-		d.heed(life, reply.Said, "request "+s.Job.ID)
+		d.heed(asked, life, reply.Said, "request "+s.Job.ID)
 	}
 	return reply, err
 }
@@ -62,26 +67,28 @@
 	return err
 }
 
-// heed notes what an answer says of its target. It is for callers outside the loop.
-func (d *Daemon) heed(life fleet.Life, said notice.Said, from string) {
-	if d.hearNotice(life, said, from) {
+// heed notes what the answer to a request sent at asked says of its target. It is for callers
+// outside the loop.
+func (d *Daemon) heed(asked time.Time, life fleet.Life, said notice.Said, from string) {
+	if d.hearNotice(asked, life, said, from) {
 		d.report(targetSaid{life})
 	}
 }
 
 // heedReport does so with a report of a target whose life was the one given when it was
 // asked; the report may be a later one's.
-func (d *Daemon) heedReport(life fleet.Life, report Report) {
+func (d *Daemon) heedReport(asked time.Time, life fleet.Life, report Report) {
 	if !report.Born.IsZero() {
 		life.Born = report.Born
 	}
-	d.heed(life, report.Said, "its report")
+	d.heed(asked, life, report.Said, "its report")
 }
 
 // hearNotice puts what an answer says of its target into the book, and says whether any of
 // it is news.
-func (d *Daemon) hearNotice(life fleet.Life, said notice.Said, from string) bool {
-	news := d.notices.Hear(d.now(), life, said)
+func (d *Daemon) hearNotice(asked time.Time, life fleet.Life, said notice.Said, from string) bool {
+	now := d.now()
+	news := d.notices.Hear(now, life, said)
 	if news.Leaving {
 		d.counts.said.WithLabelValues(saidLeaving).Inc()
 		d.Log.Info("target says that it leaves", "target", life.ID, "born", life.Born, "told_by", from)
@@ -90,12 +97,26 @@
 		d.counts.said.WithLabelValues(saidBackoff).Inc()
 		d.Log.Info("target wants no requests", "target", life.ID, "born", life.Born, "for", news.Backoff, "told_by", from)
 	}
-	return news != (notice.Said{})
+	limited := d.notices.HearLimit(now, asked, life, said)
+	if limited {
+		d.noteLimit(notice.Rated{Life: life, Limit: d.notices.Limit(life)}, from)
+	}
+	return limited || news != (notice.Said{})
+}
+
+// noteLimit logs and counts that a target's limit began, changed or ended.
+func (d *Daemon) noteLimit(x notice.Rated, from string) {
+	if !x.Limit.Named {
+		d.Log.Info("target limits its requests no more", "target", x.Life.ID, "born", x.Life.Born, "told_by", from)
+		return
+	}
+	d.counts.said.WithLabelValues(saidLimit).Inc()
+	d.Log.Info("target limits the requests of all boxes", "target", x.Life.ID, "born", x.Life.Born, "per_second", x.Limit.PerSecond, "told_by", from)
 }
 
 // heedNews does so in the loop, with what a target's news say.
 func (d *Daemon) heedNews(now time.Time, t *tables, x *fleet.Target, said notice.Said) {
-	if d.hearNotice(x.Life(), said, "its news") {
+	if d.hearNotice(now, x.Life(), said, "its news") {
 		d.targetSaid(now, t, x.Life())
 	}
 }
--- a/entry/order.go
+++ b/entry/order.go
@@ -35,8 +35,9 @@
 	ordered := false
 	unreachable := 0
 	for {
+		asked := d.now()
 		report, err := d.Platform.Report(ctx, e.at)
-		d.heedReport(e.life, report)
+		d.heedReport(asked, e.life, report)
 		if err == nil && report.Versions[e.order.Model] >= e.order.Version {
 			return nil
 		}
@@ -73,8 +74,9 @@
 	ctx, cancel := context.WithTimeout(ctx, until.Sub(d.now()))
 	defer cancel()
 	e.order.Until = until
+	asked := d.now()
 	said, err := d.Platform.Order(ctx, e.at, e.order)
-	d.heed(e.life, said, "an order")
+	d.heed(asked, e.life, said, "an order")
 	return err
 }
 
--- /dev/null
+++ b/notice/limit.go
@@ -0,0 +1,97 @@
+package notice
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+)
+
+const (
+	// liftedFor is how long the end of a limit is remembered, so that older word of it does
+	// not bring it back.
+	liftedFor = 30 * time.Second
+	// noted is by what part of itself a rate has to change for that to be news.
+	noted = 0.2
+)
+
+// Limit is the rate of requests that a target takes of all boxes together.
+type Limit struct {
+	// Named says that there is one. Without it the target takes what comes.
+	Named bool
+	// PerSecond is the rate, never negative.
+	PerSecond float64
+	// At is how new that is: when the answer was read that named the rate, or when the
+	// request was sent whose answer named none.
+	At time.Time
+}
+
+// Rated is a target's life with its limit.
+type Rated struct {
+	Life  fleet.Life
+	Limit Limit
+}
+
+// HearLimit notes what an answer says of its target's limit, to a request sent at asked, and
+// returns whether that is news. An answer that names none lifts a limit only if it was asked
+// for after the limit was heard: answers on several connections pass each other.
+func (b *Book) HearLimit(now, asked time.Time, life fleet.Life, said Said) bool {
+	switch {
+	case said.Limited:
+		return b.SetLimit(now, Rated{life, Limit{Named: true, PerSecond: said.Rate, At: now}})
+	case said.Unlimited && b.Limit(life).Named:
+		return b.SetLimit(now, Rated{life, Limit{At: asked}})
+	}
+	return false
+}
+
+// SetLimit notes a limit, or its end, unless something newer is known. It returns whether
+// that is news.
+func (b *Book) SetLimit(now time.Time, x Rated) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(now, x.Life)
+	if r == nil || !x.Limit.At.After(r.limit.At) {
+		return false
+	}
+	before := r.limit
+	r.limit = x.Limit
+	change := math.Abs(before.PerSecond - x.Limit.PerSecond)
+	return before.Named != x.Limit.Named || change > noted*before.PerSecond
+}
+
+// Limit returns what is known of a life's limit.
+func (b *Book) Limit(life fleet.Life) Limit {
+	if r := b.find(life); r != nil {
+		return r.limit
+	}
+	return Limit{}
+}
+
+// Limits lists the limits known and those that ended lately.
+func (b *Book) Limits() []Rated {
+	if b.size.Load() == 0 {
+		return nil
+	}
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var list []Rated
+	for id, r := range b.byID {
+		if !r.limit.At.IsZero() {
+			list = append(list, Rated{fleet.Life{ID: id, Born: r.born}, r.limit})
+		}
+	}
+	return list
+}
+
+// PerSecond reads a rate, and says whether the value is one: a number that is neither
+// negative nor without bound.
+func PerSecond(value string) (float64, bool) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 1) {
+		return 0, false
+	}
+	return rate, true
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -1,5 +1,6 @@
 // Package notice keeps what targets said of themselves in their answers: that they
-// leave, or that they want no requests from this box for a while.
+// leave, that they want no requests from this box for a while, or how many requests a
+// second they take of all boxes together.
 //
 //	b := notice.Book{}
 //	b.Hear(now, life, notice.Said{Backoff: 3 * time.Second}) // where the answer is read
@@ -48,6 +49,12 @@
 	// Backoff is for how long the target wants no requests from this box, counted from
 	// its answer; zero if it does not say.
 	Backoff time.Duration
+	// Limited says that it names a rate, in requests a second, that it takes of all boxes
+	// together for as long as its answers name one.
+	Limited bool
+	Rate    float64
+	// Unlimited says that the answer would name such a rate if there were one.
+	Unlimited bool
 }
 
 // Book is what one box heard. The zero value is ready; it is safe for concurrent use.
@@ -64,6 +71,8 @@
 	leaving bool
 	// until is when the time without requests is over.
 	until time.Time
+	// limit is the rate that it names.
+	limit Limit
 	// last is when the target was last heard or asked for.
 	last time.Time
 }
@@ -77,20 +86,15 @@
 // Hear notes what a life's answer said, and returns what of it is news. A later life
 // makes what an earlier one said void; what that one said late changes nothing.
 func (b *Book) Hear(now time.Time, life fleet.Life, said Said) Said {
-	if said == (Said{}) {
-		return said
+	if !said.Leaving && said.Backoff <= 0 {
+		return Said{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.byID[life.ID]
-	switch {
-	case r != nil && r.of(life):
-	case r != nil && life.Born.Before(r.born):
+	r := b.record(now, life)
+	if r == nil {
 		return Said{}
-	default:
-		r = b.add(now, life)
 	}
-	r.last = now
 	var news Said
 	if said.Leaving && !r.leaving {
 		r.leaving, news.Leaving = true, true
@@ -107,6 +111,21 @@
 	return news
 }
 
+// record returns a life's record, which is begun if there is none; nil if a later life is
+// known.
+func (b *Book) record(now time.Time, life fleet.Life) *record {
+	r := b.byID[life.ID]
+	switch {
+	case r != nil && r.of(life):
+	case r != nil && life.Born.Before(r.born):
+		return nil
+	default:
+		r = b.add(now, life)
+	}
+	r.last = now
+	return r
+}
+
 // add begins a life's record. A full book forgets the one heard of longest ago.
 func (b *Book) add(now time.Time, life fleet.Life) *record {
 	if b.byID == nil {
@@ -194,10 +213,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	maps.DeleteFunc(b.byID, func(_ string, r *record) bool {
-		if r.leaving {
+		if r.leaving || r.limit.Named {
 			return now.Sub(r.last) > keep
 		}
-		return !now.Before(r.until)
+		return !now.Before(r.until) && now.Sub(r.limit.At) > liftedFor
 	})
 	b.size.Store(int64(len(b.byID)))
 }
