fix(entry): boxes divide the rate that a target takes of all of them, on every way a request leaves

Ruled out: a rate kept by each box alone (nothing was kept), a way past a check (all were first tries). Change: the rate is kept by the target's life, told among boxes with its age, and divided over those that hold parts (package quota); with hubs these hold all, and place for the others, plain services included where only such targets are left. The part is taken at placing and asked for right before a request leaves. Questions for health count; news, reports and orders, which need no place, do not. Where only such targets are left that have got their rate, callers are refused at once with code limited.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -127,6 +127,9 @@
 	// Unread is how many prompt tokens the target was thought to read, Tokens
 	// the memory that the request takes up.
 	Unread, Tokens int
+	// Granted says that the target limits requests and that this one is among those that this
+	// box may send.
+	Granted bool
 	// At is when the request was placed, Ahead how many prompt tokens of others
 	// the target was thought to read before, and Moves what it fetches.
 	At    time.Time
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -228,7 +228,7 @@
 
 // blameless says that a sending failed for a reason of this box's own.
 func blameless(err error) bool {
-	own := []error{exchange.ErrFull, exchange.ErrLate, errOverdue, notice.ErrLeaving, notice.ErrBackoff}
+	own := []error{exchange.ErrFull, exchange.ErrLate, errOverdue, notice.ErrLeaving, notice.ErrBackoff, notice.ErrLimited}
 	return slices.ContainsFunc(own, func(reason error) bool { return errors.Is(err, reason) })
 }
 
--- a/entry/comeback.go
+++ b/entry/comeback.go
@@ -24,7 +24,7 @@
 	switch code {
 	case "crowded", "warming":
 		return d.returns.Crowded(job.Route.Goal, urgency)
-	case "congested":
+	case "congested", codeLimited:
 		return d.returns.Congested(urgency)
 	case "no_target", "old_weights":
 		return d.returns.Lasting(now, noTarget+job.Pool.Name, urgency)
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -127,7 +127,7 @@
 		if x == nil || lifeText(x.Life()) != life || t.followed[x.ID] != nil || t.probing[x.ID] {
 			continue
 		}
-		if p, ok := d.examination(now, x); ok {
+		if p, ok := d.examination(now, t, x); ok {
 			t.probing[x.ID] = true
 			effects = append(effects, p)
 		}
@@ -136,14 +136,21 @@
 }
 
 // examination is how a target is asked whether it lives; false if it can't be.
-func (d *Daemon) examination(now time.Time, x *fleet.Target) (probe, bool) {
+func (d *Daemon) examination(now time.Time, t *tables, x *fleet.Target) (probe, bool) {
 	table := d.current.Load()
 	if table == nil || table.Pools[x.Pool] == nil {
 		return probe{}, false
 	}
 	pool := table.Pools[x.Pool]
 	p := probe{target: x.ID, path: pool.HealthPath, at: x.Address, life: x.Life(), engine: pool.Engine != nil, doubted: true, asked: now}
-	return p, p.engine || p.path != "" && !x.BacksOff(now) // A question for its health waits like a request.
+	if p.engine {
+		return p, true
+	}
+	if p.path == "" || x.BacksOff(now) || !d.withinQuota(now, t, x) {
+		return probe{}, false // A question for its health waits like a request.
+	}
+	d.takeQuota(now, t, x)
+	return p, true
 }
 
 // ask asks a target for its health, or an engine for its report, which it gives at once.
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -114,6 +114,7 @@
 			call.m.List, call.m.ListFrom, call.m.Refuses = t.hubList.Number, t.hubList.From, t.hubRefuses
 		}
 		call.m.Seen = d.seenFor(now, t, m)
+		call.m.Limits = d.limitsFor(now, m)
 		call.m.Earned = d.paid()
 		effects = append(effects, call)
 	}
@@ -204,6 +205,9 @@
 		d.hearReplaced(now, t, m)
 		d.hearQuarantine(now, t, m)
 		d.hearOpen(now, m)
+		d.hearLimits(now, now, t, m)
+		t.heardFrom(now, m.From)
+		answer.Limits = d.limitsFor(now, t.members[m.From])
 		answer.Replaced, answer.Stale = t.replacedLately(now), d.shut(now)
 		answer.Ended, answer.Lifted = t.endedLately(now), t.liftedLately(now)
 		d.hear(now, t, m)
@@ -250,6 +254,8 @@
 	d.hearReplaced(now, t, m.m)
 	d.hearQuarantine(now, t, m.m)
 	d.hearOpen(now, m.m)
+	d.hearLimits(now, m.asked, t, m.m)
+	x.heard = now
 	if d.spoke.Load() {
 		t.hubHeard = now
 		return d.viewRead(now, t, m.name, m.asked, m.m.View)
@@ -262,6 +268,13 @@
 	return nil
 }
 
+// heardFrom notes that a box called.
+func (t *tables) heardFrom(now time.Time, name string) {
+	if m := t.members[name]; m != nil {
+		m.heard = now
+	}
+}
+
 // replacedLately lists the targets that were found replaced so lately that other
 // boxes may not know.
 func (t *tables) replacedLately(now time.Time) []peer.Life {
--- a/entry/join.go
+++ b/entry/join.go
@@ -109,7 +109,7 @@
 		return
 	}
 	d.Log.Debug("box known", "name", name, "at", row.Peers)
-	t.members[name] = &member{at: row.Peers, domain: row.Domain, share: row.Share, megabits: row.Megabits}
+	t.members[name] = &member{heard: d.now(), at: row.Peers, domain: row.Domain, share: row.Share, megabits: row.Megabits}
 	t.ranks = nil
 	t.regions[row.Domain] = row.Region
 }
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -15,9 +15,7 @@
 // What a target says of itself in an answer is a limit, and the first word of it: the list
 // of targets tells later, and nothing while the table service is away. So it is noted where
 // the answer is read, before any of it is passed on, and asked for right before a request
-// leaves this box, whoever placed it and however long ago. Without it a target that leaves
-// got 142 requests in 0.7 s of an outage (TestTargetSaysItLeaves), and one of two that wanted
-// none for 3 s half of all (TestAllBackOff); with it none, and those that were on their way.
+// leaves this box, whoever placed it and however long ago.
 
 // What targets say of themselves, for counters.
 const (
@@ -55,12 +53,18 @@
 func (d *Daemon) allow(life fleet.Life, s deliver.Sending) error {
 	now := d.now()
 	err := d.notices.Allow(now, life)
+	if err == nil && d.notices.Limit(life).Named && (!s.Place.Granted || now.Sub(s.Place.At) > grantFor) {
+		err = notice.ErrLimited
+	}
 	if err == nil {
 		return nil
 	}
 	word := saidBackoff
-	if errors.Is(err, notice.ErrLeaving) {
+	switch {
+	case errors.Is(err, notice.ErrLeaving):
 		word = saidLeaving
+	case errors.Is(err, notice.ErrLimited):
+		word = saidLimit
 	}
 	d.counts.heldBack.WithLabelValues(word).Inc()
 	d.Log.Info("request is kept from a target at the last moment", "request", s.Job.ID, "target", life.ID, "said", word, "placed_ago", now.Sub(s.Place.At), "rule", s.Place.Rule)
@@ -137,6 +141,7 @@
 	d.notices.Touch(now, x.Life())
 	x.Leaving = x.Leaving || d.notices.Leaves(x.Life())
 	x.BackoffUntil = d.notices.Until(x.Life())
+	limitSet(x, d.notices.Limit(x.Life()))
 	return x.Leaving && !before
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -104,22 +104,28 @@
 }
 
 func (d *Daemon) placePlain(now time.Time, t *tables, ask deliver.Ask) (deliver.Place, *refusal.Refusal) {
+	return d.choosePlain(now, t, ask, backsOff(now))
+}
+
+// choosePlain chooses a target of a plain service, but none that is closed to the box that
+// sends the request.
+func (d *Daemon) choosePlain(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) (deliver.Place, *refusal.Refusal) {
 	if refused := d.refuseCongested(t, ask); refused != nil {
 		return deliver.Place{}, refused
 	}
 	var x *fleet.Target
 	for _, passed := range d.turns(now, t, ask) {
-		if chosen, ok := d.services.Choose(now, t.fleet.Pool(ask.Job.Pool.Name), d.skip(now, t, ask, either(backsOff(now), passed))); ok {
+		if chosen, ok := d.services.Choose(now, t.fleet.Pool(ask.Job.Pool.Name), d.skip(now, t, ask, either(closed, passed))); ok {
 			x = chosen
 			break
 		}
 	}
 	if x == nil {
-		return deliver.Place{}, d.refuseNone(now, t, ask, backsOff(now))
+		return deliver.Place{}, d.refuseNone(now, t, ask, closed)
 	}
 	t.takeTurn(ask, x)
 	d.takeCold(now, t, ask.Job.Pool, x)
-	return deliver.Place{Target: x.ID, Born: x.Born, Address: x.Address, At: now, Rule: "nearest"}, nil
+	return deliver.Place{Target: x.ID, Born: x.Born, Address: x.Address, At: now, Rule: "nearest", Granted: d.takeQuota(now, t, x)}, nil
 }
 
 func (d *Daemon) refuseNone(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) *refusal.Refusal {
@@ -127,6 +133,9 @@
 	if cold := d.heldBack(now, t, ask); cold > 0 {
 		return refusal.New(refusal.DidNotRun, 503, "warming", "no target of %s takes work now but %d that are cold and have got what they bear", pool.Name, cold)
 	}
+	if refused := d.refuseLimited(now, t, ask, closed); refused != nil {
+		return refused
+	}
 	if refused := refuseBackoff(now, t, ask, closed); refused != nil {
 		return refused
 	}
@@ -145,12 +154,13 @@
 }
 
 // skip passes over targets that were tried before, over those closed to the box that
-// sends the request, and over cold ones that have got what this box may send them.
+// sends the request, and over such that are cold or limit requests and have got what this box
+// may send them.
 func (d *Daemon) skip(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) func(id string) bool {
 	regions := regionsOf(ask.Job)
 	return func(id string) bool {
 		x := t.fleet.Target(id)
-		return !t.inRegions(regions, x.Domain) || slices.Contains(ask.Tried, id) || closed(x) || d.overCold(now, t, ask.Job.Pool, x)
+		return !t.inRegions(regions, x.Domain) || slices.Contains(ask.Tried, id) || closed(x) || d.overCold(now, t, ask.Job.Pool, x) || !d.withinQuota(now, t, x)
 	}
 }
 
@@ -231,6 +241,7 @@
 		Scope: scope(choice.Version, job), Unread: choice.Unread, Tokens: job.Input + job.Output, Rule: choice.Rule,
 		Save: addresses(choice.Save), At: now, Ahead: choice.Ahead, Moves: choice.Moves,
 		Newest: w.wanted, Replaced: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin),
+		Granted: d.takeQuota(now, t, choice.Target),
 	}
 	if t.timed {
 		place.Fetch = addresses(choice.Fetch)
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -63,9 +63,10 @@
 	return nil
 }
 
-// placeRemotely hands a model request to the hub, if this box has one.
+// placeRemotely hands a model request to the hub, if this box has one, and any request for
+// which only targets are left that limit requests.
 func (d *Daemon) placeRemotely(now time.Time, t *tables, m placeAsked) ([]effect, bool) {
-	if m.ask.Job.Pool.Engine == nil || !d.spoke.Load() || len(m.asked) >= hubAsks || d.weightsUnknown(now) {
+	if !d.spoke.Load() || m.ask.Job.Pool.Engine == nil && !t.onlyLimited(now, m.ask) || len(m.asked) >= hubAsks || d.weightsUnknown(now) {
 		return nil, false
 	}
 	hub := d.placer(now, t, m.asked)
@@ -165,12 +166,12 @@
 		d.entryRead(now, t, *p.Entry)
 	}
 	x := t.fleet.Target(p.Target)
-	if x == nil || !x.Open(now) || x.Avoided(now) || x.BacksOff(now) || d.closedTo(now, t, x) || !t.inRegions(regionsOf(job), x.Domain) {
+	if x == nil || !x.Open(now) || x.Avoided(now) || x.BacksOff(now) || x.Limited && !p.Granted || d.closedTo(now, t, x) || !t.inRegions(regionsOf(job), x.Domain) {
 		return placeAnswer{}, false
 	}
 	w := t.model(job.Model)
 	within := d.bounds.Load().WeightsWithin
-	if p.Version < w.least(now, within) {
+	if job.Pool.Engine != nil && p.Version < w.least(now, within) {
 		return placeAnswer{}, false
 	}
 	fetch, save, err := moves(p)
@@ -182,7 +183,7 @@
 		Target: x.ID, Born: x.Born, Address: x.Address, Version: p.Version, Scope: scope(p.Version, job), Unread: p.Unread,
 		Tokens: job.Input + job.Output, Fetch: fetch, Save: save, FetchUntil: time.Duration(p.UntilMS) * time.Millisecond,
 		Kept: p.Kept, Fetched: p.Fetched, Saved: p.Saved, Rule: "hub, " + p.Rule,
-		At: now, Ahead: p.Ahead,
+		At: now, Ahead: p.Ahead, Granted: p.Granted,
 		Newest: w.wanted, Replaced: w.replacedFor(now, p.Version), BeginBy: w.beginBy(p.Version, within),
 	}
 	for _, m := range p.Moves {
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -9,6 +9,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
 )
 
@@ -23,12 +24,16 @@
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.Placed {
 	t.askedAsHub = now
 	table := d.current.Load()
-	if table == nil || table.Pools[m.Ask.Pool] == nil || !d.warm(t) || d.weightsUnknown(now) || d.evacuationsUnknown(now) {
+	if table == nil || table.Pools[m.Ask.Pool] == nil || d.evacuationsUnknown(now) {
+		return nil
+	}
+	pool := table.Pools[m.Ask.Pool]
+	if pool.Engine != nil && (!d.warm(t) || d.weightsUnknown(now)) {
 		return nil
 	}
 	job := &deliver.Job{
 		Call: &deliver.Call{ID: m.Ask.Request, Model: m.Ask.Model, Input: m.Ask.Tokens},
-		Pool: table.Pools[m.Ask.Pool], Route: &routing.Route{Goal: time.Duration(m.Ask.GoalMS) * time.Millisecond},
+		Pool: pool, Route: &routing.Route{Goal: time.Duration(m.Ask.GoalMS) * time.Millisecond},
 	}
 	if m.Ask.Limited {
 		job.Route.Regions = append(routing.Regions{}, m.Ask.Regions...)
@@ -39,7 +44,14 @@
 	for _, p := range m.Ask.Parts {
 		job.Parts = append(job.Parts, deliver.Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	place, refused := d.chooseEngine(now, t, deliver.Ask{Job: job, Tried: m.Ask.Tried}, sender{t.domainOf(m.From), roomOf(m.Ask), among(m.Ask.Linked), among(m.Ask.Closed)})
+	ask, closed := deliver.Ask{Job: job, Tried: m.Ask.Tried}, among(m.Ask.Closed)
+	var place deliver.Place
+	var refused *refusal.Refusal
+	if job.Pool.Engine == nil {
+		place, refused = d.choosePlain(now, t, ask, closed)
+	} else {
+		place, refused = d.chooseEngine(now, t, ask, sender{t.domainOf(m.From), roomOf(m.Ask), among(m.Ask.Linked), closed})
+	}
 	if refused != nil {
 		return &peer.Placed{Refused: refused.Code, Reason: refused.Reason}
 	}
@@ -53,7 +65,7 @@
 		Entry:  t.comes(now, place.Target),
 		Target: place.Target, Version: place.Version, Fetch: format(place.Fetch), Save: format(place.Save),
 		UntilMS: place.FetchUntil.Milliseconds(), Kept: place.Kept, Fetched: place.Fetched, Saved: place.Saved,
-		Unread: place.Unread, Rule: place.Rule, Ahead: place.Ahead, Moves: moves,
+		Unread: place.Unread, Rule: place.Rule, Ahead: place.Ahead, Moves: moves, Granted: place.Granted,
 	}
 }
 
--- /dev/null
+++ b/entry/quota.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/quota"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// A target in need names how many requests a second it takes of all boxes together. Boxes tell
+// each other of that and divide the rate by quota; in a fleet with hubs the hubs have all of it
+// and send for the boxes that live on them what they place. A request's part is taken where it
+// is placed, and asked for again right before it leaves.
+
+const (
+	// grantFor is for how long a placed request may leave on the part that was taken for it.
+	// What waits for longer would leave together with the parts of the time since.
+	grantFor = time.Second
+	// silentHolder is after how long without a word from a box its part goes to others.
+	silentHolder = 5 * time.Second
+	// toldLimits bounds the limits told in one message, at some 40 bytes each.
+	toldLimits = 64
+	// limitNewsFor is for how long news of a limit are told in each message: some rounds, as
+	// calls fail. All limits are told each limitsEvery, for boxes that missed the news.
+	limitNewsFor = time.Second
+	limitsEvery  = 2 * time.Second
+)
+
+// codeLimited is the refusal's code where the targets that would take a request have got what
+// they take a second.
+const codeLimited = "limited"
+
+// withinQuota says that a target limits no requests, or that this box may send one now.
+func (d *Daemon) withinQuota(now time.Time, t *tables, x *fleet.Target) bool {
+	return !x.Limited || d.bucket(now, t, x).Ready()
+}
+
+// takeQuota counts a request that goes to a target, and says whether that limits requests.
+func (d *Daemon) takeQuota(now time.Time, t *tables, x *fleet.Target) bool {
+	if !x.Limited {
+		return false
+	}
+	d.bucket(now, t, x).Take()
+	return true
+}
+
+// limitedTarget is what this box may send to a target that limits requests.
+type limitedTarget struct {
+	bucket quota.Bucket
+	// part is this box's of rate, as divided at a time.
+	part, rate float64
+	divided    time.Time
+}
+
+// bucket holds what this box may send to a target that limits requests, as of now.
+func (d *Daemon) bucket(now time.Time, t *tables, x *fleet.Target) *quota.Bucket {
+	l := t.quotas[x.Life()]
+	if l == nil {
+		l = &limitedTarget{}
+		t.quotas[x.Life()] = l
+	}
+	if l.rate != x.Rate || now.Sub(l.divided) >= tick {
+		l.part, l.rate, l.divided = d.part(now, t, x), x.Rate, now
+	}
+	l.bucket.Refill(now, l.part)
+	return &l.bucket
+}
+
+// part is this box's of a target's rate, in requests a second. A box that does not know the
+// others, or lives on a hub, has none.
+func (d *Daemon) part(now time.Time, t *tables, x *fleet.Target) float64 {
+	if !t.settled || d.spoke.Load() {
+		return 0
+	}
+	return quota.Part(x.Rate, placement.Hash(x.ID), d.Settings.Name, t.holders(now, d.Settings.Name))
+}
+
+// holders lists the boxes that share the rates: those that exchange soft state with each other
+// and were heard of lately, or can't be, and this one.
+func (t *tables) holders(now time.Time, self string) []string {
+	var list []string
+	for _, name := range t.hubs() {
+		if m := t.members[name]; name == self || !m.at.IsValid() || now.Sub(m.heard) < silentHolder {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// limitSet takes over a target's limit, for choosing.
+func limitSet(x *fleet.Target, limit notice.Limit) {
+	x.Limited, x.Rate = limit.Named, limit.PerSecond
+}
+
+// limitsFor lists the limits that another box is told now; nil is a box not known.
+func (d *Daemon) limitsFor(now time.Time, m *member) []peer.Limit {
+	all := m == nil || !now.Before(m.limitsDue)
+	if all && m != nil {
+		m.limitsDue = now.Add(limitsEvery)
+	}
+	var list []peer.Limit
+	for _, x := range d.notices.Limits() {
+		if len(list) == toldLimits {
+			break
+		}
+		if !all && now.Sub(x.Since) > limitNewsFor {
+			continue
+		}
+		list = append(list, peer.Limit{
+			Target: x.Life.ID, BornMS: unixMS(x.Life.Born), Named: x.Limit.Named, PerSecond: x.Limit.PerSecond, AgeMS: now.Sub(x.Limit.At).Milliseconds(),
+		})
+	}
+	return list
+}
+
+// hearLimits takes over the limits that another box knows, as of a time.
+func (d *Daemon) hearLimits(now, asOf time.Time, t *tables, m peer.Message) {
+	for _, l := range m.Limits {
+		x := notice.Rated{
+			Life:  fleet.Life{ID: l.Target, Born: fromUnixMS(l.BornMS)},
+			Limit: notice.Limit{Named: l.Named, PerSecond: l.PerSecond, At: asOf.Add(-time.Duration(l.AgeMS) * time.Millisecond)},
+		}
+		if l.AgeMS < 0 || !(l.PerSecond >= 0) {
+			d.Log.Warn("a box's word of a limit can't be used", "from", m.From, "target", l.Target, "per_second", l.PerSecond, "age_ms", l.AgeMS)
+			continue
+		}
+		if d.notices.SetLimit(now, x) {
+			d.noteLimit(x, m.From)
+		}
+		d.targetSaid(now, t, x.Life)
+	}
+}
+
+// expireQuotas forgets what was sent to targets that limit requests no more.
+func (d *Daemon) expireQuotas(t *tables) {
+	for life := range t.quotas {
+		if x := t.fleet.Of(life); x == nil || !x.Limited {
+			delete(t.quotas, life)
+		}
+	}
+}
+
+// refuseLimited returns the refusal of a request for which some targets would have room if they
+// did not limit requests; nil if there are none.
+func (d *Daemon) refuseLimited(now time.Time, t *tables, ask deliver.Ask, closed func(*fleet.Target) bool) *refusal.Refusal {
+	spent := func(x *fleet.Target) bool {
+		return x.Open(now) && !closed(x) && !slices.Contains(ask.Tried, x.ID) && !d.withinQuota(now, t, x)
+	}
+	if !slices.ContainsFunc(t.fleet.Pool(ask.Job.Pool.Name), spent) {
+		return nil
+	}
+	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, codeLimited, "the targets of %s that take work have got the requests that they take a second", ask.Job.Pool.Name)
+}
+
+// onlyLimited says that all targets left for a request limit requests, so that a hub, which
+// has a part of their rates, has to place it.
+func (t *tables) onlyLimited(now time.Time, ask deliver.Ask) bool {
+	limited := false
+	for _, x := range t.fleet.Pool(ask.Job.Pool.Name) {
+		if !x.Open(now) || x.BacksOff(now) || slices.Contains(ask.Tried, x.ID) {
+			continue
+		}
+		if !x.Limited {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
--- /dev/null
+++ b/entry/quota_test.go
@@ -0,0 +1,316 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/refusal"
+)
+
+// What the platform allows a target that names a rate: in any window so many times what that
+// comes to, and some more.
+const (
+	rateWindow = 4 * time.Second
+	rateFactor = 1.5
+	rateExtra  = 5
+)
+
+// overRate returns the most arrivals in a window, and how many a rate allows.
+func overRate(came []time.Time, rate float64) (most, allowed int) {
+	slices.SortFunc(came, func(a, b time.Time) int { return cmp.Compare(a.UnixNano(), b.UnixNano()) })
+	first := 0
+	for last, at := range came {
+		for at.Sub(came[first]) > rateWindow {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most, int(rateFactor*rate*rateWindow.Seconds()) + rateExtra
+}
+
+// rated is a fleet whose targets of a pool name a rate in each answer.
+type rated struct {
+	*emulator
+	pool string
+	rate float64
+	// limited are the targets that do.
+	limited map[string]bool
+	// waits are the requests that wait for their place, by box.
+	waits []waiting
+	// came is when requests reached targets, from is when the limits count.
+	came   map[string][]time.Time
+	from   time.Time
+	served int
+	codes  map[string]int
+	turn   int
+}
+
+// waiting is a request that waits for its place.
+type waiting struct {
+	box   *Daemon
+	reply chan placeAnswer
+	asked time.Time
+}
+
+// press has some of the boxes send a request each, and passes on what was placed.
+func (w *rated) press(requests int) {
+	for range requests {
+		w.turn += 7
+		d := w.boxes[w.turn%len(w.boxes)]
+		j := job("short", 100)
+		j.Pool = configuration(1).Pools[w.pool]
+		reply := make(chan placeAnswer, 1)
+		w.waits = append(w.waits, waiting{d, reply, w.now})
+		w.carry(d, d.update(w.now, placeAsked{ctx: context.Background(), ask: deliver.Ask{Job: j}, reply: reply}))
+	}
+	w.waits = slices.DeleteFunc(w.waits, func(x waiting) bool {
+		select {
+		case answer := <-x.reply:
+			w.answered(x, answer)
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// answered sends a request that was placed, and has its box hear the answer.
+func (w *rated) answered(x waiting, answer placeAnswer) {
+	if answer.err != nil {
+		w.codes[refusal.Of(answer.err, "", 0).Code]++
+		return
+	}
+	life := lifePlaced(answer.place)
+	if err := x.box.allow(life, deliver.Sending{Job: job("short", 100), Place: answer.place}); err != nil {
+		w.codes[err.Error()]++
+		return
+	}
+	w.served++
+	if w.now.After(w.from) {
+		w.came[life.ID] = append(w.came[life.ID], w.now)
+	}
+	said := notice.Said{Unlimited: true}
+	if w.limited[life.ID] {
+		said = notice.Said{Limited: true, Rate: w.rate}
+	}
+	asked := w.now
+	w.later(100*time.Millisecond, func() {
+		x.box.update(w.now, answerBegan{answer.place})
+		x.box.sendingEnded(w.now, &x.box.tables, sendingEnded{deliver.Ended{Place: answer.place, Job: job("short", 100), Began: true, Answered: true}})
+		if x.box.hearNotice(asked, life, said, "an answer") {
+			x.box.update(w.now, targetSaid{life})
+		}
+	})
+}
+
+// TestLimitInFleets guards against boxes of a fleet with hubs that together send a target more
+// than the rate it names for all of them, or leave that unused while callers are refused.
+func TestLimitInFleets(t *testing.T) {
+	tests := []struct {
+		name           string
+		boxes, domains int
+		pool           string
+		rate           float64
+		// limited are how many of eight targets name a rate.
+		limited int
+	}{
+		{"a small fleet", 6, 3, "orders", 3, 2},
+		{"a small fleet, its whole pool", 6, 3, "orders", 3, 8},
+		{"a small fleet, low rates", 12, 3, "orders", 0.3, 8},
+		{"hubs", 70, 3, "orders", 3, 2},
+		{"hubs, a whole service", 70, 3, "orders", 3, 8},
+		{"hubs, engines", 70, 3, "models", 3, 2},
+		{"hubs, all engines", 70, 3, "models", 3, 8},
+		{"many hubs, a whole service", 60, 10, "orders", 3, 8},
+		{"many hubs, all engines", 60, 10, "models", 12, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := &rated{
+				emulator: emulate(tt.boxes, tt.domains, configuration(1)), pool: tt.pool, rate: tt.rate,
+				limited: make(map[string]bool), came: make(map[string][]time.Time), codes: make(map[string]int),
+			}
+			for i := range 8 {
+				e := engineAt(i)
+				e.Pool = tt.pool
+				w.enter(e)
+				w.limited[e.ID] = i < tt.limited
+			}
+			for _, d := range w.boxes {
+				d.tables.warmed = true
+			}
+			w.play(2*time.Second, nil)
+			w.from = w.now.Add(3 * time.Second)
+			const span = 15
+			pressed := 0
+			w.play(span*time.Second, func() {
+				pressed += 10
+				w.press(10) // 200 a second.
+			})
+			for id := range w.limited {
+				if !w.limited[id] {
+					continue
+				}
+				if most, allowed := overRate(w.came[id], tt.rate); most > allowed {
+					t.Errorf("%d requests reach %s in 4 s, %d are allowed", most, id, allowed)
+				}
+			}
+			t.Logf("%d of %d served, refused %v", w.served, pressed, w.codes)
+			least := pressed * 95 / 100
+			if tt.limited == 8 {
+				least = int(8 * tt.rate * span / 2)
+			}
+			if w.served < least {
+				t.Errorf("%d requests of %d are served", w.served, pressed)
+			}
+		})
+	}
+}
+
+// limits has a box hear that a target names a rate.
+func limits(d *Daemon, now time.Time, id string, rate float64) {
+	d.notices.HearLimit(now, now, fleet.Life{ID: id}, notice.Said{Limited: true, Rate: rate})
+	d.update(now, targetSaid{fleet.Life{ID: id}})
+}
+
+// alone is a box that is the only one, with two engines.
+func alone() *Daemon {
+	d := knows(newDaemon("b1"), "a", "b")
+	d.tables.settled = true
+	d.tables.members["b1"] = &member{domain: "a", share: 1}
+	return d
+}
+
+// TestLimitAtLast guards against requests that leave for a target which named its limit after
+// they were placed, or that leave long after their part was taken.
+func TestLimitAtLast(t *testing.T) {
+	tests := []struct {
+		name    string
+		granted bool
+		waited  time.Duration
+		limited bool
+		want    error
+	}{
+		{"no limit", false, time.Minute, false, nil},
+		{"placed before the limit", false, 0, true, notice.ErrLimited},
+		{"placed within it", true, 0, true, nil},
+		{"placed within it, long ago", true, grantFor + 1, true, notice.ErrLimited},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := alone()
+			now := start.Add(tt.waited)
+			d.now = func() time.Time { return now }
+			if tt.limited {
+				limits(d, start, "a", 3)
+			}
+			s := deliver.Sending{Job: job("long", 1000), Place: deliver.Place{Target: "a", At: start, Granted: tt.granted}}
+			if err := d.allow(fleet.Life{ID: "a"}, s); !errors.Is(err, tt.want) || (err == nil) != (tt.want == nil) {
+				t.Errorf("allowed: %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestLimitCloses guards against placing on a target that has got what it takes a second, and
+// says what callers are told when all have.
+func TestLimitCloses(t *testing.T) {
+	d := alone()
+	limits(d, start, "a", 2)
+	if got, _ := placedOn(d, start); fmt.Sprint(got) != "[b]" {
+		t.Errorf("placed at once on %v", got)
+	}
+	limits(d, start, "b", 2)
+	_, refused := placedOn(d, start)
+	if refused.Code != codeLimited || refused.Outcome != refusal.DidNotRun || refused.RetryAfter <= 0 {
+		t.Errorf("refused as %q, %v, come back after %v", refused.Code, refused.Outcome, refused.RetryAfter)
+	}
+	later := start.Add(time.Second)
+	d.proved.Store(&later)
+	if got, _ := placedOn(d, later); fmt.Sprint(got) != "[a b]" {
+		t.Errorf("placed a second later on %v", got)
+	}
+	d.notices.HearLimit(later, later, fleet.Life{ID: "a"}, notice.Said{Unlimited: true})
+	d.update(later, targetSaid{fleet.Life{ID: "a"}})
+	if got, _ := placedOn(d, later); fmt.Sprint(got) != "[a]" {
+		t.Errorf("placed after the end of a limit on %v", got)
+	}
+}
+
+// TestQuestionsWithinLimit guards against questions for the health of a silent target beyond
+// the rate that it names.
+func TestQuestionsWithinLimit(t *testing.T) {
+	d := alone()
+	table := configuration(1)
+	table.Pools["orders"].HealthPath = "/health"
+	d.current.Store(table)
+	d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{{ID: "s", Pool: "orders"}}}, false})
+	limits(d, start, "s", 0.5)
+	x := d.tables.fleet.Target("s")
+	x.Sent(start, 0, 0)
+	asked := 0
+	for ms := 0; ms < 20000; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for range d.probeSilent(now, &d.tables) {
+			asked++
+			delete(d.tables.probing, "s")
+		}
+	}
+	if asked == 0 || asked > 10 {
+		t.Errorf("asked %d times in 20 s at 0.5 a second", asked)
+	}
+}
+
+// TestLimitTravels guards against boxes that don't know of a limit, or of its end, which
+// another box heard of.
+func TestLimitTravels(t *testing.T) {
+	tests := []struct {
+		name    string
+		told    []peer.Limit
+		limited bool
+		rate    float64
+	}{
+		{"a limit", []peer.Limit{{Target: "a", Named: true, PerSecond: 3}}, true, 3},
+		{"its end", []peer.Limit{{Target: "a", Named: true, PerSecond: 3, AgeMS: 50}, {Target: "a", AgeMS: 20}}, false, 0},
+		{"an end from before", []peer.Limit{{Target: "a", Named: true, PerSecond: 3, AgeMS: 20}, {Target: "a", AgeMS: 50}}, true, 3},
+		{"of another life", []peer.Limit{{Target: "c", Named: true, PerSecond: 3}}, false, 0},
+		{"an odd rate", []peer.Limit{{Target: "a", Named: true, PerSecond: -3}}, false, 0},
+		{"of a time to come", []peer.Limit{{Target: "a", Named: true, PerSecond: 3, AgeMS: -5}}, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := alone()
+			d.peerAsks(start.Add(time.Second), &d.tables, peer.Message{Kind: peer.KindGossip, From: "b2", Limits: tt.told})
+			if x := d.tables.fleet.Target("a"); x.Limited != tt.limited || x.Rate != tt.rate {
+				t.Errorf("limited %v to %v", x.Limited, x.Rate)
+			}
+		})
+	}
+}
+
+// TestLimitsTold guards against messages that tell all limits all the time.
+func TestLimitsTold(t *testing.T) {
+	d := alone()
+	other := &member{}
+	for i := range toldLimits + 10 {
+		limits(d, start, fmt.Sprint("x", i), 3)
+	}
+	for _, tt := range []struct {
+		after time.Duration
+		want  int
+	}{{0, toldLimits}, {limitNewsFor, toldLimits}, {limitNewsFor + 1, 0}, {limitsEvery, toldLimits}, {limitsEvery + 1, 0}} {
+		if got := len(d.limitsFor(start.Add(tt.after), other)); got != tt.want {
+			t.Errorf("after %v: %d are told, want %d", tt.after, got, tt.want)
+		}
+	}
+}
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -36,6 +36,7 @@
 	t.crashes.Expire(now)
 	t.quarantine.Expire(now)
 	d.notices.Expire(now)
+	d.expireQuotas(t)
 	t.expireTrials()
 	t.expireOver(now)
 	for _, w := range t.weights {
@@ -87,10 +88,11 @@
 			continue
 		}
 		for _, x := range t.fleet.Pool(name) {
-			if t.probing[x.ID] || x.Leaving || x.Evacuated || x.BacksOff(now) || (!x.Avoided(now) && !nearest.Silent(now, x)) {
+			if t.probing[x.ID] || x.Leaving || x.Evacuated || x.BacksOff(now) || !d.withinQuota(now, t, x) || (!x.Avoided(now) && !nearest.Silent(now, x)) {
 				continue
 			}
 			t.probing[x.ID] = true
+			d.takeQuota(now, t, x)
 			effects = append(effects, probe{target: x.ID, path: pool.HealthPath, at: x.Address, life: x.Life(), asked: now})
 		}
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -139,6 +139,8 @@
 	operatorChange, operatorKnown uint64
 	// gate counts what this box sent to cold targets.
 	gate warming.Gate
+	// quotas hold what this box may send to targets that limit requests.
+	quotas map[fleet.Life]*limitedTarget
 	// placers are the boxes that place requests for engines, as of placersAt.
 	placers   []string
 	placersAt time.Time
@@ -224,6 +226,10 @@
 	// domain, share and megabits are the box's, by which hubs are ranked.
 	domain          string
 	share, megabits float64
+	// limitsDue is when it is next told all limits that are known.
+	limitsDue time.Time
+	// heard is when it last called or answered this one, or when its row was read.
+	heard time.Time
 	// calling says that gossip with it is under way, failed that it did not answer
 	// the last gossip, or too many asks for places since.
 	calling, failed bool
@@ -244,7 +250,7 @@
 func newTables() tables {
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), used: make(map[string]*fleet.Target), followed: make(map[string]context.CancelFunc),
-		weights: make(map[string]*weights), loading: make(map[string]time.Time), members: make(map[string]*member), probing: make(map[string]bool),
+		weights: make(map[string]*weights), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Life]*limitedTarget), probing: make(map[string]bool),
 		silences: make(map[netip.AddrPort]time.Time),
 		slow:     make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -23,6 +23,10 @@
 	// BackoffUntil is until when the target wants no requests from this box, as it said;
 	// zero if it did not. It says nothing of other boxes' requests.
 	BackoffUntil time.Time
+	// Limited says that it takes no more than Rate requests a second of all boxes together,
+	// as it said. Rate is never negative.
+	Limited bool
+	Rate    float64
 	// Evacuated says that its failure domain is to get no work.
 	Evacuated bool
 	// Versions are the weight versions by model, as far as known.
--- a/notice/limit.go
+++ b/notice/limit.go
@@ -32,6 +32,8 @@
 type Rated struct {
 	Life  fleet.Life
 	Limit Limit
+	// Since is when this box learnt that the limit began, changed or ended.
+	Since time.Time
 }
 
 // HearLimit notes what an answer says of its target's limit, to a request sent at asked, and
@@ -40,9 +42,9 @@
 func (b *Book) HearLimit(now, asked time.Time, life fleet.Life, said Said) bool {
 	switch {
 	case said.Limited:
-		return b.SetLimit(now, Rated{life, Limit{Named: true, PerSecond: said.Rate, At: now}})
+		return b.SetLimit(now, Rated{Life: life, Limit: Limit{Named: true, PerSecond: said.Rate, At: now}})
 	case said.Unlimited && b.Limit(life).Named:
-		return b.SetLimit(now, Rated{life, Limit{At: asked}})
+		return b.SetLimit(now, Rated{Life: life, Limit: Limit{At: asked}})
 	}
 	return false
 }
@@ -59,7 +61,11 @@
 	before := r.limit
 	r.limit = x.Limit
 	change := math.Abs(before.PerSecond - x.Limit.PerSecond)
-	return before.Named != x.Limit.Named || change > noted*before.PerSecond
+	news := before.Named != x.Limit.Named || change > noted*before.PerSecond
+	if news {
+		r.limitedAt = now
+	}
+	return news
 }
 
 // Limit returns what is known of a life's limit.
@@ -80,7 +86,7 @@
 	var list []Rated
 	for id, r := range b.byID {
 		if !r.limit.At.IsZero() {
-			list = append(list, Rated{fleet.Life{ID: id, Born: r.born}, r.limit})
+			list = append(list, Rated{fleet.Life{ID: id, Born: r.born}, r.limit, r.limitedAt})
 		}
 	}
 	return list
--- a/notice/limit_test.go
+++ b/notice/limit_test.go
@@ -68,11 +68,11 @@
 	var b Book
 	later := start.Add(time.Second)
 	b.HearLimit(later, start, plain, Said{Limited: true, Rate: 2})
-	b.SetLimit(later, Rated{plain, Limit{At: start}})
+	b.SetLimit(later, Rated{Life: plain, Limit: Limit{At: start}})
 	if !b.Limit(plain).Named {
 		t.Error("older word lifted the limit")
 	}
-	b.SetLimit(later, Rated{plain, Limit{At: later.Add(1)}})
+	b.SetLimit(later, Rated{Life: plain, Limit: Limit{At: later.Add(1)}})
 	if b.Limit(plain).Named || len(b.Limits()) != 1 {
 		t.Errorf("known: %+v", b.Limits())
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -40,6 +40,9 @@
 	ErrLeaving = errors.New("the target said that it leaves")
 	// ErrBackoff says that the target asked for a time without requests, which lasts.
 	ErrBackoff = errors.New("the target asked for a time without requests")
+	// ErrLimited says that the target limits the requests of all boxes, and that this one is
+	// not among them.
+	ErrLimited = errors.New("the target limits requests")
 )
 
 // Said is what an answer says of its target. The zero value says nothing.
@@ -71,8 +74,9 @@
 	leaving bool
 	// until is when the time without requests is over.
 	until time.Time
-	// limit is the rate that it names.
-	limit Limit
+	// limit is the rate that it names, limitedAt when that was news last.
+	limit     Limit
+	limitedAt time.Time
 	// last is when the target was last heard or asked for.
 	last time.Time
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -65,6 +65,8 @@
 	// Entry is the target's, if it came into use so lately that the asking box may not know
 	// of it.
 	Entry *Entry `cbor:"15,keyasint,omitempty"`
+	// Granted says that the target limits requests and that the hub counted this one.
+	Granted bool `cbor:"16,keyasint,omitempty"`
 	// Moves are the fetches that the target waits for.
 	Moves []Move `cbor:"14,keyasint,omitempty"`
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -69,6 +69,9 @@
 	Earned  map[string]float64 `cbor:"31,keyasint,omitempty"`
 	Pool    string             `cbor:"32,keyasint,omitempty"`
 	Granted bool               `cbor:"33,keyasint,omitempty"`
+	// Limits are the rates of requests that targets take of all boxes together, as far as
+	// the sender knows of them or of their end.
+	Limits []Limit `cbor:"34,keyasint,omitempty"`
 	// Seen is what boxes saw of versions that are tried out.
 	Seen []Seen `cbor:"27,keyasint,omitempty"`
 	// Reads are what the sender had targets read by its own choice.
@@ -88,6 +91,18 @@
 	BornMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// Limit is a rate of requests that a target takes of all boxes together, or its end.
+type Limit struct {
+	Target string `cbor:"1,keyasint"`
+	// BornMS is when the target's life began, in Unix milliseconds; zero if it does not tell.
+	BornMS int64 `cbor:"2,keyasint,omitempty"`
+	// Named says that there is one, of PerSecond requests a second.
+	Named     bool    `cbor:"3,keyasint,omitempty"`
+	PerSecond float64 `cbor:"4,keyasint,omitempty"`
+	// AgeMS is how long ago that was known when the message was sent, in milliseconds.
+	AgeMS int64 `cbor:"5,keyasint,omitempty"`
+}
+
 // EndedUnder tells which requests ran on a target when it ended.
 type EndedUnder struct {
 	// Life names the target's life as all boxes do.
