fix: on our own interface, boxes divide the rate that a target takes of all of them

What callers saw: nothing. A target had no way to name a rate there, and what a target says in an answer was not asked for again before a request left. Cause: as on the platform, of an answer's head only what was read counted. Change: Target-Limit is read from answers to runs and requests, kept by name and address, told to peers with its age (peer.LimitOf serves both interfaces), divided by quota over the boxes listed. The part is taken at placing and asked for right before a request leaves; answers that are read again count, and make later requests wait. TestTargetsLimitIsKnown, TestResumedRunsCount, TestKeptBack. forward's TestSaid now also tells an answer that names no rate from no word of it.

--- a/build.go
+++ b/build.go
@@ -21,6 +21,7 @@
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/forward"
 	"github.com/thymewind/thymewind/kept"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/placement"
@@ -71,6 +72,7 @@
 	peers    peer.Node
 	signer   resume.Signer
 	permits  permit.Office
+	notices  notice.Book
 	relay    relay.Relay
 	forward  forward.Forwarder
 	front    caller.Front
@@ -88,7 +90,7 @@
 	d.shutdown = (*http.Server).Shutdown
 	d.buildBoard()
 	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
-	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.expireTakedowns, d.watchRoom, d.count}
+	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.holdDuties, d.rollWeights, d.bill, d.expireTakedowns, d.expireLimits, d.watchRoom, d.count}
 	d.buildPlatform()
 	d.buildLedger()
 	if err := d.buildPeers(); err != nil {
@@ -107,6 +109,7 @@
 	b.Keep = (*retention.Policy).Keep
 	b.Boxes = d.tables.boxCount
 	b.Others = func(pool string) dispatch.Use { return d.tables.others(d.now(), pool) }
+	b.Part = d.part
 	b.Limit = func(account string, bound int) int { return d.tables.limit(d.now(), account, bound) }
 	b.Jitter = d.jitter
 	b.Record = d.records.Add
@@ -170,10 +173,10 @@
 	}
 	comeBack := func() time.Duration { return d.jitter(time.Second) }
 	d.relay = relay.Relay{
-		Place: d.askPlace, Generate: d.engines.Generate, Resume: d.engines.Resume, Cancel: d.engines.Cancel,
+		Place: d.askPlace, Generate: d.engines.Generate, Resume: d.resume, Cancel: d.engines.Cancel,
 		Accept: (*stream.Checker).Accept,
 		Stall:  stall,
-		Ended:  d.tellEnded, Said: d.tellSaid, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
+		Ended:  d.tellEnded, Said: d.tellSaid, Allow: d.allow, Retry: d.spendRetry, Now: d.now, Attempts: attempts, Resumes: resumes,
 		CancelPatience: cancelPatience, ComeBack: comeBack,
 	}
 	sender := forward.Sender{Dial: dialer.DialContext}
@@ -182,7 +185,7 @@
 		Record: d.records.Add, Patience: tablePatience, ComeBack: comeBack,
 	}
 	d.forward = forward.Forwarder{
-		Place: d.askPlace, Ended: d.tellEnded, Said: d.tellSaid, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry,
+		Place: d.askPlace, Ended: d.tellEnded, Said: d.tellSaid, Allow: d.allow, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry,
 		Attempts: attempts, ComeBack: comeBack,
 	}
 	d.front = caller.Front{
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -22,6 +22,7 @@
 	"github.com/thymewind/thymewind/fair"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/prefix"
+	"github.com/thymewind/thymewind/quota"
 	"github.com/thymewind/thymewind/retention"
 	"github.com/thymewind/thymewind/reuse"
 	"github.com/thymewind/thymewind/target"
@@ -60,6 +61,9 @@
 	Boxes func() int
 	// Others is the use of a pool by other boxes.
 	Others func(pool string) Use
+	// Part is this box's part, in requests a second, of the rate that a target takes of all
+	// boxes. Without it this box has all of it.
+	Part func(x *target.Target) float64
 	// Limit is this box's part of an account's limit.
 	Limit  func(account string, limit int) int
 	Jitter func(mean time.Duration) time.Duration
@@ -68,6 +72,8 @@
 	Failing func(name string)
 	Leaving func(name, heard string)
 
+	// quotas hold what this box may send to targets that limit requests, by the target's ID.
+	quotas map[uint64]*quota.Bucket
 	// asked counts what each account asked for lately, refused or not.
 	asked fair.Meter
 	// now is the time of the placement under way, and at the same for targets.
@@ -110,6 +116,7 @@
 	b.Pools = make(map[string][]*target.Target)
 	b.StoreAvoid = make(map[string]time.Time)
 	b.cache = make(map[string]*cache)
+	b.quotas = make(map[uint64]*quota.Bucket)
 	b.asked = fair.Meter{Window: fairWindow}
 	// The size is a positive constant, the only thing that could be refused.
 	b.recent, _ = lru.NewLRU[prefix.Key, string](recentPrompts, nil)
@@ -118,9 +125,14 @@
 // Group lists the targets by pool anew. Call it when targets came or went.
 func (b *Board) Group() {
 	b.Pools = make(map[string][]*target.Target)
+	quotas := make(map[uint64]*quota.Bucket)
 	for _, x := range b.Targets.All() {
 		b.Pools[x.Pool] = append(b.Pools[x.Pool], x)
+		if bucket := b.quotas[x.ID]; bucket != nil {
+			quotas[x.ID] = bucket
+		}
 	}
+	b.quotas = quotas
 }
 
 // Capacity is how many requests the pool's usable targets take at once, and
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -81,7 +81,7 @@
 func (b *Board) choose(now time.Time, ask route.Ask, p pool.Pool) (route.Placed, error) {
 	targets := b.Pools[p.Name]
 	skip := func(x *target.Target) bool {
-		if slices.Contains(ask.Exclude, x.Name) || slices.Contains(p.Leave, x.Name) {
+		if slices.Contains(ask.Exclude, x.Name) || slices.Contains(p.Leave, x.Name) || !b.withinQuota(now, x) {
 			return true
 		}
 		if p.Kind != pool.KindModel {
@@ -100,8 +100,7 @@
 		choice, err = b.Choose(now, want, targets)
 	}
 	if err != nil {
-		return route.Placed{}, refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "no_target",
-			"no target of pool %s takes new work", p.Name).After(b.Jitter(time.Second))
+		return route.Placed{}, b.refuseNone(now, ask, p)
 	}
 	x := targets[choice.Index]
 	x.InFlight++
@@ -115,7 +114,7 @@
 		Request: ask.Request, Account: ask.Account, Pool: p.Name, Attempt: ask.Attempt,
 		Target: x.Name, Address: x.Address, Domain: x.Domain, Version: x.Version,
 		Scope: b.Scope(ask.Account, x.Version), PieceBytes: p.PieceBytes, Rule: choice.Rule,
-		FirstToken: firstTokenBound(p), Wait: choice.Wait,
+		FirstToken: firstTokenBound(p), Wait: choice.Wait, At: now, Granted: b.takeQuota(now, x),
 	}
 	if p.Kind == pool.KindModel {
 		b.addCache(now, ask, p, &placed)
--- a/engine/client.go
+++ b/engine/client.go
@@ -27,13 +27,19 @@
 // HeaderLeaving is set on every answer of a target that takes no new work.
 const HeaderLeaving = "Target-Leaving"
 
-// Said reads what any answer of a target, an engine's or a plain service's, says of that
-// target itself.
+// HeaderLimit is how many requests a second a target takes of all entry boxes together, with a
+// fraction, for as long as its answers to requests say so.
+const HeaderLimit = "Target-Limit"
+
+// Said reads what an answer to a request says of the target, an engine or a plain service,
+// that gave it.
 func Said(response *http.Response) notice.Said {
 	said := notice.Said{Leaving: response.Header.Get(HeaderLeaving) != ""}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		said.Backoff = notice.Seconds(response.Header.Get("Retry-After"))
 	}
+	said.Rate, said.Limited = notice.PerSecond(response.Header.Get(HeaderLimit))
+	said.Unlimited = !said.Limited
 	return said
 }
 
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -113,9 +113,7 @@
 		if !all && now.Sub(x.Since) > limitNewsFor {
 			continue
 		}
-		list = append(list, peer.Limit{
-			Target: x.Life.ID, BornMS: unixMS(x.Life.Born), Named: x.Limit.Named, PerSecond: x.Limit.PerSecond, AgeMS: now.Sub(x.Limit.At).Milliseconds(),
-		})
+		list = append(list, peer.LimitOf(now, x))
 	}
 	return list
 }
@@ -123,12 +121,9 @@
 // hearLimits takes over the limits that another box knows, as of a time.
 func (d *Daemon) hearLimits(now, asOf time.Time, t *tables, m peer.Message) {
 	for _, l := range m.Limits {
-		x := notice.Rated{
-			Life:  fleet.Life{ID: l.Target, Born: fromUnixMS(l.BornMS)},
-			Limit: notice.Limit{Named: l.Named, PerSecond: l.PerSecond, At: asOf.Add(-time.Duration(l.AgeMS) * time.Millisecond)},
-		}
-		if l.AgeMS < 0 || !(l.PerSecond >= 0) {
-			d.Log.Warn("a box's word of a limit can't be used", "from", m.From, "target", l.Target, "per_second", l.PerSecond, "age_ms", l.AgeMS)
+		x, err := l.Rated(asOf)
+		if err != nil {
+			d.Log.Warn("a box's word of a limit can't be used", "from", m.From, "err", err)
 			continue
 		}
 		if d.notices.SetLimit(now, x) {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -36,8 +36,10 @@
 	faults   map[string]*fault.Switch
 	addrs    map[string]netip.AddrPort
 	daemons  []*running
-	mu       sync.Mutex
-	boxes    []boxes.Box
+	// limited are targets that may name a rate, by name.
+	limited map[string]*limitedTarget
+	mu      sync.Mutex
+	boxes   []boxes.Box
 }
 
 // running is one daemon that runs.
@@ -54,7 +56,7 @@
 // newFleet starts stand-ins and daemons; change alters each daemon before it
 // runs, and may be nil.
 func newFleet(t testing.TB, daemons int, change func(*Daemon)) *fleet {
-	f := &fleet{t: t, faults: make(map[string]*fault.Switch), addrs: make(map[string]netip.AddrPort)}
+	f := &fleet{t: t, faults: make(map[string]*fault.Switch), limited: make(map[string]*limitedTarget), addrs: make(map[string]netip.AddrPort)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	p := platform.Platform{Fault: f.fault("platform"), Lag: 50 * time.Millisecond, Silence: time.Minute, Writes: 1000, Reads: 10000}
@@ -101,7 +103,8 @@
 }
 
 func (f *fleet) serve(b boxes.Box, handler http.Handler) {
-	server := httptest.NewServer(handler)
+	f.limited[b.Name] = &limitedTarget{handler: handler}
+	server := httptest.NewServer(f.limited[b.Name])
 	f.t.Cleanup(server.CloseClientConnections)
 	b.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
 	f.addrs[b.Name] = b.Address
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -56,6 +56,8 @@
 	// Said hears what the head of an answer says of its target, before any of the answer
 	// is passed on.
 	Said func(route.Placed, notice.Said)
+	// Allow is asked right before a request leaves this box; its error keeps it here.
+	Allow func(route.Placed) error
 	// Permits gives marked requests the permission to run.
 	Permits *permit.Office
 	// Send does one exchange on a connection of its own and says whether any
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -123,7 +123,7 @@
 			Lookup: book.Lookup, Take: book.Take, Release: book.Release, Finish: book.Finish,
 			Record: func(decision.Record) {}, Patience: 2 * time.Second, ComeBack: comeBack,
 		},
-		Ended: func(route.Ended) {}, Said: func(route.Placed, notice.Said) {}, Send: send, Retry: func(string) bool { return true }, Attempts: 3, ComeBack: comeBack,
+		Ended: func(route.Ended) {}, Said: func(route.Placed, notice.Said) {}, Allow: func(route.Placed) error { return nil }, Send: send, Retry: func(string) bool { return true }, Attempts: 3, ComeBack: comeBack,
 	}
 }
 
@@ -295,10 +295,11 @@
 		header http.Header
 		want   notice.Said
 	}{
-		{"nothing", http.StatusOK, http.Header{}, notice.Said{}},
-		{"it leaves", http.StatusOK, http.Header{engine.HeaderLeaving: {"1"}}, notice.Said{Leaving: true}},
-		{"it wants no requests", http.StatusServiceUnavailable, http.Header{"Retry-After": {"3"}}, notice.Said{Backoff: 3 * time.Second}},
-		{"the request alone is to wait", http.StatusTooManyRequests, http.Header{"Retry-After": {"3"}}, notice.Said{}},
+		{"nothing", http.StatusOK, http.Header{}, notice.Said{Unlimited: true}},
+		{"it leaves", http.StatusOK, http.Header{engine.HeaderLeaving: {"1"}}, notice.Said{Leaving: true, Unlimited: true}},
+		{"it wants no requests", http.StatusServiceUnavailable, http.Header{"Retry-After": {"3"}}, notice.Said{Backoff: 3 * time.Second, Unlimited: true}},
+		{"the request alone is to wait", http.StatusTooManyRequests, http.Header{"Retry-After": {"3"}}, notice.Said{Unlimited: true}},
+		{"it limits requests", http.StatusOK, http.Header{engine.HeaderLimit: {"3.6"}}, notice.Said{Limited: true, Rate: 3.6}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
 
 	"github.com/thymewind/thymewind/claim"
 	"github.com/thymewind/thymewind/hop"
+	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
@@ -125,7 +127,8 @@
 			return nil
 		}
 		x.sent = x.sent || wrote
-		x.Ended(route.Ended{Placed: placed, Failed: x.ctx.Err() == nil})
+		kept := errors.Is(err, notice.ErrLimited)
+		x.Ended(route.Ended{Placed: placed, Failed: x.ctx.Err() == nil && !kept, Refused: kept})
 		if wrote && !x.repeatable {
 			return refusal.New(refusal.Unknown, http.StatusBadGateway, "no_answer", "the request was sent to %s but no answer came", placed.Target)
 		}
@@ -163,6 +166,9 @@
 
 // send does one exchange with the target placed.
 func (x *exchange) send(placed route.Placed) (*http.Response, bool, error) {
+	if err := x.Allow(placed); err != nil {
+		return nil, false, err
+	}
 	out := x.in.Clone(x.ctx)
 	out.URL.Scheme = "http"
 	out.URL.Host = placed.Address.String()
--- a/gossip.go
+++ b/gossip.go
@@ -23,6 +23,7 @@
 	maxLeaving = 32
 	maxDemand  = 12
 	maxUse     = 16
+	maxLimits  = 16
 	// loadWorthless is when a report is too old to be told on.
 	loadWorthless = 10 * time.Second
 	// leavingNews is how long ago a target was said to be leaving for it to be
@@ -95,6 +96,7 @@
 	m.Demand = t.demand(now)
 	m.Use = t.use(now)
 	t.takedowns.tellTakedowns(now, &m)
+	m.Limits = d.limitsTold(now)
 	return m
 }
 
@@ -149,6 +151,7 @@
 			t.MarkLeaving(x, now.Add(-time.Duration(l.Age)*time.Millisecond), m.From)
 		}
 	}
+	d.hearLimits(now, t, m)
 	if m.Revision > t.Configuration.Revision {
 		return d.catchUp(now, t, m.From)
 	}
--- /dev/null
+++ b/limited_test.go
@@ -0,0 +1,225 @@
+package thymewind
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/route"
+)
+
+// limitedTarget stands before a target and may have it name a rate.
+type limitedTarget struct {
+	handler http.Handler
+
+	mu sync.Mutex
+	// rate is named in each answer to a request, unless it is empty, since named.
+	rate  string
+	named time.Time
+	// came is when requests did, runs that are read again among them.
+	came []time.Time
+}
+
+func (l *limitedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Request-Id") != "" || strings.HasPrefix(r.URL.Path, "/v1/generate") || strings.HasPrefix(r.URL.Path, "/v1/resume") {
+		l.mu.Lock()
+		l.came = append(l.came, time.Now())
+		if l.rate != "" {
+			w.Header().Set(engine.HeaderLimit, l.rate)
+		}
+		l.mu.Unlock()
+	}
+	l.handler.ServeHTTP(w, r)
+}
+
+// name has the target name a rate from now on; empty names none.
+func (l *limitedTarget) name(rate string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate, l.named = rate, time.Now()
+}
+
+// most is the most requests that came within 4 s, from 3 s after the rate was named.
+func (l *limitedTarget) most() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range l.came {
+		if at.Sub(l.named) < 3*time.Second {
+			first = last + 1
+			continue
+		}
+		for at.Sub(l.came[first]) > 4*time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// press has each daemon of a fleet asked again and again, and counts the answers.
+func (f *fleet) press(span time.Duration, ask func(daemon, n int) int) map[int]int {
+	end := time.Now().Add(span)
+	statuses := make(map[int]int)
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	for daemon := range f.daemons {
+		work.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				_ = wait(context.Background(), 15*time.Millisecond)
+				status := ask(daemon, n)
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	work.Wait()
+	return statuses
+}
+
+// TestTargetsLimitHolds guards against boxes that together send a target more than the rate it
+// names for all of them: engines, services, and both kinds where no other target is left.
+func TestTargetsLimitHolds(t *testing.T) {
+	const rate, allowed = "2.5", 20 // One and a half times what comes in 4 s, and five.
+	tests := []struct {
+		name    string
+		limited []string
+		service bool
+		// refused says that callers may be, as only limited targets are left.
+		refused bool
+	}{
+		{"one engine of three", []string{"engine-1"}, false, false},
+		{"all engines", []string{"engine-1", "engine-2", "engine-3"}, false, true},
+		{"a service's only target", []string{"service-1"}, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3, nil)
+			for _, name := range tt.limited {
+				f.limited[name].name(rate)
+			}
+			statuses := f.press(9*time.Second, func(daemon, n int) int {
+				if tt.service {
+					return f.do(http.MethodGet, daemon, "menu key", "/services/orders/orders", "", nil).status
+				}
+				_, _, r := f.chat(daemon, "menu key", fmt.Sprintf("what is left tonight, %d %d", daemon, n), 2)
+				return r.status
+			})
+			for _, name := range tt.limited {
+				if most := f.limited[name].most(); most > allowed {
+					t.Errorf("%d requests reached %s in 4 s, %d are allowed", most, name, allowed)
+				}
+			}
+			t.Logf("answered %v", statuses)
+			if refused := statuses[http.StatusServiceUnavailable]; refused > 0 && !tt.refused {
+				t.Errorf("%d callers were refused beside targets without a limit", refused)
+			}
+			served := statuses[http.StatusOK] + statuses[http.StatusCreated]
+			if least := 9 * len(tt.limited); served < least {
+				t.Errorf("%d callers were served, want %d", served, least)
+			}
+		})
+	}
+}
+
+// TestTargetsLimitIsKnown says what a box knows of a target's limit, by answers and peers.
+func TestTargetsLimitIsKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := address("engine-0")
+	placed := route.Placed{Target: "engine-0", Address: at, At: now}
+	tests := []struct {
+		name    string
+		happen  func(d *Daemon)
+		limited bool
+		rate    float64
+	}{
+		{"nothing", func(*Daemon) {}, false, 0},
+		{"an answer", func(d *Daemon) { d.tellSaid(placed, notice.Said{Limited: true, Rate: 3}) }, true, 3},
+		{"a peer", func(d *Daemon) {
+			d.update(now, peerSaid{peer.Message{Limits: []peer.Limit{{Target: "engine-0@" + at.String(), Named: true, PerSecond: 2}}}, make(chan peer.Message, 1)})
+		}, true, 2},
+		{"a peer, of a target at another address", func(d *Daemon) {
+			d.update(now, peerSaid{peer.Message{Limits: []peer.Limit{{Target: "engine-0@10.9.9.9:1", Named: true, PerSecond: 2}}}, make(chan peer.Message, 1)})
+		}, false, 0},
+		{"an end", func(d *Daemon) {
+			d.tellSaid(placed, notice.Said{Limited: true, Rate: 3})
+			later := placed
+			later.At = d.now().Add(time.Second)
+			d.tellSaid(later, notice.Said{Unlimited: true})
+		}, false, 0},
+		{"an answer to a request placed before", func(d *Daemon) {
+			d.tellSaid(placed, notice.Said{Limited: true, Rate: 3})
+			d.tellSaid(placed, notice.Said{Unlimited: true})
+		}, true, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon(t)
+			d.update(now, configurationRead{configuration: inForce(1)})
+			(&world{left: make(map[string]bool)}).happens(d, now, "engine-0", listedLive)
+			tt.happen(d)
+			for len(d.messages) > 0 {
+				d.update(now, <-d.messages)
+			}
+			x, _ := d.tables.Targets.Lookup("engine-0")
+			if x.Limited != tt.limited || x.Rate != tt.rate {
+				t.Errorf("limited %v to %v", x.Limited, x.Rate)
+			}
+		})
+	}
+}
+
+// TestResumedRunsCount guards against answers that are read again beside a target's limit.
+func TestResumedRunsCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDaemon(t)
+	d.update(now, configurationRead{configuration: inForce(1)})
+	(&world{left: make(map[string]bool)}).happens(d, now, "engine-0", listedLive)
+	x, _ := d.tables.Targets.Lookup("engine-0")
+	d.tables.SetLimit(x, true, 1)
+	taken := func(at time.Time) bool {
+		_, err := d.tables.Place(at, route.Ask{Request: "r", Model: "m", Attempt: 1, Exclude: []string{"engine-1", "engine-2"}})
+		return err == nil
+	}
+	d.update(now, loadRead{target: "engine-0", load: engine.Load{Version: "v1", Slots: 8}})
+	taken(now) // The first request fills the bucket.
+	d.update(now, runResumed{x.Address})
+	if taken(now.Add(1500 * time.Millisecond)) {
+		t.Error("a request is placed though an answer was read again a moment ago")
+	}
+	if !taken(now.Add(2500 * time.Millisecond)) {
+		t.Error("no request is placed 2.5 s after that")
+	}
+}
+
+// TestKeptBack guards against requests that leave though their target limited requests after
+// they were placed.
+func TestKeptBack(t *testing.T) {
+	d := newDaemon(t)
+	p := route.Placed{Target: "engine-0", Address: netip.MustParseAddrPort("10.0.0.1:1"), At: d.now()}
+	if err := d.allow(p); err != nil {
+		t.Errorf("no limit is known: %v", err)
+	}
+	d.tellSaid(p, notice.Said{Limited: true, Rate: 3})
+	if d.allow(p) == nil {
+		t.Error("placed before the limit, and not kept back")
+	}
+	p.Granted = true
+	if err := d.allow(p); err != nil {
+		t.Errorf("placed within the limit: %v", err)
+	}
+	p.At = p.At.Add(-grantFor - time.Second)
+	if d.allow(p) == nil {
+		t.Error("placed long ago, and not kept back")
+	}
+}
--- a/message.go
+++ b/message.go
@@ -1,6 +1,7 @@
 package thymewind
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/thymewind/thymewind/boxes"
@@ -34,6 +35,9 @@
 	said   notice.Said
 }
 
+// runResumed tells that a run's answer is read again from a target.
+type runResumed struct{ at netip.AddrPort }
+
 // boxesRead is the platform's list, or why it can't be read.
 type boxesRead struct {
 	list []boxes.Box
--- a/notice/limit.go
+++ b/notice/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +37,11 @@
 	Since time.Time
 }
 
+// LifeAt is the life of a target that is known by its name and address alone.
+func LifeAt(name string, at netip.AddrPort) fleet.Life {
+	return fleet.Life{ID: name + "@" + at.String()}
+}
+
 // HearLimit notes what an answer says of its target's limit, to a request sent at asked, and
 // returns whether that is news. An answer that names none lifts a limit only if it was asked
 // for after the limit was heard: answers on several connections pass each other.
--- a/peer/message.go
+++ b/peer/message.go
@@ -91,18 +91,6 @@
 	BornMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Limit is a rate of requests that a target takes of all boxes together, or its end.
-type Limit struct {
-	Target string `cbor:"1,keyasint"`
-	// BornMS is when the target's life began, in Unix milliseconds; zero if it does not tell.
-	BornMS int64 `cbor:"2,keyasint,omitempty"`
-	// Named says that there is one, of PerSecond requests a second.
-	Named     bool    `cbor:"3,keyasint,omitempty"`
-	PerSecond float64 `cbor:"4,keyasint,omitempty"`
-	// AgeMS is how long ago that was known when the message was sent, in milliseconds.
-	AgeMS int64 `cbor:"5,keyasint,omitempty"`
-}
-
 // EndedUnder tells which requests ran on a target when it ended.
 type EndedUnder struct {
 	// Life names the target's life as all boxes do.
--- a/place.go
+++ b/place.go
@@ -27,6 +27,7 @@
 		d.Log.Info("target wants no requests", "target", x.Name, "for", m.said.Backoff, "request", m.placed.Request)
 	}
 	t.Said(now, m.placed, m.said)
+	d.limitTargets(t)
 }
 
 func (d *Daemon) recordEnded(now time.Time, m attemptEnded) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -163,6 +163,8 @@
 // unheard is for tests in which targets say nothing of themselves.
 func unheard(route.Placed, notice.Said) {}
 
+func allowed(route.Placed) error { return nil }
+
 // outcome is what the caller got.
 type outcome struct {
 	text    string
@@ -184,7 +186,7 @@
 			}, nil
 		},
 		Generate: e.generate, Resume: e.resume, Cancel: s.cancel(e), Accept: s.accept,
-		Ended: func(route.Ended) {}, Said: unheard, Retry: func(string) bool { return true },
+		Ended: func(route.Ended) {}, Said: unheard, Allow: allowed, Retry: func(string) bool { return true },
 		Now: func() time.Time { return time.Time{} }, Attempts: 3, Resumes: 2, Stall: time.Minute,
 		ComeBack: func() time.Duration { return time.Second },
 	}
@@ -300,7 +302,7 @@
 			return frames, err
 		},
 		Resume: e.resume, Cancel: e.cancel, Accept: (*stream.Checker).Accept,
-		Ended: func(route.Ended) {}, Said: unheard, Retry: func(string) bool { return true }, Now: time.Now,
+		Ended: func(route.Ended) {}, Said: unheard, Allow: allowed, Retry: func(string) bool { return true }, Now: time.Now,
 		Attempts: 2, Resumes: 2, Stall: 2 * time.Second, ComeBack: func() time.Duration { return time.Second },
 	}
 	began := time.Now()
@@ -337,7 +339,7 @@
 				return frames, err
 			},
 			Resume: e.resume, Cancel: e.cancel, Accept: (*stream.Checker).Accept, Ended: func(route.Ended) {},
-			Said: unheard, Retry: func(string) bool { return true }, Now: time.Now, Attempts: 3, Resumes: 2, Stall: 2 * time.Second,
+			Said: unheard, Allow: allowed, Retry: func(string) bool { return true }, Now: time.Now, Attempts: 3, Resumes: 2, Stall: 2 * time.Second,
 			ComeBack: func() time.Duration { return time.Second },
 		}
 		_, err := r.Run(context.Background(), relay.Request{
@@ -384,7 +386,7 @@
 					}
 					heard = append(heard, said)
 				},
-				Retry: func(string) bool { return true }, Now: time.Now, Attempts: 1, Resumes: 1, Stall: time.Minute,
+				Allow: allowed, Retry: func(string) bool { return true }, Now: time.Now, Attempts: 1, Resumes: 1, Stall: time.Minute,
 				ComeBack: func() time.Duration { return time.Second },
 			}
 			_, err := r.Run(t.Context(), relay.Request{
--- a/relay/run.go
+++ b/relay/run.go
@@ -121,6 +121,10 @@
 	j.checker.Version = placed.Version
 	j.checker.Scope = placed.Scope.String()
 	j.checker.Next(placed.Attempt)
+	if err := j.Allow(placed); err != nil {
+		ended.Refused = true
+		return ended, trace.Wrap(err)
+	}
 	sent := j.Now()
 	before := j.mayRun
 	j.mayRun = true
--- a/request.go
+++ b/request.go
@@ -68,9 +68,10 @@
 	_ = d.send(context.Background(), attemptEnded{e})
 }
 
-// tellSaid tells the loop what an answer's head says of its target, if it says anything.
+// tellSaid notes what an answer's head says of its target, and tells the loop of news.
 func (d *Daemon) tellSaid(placed route.Placed, said notice.Said) {
-	if said != (notice.Said{}) {
+	limited := d.notices.HearLimit(d.now(), placed.At, notice.LifeAt(placed.Target, placed.Address), said)
+	if limited || said.Leaving || said.Backoff > 0 {
 		_ = d.send(context.Background(), targetSaid{placed, said})
 	}
 }
@@ -102,7 +103,7 @@
 		At: d.now(), Kind: decision.Resumed, Request: token.Request, Account: token.Account,
 		Rule: "resume token", Result: token.Target.String(),
 	})
-	frames, err := d.engines.Resume(ctx, token.Target, token.Request, token.Attempt, offset)
+	frames, err := d.resume(ctx, token.Target, token.Request, token.Attempt, offset)
 	if err != nil {
 		return stream.Frame{}, notResumable(err)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -76,6 +76,10 @@
 	Known bool
 	// KeptPieces is how many pieces the store box was found to hold.
 	KeptPieces int
+	// At is when the request was placed. Granted says that the target limits requests and that
+	// this one is among those that this box may send.
+	At      time.Time
+	Granted bool
 	// FirstToken bounds the wait for the first text.
 	FirstToken time.Duration
 	// Estimate is what is known of the pool's engines and links.
--- a/tables.go
+++ b/tables.go
@@ -32,6 +32,8 @@
 	takedowns takedowns
 	// turn is where the next message to peers begins in the targets.
 	turn int
+	// quotaBoxes are the boxes that share targets' rates; nil if they have to be listed anew.
+	quotaBoxes []string
 	// held are the duties by name, held or not.
 	held map[string]*duty
 	// pending marks reads that were sent and not answered yet.
--- a/target/target.go
+++ b/target/target.go
@@ -39,6 +39,11 @@
 	// queue is the prompts that wait to be computed.
 	queue queue
 
+	// Limited says that it takes no more than Rate requests a second of all boxes together, as
+	// it said.
+	Limited bool
+	Rate    float64
+
 	// ID is that of Name and Address.
 	ID      uint64
 	Name    string
--- a/update.go
+++ b/update.go
@@ -17,6 +17,8 @@
 		return d.placeOrKeep(now, t, m)
 	case targetSaid:
 		d.targetSaid(now, t, m)
+	case runResumed:
+		d.runResumed(now, t, m)
 	case attemptEnded:
 		return d.ended(now, t, m)
 	case boxesRead:
@@ -91,6 +93,7 @@
 	t.StillLeaving(now)
 	t.Group()
 	d.watch(t)
+	d.limitTargets(t)
 	t.byID = make(map[uint64]*target.Target, t.Targets.Len())
 	for _, x := range t.Targets.All() {
 		t.byID[x.ID] = x
