fix(entry): a limit that another box tells of a life not listed yet is not taken over

What callers saw: some of a box's requests were turned away by a replica that had asked that box for 3 s without any (17 in that time, 2 allowed), and tried elsewhere or refused. Cause: that replica had started again under its ID. Another box knew its new life and told the limit that it named; this box's list still named the old life, so its book held the later one, and what the replica answered itself counted as an earlier life's word and was dropped. Ruled out: word that was not read (the same box heeds others), a sending against it (no line of one). TestLimitOfUnlistedLife fails without the mend.

--- a/entry/quota.go
+++ b/entry/quota.go
@@ -126,6 +126,9 @@
 			d.Log.Warn("a box's word of a limit can't be used", "from", m.From, "err", err)
 			continue
 		}
+		if t.fleet.Of(x.Life) == nil {
+			continue // What this box hears itself is of the life that its list names.
+		}
 		if d.notices.SetLimit(now, x) {
 			d.noteLimit(x, m.From)
 		}
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -298,6 +298,27 @@
 	}
 }
 
+// TestLimitOfUnlistedLife guards against a limit that another box told of a target's next life,
+// which this box's list does not name yet, and which made what that target said to this box
+// count as an earlier life's.
+func TestLimitOfUnlistedLife(t *testing.T) {
+	d := alone()
+	listed := engine("a", 1)
+	listed.Born = start.Add(-time.Minute)
+	d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{listed}}, false})
+	told := peer.Limit{Target: "a", BornMS: start.UnixMilli(), Named: true, PerSecond: 3}
+	d.peerAsks(start, &d.tables, peer.Message{Kind: peer.KindGossip, From: "b2", Limits: []peer.Limit{told}})
+	say(d, start, fleet.Life{ID: "a", Born: listed.Born}, resting)
+	if got, _ := placedOn(d, start.Add(time.Second)); fmt.Sprint(got) != "[b]" {
+		t.Errorf("placed on %v in the time for which a wants none", got)
+	}
+	d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{{ID: "a", Pool: "models", Versions: map[string]int64{"m": 1}, Born: start}}}, false})
+	d.peerAsks(start, &d.tables, peer.Message{Kind: peer.KindGossip, From: "b2", Limits: []peer.Limit{told}})
+	if x := d.tables.fleet.Target("a"); !x.Limited {
+		t.Error("the limit is not known once the list names that life")
+	}
+}
+
 // TestLimitsTold guards against messages that tell all limits all the time.
 func TestLimitsTold(t *testing.T) {
 	d := alone()
