test(entry): targets come back by the list of a hub that was cut off, failing

A hub that was cut off keeps entries that went meanwhile for 1.9 s, as if the table service had been away, and tells its boxes; one that knows them to be gone takes them back.

--- a/entry/overtaken_test.go
+++ b/entry/overtaken_test.go
@@ -183,3 +183,35 @@
 		}
 	})
 }
+
+// TestLapsedAtOneHub guards against targets that come back at boxes which know them to be gone,
+// as a hub that was cut off keeps them for a while like entries lost in an outage.
+func TestLapsedAtOneHub(t *testing.T) {
+	x := newCutReaders()
+	read := func(after time.Duration, d *Daemon, change Targets, away bool) {
+		x.version++
+		d.update(start.Add(after), operatorRead{start.Add(after), Operator{Version: 9}})
+		change.Changed, change.Version = x.version, x.version
+		d.update(start.Add(after), targetsRead{start.Add(after), change, away})
+	}
+	knows := func(d *Daemon) bool { return d.tables.fleet.Target("a") != nil }
+	gossip(start, x.spoke, x.second)
+	read(time.Second, x.second, Targets{Gone: []string{"a"}}, false)
+	gossip(start.Add(time.Second), x.spoke, x.second)
+	if knows(x.spoke) {
+		t.Fatal("the box does not know that the target is gone")
+	}
+	read(2*time.Second, x.cut, Targets{Gone: []string{"a"}}, true)
+	gossip(start.Add(2*time.Second), x.spoke, x.cut)
+	if x.spoke.tables.hub != "box-00" {
+		t.Fatalf("the box lives on %q", x.spoke.tables.hub)
+	}
+	if knows(x.spoke) {
+		t.Error("the target is back by the list of a hub that was cut off")
+	}
+	read(3*time.Second, x.cut, Targets{Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1")}}, false)
+	gossip(start.Add(3*time.Second), x.spoke, x.cut)
+	if !knows(x.spoke) {
+		t.Error("the target's entry came back, and the box does not know")
+	}
+}
