fix(entry): boxes don't take targets in by the word of a hub whose list lost them

Cause: a hub that was cut off takes its cut for an outage of the table service, and keeps entries that went meanwhile for 1.9 s; it told its boxes of them like of any other, and boxes that knew by another hub that they are gone took them in again. Ruled out: an old list told before the new one was read (it was read 1.07 s before), boxes that never heard (they logged that the engines were gone). Change: a lapsed entry is told as such, and is not taken in by a box that does not have the target; one that has it keeps it. Its return is told like any change.

--- a/entry/inuse.go
+++ b/entry/inuse.go
@@ -242,12 +242,12 @@
 	return peer.Entry{
 		ID: x.ID, Pool: x.Pool, Address: x.Address.String(), Domain: x.Domain, Slots: x.Slots,
 		Leaving: x.Leaving, Software: x.Software, Loading: x.Loading(now), Versions: maps.Clone(x.Versions),
-		BornMS: unixMS(x.Born), ColdMS: max(x.ColdUntil.Sub(now), 0).Milliseconds(),
+		BornMS: unixMS(x.Born), ColdMS: max(x.ColdUntil.Sub(now), 0).Milliseconds(), Lapsed: !x.LapsedAt.IsZero(),
 	}
 }
 
 // differs says that boxes have to be told of a target anew.
 func differs(a, b peer.Entry) bool {
 	return a.Address != b.Address || a.Domain != b.Domain || a.Slots != b.Slots || a.Leaving != b.Leaving || a.Loading != b.Loading ||
-		a.BornMS != b.BornMS || (a.ColdMS > 0) != (b.ColdMS > 0) || !maps.Equal(a.Versions, b.Versions)
+		a.BornMS != b.BornMS || a.Lapsed != b.Lapsed || (a.ColdMS > 0) != (b.ColdMS > 0) || !maps.Equal(a.Versions, b.Versions)
 }
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -74,7 +74,7 @@
 func (t *tables) comes(now time.Time, id string) *peer.Entry {
 	x := t.fleet.Target(id)
 	u := t.inUse[x.Pool]
-	if u == nil || u.members == nil || now.Sub(u.since[id]) > comesFor {
+	if u == nil || u.members == nil || !x.LapsedAt.IsZero() || now.Sub(u.since[id]) > comesFor {
 		return nil
 	}
 	entry := entryOf(now, x)
--- a/entry/view.go
+++ b/entry/view.go
@@ -140,6 +140,9 @@
 	if t.hubSeen != nil {
 		t.hubSeen[e.ID] = true
 	}
+	if e.Lapsed && t.fleet.Target(e.ID) == nil {
+		return // Another hub's list said that it is gone; a hub that was cut off can't tell that from an outage.
+	}
 	x := d.listTarget(now, t, fleet.Entry{
 		ID: e.ID, Pool: e.Pool, Address: at, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, Software: e.Software, Versions: e.Versions,
 		Born: fromUnixMS(e.BornMS), Cold: time.Duration(e.ColdMS) * time.Millisecond,
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -167,6 +167,9 @@
 	BornMS int64 `cbor:"10,keyasint,omitempty"`
 	// ColdMS is for how long yet the target is slow from its start, in milliseconds.
 	ColdMS int64 `cbor:"9,keyasint,omitempty"`
+	// Lapsed says that the hub's list lost the entry after an outage, or a cut of the hub
+	// alone, and that it may come back.
+	Lapsed bool `cbor:"12,keyasint,omitempty"`
 	// Software is the version of the target's software.
 	Software string `cbor:"11,keyasint,omitempty"`
 }
