fix(deliver): what a newer configuration may allow is refused with 503, not for good

What callers saw: once, a 404 for a route that had been added 3.3 s before (3 s are allowed); callers don't come back after a 404. Cause: suspected, not traced: a 404 or 401 was given by whatever configuration a box had, however old its proof of that was; only keys that are known were bounded by it. With a sound proof an old box can't refuse for good what was configured for longer than the bound.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -27,6 +27,9 @@
 	}
 	path, _, _ := strings.Cut(call.Path, "?")
 	r := table.Route(call.Host, path)
+	if r == nil && !s.Newest(s.Now()) {
+		return nil, s.notNow(job, "stale", "this box can't tell whether there is a route for %s%s by now", call.Host, path)
+	}
 	if r == nil {
 		return nil, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
 	}
@@ -36,6 +39,9 @@
 			return nil, s.notNow(job, "stale", "this box can't tell whether the key is still good")
 		}
 		account, known := table.Account(call.Key)
+		if !known && !s.Newest(s.Now()) {
+			return nil, s.notNow(job, "stale", "this box can't tell whether the key is known by now")
+		}
 		if !known {
 			return nil, refusal.New(refusal.DidNotRun, http.StatusUnauthorized, "unknown_key", "unknown key")
 		}
--- a/deliver/deliver_test.go
+++ b/deliver/deliver_test.go
@@ -128,7 +128,7 @@
 	route.Shares = []routing.Share{{Pool: "p", Weight: 1}}
 	table := routing.New(1, []*routing.Route{route}, []*routing.Pool{{Name: "p"}}, nil)
 	return &deliver.Server{
-		Table: func() *routing.Table { return table }, Fresh: func(time.Time) bool { return true },
+		Table: func() *routing.Table { return table }, Fresh: func(time.Time) bool { return true }, Newest: func(time.Time) bool { return true },
 		Place: func(context.Context, deliver.Ask) (deliver.Place, error) {
 			x.placed++
 			return deliver.Place{Target: "t" + strconv.Itoa(x.placed)}, nil
--- a/entry/build.go
+++ b/entry/build.go
@@ -32,6 +32,8 @@
 	// proofMargin is taken off the bound after which keys are not trusted: for
 	// the time between the check and the target's start of work.
 	proofMargin = 700 * time.Millisecond
+	// answerMargin is the same for answers of this box's own, which no target works on first.
+	answerMargin = 100 * time.Millisecond
 	// answeredLines is how many lines on whole answers are logged a second; a
 	// line costs about 10 us.
 	answeredLines = 100
@@ -156,7 +158,7 @@
 
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
-		Table: d.current.Load, Fresh: d.fresh, Place: d.askPlace, Send: d.send,
+		Table: d.current.Load, Fresh: d.fresh, Newest: d.newest, Place: d.askPlace, Send: d.send,
 		Began:   func(p deliver.Place) { d.report(answerBegan{p}) },
 		Ended:   func(e deliver.Ended) { d.report(sendingEnded{e}) },
 		Suspect: d.suspect, Least: d.least,
@@ -168,12 +170,23 @@
 // fresh says that no key can have been taken away for so long that it must not
 // be used any more.
 func (d *Daemon) fresh(now time.Time) bool {
-	bound := d.bounds.Load().RevokedWithin
+	return d.provedWithin(now, d.bounds.Load().RevokedWithin, proofMargin)
+}
+
+// newest says that nothing can have been configured for so long that it must be known, and
+// not be in the configuration in force.
+func (d *Daemon) newest(now time.Time) bool {
+	return d.provedWithin(now, d.bounds.Load().AppliedWithin, answerMargin)
+}
+
+// provedWithin says that the configuration was known to be the newest within a bound less a
+// margin; there is no bound if it is zero.
+func (d *Daemon) provedWithin(now time.Time, bound, margin time.Duration) bool {
 	if bound == 0 {
 		return true
 	}
 	proved := d.proved.Load()
-	return proved != nil && now.Sub(*proved) < bound-proofMargin
+	return proved != nil && now.Sub(*proved) < bound-margin
 }
 
 // jitter draws a time below the given one.
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -69,6 +69,9 @@
 	Notice time.Duration `yaml:"notice"`
 	// Drain is how long a leaving target still takes requests.
 	Drain time.Duration `yaml:"drain"`
+	// AppliedWithin is how long after a configuration was accepted boxes may still answer by
+	// an older one; zero if there is no such bound.
+	AppliedWithin time.Duration `yaml:"applied_within"`
 	// RevokedWithin is the longest that a key is honoured after it was taken
 	// away, whatever befalls the box; zero if there is no such bound.
 	RevokedWithin time.Duration `yaml:"revoked_within"`
@@ -166,6 +169,7 @@
 	d.CheckWithin("bounds.revoked_within", s.Bounds.RevokedWithin, 0, longest)
 	d.CheckWithin("bounds.retry_window", s.Bounds.RetryWindow, time.Second, longest)
 	d.CheckWithin("bounds.takeover", s.Bounds.Takeover, 0, longest)
+	d.CheckWithin("bounds.applied_within", s.Bounds.AppliedWithin, 0, longest)
 	d.CheckWithin("bounds.weights_within", s.Bounds.WeightsWithin, 0, longest)
 	d.CheckWithin("bounds.evacuated_within", s.Bounds.EvacuatedWithin, 0, longest)
 	d.CheckWithin("bounds.taken_back_within", s.Bounds.TakenBackWithin, 0, longest)
