--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -254,8 +254,8 @@
 	// Newest says that the configuration in force can't lack what was configured for so long
 	// that it must be known: what it does not have may be refused for good.
 	Newest func(now time.Time) bool
-	Place func(ctx context.Context, ask Ask) (Place, error)
-	Send  func(ctx context.Context, s Sending) (*Reply, error)
+	Place  func(ctx context.Context, ask Ask) (Place, error)
+	Send   func(ctx context.Context, s Sending) (*Reply, error)
 	// Began hears when an answer's head came, Ended how a sending ended. Each
 	// sending is told to Ended exactly once.
 	Began func(Place)
