--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -20,12 +20,10 @@
 	gossipEvery = 150 * time.Millisecond
 	// hubsEvery is the same among hubs, each of which places some 200 requests a
 	// second: what the others do not know of meanwhile meets theirs at the same
-	// targets. On a day with two rollouts over 99 engines 44 in 1,000 callers were
-	// answered late and 2 refused; with 150 ms 71 and 7.
+	// targets.
 	hubsEvery = 50 * time.Millisecond
 	// spokeEvery is how often a box tells its hub: some 40 do. What its requests no
-	// longer take up counts until then: with 300 ms, 44 in 1,000 callers were late and 2
-	// refused on a day with two rollouts over 99 engines, and 36 and 1 with 150 ms.
+	// longer take up counts until then.
 	spokeEvery = 150 * time.Millisecond
 	// gossipFor is how long a call may take.
 	gossipFor = 300 * time.Millisecond
--- a/entry/overtaken.go
+++ b/entry/overtaken.go
@@ -14,8 +14,7 @@
 // have changed. One that hears of a later change than it has read for longer than a sound
 // read takes breaks its read off and reads at once. If that brings nothing either, it is cut
 // off from the table service, though other hubs vouch for its configuration: it says that its
-// list is behind, and boxes that live on it go to the next hub. Without that they sent to
-// targets that had left for as long as the held read, 3 s and more.
+// list is behind, and boxes that live on it go to the next hub.
 
 const (
 	// overtakenRead is how long after another hub's word this one reads at once: a sound
--- a/entry/purse.go
+++ b/entry/purse.go
@@ -10,9 +10,8 @@
 
 // In a fleet of more boxes than may each save up a retry, hubs keep the retries: boxes pay in
 // what their requests earn, with their gossip, and ask for one where a request has to be tried
-// again. 985 boxes with a part of their own each had one answer in eleven of a service that fails
-// one in seven not tried again, for want of a retry, while the fleet had thousands. A box that
-// hears no hub has what it is drawn for (drawnBurst).
+// again: parts below one would leave most requests without a retry while the fleet has many. A box
+// that hears no hub has what it is drawn for (drawnBurst).
 
 const (
 	// purseShare is the part of what all boxes may save up that hubs hold together; drawnShare
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -19,13 +19,12 @@
 	hubHold = 300 * time.Millisecond
 	// startHold is the same while a box that was never there before waits for the
 	// others' rows; it then reads twice within the time that keys are trusted, also
-	// if one connection goes silent. With 3 s, each new box refused keys for 0.2 s,
-	// twice in its first 6 s.
+	// if one connection goes silent.
 	startHold = 1800 * time.Millisecond
 	// hold is how long the other reads are held. A connection that went silent is
 	// found out only behind it, and leaving targets have to be heeded 5 s after
 	// that (3 s in which it is excused, and 2 s): hold and the longest wait for an
-	// answer stay below. Held for 10 s, a box went on for up to 11.5 s.
+	// answer stay below.
 	hold = 3 * time.Second
 	// againAfter is the pause after a failed read; each call has its price.
 	againAfter = 250 * time.Millisecond
@@ -33,8 +32,8 @@
 	// yet: it has no version from which a read could be held.
 	emptyAgain = 300 * time.Millisecond
 	// spokeAgain is the longest pause after failed reads of a box that lives on
-	// hubs. They read on and tell within 0.3 s that the service is back. With
-	// againAfter, 185 such boxes made 6,000 of a day's 12,200 calls in an outage of 8 s.
+	// hubs. They read on and tell within 0.3 s that the service is back, and in an outage
+	// each call of many boxes has its price.
 	spokeAgain = time.Second
 	// targetsEvery is the least time between two reads of the list: many
 	// entries that change at once then cost one call.
