fix(notice): a rate that changes in small steps is news once it has changed by a fifth in all

What callers saw: nothing. A target whose rate falls by less than a fifth from answer to answer would have been sent the first rate for ever: choosing was told only of changes by a fifth of the rate before. TestHearLimit fails without the mend.

--- a/notice/limit.go
+++ b/notice/limit.go
@@ -14,7 +14,8 @@
 	// liftedFor is how long the end of a limit is remembered, so that older word of it does
 	// not bring it back.
 	liftedFor = 30 * time.Second
-	// noted is by what part of itself a rate has to change for that to be news.
+	// noted is by what part of itself a rate has to change since it was news last to be so
+	// again. Boxes' parts may be off by as much.
 	noted = 0.2
 )
 
@@ -64,12 +65,11 @@
 	if r == nil || !x.Limit.At.After(r.limit.At) {
 		return false
 	}
-	before := r.limit
+	change := math.Abs(r.limitNoted - x.Limit.PerSecond)
+	news := r.limit.Named != x.Limit.Named || change > noted*r.limitNoted
 	r.limit = x.Limit
-	change := math.Abs(before.PerSecond - x.Limit.PerSecond)
-	news := before.Named != x.Limit.Named || change > noted*before.PerSecond
 	if news {
-		r.limitedAt = now
+		r.limitedAt, r.limitNoted = now, x.Limit.PerSecond
 	}
 	return news
 }
--- a/notice/limit_test.go
+++ b/notice/limit_test.go
@@ -27,6 +27,7 @@
 		{"a rate of nothing", []answer{{0, 1, limited(0), true}}, true, 0},
 		{"the same again", []answer{{0, 1, limited(3.6), true}, {2, 3, limited(3.6), false}}, true, 3.6},
 		{"a little lower", []answer{{0, 1, limited(3.6), true}, {2, 3, limited(3.5), false}}, true, 3.5},
+		{"lower in small steps", []answer{{0, 1, limited(10), true}, {2, 3, limited(9), false}, {4, 5, limited(8.1), false}, {6, 7, limited(7.3), true}}, true, 7.3},
 		{"far lower", []answer{{0, 1, limited(3.6), true}, {2, 3, limited(1), true}}, true, 1},
 		{"over", []answer{{0, 1, limited(3.6), true}, {2, 3, unlimited, true}}, false, 0},
 		{"an answer that was under way", []answer{{0, 2, limited(3.6), true}, {1, 3, unlimited, false}}, true, 3.6},
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -74,9 +74,11 @@
 	leaving bool
 	// until is when the time without requests is over.
 	until time.Time
-	// limit is the rate that it names, limitedAt when that was news last.
-	limit     Limit
-	limitedAt time.Time
+	// limit is the rate that it names, limitedAt when that was news last, and limitNoted the
+	// rate then.
+	limit      Limit
+	limitedAt  time.Time
+	limitNoted float64
 	// last is when the target was last heard or asked for.
 	last time.Time
 }
