--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -32,6 +32,7 @@
 	heldBack      *prometheus.CounterVec
 	limited       prometheus.Counter
 	canaries      *prometheus.CounterVec
+	proofs        *prometheus.CounterVec
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -75,9 +76,10 @@
 	c.heldBack = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_held_back_total", Help: "Requests kept from targets at the last moment, by what these had said of themselves."}, []string{"said"})
 	c.limited = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_limited_total", Help: "Requests placed on targets that limit the requests of all boxes."})
 	c.canaries = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_canaries_total", Help: "Versions of pools' software that were tried out, by what this box learnt of them."}, []string{"what"})
+	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack, c.limited, c.canaries,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack, c.limited, c.canaries, c.proofs,
 	)
 	return c
 }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -80,6 +80,9 @@
 	// Changed is the version of the newest change among those read, zero if there was
 	// none; Version is that up to which all changes are known.
 	Changed uint64
+	// Era counts how often the table service came back from an older copy of its rows;
+	// zero if it does not tell.
+	Era uint64
 	// Clock is the table service's steady clock when it made the answer, or zero
 	// if it did not tell.
 	Clock time.Duration
@@ -100,6 +103,8 @@
 	// Changed is the version of the newest change among those read, zero if there was
 	// none; Version is that up to which all changes are known.
 	Changed uint64
+	// Era is as in Operator.
+	Era uint64
 	// Unusable says of entries that no target wrote why each can't be used, by its key.
 	// It names no target, also where an earlier entry under the key did.
 	Unusable map[string]error
@@ -110,6 +115,8 @@
 	Whole   bool
 	Rows    []table.Row
 	Version uint64
+	// Era is as in Operator.
+	Era uint64
 }
 
 // News is what a source says of the prompt parts that it keeps.
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -137,6 +137,8 @@
 	// operatorChange is the newest change of what the operator wrote that was read,
 	// operatorKnown the version up to which all are known.
 	operatorChange, operatorKnown uint64
+	// provedNewest is the newest change that another box last told with a proof.
+	provedNewest uint64
 	// gate counts what this box sent to cold targets.
 	gate warming.Gate
 	// quotas hold what this box may send to targets that limit requests.
--- a/entry/update.go
+++ b/entry/update.go
@@ -74,6 +74,10 @@
 // operatorRead takes over what the operator wrote. A lower version is never
 // taken.
 func (d *Daemon) operatorRead(now time.Time, t *tables, m operatorRead) []effect {
+	if m.change.Whole {
+		d.Log.Info("what the operator wrote was read whole", "version", m.change.Version, "era", m.change.Era, "known", t.operatorKnown, "newest_known", t.operatorChange)
+	}
+	d.provedBy(t, d.Settings.Name, m.change.Version)
 	d.weightsRead(now, t, m)
 	d.evacuationsRead(now, t, m)
 	d.canariesRead(now, t, m)
@@ -88,7 +92,7 @@
 	if next == nil || next.Version <= d.version() {
 		return nil
 	}
-	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "asked_ago", now.Sub(m.asked))
+	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "row", m.change.Changed, "era", m.change.Era, "asked_ago", now.Sub(m.asked))
 	d.counts.configuration.Set(float64(next.Version))
 	d.raw.Store(&m.change.Raw)
 	d.current.Store(next)
--- a/entry/vouch.go
+++ b/entry/vouch.go
@@ -60,8 +60,23 @@
 	switch {
 	case m.Operator == 0 || d.vouches.Load() == 0:
 	case m.Operator <= t.operatorKnown:
+		d.provedBy(t, m.From, m.Operator)
 		d.prove(asked.Add(-time.Duration(m.ProofMS) * time.Millisecond))
 	default:
 		d.behind.Store(true)
 	}
 }
+
+// provedBy counts by whose word this box holds its configuration for the newest, and logs of which
+// change that told.
+func (d *Daemon) provedBy(t *tables, box string, newest uint64) {
+	by := "read"
+	if box != d.Settings.Name {
+		by = "another"
+	}
+	d.counts.proofs.WithLabelValues(by).Inc()
+	if by == "another" && newest != t.provedNewest {
+		d.Log.Info("configuration proved by another box", "box", box, "newest_there", newest, "known", t.operatorKnown, "configuration", d.version())
+		t.provedNewest = newest
+	}
+}
