--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -48,8 +48,8 @@
 	operator Operator
 	// listed is what the list of targets holds.
 	listed map[string]fleet.Entry
-	// version is the table service's.
-	version uint64
+	// version is the table service's, of the copy that it was last restored from on.
+	version, restores uint64
 	// told is what the operator was told, by pool.
 	told map[string][]canary.State
 	cost map[string]*emulatedCost
@@ -139,7 +139,7 @@
 
 // list is the whole list.
 func (w *emulator) list() Targets {
-	all := Targets{Whole: true, Version: w.version, Changed: w.version}
+	all := Targets{Whole: true, Version: w.version, Changed: w.version, Era: w.restores}
 	for _, e := range w.listed {
 		all.Listed = append(all.Listed, e)
 	}
@@ -202,6 +202,19 @@
 	change(&w.operator)
 }
 
+// restore has the table service come back from a copy that lacks the last versions. What the
+// operator wrote and the list are written again.
+func (w *emulator) restore(lost uint64) {
+	w.version -= lost
+	w.restores++
+	w.write(func(*Operator) {})
+	for _, d := range w.boxes {
+		if !d.viewed(w.now) && !w.noRows[d.Settings.Name] {
+			w.carry(d, d.update(w.now, targetsRead{w.now, w.list(), true}))
+		}
+	}
+}
+
 // later has something done after a time.
 func (w *emulator) later(after time.Duration, run func()) {
 	w.pending = append(w.pending, pending{w.now.Add(after), run})
@@ -242,6 +255,7 @@
 	if w.now.Sub(start)%hubHold == 0 && !w.noRows[d.Settings.Name] && !d.viewed(w.now) && !d.vouched(w.now) {
 		w.cost[d.Settings.Name].storeCalls++
 		read := w.operator
+		read.Version, read.Era = w.version, w.restores
 		read.Clock = time.Hour + w.now.Sub(start)
 		w.carry(d, d.update(w.now, operatorRead{w.now, read}))
 	}
