fix(entry,platform): numbers of a restored table service are not compared with those from before

Cause: after a restore the table service gives version numbers out again; hubs compared the newest change known as if there were one history, so nothing seemed to have changed and each word renewed a proof; a read that went on from an old number beyond which the service had come missed all below. Ruled out: a lower configuration taken over, a dropped one (no box went below 52; 54 to 60 reached 25 boxes at once).

--- a/entry/effect.go
+++ b/entry/effect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
 )
@@ -100,7 +101,7 @@
 	if !held || epoch == e.known {
 		return m
 	}
-	own, err := d.Platform.Own(ctx, 0, 0)
+	own, err := d.Platform.Own(ctx, revision.Revision{}, 0)
 	if err != nil {
 		m.err = err
 		return m
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -14,6 +14,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/table"
 )
@@ -72,7 +73,7 @@
 		now: start, byName: make(map[string]*Daemon), rows: &fake.Table{}, noRows: make(map[string]bool), dead: make(map[string]bool),
 		listed: make(map[string]fleet.Entry), version: 10, told: make(map[string][]canary.State), cost: make(map[string]*emulatedCost),
 	}
-	w.operator = Operator{Table: table, Raw: []byte("raw"), Whole: true, Changed: 9, Version: 10}
+	w.operator = Operator{Table: table, Raw: []byte("raw"), Whole: true, Changed: rev(9), Known: rev(10)}
 	for i := range boxes {
 		w.add(fmt.Sprintf("box-%04d", i), fmt.Sprintf("d%d", i%domains), i < strongEach*domains)
 	}
@@ -99,10 +100,10 @@
 		w.cost[name].storeCalls++
 		return w.rows.Read(ctx, key)
 	}
-	d.Platform.Own = func(ctx context.Context, _ uint64, _ time.Duration) (Own, error) {
+	d.Platform.Own = func(ctx context.Context, _ revision.Revision, _ time.Duration) (Own, error) {
 		w.cost[name].storeCalls++
 		rows, err := w.rows.ListAll(ctx, "")
-		return Own{Whole: true, Rows: rows, Version: w.version}, err
+		return Own{Whole: true, Rows: rows, Known: w.revision()}, err
 	}
 	d.Platform.TellCanary = func(_ context.Context, ask canary.Ask, state canary.State) error {
 		w.cost[name].storeCalls++
@@ -137,9 +138,14 @@
 	w.carry(d, d.update(w.now, targetsRead{w.now, w.list(), false}))
 }
 
+// revision is the table service's newest.
+func (w *emulator) revision() revision.Revision {
+	return revision.Revision{Restores: w.restores, Number: w.version}
+}
+
 // list is the whole list.
 func (w *emulator) list() Targets {
-	all := Targets{Whole: true, Version: w.version, Changed: w.version, Era: w.restores}
+	all := Targets{Whole: true, Known: w.revision(), Changed: w.revision()}
 	for _, e := range w.listed {
 		all.Listed = append(all.Listed, e)
 	}
@@ -162,7 +168,7 @@
 	w.fed = rows
 	for _, d := range w.boxes {
 		if !d.spoke.Load() && !w.noRows[d.Settings.Name] && !w.dead[d.Settings.Name] {
-			w.carry(d, d.update(w.now, ownRead{Own{Rows: rows, Version: w.version}, true}))
+			w.carry(d, d.update(w.now, ownRead{Own{Rows: rows, Known: w.revision()}, true}))
 		}
 	}
 }
@@ -173,7 +179,7 @@
 	for _, e := range entries {
 		w.listed[e.ID] = e
 	}
-	w.tellList(Targets{Listed: entries, Version: w.version, Changed: w.version})
+	w.tellList(Targets{Listed: entries, Known: w.revision(), Changed: w.revision()})
 }
 
 // leave takes targets out of the list.
@@ -182,7 +188,7 @@
 	for _, id := range ids {
 		delete(w.listed, id)
 	}
-	w.tellList(Targets{Gone: ids, Version: w.version, Changed: w.version})
+	w.tellList(Targets{Gone: ids, Known: w.revision(), Changed: w.revision()})
 }
 
 func (w *emulator) tellList(change Targets) {
@@ -198,7 +204,7 @@
 // write has the operator write something.
 func (w *emulator) write(change func(o *Operator)) {
 	w.version++
-	w.operator.Changed, w.operator.Version = w.version, w.version
+	w.operator.Changed, w.operator.Known = w.revision(), w.revision()
 	change(&w.operator)
 }
 
@@ -255,7 +261,7 @@
 	if w.now.Sub(start)%hubHold == 0 && !w.noRows[d.Settings.Name] && !d.viewed(w.now) && !d.vouched(w.now) {
 		w.cost[d.Settings.Name].storeCalls++
 		read := w.operator
-		read.Version, read.Era = w.version, w.restores
+		read.Known = w.revision()
 		read.Clock = time.Hour + w.now.Sub(start)
 		w.carry(d, d.update(w.now, operatorRead{w.now, read}))
 	}
--- a/entry/join_test.go
+++ b/entry/join_test.go
@@ -79,7 +79,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := newDaemon("box-99")
 			d.Settings.Domain = "a"
-			d.update(start, ownRead{Own{Rows: append(tt.rows, row(99, "a", 0.2)), Version: 7, Whole: true}, false})
+			d.update(start, ownRead{Own{Rows: append(tt.rows, row(99, "a", 0.2)), Known: rev(7), Whole: true}, false})
 			if got := d.spoke.Load(); got != tt.spoke || d.waiting.Load() == tt.spoke {
 				t.Errorf("lives on hubs %v, want %v; waits %v", got, tt.spoke, d.waiting.Load())
 			}
--- a/entry/list.go
+++ b/entry/list.go
@@ -23,7 +23,7 @@
 		d.unlist(now, t, id, false)
 	}
 	if m.change.Whole {
-		d.Log.Info("list of targets read", "targets", len(m.change.Listed), "version", m.change.Version, "era", m.change.Era, "known", t.listKnown, "before", t.fleet.Len())
+		d.Log.Info("list of targets read", "targets", len(m.change.Listed), "revision", m.change.Known, "known", t.listKnown, "before", t.fleet.Len())
 	}
 	seen := make(map[string]bool, len(m.change.Listed))
 	for _, e := range m.change.Listed {
--- a/entry/overtaken.go
+++ b/entry/overtaken.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // A hub's list of targets has no proof with an age as the configuration has: a held read that
@@ -27,7 +28,7 @@
 
 // hearListed takes over how far another hub knows the list to have changed.
 func (d *Daemon) hearListed(now time.Time, t *tables, m peer.Message) {
-	if t.listNumber == 0 || m.Listed <= t.listKnown {
+	if t.listNumber == 0 || !m.Listed.After(t.listKnown) {
 		return
 	}
 	if t.overtakenAt.IsZero() {
@@ -42,8 +43,8 @@
 
 // noteListRead notes how far the list was read.
 func (d *Daemon) noteListRead(now time.Time, t *tables, m targetsRead) {
-	t.listKnown = max(t.listKnown, m.change.Version)
-	t.listChanged = max(t.listChanged, m.change.Changed)
+	t.listKnown = revision.Max(t.listKnown, m.change.Known)
+	t.listChanged = revision.Max(t.listChanged, m.change.Changed)
 	if t.listBehind(now) {
 		d.Log.Info("list of targets is not behind any more", "known", t.listKnown, "behind_for", now.Sub(t.overtakenAt))
 	}
--- a/entry/overtaken_test.go
+++ b/entry/overtaken_test.go
@@ -11,6 +11,7 @@
 	"github.com/thymewind/thymewind/changelog"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // cutReaders is three boxes: box-11 reads the platform's list, box-00 is cut off from the
@@ -25,8 +26,8 @@
 func newCutReaders() *cutReaders {
 	x := &cutReaders{sound: hubOf("box-11"), cut: hubOf("box-00"), second: hubOf("box-01"), spoke: largeFleet("box-05"), version: 20}
 	for _, d := range []*Daemon{x.sound, x.cut, x.second} {
-		d.update(start, operatorRead{start, Operator{Table: configuration(1), Changed: 3, Version: 9}})
-		d.update(start, targetsRead{start, Targets{Whole: true, Changed: x.version, Version: x.version, Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1"), entryAt("b", "10.1.0.2:1")}}, false})
+		d.update(start, operatorRead{start, Operator{Table: configuration(1), Changed: rev(3), Known: rev(9)}})
+		d.update(start, targetsRead{start, Targets{Whole: true, Changed: rev(x.version), Known: rev(x.version), Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1"), entryAt("b", "10.1.0.2:1")}}, false})
 	}
 	x.spoke.update(start, operatorRead{start, Operator{Table: configuration(1)}})
 	return x
@@ -48,7 +49,7 @@
 	for ms := from; ms < to; ms += 50 * time.Millisecond {
 		now := start.Add(ms)
 		if ms%hubHold == 0 {
-			x.sound.update(now, operatorRead{now, Operator{Version: 9}})
+			x.sound.update(now, operatorRead{now, Operator{Known: rev(9)}})
 		}
 		for _, d := range []*Daemon{x.sound, x.second} {
 			if ms%targetsEvery == 0 {
@@ -84,14 +85,14 @@
 		e.Leaving = true
 		x.version++
 		return func(now time.Time, d *Daemon) {
-			d.update(now, targetsRead{now, Targets{Changed: x.version, Version: x.version, Listed: []fleet.Entry{e}}, false})
+			d.update(now, targetsRead{now, Targets{Changed: rev(x.version), Known: rev(x.version), Listed: []fleet.Entry{e}}, false})
 		}
 	}
 	x.play(time.Second, time.Second+bound, leaving("a", "10.1.0.1:1"))
 	if a := x.spoke.tables.fleet.Target("a"); a != nil && a.Open(start.Add(time.Second+bound)) {
 		t.Errorf("%v after the table service took that it leaves, a target gets work by the list of %q", bound, x.spoke.tables.hub)
 	}
-	x.cut.update(start.Add(3*time.Second), targetsRead{start.Add(3 * time.Second), Targets{Changed: x.version, Version: x.version}, false})
+	x.cut.update(start.Add(3*time.Second), targetsRead{start.Add(3 * time.Second), Targets{Changed: rev(x.version), Known: rev(x.version)}, false})
 	x.play(3*time.Second, 5*time.Second, func(time.Time, *Daemon) {})
 	if x.spoke.tables.hub != "box-00" {
 		t.Errorf("the box lives on %q, though the first hub reads again", x.spoke.tables.hub)
@@ -122,8 +123,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			d := hubOf("box-00")
-			d.update(start, targetsRead{start, Targets{Whole: true, Changed: tt.known, Version: tt.known, Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1")}}, false})
-			d.update(start, peerCalled{name: "box-11", asked: start, m: peer.Message{Listed: tt.listed}})
+			d.update(start, targetsRead{start, Targets{Whole: true, Changed: rev(tt.known), Known: rev(tt.known), Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1")}}, false})
+			d.update(start, peerCalled{name: "box-11", asked: start, m: peer.Message{Listed: rev(tt.listed)}})
 			now := start.Add(tt.after)
 			d.readOvertaken(now, &d.tables)
 			if got := d.listReads.hurried(); got != tt.again {
@@ -132,7 +133,7 @@
 			if got := d.view(now, &d.tables, changelog.Cursor{}).ListBehind; got != tt.behind {
 				t.Errorf("tells that its list is behind: %v", got)
 			}
-			d.update(now, targetsRead{now, Targets{Version: max(tt.listed, tt.known)}, false})
+			d.update(now, targetsRead{now, Targets{Known: rev(max(tt.listed, tt.known))}, false})
 			if d.view(now, &d.tables, changelog.Cursor{}).ListBehind || d.listReads.hurried() {
 				t.Error("still behind after it has read as far")
 			}
@@ -154,10 +155,10 @@
 		d := hubOf("box-00")
 		d.now = time.Now
 		var holds []time.Duration
-		d.Platform.Targets = func(ctx context.Context, _ uint64, hold time.Duration) (Targets, error) {
+		d.Platform.Targets = func(ctx context.Context, _ revision.Revision, hold time.Duration) (Targets, error) {
 			holds = append(holds, hold)
 			if hold == 0 {
-				return Targets{Version: 21}, nil
+				return Targets{Known: rev(21)}, nil
 			}
 			<-ctx.Done()
 			return Targets{}, ctx.Err()
@@ -167,8 +168,8 @@
 		began := time.Now()
 		go d.watchTargets(ctx)
 		synctest.Wait()
-		d.update(time.Now(), targetsRead{time.Now(), Targets{Whole: true, Version: 20, Changed: 20}, false})
-		d.update(time.Now(), peerCalled{name: "box-11", asked: time.Now(), m: peer.Message{Listed: 21}})
+		d.update(time.Now(), targetsRead{time.Now(), Targets{Whole: true, Known: rev(20), Changed: rev(20)}, false})
+		d.update(time.Now(), peerCalled{name: "box-11", asked: time.Now(), m: peer.Message{Listed: rev(21)}})
 		d.readOvertaken(began.Add(overtakenRead), &d.tables)
 		read := (<-d.messages).(targetsRead)
 		if took := time.Since(began); took > time.Second {
@@ -190,8 +191,8 @@
 	x := newCutReaders()
 	read := func(after time.Duration, d *Daemon, change Targets, away bool) {
 		x.version++
-		d.update(start.Add(after), operatorRead{start.Add(after), Operator{Version: 9}})
-		change.Changed, change.Version = x.version, x.version
+		d.update(start.Add(after), operatorRead{start.Add(after), Operator{Known: rev(9)}})
+		change.Changed, change.Known = rev(x.version), rev(x.version)
 		d.update(start.Add(after), targetsRead{start.Add(after), change, away})
 	}
 	knows := func(d *Daemon) bool { return d.tables.fleet.Target("a") != nil }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -10,6 +10,7 @@
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/table"
@@ -18,12 +19,12 @@
 // Platform is what the daemon needs of the platform, each a seam that package
 // platform fills. All are safe for concurrent use.
 type Platform struct {
-	// Operator, Targets and Own wait until something changed behind a version,
-	// for at most hold. Version zero, or one that is no longer known, reads
-	// everything, and the answer is marked whole.
-	Operator func(ctx context.Context, after uint64, hold time.Duration) (Operator, error)
-	Targets  func(ctx context.Context, after uint64, hold time.Duration) (Targets, error)
-	Own      func(ctx context.Context, after uint64, hold time.Duration) (Own, error)
+	// Operator, Targets and Own wait until something changed behind a revision,
+	// for at most hold. The zero revision, one that is no longer known, or one from before
+	// the table service was restored reads everything, and the answer is marked whole.
+	Operator func(ctx context.Context, after revision.Revision, hold time.Duration) (Operator, error)
+	Targets  func(ctx context.Context, after revision.Revision, hold time.Duration) (Targets, error)
+	Own      func(ctx context.Context, after revision.Revision, hold time.Duration) (Own, error)
 	// Decode reads a configuration that another box read.
 	Decode func(raw []byte) (*routing.Table, error)
 	// Commit and Read change and read this system's own rows.
@@ -76,13 +77,9 @@
 	// as they changed.
 	Canaries map[string]*canary.Ask
 	Whole    bool
-	Version  uint64
-	// Changed is the version of the newest change among those read, zero if there was
-	// none; Version is that up to which all changes are known.
-	Changed uint64
-	// Era counts how often the table service came back from an older copy of its rows;
-	// zero if it does not tell.
-	Era uint64
+	// Changed is the revision of the newest change among those read, zero if there was
+	// none; Known is that up to which all changes are known.
+	Changed, Known revision.Revision
 	// Clock is the table service's steady clock when it made the answer, or zero
 	// if it did not tell.
 	Clock time.Duration
@@ -96,15 +93,11 @@
 // Targets is what the list of targets says.
 type Targets struct {
 	// Whole says that Listed holds all targets; otherwise only changes.
-	Whole   bool
-	Listed  []fleet.Entry
-	Gone    []string
-	Version uint64
-	// Changed is the version of the newest change among those read, zero if there was
-	// none; Version is that up to which all changes are known.
-	Changed uint64
-	// Era is as in Operator.
-	Era uint64
+	Whole  bool
+	Listed []fleet.Entry
+	Gone   []string
+	// Changed and Known are as in Operator.
+	Changed, Known revision.Revision
 	// Unusable says of entries that no target wrote why each can't be used, by its key.
 	// It names no target, also where an earlier entry under the key did.
 	Unusable map[string]error
@@ -112,11 +105,10 @@
 
 // Own are this system's own rows that changed, or all if Whole is set.
 type Own struct {
-	Whole   bool
-	Rows    []table.Row
-	Version uint64
-	// Era is as in Operator.
-	Era uint64
+	Whole bool
+	Rows  []table.Row
+	// Known is as in Operator.
+	Known revision.Revision
 }
 
 // News is what a source says of the prompt parts that it keeps.
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // appliedWithin is the platform's least bound for a change of the configuration.
@@ -57,3 +61,68 @@
 		})
 	}
 }
+
+// TestVouchedAfterRestore guards against a proof by numbers of another history: a hub believes
+// one that has read the table service since it was restored as often as it has itself.
+func TestVouchedAfterRestore(t *testing.T) {
+	known := revision.Revision{Restores: 2, Number: 50}
+	tests := []struct {
+		name string
+		told revision.Revision
+		// proved says that the word proves the configuration, behind that this box reads again.
+		proved, behind bool
+	}{
+		{"as far", known, true, false},
+		{"less far", revision.Revision{Restores: 2, Number: 40}, true, false},
+		{"further", revision.Revision{Restores: 2, Number: 51}, false, true},
+		{"a lower number after another restore", revision.Revision{Restores: 3, Number: 10}, false, true},
+		{"the same number after another restore", revision.Revision{Restores: 3, Number: 50}, false, true},
+		{"a lower number before the last restore", revision.Revision{Restores: 1, Number: 40}, false, false},
+		{"a higher number before the last restore", revision.Revision{Restores: 1, Number: 90}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := hubOf("box-10")
+			d.update(start.Add(-time.Minute), operatorRead{start.Add(-time.Minute), Operator{Changed: known, Known: known}})
+			d.update(start, peerCalled{name: "box-11", asked: start, m: peer.Message{Operator: tt.told, ProofMS: 10}})
+			if got := d.provedAgo(start) < time.Second; got != tt.proved {
+				t.Errorf("proved %v", got)
+			}
+			if got := d.behind.Load(); got != tt.behind {
+				t.Errorf("reads again %v", got)
+			}
+		})
+	}
+}
+
+// TestOvertakenAfterRestore guards against a hub that keeps a list from before a restore, as
+// the number of a later change that it is told of is lower than what it has read.
+func TestOvertakenAfterRestore(t *testing.T) {
+	known := revision.Revision{Restores: 2, Number: 50}
+	tests := []struct {
+		name   string
+		told   revision.Revision
+		behind bool
+	}{
+		{"as far", known, false},
+		{"further", revision.Revision{Restores: 2, Number: 51}, true},
+		{"a lower number after another restore", revision.Revision{Restores: 3, Number: 10}, true},
+		{"a higher number before the last restore", revision.Revision{Restores: 1, Number: 90}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := hubOf("box-00")
+			d.update(start, targetsRead{start, Targets{Whole: true, Changed: known, Known: known, Listed: []fleet.Entry{engine("a", 1)}}, false})
+			d.update(start, peerCalled{name: "box-11", asked: start, m: peer.Message{Listed: tt.told}})
+			now := start.Add(overtakenFor)
+			d.readOvertaken(now, &d.tables)
+			if got := d.listReads.hurried(); got != tt.behind {
+				t.Errorf("the list is read anew at once: %v", got)
+			}
+			d.update(now, targetsRead{now, Targets{Whole: true, Changed: revision.Max(tt.told, known), Known: revision.Max(tt.told, known)}, false})
+			if d.tables.listBehind(now.Add(time.Minute)) {
+				t.Error("still behind after it has read as far")
+			}
+		})
+	}
+}
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/thymewind/thymewind/revision"
 )
 
 // TestStartReadsLittle has a box start and looks when it reads the list of targets, and what the
@@ -47,19 +49,19 @@
 				d.began = time.Now()
 				var list, operator time.Duration
 				reads := 0
-				d.Platform.Targets = func(ctx context.Context, _ uint64, _ time.Duration) (Targets, error) {
+				d.Platform.Targets = func(ctx context.Context, _ revision.Revision, _ time.Duration) (Targets, error) {
 					if list == 0 {
 						list = max(d.uptime(time.Now()), atOnceRead)
 					}
 					<-ctx.Done()
 					return Targets{}, ctx.Err()
 				}
-				d.Platform.Operator = func(ctx context.Context, _ uint64, _ time.Duration) (Operator, error) {
+				d.Platform.Operator = func(ctx context.Context, _ revision.Revision, _ time.Duration) (Operator, error) {
 					if reads++; reads == 1 {
 						if tt.stands {
-							return Operator{Table: configuration(1), Version: 1}, nil
+							return Operator{Table: configuration(1), Known: rev(1)}, nil
 						}
-						return Operator{Version: 1}, nil
+						return Operator{Known: rev(1)}, nil
 					}
 					if operator == 0 {
 						operator = max(d.uptime(time.Now()), atOnceRead)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -20,6 +20,7 @@
 	"github.com/thymewind/thymewind/pace"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/quarantine"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/shares"
 	"github.com/thymewind/thymewind/strain"
 	"github.com/thymewind/thymewind/usual"
@@ -112,9 +113,9 @@
 	refreshedList uint64
 	// listRead is when this box last asked the platform for the list itself.
 	listRead time.Time
-	// listKnown is the version up to which all changes of the list are known, listChanged
+	// listKnown is the revision up to which all changes of the list are known, listChanged
 	// the newest change among them.
-	listKnown, listChanged uint64
+	listKnown, listChanged revision.Revision
 	// overtakenAt is since when another hub is known to have read a later change of the
 	// list; zero if none is. overtakenNoted says that this was logged.
 	overtakenAt    time.Time
@@ -135,10 +136,10 @@
 	// loadingConfiguration says that it is being read from a hub.
 	loadingConfiguration bool
 	// operatorChange is the newest change of what the operator wrote that was read,
-	// operatorKnown the version up to which all are known.
-	operatorChange, operatorKnown uint64
+	// operatorKnown the revision up to which all are known.
+	operatorChange, operatorKnown revision.Revision
 	// provedNewest is the newest change that another box last told with a proof.
-	provedNewest uint64
+	provedNewest revision.Revision
 	// gate counts what this box sent to cold targets.
 	gate warming.Gate
 	// quotas hold what this box may send to targets that limit requests.
--- a/entry/unlisted_test.go
+++ b/entry/unlisted_test.go
@@ -16,6 +16,7 @@
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/internal/proof"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/table"
 )
@@ -45,16 +46,16 @@
 			f.calls.Add(1)
 			return f.rows.Commit(ctx, tx)
 		}
-		d.Platform.Own = func(ctx context.Context, after uint64, _ time.Duration) (Own, error) {
+		d.Platform.Own = func(ctx context.Context, after revision.Revision, _ time.Duration) (Own, error) {
 			f.calls.Add(1)
 			rows, err := f.rows.ListAll(ctx, "")
 			version := uint64(1 + len(rows))
-			if after == version {
+			if after == rev(version) {
 				<-ctx.Done() // Nothing changes any more that a test looks at.
 				return Own{}, ctx.Err()
 			}
 			f.told.Add(int64(len(rows)))
-			return Own{Whole: true, Rows: rows, Version: version}, err
+			return Own{Whole: true, Rows: rows, Known: rev(version)}, err
 		}
 		f.boxes = append(f.boxes, d)
 	}
@@ -196,7 +197,7 @@
 		last := f.boxes[59]
 		reads := 0
 		own := last.Platform.Own
-		last.Platform.Own = func(ctx context.Context, after uint64, hold time.Duration) (Own, error) {
+		last.Platform.Own = func(ctx context.Context, after revision.Revision, hold time.Duration) (Own, error) {
 			reads++
 			return own(ctx, after, hold)
 		}
--- a/entry/update.go
+++ b/entry/update.go
@@ -6,6 +6,7 @@
 
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // update changes the tables for one message and returns what to do about it.
@@ -75,14 +76,14 @@
 // taken.
 func (d *Daemon) operatorRead(now time.Time, t *tables, m operatorRead) []effect {
 	if m.change.Whole {
-		d.Log.Info("what the operator wrote was read whole", "version", m.change.Version, "era", m.change.Era, "known", t.operatorKnown, "newest_known", t.operatorChange)
+		d.Log.Info("what the operator wrote was read whole", "revision", m.change.Known, "known", t.operatorKnown, "newest_known", t.operatorChange)
 	}
-	d.provedBy(t, d.Settings.Name, m.change.Version)
+	d.provedBy(t, d.Settings.Name, m.change.Known)
 	d.weightsRead(now, t, m)
 	d.evacuationsRead(now, t, m)
 	d.canariesRead(now, t, m)
-	t.operatorChange = max(t.operatorChange, m.change.Changed)
-	t.operatorKnown = max(t.operatorKnown, m.change.Version)
+	t.operatorChange = revision.Max(t.operatorChange, m.change.Changed)
+	t.operatorKnown = revision.Max(t.operatorKnown, m.change.Known)
 	d.behind.Store(false)
 	d.prove(m.asked)
 	if err := m.change.Unusable; err != nil {
@@ -92,7 +93,7 @@
 	if next == nil || next.Version <= d.version() {
 		return nil
 	}
-	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "row", m.change.Changed, "era", m.change.Era, "asked_ago", now.Sub(m.asked))
+	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "row", m.change.Changed, "asked_ago", now.Sub(m.asked))
 	d.counts.configuration.Set(float64(next.Version))
 	d.raw.Store(&m.change.Raw)
 	d.current.Store(next)
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -15,11 +15,15 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/internal/fake"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/routing"
 )
 
 var start = time.Unix(1000, 0)
 
+// rev is a revision of a table service that was never restored.
+func rev(number uint64) revision.Revision { return revision.Revision{Number: number} }
+
 // newDaemon is a daemon whose loop a test runs by hand, at times of its own.
 func newDaemon(name string) *Daemon {
 	rows := &fake.Table{}
--- a/entry/vouch.go
+++ b/entry/vouch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // Each hub needs a proof, a second old at most, that what the operator wrote is still
@@ -55,11 +56,13 @@
 }
 
 // hearProof takes over another hub's proof, if this box knows all that was known there. The
-// proof's age counts from when it was asked for, as the answer was made later.
+// proof's age counts from when it was asked for, as the answer was made later. A hub that
+// has not read the table service since that was restored proves nothing to one that has.
 func (d *Daemon) hearProof(t *tables, asked time.Time, m peer.Message) {
 	switch {
-	case m.Operator == 0 || d.vouches.Load() == 0:
-	case m.Operator <= t.operatorKnown:
+	case m.Operator.IsZero() || d.vouches.Load() == 0:
+	case m.Operator.Restores < t.operatorKnown.Restores:
+	case !m.Operator.After(t.operatorKnown):
 		d.provedBy(t, m.From, m.Operator)
 		d.prove(asked.Add(-time.Duration(m.ProofMS) * time.Millisecond))
 	default:
@@ -69,7 +72,7 @@
 
 // provedBy counts by whose word this box holds its configuration for the newest, and logs of which
 // change that told.
-func (d *Daemon) provedBy(t *tables, box string, newest uint64) {
+func (d *Daemon) provedBy(t *tables, box string, newest revision.Revision) {
 	by := "read"
 	if box != d.Settings.Name {
 		by = "another"
--- a/entry/vouch_test.go
+++ b/entry/vouch_test.go
@@ -56,11 +56,11 @@
 		after time.Duration
 		want  bool
 	}{
-		{"the same", peer.Message{Operator: known, ProofMS: 300}, 100 * time.Millisecond, true},
-		{"the same, for long", peer.Message{Operator: known, ProofMS: 300}, 700 * time.Millisecond, false},
-		{"an old proof", peer.Message{Operator: known, ProofMS: 900}, 100 * time.Millisecond, false},
-		{"a later change", peer.Message{Operator: known + 1, ProofMS: 10}, 100 * time.Millisecond, false},
-		{"an earlier one", peer.Message{Operator: known - 1, ProofMS: 10}, 100 * time.Millisecond, true},
+		{"the same", peer.Message{Operator: rev(known), ProofMS: 300}, 100 * time.Millisecond, true},
+		{"the same, for long", peer.Message{Operator: rev(known), ProofMS: 300}, 700 * time.Millisecond, false},
+		{"an old proof", peer.Message{Operator: rev(known), ProofMS: 900}, 100 * time.Millisecond, false},
+		{"a later change", peer.Message{Operator: rev(known + 1), ProofMS: 10}, 100 * time.Millisecond, false},
+		{"an earlier one", peer.Message{Operator: rev(known - 1), ProofMS: 10}, 100 * time.Millisecond, true},
 		{"nothing", peer.Message{}, 100 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
@@ -68,7 +68,7 @@
 			d := hubOf("box-10")
 			old := start.Add(-time.Minute)
 			d.proved.Store(&old)
-			d.update(start.Add(-time.Minute), operatorRead{old, Operator{Changed: known - 2, Version: known}})
+			d.update(start.Add(-time.Minute), operatorRead{old, Operator{Changed: rev(known - 2), Known: rev(known)}})
 			d.update(start.Add(50*time.Millisecond), peerCalled{name: "box-11", asked: start, m: tt.m})
 			if got := d.vouched(start.Add(tt.after)); got != tt.want {
 				t.Errorf("vouched %v", got)
@@ -76,7 +76,7 @@
 			if d.operatorHold() != 0 {
 				t.Errorf("the next read is held %v", d.operatorHold())
 			}
-			d.update(start.Add(time.Second), operatorRead{start.Add(time.Second), Operator{Version: known + 1}})
+			d.update(start.Add(time.Second), operatorRead{start.Add(time.Second), Operator{Known: rev(known + 1)}})
 			d.update(start.Add(time.Second), peerCalled{name: "box-11", asked: start, m: tt.m})
 			if !d.vouched(start.Add(time.Second)) {
 				t.Error("reads again, although it has read all that the other knows")
@@ -92,7 +92,7 @@
 	var all []*Daemon
 	for _, name := range []string{"box-00", "box-01", "box-10", "box-11"} {
 		d := hubOf(name)
-		d.update(start, operatorRead{start, Operator{Changed: 3, Version: 9}})
+		d.update(start, operatorRead{start, Operator{Changed: rev(3), Known: rev(9)}})
 		all = append(all, d)
 	}
 	next := make([]time.Time, len(all))
@@ -120,7 +120,7 @@
 				}
 				reads[d.Settings.Name]++
 				next[i] = now.Add(max(d.operatorHold(), 4*time.Millisecond))
-				d.update(next[i], operatorRead{now, Operator{Version: 9}})
+				d.update(next[i], operatorRead{now, Operator{Known: rev(9)}})
 			}
 		}
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/table"
 )
 
@@ -68,7 +69,7 @@
 // watchOperator follows the operator's rows. It is the one that notices that
 // the table service is lost or back.
 func (d *Daemon) watchOperator(ctx context.Context) {
-	var after uint64
+	var after revision.Revision
 	failed := 0
 	for ctx.Err() == nil {
 		asked := d.now()
@@ -77,7 +78,7 @@
 			d.pause(ctx, viewLook)
 			continue
 		}
-		if after > 0 && d.awaitsHub(asked, operatorWithin) {
+		if !after.IsZero() && d.awaitsHub(asked, operatorWithin) {
 			d.pause(ctx, viewLook)
 			continue
 		}
@@ -95,12 +96,12 @@
 		}
 		failed = 0
 		d.back(ctx)
-		after = change.Version
+		after = change.Known
 		if !change.Asked.IsZero() {
 			asked = change.Asked
 		}
 		d.tell(ctx, operatorRead{asked, change})
-		if after == 0 {
+		if after.Number == 0 {
 			d.pause(ctx, emptyAgain)
 		}
 	}
@@ -207,15 +208,15 @@
 }
 
 func (d *Daemon) watchTargets(ctx context.Context) {
-	var after uint64
+	var after revision.Revision
 	for ctx.Err() == nil {
 		asked := d.now()
 		if d.viewed(asked) {
-			after = 0 // The list is read whole when the hub's view is lost.
+			after = revision.Revision{} // The list is read whole when the hub's view is lost.
 			d.pause(ctx, viewLook)
 			continue
 		}
-		if after == 0 && d.awaitsHub(asked, listWithin) {
+		if after.IsZero() && d.awaitsHub(asked, listWithin) {
 			d.pause(ctx, viewLook)
 			continue
 		}
@@ -225,7 +226,7 @@
 			d.pause(ctx, againAfter)
 			continue
 		}
-		after = change.Version
+		after = change.Known
 		d.tell(ctx, targetsRead{asked, change, d.outage.takeSeen()})
 		d.pause(ctx, d.targetsPause())
 	}
@@ -251,7 +252,7 @@
 // others.
 func (d *Daemon) readOwn(ctx context.Context) Own {
 	for ctx.Err() == nil {
-		change, err := d.Platform.Own(ctx, 0, 0)
+		change, err := d.Platform.Own(ctx, revision.Revision{}, 0)
 		if err != nil {
 			d.pause(ctx, againAfter)
 			continue
@@ -268,7 +269,7 @@
 
 func (d *Daemon) watchOwn(ctx context.Context) {
 	first := d.enter(ctx)
-	after := first.Version
+	after := first.Known
 	// Who shares the work, and its retries, has to be known to a box that lives on a
 	// hub's view, too.
 	read, drawn := d.unlisted.Load(), hasCredential(first.Rows)
@@ -282,7 +283,7 @@
 			d.pause(ctx, againAfter)
 			continue
 		}
-		after, read = change.Version, true
+		after, read = change.Known, true
 		d.tell(ctx, ownRead{change, true})
 		if drawn = drawn || hasCredential(change.Rows); !drawn {
 			d.insist(ctx, func() error { return d.draw(ctx) })
--- a/entry/watch_empty_test.go
+++ b/entry/watch_empty_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/thymewind/thymewind/revision"
 )
 
 // TestEmptyTableService guards against boxes that ask a table service for its rows again and
@@ -24,17 +26,17 @@
 			}
 			began := time.Now()
 			calls := 0
-			d.Platform.Operator = func(ctx context.Context, after uint64, hold time.Duration) (Operator, error) {
+			d.Platform.Operator = func(ctx context.Context, after revision.Revision, hold time.Duration) (Operator, error) {
 				if time.Since(began) < empty {
 					calls++
 					d.pause(ctx, answers)
 					return Operator{Whole: true}, nil
 				}
-				if after > 0 {
+				if !after.IsZero() {
 					d.pause(ctx, hold)
 				}
 				d.pause(ctx, answers)
-				return Operator{Whole: true, Version: 3, Table: configuration(3)}, nil
+				return Operator{Whole: true, Known: rev(3), Table: configuration(3)}, nil
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			d.outage.start(ctx)
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/thymewind/thymewind/revision"
 )
 
 // TestHolds bounds the calls to the table service by what a box is.
@@ -60,7 +62,9 @@
 func TestAskedAgain(t *testing.T) {
 	again := start.Add(time.Hour)
 	d := newDaemon("b1")
-	d.Platform.Operator = func(context.Context, uint64, time.Duration) (Operator, error) { return Operator{Asked: again}, nil }
+	d.Platform.Operator = func(context.Context, revision.Revision, time.Duration) (Operator, error) {
+		return Operator{Asked: again}, nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.outage.start(ctx)
 	ended := make(chan struct{})
@@ -84,7 +88,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		d.outage.start(ctx)
 		var holds []time.Duration
-		d.Platform.Operator = func(_ context.Context, _ uint64, hold time.Duration) (Operator, error) {
+		d.Platform.Operator = func(_ context.Context, _ revision.Revision, hold time.Duration) (Operator, error) {
 			holds = append(holds, hold)
 			switch len(holds) {
 			case 2, 3:
@@ -126,7 +130,7 @@
 				d.outage.start(ctx)
 				began := time.Now()
 				reads := 0
-				d.Platform.Operator = func(context.Context, uint64, time.Duration) (Operator, error) {
+				d.Platform.Operator = func(context.Context, revision.Revision, time.Duration) (Operator, error) {
 					if time.Since(began) < lasts {
 						reads++
 						return Operator{}, errors.New("no answer")
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/thymewind/thymewind/fingerprint"
+import (
+	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/revision"
+)
 
 // The kinds of message.
 const (
@@ -13,7 +16,8 @@
 )
 
 // Message is what two daemons say to each other; answers have the same shape.
-// Only soft state travels: losing any message breaks no rule.
+// Only soft state travels: losing any message breaks no rule. The numbers 21 and 26 named
+// other things in earlier releases.
 type Message struct {
 	Kind string `cbor:"1,keyasint"`
 	// From names the sending box.
@@ -56,10 +60,10 @@
 	Stale bool `cbor:"18,keyasint,omitempty"`
 	// Operator is the newest change of what the operator wrote that the sender knows,
 	// ProofMS how long ago it was known to be the newest.
-	Operator uint64 `cbor:"21,keyasint,omitempty"`
-	ProofMS  int64  `cbor:"22,keyasint,omitempty"`
+	Operator revision.Revision `cbor:"35,keyasint,omitempty"`
+	ProofMS  int64             `cbor:"22,keyasint,omitempty"`
 	// Listed is the newest change of the list of targets that the sender read.
-	Listed uint64 `cbor:"26,keyasint,omitempty"`
+	Listed revision.Revision `cbor:"36,keyasint,omitempty"`
 	// Domain is the sender's failure domain, Unlisted how many boxes without a row of their
 	// own it has met.
 	Domain   string `cbor:"29,keyasint,omitempty"`
