fix(lease): a restore of the table service begins a row and epochs of its own

Cause: the lease's row, or a change of holder in it, is lost by a restore; a missing row counted as lapsed at once, and the epoch began again. Change: each restore has a row of its own and epochs above all earlier ones (restores in the high part); who holds the lease by its own clock goes on, anybody else waits the length out from when the restore is known. A condition read before a restore does not hold; the adapter says so by the answer's count. Weighed: one row with a wait alone, which a late write from before the restore can set back as its condition holds by chance (found by the property, shrunk by hand); epochs told by targets or kept among boxes, which a fleet that starts anew does not know.

--- a/entry/list.go
+++ b/entry/list.go
@@ -15,6 +15,7 @@
 	if t.listNumber == 0 {
 		t.beginList()
 	}
+	d.restored(now, m.change.Known)
 	t.listRead = m.asked
 	t.hub, t.hubList, t.hubSeen = "", changelog.Cursor{}, nil // What it lacks of a hub's list is not known.
 	d.noteListRead(now, t, m)
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -106,7 +106,7 @@
 		return trialClaimed{e, false, err}
 	}
 	err = d.Platform.Commit(ctx, table.Transaction{
-		Expect: []table.Condition{{Key: key, Revision: stored.Revision}}, Put: []table.Row{{Key: key, Value: value}},
+		Expect: []table.Condition{{Key: key, Revision: stored.Revision, Restores: stored.Restores}}, Put: []table.Row{{Key: key, Value: value}},
 	})
 	if trace.IsCompareFailed(err) {
 		return trialClaimed{e, false, nil}
--- a/internal/fake/table.go
+++ b/internal/fake/table.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex
 	rows     map[string]table.Row
 	revision uint64
+	restores uint64
 	late     []delayed
 }
 
@@ -98,12 +99,35 @@
 		return table.Row{}, trace.ConnectionProblem(nil, "down")
 	}
 	row, ok := t.rows[key]
+	row.Restores = t.restores
 	if !ok {
-		return table.Row{}, trace.NotFound("no row %q", key)
+		return row, trace.NotFound("no row %q", key)
 	}
 	return row, nil
 }
 
+// Copy is what a Table held at a moment.
+type Copy struct {
+	rows     map[string]table.Row
+	revision uint64
+}
+
+// Copy takes a copy.
+func (t *Table) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Copy{maps.Clone(t.rows), t.revision}
+}
+
+// Restore has the table come back from a copy, which gives its revisions out again.
+// Transactions under way are still applied, if their conditions hold then.
+func (t *Table) Restore(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.revision = maps.Clone(c.rows), c.revision
+	t.restores++
+}
+
 // List returns rows under a prefix.
 func (t *Table) List(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
 	t.mu.Lock()
@@ -114,7 +138,9 @@
 	var rows []table.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
-			rows = append(rows, t.rows[key])
+			row := t.rows[key]
+			row.Restores = t.restores
+			rows = append(rows, row)
 		}
 	}
 	return rows, nil
@@ -155,5 +181,10 @@
 	for _, key := range tx.Delete {
 		delete(t.rows, key)
 	}
+	for _, c := range tx.Expect {
+		if c.Restores != t.restores {
+			return trace.CompareFailed("row %q was read before the table was restored", c.Key)
+		}
+	}
 	return nil
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,24 +11,32 @@
 //
 // Time is this process's own monotonic clock throughout; clocks of other boxes
 // are never compared.
+//
+// A table service that was restored from an older copy may have lost renewals, a change of
+// holder or the row, and gives revisions out again, so that a write from before may meet its
+// condition by chance. Each restore therefore begins a row of its own. Who holds the lease by
+// its own clock goes on with the new row; anybody else waits the length out from when the
+// restore is known.
 package lease
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/table"
 )
 
 // Lease is one duty's lease as this daemon knows it. Set the exported fields
 // before first use; it is safe for concurrent use after that.
 type Lease struct {
-	// Duty names the row in the table service. It is never empty.
+	// Duty names the rows in the table service. It is never empty.
 	Duty string
 	// Holder is this box's name.
 	Holder string
@@ -46,9 +54,15 @@
 	Now func() time.Time
 
 	mu sync.Mutex
-	// mine is the nonce of this daemon's last renewal; empty if it holds none.
-	mine string
-	// epoch grows with each change of holder; targets refuse a lower one.
+	// mine is the nonce of this daemon's last renewal; empty if it holds none. renewedAfter is
+	// how many restores of the table service came before that.
+	mine         string
+	renewedAfter uint64
+	// restores counts the restores of the table service that are known, restoredAt is since
+	// when the last one is; zero if there was none, or none is told of.
+	restores   uint64
+	restoredAt time.Time
+	// epoch grows with each change of holder, over all restores; targets refuse a lower one.
 	epoch uint64
 	// until is counted from before the renewal was sent, never from its answer.
 	until time.Time
@@ -57,8 +71,13 @@
 	seenAt time.Time
 }
 
+// epochsEach is how many epochs there are from one restore of the table service to the next.
+// Which ones were given out before is not in the rows that it came back with, so a restore
+// begins anew above all of them.
+const epochsEach = 1 << 20
+
 // row is the value of a lease's row. It is never deleted, so that the epoch
-// never falls.
+// never falls but by a restore.
 type row struct {
 	Holder string        `json:"holder"`
 	Epoch  uint64        `json:"epoch"`
@@ -83,45 +102,79 @@
 	return l.mine == "" || !l.Now().Before(l.until.Add(-l.Length/2))
 }
 
+// Restored notes how often the table service was restored, as told at a time, and says whether
+// that is news. Whoever hears it from other reads than the lease's own waits less once it wants
+// the lease.
+func (l *Lease) Restored(restores uint64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if restores <= l.restores {
+		return false
+	}
+	l.restores, l.restoredAt = restores, now
+	return true
+}
+
 // Step renews the lease or takes it if its holder let it lapse. It returns the
 // table service's error; a lease that is held then runs out by itself.
 func (l *Lease) Step(ctx context.Context) error {
 	started := l.Now()
-	current, revision, err := l.read(ctx)
+	current, at, err := l.read(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if l.Restored(at.Restores, started) {
+		current, at, err = l.read(ctx)
+	}
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	next, ok := l.next(current, revision)
+	next, ok := l.next(current, at)
 	if !ok {
 		return nil
 	}
-	return trace.Wrap(l.write(ctx, next, revision, started))
+	return trace.Wrap(l.write(ctx, next, at, started))
 }
 
 // next returns the row to write, if this daemon may write one.
-func (l *Lease) next(current row, revision uint64) (row, bool) {
+func (l *Lease) next(current row, at revision.Revision) (row, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := row{Holder: l.Holder, Epoch: current.Epoch, Nonce: l.Nonce(), Length: l.Length}
-	if current.Nonce != "" && current.Nonce == l.mine {
-		return next, true
+	if at.Restores != l.restores {
+		return row{}, false // Another restore came in between; the next step knows its row.
+	}
+	now := l.Now()
+	if l.mine != "" && l.holds(now, current, at) {
+		return row{Holder: l.Holder, Epoch: l.epoch, Nonce: l.Nonce(), Length: l.Length}, true
 	}
 	l.mine = ""
-	if !l.lapsed(current, revision) {
+	if !l.lapsed(now, current, at) {
 		return row{}, false
 	}
-	next.Epoch++
-	return next, true
+	epoch := max(current.Epoch, l.restores*epochsEach) + 1
+	return row{Holder: l.Holder, Epoch: epoch, Nonce: l.Nonce(), Length: l.Length}, true
+}
+
+// holds says whether nobody can have taken the lease since its last renewal: the row still
+// shows that, or, if that was before a restore, it has not run out yet.
+func (l *Lease) holds(now time.Time, current row, at revision.Revision) bool {
+	if at.Restores != l.renewedAfter {
+		return now.Before(l.until)
+	}
+	return current.Nonce == l.mine
 }
 
 // lapsed says whether another's lease has certainly run out: it was given back,
 // or its row stood unchanged for its whole length and the margin, by this
-// daemon's own clock.
-func (l *Lease) lapsed(current row, revision uint64) bool {
-	if revision == 0 || current.Holder == "" {
+// daemon's own clock. Nobody holds a lease without a row, but for who held it
+// before a restore.
+func (l *Lease) lapsed(now time.Time, current row, at revision.Revision) bool {
+	if at.Number == 0 {
+		return l.restores == 0 || now.Sub(l.restoredAt) >= l.Length+l.Margin
+	}
+	if current.Holder == "" {
 		return true
 	}
-	now := l.Now()
 	if l.seen != current.Nonce {
 		l.seen, l.seenAt = current.Nonce, now
 		return false
@@ -129,12 +182,12 @@
 	return now.Sub(l.seenAt) >= current.Length+l.Margin
 }
 
-func (l *Lease) write(ctx context.Context, next row, revision uint64, started time.Time) error {
-	err := l.commit(ctx, next, revision)
+func (l *Lease) write(ctx context.Context, next row, at revision.Revision, started time.Time) error {
+	err := l.commit(ctx, next, at)
 	if errors.Is(err, table.ErrLost) {
 		// Applied or not: the row itself tells, by the nonce.
-		stored, _, readErr := l.read(ctx)
-		if readErr == nil && stored.Nonce == next.Nonce {
+		stored, read, readErr := l.read(ctx)
+		if readErr == nil && stored.Nonce == next.Nonce && read.Restores == at.Restores {
 			err = nil
 		}
 	}
@@ -143,7 +196,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mine, l.epoch = next.Nonce, next.Epoch
+	l.mine, l.renewedAfter, l.epoch = next.Nonce, at.Restores, next.Epoch
 	l.until = started.Add(l.Length)
 	return nil
 }
@@ -157,35 +210,50 @@
 	if mine == "" {
 		return nil
 	}
-	current, revision, err := l.read(ctx)
-	if err != nil || current.Nonce != mine {
+	current, at, err := l.read(ctx)
+	if err != nil || current.Nonce != mine || at.Restores != l.known() {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(l.commit(ctx, row{Epoch: current.Epoch, Nonce: l.Nonce()}, revision))
+	return trace.Wrap(l.commit(ctx, row{Epoch: current.Epoch, Nonce: l.Nonce()}, at))
 }
 
-func (l *Lease) key() string { return "lease/" + l.Duty }
+// key names the row of the time between two restores.
+func (l *Lease) key(restores uint64) string {
+	if restores == 0 {
+		return "lease/" + l.Duty
+	}
+	return fmt.Sprintf("lease/%s/%d", l.Duty, restores)
+}
+
+// known is how many restores of the table service are known.
+func (l *Lease) known() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restores
+}
 
-func (l *Lease) read(ctx context.Context) (row, uint64, error) {
-	stored, err := l.Read(ctx, l.key())
+// read reads the row of the time since the last restore that is known. Where that is not the
+// service's last one, the revision says so, and the row is none to go by.
+func (l *Lease) read(ctx context.Context) (row, revision.Revision, error) {
+	stored, err := l.Read(ctx, l.key(l.known()))
 	if trace.IsNotFound(err) {
-		return row{}, 0, nil
+		return row{}, stored.At(), nil
 	}
 	if err != nil {
-		return row{}, 0, trace.Wrap(err)
+		return row{}, revision.Revision{}, trace.Wrap(err)
 	}
 	var r row
 	err = json.Unmarshal(stored.Value, &r)
-	return r, stored.Revision, trace.Wrap(err)
+	return r, stored.At(), trace.Wrap(err)
 }
 
-func (l *Lease) commit(ctx context.Context, r row, revision uint64) error {
+func (l *Lease) commit(ctx context.Context, r row, at revision.Revision) error {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	return l.Commit(ctx, table.Transaction{
-		Expect: []table.Condition{{Key: l.key(), Revision: revision}},
-		Put:    []table.Row{{Key: l.key(), Value: value}},
+		Expect: []table.Condition{{Key: l.key(at.Restores), Revision: at.Number, Restores: at.Restores}},
+		Put:    []table.Row{{Key: l.key(at.Restores), Value: value}},
 	})
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -32,13 +32,15 @@
 	margin: time.Second,
 }
 
-// watch notes whether two boxes ever act under the lease at once, or under a
-// falling epoch.
+// watch notes whether two boxes ever act under the lease at once, or under one
+// epoch, or under a falling epoch.
 type watch struct {
 	mu     sync.Mutex
 	acting map[int]uint64
 	epoch  uint64
-	wrong  bool
+	// holders are who acted under which epoch.
+	holders map[uint64]int
+	wrong   bool
 }
 
 func (w *watch) note(box int, epoch uint64, held bool) {
@@ -49,6 +51,13 @@
 		return
 	}
 	w.acting[box] = epoch
+	if w.holders == nil {
+		w.holders = make(map[uint64]int)
+	}
+	if other, known := w.holders[epoch]; known && other != box {
+		w.wrong = true
+	}
+	w.holders[epoch] = box
 	if len(w.acting) > 1 || epoch < w.epoch {
 		w.wrong = true
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -17,6 +17,8 @@
 import (
 	"encoding/json"
 	"errors"
+
+	"github.com/thymewind/thymewind/revision"
 )
 
 // ErrLost says that a transaction was sent but its answer was not received, so
@@ -31,6 +33,15 @@
 	Value json.RawMessage `json:"value,omitempty"`
 	// Revision grows with each write of any row; it is set by the service.
 	Revision uint64 `json:"revision,omitempty"`
+	// Restores counts how often the service had been restored from an older copy when it told
+	// of the row, also of one that is not there; zero if it does not tell. A revision says
+	// nothing beside one of another count.
+	Restores uint64 `json:"-"`
+}
+
+// At is when the row last changed.
+func (r Row) At() revision.Revision {
+	return revision.Revision{Restores: r.Restores, Number: r.Revision}
 }
 
 // Condition demands that a row has exactly this revision when the transaction
@@ -39,6 +50,9 @@
 	Key string `json:"key"`
 	// Revision zero demands that the row is absent.
 	Revision uint64 `json:"revision"`
+	// Restores is as in the row that was read. A condition on a row from before the service
+	// was restored does not hold, though the service may take it to.
+	Restores uint64 `json:"-"`
 }
 
 // Transaction is applied whole, if every condition holds, or not at all.
