fix(entry): a list from an older copy is no word on targets that it lacks or has again

Ruled out: a target known to be leaving, which stays so (fleet.List keeps that). Change: a target that a restored list lacks has lapsed, as after an outage; entries of targets that went within the last minute are held back until the target's own word, those not said to have left at most 10 s.

--- a/entry/systems.go
+++ b/entry/systems.go
@@ -29,6 +29,7 @@
 		return nil
 	}
 	t.due.sweep = now.Add(time.Second)
+	d.releaseHeld(now, t)
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
 	t.reads.Expire(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -113,6 +113,10 @@
 	refreshedList uint64
 	// listRead is when this box last asked the platform for the list itself.
 	listRead time.Time
+	// departed are targets that went from the list lately, heldBack entries of such that a
+	// restored list has again, by their IDs.
+	departed map[string]departure
+	heldBack map[string]heldEntry
 	// listKnown is the revision up to which all changes of the list are known, listChanged
 	// the newest change among them.
 	listKnown, listChanged revision.Revision
@@ -254,8 +258,8 @@
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), used: make(map[string]*fleet.Target), followed: make(map[string]context.CancelFunc),
 		weights: make(map[string]*weights), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Life]*limitedTarget), probing: make(map[string]bool),
-		silences: make(map[netip.AddrPort]time.Time),
-		slow:     make(map[string]bool), sizes: make(map[string]float64),
+		silences: make(map[netip.AddrPort]time.Time), departed: make(map[string]departure), heldBack: make(map[string]heldEntry),
+		slow: make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
 		canaries: make(map[string]*trying), inUse: make(map[string]*inUse), regions: make(map[string]string), tooks: make(map[string]*usual.Time), lifted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time), over: make(map[string]time.Time),
 		congested: make(map[string]*congestion.Gauge), congestedNow: make(map[string]bool),
