fix(entry): boxes write their own rows again that a restore lost

Callers would see: a box that starts later finds none of the others (16 of 16 rows missing 5 s after a restore in the test without the change), shares retries out among too few and knows no request that took targets down. Cause: rows are written once, as the table service was taken to keep them. Change: who reads the rows whole after a restore writes its own again if it lacks, the credential unless there is one, its reports; a hub tells the boxes that live on it that their row is lost, so that none of them reads all. Spread over 3 s: 300 rows stay below what one part of the table service takes; nobody writes another's row, so none that was removed comes back. Weighed: a hub that writes for others (brings rows back that were removed), all boxes reading all rows (300 reads of 300 rows). Evidence: TestOwnRowsAfterRestore (3, 16, 60, 300 boxes) and TestRowsAfterRestore fail without; mutations by hand that fail it: no row by a reader, by a box on a hub, no credential, no reports, no spread. entry, dated, peer pass.

--- a/dated/dated.go
+++ b/dated/dated.go
@@ -114,6 +114,9 @@
 // Written says that the rows of the last call to Rows were written.
 func (n *Namings) Written() { n.written = max(n.written, n.writing) }
 
+// Lost says that the rows may be gone, so that they are written again.
+func (n *Namings) Lost() { n.written, n.writing = 0, 0 }
+
 // Missing says that a version is not written, so that a box that starts could not
 // know of its naming, although the common clock can date it.
 func (n *Namings) Missing(version int64, clock *clockbound.Clock) bool {
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -92,6 +92,8 @@
 		d.tell(ctx, d.tellCanary(ctx, e))
 	case writeCrashes:
 		d.tell(ctx, d.writeCrashes(ctx, e))
+	case rewrite:
+		d.tell(ctx, d.rewrite(ctx, e))
 	}
 }
 
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -168,7 +168,8 @@
 	w.fed = rows
 	for _, d := range w.boxes {
 		if !d.spoke.Load() && !w.noRows[d.Settings.Name] && !w.dead[d.Settings.Name] {
-			w.carry(d, d.update(w.now, ownRead{Own{Rows: rows, Known: w.revision()}, true}))
+			whole := d.tables.ownKnownAt.Restores < w.restores
+			w.carry(d, d.update(w.now, ownRead{Own{Whole: whole, Rows: rows, Known: w.revision()}, true}))
 		}
 	}
 }
@@ -208,15 +209,22 @@
 	change(&w.operator)
 }
 
-// restore has the table service come back from a copy that lacks the last versions. What the
-// operator wrote and the list are written again.
-func (w *emulator) restore(lost uint64) {
+// restore has the table service come back from a copy that lacks the last versions, with the
+// system's own rows of that time. What the operator wrote and the list are written again.
+func (w *emulator) restore(lost uint64, own fake.Copy) {
 	w.version -= lost
 	w.restores++
+	w.rows.Restore(own)
 	w.write(func(*Operator) {})
+	rows, err := w.rows.ListAll(context.Background(), "")
+	if err != nil {
+		panic(err) // The emulated table draws no fault for reads of all.
+	}
+	w.fed = rows
 	for _, d := range w.boxes {
 		if !d.viewed(w.now) && !w.noRows[d.Settings.Name] {
 			w.carry(d, d.update(w.now, targetsRead{w.now, w.list(), true}))
+			w.carry(d, d.update(w.now, ownRead{Own{Whole: true, Rows: rows, Known: w.revision()}, true}))
 		}
 	}
 }
@@ -294,6 +302,10 @@
 					w.carry(d, d.update(w.now, newsRead{source: e.name, asked: w.now}))
 				}
 			})
+		case rewrite:
+			w.later(e.after+storeAnswer, func() { w.reach(d, rewritten{e, d.Platform.Commit(context.Background(), e.tx)}) })
+		case writeCrashes:
+			w.later(storeAnswer, func() { w.reach(d, d.writeCrashes(context.Background(), e)) })
 		case stepLease:
 			w.later(storeAnswer, func() { w.reach(d, d.step(context.Background(), e)) })
 		case decideCanary:
--- a/entry/join.go
+++ b/entry/join.go
@@ -105,6 +105,7 @@
 	if err := json.Unmarshal(value, &row); err != nil {
 		d.Log.Error("a box's row can't be read", "box", name, "err", err)
 	}
+	delete(t.lost, name)
 	if m, known := t.members[name]; known && !m.unlisted && m.at == row.Peers {
 		return
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -33,6 +33,8 @@
 	limited       prometheus.Counter
 	canaries      *prometheus.CounterVec
 	proofs        *prometheus.CounterVec
+	restores      prometheus.Gauge
+	rewritten     prometheus.Counter
 }
 
 // latencies are the histograms' bounds in seconds, around the goals of 0.15 to
@@ -77,9 +79,11 @@
 	c.limited = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_limited_total", Help: "Requests placed on targets that limit the requests of all boxes."})
 	c.canaries = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_canaries_total", Help: "Versions of pools' software that were tried out, by what this box learnt of them."}, []string{"what"})
 	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
+	c.restores = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_store_restores", Help: "How often the table service was restored from an older copy, as it tells."})
+	c.rewritten = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_rows_rewritten_total", Help: "Rows of this box that a restore lost and that it wrote again."})
 	r.MustRegister(
 		c.requests, c.retries, c.first, c.took, c.configuration, c.targets, c.kept, c.members, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack, c.limited, c.canaries, c.proofs,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silent, c.ending, c.cut, c.ended, c.quarantined, c.suspended, c.said, c.heldBack, c.limited, c.canaries, c.proofs, c.restores, c.rewritten,
 	)
 	return c
 }
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -15,6 +15,7 @@
 // last one.
 func (d *Daemon) restored(now time.Time, known revision.Revision) {
 	if d.lease.Restored(known.Restores, now) {
+		d.counts.restores.Set(float64(known.Restores))
 		d.Log.Warn("the table service was restored from an older copy", "revision", known, "configuration", d.version(), "proved_ago", d.provedAgo(now))
 	}
 }
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/table"
 )
 
 // appliedWithin is the platform's least bound for a change of the configuration.
@@ -48,7 +52,7 @@
 			w.version += 100
 			w.write(func(*Operator) {})
 			w.play(time.Second, nil)
-			w.restore(tt.lost)
+			w.restore(tt.lost, w.rows.Copy())
 			w.play(time.Second, nil)
 			w.version += tt.written
 			for version := int64(2); version <= 5; version++ {
@@ -199,3 +203,54 @@
 		}
 	}
 }
+
+// TestOwnRowsAfterRestore guards against boxes that nobody finds any more, as a restore lost
+// their rows and none of them writes it again: each does, once, spread over some seconds.
+func TestOwnRowsAfterRestore(t *testing.T) {
+	// writesEach is what one part of a table service for 330 boxes takes a second, for each.
+	const writesEach = 200.0 / 330
+	for _, boxes := range []int{3, 16, 60, 300} {
+		t.Run(fmt.Sprint(boxes, "_boxes"), func(t *testing.T) {
+			w := emulate(boxes, 3, configuration(1))
+			empty := w.rows.Copy()
+			for _, d := range w.boxes {
+				d.Settings.Peers = d.tables.members[d.Settings.Name].at
+				if err := d.write(context.Background(), d.ownRow()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			credential := table.Row{Key: keyCredential, Value: []byte(`"c"`)}
+			if err := w.boxes[0].write(context.Background(), credential); err != nil {
+				t.Fatal(err)
+			}
+			reporter := w.boxes[boxes-1]
+			sum := job("long", 10).Fingerprint()
+			w.play(time.Second, nil)
+			reporter.tables.reports.add(w.now, "i-1", []fingerprint.Sum{sum})
+			w.play(time.Second, nil)
+			w.restore(20, empty)
+			before := w.version
+			written := 0.0
+			w.play(rewriteSpread+2*time.Second, func() {
+				if w.now.Sub(start)%time.Second == 0 {
+					written = max(written, float64(w.version-before))
+					before = w.version
+				}
+			})
+			for _, d := range w.boxes {
+				if got, err := w.rows.Read(context.Background(), d.ownRow().Key); err != nil || !bytes.Equal(got.Value, d.ownRow().Value) {
+					t.Errorf("%s has no row: %s, %v", d.Settings.Name, got.Value, err)
+				}
+			}
+			if got, err := w.rows.Read(context.Background(), keyCredential); err != nil || !bytes.Equal(got.Value, credential.Value) {
+				t.Errorf("what boxes show each other is %s, %v", got.Value, err)
+			}
+			if _, err := w.rows.Read(context.Background(), reporter.crashKey("i-1")); err != nil {
+				t.Errorf("which requests ran on a target that ended is lost: %v", err)
+			}
+			if most := writesEach*float64(boxes) + 10; written > most {
+				t.Errorf("%v writes in a second, at most %v are taken", written, most)
+			}
+		})
+	}
+}
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -115,6 +115,7 @@
 	d.restored(now, m.change.Known)
 	t.ownKnown = true
 	known := len(t.members)
+	effects := d.ownRestored(now, t, m)
 	for _, row := range m.change.Rows {
 		if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
 			d.memberRead(t, name, row.Value)
@@ -138,11 +139,12 @@
 	}
 	if t.settled || !m.settled && !d.surelySpoke(now, t) {
 		d.waiting.Store(!t.settled)
-		return nil
+		return effects
 	}
 	t.settled = true
 	d.waiting.Store(false)
-	return append(d.assumeRole(now, t), d.follow(now, t)...)
+	effects = append(effects, d.assumeRole(now, t)...)
+	return append(effects, d.follow(now, t)...)
 }
 
 func (d *Daemon) rolloutRead(now time.Time, t *tables, model string, value []byte) {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -178,8 +178,13 @@
 	// settled says that the other boxes are known, so that this one knows its
 	// role.
 	settled bool
-	// ownKnown says that the system's own rows were read.
-	ownKnown bool
+	// ownKnown says that the system's own rows were read, ownKnownAt up to which revision.
+	ownKnown   bool
+	ownKnownAt revision.Revision
+	// lost are the boxes whose rows the last restore of the table service lost, and that did
+	// not write them again yet; restoresTold is how many restores a hub told of.
+	lost         map[string]bool
+	restoresTold uint64
 }
 
 // surveyed names a state of the list and of what was named.
--- a/entry/update.go
+++ b/entry/update.go
@@ -68,6 +68,8 @@
 		d.canaryTold(now, t, m)
 	case crashesWritten:
 		d.crashesWritten(now, t, m)
+	case rewritten:
+		return d.rewritten(m)
 	}
 	return nil
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -56,7 +56,7 @@
 		return nil
 	}
 	proof := asked.Add(-time.Duration(v.ProofMS) * time.Millisecond)
-	var effects []effect
+	effects := d.heardRestored(now, t, v.Restores, v.RowLost)
 	switch {
 	case v.Configuration > d.version():
 		if at := t.members[hub].at; !t.loadingConfiguration {
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -109,6 +109,10 @@
 	// Boxes is how many boxes share the work, Rowless how many of them have no row.
 	Boxes   int `cbor:"16,keyasint,omitempty"`
 	Rowless int `cbor:"17,keyasint,omitempty"`
+	// Restores is how often the table service was restored as far as the hub read, RowLost
+	// that the asking box's own row went with the last time.
+	Restores uint64 `cbor:"18,keyasint,omitempty"`
+	RowLost  bool   `cbor:"19,keyasint,omitempty"`
 	// Canaries are the versions of pools' software that are tried out, or were.
 	Canaries []Canary `cbor:"11,keyasint,omitempty"`
 	// ListBehind says that the hub's list lacks a change that another hub has read.
