fix(entry): what the operator asked for is not undone by older rows of a restored table service

Callers would see: an evacuated domain that gets requests again, and a key served that was taken away in the lost seconds, as a read of older rows proved the configuration to be the newest. Cause: a whole read was taken for all that the operator asks for. Change: an evacuation that a restored table service lacks stands until the operator had 5 s to ask again; while its rows are older than the configuration in force, reads and other hubs' words prove nothing, for 5 s at most: then what stands there counts, with an error logged. Such a box waits for a change and does not read in a loop. Not covered, as no box can know it: a change in the lost seconds that no box has read. Evidence: TestNothingGoesBack, of whose 10 cases an evacuation lost and rows that are older fail without (by the code).

--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -22,16 +22,33 @@
 	wanted := m.change.Evacuations
 	if m.change.Whole {
 		for _, domain := range t.fleet.Evacuated() {
-			if !wanted[domain] {
+			switch {
+			case wanted[domain]:
+			case m.change.Known.Restores > t.operatorKnown.Restores:
+				d.Log.Warn("a restore lost the ask for an evacuation; it stands until the operator has had the time to ask again", "domain", domain, "for", askAgainWithin)
+				t.evacuationLost[domain] = now
+			default:
 				d.evacuate(now, t, domain, false, "the operator")
 			}
 		}
 	}
 	for _, domain := range slices.Sorted(maps.Keys(wanted)) {
+		delete(t.evacuationLost, domain)
 		d.evacuate(now, t, domain, wanted[domain], "the operator")
 	}
 }
 
+// endLostEvacuations opens the domains of which the operator did not ask again for the
+// evacuation that a restore lost.
+func (d *Daemon) endLostEvacuations(now time.Time, t *tables) {
+	for domain, at := range t.evacuationLost {
+		if now.Sub(at) >= askAgainWithin {
+			delete(t.evacuationLost, domain)
+			d.evacuate(now, t, domain, false, "the operator, who did not ask again")
+		}
+	}
+}
+
 // evacuationsFromHub takes over the domains that a hub knows to be evacuated, which
 // was so at a time at the earliest.
 func (d *Daemon) evacuationsFromHub(now time.Time, t *tables, hub string, proof time.Time, domains []string) {
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -254,3 +254,60 @@
 		})
 	}
 }
+
+// TestNothingGoesBack guards against what the operator asked for being undone for as long as a
+// restored table service holds older rows than what boxes know.
+func TestNothingGoesBack(t *testing.T) {
+	copied := revision.Revision{Restores: 1, Number: 40}
+	later := revision.Revision{Restores: 1, Number: 41}
+	none := map[string]bool{}
+	asked := map[string]bool{"a": true}
+	tests := []struct {
+		name string
+		// copied is the whole read after the restore, then the next one, if it is not nil.
+		copied Operator
+		then   *Operator
+		after  time.Duration
+		// proved says that the configuration counts as the newest, evacuated that the domain
+		// gets nothing.
+		proved, evacuated bool
+	}{
+		{"nothing was lost", Operator{Table: configuration(7), Evacuations: asked}, nil, 0, true, true},
+		{"an older configuration", Operator{Table: configuration(6), Evacuations: asked}, nil, 0, false, true},
+		{"no configuration", Operator{Evacuations: asked}, nil, 0, false, true},
+		{"older, and nothing changed", Operator{Table: configuration(6), Evacuations: asked}, &Operator{}, time.Second, false, true},
+		{"older, and written again", Operator{Table: configuration(6), Evacuations: asked}, &Operator{Table: configuration(7)}, time.Second, true, true},
+		{"older for longer than the operator takes", Operator{Table: configuration(6), Evacuations: asked}, &Operator{}, askAgainWithin, true, true},
+		{"an evacuation is lost", Operator{Table: configuration(7), Evacuations: none}, nil, 0, true, true},
+		{"an evacuation is lost and asked for again", Operator{Table: configuration(7), Evacuations: none}, &Operator{Evacuations: asked}, time.Minute, true, true},
+		{"an evacuation is lost for good", Operator{Table: configuration(7), Evacuations: none}, nil, askAgainWithin, true, false},
+		{"an evacuation is lost and taken back", Operator{Table: configuration(7), Evacuations: none}, &Operator{Evacuations: map[string]bool{"a": false}}, 0, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Whole: true, Table: configuration(7), Evacuations: asked, Known: rev(50), Changed: rev(50)}})
+			restored := start.Add(time.Second)
+			tt.copied.Whole, tt.copied.Known, tt.copied.Changed = true, copied, copied
+			d.update(restored, operatorRead{restored, tt.copied})
+			now := restored.Add(tt.after)
+			if tt.then != nil {
+				tt.then.Known = later
+				d.update(now, operatorRead{now, *tt.then})
+			}
+			d.sweep(now, &d.tables)
+			if got := d.provedAgo(now) <= tt.after; got != tt.proved {
+				t.Errorf("proved %v, %v ago", got, d.provedAgo(now))
+			}
+			if got := len(d.tables.fleet.Evacuated()) > 0; got != tt.evacuated {
+				t.Errorf("evacuated %v", got)
+			}
+			if d.version() != 7 {
+				t.Errorf("version %d is in force", d.version())
+			}
+			if older := !tt.proved; older && d.operatorHold() == 0 {
+				t.Error("reads again and again without a pause")
+			}
+		})
+	}
+}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -154,6 +154,12 @@
 	// evacuatedAt is when what the operator asks for of domains was as the fleet has
 	// it; what is older by a hub's view changes nothing.
 	evacuatedAt time.Time
+	// evacuationLost are the domains whose evacuation the operator asked for before a restore
+	// of the table service and not since, with when that was read.
+	evacuationLost map[string]time.Time
+	// olderSince is since when the operator's rows are older than the configuration in force;
+	// zero if they are not.
+	olderSince time.Time
 	// crashes finds out which requests ran on targets that ended, quarantine keeps
 	// those away that take targets down, and reports are what this box tells of them.
 	crashes    crash.Watch
@@ -263,7 +269,7 @@
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), others: shares.New(), used: make(map[string]*fleet.Target), followed: make(map[string]context.CancelFunc),
 		weights: make(map[string]*weights), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Life]*limitedTarget), probing: make(map[string]bool),
-		silences: make(map[netip.AddrPort]time.Time), departed: make(map[string]departure), heldBack: make(map[string]heldEntry),
+		silences: make(map[netip.AddrPort]time.Time), evacuationLost: make(map[string]time.Time), departed: make(map[string]departure), heldBack: make(map[string]heldEntry),
 		slow: make(map[string]bool), sizes: make(map[string]float64),
 		strains: make(map[string]*strain.Gauge), strained: make(map[string]bool),
 		canaries: make(map[string]*trying), inUse: make(map[string]*inUse), regions: make(map[string]string), tooks: make(map[string]*usual.Time), lifted: make(map[fingerprint.Sum]time.Time), trials: make(map[fingerprint.Sum]time.Time), over: make(map[string]time.Time),
--- a/entry/update.go
+++ b/entry/update.go
@@ -85,10 +85,12 @@
 	d.weightsRead(now, t, m)
 	d.evacuationsRead(now, t, m)
 	d.canariesRead(now, t, m)
+	if !d.rowsOlder(now, t, m) {
+		d.prove(m.asked)
+	}
 	t.operatorChange = revision.Max(t.operatorChange, m.change.Changed)
 	t.operatorKnown = revision.Max(t.operatorKnown, m.change.Known)
 	d.behind.Store(false)
-	d.prove(m.asked)
 	if err := m.change.Unusable; err != nil {
 		d.Log.Error("configuration can't be used; the last good one stays", "err", err, "in_force", d.version())
 	}
--- a/entry/vouch.go
+++ b/entry/vouch.go
@@ -61,7 +61,7 @@
 func (d *Daemon) hearProof(t *tables, asked time.Time, m peer.Message) {
 	switch {
 	case m.Operator.IsZero() || d.vouches.Load() == 0:
-	case m.Operator.Restores < t.operatorKnown.Restores:
+	case m.Operator.Restores < t.operatorKnown.Restores || !t.olderSince.IsZero():
 	case !m.Operator.After(t.operatorKnown):
 		d.provedBy(t, m.From, m.Operator)
 		d.prove(asked.Add(-time.Duration(m.ProofMS) * time.Millisecond))
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -122,9 +122,12 @@
 // operatorHold is how long a read of the operator's rows is held: not at all while
 // the table service is lost, so that its return is known within the time of one
 // answer, 1.5 s at most, and not after a hold on a connection that stays silent. Nor is
-// one held at a hub for which another one reads as a rule.
+// one held at a hub for which another one reads as a rule, unless the operator's rows are
+// older than what is in force: then a change is waited for.
 func (d *Daemon) operatorHold() time.Duration {
 	switch {
+	case d.outage.isOlder():
+		return hubHold
 	case d.outage.lost() || d.vouches.Load() > 0:
 		return 0
 	case d.waiting.Load():
@@ -174,6 +177,8 @@
 	away bool
 	// seen says that an outage happened since the list was last read.
 	seen bool
+	// older says that the operator's rows are older than the configuration in force.
+	older bool
 	// ctx ends when the service is lost.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -191,6 +196,20 @@
 	return o.away
 }
 
+// setOlder notes whether the operator's rows are older than the configuration in force.
+func (o *outage) setOlder(older bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.older = older
+}
+
+// isOlder says so.
+func (o *outage) isOlder() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.older
+}
+
 // reading returns a context that ends when the table service is lost.
 func (o *outage) reading() context.Context {
 	o.mu.Lock()
