fix(entry,canary): a version that is tried out outlives a restore of the table service

Callers would see: a bad version tried out anew, more of it than its share, or a good one barred by its own older row. Cause: an ask was named by the number of its row, which a restore gives out again, so that the same ask written again was another one and its row in the copy an earlier one's; a condition on the row's number from before failed for good. An ask for the same version made anew in the lost seconds is taken for the one before: it stays taken back, as the operator may ask with another one. The emulated boxes now know their own address, as real ones do.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -7,7 +7,11 @@
 //	if j.Bad() { ... }
 package canary
 
-import "time"
+import (
+	"time"
+
+	"github.com/thymewind/thymewind/revision"
+)
 
 // Ask is what the operator asks for: a pool's requests are to move to a version of its
 // software, if that is no worse.
@@ -22,6 +26,21 @@
 	Lasts time.Duration
 }
 
+// restoreSpan is how many numbers an Order has between two restores of the table service, far
+// more than it writes rows.
+const restoreSpan = 1 << 40
+
+// OrderAt numbers what was asked for by a change of the table service, over its restores.
+func OrderAt(changed revision.Revision) uint64 {
+	return changed.Restores*restoreSpan + changed.Number
+}
+
+// Same says that two asks are one: a restored table service has its older rows again, and the
+// operator writes those it lost again, so that the same ask may come at two orders.
+func (a Ask) Same(b Ask) bool {
+	return a.Order == b.Order || a.Pool == b.Pool && a.Version == b.Version && a.Order/restoreSpan != b.Order/restoreSpan
+}
+
 // State is how far it has come. It only rises, but for Completing, which may yet be
 // RolledBack.
 type State int
--- a/entry/canary.go
+++ b/entry/canary.go
@@ -10,6 +10,7 @@
 	"github.com/thymewind/thymewind/exposure"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // The operator may ask for a pool's requests to move to another version of its software,
@@ -25,7 +26,7 @@
 	ask canary.Ask
 	// state, until and barred are as the row says, of which the revision was read.
 	state    canary.State
-	revision uint64
+	revision revision.Revision
 	// until is when it has to be decided, on the table service's clock; zero if the row does
 	// not tell.
 	until  time.Duration
@@ -46,9 +47,14 @@
 	// told says that this box told the operator of toldState, rowTold that the row says that
 	// the operator was told of the end.
 	told, rowTold bool
-	toldState     canary.State
+	// rowLost says that a restore lost the row.
+	rowLost   bool
+	toldState canary.State
 	// again is when a change that failed is tried again.
 	again time.Time
+	// lostAt is when a restored table service was read that lacks what the operator asked for;
+	// zero if it does not.
+	lostAt time.Time
 }
 
 // canaryOf returns what is tried out in a pool, or nil.
@@ -64,16 +70,38 @@
 	}
 	for pool, c := range t.canaries {
 		ask, told := asked[pool]
-		if told && ask == nil || m.change.Whole && asked != nil && !told {
+		lost := m.change.Whole && asked != nil && !told
+		switch {
+		case told && ask != nil:
+			c.lostAt = time.Time{}
+		case lost && m.change.Known.Restores > t.operatorKnown.Restores:
+			d.Log.Warn("a restore lost what version is to be tried out; the operator has the time to ask again", "pool", pool, "version", c.ask.Version, "for", askAgainWithin)
+			c.lostAt = now
+		case told || lost && c.lostAt.IsZero():
 			d.stopTrying(now, c, "the operator took it back")
 		}
 	}
 }
 
+// endLostCanaries stops trying versions for which the operator did not ask again after a restore
+// lost that.
+func (d *Daemon) endLostCanaries(now time.Time, t *tables) {
+	for _, c := range t.canaries {
+		if !c.lostAt.IsZero() && now.Sub(c.lostAt) >= askAgainWithin {
+			c.lostAt = time.Time{}
+			d.stopTrying(now, c, "the operator did not ask again after a restore")
+		}
+	}
+}
+
 // canaryAsked begins to try a version out, if that is news. An earlier one that was not
 // completed gets nothing any more.
 func (d *Daemon) canaryAsked(now time.Time, t *tables, ask canary.Ask, from string) *trying {
 	before := t.canaries[ask.Pool]
+	if before != nil && ask.Same(before.ask) {
+		before.ask.Order, before.ask.Lasts = max(before.ask.Order, ask.Order), max(before.ask.Lasts, ask.Lasts)
+		return before
+	}
 	if before != nil && before.ask.Order >= ask.Order {
 		return before
 	}
@@ -215,7 +243,7 @@
 func (d *Daemon) canariesFromHub(now time.Time, t *tables, hub string, list []peer.Canary) {
 	for _, told := range list {
 		c := d.canaryAsked(now, t, canary.Ask{Pool: told.Pool, Version: told.Version, Order: told.Order}, hub)
-		if c.ask.Order != told.Order {
+		if !c.ask.Same(canary.Ask{Pool: told.Pool, Version: told.Version, Order: told.Order}) {
 			continue // The hub has not heard of the newer one.
 		}
 		for _, version := range told.Barred {
--- a/entry/canaryrow.go
+++ b/entry/canaryrow.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/thymewind/thymewind/canary"
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/table"
 )
 
@@ -48,7 +49,7 @@
 type decideCanary struct {
 	pool     string
 	row      canaryRow
-	revision uint64
+	revision revision.Revision
 }
 
 // canaryDecided tells what came of it; current is the row as it stands, if it was another.
@@ -91,6 +92,13 @@
 	return effects
 }
 
+// rowGone notes that a restore of the table service lost the row, so that the next change makes
+// it anew, and one is due.
+func (c *trying) rowGone(restores uint64) {
+	c.revision = revision.Revision{Restores: restores}
+	c.rowLost, c.rowTold = true, false
+}
+
 // settled says that nothing is left to decide or to tell.
 func (c *trying) settled() bool { return c.state.Ended() && c.rowTold }
 
@@ -136,7 +144,7 @@
 	case d.mayComplete(now, clock, t, c):
 		row.State = canary.Completed
 	}
-	return row, row.State != c.state
+	return row, row.State != c.state || c.rowLost
 }
 
 // afterTrying is the state by the time that is left. A version that is not shown to be no
@@ -168,7 +176,7 @@
 	}
 	key := canaryPrefix + e.pool
 	err = d.Platform.Commit(ctx, table.Transaction{
-		Expect: []table.Condition{{Key: key, Revision: e.revision}}, Put: []table.Row{{Key: key, Value: value}},
+		Expect: []table.Condition{{Key: key, Revision: e.revision.Number, Restores: e.revision.Restores}}, Put: []table.Row{{Key: key, Value: value}},
 	})
 	current, readErr := d.Platform.Read(ctx, key)
 	if readErr != nil && err == nil {
@@ -187,23 +195,24 @@
 		d.Log.Warn("how far a version has come was not written", "pool", m.pool, "state", m.row.State, "err", m.err)
 	}
 	if m.current.Value != nil {
-		d.canaryRead(now, t, m.pool, m.current.Value, m.current.Revision)
+		d.canaryRead(now, t, m.pool, m.current.Value, m.current.At())
 	}
 }
 
 // canaryRead takes over a row.
-func (d *Daemon) canaryRead(now time.Time, t *tables, pool string, value []byte, revision uint64) {
+func (d *Daemon) canaryRead(now time.Time, t *tables, pool string, value []byte, changed revision.Revision) {
 	var row canaryRow
 	if err := json.Unmarshal(value, &row); err != nil {
 		d.Log.Error("the row of a version that is tried out can't be read", "pool", pool, "err", err)
 		return
 	}
-	c := d.canaryAsked(now, t, canary.Ask{Pool: pool, Version: row.Version, Order: row.Order}, "its row")
-	if revision < c.revision {
+	ask := canary.Ask{Pool: pool, Version: row.Version, Order: row.Order}
+	c := d.canaryAsked(now, t, ask, "its row")
+	if c.revision.After(changed) {
 		return
 	}
-	c.revision = revision
-	if row.Order != c.ask.Order {
+	c.revision, c.rowLost = changed, false
+	if !c.ask.Same(ask) {
 		c.barred = union(c.barred, row.bars())
 		return
 	}
@@ -235,7 +244,7 @@
 // canaryTold notes that the operator was told.
 func (d *Daemon) canaryTold(now time.Time, t *tables, m canaryTold) {
 	c := t.canaryOf(m.ask.Pool)
-	if c == nil || c.ask.Order != m.ask.Order {
+	if c == nil || !c.ask.Same(m.ask) {
 		return
 	}
 	c.telling = false
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -130,6 +130,9 @@
 func (w *emulator) join(d *Daemon) {
 	for i, other := range w.boxes {
 		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i % 250)}), 1)
+		if other == d {
+			d.Settings.Peers = at
+		}
 		d.tables.members[other.Settings.Name] = &member{at: at, domain: other.Settings.Domain, share: other.Settings.Box.Share}
 	}
 	d.tables.settled = true
@@ -215,7 +218,15 @@
 	w.version -= lost
 	w.restores++
 	w.rows.Restore(own)
-	w.write(func(*Operator) {})
+	w.write(func(o *Operator) {
+		asks := make(map[string]*canary.Ask, len(o.Canaries))
+		for pool, ask := range o.Canaries {
+			again := *ask
+			again.Order = canary.OrderAt(w.revision())
+			asks[pool] = &again
+		}
+		o.Canaries = asks
+	})
 	rows, err := w.rows.ListAll(context.Background(), "")
 	if err != nil {
 		panic(err) // The emulated table draws no fault for reads of all.
--- a/entry/rewrite.go
+++ b/entry/rewrite.go
@@ -56,6 +56,11 @@
 	for _, w := range t.weights {
 		w.names.Lost()
 	}
+	for pool, c := range t.canaries {
+		if stands[canaryPrefix+pool] == nil {
+			c.rowGone(m.change.Known.Restores)
+		}
+	}
 	d.reportAgain(now, t, func(key string) bool { return stands[key] == nil })
 	var effects []effect
 	if own := d.ownRow(); !d.unlisted.Load() && !bytes.Equal(stands[own.Key], own.Value) {
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -124,7 +124,7 @@
 			d.crashRead(now, t, key, row.Value)
 		}
 		if pool, ok := strings.CutPrefix(row.Key, canaryPrefix); ok {
-			d.canaryRead(now, t, pool, row.Value, row.Revision)
+			d.canaryRead(now, t, pool, row.Value, row.At())
 		}
 		if row.Key == keyCredential {
 			d.credentialRead(row.Value)
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -31,6 +31,7 @@
 	t.due.sweep = now.Add(time.Second)
 	d.releaseHeld(now, t)
 	d.endLostEvacuations(now, t)
+	d.endLostCanaries(now, t)
 	t.directory.Expire(now)
 	t.fleet.Expire(now.Add(-replacedFor))
 	t.reads.Expire(now)
