fix(entry): a box that joins does not read the operator's rows again before its role is known

Cause, shown now: whether the loop had taken the first answer over when the reader went on decided whether the box read again at once, a held call that a box on a hub does not need. Change: the reader gives the role the time of one look to come out.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -102,8 +102,11 @@
 			asked = change.Asked
 		}
 		d.tell(ctx, operatorRead{asked, change})
-		if after.Number == 0 {
+		switch {
+		case after.Number == 0:
 			d.pause(ctx, emptyAgain)
+		case d.roleAt.Load() == nil && d.Settings.Peers.IsValid():
+			d.pause(ctx, viewLook) // Whether a hub tells what the next read would is known soon.
 		}
 	}
 }
