fix(entry): a box that reads the list after it lived on a hub takes targets that went for gone

Cause: took such a read for the first after a restore, as only the box's own reads counted. Change: what a hub's list was read after counts as well. Evidence: TestListAfterHubs fails without (1 of 3 cases). The warning of a restore is not logged at a box's first read. noteRowsLost, rewriteLost are parts of ownRestored, which was long. entry passes.

--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -226,7 +226,7 @@
 		d.hearSeen(now, t, m.Seen)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.List, From: m.ListFrom})
 		t.tellRefused(answer.View, m.Refuses)
-		answer.View.Restores, answer.View.RowLost = t.ownKnownAt.Restores, t.lost[m.From]
+		answer.View.Restores, answer.View.RowLost = t.ownKnownAt.Restores, t.rowsLost[m.From]
 	}
 	return answer
 }
--- a/entry/join.go
+++ b/entry/join.go
@@ -35,9 +35,8 @@
 }
 
 // drawOneIn is the share of boxes, one in so many, that write the credential when
-// they first start and find none. When a fleet starts at once they all find none, and
-// one is enough: 195 boxes that all wrote kept each other waiting for over a second
-// and made 250 calls of 4,300 up to the first request.
+// they first start and find none. When a fleet starts at once they all find none, one is enough,
+// and writes of all to one row would keep each other waiting.
 const drawOneIn = 16
 
 // ownRow is this box's row.
@@ -89,6 +88,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	// A write that took place after a restore counts as failed too; the next read tells.
 	err = d.Platform.Commit(ctx, table.Transaction{
 		Expect: []table.Condition{{Key: keyCredential}},
 		Put:    []table.Row{{Key: keyCredential, Value: value}},
@@ -105,7 +105,7 @@
 	if err := json.Unmarshal(value, &row); err != nil {
 		d.Log.Error("a box's row can't be read", "box", name, "err", err)
 	}
-	delete(t.lost, name)
+	delete(t.rowsLost, name)
 	if m, known := t.members[name]; known && !m.unlisted && m.at == row.Peers {
 		return
 	}
--- a/entry/list.go
+++ b/entry/list.go
@@ -15,8 +15,9 @@
 	if t.listNumber == 0 {
 		t.beginList()
 	}
-	d.restored(now, m.change.Known)
-	restored := m.change.Known.Restores > t.listKnown.Restores
+	d.restored(now, t, m.change.Known)
+	restored := m.change.Known.Restores > t.listRestores
+	t.listRestores = m.change.Known.Restores
 	t.listRead = m.asked
 	t.hub, t.hubList, t.hubSeen = "", changelog.Cursor{}, nil // What it lacks of a hub's list is not known.
 	d.noteListRead(now, t, m)
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -37,9 +37,12 @@
 
 // restored notes that a read was answered by a table service that had been restored since the
 // last one.
-func (d *Daemon) restored(now time.Time, known revision.Revision) {
-	if d.lease.Restored(known.Restores, now) {
-		d.counts.restores.Set(float64(known.Restores))
+func (d *Daemon) restored(now time.Time, t *tables, known revision.Revision) {
+	if !d.lease.Restored(known.Restores, now) {
+		return
+	}
+	d.counts.restores.Set(float64(known.Restores))
+	if first := t.operatorKnown.IsZero() && t.listKnown.IsZero() && t.ownKnownAt.IsZero(); !first {
 		d.Log.Warn("the table service was restored from an older copy", "revision", known, "configuration", d.version(), "proved_ago", d.provedAgo(now))
 	}
 }
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/canary"
+	"github.com/thymewind/thymewind/changelog"
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
@@ -458,3 +459,35 @@
 		})
 	}
 }
+
+// TestListAfterHubs guards against a target that went being kept as one whose entry a restore
+// lost, at a box that reads the list itself for the first time since it lived on a hub: the table
+// service was restored before, but not since the hub read it.
+func TestListAfterHubs(t *testing.T) {
+	tests := []struct {
+		name string
+		// hub and own are how many restores the hub's list and this box's read know of.
+		hub, own uint64
+		kept     bool
+	}{
+		{"never restored", 0, 0, false},
+		{"restored before both", 3, 3, false},
+		{"restored in between", 3, 4, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			hub, spoke := newDaemon("box-00"), hubOf("box-05")
+			hub.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1")}, Known: revision.Revision{Restores: tt.hub, Number: 9}}, false})
+			view := hub.view(start, &hub.tables, changelog.Cursor{})
+			view.Restores = tt.hub
+			spoke.listFromHub(start, &spoke.tables, "box-00", view)
+			if spoke.tables.fleet.Target("a") == nil {
+				t.Fatal("the hub's list was not taken over")
+			}
+			spoke.update(start, targetsRead{start, Targets{Whole: true, Known: revision.Revision{Restores: tt.own, Number: 9}}, false})
+			if got := spoke.tables.fleet.Target("a") != nil; got != tt.kept {
+				t.Errorf("kept %v", got)
+			}
+		})
+	}
+}
--- a/entry/rewrite.go
+++ b/entry/rewrite.go
@@ -52,33 +52,40 @@
 	for _, row := range m.change.Rows {
 		stands[row.Key] = row.Value
 	}
-	t.lostRows(d.Settings.Name, stands)
-	for _, w := range t.weights {
-		w.names.Lost()
-	}
-	for pool, c := range t.canaries {
-		if stands[canaryPrefix+pool] == nil {
-			c.rowGone(m.change.Known.Restores)
-		}
-	}
+	t.noteRowsLost(d.Settings.Name, stands, m.change.Known.Restores)
 	d.reportAgain(now, t, func(key string) bool { return stands[key] == nil })
+	effects := d.rewriteLost(stands, m.change.Known.Restores)
+	d.Log.Warn("this system's own rows were read after a restore", "revision", m.change.Known, "before", before, "rows", len(stands), "boxes_lost", len(t.rowsLost), "written_again", len(effects))
+	return effects
+}
+
+// rewriteLost makes the effects that write again what this box means to stand and does not.
+func (d *Daemon) rewriteLost(stands map[string][]byte, restores uint64) []effect {
 	var effects []effect
 	if own := d.ownRow(); !d.unlisted.Load() && !bytes.Equal(stands[own.Key], own.Value) {
 		effects = append(effects, d.rewriteOwn())
 	}
 	if stands[keyCredential] == nil {
-		effects = append(effects, d.rewriteCredential(m.change.Known.Restores)...)
+		effects = append(effects, d.rewriteCredential(restores)...)
 	}
-	d.Log.Warn("this system's own rows were read after a restore", "revision", m.change.Known, "before", before, "rows", len(stands), "boxes_lost", len(t.lost), "written_again", len(effects))
 	return effects
 }
 
-// lostRows notes which other boxes' rows a restore lost.
-func (t *tables) lostRows(self string, stands map[string][]byte) {
-	t.lost = make(map[string]bool)
+// noteRowsLost notes which other boxes' rows a restore lost, and which rows the holder of the
+// lease is to write again.
+func (t *tables) noteRowsLost(self string, stands map[string][]byte, restores uint64) {
+	for _, w := range t.weights {
+		w.names.Lost()
+	}
+	for pool, c := range t.canaries {
+		if stands[canaryPrefix+pool] == nil {
+			c.rowGone(restores)
+		}
+	}
+	t.rowsLost = make(map[string]bool)
 	for name, x := range t.members {
 		if !x.unlisted && name != self && stands[memberPrefix+name] == nil {
-			t.lost[name] = true
+			t.rowsLost[name] = true
 		}
 	}
 }
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -112,7 +112,7 @@
 
 // ownRead takes over what the boxes tell each other through the table service.
 func (d *Daemon) ownRead(now time.Time, t *tables, m ownRead) []effect {
-	d.restored(now, m.change.Known)
+	d.restored(now, t, m.change.Known)
 	t.ownKnown = true
 	known := len(t.members)
 	effects := d.ownRestored(now, t, m)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -113,6 +113,9 @@
 	refreshedList uint64
 	// listRead is when this box last asked the platform for the list itself.
 	listRead time.Time
+	// listRestores is how often the table service had been restored when the list, or the hub's
+	// that this box took over, was read.
+	listRestores uint64
 	// departed are targets that went from the list lately, heldBack entries of such that a
 	// restored list has again, by their IDs.
 	departed map[string]departure
@@ -187,9 +190,9 @@
 	// ownKnown says that the system's own rows were read, ownKnownAt up to which revision.
 	ownKnown   bool
 	ownKnownAt revision.Revision
-	// lost are the boxes whose rows the last restore of the table service lost, and that did
+	// rowsLost are the boxes whose rows the last restore of the table service lost, and that did
 	// not write them again yet; restoresTold is how many restores a hub told of.
-	lost         map[string]bool
+	rowsLost     map[string]bool
 	restoresTold uint64
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -77,7 +77,7 @@
 // operatorRead takes over what the operator wrote. A lower version is never
 // taken.
 func (d *Daemon) operatorRead(now time.Time, t *tables, m operatorRead) []effect {
-	d.restored(now, m.change.Known)
+	d.restored(now, t, m.change.Known)
 	if m.change.Whole {
 		d.Log.Info("what the operator wrote was read whole", "revision", m.change.Known, "known", t.operatorKnown, "newest_known", t.operatorChange)
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -90,6 +90,7 @@
 	if !v.Changes {
 		t.hubSeen = make(map[string]bool)
 	}
+	t.listRestores = max(t.listRestores, v.Restores)
 	t.hub, t.hubList = hub, next
 	d.entriesRead(now, t, v.Entries)
 	for _, id := range v.Gone {
