--- a/entry/canary_test.go
+++ b/entry/canary_test.go
@@ -240,6 +240,48 @@
 	properties.TestingRun(t)
 }
 
+// TestExposureOverBoxes guards against boxes that together send a version more than its share:
+// until it is completed it gets no more at any moment, also where it is good, or bad so seldom
+// that this is found late. Its last case takes the share away, and must be found.
+func TestExposureOverBoxes(t *testing.T) {
+	t.Parallel()
+	const share, extra = 0.1, 50
+	tests := []struct {
+		name    string
+		percent int
+		share   float64
+		holds   bool
+	}{
+		{"good", 0, share, true},
+		{"fails 5 in 100", 5, share, true},
+		{"slow 20 in 100", 20, share, true},
+		{"without the share", 5, 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newCanaryWorld(5, 70)
+			for _, d := range w.boxes {
+				d.Settings.Bounds.TriedShare = tt.share
+				d.bounds.Store(&d.Settings.Bounds)
+			}
+			w.answer = w.badIn(tt.percent, tt.percent == 20, 0, "")
+			w.ask("v2")
+			over := 0.0
+			w.play(tryFor, func() {
+				w.serve()
+				if c := w.boxes[0].tables.canaryOf("orders"); c == nil || c.state == canary.Trying {
+					over = max(over, float64(w.tried)-share*float64(w.sent)-extra)
+				}
+			})
+			t.Logf("%d of %d requests reached the new version, told %v", w.tried, w.sent, w.told["orders"])
+			if holds := over <= 0; holds != tt.holds {
+				t.Errorf("%v requests more than the share at the most", over)
+			}
+		})
+	}
+}
+
 // TestCanaryParts shows that each part is needed: without it the checks of TestCanary fail.
 func TestCanaryParts(t *testing.T) {
 	t.Parallel()
