fix(entry): after a restore no target is ordered anything that an earlier holder may have ordered lately

Callers would see: two boxes' orders to one target within the platform's bound of 3 s (rule ONE), if the holder ends right after a restore that lost the row which names the targets ordered lately.

--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -662,3 +663,61 @@
 	}, gen.IntRange(0, 2), gen.IntRange(0, len(restoreTroubles)-1), gen.IntRange(0, 20), gen.UInt64Range(1, 110), gen.UInt64Range(0, 900), gen.UInt64Range(50, 1500)))
 	properties.TestingRun(t)
 }
+
+// TestOrdersAfterRestore guards against orders of two boxes to one target within the platform's
+// bound: a restore lost the row that tells which targets an earlier holder ordered lately.
+func TestOrdersAfterRestore(t *testing.T) {
+	const restores = 2
+	row := func(epoch uint64) *table.Row {
+		value, err := json.Marshal(rolloutRow{Epoch: epoch, Version: 2})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &table.Row{Key: rolloutPrefix + "m", Value: value}
+	}
+	tests := []struct {
+		name     string
+		restores uint64
+		row      *table.Row
+		// waits says that no order is given as the lease is taken.
+		waits bool
+	}{
+		{"never restored", 0, nil, false},
+		{"the row is lost", restores, nil, true},
+		{"the row is an older one", restores, row(7), true},
+		{"the row was written since", restores, row(restores<<20 + 1), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			d := newDaemon("b1")
+			d.now = func() time.Time { return now }
+			stored := &fake.Table{}
+			for range tt.restores {
+				stored.Restore(stored.Copy())
+			}
+			d.lease.Now, d.lease.Commit, d.lease.Read = d.now, stored.Commit, stored.Read
+			known := revision.Revision{Restores: tt.restores, Number: 9}
+			d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}, Known: known}})
+			d.update(now, targetsRead{now, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}, Known: known}, false})
+			now = start.Add(leaseLength + leaseMargin)
+			if err := d.lease.Step(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, held := d.lease.Held(); !held {
+				t.Fatal("the lease is not held")
+			}
+			var rows []table.Row
+			if tt.row != nil {
+				rows = append(rows, *tt.row)
+			}
+			d.update(now, leaseStepped{read: true, rows: rows})
+			may := start.Add(leaseLength + d.bounds.Load().Takeover + holdSlack)
+			early := d.replicas(now, &d.tables, "m", d.tables.model("m"))[0].Barred
+			late := d.replicas(may, &d.tables, "m", d.tables.model("m"))[0].Barred
+			if early != tt.waits || late {
+				t.Errorf("barred as the lease is taken %v, want %v; and %v later: %v", early, tt.waits, may.Sub(now), late)
+			}
+		})
+	}
+}
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -33,9 +33,14 @@
 	Freed int64 `json:"freed"`
 }
 
-// bar keeps targets that an earlier holder ordered lately from orders.
+// bar keeps targets that an earlier holder ordered lately from orders: all of them, if a restore
+// of the table service may have lost the row that names them.
 func (d *Daemon) bar(now time.Time, t *tables, rows []table.Row) {
-	until := now.Add(d.bounds.Load().Takeover + holdSlack)
+	apart := d.bounds.Load().Takeover + holdSlack
+	until := now.Add(apart)
+	for _, w := range t.weights {
+		w.barredAll = d.lease.LostUntil().Add(apart)
+	}
 	for _, row := range rows {
 		model, ok := strings.CutPrefix(row.Key, rolloutPrefix)
 		if !ok {
@@ -46,6 +51,9 @@
 		if json.Unmarshal(row.Value, &last) != nil {
 			continue // rolloutRead logged it.
 		}
+		if last.Epoch >= d.lease.FirstEpoch() {
+			t.model(model).barredAll = time.Time{}
+		}
 		for _, id := range last.Recent {
 			t.model(model).barred[id] = until
 		}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -218,6 +218,8 @@
 	// recent is when this box ordered targets anything, barred until when it
 	// must not, as another box did.
 	recent, barred map[string]time.Time
+	// barredAll is until when it must order none, as it can't know which another box did.
+	barredAll time.Time
 	// epoch is the lease's in the row last read.
 	epoch uint64
 	// clearing says when parts made on older weights may be freed.
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -90,7 +90,7 @@
 				continue
 			}
 			list = append(list, rollout.Replica{
-				ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight, Barred: now.Before(w.barred[x.ID]),
+				ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight, Barred: now.Before(w.barred[x.ID]) || now.Before(w.barredAll),
 			})
 		}
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -115,6 +115,24 @@
 	return true
 }
 
+// LostUntil is until when somebody may have acted under the lease of whom a restore lost every
+// trace; zero if there was no restore.
+func (l *Lease) LostUntil() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.restores == 0 {
+		return time.Time{}
+	}
+	return l.restoredAt.Add(l.Length)
+}
+
+// FirstEpoch is the lowest epoch that is given out since the last restore that is known.
+func (l *Lease) FirstEpoch() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restores*epochsEach + 1
+}
+
 // Step renews the lease or takes it if its holder let it lapse. It returns the
 // table service's error; a lease that is held then runs out by itself.
 func (l *Lease) Step(ctx context.Context) error {
