--- /dev/null
+++ b/entry/departed.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"maps"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+)
+
+// A restored table service may list a target again that went before the restore, until the
+// platform drops its entry. Such entries are held back.
+
+// departure is how a target went from the list.
+type departure struct {
+	life fleet.Life
+	// leaving says that it had been said to leave, which no life takes back.
+	leaving bool
+	at      time.Time
+}
+
+// heldEntry is an entry that may be from before its target went.
+type heldEntry struct {
+	entry fleet.Entry
+	// until is when the list has dropped it, if its target went; zero if it is known to have
+	// left, so that only its own word brings it back.
+	until time.Time
+}
+
+// staleEntryFor is how long an entry whose target is gone may stand in a list that came from
+// an older copy: the platform drops one behind three heartbeats of silence, some 4 s.
+const staleEntryFor = 10 * time.Second
+
+// departedFor is how long departures are remembered: a copy is some seconds old.
+const departedFor = time.Minute
+
+// holdBack keeps an entry of a restored list from being taken over, if its target went from the
+// list before: it may still serve, but nobody is to send it anything.
+func (d *Daemon) holdBack(now time.Time, t *tables, e fleet.Entry) bool {
+	last, known := t.departed[e.ID]
+	if !known || e.Born.After(last.life.Born) || now.Sub(last.at) > departedFor {
+		return false
+	}
+	held := heldEntry{entry: e, until: now.Add(staleEntryFor)}
+	if last.leaving {
+		held.until = time.Time{}
+	}
+	t.heldBack[e.ID] = held
+	d.Log.Warn("target's entry is not taken over, as it went before the table service was restored", "target", e.ID, "gone_for", now.Sub(last.at), "left", last.leaving)
+	return true
+}
+
+// releaseHeld takes over the entries that the list has kept for longer than it keeps those of
+// targets that went.
+func (d *Daemon) releaseHeld(now time.Time, t *tables) {
+	for id, held := range t.heldBack {
+		if held.until.IsZero() || now.Before(held.until) {
+			continue
+		}
+		delete(t.heldBack, id)
+		d.Log.Info("target's entry is taken over, as the list kept it", "target", id)
+		d.listTarget(now, t, held.entry)
+	}
+	maps.DeleteFunc(t.departed, func(_ string, x departure) bool { return now.Sub(x.at) > departedFor })
+}
--- /dev/null
+++ b/entry/restored_canary_test.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/canary"
+	"github.com/thymewind/thymewind/revision"
+)
+
+// TestCanaryAfterRestore guards against a version that is tried out being begun anew, or barred
+// by its own older row, once a restore lost its row and its ask was written again.
+func TestCanaryAfterRestore(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		percent int
+		// copied and restored are when, after the ask, the copy is taken and the table service
+		// comes back from it.
+		copied, restored time.Duration
+		want             canary.State
+	}{
+		{"good, before its row", 0, 0, 3 * time.Second, canary.Completed},
+		{"good, with its row", 0, 2 * time.Second, 4 * time.Second, canary.Completed},
+		{"good, while it is completed", 0, 6 * time.Second, 9 * time.Second, canary.Completed},
+		{"good, after its end", 0, 5 * time.Second, 13 * time.Second, canary.Completed},
+		{"bad, before its row", 50, 0, 1500 * time.Millisecond, canary.RolledBack},
+		{"bad, after it was found out", 50, 2 * time.Second, 8 * time.Second, canary.RolledBack},
+		{"bad, and its row is lost after that", 50, 0, 8 * time.Second, canary.RolledBack},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newCanaryWorld(3, 70)
+			w.answer = w.badIn(tt.percent, false, 0, "")
+			w.ask("v2")
+			w.play(tt.copied, w.serve)
+			copied, lost := w.rows.Copy(), w.version
+			w.play(tt.restored-tt.copied, w.serve)
+			w.restore(min(w.version-lost+5, w.version-1), copied)
+			w.play(tryFor-tt.restored+6*time.Second, w.serve)
+			if w.last() != tt.want {
+				t.Errorf("told %v, want %v at the end", w.told["orders"], tt.want)
+			}
+			if tt.percent > 0 && float64(w.tried) > 0.1*float64(w.sent)+50 {
+				t.Errorf("a bad version got %d of %d requests", w.tried, w.sent)
+			}
+			if w.late > 0 || w.olderLate > 0 {
+				t.Errorf("%d requests came too late to the new version, %d to the older one after it was completed", w.late, w.olderLate)
+			}
+			for _, d := range w.boxes {
+				if c := d.tables.canaryOf("orders"); c == nil || c.state != tt.want || slices.Contains(c.barred, "v2") {
+					t.Fatalf("%s has %+v", d.Settings.Name, c)
+				}
+			}
+			if _, err := w.rows.Read(context.Background(), canaryPrefix+"orders"); err != nil {
+				t.Errorf("its row is lost: %v", err)
+			}
+		})
+	}
+}
+
+// TestCanaryAskedAgain guards against a version that is stopped, as a restored table service
+// lacks the ask for it until the operator has written that again.
+func TestCanaryAskedAgain(t *testing.T) {
+	ask := canary.Ask{Pool: "orders", Version: "v2", Order: 50, Lasts: tryFor}
+	again := ask
+	again.Order = canary.OrderAt(revision.Revision{Restores: 1, Number: 41})
+	tests := []struct {
+		name    string
+		then    map[string]*canary.Ask
+		after   time.Duration
+		stopped bool
+	}{
+		{"not yet", nil, askAgainWithin - time.Millisecond, false},
+		{"asked again", map[string]*canary.Ask{"orders": &again}, time.Minute, false},
+		{"not asked again", nil, askAgainWithin, true},
+		{"taken back", map[string]*canary.Ask{"orders": nil}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			d.update(start, operatorRead{start, Operator{Whole: true, Canaries: map[string]*canary.Ask{"orders": &ask}, Known: rev(50)}})
+			d.update(start, operatorRead{start, Operator{Whole: true, Canaries: map[string]*canary.Ask{}, Known: revision.Revision{Restores: 1, Number: 40}}})
+			d.update(start, operatorRead{start, Operator{Canaries: tt.then, Known: revision.Revision{Restores: 1, Number: 41}}})
+			d.sweep(start.Add(tt.after), &d.tables)
+			if c := d.tables.canaryOf("orders"); c.stopped != tt.stopped || c.ask.Version != "v2" {
+				t.Errorf("stopped %v, ask %+v", c.stopped, c.ask)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/restored_drawn_test.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/internal/fake"
+)
+
+// restoreTroubles are what may befall the fleet around a restore; each returns what ends it.
+var restoreTroubles = []struct {
+	name string
+	do   func(w *emulator, name string) func()
+}{
+	{"none", func(*emulator, string) func() { return func() {} }},
+	{"a box is cut off from the table service", func(w *emulator, name string) func() {
+		w.noRows[name] = true
+		return func() { w.readAnew(name) }
+	}},
+	{"a box is dead", func(w *emulator, name string) func() {
+		w.dead[name] = true
+		return func() { w.startAnew(name) }
+	}},
+}
+
+// older is what the operator and the targets had written at a moment.
+type older struct {
+	operator Operator
+	listed   map[string]fleet.Entry
+}
+
+// wrote is what they have written.
+func (w *emulator) wrote() older { return older{w.operator, maps.Clone(w.listed)} }
+
+// restoreOlder has the table service come back from a copy with what they had written then, and
+// after a time they write again what they had written since.
+func (w *emulator) restoreOlder(lost uint64, own fake.Copy, c older, again time.Duration) {
+	before := w.wrote()
+	w.operator, w.listed = c.operator, maps.Clone(c.listed)
+	w.restore(lost, own)
+	w.play(again, nil)
+	w.write(func(o *Operator) {
+		known, changed := o.Known, o.Changed
+		*o = before.operator
+		o.Known, o.Changed = known, changed
+	})
+	for id, e := range before.listed {
+		if _, stands := w.listed[id]; !stands {
+			w.enter(e)
+		}
+	}
+	for id := range w.listed {
+		if _, stands := before.listed[id]; !stands {
+			w.leave(id)
+		}
+	}
+}
+
+// readAnew has a box that was cut off from the table service read on.
+func (w *emulator) readAnew(name string) {
+	delete(w.noRows, name)
+	d := w.byName[name]
+	rows, err := w.rows.ListAll(context.Background(), "")
+	if err != nil || d.spoke.Load() {
+		return
+	}
+	w.carry(d, d.update(w.now, targetsRead{w.now, w.list(), true}))
+	w.carry(d, d.update(w.now, ownRead{Own{Whole: true, Rows: rows, Known: w.revision()}, true}))
+}
+
+// startAnew has a box that was dead start again.
+func (w *emulator) startAnew(name string) {
+	delete(w.dead, name)
+	i := slices.IndexFunc(w.boxes, func(d *Daemon) bool { return d.Settings.Name == name })
+	old := w.boxes[i]
+	d := w.add(name, old.Settings.Domain, old.Settings.Box.Share == emulatedShare)
+	w.boxes = slices.Delete(w.boxes, len(w.boxes)-1, len(w.boxes))
+	w.boxes[i] = d
+	w.join(d)
+	w.readAnew(name)
+}
+
+// wentBack says what a box in touch believes that was so before the last change.
+func (w *emulator) wentBack() string {
+	for _, d := range w.boxes {
+		name, f := d.Settings.Name, d.tables.fleet
+		if w.dead[name] || w.noRows[name] {
+			continue
+		}
+		for _, id := range []string{"stays", "comes"} {
+			if x := f.Target(id); x == nil || !x.Stays(w.now) {
+				return name + " lost a target that serves: " + id
+			}
+		}
+		if x := f.Target("goes"); x != nil && x.Stays(w.now) {
+			return name + " uses a target that went"
+		}
+		if len(f.Evacuated()) != 1 {
+			return name + " sends work to a domain that is evacuated"
+		}
+	}
+	return ""
+}
+
+// TestRestoresDrawn draws how much restores lose, when they come, also two within a second, and
+// what befalls a hub or another box meanwhile: what the operator writes is in force in time at
+// all boxes in touch, targets that serve are kept and those that went are not used, and all own
+// rows stand in the end.
+func TestRestoresDrawn(t *testing.T) {
+	t.Parallel()
+	// within is the platform's bound for a change where there are hubs.
+	const within = 3 * time.Second
+	parameters := gopter.DefaultTestParametersWithSeed(11)
+	parameters.MinSuccessfulTests = 40
+	properties := gopter.NewProperties(parameters)
+	properties.Property("in force, and nothing comes back", prop.ForAll(func(size, trouble, victim int, lost, again, pauseMS uint64) string {
+		boxes := []int{3, 16, 60}[size]
+		w := emulate(boxes, 3, configuration(1))
+		empty := w.rows.Copy()
+		for _, d := range w.boxes {
+			if err := d.write(context.Background(), d.ownRow()); err != nil {
+				return err.Error()
+			}
+		}
+		w.enter(serviceAt("stays", "v1", 1), serviceAt("goes", "v1", 2))
+		w.write(func(o *Operator) { o.Evacuations = map[string]bool{} })
+		w.play(2*time.Second, nil)
+		copied, had := w.rows.Copy(), w.wrote()
+		if lost%2 == 0 {
+			copied = empty
+		}
+		w.version += 100
+		w.enter(serviceAt("comes", "v1", 3))
+		w.leave("goes")
+		w.write(func(o *Operator) { o.Evacuations = map[string]bool{"d2": true} })
+		w.play(time.Second+time.Duration(pauseMS)*time.Millisecond, nil) // All boxes know.
+		name := w.boxes[victim%boxes].Settings.Name
+		end := restoreTroubles[trouble].do(w, name)
+		w.play(time.Duration(pauseMS%700)*time.Millisecond, nil)
+		w.restoreOlder(lost, copied, had, time.Duration(again)*time.Millisecond)
+		if again%3 == 0 {
+			w.restoreOlder(min(lost, 3), copied, had, time.Duration(again)*time.Millisecond)
+		}
+		if wrong := w.wentBack(); wrong != "" {
+			return wrong
+		}
+		for version := int64(2); version <= 4; version++ {
+			w.write(func(o *Operator) { o.Table = configuration(version) })
+			w.play(within, nil)
+			for _, d := range w.boxes {
+				if w.dead[d.Settings.Name] || w.noRows[d.Settings.Name] || d.version() >= version {
+					continue
+				}
+				return fmt.Sprintf("%s has version %d, not %d, %v after it was written; hub %v", d.Settings.Name, d.version(), version, within, !d.spoke.Load())
+			}
+			if version == 3 {
+				end()
+			}
+		}
+		w.play(rewriteSpread+2*time.Second, nil)
+		if wrong := w.wentBack(); wrong != "" {
+			return wrong
+		}
+		for _, d := range w.boxes {
+			if _, err := w.rows.Read(context.Background(), d.ownRow().Key); err != nil {
+				return d.Settings.Name + " has no row"
+			}
+		}
+		return ""
+	}, gen.IntRange(0, 2), gen.IntRange(0, len(restoreTroubles)-1), gen.IntRange(0, 20), gen.UInt64Range(1, 110), gen.UInt64Range(0, 900), gen.UInt64Range(50, 1500)))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/entry/restored_rows_test.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/internal/fake"
+	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/table"
+)
+
+// TestOwnRowsAfterRestore guards against boxes that nobody finds any more, as a restore lost
+// their rows and none of them writes it again: each does, once, spread over some seconds.
+func TestOwnRowsAfterRestore(t *testing.T) {
+	// writesEach is what one part of a table service for 330 boxes takes a second, for each.
+	const writesEach = 200.0 / 330
+	for _, boxes := range []int{3, 16, 60, 300} {
+		t.Run(fmt.Sprint(boxes, "_boxes"), func(t *testing.T) {
+			w := emulate(boxes, 3, configuration(1))
+			empty := w.rows.Copy()
+			for _, d := range w.boxes {
+				if err := d.write(context.Background(), d.ownRow()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			credential := table.Row{Key: keyCredential, Value: []byte(`"c"`)}
+			if err := w.boxes[0].write(context.Background(), credential); err != nil {
+				t.Fatal(err)
+			}
+			reporter := w.boxes[boxes-1]
+			sum := job("long", 10).Fingerprint()
+			w.play(time.Second, nil)
+			reporter.tables.reports.add(w.now, "i-1", []fingerprint.Sum{sum})
+			w.play(time.Second, nil)
+			w.restore(20, empty)
+			before := w.version
+			written := 0.0
+			w.play(rewriteSpread+2*time.Second, func() {
+				if w.now.Sub(start)%time.Second == 0 {
+					written = max(written, float64(w.version-before))
+					before = w.version
+				}
+			})
+			for _, d := range w.boxes {
+				if got, err := w.rows.Read(context.Background(), d.ownRow().Key); err != nil || !bytes.Equal(got.Value, d.ownRow().Value) {
+					t.Errorf("%s has no row: %s, %v", d.Settings.Name, got.Value, err)
+				}
+			}
+			if got, err := w.rows.Read(context.Background(), keyCredential); err != nil || !bytes.Equal(got.Value, credential.Value) {
+				t.Errorf("what boxes show each other is %s, %v", got.Value, err)
+			}
+			if _, err := w.rows.Read(context.Background(), reporter.crashKey("i-1")); err != nil {
+				t.Errorf("which requests ran on a target that ended is lost: %v", err)
+			}
+			if most := writesEach*float64(boxes) + 10; written > most {
+				t.Errorf("%v writes in a second, at most %v are taken", written, most)
+			}
+		})
+	}
+}
+
+// TestOrdersAfterRestore guards against orders of two boxes to one target within the platform's
+// bound: a restore lost the row that tells which targets an earlier holder ordered lately.
+func TestOrdersAfterRestore(t *testing.T) {
+	const restores = 2
+	row := func(epoch uint64) *table.Row {
+		value, err := json.Marshal(rolloutRow{Epoch: epoch, Version: 2})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &table.Row{Key: rolloutPrefix + "m", Value: value}
+	}
+	tests := []struct {
+		name     string
+		restores uint64
+		row      *table.Row
+		// waits says that no order is given as the lease is taken.
+		waits bool
+	}{
+		{"never restored", 0, nil, false},
+		{"the row is lost", restores, nil, true},
+		{"the row is an older one", restores, row(7), true},
+		{"the row was written since", restores, row(restores<<20 + 1), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			d := newDaemon("b1")
+			d.now = func() time.Time { return now }
+			stored := &fake.Table{}
+			for range tt.restores {
+				stored.Restore(stored.Copy())
+			}
+			d.lease.Now, d.lease.Commit, d.lease.Read = d.now, stored.Commit, stored.Read
+			known := revision.Revision{Restores: tt.restores, Number: 9}
+			d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}, Known: known}})
+			d.update(now, targetsRead{now, Targets{Whole: true, Listed: []fleet.Entry{engine("a", 1)}, Known: known}, false})
+			now = start.Add(leaseLength + leaseMargin)
+			if err := d.lease.Step(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, held := d.lease.Held(); !held {
+				t.Fatal("the lease is not held")
+			}
+			var rows []table.Row
+			if tt.row != nil {
+				rows = append(rows, *tt.row)
+			}
+			d.update(now, leaseStepped{read: true, rows: rows})
+			may := start.Add(leaseLength + d.bounds.Load().Takeover + holdSlack)
+			early := d.replicas(now, &d.tables, "m", d.tables.model("m"))[0].Barred
+			late := d.replicas(may, &d.tables, "m", d.tables.model("m"))[0].Barred
+			if early != tt.waits || late {
+				t.Errorf("barred as the lease is taken %v, want %v; and %v later: %v", early, tt.waits, may.Sub(now), late)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/restored_targets_test.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/changelog"
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/revision"
+)
+
+// TestTargetsAfterRestore guards against a list from an older copy being taken for the present
+// one: a target that it lacks serves on, one that had gone or said that it leaves gets nothing.
+func TestTargetsAfterRestore(t *testing.T) {
+	leaving := engine("a", 1)
+	leaving.Leaving = true
+	listed := Targets{Listed: []fleet.Entry{engine("a", 1)}}
+	tests := []struct {
+		name string
+		// before is read after the target came into the list, and copied in the whole list
+		// after the restore.
+		before, copied Targets
+		// then is read later, if it is not nil.
+		then *Targets
+		// after is how long after the restore the target is looked at.
+		after time.Duration
+		open  bool
+	}{
+		{"nothing happened", Targets{}, listed, nil, 0, true},
+		{"its entry is lost", Targets{}, Targets{}, nil, fleet.LapsedFor - time.Millisecond, true},
+		{"its entry is lost and not written again", Targets{}, Targets{}, nil, fleet.LapsedFor, false},
+		{"its entry is lost and written again", Targets{}, Targets{}, &listed, time.Hour, true},
+		{"it leaves, and is listed as before", Targets{Listed: []fleet.Entry{leaving}}, listed, nil, time.Hour, false},
+		{"it was gone, and is listed again", Targets{Gone: []string{"a"}}, listed, nil, 0, false},
+		{"it was gone, and the list keeps it", Targets{Gone: []string{"a"}}, listed, nil, staleEntryFor + time.Second, true},
+		{"it was gone, and goes again", Targets{Gone: []string{"a"}}, listed, &Targets{Gone: []string{"a"}}, time.Hour, false},
+		{"it was gone, and writes its entry again", Targets{Gone: []string{"a"}}, listed, &listed, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon("b1")
+			read := func(now time.Time, change Targets, whole bool, known revision.Revision) {
+				change.Whole, change.Known, change.Changed = whole, known, known
+				d.update(now, targetsRead{now, change, false})
+			}
+			read(start, listed, true, revision.Revision{Number: 50})
+			read(start, tt.before, false, revision.Revision{Number: 60})
+			read(start, tt.copied, true, revision.Revision{Restores: 1, Number: 40})
+			if tt.then != nil {
+				read(start, *tt.then, false, revision.Revision{Restores: 1, Number: 41})
+			}
+			now := start.Add(tt.after)
+			d.sweep(now, &d.tables)
+			x := d.tables.fleet.Target("a")
+			if got := x != nil && x.Open(now); got != tt.open {
+				t.Errorf("gets work: %v, want %v", got, tt.open)
+			}
+		})
+	}
+}
+
+// TestLeftAfterRestore guards against a target that had said that it leaves, and had gone,
+// getting requests again for as long as a restored list has its older entry.
+func TestLeftAfterRestore(t *testing.T) {
+	d := newDaemon("b1")
+	leaving := engine("a", 1)
+	leaving.Leaving = true
+	reads := []Targets{
+		{Whole: true, Listed: []fleet.Entry{leaving}, Known: rev(50)},
+		{Gone: []string{"a"}, Known: rev(60)},
+		{Whole: true, Listed: []fleet.Entry{engine("a", 1)}, Known: revision.Revision{Restores: 1, Number: 40}},
+	}
+	for _, read := range reads {
+		d.update(start, targetsRead{start, read, false})
+	}
+	for _, after := range []time.Duration{0, staleEntryFor, departedFor + time.Second} {
+		now := start.Add(after)
+		d.sweep(now, &d.tables)
+		if d.tables.fleet.Target("a") != nil {
+			t.Errorf("it is used %v after the restore", after)
+		}
+	}
+}
+
+// TestListAfterHubs guards against a target that went being kept as one whose entry a restore
+// lost, at a box that reads the list itself for the first time since it lived on a hub: the table
+// service was restored before, but not since the hub read it.
+func TestListAfterHubs(t *testing.T) {
+	tests := []struct {
+		name string
+		// hub and own are how many restores the hub's list and this box's read know of.
+		hub, own uint64
+		kept     bool
+	}{
+		{"never restored", 0, 0, false},
+		{"restored before both", 3, 3, false},
+		{"restored in between", 3, 4, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			hub, spoke := newDaemon("box-00"), hubOf("box-05")
+			hub.update(start, targetsRead{start, Targets{Whole: true, Listed: []fleet.Entry{entryAt("a", "10.1.0.1:1")}, Known: revision.Revision{Restores: tt.hub, Number: 9}}, false})
+			view := hub.view(start, &hub.tables, changelog.Cursor{})
+			view.Restores = tt.hub
+			spoke.listFromHub(start, &spoke.tables, "box-00", view)
+			if spoke.tables.fleet.Target("a") == nil {
+				t.Fatal("the hub's list was not taken over")
+			}
+			spoke.update(start, targetsRead{start, Targets{Whole: true, Known: revision.Revision{Restores: tt.own, Number: 9}}, false})
+			if got := spoke.tables.fleet.Target("a") != nil; got != tt.kept {
+				t.Errorf("kept %v", got)
+			}
+		})
+	}
+}
