--- a/entry/restored_rows_test.go
+++ b/entry/restored_rows_test.go
@@ -18,6 +18,7 @@
 // TestOwnRowsAfterRestore guards against boxes that nobody finds any more, as a restore lost
 // their rows and none of them writes it again: each does, once, spread over some seconds.
 func TestOwnRowsAfterRestore(t *testing.T) {
+	t.Parallel()
 	// writesEach is what one part of a table service for 330 boxes takes a second, for each.
 	const writesEach = 200.0 / 330
 	for _, boxes := range []int{3, 16, 60, 300} {
--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -31,6 +31,7 @@
 // TestConfigurationReachesAllHubsAfterRestore guards against hubs that take each other's
 // word that nothing changed, as versions were given out again by a restored table service.
 func TestConfigurationReachesAllHubsAfterRestore(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		boxes int
 		// lost is how many versions are given out again, written how many of them before the
