fix(entry): a box that starts right after a restore trusts the operator's rows once they are settled

Cause: a first read proves the configuration, also where it holds the older rows of a restored table service, with which a new process has nothing to compare. Ruled out: daemons that lived on, which refuse by the newer configuration (the operator's rows are older). Change: where the service tells of restores, a box that starts has proofs, and is ready, 2 s after its first read, or once the operator writes, or once another box with a proof under 1 s old and no newer configuration says that rows are settled; boxes tell each other the version in force, in small fleets in both directions. Weighed: no proofs for all boxes after each restore, which refuses all keyed requests after each drill.

--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -72,11 +72,20 @@
 		return nil
 	}
 	t.due.gossip = now.Add(d.gossipPause(t))
-	return d.callPartners(now, t, peer.Message{
+	message := peer.Message{
 		Kind: peer.KindGossip, From: d.Settings.Name, Shares: d.told(now, t), Reads: t.reads.Told(now),
 		Replaced: t.replacedLately(now), Stale: d.shut(now), Ended: t.endedLately(now), Lifted: t.liftedLately(now), Listed: t.listChanged,
 		Domain: d.Settings.Domain, Unlisted: t.unlisted,
-	})
+	}
+	if !t.large() {
+		d.tellProof(now, t, &message)
+	}
+	return d.callPartners(now, t, message)
+}
+
+// tellProof tells what this box knows of the operator's rows, and since when.
+func (d *Daemon) tellProof(now time.Time, t *tables, m *peer.Message) {
+	m.Operator, m.ProofMS, m.Configuration = t.operatorChange, d.provedAgo(now).Milliseconds(), d.version()
 }
 
 // hurryGossip has hubs tell each other between two ticks.
@@ -211,7 +220,8 @@
 		d.hear(now, t, m)
 		if !t.large() || slices.Contains(t.hubs(), m.From) {
 			answer.Shares, answer.Reads = d.told(now, t), t.reads.Told(now)
-			answer.Operator, answer.ProofMS = t.operatorChange, d.provedAgo(now).Milliseconds()
+			d.tellProof(now, t, &answer)
+			d.hearSettled(t, m)
 			d.hearListed(now, t, m)
 			answer.Listed, answer.Unlisted = t.listChanged, t.unlisted
 			t.hearCount(now, m)
@@ -261,6 +271,7 @@
 	}
 	d.hear(now, t, m.m)
 	d.hearProof(t, m.asked, m.m)
+	d.hearSettled(t, m.m)
 	t.hearCount(now, m.m)
 	d.hearSeen(now, t, m.m.Seen)
 	d.hearListed(now, t, m.m)
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/revision"
 )
 
@@ -11,9 +12,55 @@
 // system's own rows are gone unless their boxes do. docs/design/restores.md tells what each
 // part of the daemon makes of that.
 
-// askAgainWithin is how long the operator may take to write again what a restore lost. The
-// platform's own parts take some 2 s.
-const askAgainWithin = 5 * time.Second
+const (
+	// askAgainWithin is how long the operator may take to write again what a restore lost. The
+	// platform's own parts take some 2 s.
+	askAgainWithin = 5 * time.Second
+	// settledWithin is how long after its first read a box that starts takes the operator's
+	// rows for such as may not be written again yet.
+	settledWithin = 2 * time.Second
+	// settledProof is how old the proof of another box may be that says that they are.
+	settledProof = time.Second
+)
+
+// proves says whether a read proves that the configuration in force is the newest.
+func (d *Daemon) proves(now time.Time, t *tables, m operatorRead) bool {
+	older, unsettled := d.rowsOlder(now, t, m), t.unsettled(now, m)
+	d.outage.setOlder(older || unsettled)
+	return !older && !unsettled
+}
+
+// unsettled says whether the operator's rows, read by a box that has just started, may be from
+// before the operator wrote again what a restore lost: the box knows nothing to compare them
+// with. They are settled once the operator writes, another box says so, or time has passed.
+func (t *tables) unsettled(now time.Time, m operatorRead) bool {
+	switch {
+	case m.change.Known.Restores == 0:
+		return false
+	case t.operatorKnown.IsZero():
+		t.settledAt = now.Add(settledWithin)
+	case m.change.Table != nil && !m.change.Whole:
+		t.settledAt = time.Time{}
+	}
+	if m.asked.Before(t.settledAt) {
+		return true
+	}
+	t.settledAt = time.Time{}
+	return false
+}
+
+// hearSettled takes over that the operator's rows are settled, from a box that has a young proof
+// of them and no newer configuration.
+func (d *Daemon) hearSettled(t *tables, m peer.Message) {
+	if t.settledAt.IsZero() || m.Operator.Restores != t.operatorKnown.Restores || m.ProofMS >= settledProof.Milliseconds() {
+		return
+	}
+	if m.Configuration == 0 || m.Configuration > d.version() {
+		return
+	}
+	t.settledAt = time.Time{}
+	d.Log.Info("the operator's rows are settled, another box says", "box", m.From, "proved_there", time.Duration(m.ProofMS)*time.Millisecond, "configuration", d.version())
+}
 
 // rowsOlder says whether the operator's rows are older than what this box has in force, since
 // they were lost and are not written again: to read that nothing changed then proves nothing.
@@ -30,9 +77,7 @@
 		t.olderSince = time.Time{}
 		d.Log.Error("the operator did not write the configuration in force again; it stays, and what is read counts as the newest", "configuration", inForce)
 	}
-	older := !t.olderSince.IsZero()
-	d.outage.setOlder(older)
-	return older
+	return !t.olderSince.IsZero()
 }
 
 // restored notes that a read was answered by a table service that had been restored since the
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -163,6 +163,9 @@
 	// olderSince is since when the operator's rows are older than the configuration in force;
 	// zero if they are not.
 	olderSince time.Time
+	// settledAt is when the operator has written again what a restore may have lost right
+	// before this box started; zero once that is known.
+	settledAt time.Time
 	// crashes finds out which requests ran on targets that ended, quarantine keeps
 	// those away that take targets down, and reports are what this box tells of them.
 	crashes    crash.Watch
--- a/entry/update.go
+++ b/entry/update.go
@@ -85,7 +85,7 @@
 	d.weightsRead(now, t, m)
 	d.evacuationsRead(now, t, m)
 	d.canariesRead(now, t, m)
-	if !d.rowsOlder(now, t, m) {
+	if d.proves(now, t, m) {
 		d.prove(m.asked)
 	}
 	t.operatorChange = revision.Max(t.operatorChange, m.change.Changed)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -126,8 +126,8 @@
 // operatorHold is how long a read of the operator's rows is held: not at all while
 // the table service is lost, so that its return is known within the time of one
 // answer, 1.5 s at most, and not after a hold on a connection that stays silent. Nor is
-// one held at a hub for which another one reads as a rule, unless the operator's rows are
-// older than what is in force: then a change is waited for.
+// one held at a hub for which another one reads as a rule, unless the operator's rows may
+// be older than the newest configuration: then a change is waited for.
 func (d *Daemon) operatorHold() time.Duration {
 	switch {
 	case d.outage.isOlder():
@@ -181,7 +181,7 @@
 	away bool
 	// seen says that an outage happened since the list was last read.
 	seen bool
-	// older says that the operator's rows are older than the configuration in force.
+	// older says that the operator's rows may be older than the newest configuration.
 	older bool
 	// restores counts the restores that reads told of; told says that one did.
 	restores uint64
@@ -203,7 +203,7 @@
 	return o.away
 }
 
-// setOlder notes whether the operator's rows are older than the configuration in force.
+// setOlder notes whether the operator's rows may be older than the newest configuration.
 func (o *outage) setOlder(older bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -62,6 +62,8 @@
 	// ProofMS how long ago it was known to be the newest.
 	Operator revision.Revision `cbor:"35,keyasint,omitempty"`
 	ProofMS  int64             `cbor:"22,keyasint,omitempty"`
+	// Configuration is the version in force at the sender.
+	Configuration int64 `cbor:"37,keyasint,omitempty"`
 	// Listed is the newest change of the list of targets that the sender read.
 	Listed revision.Revision `cbor:"36,keyasint,omitempty"`
 	// Domain is the sender's failure domain, Unlisted how many boxes without a row of their
