fix(entry): a hub without any proof tells no proof

What callers saw: after a restore of the table service, callers of boxes that live on a hub which has just started could be served with a key that was gone: the boxes took the hub's configuration for proved.

Cause: a box that never had a proof told the time since its start as the age of its proof, as provedAgo counts from the start then. A hub that starts after a restore has a configuration but no proof for 2 s, so its spokes, and hubs with as new rows, took over a proof that nobody had.

Ruled out: a hub that never read anything sends no revision, and hubs ignore that; only spokes and hubs of a box in its first 2 s after a restore are affected.

Change: what is told to other boxes is an age beyond all bounds until there is a proof, and boxes ignore such an age.

--- a/entry/build.go
+++ b/entry/build.go
@@ -204,7 +204,20 @@
 	return 0
 }
 
-// provedAgo is how long ago the configuration was last known to be the newest.
+// neverProved is the age that a box without any proof tells other boxes, far beyond all bounds.
+const neverProved = time.Hour
+
+// proofAge is provedAgo as this box tells it to other boxes: they must not take the time since
+// it started for the age of a proof.
+func (d *Daemon) proofAge(now time.Time) time.Duration {
+	if d.provedAt.Load() == nil {
+		return neverProved
+	}
+	return d.provedAgo(now)
+}
+
+// provedAgo is how long ago the configuration was last known to be the newest, or how long this
+// box has run if it never was.
 func (d *Daemon) provedAgo(now time.Time) time.Duration {
 	if proved := d.provedAt.Load(); proved != nil {
 		return now.Sub(*proved)
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -85,7 +85,7 @@
 // addProof adds to a message what this box knows of the operator's rows and how old its proof
 // is.
 func (d *Daemon) addProof(now time.Time, t *tables, m *peer.Message) {
-	m.OperatorRevision, m.ProofAgeMS, m.ConfigurationVersion = t.operatorChange, d.provedAgo(now).Milliseconds(), d.version()
+	m.OperatorRevision, m.ProofAgeMS, m.ConfigurationVersion = t.operatorChange, d.proofAge(now).Milliseconds(), d.version()
 }
 
 // gossipBetweenTicks has hubs gossip as soon as it is due, without waiting for the next tick.
--- a/entry/peerproof.go
+++ b/entry/peerproof.go
@@ -63,7 +63,7 @@
 	case m.OperatorRevision.Restores < t.operatorKnown.Restores || !t.olderSince.IsZero():
 	case !m.OperatorRevision.After(t.operatorKnown):
 		d.countProof(t, m.From, m.OperatorRevision)
-		d.noteProof(requestedAt.Add(-time.Duration(m.ProofAgeMS) * time.Millisecond))
+		d.noteProof(proofTime(requestedAt, m.ProofAgeMS))
 	default:
 		d.operatorBehind.Store(true)
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -16,7 +16,7 @@
 // view is this box's view of the platform for a box that has the target list up to have.
 func (d *Daemon) view(now time.Time, t *tables, have changelog.Cursor) *peer.View {
 	v := &peer.View{
-		ConfigurationVersion: d.version(), ProofAgeMS: d.provedAgo(now).Milliseconds(),
+		ConfigurationVersion: d.version(), ProofAgeMS: d.proofAge(now).Milliseconds(),
 		WeightVersions: make(map[string][]peer.WeightVersion, len(t.weights)), Evacuated: t.fleet.Evacuated(), ListBehind: t.listBehind(now), Canaries: t.canarySnapshot(), Boxes: t.boxCount(now), Unlisted: t.unlistedTotal(now),
 	}
 	for model, w := range t.weights {
@@ -55,7 +55,7 @@
 		d.Log.Warn("hub's view ignored, as it names no weights", "hub", hub)
 		return nil
 	}
-	proof := requestedAt.Add(-time.Duration(v.ProofAgeMS) * time.Millisecond)
+	proof := proofTime(requestedAt, v.ProofAgeMS)
 	effects := d.receiveRestored(now, t, v.Restores, v.RowLost)
 	switch {
 	case v.ConfigurationVersion > d.version():
@@ -81,6 +81,16 @@
 	return effects
 }
 
+// proofTime returns when another box's state was last proved, by the age that it told; the zero
+// time if it never was.
+func proofTime(requestedAt time.Time, ageMS int64) time.Time {
+	age := time.Duration(ageMS) * time.Millisecond
+	if age >= neverProved {
+		return time.Time{}
+	}
+	return requestedAt.Add(-age)
+}
+
 // applyHubList applies one part of a hub's target list.
 func (d *Daemon) applyHubList(now time.Time, t *tables, hub string, v *peer.View) {
 	next := changelog.Cursor{Number: v.ListVersion, SnapshotAt: v.ListStartVersion}
@@ -117,8 +127,12 @@
 	d.Log.Info("hub's list applied", "hub", t.hub, "targets", t.fleet.Len())
 }
 
-// noteProof records when the configuration in force was known to be the newest.
+// noteProof records when the configuration in force was known to be the newest; the zero time is
+// never.
 func (d *Daemon) noteProof(at time.Time) {
+	if at.IsZero() {
+		return
+	}
 	if last := d.provedAt.Load(); last == nil || at.After(*last) {
 		d.provedAt.Store(&at)
 	}
