fix(entry): a box without a share of its targets' rate limits asks one that has a share

What callers saw: a box refused all its callers with 503 and Retry-After, again and again, while boxes with a share of the rate left it unused (TestLimitOfWholePool, TestLimitEnds: "not within 20s: serves").

Cause: at a low rate only some boxes share a target's rate; one that ranks too low for all targets of a pool has no token as long as the limits last. Log of such a box (5 of 20 processes at once on, 4 of them so): 1,940 requests in 20 s refused as limited, each within 0.4 ms. It shows only if the box hears of the limits before its first request, hence mostly beside load. Ruled out: the bucket (other boxes' are refilled), the processor (above).

--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -63,13 +63,12 @@
 	return nil
 }
 
-// placeRemotely hands a request to a hub, if this box is a spoke and the request is for a model
-// or has only rate-limited targets left.
+// placeRemotely hands a request to another box, if that has to place it.
 func (d *Daemon) placeRemotely(now time.Time, t *tables, m placementRequest) ([]effect, bool) {
-	if !d.spoke.Load() || m.ask.Job.Pool.Engine == nil && !t.onlyLimited(now, m.ask) || len(m.askedHubs) >= maxHubsAsked || d.weightsStale(now) {
+	if len(m.askedHubs) >= maxHubsAsked || d.weightsStale(now) {
 		return nil, false
 	}
-	hub := d.placementHub(now, t, m.askedHubs)
+	hub := d.placingBox(now, t, m)
 	if hub == "" {
 		return nil, false
 	}
@@ -91,6 +90,19 @@
 	return []effect{askHub{hub, t.members[hub].address, m, request}}, true
 }
 
+// placingBox returns the box that has to place a request: one that may have a token if only
+// rate-limited targets are left, and otherwise a spoke's hub if the request is for a model. It
+// returns an empty name if this box places it.
+func (d *Daemon) placingBox(now time.Time, t *tables, m placementRequest) string {
+	if hub := d.quotaHub(now, t, m); hub != "" {
+		return hub
+	}
+	if !d.spoke.Load() || m.ask.Job.Pool.Engine == nil && !t.onlyLimited(now, m.ask) {
+		return ""
+	}
+	return d.placementHub(now, t, m.askedHubs)
+}
+
 // targetHints lists the targets to which this box has an idle connection, and those to which it
 // must send nothing: the hub may not know of the latter, or may use them itself.
 func (d *Daemon) targetHints(now time.Time, targets []*fleet.Target) (idle, excluded []uint32) {
@@ -120,9 +132,15 @@
 	if m.request.ctx.Err() != nil {
 		return d.placementRequested(now, t, m.request)
 	}
-	if m.err != nil || m.placed == nil {
+	switch {
+	case m.err != nil || m.placed == nil && d.spoke.Load():
 		d.hubFailed(now, t, m.hub, m.err)
-	} else {
+	case m.placed == nil: // It can't place requests yet, though it answers.
+		t.noteQuotaSpent(now, m.hub, m.request.ask)
+	default:
+		if m.placed.Refused == codeLimited {
+			t.noteQuotaSpent(now, m.hub, m.request.ask)
+		}
 		t.members[m.hub].misses = 0
 		t.hubHeardAt = now
 		if answer, ok := d.acceptHubPlace(now, t, m.request.ask, m.placed); ok && !otherHubHasQuota(m) {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -40,6 +40,7 @@
 	t.quarantine.Expire(now)
 	d.notices.Expire(now)
 	d.expireQuotas(t)
+	t.expireQuotaPauses(now)
 	t.expireTrials()
 	t.expireEnded(now)
 	for _, w := range t.weights {
