fix(deliver): a body that arrived while the process was paused is read after the deadline

Cause: the read's deadline passes during the pause, and the runtime reports that and not the bytes that lie there. Ruled out: bytes that had not arrived (the test's caller wrote them 1 s before the box went on).

Red before (TestPausedBeforeBody, a real process, 3 runs): the body arrived: answered 408, Retry-After "" (1 of 3; a race of two wake-ups) half of the body arrived: answered 408, Retry-After "" (3 of 3)

Elsewhere: no other read has such a deadline.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -88,6 +88,23 @@
 	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, code, format, args...).WithRetryAfter(s.RetryAfter(code, job))
 }
 
+// arrivedBodyTime is how long the rest of a body that has arrived may take to read after the
+// request's deadline.
+const arrivedBodyTime = 50 * time.Millisecond
+
+// readAll reads a body up to its limit, until a deadline. If that passes while this process is
+// paused, the read fails although the body may have arrived in time, so what has arrived is
+// read after it. limited says whether the connection supports deadlines.
+func (x *run) readAll(connection *http.ResponseController, body io.Reader, until time.Time) (read []byte, limited bool, err error) {
+	limited = connection.SetReadDeadline(time.Now().Add(until.Sub(x.Now()))) == nil // Only real connections support it.
+	read, err = io.ReadAll(body)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || connection.SetReadDeadline(time.Now().Add(arrivedBodyTime)) != nil {
+		return read, limited, err
+	}
+	rest, err := io.ReadAll(body)
+	return append(read, rest...), limited, err
+}
+
 // readBody reads the whole body, within the configured size limit and the request's
 // deadline.
 func (x *run) readBody(job *Job) *refusal.Refusal {
@@ -96,10 +113,9 @@
 		bound = 4 << 20 // The largest limit that the platform configures.
 	}
 	connection := http.NewResponseController(x.w)
-	limited := connection.SetReadDeadline(time.Now().Add(job.Until.Sub(x.Now()))) == nil // Only real connections support it.
-	body, err := io.ReadAll(io.LimitReader(job.Call.Body, bound+1))
+	body, limited, err := x.readAll(connection, io.LimitReader(job.Call.Body, bound+1), job.Until)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time")
+		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time").WithRetryAfter(x.RetryAfter("body_late", job))
 	}
 	if err != nil && x.callerLeft() {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "caller_left", "the caller left in the middle of the body: %v", err)
