fix(entry): a box keeps the credential that it wrote, also over a restore

Cause: a box knew the credential that it had written only once it read it, and each attempt to write generated another. A restore, or a lost answer, in between gave a second one.

Elsewhere: a box whose first read found an empty table service did not write its row again (TestRowsOfEmptyService, red with the old condition).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,6 +76,9 @@
 	operatorBehind  atomic.Bool
 	// credential authenticates boxes to each other; nil until it was read.
 	credential atomic.Pointer[string]
+	// newCredential is the one that this box writes if there is none. Only the watcher of the
+	// system's own rows uses it.
+	newCredential string
 	// stopping is set when a planned stop begins, closing when connections should end.
 	stopping, closing atomic.Bool
 	effects           sync.WaitGroup
--- a/entry/join.go
+++ b/entry/join.go
@@ -82,9 +82,14 @@
 	return slices.ContainsFunc(rows, func(r table.Row) bool { return r.Key == credentialKey })
 }
 
-// createCredential writes a new credential unless there is one.
+// createCredential writes a credential for the boxes unless there is one. It is the same at each
+// attempt and is kept from then on: another box may have read it from a write whose answer was
+// lost, or before a restore.
 func (d *Daemon) createCredential(ctx context.Context) error {
-	value, err := json.Marshal(ulid.Make().String())
+	if d.newCredential == "" {
+		d.newCredential = ulid.Make().String()
+	}
+	value, err := json.Marshal(d.newCredential)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -94,7 +99,10 @@
 		Put:    []table.Row{{Key: credentialKey, Value: value}},
 	})
 	if trace.IsCompareFailed(err) {
-		return nil
+		return nil // Another box wrote one; the next read shows it.
+	}
+	if err == nil {
+		d.credential.Store(&d.newCredential)
 	}
 	return err
 }
--- a/entry/rewrite.go
+++ b/entry/rewrite.go
@@ -44,9 +44,10 @@
 // rewriteLostRows returns the writes of rows that a restore lost, once a snapshot of the rows
 // was read.
 func (d *Daemon) rewriteLostRows(now time.Time, t *tables, m ownRead) []effect {
-	before := t.ownRowsRevision
+	before, first := t.ownRowsRevision, !t.ownRowsKnown
+	t.ownRowsKnown = true
 	t.ownRowsRevision = revision.Max(before, m.change.Known)
-	if !m.change.Snapshot || before.IsZero() || m.change.Known.Restores == before.Restores {
+	if !m.change.Snapshot || first || m.change.Known.Restores == before.Restores {
 		return nil
 	}
 	stored := make(map[string][]byte, len(m.change.Rows))
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -121,7 +121,6 @@
 // ownRead applies the rows that boxes of this system wrote to the table service.
 func (d *Daemon) ownRead(now time.Time, t *tables, m ownRead) []effect {
 	d.noteRestore(now, t, m.change.Known)
-	t.ownRowsKnown = true
 	known := len(t.members)
 	effects := d.rewriteLostRows(now, t, m)
 	for _, row := range m.change.Rows {
