fix(entry): a target that started again inherits the backoff that it asked for since

Cause: answers name no life, so a backoff that comes before the entry of a replica's next life is read is recorded for the life before and dropped with it. Ruled out: late answers that overwrite (the later life's record stays), sends that don't ask.

Red before (TestSignalsExcludeTarget, without the new call): it starts again and asks for a backoff before its entry is read: placed on [a b], want [b]

After: green, with four rows of what must not be inherited.

--- a/entry/list.go
+++ b/entry/list.go
@@ -114,6 +114,7 @@
 // fleet's table: its cached parts, its feed of cache events and whether it was loading.
 func (d *Daemon) targetRestarted(now time.Time, t *tables, before, x *fleet.Target) {
 	d.Log.Warn("target has started again", "target", x.ID, "pool", x.Pool, "born", x.StartedAt, "before", before.StartedAt, "in_flight", before.InFlight)
+	d.inheritBackoff(now, before.Incarnation(), x)
 	d.incarnationEnded(now, t, incarnationKey(before.Incarnation()), "its entry")
 	t.markGoneUncertain(now, before)
 	t.forgetTarget(x.ID)
--- a/entry/signals.go
+++ b/entry/signals.go
@@ -25,6 +25,15 @@
 	signalLimit   = "limit"
 )
 
+const (
+	// restartLag is how long a box may take to read the entry of a target that started again. Until
+	// then it attributes the target's answers to the incarnation before, as they name none.
+	restartLag = readHold
+	// maxInheritedBackoff bounds a backoff that may be of the incarnation before, which can have
+	// asked for minutes. A target that still wants no requests says so again.
+	maxInheritedBackoff = 5 * time.Second
+)
+
 // codeBackoff is the refusal's code where all targets asked for a backoff.
 const codeBackoff = "backoff"
 
@@ -129,7 +138,14 @@
 
 // signalsReceived applies a target's recorded signals to it.
 func (d *Daemon) signalsReceived(now time.Time, t *tables, incarnation fleet.Incarnation) {
-	if x := t.fleet.Incarnation(incarnation); x != nil && d.applySignals(now, x) {
+	x := t.fleet.Incarnation(incarnation)
+	if x == nil {
+		if again := t.fleet.Target(incarnation.ID); again != nil && again.StartedAt.After(incarnation.StartedAt) && now.Sub(again.ListedAt) <= restartLag {
+			d.inheritBackoff(now, incarnation, again) // Sent before its entry was read.
+		}
+		return
+	}
+	if d.applySignals(now, x) {
 		t.markChanged(x.ID)
 	}
 }
@@ -147,6 +163,19 @@
 	return x.Leaving && !before
 }
 
+// inheritBackoff applies to a target that started again the backoff that it may have asked for
+// before its entry was read.
+func (d *Daemon) inheritBackoff(now time.Time, earlier fleet.Incarnation, x *fleet.Target) {
+	askedAt, until := d.notices.BackoffAskedAt(earlier), d.notices.BackoffUntil(earlier)
+	if askedAt.IsZero() || now.Sub(askedAt) > restartLag || askedAt.Before(x.StartedAt) || !now.Before(until) {
+		return
+	}
+	left := min(until.Sub(now), maxInheritedBackoff)
+	d.notices.Observe(now, x.Incarnation(), notice.Signals{Backoff: left})
+	d.Log.Info("target wants no requests", "target", x.ID, "born", x.StartedAt, "for", left, "told_by", "an answer before its entry was read", "told_ago", now.Sub(askedAt))
+	d.applySignals(now, x)
+}
+
 // refuseBackoff refuses a request for which some targets are available but excluded for the box
 // that sends it; it returns nil if there are none.
 func refuseBackoff(now time.Time, t *tables, request deliver.PlacementRequest, excluded func(*fleet.Target) bool) *refusal.Refusal {
--- a/entry/signals_test.go
+++ b/entry/signals_test.go
@@ -40,6 +40,18 @@
 	d.update(now, signalsReceived{incarnation})
 }
 
+// restartAfterBackoff has a target ask for a backoff at a time, and its box read the entry of its
+// next incarnation at start.
+func restartAfterBackoff(d *Daemon, asked time.Time, backoff time.Duration) {
+	earlier := engine("a", 1)
+	earlier.StartedAt = start.Add(-time.Hour)
+	d.update(start.Add(-time.Minute), targetsRead{start, Targets{Listed: []fleet.Entry{earlier}}, false})
+	sendSignals(d, asked, fleet.Incarnation{ID: "a", StartedAt: earlier.StartedAt}, notice.Signals{Backoff: backoff})
+	again := engine("a", 1)
+	again.StartedAt = start.Add(-restartLag - time.Minute)
+	d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{again}}, false})
+}
+
 // placedOn lists the targets on which a box places requests one after the other, each once,
 // until it refuses; and that refusal.
 func placedOn(d *Daemon, now time.Time) ([]string, *refusal.Refusal) {
@@ -96,6 +108,23 @@
 			d.notices.Observe(start, fleet.Incarnation{ID: "a", StartedAt: start.Add(-time.Hour)}, notice.Signals{Leaving: true, Backoff: time.Minute})
 			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{later}}, false})
 		}, 0, "[a b]"},
+		{"it starts again and asks for a backoff before its entry is read", func(d *Daemon) {
+			restartAfterBackoff(d, start.Add(-time.Second), 3*time.Second)
+		}, 1900 * time.Millisecond, "[b]"},
+		{"it starts again and asks for a backoff before its entry is read, which ends", func(d *Daemon) {
+			restartAfterBackoff(d, start.Add(-time.Second), 3*time.Second)
+		}, 2 * time.Second, "[a b]"},
+		{"it starts again, and an answer to an earlier request asks for a backoff", func(d *Daemon) {
+			restartAfterBackoff(d, start.Add(-time.Minute), time.Second)
+			earlier := d.tables.fleet.Target("a").StartedAt.Add(-time.Minute)
+			sendSignals(d, start.Add(time.Second), fleet.Incarnation{ID: "a", StartedAt: earlier}, signalsBackoff)
+		}, 2 * time.Second, "[b]"},
+		{"it asks for a backoff long before the entry of its next incarnation is read", func(d *Daemon) {
+			restartAfterBackoff(d, start.Add(-restartLag-1), time.Minute)
+		}, 0, "[a b]"},
+		{"it asks for a long backoff before the entry of its next incarnation is read", func(d *Daemon) {
+			restartAfterBackoff(d, start.Add(-time.Second), time.Minute)
+		}, maxInheritedBackoff, "[a b]"},
 		{"its report says that it leaves, and a later incarnation has its ID", func(d *Daemon) {
 			d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{{ID: "a", Pool: "models", Versions: map[string]int64{"m": 1}, StartedAt: start}}}, false})
 			d.Platform.Report = func(context.Context, netip.AddrPort) (Report, error) { return Report{Signals: signalsLeaving}, nil }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -73,8 +73,8 @@
 type record struct {
 	startedAt time.Time
 	leaving   bool
-	// until is the end of the backoff.
-	until time.Time
+	// until is the end of the backoff, askedAt when the target last asked for one.
+	until, askedAt time.Time
 	// limit is the last limit, newsAt when it was news last, and newsRate the rate then.
 	limit    Limit
 	newsAt   time.Time
@@ -111,6 +111,7 @@
 	if !now.Before(r.until) {
 		news.Backoff = signals.Backoff
 	}
+	r.askedAt = now
 	if until := now.Add(min(signals.Backoff, MaxBackoff)); until.After(r.until) {
 		r.until = until
 	}
@@ -200,6 +201,14 @@
 	return time.Time{}
 }
 
+// BackoffAskedAt returns when an incarnation last asked for a backoff; zero if it never did.
+func (reg *Registry) BackoffAskedAt(incarnation fleet.Incarnation) time.Time {
+	if r := reg.find(incarnation); r != nil {
+		return r.askedAt
+	}
+	return time.Time{}
+}
+
 // Touch keeps an incarnation's record for longer, as the platform's list names it.
 func (reg *Registry) Touch(now time.Time, incarnation fleet.Incarnation) {
 	if reg.size.Load() == 0 {
