fix(entry): watchers find a box's role as soon as they find since when it has one

What callers saw: nothing; the table service saw reads of rows that a hub sends (TestUnlistedWatchNoRows, 1 of 1,200 runs).

Cause: roleSince was published before spoke, so that a watcher in between took a spoke for a hub. Evidence: in all 24 traced failures of some 9,000 runs the third read found a role of this instant and spoke false. Ruled out: a slow start and a late view (no time had passed).

Red before (TestRoleKnownWhole, 3 of 3): the role was known, but not that it is a spoke's. After: 60,000 tries, and 0 of 3,000 runs of TestUnlistedWatchNoRows in 12 processes at once.

--- a/entry/hub.go
+++ b/entry/hub.go
@@ -168,15 +168,17 @@
 		return nil
 	}
 	hub := d.hub(now, t)
-	if d.roleSince.Load() == nil || hub == d.spoke.Load() {
+	changed := hub == d.spoke.Load()
+	// The watchers read roleSince first and must then find the role that it is of.
+	d.spoke.Store(!hub)
+	if d.roleSince.Load() == nil || changed {
 		d.roleSince.Store(&now)
 	}
 	d.hasSpokes.Store(hub && t.usesHubs())
 	d.peerProofMaxAge.Store(int64(d.peerProofLifetime(t)))
-	if hub == !d.spoke.Load() {
+	if !changed {
 		return nil
 	}
-	d.spoke.Store(!hub)
 	t.hubHeardAt = now
 	d.Log.Info("role in the fleet", "hub", hub, "boxes", len(t.members), "of_domain", len(t.rankedHubs(d.Settings.Domain)))
 	if !hub {
