fix(entry): hubs of other domains are asked before boxes that would have to become hubs

Cause: when both hubs of a domain are turned away by the table service, or freeze, its boxes ask the third and fourth box of the domain, which become hubs at once and begin to follow some 150 sources. Their processor does not bear it; their own reads time out, and they go on by the old configuration. Ruled out: a wrong proof (its age grows), no way to learn it (other hubs knew within 0.1 s).

Change: hubs of other domains come first, each box in its own order; boxes of the own domain first only once all its hubs have been silent for 10 s.

--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -258,7 +258,7 @@
 	if failed != x.unanswered {
 		d.Log.Info("box heard", "name", m.name, "answers", !failed, "err", m.err)
 	}
-	x.unanswered = failed
+	x.setUnanswered(now, failed)
 	if failed {
 		x.retryAt = now.Add(gossipRetryDelay)
 		return nil
@@ -281,6 +281,14 @@
 	return nil
 }
 
+// setUnanswered records whether the box left the last call unanswered.
+func (m *member) setUnanswered(now time.Time, failed bool) {
+	if failed && !m.unanswered {
+		m.unansweredSince = now
+	}
+	m.unanswered = failed
+}
+
 // markHeard records that a box called.
 func (t *tables) markHeard(now time.Time, name string) {
 	if m := t.members[name]; m != nil {
--- a/entry/hub.go
+++ b/entry/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -23,9 +24,13 @@
 	hubsPerDomain = 2
 	// hubLinger is how long a box goes on as a hub after another box last used it as one.
 	hubLinger = 5 * time.Second
-	// maxOwnHubs is how many hubs of the box's own domain are tried before those of other
-	// domains.
+	// maxOwnHubs is how many boxes of the own domain may be asked as hubs. Those after the first
+	// hubsPerDomain begin to watch the sources only when they are asked, which takes all of a
+	// box's processor for seconds, so hubs of other domains are asked before them.
 	maxOwnHubs = 4
+	// hubGoneAfter is how long all hubs of a domain have to be silent before other boxes of the
+	// domain are asked first: placing across domains costs time and bytes.
+	hubGoneAfter = 10 * time.Second
 	// viewTTL is how old a hub's proof of the configuration may be before this box reads the
 	// table service itself. A healthy hub's proof is at most 1.1 s old, and the platform's
 	// bound for applying a change is 2 to 3 s.
@@ -112,20 +117,20 @@
 // viewHub returns the hub to gossip with and to take the view of, or an empty name if none
 // answers.
 func (d *Daemon) viewHub(now time.Time, t *tables) string {
-	return d.firstHub(t, func(_ string, m *member) bool { return !now.Before(m.retryAt) })
+	return d.firstHub(now, t, func(_ string, m *member) bool { return !now.Before(m.retryAt) })
 }
 
 // placementHub returns the hub to ask for a placement, or an empty name if none answers. A hub
 // that failed to answer must first answer gossip again, as a request can't wait for it.
 func (d *Daemon) placementHub(now time.Time, t *tables, excluded []string) string {
-	return d.firstHub(t, func(name string, m *member) bool {
+	return d.firstHub(now, t, func(name string, m *member) bool {
 		return !m.unanswered && !now.Before(m.retryAt) && !slices.Contains(excluded, name)
 	})
 }
 
 // firstHub returns the first hub for which fits returns true, or an empty name.
-func (d *Daemon) firstHub(t *tables, fits func(name string, m *member) bool) string {
-	for _, name := range t.hubOrder(d.Settings.Domain) {
+func (d *Daemon) firstHub(now time.Time, t *tables, fits func(name string, m *member) bool) string {
+	for name := range t.hubOrder(now, d.Settings.Name, d.Settings.Domain) {
 		if name != d.Settings.Name && fits(name, t.members[name]) {
 			return name
 		}
@@ -138,22 +143,55 @@
 	return d.spoke.Load() && now.Sub(t.hubHeardAt) > hublessAfter
 }
 
-// hubOrder lists the hubs that a box of a domain may ask: those of its own domain first.
-func (t *tables) hubOrder(domain string) []string {
-	own := t.rankedHubs(domain)
-	order := slices.Clone(own[:min(maxOwnHubs, len(own))])
-	var domains []string
-	for _, m := range t.members {
-		if m.domain != domain && !slices.Contains(domains, m.domain) {
-			domains = append(domains, m.domain)
+// hubOrder lists the hubs that a box of a domain may ask: those of its own domain, those of
+// other domains, and then boxes of its own domain that become hubs when they are asked. It is
+// computed as far as it is read, as each placement asks for it.
+func (t *tables) hubOrder(now time.Time, self, domain string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		own := t.rankedHubs(domain)
+		first := own[:min(hubsPerDomain, len(own))]
+		for _, name := range first {
+			if !yield(name) {
+				return
+			}
+		}
+		rest := own[len(first):min(maxOwnHubs, len(own))]
+		order := slices.Concat(t.foreignHubs(self, domain), rest)
+		if t.gone(now, first) {
+			order = slices.Concat(rest, t.foreignHubs(self, domain))
+		}
+		for _, name := range order {
+			if !yield(name) {
+				return
+			}
+		}
+	}
+}
+
+// gone reports whether all of some boxes have been silent for hubGoneAfter.
+func (t *tables) gone(now time.Time, boxes []string) bool {
+	for _, name := range boxes {
+		if m := t.members[name]; !m.unanswered || now.Sub(m.unansweredSince) < hubGoneAfter {
+			return false
 		}
 	}
-	slices.Sort(domains)
-	for _, other := range domains {
-		list := t.rankedHubs(other)
-		order = append(order, list[:min(hubsPerDomain, len(list))]...)
+	return true
+}
+
+// foreignHubs lists the hubs of all other domains, in an order of each box's own: the boxes of a
+// domain that lost its hubs spread over them.
+func (t *tables) foreignHubs(self, domain string) []string {
+	var list []string
+	for _, name := range t.hubs() {
+		if t.members[name].domain != domain {
+			list = append(list, name)
+		}
 	}
-	return order
+	hash := placement.Hash(self)
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Compare(placement.Weight(hash, placement.Hash(b)), placement.Weight(hash, placement.Hash(a)))
+	})
+	return list
 }
 
 // hasFreshView reports whether this box has a hub's view that is recent enough to go without
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -169,7 +169,8 @@
 	if m.misses++; m.misses < maxHubMisses {
 		return
 	}
-	m.misses, m.unanswered = 0, true
+	m.misses = 0
+	m.setUnanswered(now, true)
 	m.retryAt = now.Add(gossipRetryDelay)
 	d.Log.Warn("hub does not answer", "hub", hub, "err", err)
 }
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -267,6 +267,8 @@
 	// calling says that gossip with it is in flight, unanswered that it did not answer the
 	// last gossip, or too many placement requests since.
 	calling, unanswered bool
+	// unansweredSince is since when it is unanswered.
+	unansweredSince time.Time
 	// misses counts unanswered placement requests in a row.
 	misses int
 	// retryAt is when a box that did not answer is called again.
