--- a/entry/role_test.go
+++ b/entry/role_test.go
@@ -12,7 +12,9 @@
 		started, whole := make(chan bool), make(chan bool)
 		go func() {
 			close(started)
-			for d.roleSince.Load() == nil { // A yield would miss the moment.
+			known := false
+			for !known { // A yield would miss the moment.
+				known = d.roleSince.Load() != nil
 			}
 			whole <- d.spoke.Load()
 		}()
