--- a/entry/tables.go
+++ b/entry/tables.go
@@ -285,14 +285,13 @@
 
 func newTables() tables {
 	return tables{
-		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
-		fleet:        fleet.New(), directory: directory.New(), othersUsage: peerload.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
+		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
 		weights: make(map[string]*modelRollout), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Incarnation]*targetQuota), quotaRetryAt: make(map[quotaAsk]time.Time), probing: make(map[string]bool),
 		silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
 		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
-		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool),
+		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
 
