--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -92,17 +92,16 @@
 // request's deadline.
 const arrivedBodyTime = 50 * time.Millisecond
 
-// readAll reads a body up to its limit, until a deadline. If that passes while this process is
-// paused, the read fails although the body may have arrived in time, so what has arrived is
-// read after it. limited says whether the connection supports deadlines.
-func (x *run) readAll(connection *http.ResponseController, body io.Reader, until time.Time) (read []byte, limited bool, err error) {
-	limited = connection.SetReadDeadline(time.Now().Add(until.Sub(x.Now()))) == nil // Only real connections support it.
-	read, err = io.ReadAll(body)
-	if !errors.Is(err, os.ErrDeadlineExceeded) || connection.SetReadDeadline(time.Now().Add(arrivedBodyTime)) != nil {
-		return read, limited, err
+// readAll reads a body until its connection's deadline. If that passes while this process is
+// paused, the read fails although the body may have arrived in time, so extend moves the deadline
+// and what has arrived is read.
+func readAll(body io.Reader, extend func() error) ([]byte, error) {
+	read, err := io.ReadAll(body)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || extend() != nil {
+		return read, err
 	}
 	rest, err := io.ReadAll(body)
-	return append(read, rest...), limited, err
+	return append(read, rest...), err
 }
 
 // readBody reads the whole body, within the configured size limit and the request's
@@ -113,7 +112,9 @@
 		bound = 4 << 20 // The largest limit that the platform configures.
 	}
 	connection := http.NewResponseController(x.w)
-	body, limited, err := x.readAll(connection, io.LimitReader(job.Call.Body, bound+1), job.Until)
+	until := func(at time.Time) error { return connection.SetReadDeadline(time.Now().Add(at.Sub(x.Now()))) }
+	limited := until(job.Until) == nil // Only real connections support it.
+	body, err := readAll(io.LimitReader(job.Call.Body, bound+1), func() error { return until(x.Now().Add(arrivedBodyTime)) })
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time").WithRetryAfter(x.RetryAfter("body_late", job))
 	}
