fix(entry): a configuration and its proof come into force together

Cause: the proof was stored before the configuration, and requests loaded the configuration before they asked for the proof. Ruled out: a proof by rows of a restored table service (the first line of the log comes with the read that brings the new configuration).

Change: routing.Proved holds both and is replaced as a whole; a request loads it once. deliver.Server.Table became Configuration, its checks take what was loaded.

Conclusion: no order of loads and stores mixes the two any more.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -18,8 +18,8 @@
 // admit resolves the route, account and pool of a call. It does not read the body.
 func (s *Server) admit(call *Call) (*Job, *refusal.Refusal) {
 	job := &Job{Call: call}
-	table := s.Table()
-	if table == nil {
+	table := s.Configuration()
+	if table == nil || table.Table == nil {
 		return nil, s.unavailable(job, "no_configuration", "this box has no configuration yet")
 	}
 	if table.MaxHeader > 0 && call.HeadBytes > table.MaxHeader {
@@ -27,7 +27,7 @@
 	}
 	path, _, _ := strings.Cut(call.Path, "?")
 	r := table.Route(call.Host, path)
-	if r == nil && !s.ConfigurationFresh(s.Now()) {
+	if r == nil && !s.ConfigurationFresh(s.Now(), table) {
 		return nil, s.unavailable(job, "stale", "this box can't tell whether there is a route for %s%s by now", call.Host, path)
 	}
 	if r == nil {
@@ -35,11 +35,11 @@
 	}
 	job.Route = r
 	if table.NeedsKey(r) {
-		if !s.KeysFresh(s.Now()) {
+		if !s.KeysFresh(s.Now(), table) {
 			return nil, s.unavailable(job, "stale", "this box can't tell whether the key is still good")
 		}
 		account, known := table.Account(call.Key)
-		if !known && !s.ConfigurationFresh(s.Now()) {
+		if !known && !s.ConfigurationFresh(s.Now(), table) {
 			return nil, s.unavailable(job, "stale", "this box can't tell whether the key is known by now")
 		}
 		if !known {
@@ -107,7 +107,7 @@
 // readBody reads the whole body, within the configured size limit and the request's
 // deadline.
 func (x *run) readBody(job *Job) *refusal.Refusal {
-	bound := x.Table().MaxBody
+	bound := x.Configuration().MaxBody
 	if bound <= 0 {
 		bound = 4 << 20 // The largest limit that the platform configures.
 	}
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -2,7 +2,7 @@
 // placed, sends it to a target, and gives the caller the target's complete answer, a
 // refusal that states whether the request ran, or a failure that leaves that open.
 //
-//	d := deliver.Server{Table: current, Place: loop.place, Send: adapter.Send, ...}
+//	d := deliver.Server{Configuration: current, Place: loop.place, Send: adapter.Send, ...}
 //	err := d.Serve(r.Context(), w, call) // a *refusal.Refusal, if nothing was written
 //
 // A request that is not repeatable is sent again only if no byte of it left this box
@@ -246,14 +246,14 @@
 // Server serves calls. Set the exported fields before first use; it is safe
 // for concurrent use after that.
 type Server struct {
-	// Table is the configuration in force, or nil.
-	Table func() *routing.Table
-	// KeysFresh says that API keys may be trusted: none can have been revoked for so long
-	// that it must not be honoured any more.
-	KeysFresh func(now time.Time) bool
-	// ConfigurationFresh says that the configuration in force includes everything that
-	// was configured long enough ago to be mandatory: what it lacks may be refused for good.
-	ConfigurationFresh func(now time.Time) bool
+	// Configuration is the configuration in force with its proof, or nil.
+	Configuration func() *routing.Proved
+	// KeysFresh says that a configuration's API keys may be trusted: none can have been
+	// revoked for so long that it must not be honoured any more.
+	KeysFresh func(now time.Time, proved *routing.Proved) bool
+	// ConfigurationFresh says that a configuration includes everything that was configured
+	// long enough ago to be mandatory: what it lacks may be refused for good.
+	ConfigurationFresh func(now time.Time, proved *routing.Proved) bool
 	Place              func(ctx context.Context, request PlacementRequest) (Placement, error)
 	Send               func(ctx context.Context, s Attempt) (*Reply, error)
 	// Began is called when an answer's head arrived, Ended when an attempt ended:
--- a/deliver/deliver_test.go
+++ b/deliver/deliver_test.go
@@ -128,7 +128,7 @@
 	route.Shares = []routing.Share{{Pool: "p", Weight: 1}}
 	table := routing.New(1, []*routing.Route{route}, []*routing.Pool{{Name: "p"}}, nil)
 	return &deliver.Server{
-		Table: func() *routing.Table { return table }, KeysFresh: func(time.Time) bool { return true }, ConfigurationFresh: func(time.Time) bool { return true },
+		Configuration: func() *routing.Proved { return &routing.Proved{Table: table} }, KeysFresh: func(time.Time, *routing.Proved) bool { return true }, ConfigurationFresh: func(time.Time, *routing.Proved) bool { return true },
 		Place: func(context.Context, deliver.PlacementRequest) (deliver.Placement, error) {
 			x.placed++
 			return deliver.Placement{Target: "t" + strconv.Itoa(x.placed)}, nil
@@ -345,10 +345,10 @@
 func TestStaleConfiguration(t *testing.T) {
 	x := &targets{}
 	s := x.server(route(true, false, false, 1))
-	r := s.Table().Route("h", "/")
+	r := s.Configuration().Route("h", "/")
 	table := routing.New(2, []*routing.Route{r}, []*routing.Pool{{Name: "p"}}, []*routing.Account{{Name: "a", Keys: []string{"k"}}})
-	s.Table = func() *routing.Table { return table }
-	s.KeysFresh = func(time.Time) bool { return false }
+	s.Configuration = func() *routing.Proved { return &routing.Proved{Table: table} }
+	s.KeysFresh = func(time.Time, *routing.Proved) bool { return false }
 	got := ask(s)
 	if got.refused == nil || got.refused.Status != http.StatusServiceUnavailable || got.refused.RetryAfter == 0 || x.sent != 0 {
 		t.Errorf("got %+v", got)
--- a/entry/build.go
+++ b/entry/build.go
@@ -24,6 +24,7 @@
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/retryafter"
 	"github.com/thymewind/thymewind/rollout"
+	"github.com/thymewind/thymewind/routing"
 )
 
 const (
@@ -159,7 +160,7 @@
 
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
-		Table: d.current.Load, KeysFresh: d.keysFresh, ConfigurationFresh: d.configurationFresh, Place: d.requestPlacement, Send: d.send,
+		Configuration: d.current.Proved, KeysFresh: d.keysFresh, ConfigurationFresh: d.configurationFresh, Place: d.requestPlacement, Send: d.send,
 		Began:   func(p deliver.Placement) { d.post(answerBegan{p}) },
 		Ended:   func(e deliver.AttemptResult) { d.post(attemptEnded{e}) },
 		Suspect: d.isSuspect, MinAnswerTime: d.minAnswerTime,
@@ -168,26 +169,25 @@
 	}
 }
 
-// keysFresh says that API keys may be trusted: no key in the configuration in force can have
-// been revoked for so long that it must not be honoured any more.
-func (d *Daemon) keysFresh(now time.Time) bool {
-	return d.provedWithin(now, d.bounds.Load().RevokedWithin, proofMargin)
+// keysFresh says that API keys may be trusted: no key in a configuration can have been revoked
+// for so long that it must not be honoured any more.
+func (d *Daemon) keysFresh(now time.Time, proved *routing.Proved) bool {
+	return provedWithin(now, proved, d.bounds.Load().RevokedWithin, proofMargin)
 }
 
-// configurationFresh says that the configuration in force includes everything that was
-// configured long enough ago to be mandatory.
-func (d *Daemon) configurationFresh(now time.Time) bool {
-	return d.provedWithin(now, d.bounds.Load().AppliedWithin, answerMargin)
+// configurationFresh says that a configuration includes everything that was configured long
+// enough ago to be mandatory.
+func (d *Daemon) configurationFresh(now time.Time, proved *routing.Proved) bool {
+	return provedWithin(now, proved, d.bounds.Load().AppliedWithin, answerMargin)
 }
 
-// provedWithin says that the configuration was known to be the newest within a bound less a
+// provedWithin says that a configuration was known to be the newest within a bound less a
 // margin; zero is no bound.
-func (d *Daemon) provedWithin(now time.Time, bound, margin time.Duration) bool {
+func provedWithin(now time.Time, proved *routing.Proved, bound, margin time.Duration) bool {
 	if bound == 0 {
 		return true
 	}
-	proved := d.provedAt.Load()
-	return proved != nil && now.Sub(*proved) < bound-margin
+	return proved != nil && !proved.At.IsZero() && now.Sub(proved.At) < bound-margin
 }
 
 // jitter returns a random time below the given one.
@@ -210,7 +210,7 @@
 // proofAge is provedAgo as this box tells it to other boxes: they must not take the time since
 // it started for the age of a proof.
 func (d *Daemon) proofAge(now time.Time) time.Duration {
-	if d.provedAt.Load() == nil {
+	if _, ever := d.current.ProvedAt(); !ever {
 		return neverProved
 	}
 	return d.provedAgo(now)
@@ -219,8 +219,8 @@
 // provedAgo is how long ago the configuration was last known to be the newest, or how long this
 // box has run if it never was.
 func (d *Daemon) provedAgo(now time.Time) time.Duration {
-	if proved := d.provedAt.Load(); proved != nil {
-		return now.Sub(*proved)
+	if proved, ever := d.current.ProvedAt(); ever {
+		return now.Sub(proved)
 	}
 	return d.uptime(now)
 }
--- a/entry/canary.go
+++ b/entry/canary.go
@@ -206,8 +206,8 @@
 	if !t.fleet.MixedSoftware(x.Pool) || x.Software == t.fleet.Software(x.Pool) {
 		return false
 	}
-	proved := d.provedAt.Load()
-	return proved == nil || proved.Before(x.ListedAt)
+	proved, ever := d.current.ProvedAt()
+	return !ever || proved.Before(x.ListedAt)
 }
 
 // softwareFilters lists the filters to try for a request, in order. A request within the canary
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,7 +19,6 @@
 
 	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/entry/settings"
-	"github.com/thymewind/thymewind/routing"
 )
 
 // Daemon is the process of one entry box. Set the exported fields before Run.
@@ -43,10 +42,8 @@
 	metrics metricSet
 	// messages is buffered, so that requests rarely wait for the loop.
 	messages chan message
-	// current is the configuration in force, provedAt when it was last known to be the
-	// newest; both are for readers outside the loop.
-	current  atomic.Pointer[routing.Table]
-	provedAt atomic.Pointer[time.Time]
+	// current is the configuration in force and its proof, for readers outside the loop.
+	current inForce
 	// unprovedReadAt is when the operator's rows were last read without proving that, as a
 	// restore of the table service may have lost changes.
 	unprovedReadAt atomic.Pointer[time.Time]
--- a/entry/evacuate_test.go
+++ b/entry/evacuate_test.go
@@ -121,7 +121,7 @@
 		bounds.EvacuatedWithin, bounds.Stretch = tt.within, tt.stretch
 		d.bounds.Store(&bounds)
 		proved := start
-		d.provedAt.Store(&proved)
+		d.current.setProvedAt(proved)
 		if served := placedDomains(d, start.Add(tt.ago)) != nil; served != tt.served {
 			t.Errorf("bound %v and %v, proof %v old: served %v", tt.within, tt.stretch, tt.ago, served)
 		}
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -143,7 +143,7 @@
 	if len(effects) != 1 {
 		t.Fatalf("the newer configuration is not fetched: %v", effects)
 	}
-	if spoke.keysFresh(later) {
+	if spoke.trustsKeys(later) {
 		t.Error("fresh before the configuration was fetched")
 	}
 	read := effects[0].(fetchConfiguration)
@@ -233,18 +233,18 @@
 	spoke.update(start, operatorRead{start, Operator{Table: configuration(4)}})
 	late := start.Add(10 * time.Second)
 	spoke.update(late, peerAnswered{"box-00", late, peer.Message{View: &peer.View{WeightVersions: map[string][]peer.WeightVersion{}, ConfigurationVersion: 4, ProofAgeMS: 9000}}, nil})
-	if spoke.keysFresh(late) || spoke.hasFreshView(late) {
+	if spoke.trustsKeys(late) || spoke.hasFreshView(late) {
 		t.Error("an old proof counts as fresh")
 	}
 	if got := spoke.viewHub(late, &spoke.tables); got != "box-01" {
 		t.Errorf("after a hub that is cut off, %q is asked", got)
 	}
 	spoke.update(late, peerAnswered{"box-00", late, peer.Message{View: &peer.View{WeightVersions: map[string][]peer.WeightVersion{}, ConfigurationVersion: 3, ProofAgeMS: 0}}, nil})
-	if spoke.keysFresh(late) {
+	if spoke.trustsKeys(late) {
 		t.Error("the proof of an older configuration counts for this one")
 	}
 	spoke.update(late, peerAnswered{"box-00", late, peer.Message{View: &peer.View{WeightVersions: map[string][]peer.WeightVersion{}, ConfigurationVersion: 4, ProofAgeMS: 500}}, nil})
-	if !spoke.keysFresh(late) || !spoke.hasFreshView(late) {
+	if !spoke.trustsKeys(late) || !spoke.hasFreshView(late) {
 		t.Error("a fresh proof does not count")
 	}
 }
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -75,7 +75,7 @@
 
 // serveReady answers whether this box should get new connections.
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.current.Load() == nil || !d.keysFresh(d.now()) {
+	if d.stopping.Load() || !d.admitsKeyed(d.now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/peerproof_test.go
+++ b/entry/peerproof_test.go
@@ -67,7 +67,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := boxOfFleet("box-10")
 			old := start.Add(-time.Minute)
-			d.provedAt.Store(&old)
+			d.current.setProvedAt(old)
 			d.update(start.Add(-time.Minute), operatorRead{old, Operator{Changed: rev(known - 2), Known: rev(known)}})
 			d.update(start.Add(50*time.Millisecond), peerAnswered{name: "box-11", requestedAt: start, answer: tt.m})
 			if got := d.hasPeerProof(start.Add(tt.after)); got != tt.want {
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -236,7 +236,7 @@
 		t.Errorf("refused as %q, %v, retry after %v", refused.Code, refused.Outcome, refused.RetryAfter)
 	}
 	later := start.Add(time.Second)
-	d.provedAt.Store(&later)
+	d.current.setProvedAt(later)
 	if got, _ := placedOn(d, later); fmt.Sprint(got) != "[a b]" {
 		t.Errorf("placed a second later on %v", got)
 	}
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -79,8 +79,8 @@
 	if read == nil {
 		return false, 0
 	}
-	proved := d.provedAt.Load()
-	return proved == nil || read.After(*proved), now.Sub(*read)
+	proved, ever := d.current.ProvedAt()
+	return !ever || read.After(proved), now.Sub(*read)
 }
 
 // noteUnprovedRead records when the operator's rows were read without a proof.
--- a/entry/restored_lost_test.go
+++ b/entry/restored_lost_test.go
@@ -57,7 +57,7 @@
 // did not write the lost change again, or returns an empty string.
 func (w *lostChange) falseProof() string {
 	for _, d := range w.boxes {
-		if proved := d.provedAt.Load(); proved != nil && proved.After(w.lostAt) && d.version() < 2 {
+		if proved, _ := d.current.ProvedAt(); proved.After(w.lostAt) && d.version() < 2 {
 			return fmt.Sprintf("%s counts version %d as the newest at %v, version 2 was confirmed at %v", d.Settings.Name, d.version(), proved.Sub(start), w.lostAt.Sub(start))
 		}
 	}
@@ -196,7 +196,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := boxOfFleet("box-10")
 			old := start.Add(-time.Minute)
-			d.provedAt.Store(&old)
+			d.current.setProvedAt(old)
 			d.update(start, operatorRead{start, Operator{Changed: known, Known: known}})
 			if tt.after > rewriteGrace {
 				d.update(start.Add(rewriteGrace), operatorRead{start.Add(rewriteGrace), Operator{Known: known}})
@@ -347,8 +347,8 @@
 			if got := d.hasFreshView(start.Add(time.Second)); got != tt.stays {
 				t.Errorf("goes without reading the table service: %v", got)
 			}
-			if want := start.Add(-time.Duration(tt.v.ProofAgeMS) * time.Millisecond); d.provedAt.Load().After(want) {
-				t.Errorf("proved at %v, the hub's proof is of %v", d.provedAt.Load(), want)
+			if want := start.Add(-time.Duration(tt.v.ProofAgeMS) * time.Millisecond); d.provedAt().After(want) {
+				t.Errorf("proved at %v, the hub's proof is of %v", d.provedAt(), want)
 			}
 		})
 	}
--- a/entry/restored_start_test.go
+++ b/entry/restored_start_test.go
@@ -46,7 +46,7 @@
 			d.tables.members["b2"] = &member{}
 			at := revision.Revision{Restores: tt.restores, Number: 40}
 			d.update(start, operatorRead{start, Operator{Snapshot: true, Table: configuration(7), Known: at, Changed: at}})
-			if first := d.keysFresh(start); first != (tt.restores == 0) {
+			if first := d.trustsKeys(start); first != (tt.restores == 0) {
 				t.Errorf("proved by its first read: %v", first)
 			}
 			if tt.message != nil {
@@ -58,7 +58,7 @@
 			}
 			now := start.Add(tt.after)
 			d.update(now, operatorRead{now, next})
-			if got := d.keysFresh(now); got != tt.proved {
+			if got := d.trustsKeys(now); got != tt.proved {
 				t.Errorf("proved %v", got)
 			}
 			if !tt.proved && d.operatorHold() == 0 {
--- a/entry/retryafter.go
+++ b/entry/retryafter.go
@@ -76,7 +76,7 @@
 // they were refused, not the outage of the table service that caused it, as refusals begin
 // seconds after the outage.
 func (d *Daemon) logAdmitting(now time.Time) {
-	if !d.keysFresh(now) {
+	if !d.keysFresh(now, d.current.Proved()) {
 		return
 	}
 	if lasted := d.retryEstimator.Ended(now, noProof); lasted > 0 {
@@ -84,9 +84,15 @@
 	}
 }
 
+// admitsKeyed reports whether this box has a configuration and may trust its keys.
+func (d *Daemon) admitsKeyed(now time.Time) bool {
+	proved := d.current.Proved()
+	return proved != nil && proved.Table != nil && d.keysFresh(now, proved)
+}
+
 // refusesKeyed reports whether this box refuses callers who need a key.
 func (d *Daemon) refusesKeyed(now time.Time) bool {
-	return d.current.Load() == nil || !d.keysFresh(now)
+	return !d.admitsKeyed(now)
 }
 
 // receiveAdmitting notes that another box admits callers. A box that refuses them too says
--- a/entry/retryafter_test.go
+++ b/entry/retryafter_test.go
@@ -95,7 +95,7 @@
 // refuseStale has a caller refused as the last proof of the configuration is too old.
 func refuseStale(d *Daemon) {
 	old := start.Add(-time.Minute)
-	d.provedAt.Store(&old)
+	d.current.setProvedAt(old)
 	d.retryAfter("stale", job("short", 10))
 }
 
--- a/entry/signals_test.go
+++ b/entry/signals_test.go
@@ -147,7 +147,7 @@
 			tt.happen(d)
 			now := start.Add(tt.after)
 			proved := now
-			d.provedAt.Store(&proved)
+			d.current.setProvedAt(proved)
 			if got, _ := placedOn(d, now); fmt.Sprint(got) != tt.want {
 				t.Errorf("placed on %v, want %v", got, tt.want)
 			}
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -101,7 +101,7 @@
 				at(tt.hubAnswers, func(time.Time) {
 					for ctx.Err() == nil {
 						now := time.Now()
-						d.provedAt.Store(&now)
+						d.current.setProvedAt(now)
 						d.sleep(ctx, spokeGossipInterval)
 					}
 				})
--- a/entry/suspended_test.go
+++ b/entry/suspended_test.go
@@ -40,7 +40,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			suspendedFor = tt.suspendedFor
-			if got := d.keysFresh(d.now()); got != tt.fresh {
+			if got := d.trustsKeys(d.now()); got != tt.fresh {
 				t.Errorf("keys are trusted: %v", got)
 			}
 			if got := held(); got != tt.held {
@@ -64,7 +64,7 @@
 	requestedAt := start
 	d.now = func() time.Time { return requestedAt.Add(10 * time.Second) }
 	d.update(d.now(), operatorRead{requestedAt, Operator{Table: configuration(1)}})
-	if d.keysFresh(d.now()) {
+	if d.trustsKeys(d.now()) {
 		t.Error("keys are trusted by an answer to a request sent 10 s before")
 	}
 }
--- a/entry/unlisted_test.go
+++ b/entry/unlisted_test.go
@@ -205,7 +205,7 @@
 		go func() {
 			for t.Context().Err() == nil {
 				if now := time.Now(); last.roleSince.Load() != nil && now.Sub(*last.roleSince.Load()) > spokeGossipInterval {
-					last.provedAt.Store(&now)
+					last.current.setProvedAt(now)
 				}
 				last.sleep(t.Context(), spokeGossipInterval)
 			}
--- a/entry/unproved_test.go
+++ b/entry/unproved_test.go
@@ -15,12 +15,12 @@
 	now := start.Add(100 * time.Millisecond)
 	hub.startedAt = start
 	hub.update(now, operatorRead{now, Operator{Snapshot: true, Table: configuration(7), Known: revision.Revision{Restores: 1, Number: 40}}})
-	if hub.provedAt.Load() != nil {
+	if _, proved := hub.current.ProvedAt(); proved {
 		t.Fatal("the hub's first read proves its configuration")
 	}
 	spoke.current.Store(configuration(7))
 	last := start.Add(-time.Minute)
-	spoke.provedAt.Store(&last)
+	spoke.current.setProvedAt(last)
 	spoke.update(now, peerAnswered{name: "box-11", requestedAt: now, answer: peer.Message{View: hub.view(now, &hub.tables, spoke.tables.hubList)}})
 	if got := spoke.provedAgo(now); got < now.Sub(last) {
 		t.Errorf("the spoke takes its configuration for proved %v ago", got)
--- a/entry/update.go
+++ b/entry/update.go
@@ -85,6 +85,8 @@
 	d.applyWeightVersions(now, t, m, proved)
 	d.applyEvacuations(now, t, m, proved)
 	d.applyCanarySpecs(now, t, m)
+	before := d.version()
+	newer := d.putInForce(m, proved)
 	d.noteRead(t, m, proved)
 	t.operatorChange = revision.Max(t.operatorChange, m.change.Changed)
 	t.operatorKnown = revision.Max(t.operatorKnown, m.change.Known)
@@ -92,14 +94,13 @@
 	if err := m.change.Unusable; err != nil {
 		d.Log.Error("configuration can't be used; the last valid one stays in force", "err", err, "in_force", d.version())
 	}
-	next := m.change.Table
-	if next == nil || next.Version <= d.version() {
+	if !newer {
 		return nil
 	}
-	d.Log.Info("configuration in force", "version", next.Version, "before", d.version(), "row", m.change.Changed, "asked_ago", now.Sub(m.requestedAt))
+	next := m.change.Table
+	d.Log.Info("configuration in force", "version", next.Version, "before", before, "row", m.change.Changed, "asked_ago", now.Sub(m.requestedAt))
 	d.metrics.configuration.Set(float64(next.Version))
 	d.rawConfiguration.Store(&m.change.Raw)
-	d.current.Store(next)
 	d.retryEstimator.Ended(now, noConfiguration)
 	d.configureStores(t, next)
 	t.refreshedList = 0 // Which pools are engine pools may have changed.
@@ -107,6 +108,21 @@
 	return d.reconcileSources(now, t)
 }
 
+// putInForce puts the configuration that was read in force, together with its proof if the read
+// proves it, and reports whether it is newer than the one before.
+func (d *Daemon) putInForce(m operatorRead, proved bool) bool {
+	next := m.change.Table
+	if next == nil || next.Version <= d.version() {
+		return false
+	}
+	if proved {
+		d.current.Replace(next, m.requestedAt)
+	} else {
+		d.current.Store(next)
+	}
+	return true
+}
+
 // attemptEnded learns from the result of an attempt.
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -87,7 +87,7 @@
 // when its answer arrived.
 func TestKeysFresh(t *testing.T) {
 	d := newDaemon("b1")
-	if d.keysFresh(start) {
+	if d.trustsKeys(start) {
 		t.Error("keys are fresh without any read")
 	}
 	d.update(start.Add(3*time.Second), operatorRead{start, Operator{}})
@@ -96,12 +96,12 @@
 		want  bool
 	}{{4 * time.Second, true}, {5*time.Second - proofMargin, false}, {time.Hour, false}}
 	for _, tt := range tests {
-		if got := d.keysFresh(start.Add(tt.after)); got != tt.want {
+		if got := d.trustsKeys(start.Add(tt.after)); got != tt.want {
 			t.Errorf("%v after the read was sent: fresh %v, want %v", tt.after, got, tt.want)
 		}
 	}
 	d.update(start.Add(4*time.Second), operatorRead{start.Add(-time.Second), Operator{}})
-	if !d.keysFresh(start.Add(4 * time.Second)) {
+	if !d.trustsKeys(start.Add(4 * time.Second)) {
 		t.Error("an older read replaced a newer proof")
 	}
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -151,9 +151,7 @@
 	if at.IsZero() {
 		return
 	}
-	if last := d.provedAt.Load(); last == nil || at.After(*last) {
-		d.provedAt.Store(&at)
-	}
+	d.current.Prove(at)
 	d.logAdmitting(d.now())
 }
 
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -156,7 +156,7 @@
 		d.spoke.Store(true)
 		time.AfterFunc(100*time.Millisecond, func() {
 			now := time.Now()
-			d.provedAt.Store(&now)
+			d.current.setProvedAt(now)
 		})
 		began := time.Now()
 		d.backOffReads(t.Context(), 9)
--- a/entry/weightversions.go
+++ b/entry/weightversions.go
@@ -105,17 +105,17 @@
 // second result is the same time on that clock, or zero if it comes from a later proof by
 // another hub.
 func (d *Daemon) unnamedAt(t *tables, clock time.Duration) (time.Time, time.Duration, bool) {
-	proved := d.provedAt.Load()
-	if proved == nil {
+	proved, ever := d.current.ProvedAt()
+	if !ever {
 		return time.Time{}, 0, false
 	}
-	if seen, ok := t.tableClock.Earliest(clock); ok && clock > 0 && seen.After(*proved) {
+	if seen, ok := t.tableClock.Earliest(clock); ok && clock > 0 && seen.After(proved) {
 		return seen, clock, true
 	}
 	if d.peerProofMaxAge.Load() > 0 {
-		return *proved, 0, true
+		return proved, 0, true
 	}
-	return *proved, clock, true
+	return proved, clock, true
 }
 
 // setNewest sets a newer version, of which this box learned at a time.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -35,6 +35,15 @@
 	keyed bool
 }
 
+// Proved is a configuration and when it was last known to be the newest. It is read only, so that
+// whoever has it judges by a configuration and the proof of that one.
+type Proved struct {
+	// Table is nil before the first configuration.
+	*Table
+	// At is zero if the configuration was never known to be the newest.
+	At time.Time
+}
+
 // Route is the configuration of the requests under one host and path prefix.
 type Route struct {
 	Name string
