feat(deliver): the outcome of a request tells its waits, pauses and what made it late

Missing: no record told whether the first event, a pause or a resumption made an answer late, and a request that was refused before it was admitted had neither route nor account.

Change: Outcome has Route, Account, Pool, Waited, Events, Pause, Resumed, HasGoal and LateBy; Placement has Waited (still zero), NextBest and NextBestCost. AttemptResult.Late, which admission learns from, is unchanged.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -15,41 +15,42 @@
 // defaultTimeout is the deadline of a request when neither its route nor its caller sets one.
 const defaultTimeout = time.Minute
 
-// admit resolves the route, account and pool of a call. It does not read the body.
+// admit resolves the route, account and pool of a call. It does not read the body. With a
+// refusal, the job has only what was resolved before.
 func (s *Server) admit(call *Call) (*Job, *refusal.Refusal) {
 	job := &Job{Call: call}
 	table := s.Configuration()
 	if table == nil || table.Table == nil {
-		return nil, s.unavailable(job, "no_configuration", "this box has no configuration yet")
+		return job, s.unavailable(job, "no_configuration", "this box has no configuration yet")
 	}
 	if table.MaxHeader > 0 && call.HeadBytes > table.MaxHeader {
-		return nil, refusal.New(refusal.DidNotRun, http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the head has over %d bytes", table.MaxHeader)
+		return job, refusal.New(refusal.DidNotRun, http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the head has over %d bytes", table.MaxHeader)
 	}
 	path, _, _ := strings.Cut(call.Path, "?")
 	r := table.Route(call.Host, path)
 	if r == nil && !s.ConfigurationFresh(s.Now(), table) {
-		return nil, s.unavailable(job, "stale", "this box can't tell whether there is a route for %s%s by now", call.Host, path)
+		return job, s.unavailable(job, "stale", "this box can't tell whether there is a route for %s%s by now", call.Host, path)
 	}
 	if r == nil {
-		return nil, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
+		return job, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
 	}
 	job.Route = r
 	if table.NeedsKey(r) {
 		if !s.KeysFresh(s.Now(), table) {
-			return nil, s.unavailable(job, "stale", "this box can't tell whether the key is still good")
+			return job, s.unavailable(job, "stale", "this box can't tell whether the key is still good")
 		}
 		account, known := table.Account(call.Key)
 		if !known && !s.ConfigurationFresh(s.Now(), table) {
-			return nil, s.unavailable(job, "stale", "this box can't tell whether the key is known by now")
+			return job, s.unavailable(job, "stale", "this box can't tell whether the key is known by now")
 		}
 		if !known {
-			return nil, refusal.New(refusal.DidNotRun, http.StatusUnauthorized, "unknown_key", "unknown key")
+			return job, refusal.New(refusal.DidNotRun, http.StatusUnauthorized, "unknown_key", "unknown key")
 		}
 		job.Account = account
 	}
 	job.Pool = table.Pools[r.Pick(s.Random())]
 	if job.Pool == nil {
-		return nil, s.unavailable(job, "no_pool", "the route's pool is not configured")
+		return job, s.unavailable(job, "no_pool", "the route's pool is not configured")
 	}
 	job.Until = call.Received.Add(timeoutOf(r, call))
 	return job, s.refuseShortDeadline(job)
--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -50,10 +50,14 @@
 	}
 	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: reply.Status >= http.StatusInternalServerError, Answered: true})
 	x.outcome.Cause = ""
+	arrivedAt := x.Now()
 	x.writeHead(reply)
 	if _, err := x.w.Write(first); err != nil {
 		return x.abort("writing to the caller failed: " + err.Error())
 	}
+	if reply.Status < http.StatusInternalServerError {
+		x.completed(arrivedAt)
+	}
 	return nil, nil
 }
 
@@ -70,6 +74,9 @@
 		return x.abort(err.Error())
 	}
 	x.outcome.Cause = ""
+	if reply.Status < http.StatusInternalServerError {
+		x.completed(x.Now())
+	}
 	return nil, nil
 }
 
@@ -92,6 +99,10 @@
 		go x.abortIfStalled(ctx, x.cancel, place.Target, wait)
 	}
 	flush := http.NewResponseController(x.w)
+	if x.headWritten {
+		x.outcome.Resumed++
+		x.times.resumed()
+	}
 	for {
 		wait.begin(x.Now())
 		event, err := events.Next()
@@ -99,6 +110,7 @@
 		if errors.Is(err, io.EOF) {
 			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true})
 			x.outcome.Cause = ""
+			x.completed(x.Now())
 			x.writeHead(reply)
 			return nil, nil
 		}
@@ -113,6 +125,8 @@
 		if x.headWritten && id != "" && !later(id, x.lastEventID) {
 			continue // The caller received it from the previous attempt.
 		}
+		x.times.arrived(x.lastEventAt, x.job)
+		x.outcome.Events++
 		x.writeHead(reply)
 		if _, err = x.w.Write(event); err == nil {
 			err = flush.Flush()
@@ -121,6 +135,7 @@
 			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true})
 			return x.abort("writing to the caller failed: " + err.Error())
 		}
+		x.times.written(x.Now())
 		if id != "" {
 			x.lastEventID = id
 		}
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -140,6 +140,14 @@
 	CachedTokens, FetchedTokens, SavedTokens int
 	// Rule names the placement rule that chose the target.
 	Rule string
+	// NextBest is the cheapest of the other engines with room, or empty. NextBestCost is by how
+	// much more it would have cost; it is negative if the chosen engine was preferred by its rank
+	// at a slightly higher cost.
+	NextBest     string
+	NextBestCost time.Duration
+	// Waited is how long the request waited in a queue of this system for this placement. It is
+	// also set if the wait ended with a refusal.
+	Waited time.Duration
 }
 
 // Attempt is one request on its way to a target.
@@ -211,7 +219,12 @@
 // Outcome is the end of a request, for the log and the metrics.
 type Outcome struct {
 	Call *Call
-	Job  *Job
+	// Job is nil if the request was refused before it was admitted. Route, Account and Pool are
+	// what was found for it by then, or nil.
+	Job     *Job
+	Route   *routing.Route
+	Account *routing.Account
+	Pool    *routing.Pool
 	// Place is the last placement.
 	Place Placement
 	// Attempts counts the targets that may have received the request.
@@ -222,6 +235,17 @@
 	Cause, Reason string
 	// FirstByte and Took are the times from receipt to the first byte and to the end.
 	FirstByte, Took time.Duration
+	// Waited is how long the request waited in queues of this system, over all placements.
+	Waited time.Duration
+	// Events counts the events of a stream that were new to the caller, Pause is the longest gap
+	// between two of them, and Resumed is how often another target continued the stream.
+	Events  int
+	Pause   time.Duration
+	Resumed int
+	// HasGoal says that the answer is complete and that its route has a goal; LateBy is then
+	// what made it late first, or empty if it was in time.
+	HasGoal bool
+	LateBy  string
 	// RefusalCode is the code of the refusal that the caller got, RetryAfter its
 	// Retry-After.
 	RefusalCode string
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -62,6 +62,7 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
+	times       eventTimes
 	outcome     Outcome
 }
 
@@ -78,6 +79,7 @@
 	x.outcome.Teardown, x.outcome.CallerLeft = stopWatching()
 	x.outcome.Took = s.Now().Sub(call.Received)
 	x.outcome.Attempts = x.sent
+	x.outcome.Pause = x.times.pause
 	if x.retryPaid || x.retryReserved.Load() {
 		s.Refund(x.job.Pool.Name)
 	}
@@ -97,6 +99,7 @@
 
 func (x *run) serve() *refusal.Refusal {
 	job, refused := x.admit(x.outcome.Call)
+	x.outcome.Route, x.outcome.Account, x.outcome.Pool = job.Route, job.Account, job.Pool
 	if refused != nil {
 		return refused
 	}
@@ -114,6 +117,7 @@
 			return x.refuse(x.unavailable(x.job, "caller_left", "the caller closed its connection"))
 		}
 		place, err := x.Place(x.ctx, PlacementRequest{Job: job, Attempted: x.attempted})
+		x.outcome.Waited += place.Waited
 		if err != nil {
 			return x.refuse(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
 		}
