feat(affinity): a choice names the runner-up and its cost

Missing: nothing told how close the choice of an engine was.

Change: Choice.NextBest is the cheapest other engine among those that could be chosen, NextBestCost by how much more it costs; negative if the rank decided within the slack.

Tests: go test -race -count=1 ./affinity passes; TestNextBest fails with the sign reversed or with full engines taken in.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -129,6 +129,11 @@
 	// Transfers are those that the engine needs before it can prefill the rest.
 	Transfers []throughput.Transfer
 	Rule      string
+	// NextBest is the cheapest other engine, or empty: of those that are not full, unless all
+	// are. NextBestCost is by how much more it costs; it is negative if the chosen one was
+	// preferred by its rank, within the slack.
+	NextBest     string
+	NextBestCost time.Duration
 }
 
 // Chooser chooses engines. Set the exported fields before first use; it is not safe for
@@ -188,8 +193,10 @@
 		return Choice{}, false
 	}
 	home := slices.MaxFunc(all, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
-	best := c.best(notFull(all))
+	eligible := notFull(all)
+	best := c.best(eligible)
 	choice := s.plan(best)
+	choice.NextBest, choice.NextBestCost = nextBest(eligible, best)
 	choice.Rule = rule(best.target == home.target, best.available > best.cached)
 	return choice, true
 }
@@ -221,6 +228,21 @@
 	return best
 }
 
+// nextBest returns the cheapest of the candidates other than the chosen one, and by how much more
+// it costs; an empty ID if there is no other.
+func nextBest(list []candidate, chosen candidate) (string, time.Duration) {
+	id, cost := "", time.Duration(0)
+	for _, one := range list {
+		if one.target != chosen.target && (id == "" || one.cost < cost) {
+			id, cost = one.target.ID, one.cost
+		}
+	}
+	if id == "" {
+		return "", 0
+	}
+	return id, cost - chosen.cost
+}
+
 // rule names the placement rule, for logs.
 func rule(home, fetched bool) string {
 	text := "cheaper than home"
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -149,6 +149,46 @@
 	}
 }
 
+// TestNextBest checks the runner-up and its cost. It guards against naming an engine that could not
+// have been chosen, and against a cost with the wrong sign.
+func TestNextBest(t *testing.T) {
+	home := newFixture().choose(t).Target.ID
+	other := map[string]string{"a": "b", "b": "a"}[home]
+	const perToken = time.Millisecond / 112
+	tests := []struct {
+		name   string
+		change func(x *fixture, home, other *fleet.Target)
+		target string
+		next   string
+		cost   time.Duration
+	}{
+		{"equal", func(*fixture, *fleet.Target, *fleet.Target) {}, home, other, 0},
+		{"the other has a backlog", func(_ *fixture, _, other *fleet.Target) { other.PrefillBacklog = 10000 }, home, other, 10000 * perToken},
+		{"the home engine has a long one", func(_ *fixture, home, _ *fleet.Target) { home.PrefillBacklog = 10000 }, other, home, 10000 * perToken},
+		{"the home engine has a short one and is preferred all the same", func(_ *fixture, home, _ *fleet.Target) { home.PrefillBacklog = 1000 }, home, other, -1000 * perToken},
+		{"the other takes no work", func(_ *fixture, _, other *fleet.Target) { other.Leaving = true }, home, "", 0},
+		{"the other is full", func(x *fixture, _, other *fleet.Target) {
+			other.Tokens = 175000
+			x.request.Full = func(taken int) bool { return taken > 170000 }
+		}, home, "", 0},
+		{"all are full", func(x *fixture, _, other *fleet.Target) {
+			other.PrefillBacklog = 10000
+			x.request.Full = func(int) bool { return true }
+		}, home, other, 10000 * perToken},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newFixture()
+			engines := map[string]*fleet.Target{"a": x.a, "b": x.b}
+			tt.change(x, engines[home], engines[other])
+			got := x.choose(t)
+			if got.Target.ID != tt.target || got.NextBest != tt.next || got.NextBestCost != tt.cost {
+				t.Errorf("chose %q before %q by %v, want %q before %q by %v", got.Target.ID, got.NextBest, got.NextBestCost, tt.target, tt.next, tt.cost)
+			}
+		})
+	}
+}
+
 // TestParts checks what is fetched, prefilled and saved.
 func TestParts(t *testing.T) {
 	home := newFixture().choose(t).Target.ID
