feat(entry,peer): the runner-up reaches the box that asked a hub

Missing: most boxes have a hub place their requests and would log no runner-up.

Change: PlacementResponse has NextBest (17, four bytes of the hash of the ID) and NextBestCostMS (18), both new numbers. The asking box looks the name up in its list; it stays empty if it is not there.

Tests: go test -race -count=1 ./peer ./entry passes.

--- a/entry/place.go
+++ b/entry/place.go
@@ -242,7 +242,7 @@
 		Scope: scope(choice.Version, job), PrefillTokens: choice.PrefillTokens, Tokens: job.PromptTokens + job.MaxOutputTokens, Rule: choice.Rule,
 		Save: addresses(choice.Save), PlacedAt: now, PrefillBacklog: choice.PrefillBacklog, Transfers: choice.Transfers,
 		NewestVersion: w.newestVersion, ReplacedFor: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin),
-		QuotaGranted: d.takeQuota(now, t, choice.Target),
+		QuotaGranted: d.takeQuota(now, t, choice.Target), NextBest: choice.NextBest, NextBestCost: choice.NextBestCost,
 	}
 	if t.clockKnown {
 		place.Fetch = addresses(choice.Fetch)
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -210,6 +210,7 @@
 		CachedTokens: p.CachedTokens, FetchedTokens: p.FetchedTokens, SavedTokens: p.SavedTokens, Rule: "hub, " + p.Rule,
 		PlacedAt: now, PrefillBacklog: p.PrefillBacklog, QuotaGranted: p.QuotaGranted,
 		NewestVersion: w.newestVersion, ReplacedFor: w.replacedFor(now, p.Version), BeginBy: w.beginBy(p.Version, within),
+		NextBest: t.targetName(job.Pool.Name, p.NextBest), NextBestCost: time.Duration(p.NextBestCostMS) * time.Millisecond,
 	}
 	for _, m := range p.Transfers {
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
@@ -267,4 +268,20 @@
 }
 
 // shortID is a four-byte ID of a target among those of its pool.
-func shortID(x *fleet.Target) uint32 { return uint32(placement.Hash(x.ID)) }
+func shortID(x *fleet.Target) uint32 { return shortIDOf(x.ID) }
+
+func shortIDOf(id string) uint32 { return uint32(placement.Hash(id)) }
+
+// targetName returns the ID of the target of a pool that has a short ID, or an empty string if
+// this box knows none.
+func (t *tables) targetName(pool string, short uint32) string {
+	if short == 0 {
+		return ""
+	}
+	for _, x := range t.fleet.Pool(pool) {
+		if shortID(x) == short {
+			return x.ID
+		}
+	}
+	return ""
+}
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -61,11 +61,16 @@
 	for _, m := range place.Transfers {
 		transfers = append(transfers, peer.Transfer{Source: m.Source, ExpectedUS: m.Expected.Microseconds()})
 	}
+	var nextBest uint32
+	if place.NextBest != "" {
+		nextBest = shortIDOf(place.NextBest)
+	}
 	return &peer.PlacementResponse{
 		Entry:  t.recentEntry(now, place.Target),
 		Target: place.Target, Version: place.Version, Fetch: formatAddresses(place.Fetch), Save: formatAddresses(place.Save),
 		UntilMS: place.FetchUntil.Milliseconds(), CachedTokens: place.CachedTokens, FetchedTokens: place.FetchedTokens, SavedTokens: place.SavedTokens,
 		PrefillTokens: place.PrefillTokens, Rule: place.Rule, PrefillBacklog: place.PrefillBacklog, Transfers: transfers, QuotaGranted: place.QuotaGranted,
+		NextBest: nextBest, NextBestCostMS: place.NextBestCost.Round(time.Millisecond).Milliseconds(),
 	}
 }
 
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -69,6 +69,11 @@
 	QuotaGranted bool `cbor:"16,keyasint,omitempty"`
 	// Transfers are the fetches that the target waits for.
 	Transfers []Transfer `cbor:"14,keyasint,omitempty"`
+	// NextBest is the lower half of the hash of the ID of the cheapest other engine, zero if there
+	// was none. NextBestCostMS is by how much more it would have cost, in milliseconds; it may be
+	// negative.
+	NextBest       uint32 `cbor:"17,keyasint,omitempty"`
+	NextBestCostMS int64  `cbor:"18,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
