feat(entry): the line and the metrics of requests by route, account and priority

Missing: nothing showed which account, route or priority bears a loss, who waited, or what made answers late.

Change: the line "request" also has route, account, priority, waited, pause, late_by, resumed, in_goal, next_best and next_best_cost; its pool is also set for requests refused on admission. New metrics: wait_seconds, pause_seconds, refused_total and late_total by pool and priority. No label names an account.

Tests: go test -race -count=1 on deliver, affinity, peer, entry, platform and routing passes.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,8 @@
 	proofs            *prometheus.CounterVec
 	restores          prometheus.Gauge
 	rewritten         prometheus.Counter
+	waited, pause     *prometheus.HistogramVec
+	refused, late     *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -50,6 +52,14 @@
 // second.
 var teardownBuckets = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1}
 
+// waitBuckets are the buckets in seconds of the time in queues: the deadlines of requests that may
+// wait are around 10 s.
+var waitBuckets = []float64{0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 12}
+
+// pauseBuckets are the buckets in seconds of the longest gap between events, around the goals of
+// 0.3 to 0.4 s.
+var pauseBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 3, 5}
+
 func newMetricSet(r *prometheus.Registry) metricSet {
 	c := metricSet{
 		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_requests_total", Help: "Requests by pool, status and cause."}, []string{"pool", "status", "cause"}),
@@ -81,9 +91,14 @@
 	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
 	c.restores = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_store_restores", Help: "How often the table service was restored from an older copy, as it tells."})
 	c.rewritten = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_rows_rewritten_total", Help: "Rows of this box that a restore lost and that it wrote again."})
+	c.waited = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_wait_seconds", Help: "Time of admitted requests in queues of this system.", Buckets: waitBuckets}, []string{"pool", "priority"})
+	c.pause = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_pause_seconds", Help: "The longest gap between two events of a stream.", Buckets: pauseBuckets}, []string{"pool", "priority"})
+	c.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refused_total", Help: "Refused requests by pool, priority and the refusal's code."}, []string{"pool", "priority", "code"})
+	c.late = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_late_total", Help: "Complete answers later than their route's goals, by what made them late first."}, []string{"pool", "priority", "cause"})
 	r.MustRegister(
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
+		c.waited, c.pause, c.refused, c.late,
 	)
 	return c
 }
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -2,8 +2,10 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/routing"
 )
 
 // recordOutcome logs and counts the end of a request.
@@ -27,12 +29,13 @@
 	if o.RefusalCode != "" {
 		d.metrics.refusals.WithLabelValues(o.RefusalCode).Inc()
 	}
+	d.countByPriority(o)
 	if outcomeKind(o) == outcomeAnswered && !d.logLimiter.Allow() {
 		d.metrics.unlogged.Inc()
 		return
 	}
 	fields := []any{
-		"request", o.Call.ID, "outcome", outcomeKind(o), "status", o.Status, "pool", pool, "target", o.Place.Target,
+		"request", o.Call.ID, "outcome", outcomeKind(o), "status", o.Status, "pool", poolName(o), "target", o.Place.Target,
 		"rule", o.Place.Rule, "sent", o.Attempts, "first", o.FirstByte, "took", o.Took, "configuration", d.version(),
 	}
 	if o.Cause != "" {
@@ -47,7 +50,87 @@
 	if o.Job != nil && len(o.Job.Parts) > 0 {
 		fields = append(fields, "tokens", o.Job.PromptTokens, "kept", o.Place.CachedTokens, "fetched", o.Place.FetchedTokens, "unread", o.Place.PrefillTokens, "saved", o.Place.SavedTokens, "version", o.Place.Version, "newest", o.Place.NewestVersion, "replaced_for", o.Place.ReplacedFor)
 	}
-	d.Log.Info("request", fields...)
+	d.Log.Info("request", append(fields, recordFields(o)...)...)
+}
+
+// countByPriority counts a request's wait, pause, refusal and lateness by pool and priority.
+// The client account is no label: there may be many.
+func (d *Daemon) countByPriority(o deliver.Outcome) {
+	pool, priority := poolName(o), priorityText(o)
+	if o.Job != nil {
+		d.metrics.waited.WithLabelValues(pool, priority).Observe(o.Waited.Seconds())
+	}
+	if o.Events > 1 {
+		d.metrics.pause.WithLabelValues(pool, priority).Observe(o.Pause.Seconds())
+	}
+	if o.RefusalCode != "" {
+		d.metrics.refused.WithLabelValues(pool, priority, o.RefusalCode).Inc()
+	}
+	if late(o) != "" {
+		d.metrics.late.WithLabelValues(pool, priority, late(o)).Inc()
+	}
+}
+
+// recordFields are the log fields that show whose request it was, what it waited for and
+// whether its answer was in time.
+func recordFields(o deliver.Outcome) []any {
+	lateBy := late(o)
+	if lateBy == deliver.LateResumed {
+		lateBy = deliver.LatePause // The field resumed tells the rest.
+	}
+	fields := []any{
+		"route", routeName(o), "account", accountName(o), "priority", priorityText(o),
+		"waited", o.Waited, "pause", o.Pause, "late_by", lateBy, "resumed", o.Resumed,
+	}
+	if judged(o) {
+		fields = append(fields, "in_goal", lateBy == "")
+	}
+	if o.Job != nil && o.Job.Pool.Engine != nil {
+		fields = append(fields, "next_best", o.Place.NextBest, "next_best_cost", o.Place.NextBestCost.Round(time.Millisecond))
+	}
+	return fields
+}
+
+// judged says that a request got a complete answer on a route with a goal.
+func judged(o deliver.Outcome) bool { return o.HasGoal && outcomeKind(o) == outcomeAnswered }
+
+// late returns what made a complete answer late, or an empty string.
+func late(o deliver.Outcome) string {
+	if !judged(o) {
+		return ""
+	}
+	return o.LateBy
+}
+
+// poolName returns the name of a request's pool, or an empty string if it has none; routeName
+// and accountName likewise.
+func poolName(o deliver.Outcome) string {
+	if o.Pool == nil {
+		return ""
+	}
+	return o.Pool.Name
+}
+
+func routeName(o deliver.Outcome) string {
+	if o.Route == nil {
+		return ""
+	}
+	return o.Route.Name
+}
+
+func accountName(o deliver.Outcome) string {
+	if o.Account == nil {
+		return ""
+	}
+	return o.Account.Name
+}
+
+// priorityText returns a request's priority, or an empty string if no route was found for it.
+func priorityText(o deliver.Outcome) string {
+	if o.Route == nil {
+		return ""
+	}
+	return strconv.Itoa(routing.Priority(o.Route, o.Account))
 }
 
 // outcomeAnswered is the kind of a complete answer.
