fix(deliver): judge goals for gaps by the answer's events, not by the route's mark

On a route with a goal for gaps alone, an answer without events (such as a 404) was recorded as in goal, and a late stream of a route that is not marked as a stream was left out of the late answers. Also tests that a slow caller doesn't make a plain answer late.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -242,8 +242,9 @@
 	Events  int
 	Pause   time.Duration
 	Resumed int
-	// HasGoal says that the answer is complete and that its route has a goal; LateBy is then
-	// what made it late first, or empty if it was in time.
+	// HasGoal says that the answer is complete and that its route has a goal for it; one for gaps
+	// applies only to answers with events. LateBy is then what made it late first, or empty if it
+	// was in time.
 	HasGoal bool
 	LateBy  string
 	// RefusalCode is the code of the refusal that the caller got, RetryAfter its
--- a/deliver/eventtimes.go
+++ b/deliver/eventtimes.go
@@ -59,12 +59,13 @@
 // resumed records that the stream continues at another target.
 func (e *eventTimes) resumed() { e.continued = true }
 
-// completed records that the answer is complete. An answer without events counts as one event.
+// completed records that the answer is complete. An answer without events counts as one event;
+// a goal for gaps applies only to answers with events, whatever the route is marked as.
 func (x *run) completed(now time.Time) {
 	if x.times.events == 0 {
 		x.times.arrived(now, x.job)
 	}
 	route := x.job.Route
-	x.outcome.HasGoal = route.Goal > 0 || route.Stream && route.GapGoal > 0
+	x.outcome.HasGoal = route.Goal > 0 || x.outcome.Events > 0 && route.GapGoal > 0
 	x.outcome.LateBy = x.times.lateBy
 }
--- a/deliver/eventtimes_test.go
+++ b/deliver/eventtimes_test.go
@@ -147,6 +147,60 @@
 	}
 }
 
+// TestLateByPlainSlowCaller has a caller that takes an answer in time slowly. It guards against the
+// time of writing to the caller being taken for lateness of the target.
+func TestLateByPlainSlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := (&targets{}).server(route(false, false, false, 1))
+		s.Send = func(context.Context, deliver.Attempt) (*deliver.Reply, error) {
+			return reply(200, deliver.MayHaveRun, bodyOf([]timed{{90, "whole"}}, false)), nil
+		}
+		var got deliver.Outcome
+		s.RecordOutcome = func(o deliver.Outcome) { got = o }
+		serveTo(s, &slowCaller{httptest.NewRecorder(), time.Second})
+		if !got.HasGoal || got.LateBy != "" {
+			t.Errorf("has a goal %v, late by %q", got.HasGoal, got.LateBy)
+		}
+	})
+}
+
+// TestGapGoalOnly checks which answers are judged on a route that has a goal for gaps alone. It
+// guards against an answer without gaps recorded as in time, and against a late stream left out
+// because its route is not marked as a stream.
+func TestGapGoalOnly(t *testing.T) {
+	tests := []struct {
+		name        string
+		streamRoute bool
+		reply       func() *deliver.Reply
+		hasGoal     bool
+		lateBy      string
+	}{
+		{"a stream in time", true, func() *deliver.Reply { return streamReply(bodyOf([]timed{{500, event1}, {40, event2}}, false)) }, true, ""},
+		{"a late stream", true, func() *deliver.Reply { return streamReply(bodyOf([]timed{{500, event1}, {60, event2}}, false)) }, true, deliver.LatePause},
+		{"a late stream of another route", false, func() *deliver.Reply { return streamReply(bodyOf([]timed{{500, event1}, {60, event2}}, false)) }, true, deliver.LatePause},
+		{"a stream without events", true, func() *deliver.Reply { return streamReply(bodyOf([]timed{{500, ""}}, false)) }, false, ""},
+		{"an error that is no stream", true, func() *deliver.Reply {
+			return reply(404, deliver.MayHaveRun, bodyOf([]timed{{500, "no"}}, false))
+		}, false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := route(false, tt.streamRoute, false, 1)
+				r.Goal, r.GapGoal = 0, 50*time.Millisecond
+				s := (&targets{}).server(r)
+				s.Send = func(context.Context, deliver.Attempt) (*deliver.Reply, error) { return tt.reply(), nil }
+				var got deliver.Outcome
+				s.RecordOutcome = func(o deliver.Outcome) { got = o }
+				serveTo(s, httptest.NewRecorder())
+				if got.HasGoal != tt.hasGoal || got.LateBy != tt.lateBy {
+					t.Errorf("has a goal %v, late by %q", got.HasGoal, got.LateBy)
+				}
+			})
+		})
+	}
+}
+
 // TestWaited checks that the waits of all placements are added up, with that of a placement that
 // was refused. It guards against losing the wait of a request that was refused after it.
 func TestWaited(t *testing.T) {
