--- a/entry/nextbest_test.go
+++ b/entry/nextbest_test.go
@@ -42,3 +42,14 @@
 		})
 	}
 }
+
+// TestNoNextBestInHubAnswer has a hub choose where there is no other engine. It guards against the hash of an empty name on the wire, which names no target.
+func TestNoNextBestInHubAnswer(t *testing.T) {
+	hub := boxWithEngines("box-00")
+	hub.update(start, targetsRead{start, Targets{Removed: []string{"b"}}, false})
+	request := peer.PlacementRequest{Pool: "models", Model: "m", Tokens: 1000, MaxMemoryShare: 1, Parts: []peer.Part{{ID: "p", Tokens: 500}, {ID: "own", Tokens: 500}}}
+	answer := hub.peerRequest(start, &hub.tables, peer.Message{Kind: peer.KindPlace, From: "box-05", PlacementRequest: &request}).PlacementResponse
+	if answer == nil || answer.Target != "a" || answer.NextBest != 0 || answer.NextBestCostMS != 0 {
+		t.Errorf("answered %+v", answer)
+	}
+}
