feat(waitqueue): decide which requests wait for engine memory, and for how long

Requests without room were refused at once, so a burst led its callers back into the same burst. This package orders waiting requests, predicts their wait, and refuses with a return time those that can't be served before their deadline. It is not wired yet.

--- /dev/null
+++ b/waitqueue/waitqueue.go
@@ -0,0 +1,372 @@
+// Package waitqueue decides which requests wait for engine memory, in which order they are
+// served, and which are refused at once with the time at which to return.
+//
+//	q := waitqueue.Queue{MaxRequests: 512, MaxBytes: 16 << 20, FreeRate: rate, Usage: usage, Draw: rand.Float64}
+//	decision := q.Offer(now, request)
+//	next, ok := q.Next(now, nil) // and q.Remove(next.ID) once it was placed
+//
+// It answers a burst of 4 to 7 s at twice the usual rate, of requests with a deadline of 10 s,
+// and engines that are lost for 1 to 16 s. A request waits only as long as it can still be
+// answered in time when its turn comes. Others are refused at once, so that their callers can
+// return when there is room, instead of all returning within the same burst.
+package waitqueue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// expiryMargin is by how much the predicted wait of a queued request must exceed the time
+	// that it has left before it is refused. FreeRate varies as requests end in groups; without
+	// a margin such variation would refuse requests that are served moments later.
+	expiryMargin = 1.25
+	// orderTTL is how long an order is used before the accounts' usage is read again: the
+	// least interval at which the queue is served.
+	orderTTL = 5 * time.Millisecond
+	// MaxReturn is the longest return time, equal to retryafter.MaxOutage, minReturn the
+	// shortest.
+	MaxReturn = 1500 * time.Millisecond
+	minReturn = 60 * time.Millisecond
+	// returnShare is the share of the time that a caller has left up to which it waits before
+	// it returns. A later return time would not be kept.
+	returnShare = 1.0 / 3
+	// refusedTTL is how long a refused request counts towards the span over which return times
+	// are spread: the longest return time, by when its caller has returned or gone.
+	refusedTTL = MaxReturn
+)
+
+// Request is a request that waits, or asks to.
+type Request struct {
+	// ID is unique in the queue.
+	ID string
+	// Account is the client account; empty on open routes, which share one place in the order.
+	Account string
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Tokens is the engine memory that the request needs, Bytes what this box holds for it.
+	Tokens, Bytes int
+	// Since is when its caller first asked, at whichever box.
+	Since time.Time
+	// GoalAt is the latest begin for an answer within its goal; zero if it has none.
+	GoalAt time.Time
+	// BeginBy is the latest begin that leaves it enough time to end.
+	BeginBy time.Time
+	// Returning says that its caller was refused before and returned when told to.
+	Returning bool
+}
+
+// inGoal reports whether the request can still meet its goal, if it has one.
+func (r *Request) inGoal(now time.Time) bool { return r.GoalAt.IsZero() || !now.After(r.GoalAt) }
+
+// Refusal says why a request does not wait and when its caller should return.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Decision is the answer to an offered request.
+type Decision struct {
+	Admitted bool
+	// Refusal is valid if the request was not admitted.
+	Refusal
+	// Evicted are the requests that gave way to it; they are no longer in the queue.
+	Evicted []Request
+}
+
+// Queue is not safe for concurrent use. Set the exported fields before first use.
+type Queue struct {
+	// MaxRequests and MaxBytes bound what waits.
+	MaxRequests, MaxBytes int
+	// FreeRate is how many tokens of engine memory per second become free for this box's
+	// requests; zero if that is not known.
+	FreeRate func(now time.Time) float64
+	// Usage is the engine memory, in tokens over all boxes, that an account's running requests
+	// use.
+	Usage func(account string) int
+	// Draw returns a random number from 0 to below 1, which spreads return times.
+	Draw func() float64
+
+	// waiting holds the requests in the order of the last sort.
+	waiting []entry
+	ids     map[string]bool
+	bytes   int
+	// sortedAt is when waiting was last sorted; zero if it must be sorted again.
+	sortedAt time.Time
+	// refused are the requests refused within refusedTTL, oldest first, and refusedTokens the
+	// sum of their tokens.
+	refused       []refusedRequest
+	refusedTokens int
+}
+
+// entry is a queued request with its place in the order.
+type entry struct {
+	Request
+	inGoal bool
+	// usage is what the account uses when the request's turn comes: its running requests, and
+	// those of its requests that go before this one.
+	usage int
+}
+
+type refusedRequest struct {
+	at     time.Time
+	tokens int
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Bytes returns what is held for the waiting requests.
+func (q *Queue) Bytes() int { return q.bytes }
+
+// Has reports whether a request waits.
+func (q *Queue) Has(id string) bool { return q.ids[id] }
+
+// Offer queues a request, or refuses it at once. A request whose ID waits already is refused.
+func (q *Queue) Offer(now time.Time, r Request) Decision {
+	if q.ids[r.ID] {
+		return Decision{Refusal: Refusal{"a request with this ID waits already", minReturn}}
+	}
+	if now.After(r.BeginBy) || now.Add(q.Predict(now, r)).After(r.BeginBy) {
+		return Decision{Refusal: q.Refuse(now, r)}
+	}
+	evicted, ok := q.makeRoom(now, r)
+	if !ok {
+		return Decision{Refusal: q.Refuse(now, r)}
+	}
+	if q.ids == nil {
+		q.ids = make(map[string]bool)
+	}
+	q.ids[r.ID] = true
+	q.bytes += r.Bytes
+	q.waiting = append(q.waiting, entry{Request: r})
+	q.sortedAt = time.Time{}
+	return Decision{Admitted: true, Evicted: evicted}
+}
+
+// makeRoom evicts requests from the end of the order until one more fits, and reports whether it
+// does. It evicts none if the request does not fit, or does not go before all that would have to
+// give way; a returning request need only go before the last one that is not.
+func (q *Queue) makeRoom(now time.Time, r Request) ([]Request, bool) {
+	if r.Bytes > q.MaxBytes || q.MaxRequests < 1 {
+		return nil, false
+	}
+	q.sort(now)
+	requests, bytes := len(q.waiting)+1, q.bytes+r.Bytes
+	own := q.place(now, r)
+	var evicted []Request
+	for i := len(q.waiting) - 1; requests > q.MaxRequests || bytes > q.MaxBytes; i-- {
+		if i < 0 {
+			return nil, false
+		}
+		last := q.waiting[i]
+		if r.Returning && last.Returning && last.Priority <= r.Priority {
+			continue
+		}
+		if gives := r.Returning && last.Priority >= r.Priority || compare(own, last) < 0; !gives {
+			return nil, false
+		}
+		requests--
+		bytes -= last.Bytes
+		evicted = append(evicted, last.Request)
+	}
+	for _, e := range evicted {
+		q.Remove(e.ID)
+	}
+	return evicted, true
+}
+
+// Refuse returns why a request can't wait and when its caller should return, and remembers it
+// among those refused lately. Use it for evicted and expired requests, too.
+func (q *Queue) Refuse(now time.Time, r Request) Refusal {
+	left := r.BeginBy.Sub(now)
+	if left <= 0 {
+		return Refusal{"no time is left to answer", MaxReturn}
+	}
+	rate := q.FreeRate(now)
+	wait := q.Predict(now, r)
+	taken := max(wait-left, 0) // By then the queue is short enough.
+	if rate <= 0 || taken > left {
+		return Refusal{"no engine memory is expected to become free before the deadline", MaxReturn}
+	}
+	q.forgetRefused(now)
+	q.refused = append(q.refused, refusedRequest{now, r.Tokens})
+	q.refusedTokens += r.Tokens
+	after := taken + time.Duration(q.Draw()*float64(q.timeFor(q.refusedTokens, rate)))
+	longest := max(min(MaxReturn, time.Duration(returnShare*float64(left))), minReturn)
+	if after > longest { // Still spread, as all of them would return at the same time otherwise.
+		after = longest - time.Duration(q.Draw()*float64(longest)/4)
+	}
+	return Refusal{"other requests wait for the same engine memory", max(after, minReturn)}
+}
+
+func (q *Queue) forgetRefused(now time.Time) {
+	n := 0
+	for n < len(q.refused) && now.Sub(q.refused[n].at) >= refusedTTL {
+		q.refusedTokens -= q.refused[n].tokens
+		n++
+	}
+	q.refused = slices.Delete(q.refused, 0, n)
+}
+
+// Short reports whether requests wait or were refused within refusedTTL.
+func (q *Queue) Short(now time.Time) bool {
+	q.forgetRefused(now)
+	return len(q.waiting) > 0 || len(q.refused) > 0
+}
+
+// Predict returns how long a request would wait if it were queued.
+func (q *Queue) Predict(now time.Time, r Request) time.Duration {
+	before := q.tokensBefore(now, r)
+	if before == 0 {
+		return 0
+	}
+	return q.timeFor(before, q.FreeRate(now))
+}
+
+// IsFirst reports whether a request that does not wait goes before all that do.
+func (q *Queue) IsFirst(now time.Time, r Request) bool {
+	if len(q.waiting) == 0 {
+		return true
+	}
+	q.sort(now)
+	return compare(q.place(now, r), q.waiting[0]) < 0
+}
+
+// maxPredicted is the predicted wait if no memory becomes free. It is longer than any deadline.
+const maxPredicted = time.Hour
+
+// timeFor is how long it takes until some tokens of memory have become free.
+func (q *Queue) timeFor(tokens int, rate float64) time.Duration {
+	if seconds := float64(tokens) / rate; rate > 0 && seconds < maxPredicted.Seconds() {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return maxPredicted
+}
+
+// tokensBefore is how many tokens the requests need that go before one.
+func (q *Queue) tokensBefore(now time.Time, r Request) int {
+	if len(q.waiting) == 0 {
+		return 0
+	}
+	q.sort(now)
+	own, sum := q.place(now, r), 0
+	for i := range q.waiting {
+		if compare(q.waiting[i], own) >= 0 {
+			break
+		}
+		sum += q.waiting[i].Tokens
+	}
+	return sum
+}
+
+// place returns where a request would be in the order, which must be sorted.
+func (q *Queue) place(now time.Time, r Request) entry {
+	own := entry{Request: r, inGoal: r.inGoal(now), usage: q.Usage(r.Account)}
+	for i := range q.waiting {
+		if e := &q.waiting[i]; e.Account == r.Account && e.ID != r.ID && withinAccount(*e, own) < 0 {
+			own.usage += e.Tokens
+		}
+	}
+	return own
+}
+
+// Next returns the first request in order for which skip is not true; a nil skip skips none. The
+// request stays in the queue until Remove.
+func (q *Queue) Next(now time.Time, skip func(id string) bool) (Request, bool) {
+	q.sort(now)
+	for i := range q.waiting {
+		if skip == nil || !skip(q.waiting[i].ID) {
+			return q.waiting[i].Request, true
+		}
+	}
+	return Request{}, false
+}
+
+// Remove removes a request and reports whether it was queued.
+func (q *Queue) Remove(id string) bool {
+	if !q.ids[id] {
+		return false
+	}
+	delete(q.ids, id)
+	i := slices.IndexFunc(q.waiting, func(e entry) bool { return e.ID == id })
+	q.bytes -= q.waiting[i].Bytes
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	if i > 0 { // Without its first request, the order of the others is the same.
+		q.sortedAt = time.Time{}
+	}
+	return true
+}
+
+// Expire removes and returns the requests whose latest begin has passed, or that can't begin by
+// then any more. They are in order.
+func (q *Queue) Expire(now time.Time) []Request {
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	q.sort(now)
+	rate := q.FreeRate(now)
+	var expired []Request
+	before := 0
+	for _, e := range q.waiting {
+		wait := time.Duration(0)
+		if before > 0 && rate > 0 { // Without a rate nothing is known of later.
+			wait = q.timeFor(before, rate)
+		}
+		if left := e.BeginBy.Sub(now); left <= 0 || float64(wait) > expiryMargin*float64(left) {
+			expired = append(expired, e.Request)
+			continue
+		}
+		before += e.Tokens
+	}
+	for _, r := range expired {
+		q.Remove(r.ID)
+	}
+	return expired
+}
+
+// sort brings the requests in order.
+func (q *Queue) sort(now time.Time) {
+	if !q.sortedAt.IsZero() && now.Sub(q.sortedAt) < orderTTL {
+		return
+	}
+	q.sortedAt = now
+	for i := range q.waiting {
+		q.waiting[i].inGoal = q.waiting[i].Request.inGoal(now)
+	}
+	slices.SortFunc(q.waiting, withinAccount)
+	usage := make(map[string]int)
+	for i := range q.waiting {
+		e := &q.waiting[i]
+		used, known := usage[e.Account]
+		if !known {
+			used = q.Usage(e.Account)
+		}
+		e.usage = used
+		usage[e.Account] = used + e.Tokens
+	}
+	slices.SortFunc(q.waiting, compare)
+}
+
+// compare orders requests of all accounts. Always taking a request of the account that uses least,
+// including what was taken before, is the same as sorting by what each request's account uses when
+// its turn comes.
+func compare(a, b entry) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.usage, b.usage), withinAccount(a, b))
+}
+
+// withinAccount orders requests of one account.
+func withinAccount(a, b entry) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBool(b.inGoal, a.inGoal), a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
