feat(entry): requests without room wait at the box that places them

A request for which no engine had room was refused at once. Held calls take no slot of other calls on their connection and do not count as silence. The settings switch it off with without: [waiting].

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -17,6 +17,15 @@
 
 // admit resolves the route, account and pool of a call. It does not read the body.
 func (s *Server) admit(call *Call) (*Job, *refusal.Refusal) {
+	job, refused := s.resolve(call)
+	if refused != nil {
+		return nil, refused
+	}
+	return job, s.refuseShortDeadline(job)
+}
+
+// resolve is admit without a check of the deadline.
+func (s *Server) resolve(call *Call) (*Job, *refusal.Refusal) {
 	job := &Job{Call: call}
 	table := s.Configuration()
 	if table == nil || table.Table == nil {
@@ -52,7 +61,7 @@
 		return nil, s.unavailable(job, "no_pool", "the route's pool is not configured")
 	}
 	job.Until = call.Received.Add(timeoutOf(r, call))
-	return job, s.refuseShortDeadline(job)
+	return job, nil
 }
 
 // refuseShortDeadline refuses a call whose deadline is shorter than the time in which any
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -134,7 +134,9 @@
 	// other requests the target was expected to prefill first, Transfers what it fetches.
 	PlacedAt       time.Time
 	PrefillBacklog int
-	Transfers      []throughput.Transfer
+	// Waited is how long the request waited for room before it was placed; zero if it did not.
+	Waited    time.Duration
+	Transfers []throughput.Transfer
 	// CachedTokens, FetchedTokens and SavedTokens are the prompt tokens that the target was
 	// expected to have cached, and those that it was to fetch and to save.
 	CachedTokens, FetchedTokens, SavedTokens int
--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -29,6 +29,10 @@
 	preferredDomain func(domain string) string
 	// quarantined says whether a request must not reach any target.
 	quarantined func(now time.Time, t *tables, sum fingerprint.Sum) bool
+	// waits says whether requests without room may wait, at this box or at a hub.
+	waits bool
+	// accountUsage is the engine memory in tokens that an account's requests use in a pool.
+	accountUsage func(now time.Time, t *tables, pool, account string) int
 }
 
 func newHooks() hooks {
@@ -45,6 +49,8 @@
 		quarantined: func(now time.Time, t *tables, sum fingerprint.Sum) bool {
 			return t.quarantined(now, sum)
 		},
+		waits:        true,
+		accountUsage: func(now time.Time, t *tables, pool, account string) int { return t.accounts.of(now, pool, account) },
 	}
 }
 
@@ -94,6 +100,9 @@
 	if off(settings.Quarantine) {
 		d.quarantined = func(time.Time, *tables, fingerprint.Sum) bool { return false }
 	}
+	if off(settings.Waiting) {
+		d.waits = false
+	}
 	if len(d.Settings.Without) > 0 {
 		d.Log.Warn("mechanisms are switched off for measurements", "without", d.Settings.Without)
 	}
--- a/entry/ablation_test.go
+++ b/entry/ablation_test.go
@@ -57,6 +57,7 @@
 			d.applyUsage(start, &d.tables, peer.Message{From: "b2", TargetLoads: []peer.TargetLoad{{Target: 7, Tokens: 1}}})
 			return d.tables.othersUsage.Of(7).Tokens == 1
 		}},
+		{settings.Waiting, func(d *Daemon) bool { return d.waits }},
 		{settings.Quarantine, func(d *Daemon) bool {
 			sum := jobWithBody("same").Fingerprint()
 			for _, incarnation := range []string{"a", "b", "c"} {
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -42,11 +42,26 @@
 // admissionLimit returns the bound for a job. Requests of the pool's lowest priority leave a
 // reserve for the others, which grows while answers are late.
 func (d *Daemon) admissionLimit(t *tables, job *deliver.Job) admissionLimit {
-	r := admissionLimit{maxMemoryShare: maxShare, typicalTokens: d.typicalTokens(t, job)}
+	return admissionLimit{maxMemoryShare: d.maxMemoryShare(t, job), typicalTokens: d.typicalTokens(t, job)}
+}
+
+func (d *Daemon) maxMemoryShare(t *tables, job *deliver.Job) float64 {
 	if routing.Priority(job.Route, job.Account) > 0 && job.Route.Priority >= d.current.Load().LowestPriority(job.Pool.Name) {
-		r.maxMemoryShare = d.maxShareLowPriority - d.reservedShare(t.lateness(job.Pool.Name))
+		return d.maxShareLowPriority - d.reservedShare(t.lateness(job.Pool.Name))
+	}
+	return maxShare
+}
+
+// limitOf is the admissionLimit of a request that may be placed again and again while it waits.
+// Its size counts in its route's typical size once.
+func (d *Daemon) limitOf(t *tables, m *placementRequest) admissionLimit {
+	if m.ask.Job.Pool.Engine == nil {
+		return admissionLimit{}
+	}
+	if m.typicalTokens == 0 {
+		m.typicalTokens = d.typicalTokens(t, m.ask.Job)
 	}
-	return r
+	return admissionLimit{d.maxMemoryShare(t, m.ask.Job), m.typicalTokens}
 }
 
 // learnTypicalTokens returns the typical size in tokens of the requests on a job's route, and
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -78,7 +78,9 @@
 	newCredential string
 	// stopping is set when a planned stop begins, closing when connections should end.
 	stopping, closing atomic.Bool
-	effects           sync.WaitGroup
+	// stopEnds is when a planned stop cuts off what still runs; nil before it begins.
+	stopEnds atomic.Pointer[time.Time]
+	effects  sync.WaitGroup
 	// ended is closed when the loop takes no more messages.
 	ended chan struct{}
 }
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -85,10 +85,11 @@
 // drain stops in order: it reports not ready at once, still serves new connections until the
 // platform has noticed that, and closes each connection after its next answer.
 func (d *Daemon) drain(servers []*http.Server) {
-	d.stopping.Store(true)
 	bounds := d.bounds.Load()
-	d.Log.Info("stopping", "kill_after", bounds.Stop)
 	end := d.now().Add(bounds.Stop - shutdownMargin)
+	d.stopEnds.Store(&end)
+	d.stopping.Store(true)
+	d.Log.Info("stopping", "kill_after", bounds.Stop)
 	d.closing.Store(true)
 	time.Sleep(bounds.Notice)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(d.now()))
--- a/entry/message.go
+++ b/entry/message.go
@@ -23,6 +23,15 @@
 	askedHubs []string
 	// trial says that the request is placed even if requests like it are quarantined.
 	trial bool
+	// typicalTokens is the typical size of its route's requests when it came; zero if it was not
+	// needed yet.
+	typicalTokens int
+	// queuedAt is since when it waits for room, here or at a hub; zero if it does not.
+	queuedAt time.Time
+	// ticket identifies it in the queue of a hub; heldBytes is what this box holds for it while
+	// it waits there.
+	ticket    uint64
+	heldBytes int
 }
 
 // placementAnswer is a placement or the refusal.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,8 @@
 	proofs            *prometheus.CounterVec
 	restores          prometheus.Gauge
 	rewritten         prometheus.Counter
+	queued            *prometheus.GaugeVec
+	queueEnds         *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -81,7 +83,10 @@
 	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
 	c.restores = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_store_restores", Help: "How often the table service was restored from an older copy, as it tells."})
 	c.rewritten = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_rows_rewritten_total", Help: "Rows of this box that a restore lost and that it wrote again."})
+	c.queued = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "thymewind_entry_queued", Help: "Requests that wait at this box for engine memory, by pool."}, []string{"pool"})
+	c.queueEnds = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_queue_ends_total", Help: "Requests that waited at this box or were refused its queue, by pool, priority and how that ended."}, []string{"pool", "priority", "end"})
 	r.MustRegister(
+		c.queued, c.queueEnds,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
 	)
--- a/entry/place.go
+++ b/entry/place.go
@@ -86,19 +86,32 @@
 
 // place chooses a target and counts the request there.
 func (d *Daemon) place(now time.Time, t *tables, request deliver.PlacementRequest) (deliver.Placement, error) {
-	if d.evacuationsStale(now) {
-		return deliver.Placement{}, refusal.New(refusal.DidNotRun, 503, "stale", "which domains are evacuated was last known %v ago", d.provedAgo(now)).WithRetryAfter(d.retryAfter("stale", request.Job))
-	}
 	choose := d.placePlain
 	if request.Job.Pool.Engine != nil {
 		choose = d.placeModel
 	}
+	place, refused := d.placeBy(now, t, request, choose)
+	if refused != nil {
+		return place, refused
+	}
+	return place, nil
+}
+
+// chooser chooses a target for a request.
+type chooser func(now time.Time, t *tables, request deliver.PlacementRequest) (deliver.Placement, *refusal.Refusal)
+
+// placeBy is place with a given choice of the target.
+func (d *Daemon) placeBy(now time.Time, t *tables, request deliver.PlacementRequest, choose chooser) (deliver.Placement, *refusal.Refusal) {
+	if d.evacuationsStale(now) {
+		return deliver.Placement{}, refusal.New(refusal.DidNotRun, 503, "stale", "which domains are evacuated was last known %v ago", d.provedAgo(now)).WithRetryAfter(d.retryAfter("stale", request.Job))
+	}
 	place, refused := choose(now, t, request)
 	d.notePlacement(now, request, refused)
 	if refused != nil {
 		return place, refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, request.Job))
 	}
 	t.countSent(now, place)
+	t.accounts.add(place.Tokens, request.Job)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	return place, nil
 }
@@ -185,7 +198,12 @@
 }
 
 func (d *Daemon) placeModel(now time.Time, t *tables, request deliver.PlacementRequest) (deliver.Placement, *refusal.Refusal) {
-	return d.chooseEngine(now, t, request, sender{d.Settings.Domain, d.admissionLimit(t, request.Job), d.hasIdleConnection, inBackoff(now)})
+	return d.placeWithin(now, t, request, d.admissionLimit(t, request.Job))
+}
+
+// placeWithin is placeModel with a given bound of the engines' memory.
+func (d *Daemon) placeWithin(now time.Time, t *tables, request deliver.PlacementRequest, limit admissionLimit) (deliver.Placement, *refusal.Refusal) {
+	return d.chooseEngine(now, t, request, sender{d.Settings.Domain, limit, d.hasIdleConnection, inBackoff(now)})
 }
 
 // chooseEngine chooses an engine, trying the software versions in the order of softwareFilters.
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -45,21 +45,24 @@
 // left or whose deadline has passed is not counted at any target and costs no hub any work.
 func (d *Daemon) placementRequested(now time.Time, t *tables, m placementRequest) []effect {
 	if m.ctx.Err() != nil {
-		m.reply <- placementAnswer{err: d.timeoutRefusal(m.ask.Job)}
+		t.answer(m, placementAnswer{err: d.timeoutRefusal(m.ask.Job)})
 		return nil
 	}
 	if effects, done := d.refuseOrClaimTrial(now, t, m); done {
 		return effects
 	}
 	if refused := d.refuseImpossible(t, m.ask.Job); refused != nil {
-		m.reply <- placementAnswer{err: refused}
+		t.answer(m, placementAnswer{err: refused})
 		return nil
 	}
 	if effects, remote := d.placeRemotely(now, t, m); remote {
 		return effects
 	}
-	place, err := d.place(now, t, m.ask)
-	m.reply <- placementAnswer{place, err}
+	if !m.queuedAt.IsZero() && d.spoke.Load() {
+		d.refuseLostWait(now, t, m)
+		return nil
+	}
+	d.placeHere(now, t, m)
 	return nil
 }
 
@@ -72,8 +75,13 @@
 	if hub == "" {
 		return nil, false
 	}
+	return []effect{d.askHubToPlace(now, t, hub, m, false)}, true
+}
+
+// askHubToPlace asks a hub to place a request; with hold, as one that waits there.
+func (d *Daemon) askHubToPlace(now time.Time, t *tables, hub string, m placementRequest, hold bool) askHub {
 	job := m.ask.Job
-	r := d.admissionLimit(t, job)
+	r := d.limitOf(t, &m)
 	request := peer.PlacementRequest{
 		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.PromptTokens + job.MaxOutputTokens, MaxMemoryShare: r.maxMemoryShare, TypicalTokens: r.typicalTokens, Tried: m.ask.Attempted, GoalMS: job.Route.Goal.Milliseconds(),
 	}
@@ -87,7 +95,8 @@
 	for _, p := range job.Parts {
 		request.Parts = append(request.Parts, peer.Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	return []effect{askHub{hub, t.members[hub].address, m, request}}, true
+	d.addWait(now, t, &m, &request, hold)
+	return askHub{hub, t.members[hub].address, m, request}
 }
 
 // placingBox returns the box that has to place a request: one that may have a token if only
@@ -118,7 +127,11 @@
 }
 
 func (d *Daemon) askHub(ctx context.Context, e askHub) hubPlaced {
-	ctx, cancel := context.WithTimeout(ctx, hubPlaceTimeout)
+	timeout := hubPlaceTimeout
+	if e.ask.Hold {
+		timeout += waitHold
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer context.AfterFunc(e.request.ctx, cancel)()
 	answer, err := d.peers.Call(ctx, e.address, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, PlacementRequest: &e.ask})
@@ -143,8 +156,17 @@
 		}
 		t.members[m.hub].misses = 0
 		t.hubHeardAt = now
+		if m.placed.Queued {
+			return d.queuedAtHub(now, t, m)
+		}
+		if m.placed.AskAnother {
+			break
+		}
 		if answer, ok := d.acceptHubPlace(now, t, m.request.ask, m.placed); ok && !otherHubHasQuota(m) {
-			m.request.reply <- answer
+			if m.placed.Target != "" && !m.request.queuedAt.IsZero() {
+				answer.place.Waited = now.Sub(m.request.queuedAt)
+			}
+			t.answer(m.request, answer)
 			return nil
 		}
 		if m.placed.Target != "" {
@@ -185,7 +207,11 @@
 	if p.Refused != "" {
 		refused := refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, p.Refused, "%s", p.Reason)
 		d.notePlacement(now, request, refused)
-		return placementAnswer{err: refused.WithRetryAfter(d.retryAfterRefusal(now, t, p.Refused, job))}, true
+		after := time.Duration(p.RetryAfterMS) * time.Millisecond
+		if after == 0 {
+			after = d.retryAfterRefusal(now, t, p.Refused, job)
+		}
+		return placementAnswer{err: refused.WithRetryAfter(after)}, true
 	}
 	if p.Entry != nil && t.fleet.Target(p.Target) == nil {
 		d.applyHubEntry(now, t, *p.Entry)
@@ -215,6 +241,7 @@
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
 	}
 	t.countSent(now, place)
+	t.accounts.add(place.Tokens, job)
 	d.notePlacement(now, request, nil)
 	return placementAnswer{place: place}, true
 }
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -19,10 +19,18 @@
 // events at least once before it places requests for others.
 const warmShare = 0.8
 
-// placeForPeer places another box's request by what this box knows. It returns nil if it knows
-// too little.
+// placeForPeer places another box's request by what this box knows, or queues it. It returns nil
+// if it knows too little.
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.PlacementResponse {
 	t.lastHubRequest = now
+	if !m.PlacementRequest.Wait && len(t.waiting) == 0 {
+		return d.placeNowForPeer(now, t, m)
+	}
+	return d.placeOrQueueForPeer(now, t, m)
+}
+
+// placeNowForPeer is placeForPeer without the queue.
+func (d *Daemon) placeNowForPeer(now time.Time, t *tables, m peer.Message) *peer.PlacementResponse {
 	table := d.current.Load()
 	if table == nil || table.Pools[m.PlacementRequest.Pool] == nil || d.evacuationsStale(now) {
 		return nil
@@ -56,6 +64,7 @@
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
 	}
 	t.countForPeer(m.From, place)
+	t.accounts.addUntil(now, now.Add(t.holdTime(pool.Name)), place.Tokens, poolAccount{pool.Name, m.PlacementRequest.Account})
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	var transfers []peer.Transfer
 	for _, m := range place.Transfers {
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -35,11 +35,13 @@
 	Hurry = "hurry"
 	// Quarantine refuses requests under which targets ended.
 	Quarantine = "quarantine"
+	// Waiting has requests without room wait in order.
+	Waiting = "waiting"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -203,6 +203,14 @@
 	// have not written them again yet; hubRestores is how many restores a hub reported.
 	lostRows    map[string]bool
 	hubRestores uint64
+	// waiting are the queues of requests that wait for room, by pool, and heldBytes is what this
+	// box holds for its requests that wait at hubs.
+	waiting   map[string]*waitingPool
+	heldBytes int
+	// accounts is the memory that the accounts' requests use, as far as this box placed them.
+	accounts accountTokens
+	// holdTimes is how long requests hold engine memory, by pool.
+	holdTimes map[string]*holdTime
 }
 
 // scan identifies a state of the list and of the named versions.
@@ -291,7 +299,8 @@
 		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
-		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
+		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), accounts: accountTokens{running: make(map[poolAccount]int)},
+		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
 
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -66,7 +66,7 @@
 	if t.trialDue(now, sum) {
 		return []effect{claimTrial{m, sum}}, true
 	}
-	m.reply <- placementAnswer{err: refused}
+	t.answer(m, placementAnswer{err: refused})
 	return nil, true
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -5,13 +5,32 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/revision"
 )
 
 // update changes the tables for one message and returns the resulting effects.
 func (d *Daemon) update(now time.Time, m message) []effect {
-	t := &d.tables
+	effects := d.handle(now, &d.tables, m)
+	if len(d.tables.waiting) > 0 && mayFreeMemory(m) {
+		d.serveQueues(now, &d.tables)
+	}
+	return effects
+}
+
+// mayFreeMemory reports whether engines may have room for waiting requests after a message.
+func mayFreeMemory(m message) bool {
+	switch m := m.(type) {
+	case attemptEnded, peerAnswered, targetsRead, operatorRead:
+		return true
+	case peerRequest:
+		return m.message.Kind == peer.KindGossip
+	}
+	return false
+}
+
+func (d *Daemon) handle(now time.Time, t *tables, m message) []effect {
 	switch m := m.(type) {
 	case placementRequest:
 		return d.placementRequested(now, t, m)
@@ -57,7 +76,9 @@
 	case peerAnswered:
 		return d.peerAnswered(now, t, m)
 	case peerRequest:
-		m.reply <- d.peerRequest(now, t, m.message)
+		d.answerPeerRequest(now, t, m)
+	case waiterLeft:
+		d.waiterLeft(now, t, m)
 	case probed:
 		d.probed(now, t, m)
 	case trialClaimed:
@@ -127,6 +148,8 @@
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
 	d.recordLiveness(now, t, m)
+	t.accounts.remove(m.Place.Tokens, m.Job)
+	t.learnHoldTime(now, m)
 	x := t.fleet.Incarnation(fleet.Incarnation{ID: m.Place.Target, StartedAt: m.Place.StartedAt})
 	if x == nil {
 		return
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,6 +35,21 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
+	// Wait says that the request can wait in the hub's queue. The fields after it are set then.
+	Wait bool `cbor:"15,keyasint,omitempty"`
+	// Hold says that the hub may hold this call until the request, which it has queued, is placed
+	// or refused. Ticket identifies the request among the sender's.
+	Hold   bool   `cbor:"16,keyasint,omitempty"`
+	Ticket uint64 `cbor:"17,keyasint,omitempty"`
+	// Account is the client account, Priority the request's priority.
+	Account  string `cbor:"18,keyasint,omitempty"`
+	Priority int    `cbor:"19,keyasint,omitempty"`
+	// SinceMS is how long ago the caller asked. LeftMS is how long the request may wait at the
+	// most, GoalLeftMS how long if it is to meet its goal: zero if it has none, negative if it
+	// can't any more.
+	SinceMS    int64 `cbor:"20,keyasint,omitempty"`
+	LeftMS     int64 `cbor:"21,keyasint,omitempty"`
+	GoalLeftMS int64 `cbor:"22,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -69,6 +84,15 @@
 	QuotaGranted bool `cbor:"16,keyasint,omitempty"`
 	// Transfers are the fetches that the target waits for.
 	Transfers []Transfer `cbor:"14,keyasint,omitempty"`
+	// Queued says that the request waits at the hub as long as its sender asks again in time;
+	// AheadMS is how long it is expected to wait.
+	Queued  bool  `cbor:"17,keyasint,omitempty"`
+	AheadMS int64 `cbor:"18,keyasint,omitempty"`
+	// RetryAfterMS is when the caller of a refused request should return; zero if the hub does
+	// not say.
+	RetryAfterMS int64 `cbor:"19,keyasint,omitempty"`
+	// AskAnother says that the hub keeps no request, as it stops or knows too little by now.
+	AskAnother bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
--- a/peer/link.go
+++ b/peer/link.go
@@ -136,14 +136,17 @@
 	lastNumber uint64
 	pending    map[uint64]pendingCall
 	// unansweredSince is when the first call was sent since anything was received; zero if there
-	// is none.
+	// is none. Held calls, whose answers take long, do not count; unanswered is how many others
+	// are pending.
 	unansweredSince time.Time
+	unanswered      int
 }
 
 // pendingCall is a call without an answer; the channel has room for it.
 type pendingCall struct {
 	answer chan Message
 	sentAt time.Time
+	held   bool
 }
 
 func newConnection(l *link, conn *websocket.Conn) *connection {
@@ -174,7 +177,7 @@
 }
 
 func (c *connection) call(ctx context.Context, m Message) (Message, error) {
-	number, answer := c.register()
+	number, answer := c.register(m.isHeld())
 	defer c.unregister(number)
 	m.Number = number
 	data, err := cbor.Marshal(m)
@@ -199,15 +202,18 @@
 }
 
 // register numbers a call and returns the channel for its answer.
-func (c *connection) register() (uint64, chan Message) {
+func (c *connection) register(held bool) (uint64, chan Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if c.unansweredSince.IsZero() {
-		c.unansweredSince = now
+	if !held {
+		c.unanswered++
+		if c.unansweredSince.IsZero() {
+			c.unansweredSince = now
+		}
 	}
 	c.lastNumber++
-	p := pendingCall{make(chan Message, 1), now}
+	p := pendingCall{make(chan Message, 1), now, held}
 	c.pending[c.lastNumber] = p
 	return c.lastNumber, p.answer
 }
@@ -215,7 +221,17 @@
 func (c *connection) unregister(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.drop(number)
+}
+
+// drop removes a pending call; c.mu is held.
+func (c *connection) drop(number uint64) (pendingCall, bool) {
+	p, known := c.pending[number]
 	delete(c.pending, number)
+	if known && !p.held {
+		c.unanswered--
+	}
+	return p, known
 }
 
 // checkSilence closes the connection if calls were sent and nothing was received for too long; it
@@ -244,7 +260,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unansweredSince = time.Time{}
-	if len(c.pending) > 0 {
+	if c.unanswered > 0 {
 		c.unansweredSince = time.Now()
 	}
 }
@@ -258,14 +274,15 @@
 			return // Pending calls see that closed is closed.
 		}
 		c.mu.Lock()
-		p, known := c.pending[m.Number]
-		delete(c.pending, m.Number)
-		if len(c.pending) == 0 {
+		p, known := c.drop(m.Number)
+		if c.unanswered == 0 {
 			c.unansweredSince = time.Time{}
 		}
 		c.mu.Unlock()
 		if known {
-			c.answerTimeout.Observe(time.Since(p.sentAt))
+			if !p.held {
+				c.answerTimeout.Observe(time.Since(p.sentAt))
+			}
 			p.answer <- m
 		}
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -98,6 +98,9 @@
 	Error string `cbor:"9,keyasint,omitempty"`
 }
 
+// isHeld reports whether the answer may be held back for longer than it takes to compute.
+func (m *Message) isHeld() bool { return m.PlacementRequest != nil && m.PlacementRequest.Hold }
+
 // Incarnation identifies a target between one of its starts and the next.
 type Incarnation struct {
 	ID string `cbor:"1,keyasint"`
--- a/peer/node.go
+++ b/peer/node.go
@@ -29,8 +29,10 @@
 const (
 	// idleTimeout is how long a link without calls is kept.
 	idleTimeout = 15 * time.Second
-	// maxConcurrent bounds how many messages of one peer are handled concurrently.
+	// maxConcurrent bounds how many messages of one peer are handled concurrently, maxHeld how
+	// many of its held calls besides: more than a box has waiting requests.
 	maxConcurrent = 64
+	maxHeld       = 2048
 )
 
 // ErrSilent says that the connection was silent for too long and was closed. The next call dials
@@ -82,12 +84,16 @@
 	var answers sync.WaitGroup
 	defer answers.Wait()
 	defer cancel()
-	slots := make(chan struct{}, maxConcurrent)
+	answered, held := make(chan struct{}, maxConcurrent), make(chan struct{}, maxHeld)
 	for {
 		m, err := n.readNext(ctx, conn)
 		if err != nil {
 			return // The peer closed the connection, or will dial again.
 		}
+		slots := answered
+		if m.isHeld() { // It must not keep other calls waiting.
+			slots = held
+		}
 		slots <- struct{}{}
 		answers.Go(func() {
 			defer func() { <-slots }()
