test(entry): requests that wait at a hub, and the calls that it holds for them

The hub protocol was untested. Found by them: a dropped request left its held call unanswered. Priority and account are sent for requests that can't wait, too, so that these don't overtake.

--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -346,12 +346,28 @@
 	}
 	w.count(from, m)
 	w.after(networkDelay, func() {
-		answer := to.peerRequest(w.now, &to.tables, m)
-		w.count(to, answer)
-		w.after(networkDelay, func() { done(answer, nil) })
+		reply := make(chan peer.Message, 1)
+		w.perform(to, to.update(w.now, peerRequest{m, reply}))
+		w.await(to, reply, w.now.Add(waitHold+hubPlaceTimeout), done)
 	})
 }
 
+// await waits for a box's answer, which it may hold back.
+func (w *emulator) await(from *Daemon, reply <-chan peer.Message, until time.Time, done func(peer.Message, error)) {
+	select {
+	case answer := <-reply:
+		w.count(from, answer)
+		w.after(networkDelay, func() { done(answer, nil) })
+		return
+	default:
+	}
+	if w.now.After(until) {
+		done(peer.Message{}, context.DeadlineExceeded)
+		return
+	}
+	w.after(emulatorStep, func() { w.await(from, reply, until, done) })
+}
+
 // count counts what a box sends.
 func (w *emulator) count(d *Daemon, m peer.Message) {
 	wire, err := cbor.Marshal(m)
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -356,7 +356,7 @@
 			d.leave(now, t, w, id)
 			continue
 		}
-		d.endWait(now, w, id, endCallerLeft)
+		d.answerHeld(d.endWait(now, w, id, endCallerLeft), &peer.PlacementResponse{AskAnother: true})
 	}
 }
 
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -50,6 +50,7 @@
 // addWait adds to the request for a hub what it needs to queue it.
 func (d *Daemon) addWait(now time.Time, t *tables, m *placementRequest, request *peer.PlacementRequest, hold bool) {
 	job := m.ask.Job
+	request.Account, request.Priority = accountName(job), routing.Priority(job.Route, job.Account)
 	if !d.mayWait(job) || m.heldBytes == 0 && len(job.Body) > d.maxWaitingBytes(t) {
 		return
 	}
@@ -57,7 +58,6 @@
 		m.ticket = rand.Uint64()
 	}
 	request.Wait, request.Hold, request.Ticket = true, hold, m.ticket
-	request.Account, request.Priority = accountName(job), routing.Priority(job.Route, job.Account)
 	request.SinceMS = now.Sub(askedAt(now, job)).Milliseconds()
 	request.LeftMS = d.beginBy(now, job).Sub(now).Milliseconds()
 	request.GoalLeftMS = leftMS(now, d.goalAt(now, t, job))
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,15 +35,15 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
+	// Account is the client account, Priority the request's priority.
+	Account  string `cbor:"18,keyasint,omitempty"`
+	Priority int    `cbor:"19,keyasint,omitempty"`
 	// Wait says that the request can wait in the hub's queue. The fields after it are set then.
 	Wait bool `cbor:"15,keyasint,omitempty"`
 	// Hold says that the hub may hold this call until the request, which it has queued, is placed
 	// or refused. Ticket identifies the request among the sender's.
 	Hold   bool   `cbor:"16,keyasint,omitempty"`
 	Ticket uint64 `cbor:"17,keyasint,omitempty"`
-	// Account is the client account, Priority the request's priority.
-	Account  string `cbor:"18,keyasint,omitempty"`
-	Priority int    `cbor:"19,keyasint,omitempty"`
 	// SinceMS is how long ago the caller asked. LeftMS is how long the request may wait at the
 	// most, GoalLeftMS how long if it is to meet its goal: zero if it has none, negative if it
 	// can't any more.
