feat(returning): callers refused for want of room keep their place when they return

A caller that was refused and returned when told counted as new and could be refused again while later ones were served. The placing box now remembers refused requests by fingerprint for 2 s after their return time; a returning one keeps the time of its first try and takes the place of the last in a full queue. Spokes send fingerprints only while requests wait at their hub (View.Short).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,6 +76,9 @@
 	// newCredential is the one that this box writes if there is none. Only the watcher of the
 	// system's own rows uses it.
 	newCredential string
+	// short says that requests wait for room at this box or at its hub, so that fingerprints are
+	// needed.
+	short atomic.Bool
 	// stopping is set when a planned stop begins, closing when connections should end.
 	stopping, closing atomic.Bool
 	// stopEnds is when a planned stop cuts off what still runs; nil before it begins.
--- a/entry/message.go
+++ b/entry/message.go
@@ -28,6 +28,10 @@
 	typicalTokens int
 	// queuedAt is since when it waits for room, here or at a hub; zero if it does not.
 	queuedAt time.Time
+	// since is when its caller first asked, if not with this request; returning says that it was
+	// refused then and returned when told.
+	since     time.Time
+	returning bool
 	// ticket identifies it in the queue of a hub; heldBytes is what this box holds for it while
 	// it waits there.
 	ticket    uint64
--- a/entry/place.go
+++ b/entry/place.go
@@ -27,6 +27,9 @@
 
 // requestPlacement requests a placement from the loop. In a large fleet the loop asks hubs first.
 func (d *Daemon) requestPlacement(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
+	if d.short.Load() && d.mayWait(request.Job) {
+		request.Job.Fingerprint() // Cached, so that the loop need not compute it.
+	}
 	reply := make(chan placementAnswer, 1)
 	select {
 	case d.messages <- placementRequest{ctx: ctx, ask: request, reply: reply}:
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -95,7 +95,7 @@
 	for _, p := range job.Parts {
 		request.Parts = append(request.Parts, peer.Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	d.addWait(now, t, &m, &request, hold)
+	d.addWait(now, t, &m, &request, hold, t.members[hub].short)
 	return askHub{hub, t.members[hub].address, m, request}
 }
 
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -42,6 +42,7 @@
 	d.expireQuotas(t)
 	t.expireQuotaPauses(now)
 	t.expireTrials()
+	t.returning.Expire(now)
 	t.expireEnded(now)
 	for _, w := range t.weights {
 		w.versionLog.Trim()
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -22,6 +22,7 @@
 	"github.com/thymewind/thymewind/peerload"
 	"github.com/thymewind/thymewind/quarantine"
 	"github.com/thymewind/thymewind/reclaim"
+	"github.com/thymewind/thymewind/returning"
 	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/throughput"
@@ -207,6 +208,8 @@
 	// box holds for its requests that wait at hubs.
 	waiting   map[string]*waitingPool
 	heldBytes int
+	// returning are the requests that this box refused for want of room.
+	returning returning.List
 	// accounts is the memory that the accounts' requests use, as far as this box placed them.
 	accounts accountTokens
 	// holdTimes is how long requests hold engine memory, by pool.
@@ -289,6 +292,8 @@
 	countedAt   time.Time
 	// canarySamplesDue is when a hub next sends it the boxes' samples of canary versions.
 	canarySamplesDue time.Time
+	// short says that it is a hub at which requests wait, as it last told.
+	short bool
 }
 
 func newTables() tables {
--- a/entry/view.go
+++ b/entry/view.go
@@ -17,7 +17,7 @@
 func (d *Daemon) view(now time.Time, t *tables, have changelog.Cursor) *peer.View {
 	v := &peer.View{
 		ConfigurationVersion: d.version(), ProofAgeMS: d.proofAge(now).Milliseconds(),
-		WeightVersions: make(map[string][]peer.WeightVersion, len(t.weights)), Evacuated: t.fleet.Evacuated(), ListBehind: t.listBehind(now), Canaries: t.canarySnapshot(), Boxes: t.boxCount(now), Unlisted: t.unlistedTotal(now),
+		WeightVersions: make(map[string][]peer.WeightVersion, len(t.weights)), Evacuated: t.fleet.Evacuated(), ListBehind: t.listBehind(now), Canaries: t.canarySnapshot(), Boxes: t.boxCount(now), Unlisted: t.unlistedTotal(now), Short: len(t.waiting) > 0,
 	}
 	v.OperatorRestores = t.operatorKnown.Restores
 	if unproved, age := d.unproved(now); unproved {
@@ -59,6 +59,7 @@
 		d.Log.Warn("hub's view ignored, as it names no weights", "hub", hub)
 		return nil
 	}
+	t.members[hub].short = v.Short
 	proof := proofTime(requestedAt, v.ProofAgeMS)
 	effects := d.receiveRestored(now, t, v.Restores, v.RowLost)
 	switch {
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -30,9 +30,9 @@
 	// serveInterval is the least time between two attempts to place a queue's first request, each
 	// of which evaluates all engines of the pool.
 	serveInterval = 5 * time.Millisecond
-	// queueQuiet is how long a queue must have been empty before it is logged as over: queues that
-	// fill and empty within a second are logged once.
-	queueQuiet = time.Second
+	// queueQuiet is how long a queue must have been empty, and no request refused, before it is over
+	// and its pool no longer short of room. Queues that fill and empty again are logged once.
+	queueQuiet = 2 * time.Second
 )
 
 // How a request's time in a queue ends, for the metrics and logs.
@@ -137,6 +137,7 @@
 		t.answer(m, placementAnswer{place, err})
 		return
 	}
+	d.noteReturn(now, t, &m)
 	limit := d.limitOf(t, &m)
 	if w != nil && !w.queue.IsFirst(now, d.waitRequest(now, t, &m, "")) {
 		d.waitOrRefuse(now, t, m, refusal.New(refusal.DidNotRun, 503, codeCrowded, "%d requests wait for the engines' memory", w.queue.Len()))
@@ -164,10 +165,18 @@
 	job := m.ask.Job
 	return waitqueue.Request{
 		ID: id, Account: accountName(job), Priority: routing.Priority(job.Route, job.Account), Tokens: job.PromptTokens + job.MaxOutputTokens, Bytes: len(job.Body),
-		Since: askedAt(now, job), GoalAt: d.goalAt(now, t, job), BeginBy: d.beginBy(now, job),
+		Since: m.askedSince(now), Returning: m.returning, GoalAt: d.goalAt(now, t, job), BeginBy: d.beginBy(now, job),
 	}
 }
 
+// askedSince is when the caller first asked.
+func (m *placementRequest) askedSince(now time.Time) time.Time {
+	if m.since.IsZero() {
+		return askedAt(now, m.ask.Job)
+	}
+	return m.since
+}
+
 // askedAt is when the caller's request came.
 func askedAt(now time.Time, job *deliver.Job) time.Time {
 	if job.Received.IsZero() {
@@ -218,6 +227,7 @@
 	w := d.queueOf(t, job.Pool)
 	r := d.waitRequest(now, t, &m, strconv.FormatUint(m.ticket, 36))
 	if left := d.offer(now, t, w, r); left != nil {
+		t.rememberRefused(now, &waiter{queued: r, request: m}, left.RetryAfter)
 		t.answer(m, placementAnswer{err: crowded(refused.Reason, *left)})
 		return
 	}
@@ -248,6 +258,9 @@
 	}
 	d.Log.Debug("request offered to the queue", "pool", w.pool.Name, "id", r.ID, "account", r.Account, "priority", r.Priority, "admitted", decision.Admitted, "ahead", ahead, "reason", decision.Reason, "come_back", decision.RetryAfter)
 	if !decision.Admitted {
+		if w.queue.Len() == 0 {
+			w.stats.emptyAt = now
+		}
 		w.stats.refused++
 		d.countEnd(w, r, endRefused)
 		return &decision.Refusal
@@ -284,7 +297,9 @@
 // refuseWaiter ends a request's wait for want of room.
 func (d *Daemon) refuseWaiter(now time.Time, t *tables, w *waitingPool, r waitqueue.Request, end, reason string) {
 	x := d.endWait(now, w, r.ID, end)
-	d.answerRefused(t, x, crowded(reason, w.queue.Refuse(now, r)))
+	refused := crowded(reason, w.queue.Refuse(now, r))
+	t.rememberRefused(now, x, refused.RetryAfter)
+	d.answerRefused(t, x, refused)
 }
 
 // answerRefused refuses a request whose wait has ended.
@@ -388,6 +403,7 @@
 
 // tendQueues serves the queues each tick, and answers held calls in time.
 func (d *Daemon) tendQueues(now time.Time, t *tables) []effect {
+	d.short.Store(len(t.waiting) > 0 || d.spoke.Load() && t.hub != "" && t.members[t.hub] != nil && t.members[t.hub].short)
 	if len(t.waiting) == 0 {
 		return nil
 	}
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -47,8 +47,9 @@
 // ready reports whether a waiting request could be told its placement now.
 func (x *waiter) ready() bool { return x.own() || x.held.reply != nil }
 
-// addWait adds to the request for a hub what it needs to queue it.
-func (d *Daemon) addWait(now time.Time, t *tables, m *placementRequest, request *peer.PlacementRequest, hold bool) {
+// addWait adds to the request for a hub what it needs to queue it; short says that requests wait
+// there.
+func (d *Daemon) addWait(now time.Time, t *tables, m *placementRequest, request *peer.PlacementRequest, hold, short bool) {
 	job := m.ask.Job
 	request.Account, request.Priority = accountName(job), routing.Priority(job.Route, job.Account)
 	if !d.mayWait(job) || m.heldBytes == 0 && len(job.Body) > d.maxWaitingBytes(t) {
@@ -58,9 +59,13 @@
 		m.ticket = rand.Uint64()
 	}
 	request.Wait, request.Hold, request.Ticket = true, hold, m.ticket
-	request.SinceMS = now.Sub(askedAt(now, job)).Milliseconds()
+	request.SinceMS = now.Sub(m.askedSince(now)).Milliseconds()
 	request.LeftMS = d.beginBy(now, job).Sub(now).Milliseconds()
 	request.GoalLeftMS = leftMS(now, d.goalAt(now, t, job))
+	if hold || short {
+		sum := job.Fingerprint()
+		request.Fingerprint = sum[:]
+	}
 }
 
 // leftMS is the time until a goal as a hub reads it.
@@ -82,6 +87,10 @@
 		r.queuedAt, r.heldBytes = now, len(r.ask.Job.Body)
 		t.heldBytes += r.heldBytes
 	}
+	// The answer's delay makes this later than it was, so the earliest is the best.
+	if since := now.Add(-time.Duration(m.placed.SinceMS) * time.Millisecond); since.Before(r.askedSince(now)) {
+		r.since = since
+	}
 	if effects, done := d.refuseOrClaimTrial(now, t, r); done {
 		return effects
 	}
@@ -119,7 +128,7 @@
 			return
 		}
 	}
-	d.answerHeld(x, queuedResponse(0)) // An earlier call has no use any more.
+	d.answerHeld(x, queuedResponse(now, x.queued.Since, 0)) // An earlier call has no use any more.
 	x.held = heldCall{message: m.message, reply: m.reply, until: now.Add(waitHold)}
 	d.serveQueues(now, t)
 }
@@ -137,8 +146,8 @@
 	return m.From + "/" + strconv.FormatUint(m.PlacementRequest.Ticket, 36)
 }
 
-func queuedResponse(ahead time.Duration) *peer.PlacementResponse {
-	return &peer.PlacementResponse{Queued: true, AheadMS: ahead.Milliseconds()}
+func queuedResponse(now, since time.Time, ahead time.Duration) *peer.PlacementResponse {
+	return &peer.PlacementResponse{Queued: true, AheadMS: ahead.Milliseconds(), SinceMS: now.Sub(since).Milliseconds()}
 }
 
 // placeOrQueueForPeer places another box's request, queues it, or refuses it.
@@ -153,11 +162,12 @@
 	if w != nil && request.Wait {
 		if x := t.waiterOf(m); x != nil { // An earlier answer was lost.
 			x.held.answeredAt = now
-			return queuedResponse(w.queue.Predict(now, x.queued))
+			return queuedResponse(now, x.queued.Since, w.queue.Predict(now, x.queued))
 		}
 	}
 	response := &peer.PlacementResponse{Refused: codeCrowded, Reason: "other requests wait for the engines' memory"}
-	if w == nil || w.queue.IsFirst(now, waitRequestOf(now, m)) {
+	since, returns := t.returnOf(now, m)
+	if w == nil || w.queue.IsFirst(now, waitRequestOf(now, m, since, returns)) {
 		response = d.placeNowForPeer(now, t, m)
 	}
 	if response == nil || response.Refused != codeCrowded || !request.Wait || !d.waits {
@@ -167,23 +177,28 @@
 		return &peer.PlacementResponse{AskAnother: true}
 	}
 	w = d.queueOf(t, pool)
-	r := waitRequestOf(now, m)
+	r := waitRequestOf(now, m, since, returns)
 	ahead := w.queue.Predict(now, r)
 	if left := d.offer(now, t, w, r); left != nil {
+		t.rememberRefused(now, &waiter{queued: r, held: heldCall{message: m}}, left.RetryAfter)
 		refused := crowded(response.Reason, *left)
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason, RetryAfterMS: refused.RetryAfter.Milliseconds()}
 	}
 	w.waiters[r.ID] = &waiter{queued: r, queuedAt: now, held: heldCall{message: m, answeredAt: now}}
-	return queuedResponse(ahead)
+	return queuedResponse(now, r.Since, ahead)
 }
 
-// waitRequestOf describes another box's request for the queue.
-func waitRequestOf(now time.Time, m peer.Message) waitqueue.Request {
+// waitRequestOf describes another box's request for the queue. If it returns, since is when its
+// caller first asked.
+func waitRequestOf(now time.Time, m peer.Message, since time.Time, returns bool) waitqueue.Request {
 	p := m.PlacementRequest
 	r := waitqueue.Request{
 		ID: heldID(m), Account: p.Account, Priority: p.Priority, Tokens: p.Tokens,
 		Since: now.Add(-time.Duration(p.SinceMS) * time.Millisecond), BeginBy: now.Add(time.Duration(p.LeftMS) * time.Millisecond),
 	}
+	if returns {
+		r.Since, r.Returning = since, true
+	}
 	if p.GoalLeftMS != 0 {
 		r.GoalAt = now.Add(time.Duration(p.GoalLeftMS) * time.Millisecond)
 	}
@@ -222,7 +237,7 @@
 	for _, x := range w.waiters {
 		if !x.own() && x.held.reply != nil && now.Add(tick).After(x.held.until) {
 			x.held.answeredAt = now
-			d.answerHeld(x, queuedResponse(w.queue.Predict(now, x.queued)))
+			d.answerHeld(x, queuedResponse(now, x.queued.Since, w.queue.Predict(now, x.queued)))
 		}
 	}
 }
--- a/entry/waitinghub_test.go
+++ b/entry/waitinghub_test.go
@@ -63,6 +63,13 @@
 
 // ask has a caller of the spoke ask.
 func (f *waitingFleet) ask(route, account string) *request {
+	x := f.newRequest(route, account)
+	f.perform(f.spoke, f.spoke.update(f.now, x.placementRequest))
+	return x
+}
+
+// newRequest returns a request of one of the spoke's callers.
+func (f *waitingFleet) newRequest(route, account string) *request {
 	f.n++
 	r := waitingConfiguration(1).Route("h", "/"+route+"/")
 	x := &request{answer: make(chan placementAnswer, 2)}
@@ -73,7 +80,6 @@
 		Route: r, Pool: waitingConfiguration(1).Pools["models"], Account: &routing.Account{Name: account}, Until: f.now.Add(r.Timeout), Body: make([]byte, 100),
 	}
 	f.spoke.Settings.Box.MemoryMB = 64
-	f.perform(f.spoke, f.spoke.update(f.now, x.placementRequest))
 	return x
 }
 
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -50,6 +50,8 @@
 	SinceMS    int64 `cbor:"20,keyasint,omitempty"`
 	LeftMS     int64 `cbor:"21,keyasint,omitempty"`
 	GoalLeftMS int64 `cbor:"22,keyasint,omitempty"`
+	// Fingerprint is the request's, which is sent only while the hub is short of room.
+	Fingerprint []byte `cbor:"23,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -93,6 +95,8 @@
 	RetryAfterMS int64 `cbor:"19,keyasint,omitempty"`
 	// AskAnother says that the hub keeps no request, as it stops or knows too little by now.
 	AskAnother bool `cbor:"20,keyasint,omitempty"`
+	// SinceMS is how long ago the caller of a queued request first asked, as far as the hub knows.
+	SinceMS int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
@@ -145,6 +149,8 @@
 	Canaries []Canary `cbor:"11,keyasint,omitempty"`
 	// ListBehind says that the hub's list lacks a change that another hub has read.
 	ListBehind bool `cbor:"10,keyasint,omitempty"`
+	// Short says that requests wait at the hub for room, or did lately.
+	Short bool `cbor:"23,keyasint,omitempty"`
 }
 
 // Canary is the state of one software version's canary rollout in a pool.
