fix(deliver): time in a queue is not a target's lateness, nor part of its least answer time

A request that waited beyond its goal counted as late, so the lowest priority got less room and queues longer; and the least time of an answer grew by the waits. Both now leave the wait out.

Tests: TestLateWithoutWait, TestMinAnswerTimeWithoutWait; go test -count=1 ./deliver passes.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -128,14 +128,16 @@
 }
 
 // recordEvent records when an event arrived, and whether that was later than the route's
-// goals. Without a goal nothing is late.
+// goals. Without a goal nothing is late. Time in a queue does not count: it says nothing about the
+// target, and less room for the lowest priority because of it would lengthen the queue.
 func (x *run) recordEvent() {
 	now := x.Now()
 	waited, goal := now.Sub(x.lastEventAt), x.job.Route.GapGoal
 	if x.lastEventAt.IsZero() {
 		waited, goal = now.Sub(x.job.Received), x.job.Route.Goal
 	}
-	x.lastEventAt = now
+	waited -= x.queued
+	x.lastEventAt, x.queued = now, 0
 	x.late = x.late || (goal > 0 && waited > goal)
 }
 
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -203,8 +203,9 @@
 	CutOff, CallerLeft, Answered bool
 	// ConnectionRefused says that the target's address refuses connections.
 	ConnectionRefused bool
-	// Late says that the first event or a gap between events exceeded the route's goals,
-	// Completed that the stream ended normally. Late is valid only if Completed is set.
+	// Late says that the first event or a gap between events exceeded the route's goals, not
+	// counting the time for which the request waited for its placement; Completed that the
+	// stream ended normally. Late is valid only if Completed is set.
 	Late, Completed bool
 	Verdict         int
 	Version         int64
--- a/deliver/recheck_test.go
+++ b/deliver/recheck_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
@@ -83,3 +85,39 @@
 	next := routing.New(table.Version+1, []*routing.Route{r}, []*routing.Pool{{Name: "p"}}, []*routing.Account{{Name: "x", Keys: known}})
 	s.Configuration = func() *routing.Proved { return &routing.Proved{Table: next} }
 }
+
+// TestLateWithoutWait has a request wait for longer than its goal before it is placed. It guards
+// against counting that as lateness of the target, by which the lowest priority gets less room, and
+// against a target that is late itself and counts as in time.
+func TestLateWithoutWait(t *testing.T) {
+	tests := []struct {
+		name  string
+		takes time.Duration
+		late  bool
+	}{
+		{"in time after the wait", 90 * time.Millisecond, false},
+		{"late after the wait", 110 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := route(false, true, false, 1)
+				r.Goal, r.GapGoal = 100*time.Millisecond, 50*time.Millisecond
+				s := (&targets{}).server(r)
+				s.Place = func(context.Context, deliver.PlacementRequest) (deliver.Placement, error) {
+					time.Sleep(time.Second)
+					return deliver.Placement{Target: "t", Waited: time.Second}, nil
+				}
+				s.Send = func(context.Context, deliver.Attempt) (*deliver.Reply, error) {
+					return streamReply(&delayed{tt.takes, strings.NewReader("id: 1\n\n")}), nil
+				}
+				var ended deliver.AttemptResult
+				s.Ended = func(e deliver.AttemptResult) { ended = e }
+				ask(s)
+				if !ended.Completed || ended.Late != tt.late {
+					t.Errorf("completed %v, late %v", ended.Completed, ended.Late)
+				}
+			})
+		})
+	}
+}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -62,7 +62,9 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
-	outcome     Outcome
+	// queued is how long the request has waited for placements since the last event.
+	queued  time.Duration
+	outcome Outcome
 }
 
 // errRetry says that another target should be tried.
@@ -118,6 +120,7 @@
 			return x.refuse(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
 		}
 		x.outcome.Place = place
+		x.queued += place.Waited
 		if refused := x.recheck(place); refused != nil {
 			return x.refuse(refused)
 		}
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -46,11 +46,11 @@
 	return d.minAnswerTimes.Min(now, answerTimeKey(job))
 }
 
-// learnMinAnswerTime learns from a complete answer, except of resumed streams, as these need
-// less time.
+// learnMinAnswerTime learns from a complete answer how long it took once the request was placed,
+// except of resumed streams, as these need less time.
 func (d *Daemon) learnMinAnswerTime(o deliver.Outcome) {
 	if o.Job != nil && o.Status == http.StatusOK && outcomeKind(o) == outcomeAnswered && o.Call.LastEventID == "" {
-		d.minAnswerTimes.Observe(d.now(), answerTimeKey(o.Job), o.Took)
+		d.minAnswerTimes.Observe(d.now(), answerTimeKey(o.Job), o.Took-o.Place.Waited)
 	}
 }
 
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/minlatency"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/refusal"
@@ -503,3 +504,57 @@
 		t.Errorf("request: %s", got)
 	}
 }
+
+// TestMinAnswerTimeWithoutWait guards against requests that are refused for a short deadline because
+// those before them waited long.
+func TestMinAnswerTimeWithoutWait(t *testing.T) {
+	w := newWaitingBox("b1")
+	x := w.request("draft", "x")
+	for range minlatency.MinSamples {
+		w.recordOutcome(deliver.Outcome{Call: x.ask.Job.Call, Job: x.ask.Job, Status: 200, Took: 5 * time.Second, Place: deliver.Placement{Waited: 4900 * time.Millisecond}})
+	}
+	if least, known := w.minAnswerTime(w.at, x.ask.Job); !known || least > 100*time.Millisecond {
+		t.Errorf("minimum answer time %v, known %v", least, known)
+	}
+}
+
+// TestQueueMetrics guards against a gauge that stays when the queue has ended, and against ends that
+// are not counted.
+func TestQueueMetrics(t *testing.T) {
+	w := newWaitingBox("b1")
+	x := w.ask("draft", "x")
+	if got := w.metric(t, "thymewind_entry_queued", "models"); got != 1 {
+		t.Errorf("%v requests wait", got)
+	}
+	x.leave()
+	w.receive(t)
+	w.ask("draft", "x")
+	w.fill(0)
+	if got := w.metric(t, "thymewind_entry_queued", "models"); got != 0 {
+		t.Errorf("%v requests wait in the end", got)
+	}
+	for _, end := range []string{endCallerLeft, endPlaced} {
+		if got := w.metric(t, "thymewind_entry_queue_ends_total", end); got != 1 {
+			t.Errorf("%v waits ended as %s", got, end)
+		}
+	}
+}
+
+// metric returns the value of the metric of a name, one of whose labels has a value.
+func (w *waitingBox) metric(t *testing.T, name, label string) float64 {
+	t.Helper()
+	families, err := w.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if f.GetName() == name && l.GetValue() == label {
+					return m.GetGauge().GetValue() + m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return -1
+}
