perf(waitqueue): keep entries in both orders

Each offer sorted the queue twice from scratch, moving whole requests.

Tests: go test -race -count=1 ./waitqueue passes.

--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -88,10 +88,12 @@
 	// Draw returns a random number from 0 to below 1, which spreads return times.
 	Draw func() float64
 
-	// waiting holds the requests in the order of the last sort.
-	waiting []entry
-	ids     map[string]bool
-	bytes   int
+	// waiting holds the requests in the order of the last sort, grouped holds them in the order
+	// that they have within their accounts. Both are kept, as sorting what is nearly in order is
+	// fast.
+	waiting, grouped []*entry
+	ids              map[string]bool
+	bytes            int
 	// sortedAt is when waiting was last sorted; zero if it must be sorted again.
 	sortedAt time.Time
 	// refused are the requests refused within refusedTTL, oldest first, and refusedTokens the
@@ -140,7 +142,8 @@
 	}
 	q.ids[r.ID] = true
 	q.bytes += r.Bytes
-	q.waiting = append(q.waiting, entry{Request: r})
+	e := &entry{Request: r}
+	q.waiting, q.grouped = append(q.waiting, e), append(q.grouped, e)
 	q.sortedAt = time.Time{}
 	return Decision{Admitted: true, Evicted: evicted}
 }
@@ -262,10 +265,10 @@
 }
 
 // place returns where a request would be in the order, which must be sorted.
-func (q *Queue) place(now time.Time, r Request) entry {
-	own := entry{Request: r, inGoal: r.inGoal(now), usage: q.Usage(r.Account)}
-	for i := range q.waiting {
-		if e := &q.waiting[i]; e.Account == r.Account && e.ID != r.ID && withinAccount(*e, own) < 0 {
+func (q *Queue) place(now time.Time, r Request) *entry {
+	own := &entry{Request: r, inGoal: r.inGoal(now), usage: q.Usage(r.Account)}
+	for _, e := range q.waiting {
+		if e.Account == r.Account && e.ID != r.ID && withinAccount(e, own) < 0 {
 			own.usage += e.Tokens
 		}
 	}
@@ -290,9 +293,10 @@
 		return false
 	}
 	delete(q.ids, id)
-	i := slices.IndexFunc(q.waiting, func(e entry) bool { return e.ID == id })
+	is := func(e *entry) bool { return e.ID == id }
+	i, j := slices.IndexFunc(q.waiting, is), slices.IndexFunc(q.grouped, is)
 	q.bytes -= q.waiting[i].Bytes
-	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.waiting, q.grouped = slices.Delete(q.waiting, i, i+1), slices.Delete(q.grouped, j, j+1)
 	if i > 0 { // Without its first request, the order of the others is the same.
 		q.sortedAt = time.Time{}
 	}
@@ -332,13 +336,12 @@
 		return
 	}
 	q.sortedAt = now
-	for i := range q.waiting {
-		q.waiting[i].inGoal = q.waiting[i].Request.inGoal(now)
+	for _, e := range q.grouped {
+		e.inGoal = e.Request.inGoal(now)
 	}
-	slices.SortFunc(q.waiting, withinAccount)
+	slices.SortFunc(q.grouped, withinAccount)
 	usage := make(map[string]int)
-	for i := range q.waiting {
-		e := &q.waiting[i]
+	for _, e := range q.grouped {
 		used, known := usage[e.Account]
 		if !known {
 			used = q.Usage(e.Account)
@@ -352,13 +355,25 @@
 // compare orders requests of all accounts. Always taking a request of the account that uses least,
 // including what was taken before, is the same as sorting by what each request's account uses when
 // its turn comes.
-func compare(a, b entry) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.usage, b.usage), withinAccount(a, b))
+func compare(a, b *entry) int {
+	if a.Priority != b.Priority || a.usage == b.usage {
+		return withinAccount(a, b)
+	}
+	return cmp.Compare(a.usage, b.usage)
 }
 
 // withinAccount orders requests of one account.
-func withinAccount(a, b entry) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBool(b.inGoal, a.inGoal), a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID))
+func withinAccount(a, b *entry) int {
+	switch {
+	case a.Priority != b.Priority:
+		return cmp.Compare(a.Priority, b.Priority)
+	case a.inGoal != b.inGoal:
+		return compareBool(b.inGoal, a.inGoal)
+	}
+	if c := a.Since.Compare(b.Since); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
 }
 
 func compareBool(a, b bool) int {
