fix(entry): callers refused by a box that stops return soon; order in TestReturn

A box without the time to let a request wait before it exits told its caller to return after up to 1.5 s, although other boxes serve it. TestReturn failed in one of two runs, as requests of the same time have no fixed order; its requests now come 1 ms apart.

--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -227,6 +227,9 @@
 	w := d.queueOf(t, job.Pool)
 	r := d.waitRequest(now, t, &m, strconv.FormatUint(m.ticket, 36))
 	if left := d.offer(now, t, w, r); left != nil {
+		if d.stopping.Load() { // Another box may have the time that this one lacks.
+			left.RetryAfter = min(left.RetryAfter, d.retryAfter("stopping", job))
+		}
 		t.rememberRefused(now, &waiter{queued: r, request: m}, left.RetryAfter)
 		t.answer(m, placementAnswer{err: crowded(refused.Reason, *left)})
 		return
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -558,3 +558,17 @@
 	}
 	return -1
 }
+
+// TestRefusedByStoppingBox guards against callers who are told to stay away for long from a box that
+// stops, although others serve them.
+func TestRefusedByStoppingBox(t *testing.T) {
+	w := newWaitingBox("b1")
+	end := w.at.Add(time.Second)
+	w.stopEnds.Store(&end)
+	w.stopping.Store(true)
+	got, a := w.ask("draft", "x").got()
+	var refused *refusal.Refusal
+	if got != codeCrowded || !errors.As(a.err, &refused) || refused.RetryAfter > 200*time.Millisecond {
+		t.Errorf("%s: %+v", got, refused)
+	}
+}
--- a/entry/waitingreturn_test.go
+++ b/entry/waitingreturn_test.go
@@ -36,6 +36,7 @@
 			w := newWaitingBox("b1")
 			w.ask("draft", "x")
 			w.tables.waiting["models"].queue.MaxRequests = 1
+			w.at = w.at.Add(time.Millisecond) // Requests of the same time have no fixed order.
 			first := w.request("draft", "x").with("same")
 			w.update(w.at, first.placementRequest)
 			got, a := first.got()
