--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,9 +76,14 @@
 	// newCredential is the one that this box writes if there is none. Only the watcher of the
 	// system's own rows uses it.
 	newCredential string
+	// short says that requests wait for room at this box or at its hub, so that fingerprints are
+	// needed.
+	short atomic.Bool
 	// stopping is set when a planned stop begins, closing when connections should end.
 	stopping, closing atomic.Bool
-	effects           sync.WaitGroup
+	// stopEnds is when a planned stop cuts off what still runs; nil before it begins.
+	stopEnds atomic.Pointer[time.Time]
+	effects  sync.WaitGroup
 	// ended is closed when the loop takes no more messages.
 	ended chan struct{}
 }
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -79,7 +79,7 @@
 		lateBy = deliver.LatePause // The field resumed tells the rest.
 	}
 	fields := []any{
-		"route", routeName(o), "account", accountName(o), "priority", priorityText(o),
+		"route", routeName(o), "account", outcomeAccount(o), "priority", priorityText(o),
 		"waited", o.Waited, "pause", o.Pause, "late_by", lateBy, "resumed", o.Resumed,
 	}
 	if judged(o) {
@@ -103,7 +103,7 @@
 }
 
 // poolName returns the name of a request's pool, or an empty string if it has none; routeName
-// and accountName likewise.
+// and outcomeAccount likewise.
 func poolName(o deliver.Outcome) string {
 	if o.Pool == nil {
 		return ""
@@ -118,7 +118,7 @@
 	return o.Route.Name
 }
 
-func accountName(o deliver.Outcome) string {
+func outcomeAccount(o deliver.Outcome) string {
 	if o.Account == nil {
 		return ""
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -22,6 +22,7 @@
 	"github.com/thymewind/thymewind/peerload"
 	"github.com/thymewind/thymewind/quarantine"
 	"github.com/thymewind/thymewind/reclaim"
+	"github.com/thymewind/thymewind/returning"
 	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/throughput"
@@ -203,6 +204,16 @@
 	// have not written them again yet; hubRestores is how many restores a hub reported.
 	lostRows    map[string]bool
 	hubRestores uint64
+	// waiting are the queues of requests that wait for room, by pool, and heldBytes is what this
+	// box holds for its requests that wait at hubs.
+	waiting   map[string]*waitingPool
+	heldBytes int
+	// returning are the requests that this box refused for want of room.
+	returning returning.List
+	// accounts is the memory that the accounts' requests use, as far as this box placed them.
+	accounts accountTokens
+	// holdTimes is how long requests hold engine memory, by pool.
+	holdTimes map[string]*holdTime
 }
 
 // scan identifies a state of the list and of the named versions.
@@ -281,6 +292,8 @@
 	countedAt   time.Time
 	// canarySamplesDue is when a hub next sends it the boxes' samples of canary versions.
 	canarySamplesDue time.Time
+	// short says that it is a hub at which requests wait, as it last told.
+	short bool
 }
 
 func newTables() tables {
@@ -291,7 +304,8 @@
 		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
-		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
+		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), accounts: accountTokens{running: make(map[poolAccount]int)},
+		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
 
