--- a/fair/fair.go
+++ b/fair/fair.go
@@ -82,25 +82,35 @@
 // level returns the share for a weight of 1 at which all accounts' work, each capped at
 // its share, fills the capacity.
 func (m *Meter) level(now time.Time, capacity float64) float64 {
-	type demand struct{ rate, weight float64 }
-	all := make([]demand, 0, len(m.accounts))
-	sum, weights := 0.0, 0.0
+	all := make([]Demand, 0, len(m.accounts))
 	for name, w := range m.accounts {
-		d := demand{m.Rate(now, name), w.weight}
-		all = append(all, d)
-		sum += d.rate
-		weights += d.weight
+		all = append(all, Demand{m.Rate(now, name), w.weight})
+	}
+	return Level(capacity, all)
+}
+
+// Demand is what an account asks for, and the weight of its share.
+type Demand struct{ Amount, Weight float64 }
+
+// Level returns the max-min share for a weight of 1: the level at which all demands, each capped
+// at its share, fill the capacity. It is infinite if all demands fit. An amount may be infinite.
+// Level sorts the list.
+func Level(capacity float64, all []Demand) float64 {
+	sum, weights := 0.0, 0.0
+	for _, d := range all {
+		sum += d.Amount
+		weights += d.Weight
 	}
 	if sum <= capacity {
 		return math.Inf(1)
 	}
-	slices.SortFunc(all, func(a, b demand) int { return cmp.Compare(a.rate/a.weight, b.rate/b.weight) })
+	slices.SortFunc(all, func(a, b Demand) int { return cmp.Compare(a.Amount/a.Weight, b.Amount/b.Weight) })
 	for _, d := range all {
-		if level := capacity / weights; d.rate/d.weight > level {
+		if level := capacity / weights; d.Amount/d.Weight > level {
 			return level
 		}
-		capacity -= d.rate
-		weights -= d.weight
+		capacity -= d.Amount
+		weights -= d.Weight
 	}
 	return math.Inf(1)
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,6 +35,8 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
+	// Account names the caller's account; empty if there is none.
+	Account string `cbor:"30,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -121,6 +123,8 @@
 	Canaries []Canary `cbor:"11,keyasint,omitempty"`
 	// ListBehind says that the hub's list lacks a change that another hub has read.
 	ListBehind bool `cbor:"10,keyasint,omitempty"`
+	// Short are the pools for which a box that places requests is short of room, as the hub knows.
+	Short []string `cbor:"23,keyasint,omitempty"`
 }
 
 // Canary is the state of one software version's canary rollout in a pool.
--- a/peer/message.go
+++ b/peer/message.go
@@ -90,6 +90,10 @@
 	// PrefillTotals count the prompt tokens that targets had to prefill for placements the sender
 	// chose itself.
 	PrefillTotals []PrefillTotal `cbor:"19,keyasint,omitempty"`
+	// AccountLoads are what the requests of client accounts use, sent only while a pool is short of
+	// room; ShortPools are the pools for which the sender, as the box that places, is short of it.
+	AccountLoads []AccountLoad `cbor:"40,keyasint,omitempty"`
+	ShortPools   []string      `cbor:"41,keyasint,omitempty"`
 	// Statement is an operator's query.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is a query's result in JSON, or a configuration.
@@ -143,6 +147,13 @@
 	ActualMS   int `cbor:"5,keyasint,omitempty"`
 }
 
+// AccountLoad is the engine memory that the running requests of one client account use at a pool.
+type AccountLoad struct {
+	// Key is a hash of the pool and the account.
+	Key    uint32 `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
 // PrefillTotal is how many prompt tokens a box made a target prefill.
 type PrefillTotal struct {
 	// Target is the hash of the target's ID.
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -36,7 +36,7 @@
 
 // Set replaces what a box reported before.
 func (t *Totals) Set(now time.Time, name string, list []peer.TargetLoad) {
-	t.drop(name)
+	t.Drop(name)
 	b := &box{reportedAt: now, loads: make(map[uint64]peer.TargetLoad, len(list))}
 	t.boxes[name] = b
 	for _, load := range list {
@@ -71,12 +71,13 @@
 func (t *Totals) Expire(since time.Time) {
 	for name, b := range t.boxes {
 		if b.reportedAt.Before(since) {
-			t.drop(name)
+			t.Drop(name)
 		}
 	}
 }
 
-func (t *Totals) drop(name string) {
+// Drop removes what a box reported.
+func (t *Totals) Drop(name string) {
 	b := t.boxes[name]
 	if b == nil {
 		return
