feat(entry): boxes share what accounts use of pools that are short of room

Change: each box counts its requests by account and pool from placement to end; while a pool is short (a placing box refused for want of room within 2 s) loads go with the messages that pass anyway; a hub counts what it places until the sender reports. noteShort and accountUsage in entry/accountload.go are for the queue; nothing is refused because of shares. Gauge thymewind_entry_short_pools, log line "pool's room".

--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -39,6 +39,7 @@
 		applyUsage: func(now time.Time, t *tables, m peer.Message) {
 			t.receiveLoads(now, m.From, m.TargetLoads)
 			t.receivePrefill(now, m.From, m.PrefillTotals)
+			t.receiveAccounts(now, m)
 		},
 		freeableBelow:   func(now time.Time, w *modelRollout) int64 { return w.reclaim.Below(now) },
 		preferredDomain: func(domain string) string { return domain },
--- /dev/null
+++ b/entry/accountload.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/peer"
+)
+
+// This file shares with other boxes what each client account's requests use of the pools that are
+// short of room; package fairshare holds the state. Nothing is refused because of it.
+
+// codeCrowded is the refusal's code where no engine has memory for a request.
+const codeCrowded = "crowded"
+
+// noteShort records that this box, as the one that places, queued or refused a request of an
+// account for want of room. While the last one is at most fairshare.ShortFor ago, boxes report
+// what accounts use of the pool.
+func (t *tables) noteShort(now time.Time, pool, account string) {
+	t.accounts.NoRoom(now, pool, account)
+}
+
+// accountUsage is the engine memory, in tokens over all boxes as far as known, that an account's
+// running requests use at a pool. An empty account stands for all callers without one.
+func (t *tables) accountUsage(pool, account string) int {
+	return t.accounts.Usage(pool, account)
+}
+
+// accountName returns the name of a job's account, or an empty string if it has none.
+func accountName(job *deliver.Job) string {
+	if job.Account == nil {
+		return ""
+	}
+	return job.Account.Name
+}
+
+// beginAccount counts a request that this box sends, endAccount its end.
+func (t *tables) beginAccount(job *deliver.Job, place deliver.Placement) {
+	t.accounts.Begin(job.Pool.Name, accountName(job), place.Tokens)
+}
+
+func (t *tables) endAccount(m attemptEnded) {
+	if m.Job != nil {
+		t.accounts.End(m.Job.Pool.Name, accountName(m.Job), m.Place.Tokens)
+	}
+}
+
+// accountLoads is what this box reports of accounts: the use by its own requests and, on a hub of
+// a large fleet, that by the boxes that report to it. It is empty unless a pool is short of room.
+func (d *Daemon) accountLoads(now time.Time, t *tables) []peer.AccountLoad {
+	if !t.usesHubs() || d.spoke.Load() {
+		return t.accounts.Own(now)
+	}
+	return t.accounts.OwnAndOthers(now, t.hubs())
+}
+
+// receiveAccounts applies what another box reported of accounts.
+func (t *tables) receiveAccounts(now time.Time, m peer.Message) {
+	if t.members[m.From] == nil {
+		return
+	}
+	t.accounts.HearShort(now, m.From, m.ShortPools)
+	t.accounts.HearLoads(now, m.From, m.AccountLoads)
+}
+
+// expireAccounts drops what other boxes have not repeated within peerLoadTTL. Their accounts then
+// count as using what this box's own requests use.
+func (d *Daemon) expireAccounts(now time.Time, t *tables) {
+	changes := t.accounts.Expire(now, now.Add(-peerLoadTTL))
+	d.metrics.shortPools.Set(float64(len(t.accounts.ShortHere(now))))
+	for _, change := range changes {
+		d.Log.Info("pool's room", "pool", change.Pool, "short", change.Short, "lasted", change.Lasted, "most_used_by", d.largestAccounts(change.At, t, change.Pool))
+	}
+}
+
+// largestAccounts describes the three accounts that use most of a pool.
+func (d *Daemon) largestAccounts(now time.Time, t *tables, pool string) []string {
+	names := []string{""}
+	if table := d.current.Load(); table != nil {
+		names = append(names, table.AccountNames()...)
+	}
+	list := t.accounts.Shares(now, pool, names)
+	texts := make([]string, min(len(list), 3))
+	for i := range texts {
+		texts[i] = fmt.Sprintf("%s: %d tokens, share %d", list[i].Account, list[i].Used, list[i].Share)
+	}
+	return texts
+}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	share := func(tokens int) float64 { return float64(running+tokens) / float64(query.Capacity) }
-	return refusal.New(refusal.DidNotRun, 503, "crowded",
+	return refusal.New(refusal.DidNotRun, 503, codeCrowded,
 		"the engines' memory is taken up: %.2f at the best of them, %.2f with a usual request, of %.2f", share(query.Tokens), share(r.typicalTokens), r.maxMemoryShare)
 }
 
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -47,6 +47,8 @@
 	// tableServiceDown are the boxes that get no answer from the table service, dead those
 	// that are down.
 	tableServiceDown, dead map[string]bool
+	// cut reports whether messages between two boxes are lost; nil loses none.
+	cut func(from, to string) bool
 	// operator is the content of the operator's rows.
 	operator Operator
 	// targets is the content of the list of targets.
@@ -340,7 +342,7 @@
 // call has a box answer another one.
 func (w *emulator) call(from *Daemon, name string, m peer.Message, done func(peer.Message, error)) {
 	to := w.byName[name]
-	if to == nil || w.dead[name] {
+	if to == nil || w.dead[name] || w.cut != nil && w.cut(from.Settings.Name, name) {
 		w.after(gossipTimeout, func() { done(peer.Message{}, context.DeadlineExceeded) })
 		return
 	}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -62,6 +62,7 @@
 // those whose names sort after its own, so that each pair talks once. A spoke calls its hub.
 func (d *Daemon) gossip(now time.Time, t *tables) []effect {
 	t.othersUsage.Expire(now.Add(-peerLoadTTL))
+	d.expireAccounts(now, t)
 	return d.gossipDue(now, t)
 }
 
@@ -74,7 +75,7 @@
 	message := peer.Message{
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
-		Domain: d.Settings.Domain, Unlisted: t.unlistedMet,
+		Domain: d.Settings.Domain, Unlisted: t.unlistedMet, AccountLoads: d.accountLoads(now, t), ShortPools: t.accounts.ShortHere(now),
 	}
 	if !t.usesHubs() {
 		d.addProof(now, t, &message)
@@ -223,6 +224,7 @@
 		d.applyUsage(now, t, m)
 		if !t.usesHubs() || slices.Contains(t.hubs(), m.From) {
 			answer.TargetLoads, answer.PrefillTotals = d.gossipLoads(now, t), t.prefillBacklog.Totals(now)
+			answer.AccountLoads, answer.ShortPools = d.accountLoads(now, t), t.accounts.ShortHere(now)
 			d.addProof(now, t, &answer)
 			d.receiveRewritten(now, t, m)
 			d.receiveListRevision(now, t, m)
@@ -239,6 +241,7 @@
 		d.receiveCanarySamples(now, t, m.CanarySamples)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.ListVersion, SnapshotAt: m.ListStartVersion})
 		t.addQuarantine(answer.View, m.QuarantineVersion)
+		answer.View.Short = t.accounts.Short(now)
 		answer.View.Restores, answer.View.RowLost = t.ownRowsRevision.Restores, t.lostRows[m.From]
 	}
 	return answer
@@ -270,6 +273,9 @@
 	x.heardAt = now
 	if d.spoke.Load() {
 		t.hubHeardAt = now
+		if m.answer.View != nil {
+			t.accounts.HearShort(now, m.name, m.answer.View.Short)
+		}
 		return d.applyView(now, t, m.name, m.requestedAt, m.answer.View)
 	}
 	d.applyUsage(now, t, m.answer)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,7 @@
 	proofs            *prometheus.CounterVec
 	restores          prometheus.Gauge
 	rewritten         prometheus.Counter
+	shortPools        prometheus.Gauge
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -81,9 +82,10 @@
 	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
 	c.restores = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_store_restores", Help: "How often the table service was restored from an older copy, as it tells."})
 	c.rewritten = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_rows_rewritten_total", Help: "Rows of this box that a restore lost and that it wrote again."})
+	c.shortPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_short_pools", Help: "Pools for which this box, as the one that places, lately found no room for a request."})
 	r.MustRegister(
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten, c.shortPools,
 	)
 	return c
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -96,9 +96,13 @@
 	place, refused := choose(now, t, request)
 	d.notePlacement(now, request, refused)
 	if refused != nil {
+		if refused.Code == codeCrowded {
+			t.noteShort(now, request.Job.Pool.Name, accountName(request.Job))
+		}
 		return place, refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, request.Job))
 	}
 	t.countSent(now, place)
+	t.beginAccount(request.Job, place)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	return place, nil
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -76,6 +76,7 @@
 	r := d.admissionLimit(t, job)
 	request := peer.PlacementRequest{
 		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.PromptTokens + job.MaxOutputTokens, MaxMemoryShare: r.maxMemoryShare, TypicalTokens: r.typicalTokens, Tried: m.ask.Attempted, GoalMS: job.Route.Goal.Milliseconds(),
+		Account: accountName(job),
 	}
 	request.IdleConnections, request.Excluded = d.targetHints(now, t.engines(job.Pool.Name))
 	if regions := allowedRegions(job); regions.Limited() {
@@ -215,6 +216,7 @@
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
 	}
 	t.countSent(now, place)
+	t.beginAccount(job, place)
 	d.notePlacement(now, request, nil)
 	return placementAnswer{place: place}, true
 }
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -53,9 +53,13 @@
 		place, refused = d.chooseEngine(now, t, request, sender{t.domainOf(m.From), peerAdmissionLimit(m.PlacementRequest), namedIn(m.PlacementRequest.IdleConnections), excluded})
 	}
 	if refused != nil {
+		if refused.Code == codeCrowded {
+			t.noteShort(now, pool.Name, m.PlacementRequest.Account)
+		}
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
 	}
 	t.countForPeer(m.From, place)
+	t.accounts.Place(m.From, pool.Name, m.PlacementRequest.Account, place.Tokens)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	var transfers []peer.Transfer
 	for _, m := range place.Transfers {
--- a/entry/retryafter.go
+++ b/entry/retryafter.go
@@ -21,7 +21,7 @@
 func (d *Daemon) retryAfter(code string, job *deliver.Job) time.Duration {
 	now, priority := d.now(), priorityOf(job)
 	switch code {
-	case "crowded", "warming":
+	case codeCrowded, "warming":
 		return d.retryEstimator.MemoryFull(job.Route.Goal, priority)
 	case "congested", codeLimited:
 		return d.retryEstimator.Congested(priority)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/congestion"
 	"github.com/thymewind/thymewind/crash"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fairshare"
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/grace"
@@ -57,6 +58,8 @@
 	clockKnown bool
 	// othersUsage is the load of other boxes' requests, by the hash of the target's ID.
 	othersUsage *peerload.Totals
+	// accounts is what client accounts' requests use of the pools, over all boxes.
+	accounts *fairshare.Tracker
 	// prefillBacklog is what targets still have to prefill, as reported by all boxes that
 	// place requests; overdue is what should have been prefilled by now of this box's
 	// requests.
@@ -285,7 +288,7 @@
 
 func newTables() tables {
 	return tables{
-		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
+		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), accounts: fairshare.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
 		weights: make(map[string]*modelRollout), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Incarnation]*targetQuota), quotaRetryAt: make(map[quotaAsk]time.Time), probing: make(map[string]bool),
 		silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
 		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
--- a/entry/update.go
+++ b/entry/update.go
@@ -126,6 +126,7 @@
 // attemptEnded learns from the result of an attempt.
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
+	t.endAccount(m)
 	d.recordLiveness(now, t, m)
 	x := t.fleet.Incarnation(fleet.Incarnation{ID: m.Place.Target, StartedAt: m.Place.StartedAt})
 	if x == nil {
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -239,7 +239,8 @@
 }
 
 // Expire drops what other boxes last reported before a time, and the pools that are no longer
-// short. It returns the transitions of this box's own shortages since the last call.
+// short. It returns the transitions of this box's own shortages since the last call: the beginning
+// of each is reported settleTime later, so that the other boxes' loads are known.
 func (t *Tracker) Expire(now, since time.Time) []Transition {
 	t.others.Expire(since)
 	var list []Transition
@@ -249,6 +250,7 @@
 		if here := s.here(now); here != s.announced && (!here || now.Sub(s.begunAt) >= settleTime) {
 			s.announced = here
 			list = append(list, Transition{pool, here, now.Sub(s.begunAt), s.lastAt})
+			continue // The pool is kept until the next call, so that its shares can be computed.
 		}
 		if !s.here(now) && len(s.reportedAt) == 0 {
 			delete(t.short, pool)
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -31,6 +31,7 @@
 			totals.Set(start, "a", []peer.TargetLoad{load(7, 110, 0)})
 		}, 130, 2, 2},
 		{"added for an unknown box", func(totals *peerload.Totals) { totals.Add("c", load(7, 100, 50)) }, 30, 3, 2},
+		{"dropped", func(totals *peerload.Totals) { totals.Drop("a"); totals.Drop("c") }, 20, 2, 1},
 		{"both expired", func(totals *peerload.Totals) { totals.Expire(start.Add(time.Second)) }, 0, 0, 0},
 		{"one expired", func(totals *peerload.Totals) {
 			totals.Set(start.Add(time.Second), "b", []peer.TargetLoad{load(7, 1, 1)})
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -186,6 +186,16 @@
 	return a, known
 }
 
+// AccountNames lists the accounts that have a key, in order.
+func (t *Table) AccountNames() []string {
+	names := make([]string, 0, len(t.keys))
+	for _, a := range t.keys {
+		names = append(names, a.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // NeedsKey says whether requests on a route need a key.
 func (t *Table) NeedsKey(r *Route) bool { return t.keyed && !r.Open }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/thymewind/thymewind/routing"
@@ -84,3 +85,11 @@
 		t.Errorf("lowest priorities %d and %d", p, q)
 	}
 }
+
+// TestAccountNames guards against accounts with several keys that are listed several times.
+func TestAccountNames(t *testing.T) {
+	table := routing.New(1, nil, nil, []*routing.Account{{Name: "b", Keys: []string{"1", "2"}}, {Name: "a", Keys: []string{"3"}}})
+	if got := table.AccountNames(); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("accounts %v", got)
+	}
+}
