--- a/entry/accountload_test.go
+++ b/entry/accountload_test.go
@@ -62,6 +62,7 @@
 		{"a plain box dies", func(w *emulator) { w.dead["box-0020"] = true }, 2 * time.Second, boxes - 1, boxes - 1},
 		{"a plain box is cut off", func(w *emulator) { w.cut = only("box-0020") }, 2 * time.Second, boxes - 1, boxes},
 		{"another hub is cut off", func(w *emulator) { w.cut = only("box-0001") }, 5 * time.Second, boxes - 1, boxes},
+		{"another hub dies", func(w *emulator) { w.dead["box-0001"] = true }, 5 * time.Second, boxes - 1, boxes - 1},
 		{"this hub is cut off", func(w *emulator) { w.cut = only("box-0000") }, 5 * time.Second, 1, boxes},
 	}
 	for _, tt := range tests {
