--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -32,7 +32,7 @@
 	// waits says whether requests without room may wait, at this box or at a hub.
 	waits bool
 	// accountUsage is the engine memory in tokens that an account's requests use in a pool.
-	accountUsage func(now time.Time, t *tables, pool, account string) int
+	accountUsage func(t *tables, pool, account string) int
 }
 
 func newHooks() hooks {
@@ -43,6 +43,7 @@
 		applyUsage: func(now time.Time, t *tables, m peer.Message) {
 			t.receiveLoads(now, m.From, m.TargetLoads)
 			t.receivePrefill(now, m.From, m.PrefillTotals)
+			t.receiveAccounts(now, m)
 		},
 		freeableBelow:   func(now time.Time, w *modelRollout) int64 { return w.reclaim.Below(now) },
 		preferredDomain: func(domain string) string { return domain },
@@ -50,7 +51,7 @@
 			return t.quarantined(now, sum)
 		},
 		waits:        true,
-		accountUsage: func(now time.Time, t *tables, pool, account string) int { return t.accounts.of(now, pool, account) },
+		accountUsage: (*tables).accountUsage,
 	}
 }
 
--- a/entry/holdtime.go
+++ b/entry/holdtime.go
@@ -68,11 +68,5 @@
 	if used <= 0 {
 		return equal
 	}
-	own := 0
-	for of, tokens := range t.accounts.running {
-		if of.pool == w.pool.Name {
-			own += tokens
-		}
-	}
-	return min(max(equal, float64(own)/float64(used)), 1)
+	return min(max(equal, float64(t.placed.of(now, w.pool.Name))/float64(used)), 1)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,6 +39,7 @@
 	refused, late     *prometheus.CounterVec
 	queued            *prometheus.GaugeVec
 	queueEnds         *prometheus.CounterVec
+	shortPools        prometheus.Gauge
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -99,11 +100,12 @@
 	c.late = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_late_total", Help: "Complete answers later than their route's goals, by what made them late first."}, []string{"pool", "priority", "cause"})
 	c.queued = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "thymewind_entry_queued", Help: "Requests that wait at this box for engine memory, by pool."}, []string{"pool"})
 	c.queueEnds = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_queue_ends_total", Help: "Requests that waited at this box or were refused its queue, by pool, priority and how that ended."}, []string{"pool", "priority", "end"})
+	c.shortPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_short_pools", Help: "Pools for which this box, as the one that places, lately found no room for a request."})
 	r.MustRegister(
 		c.queued, c.queueEnds,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
 		c.waited, c.pause, c.refused, c.late,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten, c.shortPools,
 	)
 	return c
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -111,10 +111,14 @@
 	place, refused := choose(now, t, request)
 	d.notePlacement(now, request, refused)
 	if refused != nil {
+		if refused.Code == codeCrowded {
+			t.noteShort(now, request.Job.Pool.Name, accountName(request.Job))
+		}
 		return place, refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, request.Job))
 	}
 	t.countSent(now, place)
-	t.accounts.add(place.Tokens, request.Job)
+	t.placed.add(place.Tokens, request.Job)
+	t.beginAccount(request.Job, place)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	return place, nil
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/throughput"
 )
 
@@ -84,6 +85,7 @@
 	r := d.limitOf(t, &m)
 	request := peer.PlacementRequest{
 		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.PromptTokens + job.MaxOutputTokens, MaxMemoryShare: r.maxMemoryShare, TypicalTokens: r.typicalTokens, Tried: m.ask.Attempted, GoalMS: job.Route.Goal.Milliseconds(),
+		Account: accountName(job), Priority: routing.Priority(job.Route, job.Account),
 	}
 	request.IdleConnections, request.Excluded = d.targetHints(now, t.engines(job.Pool.Name))
 	if regions := allowedRegions(job); regions.Limited() {
@@ -95,7 +97,7 @@
 	for _, p := range job.Parts {
 		request.Parts = append(request.Parts, peer.Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	d.addWait(now, t, &m, &request, hold, t.members[hub].short)
+	d.addWait(now, t, &m, &request, hold)
 	return askHub{hub, t.members[hub].address, m, request}
 }
 
@@ -239,7 +241,8 @@
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
 	}
 	t.countSent(now, place)
-	t.accounts.add(place.Tokens, job)
+	t.placed.add(place.Tokens, job)
+	t.beginAccount(job, place)
 	d.notePlacement(now, request, nil)
 	return placementAnswer{place: place}, true
 }
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -61,10 +61,14 @@
 		place, refused = d.chooseEngine(now, t, request, sender{t.domainOf(m.From), peerAdmissionLimit(m.PlacementRequest), namedIn(m.PlacementRequest.IdleConnections), excluded})
 	}
 	if refused != nil {
+		if refused.Code == codeCrowded {
+			t.noteShort(now, pool.Name, m.PlacementRequest.Account)
+		}
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
 	}
 	t.countForPeer(m.From, place)
-	t.accounts.addUntil(now, now.Add(t.holdTime(pool.Name)), place.Tokens, poolAccount{pool.Name, m.PlacementRequest.Account})
+	t.placed.addUntil(now, now.Add(t.holdTime(pool.Name)), place.Tokens, pool.Name)
+	t.accounts.Place(m.From, pool.Name, m.PlacementRequest.Account, place.Tokens)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	var transfers []peer.Transfer
 	for _, m := range place.Transfers {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/congestion"
 	"github.com/thymewind/thymewind/crash"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/fairshare"
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/grace"
@@ -58,6 +59,8 @@
 	clockKnown bool
 	// othersUsage is the load of other boxes' requests, by the hash of the target's ID.
 	othersUsage *peerload.Totals
+	// accounts is what client accounts' requests use of the pools, over all boxes.
+	accounts *fairshare.Tracker
 	// prefillBacklog is what targets still have to prefill, as reported by all boxes that
 	// place requests; overdue is what should have been prefilled by now of this box's
 	// requests.
@@ -210,8 +213,8 @@
 	heldBytes int
 	// returning are the requests that this box refused for want of room.
 	returning returning.List
-	// accounts is the memory that the accounts' requests use, as far as this box placed them.
-	accounts accountTokens
+	// placed is the engine memory used by requests that this box placed.
+	placed placedTokens
 	// holdTimes is how long requests hold engine memory, by pool.
 	holdTimes map[string]*holdTime
 }
@@ -292,19 +295,17 @@
 	countedAt   time.Time
 	// canarySamplesDue is when a hub next sends it the boxes' samples of canary versions.
 	canarySamplesDue time.Time
-	// short says that it is a hub at which requests wait, as it last told.
-	short bool
 }
 
 func newTables() tables {
 	return tables{
-		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
+		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), accounts: fairshare.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
 		weights: make(map[string]*modelRollout), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Incarnation]*targetQuota), quotaRetryAt: make(map[quotaAsk]time.Time), probing: make(map[string]bool),
 		silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
 		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
-		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), accounts: accountTokens{running: make(map[poolAccount]int)},
+		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), placed: placedTokens{running: make(map[string]int)},
 		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -147,8 +147,9 @@
 // attemptEnded learns from the result of an attempt.
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
+	t.endAccount(m)
 	d.recordLiveness(now, t, m)
-	t.accounts.remove(m.Place.Tokens, m.Job)
+	t.placed.remove(m.Place.Tokens, m.Job)
 	t.learnHoldTime(now, m)
 	x := t.fleet.Incarnation(fleet.Incarnation{ID: m.Place.Target, StartedAt: m.Place.StartedAt})
 	if x == nil {
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -45,9 +45,6 @@
 	endMoved      = "moved"
 )
 
-// codeCrowded is the code of a refusal for want of engine memory.
-const codeCrowded = "crowded"
-
 // waitingPool is the queue of one pool's requests.
 type waitingPool struct {
 	pool  *routing.Pool
@@ -114,7 +111,7 @@
 		w.queue = waitqueue.Queue{
 			MaxRequests: maxWaiting, Draw: d.random,
 			FreeRate: func(now time.Time) float64 { return d.freeRate(now, t, w) },
-			Usage:    func(account string) int { return d.accountUsage(d.now(), t, w.pool.Name, account) },
+			Usage:    func(account string) int { return d.accountUsage(t, w.pool.Name, account) },
 		}
 		t.waiting[pool.Name] = w
 	}
@@ -257,6 +254,7 @@
 		w.stats = queueStats{since: now, emptyAt: now}
 		d.Log.Info("requests wait for engine memory", "pool", w.pool.Name, "hold_time", t.holdTime(w.pool.Name), "free_rate", int(d.freeRate(now, t, w)))
 	}
+	t.noteShort(now, w.pool.Name, r.Account)
 	ahead := w.queue.Predict(now, r)
 	decision := w.queue.Offer(now, r)
 	for _, gone := range decision.Evicted {
@@ -409,7 +407,7 @@
 
 // tendQueues serves the queues each tick, and answers held calls in time.
 func (d *Daemon) tendQueues(now time.Time, t *tables) []effect {
-	d.short.Store(len(t.waiting) > 0 || d.spoke.Load() && t.hub != "" && t.members[t.hub] != nil && t.members[t.hub].short)
+	d.short.Store(len(t.accounts.Short(now)) > 0)
 	if len(t.waiting) == 0 {
 		return nil
 	}
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -411,21 +411,22 @@
 	}
 }
 
-// TestAccountTokens guards against usage that is never given back.
-func TestAccountTokens(t *testing.T) {
+// TestPlacedTokens guards against memory of requests that ended, or of other boxes' requests, that is
+// never given back.
+func TestPlacedTokens(t *testing.T) {
 	w := newWaitingBox("b1")
 	w.fill(0)
 	x := w.ask("draft", "x")
 	_, a := x.got()
-	if got := w.accountUsage(w.at, &w.tables, "models", "x"); got != 10000 {
+	if got := w.tables.placed.of(w.at, "models"); got != 10000 {
 		t.Errorf("in use: %d", got)
 	}
 	w.update(w.at, attemptEnded{deliver.AttemptResult{Place: a.place, Job: x.ask.Job, Began: true}})
-	w.tables.accounts.addUntil(w.at, w.at.Add(time.Second), 700, poolAccount{"models", "x"})
-	if got := w.accountUsage(w.at, &w.tables, "models", "x"); got != 700 {
+	w.tables.placed.addUntil(w.at, w.at.Add(time.Second), 700, "models")
+	if got := w.tables.placed.of(w.at, "models"); got != 700 {
 		t.Errorf("in use by another box's request: %d", got)
 	}
-	if got := w.accountUsage(w.at.Add(time.Second), &w.tables, "models", "x"); got != 0 || len(w.tables.accounts.running) != 0 {
+	if got := w.tables.placed.of(w.at.Add(time.Second), "models"); got != 0 || len(w.tables.placed.running) != 0 {
 		t.Errorf("in use in the end: %d", got)
 	}
 }
@@ -446,7 +447,7 @@
 		t.Errorf("%v tokens a second with requests of 2 s, want 20,000", got)
 	}
 	w.at = w.at.Add(minFreeRateAge)
-	w.tables.accounts.change(poolAccount{"models", "x"}, 60000)
+	w.tables.placed.change("models", 60000)
 	if got := w.freeRate(w.at, &w.tables, pool); got < 29999 || got > 30001 {
 		t.Errorf("%v tokens a second for a box that placed three quarters, want 30,000", got)
 	}
@@ -511,7 +512,7 @@
 	w := newWaitingBox("b1")
 	x := w.request("draft", "x")
 	for range minlatency.MinSamples {
-		w.recordOutcome(deliver.Outcome{Call: x.ask.Job.Call, Job: x.ask.Job, Status: 200, Took: 5 * time.Second, Place: deliver.Placement{Waited: 4900 * time.Millisecond}})
+		w.recordOutcome(deliver.Outcome{Call: x.ask.Job.Call, Job: x.ask.Job, Status: 200, Took: 5 * time.Second, Waited: 4900 * time.Millisecond})
 	}
 	if least, known := w.minAnswerTime(w.at, x.ask.Job); !known || least > 100*time.Millisecond {
 		t.Errorf("minimum answer time %v, known %v", least, known)
--- a/entry/waitingheld_test.go
+++ b/entry/waitingheld_test.go
@@ -87,7 +87,7 @@
 			held := w.call(1, true, nil)
 			w.fill(0)
 			expect(t, "when there is room", held, "placed")
-			if got := w.tables.accounts.of(w.at, "models", "x"); got != 10000 {
+			if got := w.tables.placed.of(w.at, "models"); got != 10000 {
 				t.Errorf("the account uses %d tokens", got)
 			}
 		}},
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -7,7 +7,6 @@
 
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/refusal"
-	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/waitqueue"
 )
 
@@ -47,11 +46,9 @@
 // ready reports whether a waiting request could be told its placement now.
 func (x *waiter) ready() bool { return x.own() || x.held.reply != nil }
 
-// addWait adds to the request for a hub what it needs to queue it; short says that requests wait
-// there.
-func (d *Daemon) addWait(now time.Time, t *tables, m *placementRequest, request *peer.PlacementRequest, hold, short bool) {
+// addWait adds to the request for a hub what it needs to queue it.
+func (d *Daemon) addWait(now time.Time, t *tables, m *placementRequest, request *peer.PlacementRequest, hold bool) {
 	job := m.ask.Job
-	request.Account, request.Priority = accountName(job), routing.Priority(job.Route, job.Account)
 	if !d.mayWait(job) || m.heldBytes == 0 && len(job.Body) > d.maxWaitingBytes(t) {
 		return
 	}
@@ -62,7 +59,7 @@
 	request.SinceMS = now.Sub(m.askedSince(now)).Milliseconds()
 	request.LeftMS = d.beginBy(now, job).Sub(now).Milliseconds()
 	request.GoalLeftMS = leftMS(now, d.goalAt(now, t, job))
-	if hold || short {
+	if hold || t.isShort(now, job.Pool.Name) {
 		sum := job.Fingerprint()
 		request.Fingerprint = sum[:]
 	}
--- a/entry/waitingreturn_test.go
+++ b/entry/waitingreturn_test.go
@@ -135,7 +135,7 @@
 	x := f.newRequest("draft", "x")
 	first := f.now.Add(-2 * time.Second)
 	f.first.tables.returning.Refused(f.now, x.ask.Job.Fingerprint(), first, f.now)
-	f.spoke.tables.members[f.first.Settings.Name].short = true
+	f.spoke.tables.accounts.HearShort(f.now, f.first.Settings.Name, []string{"models"})
 	f.perform(f.spoke, f.spoke.update(f.now, x.placementRequest))
 	f.advance(time.Second, nil)
 	f.dead[f.first.Settings.Name] = true
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,9 +35,8 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
-	// Account is the client account, Priority the request's priority.
-	Account  string `cbor:"18,keyasint,omitempty"`
-	Priority int    `cbor:"19,keyasint,omitempty"`
+	// Priority is the request's priority.
+	Priority int `cbor:"19,keyasint,omitempty"`
 	// Wait says that the request can wait in the hub's queue. The fields after it are set then.
 	Wait bool `cbor:"15,keyasint,omitempty"`
 	// Hold says that the hub may hold this call until the request, which it has queued, is placed
@@ -52,6 +51,8 @@
 	GoalLeftMS int64 `cbor:"22,keyasint,omitempty"`
 	// Fingerprint is the request's, which is sent only while the hub is short of room.
 	Fingerprint []byte `cbor:"23,keyasint,omitempty"`
+	// Account names the caller's account; empty if there is none.
+	Account string `cbor:"30,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -154,8 +155,8 @@
 	Canaries []Canary `cbor:"11,keyasint,omitempty"`
 	// ListBehind says that the hub's list lacks a change that another hub has read.
 	ListBehind bool `cbor:"10,keyasint,omitempty"`
-	// Short says that requests wait at the hub for room, or did lately.
-	Short bool `cbor:"23,keyasint,omitempty"`
+	// Short are the pools for which a box that places requests is short of room, as the hub knows.
+	Short []string `cbor:"23,keyasint,omitempty"`
 }
 
 // Canary is the state of one software version's canary rollout in a pool.
