fix(entry): a wait that moves between boxes keeps its begin, and its body counts once

A request that waited at its own box and was then placed at once by a hub was reported as not having waited, so its key and route were not checked again, and its wait counted as the target's lateness. Requests whose box became a spoke, a hub and a spoke again left their bodies counted for good.

--- a/entry/message.go
+++ b/entry/message.go
@@ -26,8 +26,10 @@
 	// typicalTokens is the typical size of its route's requests when it came; zero if it was not
 	// needed yet.
 	typicalTokens int
-	// queuedAt is since when it waits for room, here or at a hub; zero if it does not.
+	// queuedAt is since when it waits for room, here or at hubs; zero if it does not. atHub says that
+	// a hub has queued it.
 	queuedAt time.Time
+	atHub    bool
 	// since is when its caller first asked, if not with this request; returning says that it was
 	// refused then and returned when told.
 	since     time.Time
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -59,7 +59,7 @@
 	if effects, remote := d.placeRemotely(now, t, m); remote {
 		return effects
 	}
-	if !m.queuedAt.IsZero() && d.spoke.Load() {
+	if m.atHub && d.spoke.Load() {
 		d.refuseLostWait(now, t, m)
 		return nil
 	}
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -225,6 +225,8 @@
 	if m.ticket == 0 {
 		m.ticket = rand.Uint64()
 	}
+	t.heldBytes -= m.heldBytes // The queue counts them from here on.
+	m.heldBytes, m.atHub = 0, false
 	w := d.queueOf(t, job.Pool)
 	r := d.waitRequest(now, t, &m, strconv.FormatUint(m.ticket, 36))
 	if left := d.offer(now, t, w, r); left != nil {
@@ -235,7 +237,9 @@
 		t.answer(now, m, placementAnswer{err: crowded(refused.Reason, *left)})
 		return
 	}
-	m.queuedAt = now
+	if m.queuedAt.IsZero() {
+		m.queuedAt = now
+	}
 	x := &waiter{queued: r, queuedAt: now, request: m}
 	w.waiters[r.ID] = x
 	left := waiterLeft{job.Pool.Name, r.ID}
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -573,3 +573,70 @@
 		t.Errorf("%s: %+v", got, refused)
 	}
 }
+
+// becomeSpoke gives the box the role of a spoke in a large fleet, or that of a hub again.
+func (w *waitingBox) becomeSpoke(spoke bool) {
+	for name, m := range largeFleet("box-05").tables.members {
+		w.tables.members[name] = m
+	}
+	w.tables.membersKnown = true
+	w.spoke.Store(spoke)
+}
+
+// hubAsked returns the call to a hub among effects.
+func hubAsked(t *testing.T, effects []effect) askHub {
+	t.Helper()
+	for _, e := range effects {
+		if call, ok := e.(askHub); ok {
+			return call
+		}
+	}
+	t.Fatalf("no hub is asked: %v", effects)
+	return askHub{}
+}
+
+// TestMovedWait has a hub place a request at once that waited at its own box before. It guards
+// against a wait that is not reported, after which the key and the route would not be checked again.
+func TestMovedWait(t *testing.T) {
+	w := newWaitingBox("b1")
+	x := w.ask("draft", "x")
+	w.at = w.at.Add(time.Second)
+	w.becomeSpoke(true)
+	call := hubAsked(t, w.pass(tick))
+	w.update(w.at, hubPlaced{call.hub, call.request, &peer.PlacementResponse{Target: "a", Version: 1}, nil})
+	if got, a := x.got(); got != "placed" || a.place.Waited != time.Second+tick {
+		t.Errorf("%s (%v) after %v", got, a.err, a.place.Waited)
+	}
+}
+
+// TestChangedRoles changes the box's role twice while a request waits. It guards against bodies that
+// are counted twice, or still after the end of the wait, and against a wait that begins anew.
+func TestChangedRoles(t *testing.T) {
+	w := newWaitingBox("b1")
+	w.becomeSpoke(true)
+	x := w.request("draft", "x")
+	x.ask.Job.Body = make([]byte, 100)
+	call := hubAsked(t, w.update(w.at, x.placementRequest))
+	w.at = w.at.Add(time.Second)
+	for range 2 {
+		call = hubAsked(t, w.update(w.at, hubPlaced{call.hub, call.request, &peer.PlacementResponse{Queued: true}, nil}))
+		w.becomeSpoke(false)
+		w.at = w.at.Add(time.Second)
+		w.update(w.at, hubPlaced{call.hub, call.request, &peer.PlacementResponse{AskAnother: true}, nil})
+		if here := w.tables.waiting["models"].queue.Bytes(); here != 100 || w.tables.heldBytes != 0 {
+			t.Errorf("%d bytes wait here, %d at hubs", here, w.tables.heldBytes)
+		}
+		w.becomeSpoke(true)
+		if len(call.request.askedHubs) == 0 {
+			call = hubAsked(t, w.pass(tick))
+		}
+	}
+	w.becomeSpoke(false)
+	w.fill(0)
+	if got, a := x.got(); got != "placed" || a.place.Waited < 2*time.Second {
+		t.Errorf("%s (%v) after %v", got, a.err, a.place.Waited)
+	}
+	if here := w.tables.waiting["models"].queue.Bytes(); here != 0 || w.tables.heldBytes != 0 {
+		t.Errorf("in the end, %d bytes are counted here, %d at hubs", here, w.tables.heldBytes)
+	}
+}
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -81,7 +81,10 @@
 func (d *Daemon) queuedAtHub(now time.Time, t *tables, m hubPlaced) []effect {
 	r := m.request
 	if r.queuedAt.IsZero() {
-		r.queuedAt, r.heldBytes = now, len(r.ask.Job.Body)
+		r.queuedAt = now
+	}
+	if !r.atHub {
+		r.atHub, r.heldBytes = true, len(r.ask.Job.Body)
 		t.heldBytes += r.heldBytes
 	}
 	// The answer's delay makes this later than it was, so the earliest is the best.
@@ -254,7 +257,6 @@
 			d.answerHeld(x, &peer.PlacementResponse{AskAnother: true})
 		case spoke:
 			d.endWait(now, w, id, endMoved)
-			x.request.queuedAt = time.Time{} // No hub has it yet.
 			effects = append(effects, d.placementRequested(now, t, x.request)...)
 		case now.After(d.beginBy(now, x.request.ask.Job)):
 			d.endWait(now, w, id, endRefused)
