fix(entry): a box that stops answers its requests that wait at a hub

The hub keeps them by the latest begin that they had when they were queued, so they waited until the box exited and their callers got no answer.

--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -640,3 +640,32 @@
 		t.Errorf("in the end, %d bytes are counted here, %d at hubs", here, w.tables.heldBytes)
 	}
 }
+
+// TestSpokeStops stops a box whose request waits at a hub. It guards against a request that goes on
+// waiting until the box exits and whose caller then gets no answer, and against one that is refused
+// although it can be answered before.
+func TestSpokeStops(t *testing.T) {
+	w := newWaitingBox("b1")
+	w.becomeSpoke(true)
+	x := w.request("draft", "x")
+	x.ask.Job.Body = make([]byte, 100)
+	call := hubAsked(t, w.update(w.at, x.placementRequest))
+	queuedThere := func() []effect {
+		return w.update(w.at, hubPlaced{call.hub, call.request, &peer.PlacementResponse{Queued: true}, nil})
+	}
+	call = hubAsked(t, queuedThere())
+	end := w.at.Add(2 * time.Second)
+	w.stopEnds.Store(&end)
+	w.stopping.Store(true)
+	call = hubAsked(t, queuedThere())
+	w.at = end.Add(time.Millisecond - x.ask.Job.Route.Goal) // The goal is the time that it needs to end.
+	effects := queuedThere()
+	got, a := x.got()
+	var refused *refusal.Refusal
+	if got != "stopping" || !errors.As(a.err, &refused) || refused.Outcome != refusal.DidNotRun || refused.RetryAfter <= 0 {
+		t.Errorf("%s (%v)", got, a.err)
+	}
+	if len(effects) > 0 || w.tables.heldBytes != 0 {
+		t.Errorf("effects %v, %d bytes held", effects, w.tables.heldBytes)
+	}
+}
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -98,9 +98,19 @@
 		t.answer(now, r, placementAnswer{err: refused})
 		return nil
 	}
+	if d.stopping.Load() && now.After(d.beginBy(now, r.ask.Job)) {
+		d.refuseStopping(now, t, r)
+		return nil
+	}
 	return []effect{d.askHubToPlace(now, t, m.hub, r, true)}
 }
 
+// refuseStopping refuses a request that waits and that this box, which stops, can't see answered.
+func (d *Daemon) refuseStopping(now time.Time, t *tables, m placementRequest) {
+	refused := refusal.New(refusal.DidNotRun, 503, "stopping", "this box stops before the request could be answered")
+	t.answer(now, m, placementAnswer{err: refused.WithRetryAfter(d.retryAfter("stopping", m.ask.Job))})
+}
+
 // refuseLostWait refuses a request that waited at hubs, none of which is left to ask.
 func (d *Daemon) refuseLostWait(now time.Time, t *tables, m placementRequest) {
 	if d.weightsStale(now) || d.evacuationsStale(now) {
@@ -260,8 +270,7 @@
 			effects = append(effects, d.placementRequested(now, t, x.request)...)
 		case now.After(d.beginBy(now, x.request.ask.Job)):
 			d.endWait(now, w, id, endRefused)
-			refused := refusal.New(refusal.DidNotRun, 503, "stopping", "this box stops before the request could be answered")
-			t.answer(now, x.request, placementAnswer{err: refused.WithRetryAfter(d.retryAfter("stopping", x.request.ask.Job))})
+			d.refuseStopping(now, t, x.request)
 		}
 	}
 	return effects
--- a/entry/waitinghub_test.go
+++ b/entry/waitinghub_test.go
@@ -132,6 +132,14 @@
 			}
 			f.fill(0)
 		}, "placed"},
+		{"their own box stops, and they can be answered before", func(f *waitingFleet, _ []*request) {
+			f.advance(time.Second, nil)
+			end := f.now.Add(5 * time.Second)
+			f.spoke.stopEnds.Store(&end)
+			f.spoke.stopping.Store(true)
+			f.advance(time.Second, nil)
+			f.fill(0)
+		}, "placed"},
 		{"the hub has lost its configuration", func(f *waitingFleet, _ []*request) {
 			f.advance(time.Second, nil)
 			f.first.current.Store(nil)
