fix(waitqueue): routes that leave a reserve wait behind others, and callers have no more patience than they say

Drafts waited up to 4.8 s, when their callers leave.

Change: in the order, what must leave a reserve of memory goes last; among equal priorities the route's decides. A stream's latest begin is before its caller abandons it: the longest of 2 s, 4 goals, 8 gap goals.

Tests: rows in TestOrder and TestWaitEnds; the routes of the other rows have a gap goal, so that their times stay.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -46,12 +46,17 @@
 }
 
 func (d *Daemon) maxMemoryShare(t *tables, job *deliver.Job) float64 {
-	if routing.Priority(job.Route, job.Account) > 0 && job.Route.Priority >= d.current.Load().LowestPriority(job.Pool.Name) {
+	if d.leavesReserve(job) {
 		return d.maxShareLowPriority - d.reservedShare(t.lateness(job.Pool.Name))
 	}
 	return maxShare
 }
 
+// leavesReserve reports whether a request must leave a reserve of the engines' memory to others.
+func (d *Daemon) leavesReserve(job *deliver.Job) bool {
+	return routing.Priority(job.Route, job.Account) > 0 && job.Route.Priority >= d.current.Load().LowestPriority(job.Pool.Name)
+}
+
 // limitOf is the admissionLimit of a request that may be placed again and again while it waits.
 // Its size counts in its route's typical size once.
 func (d *Daemon) limitOf(t *tables, m *placementRequest) admissionLimit {
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -165,7 +165,7 @@
 func (d *Daemon) waitRequest(now time.Time, t *tables, m *placementRequest, id string) waitqueue.Request {
 	job := m.ask.Job
 	return waitqueue.Request{
-		ID: id, Account: accountName(job), Priority: routing.Priority(job.Route, job.Account), Tokens: job.PromptTokens + job.MaxOutputTokens, Bytes: len(job.Body),
+		ID: id, Account: accountName(job), LeavesReserve: d.leavesReserve(job), Priority: routing.Priority(job.Route, job.Account), RoutePriority: job.Route.Priority, Tokens: job.PromptTokens + job.MaxOutputTokens, Bytes: len(job.Body),
 		Since: m.askedSince(now), Returning: m.returning, GoalAt: d.goalAt(now, t, job), BeginBy: d.beginBy(now, job),
 	}
 }
@@ -209,12 +209,32 @@
 		least = job.Route.Goal
 	}
 	end := job.Until
+	if left := abandonedAt(now, job); left.Before(end) {
+		end = left
+	}
 	if stop := d.stopEnds.Load(); stop != nil && stop.Before(end) {
 		end = *stop
 	}
 	return end.Add(-least)
 }
 
+// Callers abandon a stream that sends nothing for the longest of these times.
+const (
+	minPatience = 2 * time.Second
+	// goalPatience and gapPatience are multiples of the route's goals for the first event and for
+	// gaps.
+	goalPatience = 4
+	gapPatience  = 8
+)
+
+// abandonedAt is when a caller abandons its request if nothing has come until then.
+func abandonedAt(now time.Time, job *deliver.Job) time.Time {
+	if !job.Route.Stream {
+		return job.Until
+	}
+	return askedAt(now, job).Add(max(minPatience, goalPatience*job.Route.Goal, gapPatience*job.Route.GapGoal))
+}
+
 // waitOrRefuse queues a request of this box that found no room, or refuses it.
 func (d *Daemon) waitOrRefuse(now time.Time, t *tables, m placementRequest, refused *refusal.Refusal) {
 	job := m.ask.Job
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -20,7 +20,7 @@
 // waitingConfiguration has routes whose requests may wait, and one whose requests may not.
 func waitingConfiguration(version int64) *routing.Table {
 	route := func(name string, priority int, goal, timeout time.Duration) *routing.Route {
-		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Stream: true, Priority: priority, Attempts: 1, Goal: goal, Timeout: timeout, Shares: []routing.Share{{Pool: "models", Weight: 1}}}
+		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Stream: true, Priority: priority, Attempts: 1, Goal: goal, GapGoal: 1250 * time.Millisecond, Timeout: timeout, Shares: []routing.Share{{Pool: "models", Weight: 1}}}
 	}
 	return routing.New(version, []*routing.Route{
 		route("draft", 2, 1200*time.Millisecond, 10*time.Second), route("question", 0, 400*time.Millisecond, 10*time.Second), route("brief", 0, 400*time.Millisecond, 1500*time.Millisecond),
@@ -163,6 +163,20 @@
 			}
 			w.pass(200 * time.Millisecond)
 		}, codeCrowded, 0},
+		{"its caller has no patience left", func(_ *testing.T, w *waitingBox, x *request) {
+			y := w.request("draft", "y")
+			y.ask.Job.Route.GapGoal = 0
+			w.update(w.at, y.placementRequest)
+			w.pass(3500 * time.Millisecond)
+			if got, _ := y.got(); got != "waits" {
+				t.Errorf("%s while its caller is patient", got)
+			}
+			w.pass(200 * time.Millisecond)
+			if got, _ := y.got(); got != codeCrowded {
+				t.Errorf("%s when its caller has left or is about to", got)
+			}
+			x.leave()
+		}, "timeout", 0},
 		{"this box stops, and the request can be answered before", func(_ *testing.T, w *waitingBox, _ *request) {
 			end := w.at.Add(7 * time.Second)
 			w.stopEnds.Store(&end)
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -203,7 +203,7 @@
 func waitRequestOf(now time.Time, m peer.Message, since time.Time, returns bool) waitqueue.Request {
 	p := m.PlacementRequest
 	r := waitqueue.Request{
-		ID: heldID(m), Account: p.Account, Priority: p.Priority, Tokens: p.Tokens,
+		ID: heldID(m), Account: p.Account, LeavesReserve: p.MaxMemoryShare < maxShare, Priority: p.Priority, RoutePriority: p.RoutePriority, Tokens: p.Tokens,
 		Since: now.Add(-time.Duration(p.SinceMS) * time.Millisecond), BeginBy: now.Add(time.Duration(p.LeftMS) * time.Millisecond),
 	}
 	if returns {
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,8 +35,10 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
-	// Priority is the request's priority.
-	Priority int `cbor:"19,keyasint,omitempty"`
+	// Priority is the request's priority, RoutePriority that of its route, which an account's
+	// priority may stand for.
+	Priority      int `cbor:"19,keyasint,omitempty"`
+	RoutePriority int `cbor:"24,keyasint,omitempty"`
 	// Wait says that the request can wait in the hub's queue. The fields after it are set then.
 	Wait bool `cbor:"15,keyasint,omitempty"`
 	// Hold says that the hub may hold this call until the request, which it has queued, is placed
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -43,8 +43,12 @@
 	ID string
 	// Account is the client account; empty on open routes, which share one place in the order.
 	Account string
-	// Priority is 0 for the most urgent.
-	Priority int
+	// LeavesReserve says that the request must leave a part of the engines' memory free for
+	// others. It goes after all that need not, as the room that they find is none for it.
+	LeavesReserve bool
+	// Priority is 0 for the most urgent. RoutePriority orders requests of the same priority: an
+	// account's priority stands for all of its routes.
+	Priority, RoutePriority int
 	// Tokens is the engine memory that the request needs, Bytes what this box holds for it.
 	Tokens, Bytes int
 	// Since is when its caller first asked, at whichever box.
@@ -164,10 +168,10 @@
 			return nil, false
 		}
 		last := q.waiting[i]
-		if r.Returning && last.Returning && last.Priority <= r.Priority {
+		if r.Returning && last.Returning && compareUrgency(&last.Request, &r) <= 0 {
 			continue
 		}
-		if gives := r.Returning && last.Priority >= r.Priority || compare(own, last) < 0; !gives {
+		if gives := r.Returning && compareUrgency(&last.Request, &r) >= 0 || compare(own, last) < 0; !gives {
 			return nil, false
 		}
 		requests--
@@ -356,19 +360,24 @@
 // including what was taken before, is the same as sorting by what each request's account uses when
 // its turn comes.
 func compare(a, b *entry) int {
-	if a.Priority != b.Priority || a.usage == b.usage {
+	if c := compareUrgency(&a.Request, &b.Request); c != 0 {
+		return c
+	}
+	if a.usage == b.usage {
 		return withinAccount(a, b)
 	}
 	return cmp.Compare(a.usage, b.usage)
 }
 
+// compareUrgency orders requests by what they may use and by their priorities alone.
+func compareUrgency(a, b *Request) int {
+	return cmp.Or(compareBool(a.LeavesReserve, b.LeavesReserve), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.RoutePriority, b.RoutePriority))
+}
+
 // withinAccount orders requests of one account.
 func withinAccount(a, b *entry) int {
-	switch {
-	case a.Priority != b.Priority:
-		return cmp.Compare(a.Priority, b.Priority)
-	case a.inGoal != b.inGoal:
-		return compareBool(b.inGoal, a.inGoal)
+	if c := cmp.Or(compareUrgency(&a.Request, &b.Request), compareBool(b.inGoal, a.inGoal)); c != 0 {
+		return c
 	}
 	if c := a.Since.Compare(b.Since); c != 0 {
 		return c
--- a/waitqueue/waitqueue_test.go
+++ b/waitqueue/waitqueue_test.go
@@ -53,6 +53,16 @@
 	}{
 		{"first come, first served", nil, []waitqueue.Request{request("b", "x", 1, 20), request("a", "x", 1, 10)}, []string{"a", "b"}},
 		{"priority first", nil, []waitqueue.Request{request("a", "x", 2, 0), request("b", "x", 0, 10)}, []string{"b", "a"}},
+		{"what leaves a reserve goes last", nil, []waitqueue.Request{func() waitqueue.Request {
+			r := request("a", "x", 0, 0)
+			r.LeavesReserve = true
+			return r
+		}(), request("b", "x", 1, 10)}, []string{"b", "a"}},
+		{"the route's priority among requests of one priority", map[string]int{"y": 5000}, []waitqueue.Request{func() waitqueue.Request {
+			r := request("a", "x", 1, 0)
+			r.RoutePriority = 2
+			return r
+		}(), request("b", "y", 1, 10)}, []string{"b", "a"}},
 		{"the account that uses least", map[string]int{"x": 5000, "y": 10}, []waitqueue.Request{request("a", "x", 1, 0), request("b", "y", 1, 10)}, []string{"b", "a"}},
 		{
 			"accounts in turn", nil,
