feat(waitqueue): requests past their goal use what others leave; the rate is that at which the queue is served

Change: among requests of one urgency those within their goal go first, then accounts by usage; once a queue has lasted 0.5 s its rate is what it was served in the last second.

--- a/entry/holdtime.go
+++ b/entry/holdtime.go
@@ -1,6 +1,9 @@
 package entry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// defaultHoldTime is how long a request is assumed to hold engine memory until one has ended.
@@ -43,12 +46,18 @@
 	return time.Duration(h.tokenSeconds / h.tokens * float64(time.Second))
 }
 
-// freeRate is how many tokens of engine memory per second become free for the requests that this
-// box places: the memory in use, divided by how long requests hold it, and this box's part of that.
+// freeRate is how many tokens of engine memory per second become free for the requests that wait
+// here. Once a queue has lasted for a while, that is what it was served lately: requests that need
+// not wait, and other boxes, take their part before it. Until then it is the memory in use, divided
+// by how long requests hold it, and this box's part of that.
 func (d *Daemon) freeRate(now time.Time, t *tables, w *waitingPool) float64 {
 	if !w.ratedAt.IsZero() && now.Sub(w.ratedAt) < minFreeRateAge {
 		return w.rate
 	}
+	if rate, known := w.served.rate(now); known {
+		w.ratedAt, w.rate = now, rate
+		return rate
+	}
 	used := 0
 	targets := t.engines(w.pool.Name)
 	t.presumedLoad = t.presumedOthers(now, targets)
@@ -70,3 +79,39 @@
 	}
 	return min(max(equal, float64(t.placed.of(now, w.pool.Name))/float64(used)), 1)
 }
+
+const (
+	// serveRateWindow is the time constant of the rate at which a queue is served. Requests hold
+	// memory for 1 to 2 s, so shorter ones show how they end in groups.
+	serveRateWindow = time.Second
+	// serveRateAfter is how long a queue must have lasted for its rate to be known.
+	serveRateAfter = serveRateWindow / 2
+)
+
+// serveRate is the rate at which a queue's requests were placed lately, in tokens.
+type serveRate struct {
+	// since is when the queue began, at when tokens, which decay, were last computed.
+	since, at time.Time
+	tokens    float64
+}
+
+func (s *serveRate) add(now time.Time, tokens int) {
+	s.decay(now)
+	s.tokens += float64(tokens)
+}
+
+func (s *serveRate) decay(now time.Time) {
+	s.tokens *= math.Exp(-now.Sub(s.at).Seconds() / serveRateWindow.Seconds())
+	s.at = now
+}
+
+// rate returns the tokens per second, or false if the queue has not lasted long enough.
+func (s *serveRate) rate(now time.Time) (float64, bool) {
+	lasted := now.Sub(s.since)
+	if s.since.IsZero() || lasted < serveRateAfter {
+		return 0, false
+	}
+	s.decay(now)
+	window := serveRateWindow.Seconds()
+	return s.tokens / (window * (1 - math.Exp(-lasted.Seconds()/window))), true
+}
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -53,6 +53,8 @@
 	waiters map[string]*waiter
 	// servedAt is when the queue was last served.
 	servedAt time.Time
+	// served is the rate at which requests leave the queue for an engine.
+	served serveRate
 	// rate is the last computed rate at which memory becomes free, as of ratedAt.
 	rate    float64
 	ratedAt time.Time
@@ -295,6 +297,9 @@
 		return &decision.Refusal
 	}
 	w.stats.waited++
+	if !w.stats.emptyAt.IsZero() {
+		w.served = serveRate{since: now, at: now}
+	}
 	w.stats.emptyAt = time.Time{}
 	d.metrics.queued.WithLabelValues(w.pool.Name).Set(float64(w.queue.Len()))
 	return nil
@@ -424,6 +429,7 @@
 		t.answer(now, x.request, placementAnswer{err: refused})
 		return true
 	}
+	w.served.add(now, x.queued.Tokens)
 	d.endWait(now, w, x.queued.ID, endPlaced)
 	t.answer(now, x.request, placementAnswer{place: place})
 	return true
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -236,6 +236,7 @@
 	case response.Refused != "":
 		d.endWait(now, w, x.queued.ID, endRefused)
 	default:
+		w.served.add(now, x.queued.Tokens)
 		d.endWait(now, w, x.queued.ID, endPlaced)
 	}
 	d.answerHeld(x, response)
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -356,11 +356,12 @@
 	slices.SortFunc(q.waiting, compare)
 }
 
-// compare orders requests of all accounts. Always taking a request of the account that uses least,
-// including what was taken before, is the same as sorting by what each request's account uses when
-// its turn comes.
+// compare orders requests of all accounts. Those that can't meet their goal any more use what the
+// others leave: served first, each would make another one late. Always taking a request of the
+// account that uses least, including what was taken before, is the same as sorting by what each
+// request's account uses when its turn comes.
 func compare(a, b *entry) int {
-	if c := compareUrgency(&a.Request, &b.Request); c != 0 {
+	if c := cmp.Or(compareUrgency(&a.Request, &b.Request), compareBool(b.inGoal, a.inGoal)); c != 0 {
 		return c
 	}
 	if a.usage == b.usage {
