--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -20,7 +20,7 @@
 // waitingConfiguration has routes whose requests may wait, and one whose requests may not.
 func waitingConfiguration(version int64) *routing.Table {
 	route := func(name string, priority int, goal, timeout time.Duration) *routing.Route {
-		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Stream: true, Priority: priority, Attempts: 1, Goal: goal, Timeout: timeout, Shares: []routing.Share{{Pool: "models", Weight: 1}}}
+		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Stream: true, Priority: priority, Attempts: 1, Goal: goal, GapGoal: 1250 * time.Millisecond, Timeout: timeout, Shares: []routing.Share{{Pool: "models", Weight: 1}}}
 	}
 	return routing.New(version, []*routing.Route{
 		route("draft", 2, 1200*time.Millisecond, 10*time.Second), route("question", 0, 400*time.Millisecond, 10*time.Second), route("brief", 0, 400*time.Millisecond, 1500*time.Millisecond),
@@ -453,6 +453,23 @@
 	}
 }
 
+// TestPatience guards against a request that waits beyond the time at which its caller, who has got
+// nothing, abandons it.
+func TestPatience(t *testing.T) {
+	w := newWaitingBox("b1")
+	x := w.request("draft", "x")
+	x.ask.Job.Route.GapGoal = 0 // Four goals of 1.2 s count, and an answer takes one of them.
+	w.update(w.at, x.placementRequest)
+	w.pass(3500 * time.Millisecond)
+	if got, a := x.got(); got != "waits" {
+		t.Errorf("%s while its caller is patient: %v", got, a.err)
+	}
+	w.pass(200 * time.Millisecond)
+	if got, a := x.got(); got != codeCrowded {
+		t.Errorf("%s too late for its caller: %v", got, a.err)
+	}
+}
+
 // TestQueueLog guards against a log line for each request, and against queues that are never
 // logged as over.
 func TestQueueLog(t *testing.T) {
