--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -140,6 +140,13 @@
 	CachedTokens, FetchedTokens, SavedTokens int
 	// Rule names the placement rule that chose the target.
 	Rule string
+	// CopyTarget names the target that the run is copied to as it grows; empty for none.
+	// CopyAddress is its address, CopyStartedAt the start of its incarnation.
+	CopyTarget    string
+	CopyAddress   netip.AddrPort
+	CopyStartedAt time.Time
+	// FromCopy says that the target holds the copy of a broken run, which continues from it.
+	FromCopy bool
 }
 
 // Attempt is one request on its way to a target.
@@ -150,6 +157,9 @@
 	Timeout time.Duration
 	// LastEventID is the last event passed on, if a stream is resumed.
 	LastEventID string
+	// ResumeFrom is the address of the copy from which a broken run continues, which is the
+	// placed target's own; unset for a run from the start.
+	ResumeFrom netip.AddrPort
 	// Allow is called right before the request leaves this box; its error keeps it here.
 	// Nil allows it.
 	Allow func() error
@@ -241,6 +251,8 @@
 	Cause string
 	// Resumed is the ID of the event after which a stream continues.
 	Resumed string
+	// Copy says that the run continues from its copy at Place's CopyTarget.
+	Copy bool
 }
 
 // Server serves calls. Set the exported fields before first use; it is safe
@@ -256,6 +268,9 @@
 	ConfigurationFresh func(now time.Time, proved *routing.Proved) bool
 	Place              func(ctx context.Context, request PlacementRequest) (Placement, error)
 	Send               func(ctx context.Context, s Attempt) (*Reply, error)
+	// PlaceCopy places a broken run at the target that holds its copy, or says why that is not
+	// possible. If nil, no run continues from a copy.
+	PlaceCopy func(ctx context.Context, job *Job, broken Placement) (Placement, error)
 	// Began is called when an answer's head arrived, Ended when an attempt ended:
 	// exactly once for each attempt.
 	Began func(Placement)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -108,6 +108,11 @@
 	Megabits float64
 	// MaxWatchers is how many callers may wait for a target's events at once.
 	MaxWatchers int
+	// RunCopies says that the memory of a run can be copied to another target as it grows,
+	// RunMoves that runs can be moved to another target. A copy that nobody uses is dropped
+	// CopyTTL after its last part.
+	RunCopies, RunMoves bool
+	CopyTTL             time.Duration
 }
 
 // Store is a box that stores prompt parts for engines.
