feat(deliver): a broken run continues from its copy

A stream whose target was lost ended unless its route allowed resuming and had an attempt left. With a copy of its run at another target, the same request now goes there once, charged to the retry budget.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -88,8 +88,9 @@
 func (x *run) relayStream(ctx context.Context, place Placement, reply *Reply) (*refusal.Refusal, error) {
 	events := eventstream.Reader{From: reply.Body}
 	wait := &eventWait{}
-	if x.Suspect != nil && x.job.Route.Resumable && x.sent < x.job.Route.Attempts {
-		go x.abortIfStalled(ctx, x.cancel, place.Target, wait)
+	resumable := x.job.Route.Resumable && x.sent < x.job.Route.Attempts
+	if x.Suspect != nil && (resumable || x.hasCopy(place)) {
+		go x.abortIfStalled(ctx, x.cancel, place.Target, wait, resumable)
 	}
 	flush := http.NewResponseController(x.w)
 	for {
@@ -144,6 +145,9 @@
 	failed := x.ctx.Err() == nil
 	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
 	x.outcome.Cause = "the stream was cut off: " + err.Error()
+	if failed && x.mayContinue(place) {
+		return x.breakOff(err)
+	}
 	if failed && x.job.Route.Resumable && x.retryAllowed(true) {
 		return nil, errRetry
 	}
--- a/deliver/gap.go
+++ b/deliver/gap.go
@@ -23,10 +23,11 @@
 func (p *eventWait) end() { p.since.Store(nil) }
 
 // abortIfStalled cancels an attempt, until ctx ends, if its stream exceeds the gap timeout
-// and its target looks dead or its connections silent, or if it exceeds maxGap. The stream
-// then continues at another target. Streams that are not resumable are not watched, as an
-// abort gains them nothing.
-func (x *run) abortIfStalled(ctx context.Context, cancel context.CancelCauseFunc, target string, p *eventWait) {
+// and its target looks dead or its connections silent, or, if it is resumable, exceeds maxGap.
+// The stream then continues at another target. A stream that could only continue from a copy
+// is not aborted for maxGap alone: the copy may be missing, and a late event is better than
+// none. Other streams are not watched, as an abort gains them nothing.
+func (x *run) abortIfStalled(ctx context.Context, cancel context.CancelCauseFunc, target string, p *eventWait, resumable bool) {
 	ticks := time.NewTicker(x.gapTimeout() / 2)
 	defer ticks.Stop()
 	for {
@@ -40,7 +41,7 @@
 			continue
 		}
 		waited := x.Now().Sub(*since)
-		if waited < maxGap && (waited < x.gapTimeout() || !x.Suspect(ctx, target)) {
+		if (waited < maxGap || !resumable) && (waited < x.gapTimeout() || !x.Suspect(ctx, target)) {
 			continue
 		}
 		if x.reserveRetry() {
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -62,7 +62,11 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
-	outcome     Outcome
+	// copyTried says that the run was to continue from its copy, which is tried once.
+	copyTried bool
+	// broken is why the run broke that was to continue from its copy.
+	broken  error
+	outcome Outcome
 }
 
 // errRetry says that another target should be tried.
@@ -120,10 +124,13 @@
 		x.outcome.Place = place
 		x.attempted = append(x.attempted, place.Target)
 		refused, err := x.attempt(place)
+		if errors.Is(err, errContinue) {
+			refused, err = x.continueFromCopy(place)
+		}
 		if !errors.Is(err, errRetry) {
 			return refused
 		}
-		x.Retried(Retry{Job: job, Place: place, Cause: x.outcome.Cause, Resumed: x.resumedAfter()})
+		x.Retried(Retry{Job: job, Place: x.outcome.Place, Cause: x.outcome.Cause, Resumed: x.resumedAfter()})
 	}
 }
 
@@ -168,7 +175,11 @@
 }
 
 func (x *run) send(ctx context.Context, answered func(), place Placement) (*refusal.Refusal, error) {
-	reply, err := x.Send(ctx, Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID})
+	attempt := Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID}
+	if place.FromCopy {
+		attempt.ResumeFrom = place.Address
+	}
+	reply, err := x.Send(ctx, attempt)
 	answered()
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errWeightsExpired) {
@@ -187,6 +198,10 @@
 	x.countArrived()
 	x.ran++
 	x.Began(place)
+	if place.FromCopy && (reply.Status != http.StatusOK || !reply.Events) {
+		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
+		return x.endWithoutCopy(fmt.Errorf("the target answered %d", reply.Status))
+	}
 	if reply.Status >= http.StatusInternalServerError && x.job.Route.Repeatable && x.retryAllowed(true) {
 		x.outcome.Cause = fmt.Sprintf("answered %d", reply.Status)
 		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
@@ -219,6 +234,9 @@
 		x.countArrived()
 		x.ran++
 	}
+	if !left && !over && !notSent && x.mayContinue(place) {
+		return x.breakOff(err)
+	}
 	mayRepeat := notSent || x.repeatable()
 	if left || over || !mayRepeat || !x.retryAllowed(!notSent) {
 		return x.fail(err)
@@ -235,8 +253,11 @@
 // handleTurnedAway handles a target's statement that it did not run the request.
 func (x *run) handleTurnedAway(place Placement, reply *Reply) (*refusal.Refusal, error) {
 	x.countArrived()
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun, Verdict: reply.Verdict, Version: reply.Version})
+	x.Ended(AttemptResult{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun && !place.FromCopy, Verdict: reply.Verdict, Version: reply.Version})
 	x.outcome.Cause = fmt.Sprintf("turned away with %d", reply.Status)
+	if place.FromCopy {
+		return x.endWithoutCopy(errors.New(x.outcome.Cause))
+	}
 	if x.retryAllowed(true) {
 		return nil, errRetry
 	}
@@ -254,14 +275,23 @@
 
 // retryAllowed says whether another attempt is allowed, and takes it from the budget if an
 // earlier one reached a target. What was taken for one that never left this box is used
-// for the next.
+// for the next. After an attempt to continue from a copy a run that can't be resumed must
+// not begin again.
 func (x *run) retryAllowed(reached bool) bool {
+	if x.copyTried && !x.job.Route.Resumable {
+		return false
+	}
 	if x.sent >= x.job.Route.Attempts || x.unsent >= maxUnsent || x.job.Until.Sub(x.Now()) < minTimeLeft || x.callerLeft() {
 		return false
 	}
 	if !reached && x.sent == 0 {
 		return true
 	}
+	return x.payRetry()
+}
+
+// payRetry takes a retry from the budget, unless one was taken that is not used yet.
+func (x *run) payRetry() bool {
 	x.retryPaid = x.retryPaid || x.retryReserved.Swap(false) || x.Spend(x.job.Pool.Name)
 	return x.retryPaid
 }
