feat(entry): runs get a copy at another engine while engines are lost

Long runs that can't be resumed ended with their engine. The copy's memory counts as load for as long as it is there. A broken run continues there if the engine may still get the request.

go test -race ./entry on the tests named Cop, Lost, Loss, Ablate, Hub: pass.

--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -10,6 +10,7 @@
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/headroom"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/routing"
 )
 
 // hooks are the mechanisms that can be switched off one by one to measure what each is
@@ -27,6 +28,8 @@
 	freeableBelow func(now time.Time, w *modelRollout) int64
 	// preferredDomain is the failure domain whose engines are preferred.
 	preferredDomain func(domain string) string
+	// copiesRuns says whether runs of a pool may be copied to another engine.
+	copiesRuns func(pool *routing.Pool) bool
 	// quarantined says whether a request must not reach any target.
 	quarantined func(now time.Time, t *tables, sum fingerprint.Sum) bool
 }
@@ -42,6 +45,7 @@
 		},
 		freeableBelow:   func(now time.Time, w *modelRollout) int64 { return w.reclaim.Below(now) },
 		preferredDomain: func(domain string) string { return domain },
+		copiesRuns:      func(pool *routing.Pool) bool { return pool.Engine != nil && pool.Engine.RunCopies },
 		quarantined: func(now time.Time, t *tables, sum fingerprint.Sum) bool {
 			return t.quarantined(now, sum)
 		},
@@ -94,6 +98,9 @@
 	if off(settings.Quarantine) {
 		d.quarantined = func(time.Time, *tables, fingerprint.Sum) bool { return false }
 	}
+	if off(settings.Copies) {
+		d.copiesRuns = func(*routing.Pool) bool { return false }
+	}
 	if len(d.Settings.Without) > 0 {
 		d.Log.Warn("mechanisms are switched off for measurements", "without", d.Settings.Without)
 	}
--- a/entry/ablation_test.go
+++ b/entry/ablation_test.go
@@ -64,6 +64,7 @@
 			}
 			return d.quarantined(start, &d.tables, sum)
 		}},
+		{settings.Copies, func(d *Daemon) bool { return d.copiesRuns(withCopies().Pools["models"]) }},
 		{settings.Hurry, func(d *Daemon) bool { return d.server.Suspect != nil }},
 	}
 	for _, tt := range tests {
--- a/entry/build.go
+++ b/entry/build.go
@@ -98,7 +98,7 @@
 	d.hooks = newHooks()
 	d.metrics = newMetricSet(d.Registry)
 	d.ended = make(chan struct{})
-	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.gossip, d.reapRequests}
+	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.expireCopies, d.gossip, d.reapRequests}
 	d.plan = rollout.Plan{MinConcurrent: concurrentLoads, ConcurrentShare: concurrentLoadShare}
 	d.services = leastrequest.Chooser{Domain: d.Settings.Domain, Self: placement.Hash(d.Settings.Name)}
 	d.tables.prefillBacklog.TokenTime = d.prefillPerToken
@@ -161,9 +161,10 @@
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
 		Configuration: d.current.Proved, KeysFresh: d.keysFresh, ConfigurationFresh: d.configurationFresh, Place: d.requestPlacement, Send: d.send,
-		Began:   func(p deliver.Placement) { d.post(answerBegan{p}) },
-		Ended:   func(e deliver.AttemptResult) { d.post(attemptEnded{e}) },
-		Suspect: d.isSuspect, MinAnswerTime: d.minAnswerTime,
+		Began:     func(p deliver.Placement) { d.post(answerBegan{p}) },
+		Ended:     func(e deliver.AttemptResult) { d.post(attemptEnded{e}) },
+		PlaceCopy: d.requestCopy,
+		Suspect:   d.isSuspect, MinAnswerTime: d.minAnswerTime,
 		Spend: d.spend, Refund: d.refund, Earn: d.earn,
 		Now: d.now, Random: rand.Uint64, RetryAfter: d.retryAfter, RecordOutcome: d.recordOutcome, Retried: d.recordRetry,
 	}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -75,6 +75,7 @@
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
 		Domain: d.Settings.Domain, Unlisted: t.unlistedMet,
+		RunLosses: d.runLossesFor(now, t, false),
 	}
 	if !t.usesHubs() {
 		d.addProof(now, t, &message)
@@ -221,8 +222,10 @@
 		answer.EndedIncarnations, answer.Stale = t.recentlyReplaced(now), d.refusesKeyed(now)
 		answer.CrashReports, answer.Lifted = t.recentCrashes(now), t.recentlyLifted(now)
 		d.applyUsage(now, t, m)
+		t.receiveRunLosses(now, m)
 		if !t.usesHubs() || slices.Contains(t.hubs(), m.From) {
 			answer.TargetLoads, answer.PrefillTotals = d.gossipLoads(now, t), t.prefillBacklog.Totals(now)
+			answer.RunLosses = d.runLossesFor(now, t, false)
 			d.addProof(now, t, &answer)
 			d.receiveRewritten(now, t, m)
 			d.receiveListRevision(now, t, m)
@@ -235,6 +238,7 @@
 			break
 		}
 		t.lastHubRequest = now
+		answer.RunLosses = d.runLossesFor(now, t, true)
 		d.receiveCredits(m)
 		d.receiveCanarySamples(now, t, m.CanarySamples)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.ListVersion, SnapshotAt: m.ListStartVersion})
@@ -268,6 +272,7 @@
 	d.receiveAdmitting(now, m.answer)
 	d.receiveLimits(now, m.requestedAt, t, m.answer)
 	x.heardAt = now
+	t.receiveRunLosses(now, m.answer)
 	if d.spoke.Load() {
 		t.hubHeardAt = now
 		return d.applyView(now, t, m.name, m.requestedAt, m.answer.View)
--- a/entry/message.go
+++ b/entry/message.go
@@ -31,6 +31,16 @@
 	err   error
 }
 
+// copyRequest asks to place a broken run at the engine that holds its copy; the loop answers on
+// reply, which is buffered.
+type copyRequest struct {
+	// ctx ends when the caller leaves or at the deadline.
+	ctx    context.Context
+	job    *deliver.Job
+	broken deliver.Placement
+	reply  chan<- placementAnswer
+}
+
 // suspectQuery asks whether a target looks dead; the loop answers on reply, which is
 // buffered.
 type suspectQuery struct {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,8 @@
 	proofs            *prometheus.CounterVec
 	restores          prometheus.Gauge
 	rewritten         prometheus.Counter
+	copies            *prometheus.CounterVec
+	copiedTokens      *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -81,9 +83,11 @@
 	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
 	c.restores = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_store_restores", Help: "How often the table service was restored from an older copy, as it tells."})
 	c.rewritten = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_rows_rewritten_total", Help: "Rows of this box that a restore lost and that it wrote again."})
+	c.copies = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copies_total", Help: "Copies of runs at other engines by pool: asked for, used by a run whose engine was lost, or missing then."}, []string{"pool", "end"})
+	c.copiedTokens = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copied_tokens_total", Help: "Memory of the runs for which a copy was asked, in tokens, by pool; each copy is at most that large."}, []string{"pool"})
 	r.MustRegister(
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten, c.copies, c.copiedTokens,
 	)
 	return c
 }
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -69,5 +69,9 @@
 // recordRetry logs and counts a retry.
 func (d *Daemon) recordRetry(r deliver.Retry) {
 	d.metrics.retries.WithLabelValues(r.Job.Pool.Name).Inc()
-	d.Log.Info("another try", "request", r.Job.ID, "after", r.Place.Target, "cause", r.Cause, "resumed_behind", r.Resumed, "fingerprint", r.Job.Fingerprint())
+	fields := []any{"request", r.Job.ID, "after", r.Place.Target, "cause", r.Cause, "resumed_behind", r.Resumed, "fingerprint", r.Job.Fingerprint()}
+	if r.Copy {
+		fields = append(fields, "copy", r.Place.CopyTarget)
+	}
+	d.Log.Info("another try", fields...)
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -98,6 +98,7 @@
 	if refused != nil {
 		return place, refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, request.Job))
 	}
+	d.addCopy(now, t, request, &place, d.copyLoss(now, t, request), inBackoff(now))
 	t.countSent(now, place)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	return place, nil
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -78,6 +78,7 @@
 		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.PromptTokens + job.MaxOutputTokens, MaxMemoryShare: r.maxMemoryShare, TypicalTokens: r.typicalTokens, Tried: m.ask.Attempted, GoalMS: job.Route.Goal.Milliseconds(),
 	}
 	request.IdleConnections, request.Excluded = d.targetHints(now, t.engines(job.Pool.Name))
+	request.LossMS = d.copyLoss(now, t, m.ask).Milliseconds()
 	if regions := allowedRegions(job); regions.Limited() {
 		request.Limited, request.Regions = true, regions
 	}
@@ -214,6 +215,7 @@
 	for _, m := range p.Transfers {
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
 	}
+	d.acceptCopy(now, t, job, &place, p.CopyTarget)
 	t.countSent(now, place)
 	d.notePlacement(now, request, nil)
 	return placementAnswer{place: place}, true
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -55,6 +55,7 @@
 	if refused != nil {
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
 	}
+	d.addCopy(now, t, request, &place, time.Duration(m.PlacementRequest.LossMS)*time.Millisecond, excluded)
 	t.countForPeer(m.From, place)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	var transfers []peer.Transfer
@@ -66,6 +67,7 @@
 		Target: place.Target, Version: place.Version, Fetch: formatAddresses(place.Fetch), Save: formatAddresses(place.Save),
 		UntilMS: place.FetchUntil.Milliseconds(), CachedTokens: place.CachedTokens, FetchedTokens: place.FetchedTokens, SavedTokens: place.SavedTokens,
 		PrefillTokens: place.PrefillTokens, Rule: place.Rule, PrefillBacklog: place.PrefillBacklog, Transfers: transfers, QuotaGranted: place.QuotaGranted,
+		CopyTarget: place.CopyTarget,
 	}
 }
 
@@ -114,6 +116,9 @@
 // countForPeer counts a request placed for another box until that box reports it itself.
 func (t *tables) countForPeer(box string, place deliver.Placement) {
 	t.othersUsage.Add(box, peer.TargetLoad{Target: placement.Hash(place.Target), Tokens: place.Tokens})
+	if place.CopyTarget != "" {
+		t.othersUsage.Add(box, peer.TargetLoad{Target: placement.Hash(place.CopyTarget), Tokens: place.Tokens})
+	}
 }
 
 // namedIn returns a filter for the targets that another box named.
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -35,11 +35,13 @@
 	Hurry = "hurry"
 	// Quarantine refuses requests under which targets ended.
 	Quarantine = "quarantine"
+	// Copies has the memory of runs copied to another engine, so that they survive theirs.
+	Copies = "copies"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Copies,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/signals.go
+++ b/entry/signals.go
@@ -55,6 +55,7 @@
 		d.metrics.rateLimited.Inc()
 	}
 	reply, err := d.Platform.Send(ctx, s)
+	d.countCopies(s, reply, err)
 	if err == nil {
 		d.recordSignals(sentAt, incarnation, reply.Signals, "request "+s.Job.ID)
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -23,6 +23,7 @@
 	"github.com/thymewind/thymewind/quarantine"
 	"github.com/thymewind/thymewind/reclaim"
 	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/runcopy"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/throughput"
 	"github.com/thymewind/thymewind/versionlog"
@@ -80,6 +81,11 @@
 	// presumedLoad is the presumed load of other boxes' requests at each engine if none of them
 	// reports its load, as of the last placement.
 	presumedLoad peer.TargetLoad
+	// runLosses counts the runs that ended, and those lost with their engine, over all boxes as
+	// far as they report them; heldCopies are the copies of this box's broken runs that engines
+	// still hold.
+	runLosses  runcopy.Losses
+	heldCopies []heldCopy
 	// silences is when connections to targets were last found silent, by address.
 	silences map[netip.AddrPort]time.Time
 	// members are the boxes that have ever written their row, including this one.
--- a/entry/throughput.go
+++ b/entry/throughput.go
@@ -16,7 +16,7 @@
 	}
 	t.crashes.Alive(placementIncarnation(p), p.PlacedAt)
 	t.overdue.Done(placement.Hash(p.Target), p.PlacedAt)
-	if p.Scope != "" {
+	if p.Scope != "" && !p.FromCopy { // What a run that continues has to read is not known.
 		t.throughput.Observe(now, throughput.Sample{Took: now.Sub(p.PlacedAt), Tokens: p.PrefillBacklog + p.PrefillTokens, Transfers: p.Transfers})
 	}
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -15,6 +15,9 @@
 	switch m := m.(type) {
 	case placementRequest:
 		return d.placementRequested(now, t, m)
+	case copyRequest:
+		place, err := d.continueFromCopy(now, t, m)
+		m.reply <- placementAnswer{place, err}
 	case suspectQuery:
 		m.reply <- d.looksDead(now, t, m.target)
 	case signalsReceived:
@@ -126,6 +129,8 @@
 // attemptEnded learns from the result of an attempt.
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
+	d.recordRunEnd(now, t, m)
+	t.copyEnded(now, m)
 	d.recordLiveness(now, t, m)
 	x := t.fleet.Incarnation(fleet.Incarnation{ID: m.Place.Target, StartedAt: m.Place.StartedAt})
 	if x == nil {
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -100,6 +100,13 @@
 	t.Tokens += tokens
 }
 
+// HoldCopy records that the copy of another target's run takes up memory, ReleaseCopy that it
+// no longer does.
+func (t *Target) HoldCopy(tokens int) { t.Tokens += tokens }
+
+// ReleaseCopy is the reverse of HoldCopy.
+func (t *Target) ReleaseCopy(tokens int) { t.Tokens -= tokens }
+
 // Began records the start of a request's answer.
 func (t *Target) Began(now time.Time, prefillTokens int) {
 	t.waiting--
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,6 +35,9 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
+	// LossMS is the time that the caller loses if the run is lost with its engine, in
+	// milliseconds; zero if the run needs no copy.
+	LossMS int64 `cbor:"60,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -69,6 +72,8 @@
 	QuotaGranted bool `cbor:"16,keyasint,omitempty"`
 	// Transfers are the fetches that the target waits for.
 	Transfers []Transfer `cbor:"14,keyasint,omitempty"`
+	// CopyTarget is the target that is to hold a copy of the run; empty for none.
+	CopyTarget string `cbor:"60,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
--- a/peer/message.go
+++ b/peer/message.go
@@ -90,6 +90,10 @@
 	// PrefillTotals count the prompt tokens that targets had to prefill for placements the sender
 	// chose itself.
 	PrefillTotals []PrefillTotal `cbor:"19,keyasint,omitempty"`
+	// RunLosses count the runs that ended lately, of pools whose engines are being lost: a spoke's
+	// own to its hub, a hub's and its spokes' to other hubs, and all that the hub knows of to a
+	// spoke. They are left out while no runs are lost.
+	RunLosses []RunLoss `cbor:"60,keyasint,omitempty"`
 	// Statement is an operator's query.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is a query's result in JSON, or a configuration.
@@ -143,6 +147,15 @@
 	ActualMS   int `cbor:"5,keyasint,omitempty"`
 }
 
+// RunLoss counts a pool's runs that ended within the last 10 s.
+type RunLoss struct {
+	_ struct{} `cbor:",toarray"`
+	// Pool is the lower half of the hash of the pool's name. Lost are those of the Ended runs that
+	// were lost with their engine.
+	Pool        uint32
+	Ended, Lost int
+}
+
 // PrefillTotal is how many prompt tokens a box made a target prefill.
 type PrefillTotal struct {
 	// Target is the hash of the target's ID.
