fix(deliver): no copy for a run that this box itself gave up

A request aborted as it did not begin before the deadline for the target's weights would have gone to the copy's engine on the same weights.

--- a/deliver/copy_test.go
+++ b/deliver/copy_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// TestCopyAfterOwnAbort guards against a run that continues from its copy although this box gave it
+// up, as it did not begin before the deadline for the target's weights.
+func TestCopyAfterOwnAbort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &copyTargets{targets: targets{script: []int{hangs}}}
+		s := x.server(route(false, true, false, 1))
+		place := s.Place
+		s.Place = func(ctx context.Context, r deliver.PlacementRequest) (deliver.Placement, error) {
+			p, err := place(ctx, r)
+			p.BeginBy = time.Now().Add(50 * time.Millisecond)
+			return p, err
+		}
+		if got := ask(s); got.refused == nil || x.continued != 0 || x.spent != 0 {
+			t.Errorf("got %+v after %d attempts from the copy", got, x.continued)
+		}
+	})
+}
+
 // TestCopyAndCallerLeft guards against a run that continues for a caller who left just as it broke.
 func TestCopyAndCallerLeft(t *testing.T) {
 	x := &copyTargets{targets: targets{script: []int{cutsOff}}}
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -234,7 +234,7 @@
 		x.countArrived()
 		x.ran++
 	}
-	if !left && !over && !notSent && x.mayContinue(place) {
+	if failed && !over && !notSent && x.mayContinue(place) {
 		return x.breakOff(err)
 	}
 	mayRepeat := notSent || x.repeatable()
