fix(deliver): no event twice from a copy that is behind

Events without a numeric ID were sent again when a broken stream continued from its copy, as nothing said which ones the caller had; such a stream now ends as without a copy. Events up to the caller's own Last-Event-Id were sent if the run was lost before its first event.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -111,8 +111,11 @@
 		}
 		x.recordEvent()
 		id := eventstream.ID(event)
-		if x.headWritten && id != "" && !later(id, x.lastEventID) {
-			continue // The caller received it from the previous attempt.
+		if (x.headWritten || place.FromCopy) && id != "" && !later(id, x.lastEventID) {
+			continue // The caller received it from the previous attempt, or an earlier request.
+		}
+		if !isNumber(id) && (id != "" || eventstream.HasData(event)) {
+			x.unnumbered.Store(true)
 		}
 		x.writeHead(reply)
 		if _, err = x.w.Write(event); err == nil {
@@ -154,6 +157,12 @@
 	return x.fail(err)
 }
 
+// isNumber says whether an event ID shows which events come before it.
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // later says whether an event ID comes after another. IDs are increasing numbers; other
 // IDs are passed on as they come.
 func later(id, than string) bool {
--- a/deliver/copy.go
+++ b/deliver/copy.go
@@ -14,9 +14,10 @@
 // errContinue says that a broken run is to continue from its copy.
 var errContinue = errors.New("continue from the copy")
 
-// hasCopy says that an attempt's run was to be copied and that the copy was not tried yet.
+// hasCopy says that an attempt's run was to be copied and that the copy was not tried yet. A copy
+// may be behind, so it is of no use if the IDs of the events passed on don't show which ones to drop.
 func (x *run) hasCopy(place Placement) bool {
-	return x.PlaceCopy != nil && place.CopyTarget != "" && x.job.Route.Stream && !x.copyTried
+	return x.PlaceCopy != nil && place.CopyTarget != "" && x.job.Route.Stream && !x.copyTried && !x.unnumbered.Load()
 }
 
 // mayContinue says whether a broken run may continue from its copy, and takes that from the
--- a/deliver/gap.go
+++ b/deliver/gap.go
@@ -36,6 +36,9 @@
 			return
 		case <-ticks.C:
 		}
+		if !resumable && x.unnumbered.Load() {
+			return // It can't continue from its copy any more.
+		}
 		since := p.since.Load()
 		if since == nil {
 			continue
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -62,6 +62,8 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
+	// unnumbered says that an event was passed on whose ID is not a number, or that had none.
+	unnumbered atomic.Bool
 	// copyTried says that the run was to continue from its copy, which is tried once.
 	copyTried bool
 	// broken is why the run broke that was to continue from its copy.
--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -101,6 +101,12 @@
 	r.err = err
 }
 
+// HasData reports whether an event has a data field. A block without one, such as a comment that
+// keeps the connection open, is no event to the caller.
+func HasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // ID returns the value of an event's id field, or "".
 func ID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -71,3 +71,22 @@
 		}
 	}
 }
+
+// TestHasData guards against comments that count as events, and events that do not.
+func TestHasData(t *testing.T) {
+	tests := []struct {
+		event string
+		want  bool
+	}{
+		{":\n\n", false},
+		{": data\n\n", false},
+		{"id: 1\n\n", false},
+		{"data: x\n\n", true},
+		{"id: 1\r\ndata\r\n\r\n", true},
+	}
+	for _, tt := range tests {
+		if got := eventstream.HasData([]byte(tt.event)); got != tt.want {
+			t.Errorf("%q: %v", tt.event, got)
+		}
+	}
+}
