fix(entry): one copy for a request ID, none for short prompts at hubs

Engines tell copies apart by the request ID, which callers choose, so a caller that returned with the same ID within the copy's time could have got events of its earlier run. This box now asks for one copy at a time under an ID.

A hub judged the time to read the prompt by prompt and longest answer together; the asking box now leaves out runs with short prompts. A hub also returned a spoke's own counts of lost runs, which the spoke added again.

The four new tests failed before.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -43,14 +43,21 @@
 	return fleet.Incarnation{ID: p.CopyTarget, StartedAt: p.CopyStartedAt}
 }
 
-// copyLoss is the time that a request's caller loses if its run is lost, or zero if the run needs
-// no copy: none are being lost, or it can be resumed at another engine. Otherwise the whole answer
-// is lost, and with it the time that the caller has.
+// copyLoss is the time that a request's caller loses if its run is lost: the whole answer, and with
+// it the time that the caller has. It is zero if the run needs no copy, as none are being lost, its
+// prompt is short or it can be resumed at another engine, and if there is a copy under its ID. A hub
+// can't tell whether a prompt is short: it is told the size of prompt and longest answer together.
 func (d *Daemon) copyLoss(now time.Time, t *tables, request deliver.PlacementRequest) time.Duration {
 	job := request.Job
 	if !d.copiesRuns(job.Pool) || !job.Route.Stream || t.runLosses.Chance(now, poolHash(job.Pool)) == 0 {
 		return 0
 	}
+	if t.copied[job.ID] {
+		return 0
+	}
+	if _, token := t.throughput.Prefill(); time.Duration(job.PromptTokens)*token < runcopy.MinReading {
+		return 0
+	}
 	if job.Route.Resumable && len(request.Attempted)+1 < job.Route.Attempts {
 		return 0
 	}
@@ -90,7 +97,7 @@
 // that engine.
 func (d *Daemon) acceptCopy(now time.Time, t *tables, job *deliver.Job, place *deliver.Placement, id string) {
 	x := t.fleet.Target(id)
-	if x == nil || id == place.Target || !d.copiesRuns(job.Pool) || d.copyBarred(now, t, job, place.Version, x) != nil {
+	if x == nil || id == place.Target || t.copied[job.ID] || !d.copiesRuns(job.Pool) || d.copyBarred(now, t, job, place.Version, x) != nil {
 		return
 	}
 	setCopy(place, x)
@@ -114,10 +121,14 @@
 }
 
 // countCopy counts the memory of a run's copy at the engine that holds it.
-func (t *tables) countCopy(p deliver.Placement) {
+func (t *tables) countCopy(request string, p deliver.Placement) {
 	if p.CopyTarget == "" {
 		return
 	}
+	if t.copied == nil {
+		t.copied = make(map[string]bool)
+	}
+	t.copied[request] = true
 	if x := t.fleet.Incarnation(copyIncarnation(p)); x != nil {
 		x.HoldCopy(p.Tokens)
 		t.targetsInUse[x.ID] = x
@@ -141,6 +152,7 @@
 
 // releaseCopy no longer counts the memory of a copy.
 func (t *tables) releaseCopy(held heldCopy) {
+	delete(t.copied, held.request)
 	if x := t.fleet.Incarnation(held.incarnation); x != nil {
 		x.ReleaseCopy(held.tokens)
 	}
@@ -247,11 +259,15 @@
 	t.runLosses.End(now, poolHash(m.Job.Pool), lost)
 }
 
-// runLossesFor is what this box reports of lost runs: to a spoke all that it knows, to other boxes
-// its own and its spokes'.
-func (d *Daemon) runLossesFor(now time.Time, t *tables, spoke bool) []peer.RunLoss {
+// runLossesFor is what this box reports of lost runs: to a spoke all that it knows but the spoke's
+// own, which the spoke adds itself; to other boxes, if spoke is empty, its own and its spokes'.
+func (d *Daemon) runLossesFor(now time.Time, t *tables, spoke string) []peer.RunLoss {
+	include := func(box string) bool { return box != spoke }
+	if spoke == "" {
+		include = func(box string) bool { return !d.spoke.Load() && !slices.Contains(t.hubs(), box) }
+	}
 	var list []peer.RunLoss
-	for _, c := range t.runLosses.Sum(now, func(box string) bool { return spoke || !d.spoke.Load() && !slices.Contains(t.hubs(), box) }) {
+	for _, c := range t.runLosses.Sum(now, include) {
 		list = append(list, peer.RunLoss{Pool: c.Pool, Ended: c.Ended, Lost: c.Lost})
 	}
 	return list
--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -201,6 +201,69 @@
 	}
 }
 
+// TestOneCopyOfRequestID guards against a run that continues from the copy of another run: engines
+// tell copies apart by the request's ID, which callers choose and may use again for a further try.
+func TestOneCopyOfRequestID(t *testing.T) {
+	for _, end := range []string{"in progress", "caller left", "ended well", "continued"} {
+		t.Run(end, func(t *testing.T) {
+			d := copyingBox(newDaemon("b1"), 5)
+			d.tables.members["b2"] = &member{}
+			d.tables.receiveLoads(start, "b2", nil) // Otherwise others are assumed to use as much.
+			j := draft(start)
+			first, err := d.place(start, &d.tables, deliver.PlacementRequest{Job: j})
+			if err != nil || first.CopyTarget == "" {
+				t.Fatalf("placed at %+v, %v", first, err)
+			}
+			switch end {
+			case "caller left":
+				d.update(start, attemptEnded{deliver.AttemptResult{Place: first, Job: j, Began: true, CallerLeft: true}})
+			case "ended well":
+				d.update(start, attemptEnded{deliver.AttemptResult{Place: first, Job: j, Began: true, Completed: true, Answered: true}})
+			case "continued":
+				d.update(start, attemptEnded{deliver.AttemptResult{Place: first, Job: j, Began: true, Failed: true, CutOff: true}})
+				if _, err := d.continueFromCopy(start, &d.tables, copyRequest{ctx: context.Background(), job: j, broken: first}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			copied := func(now time.Time, id string) bool {
+				again := draft(now)
+				again.ID = id
+				place, err := d.place(now, &d.tables, deliver.PlacementRequest{Job: again})
+				if err != nil {
+					t.Fatal(err)
+				}
+				d.update(now, attemptEnded{deliver.AttemptResult{Place: place, Job: again, Began: true, Completed: true, Answered: true}})
+				return place.CopyTarget != ""
+			}
+			if got, want := copied(start, j.ID), end == "ended well" || end == "continued"; got != want {
+				t.Errorf("the second run of this ID is copied: %v, want %v", got, want)
+			}
+			if !copied(start, "other") {
+				t.Error("a run of another ID is not copied")
+			}
+			d.expireCopies(start.Add(copyTTL), &d.tables)
+			if end == "caller left" && !copied(start.Add(copyTTL), j.ID) {
+				t.Error("the second run of this ID is not copied after the first copy was dropped")
+			}
+		})
+	}
+}
+
+// TestHubCopyOfUsedRequestID guards against the same where a hub chose the copy while this box
+// placed another run of that ID.
+func TestHubCopyOfUsedRequestID(t *testing.T) {
+	d := copyingBox(newDaemon("b1"), 5)
+	j := draft(start)
+	first, err := d.place(start, &d.tables, deliver.PlacementRequest{Job: j})
+	if err != nil || first.CopyTarget == "" {
+		t.Fatalf("placed at %+v, %v", first, err)
+	}
+	second := deliver.Placement{Target: first.Target, Version: first.Version}
+	if d.acceptCopy(start, &d.tables, j, &second, first.CopyTarget); second.CopyTarget != "" {
+		t.Errorf("the second run of this ID is copied to %s", second.CopyTarget)
+	}
+}
+
 // brokenDraft returns a box that placed a run with a copy, which then broke, and its placement.
 func brokenDraft(t *testing.T) (*Daemon, *deliver.Job, deliver.Placement) {
 	t.Helper()
@@ -371,6 +434,37 @@
 	}
 }
 
+// TestHubIsNotAskedForShortPrompts guards against copies of runs with short prompts and long
+// answers, as a hub is told only the sum of both.
+func TestHubIsNotAskedForShortPrompts(t *testing.T) {
+	spoke := copyingBox(largeFleet("box-05"), 5)
+	j := draft(start)
+	j.PromptTokens, j.MaxOutputTokens = 2000, copyTokens
+	effects := spoke.update(start, placementRequest{ctx: context.Background(), ask: deliver.PlacementRequest{Job: j}, reply: make(chan placementAnswer, 1)})
+	if len(effects) != 1 {
+		t.Fatalf("%d effects", len(effects))
+	}
+	if ask := effects[0].(askHub).ask; ask.LossMS != 0 {
+		t.Errorf("the hub is told that the caller loses %d ms", ask.LossMS)
+	}
+}
+
+// TestSpokeCountsOwnLossesOnce guards against a share of lost runs in which a spoke's own runs count
+// twice: by its own count and as the hub returns them.
+func TestSpokeCountsOwnLossesOnce(t *testing.T) {
+	hub, spoke := copyingBox(largeFleet("box-00"), 0), copyingBox(largeFleet("box-05"), 1)
+	pool := poolHash(withCopies().Pools["models"])
+	want := spoke.tables.runLosses.Chance(start, pool)
+	answer := hub.peerRequest(start, &hub.tables, peer.Message{Kind: peer.KindGossip, From: "box-05", RunLosses: spoke.runLossesFor(start, &spoke.tables, "")})
+	if got := hub.tables.runLosses.Chance(start, pool); got != want {
+		t.Fatalf("the hub counts %v", got)
+	}
+	spoke.tables.receiveRunLosses(start, peer.Message{From: "box-00", RunLosses: answer.RunLosses})
+	if got := spoke.tables.runLosses.Chance(start, pool); got != want {
+		t.Errorf("the spoke counts %v, want %v", got, want)
+	}
+}
+
 // TestLossesReachAllBoxes guards against hubs that do not learn of the runs that their spokes lose,
 // and against reports that go round for ever once no more runs are lost.
 func TestLossesReachAllBoxes(t *testing.T) {
@@ -405,7 +499,7 @@
 		t.Errorf("%d boxes still count the lost run", n)
 	}
 	for _, d := range w.boxes {
-		if got := d.runLossesFor(w.now, &d.tables, true); got != nil {
+		if got := d.runLossesFor(w.now, &d.tables, "spoke"); got != nil {
 			t.Fatalf("%s still reports %v", d.Settings.Name, got)
 		}
 	}
@@ -423,11 +517,11 @@
 	}
 	plain := size(peer.Message{Kind: peer.KindGossip, From: "b1"})
 	d := copyingBox(newDaemon("b1"), 0)
-	if got := size(peer.Message{Kind: peer.KindGossip, From: "b1", RunLosses: d.runLossesFor(start, &d.tables, true)}); got != plain {
+	if got := size(peer.Message{Kind: peer.KindGossip, From: "b1", RunLosses: d.runLossesFor(start, &d.tables, "spoke")}); got != plain {
 		t.Errorf("%d bytes more while no run is lost", got-plain)
 	}
 	d = copyingBox(newDaemon("b1"), 300)
-	got := size(peer.Message{Kind: peer.KindGossip, From: "b1", RunLosses: d.runLossesFor(start, &d.tables, true)})
+	got := size(peer.Message{Kind: peer.KindGossip, From: "b1", RunLosses: d.runLossesFor(start, &d.tables, "spoke")})
 	t.Logf("%d bytes for a pool", got-plain)
 	if got == plain || got > plain+20 {
 		t.Errorf("%d bytes more for a pool", got-plain)
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -75,7 +75,7 @@
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
 		Domain: d.Settings.Domain, Unlisted: t.unlistedMet,
-		RunLosses: d.runLossesFor(now, t, false),
+		RunLosses: d.runLossesFor(now, t, ""),
 	}
 	if !t.usesHubs() {
 		d.addProof(now, t, &message)
@@ -225,7 +225,7 @@
 		t.receiveRunLosses(now, m)
 		if !t.usesHubs() || slices.Contains(t.hubs(), m.From) {
 			answer.TargetLoads, answer.PrefillTotals = d.gossipLoads(now, t), t.prefillBacklog.Totals(now)
-			answer.RunLosses = d.runLossesFor(now, t, false)
+			answer.RunLosses = d.runLossesFor(now, t, "")
 			d.addProof(now, t, &answer)
 			d.receiveRewritten(now, t, m)
 			d.receiveListRevision(now, t, m)
@@ -238,7 +238,7 @@
 			break
 		}
 		t.lastHubRequest = now
-		answer.RunLosses = d.runLossesFor(now, t, true)
+		answer.RunLosses = d.runLossesFor(now, t, m.From)
 		d.receiveCredits(m)
 		d.receiveCanarySamples(now, t, m.CanarySamples)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.ListVersion, SnapshotAt: m.ListStartVersion})
--- a/entry/load.go
+++ b/entry/load.go
@@ -81,7 +81,6 @@
 	x := t.fleet.Target(p.Target)
 	x.Sent(now, p.PrefillTokens, p.Tokens)
 	t.targetsInUse[p.Target] = x
-	t.countCopy(p)
 	if p.PrefillTokens == 0 {
 		return
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -100,6 +100,7 @@
 	}
 	d.addCopy(now, t, request, &place, d.copyLoss(now, t, request), inBackoff(now))
 	t.countSent(now, place)
+	t.countCopy(request.Job.ID, place)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	return place, nil
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -217,6 +217,7 @@
 	}
 	d.acceptCopy(now, t, job, &place, p.CopyTarget)
 	t.countSent(now, place)
+	t.countCopy(job.ID, place)
 	d.notePlacement(now, request, nil)
 	return placementAnswer{place: place}, true
 }
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -86,6 +86,9 @@
 	// still hold.
 	runLosses  runcopy.Losses
 	heldCopies []heldCopy
+	// copied are the IDs of this box's requests whose runs have a copy. Engines tell copies apart
+	// by these IDs, which callers choose, so no two copies may have the same.
+	copied map[string]bool
 	// silences is when connections to targets were last found silent, by address.
 	silences map[netip.AddrPort]time.Time
 	// members are the boxes that have ever written their row, including this one.
