--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -95,8 +95,9 @@
 func (x *run) relayStream(ctx context.Context, place Placement, reply *Reply) (*refusal.Refusal, error) {
 	events := eventstream.Reader{From: reply.Body}
 	wait := &eventWait{}
-	if x.Suspect != nil && x.job.Route.Resumable && x.sent < x.job.Route.Attempts {
-		go x.abortIfStalled(ctx, x.cancel, place.Target, wait)
+	resumable := x.job.Route.Resumable && x.sent < x.job.Route.Attempts
+	if x.Suspect != nil && (resumable || x.hasCopy(place)) {
+		go x.abortIfStalled(ctx, x.cancel, place.Target, wait, resumable)
 	}
 	flush := http.NewResponseController(x.w)
 	if x.headWritten {
@@ -122,8 +123,11 @@
 		}
 		x.recordEvent()
 		id := eventstream.ID(event)
-		if x.headWritten && id != "" && !later(id, x.lastEventID) {
-			continue // The caller received it from the previous attempt.
+		if (x.headWritten || place.FromCopy) && id != "" && !later(id, x.lastEventID) {
+			continue // The caller received it from the previous attempt, or an earlier request.
+		}
+		if !isNumber(id) && (id != "" || eventstream.HasData(event)) {
+			x.unnumbered.Store(true)
 		}
 		x.times.arrived(x.lastEventAt, x.job)
 		x.outcome.Events++
@@ -161,12 +165,21 @@
 	failed := x.ctx.Err() == nil
 	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
 	x.outcome.Cause = "the stream was cut off: " + err.Error()
+	if failed && x.mayContinue(place) {
+		return x.breakOff(err)
+	}
 	if failed && x.job.Route.Resumable && x.retryAllowed(true) {
 		return nil, errRetry
 	}
 	return x.fail(err)
 }
 
+// isNumber says whether an event ID shows which events come before it.
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // later says whether an event ID comes after another. IDs are increasing numbers; other
 // IDs are passed on as they come.
 func later(id, than string) bool {
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -76,6 +76,7 @@
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
 		Domain: d.Settings.Domain, Unlisted: t.unlistedMet, AccountLoads: d.accountLoads(now, t), ShortPools: t.accounts.ShortHere(now),
+		RunLosses: d.runLossesFor(now, t, ""),
 	}
 	if !t.usesHubs() {
 		d.addProof(now, t, &message)
@@ -222,9 +223,11 @@
 		answer.EndedIncarnations, answer.Stale = t.recentlyReplaced(now), d.refusesKeyed(now)
 		answer.CrashReports, answer.Lifted = t.recentCrashes(now), t.recentlyLifted(now)
 		d.applyUsage(now, t, m)
+		t.receiveRunLosses(now, m)
 		if !t.usesHubs() || slices.Contains(t.hubs(), m.From) {
 			answer.TargetLoads, answer.PrefillTotals = d.gossipLoads(now, t), t.prefillBacklog.Totals(now)
 			answer.AccountLoads, answer.ShortPools = d.accountLoads(now, t), t.accounts.ShortHere(now)
+			answer.RunLosses = d.runLossesFor(now, t, "")
 			d.addProof(now, t, &answer)
 			d.receiveRewritten(now, t, m)
 			d.receiveListRevision(now, t, m)
@@ -237,6 +240,7 @@
 			break
 		}
 		t.lastHubRequest = now
+		answer.RunLosses = d.runLossesFor(now, t, m.From)
 		d.receiveCredits(m)
 		d.receiveCanarySamples(now, t, m.CanarySamples)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.ListVersion, SnapshotAt: m.ListStartVersion})
@@ -271,6 +275,7 @@
 	d.receiveAdmitting(now, m.answer)
 	d.receiveLimits(now, m.requestedAt, t, m.answer)
 	x.heardAt = now
+	t.receiveRunLosses(now, m.answer)
 	if d.spoke.Load() {
 		t.hubHeardAt = now
 		if m.answer.View != nil {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,8 @@
 	queued            *prometheus.GaugeVec
 	queueEnds         *prometheus.CounterVec
 	shortPools        prometheus.Gauge
+	copies            *prometheus.CounterVec
+	copiedTokens      *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -101,11 +103,13 @@
 	c.queued = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "thymewind_entry_queued", Help: "Requests that wait at this box for engine memory, by pool."}, []string{"pool"})
 	c.queueEnds = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_queue_ends_total", Help: "Requests that waited at this box or were refused its queue, by pool, priority and how that ended."}, []string{"pool", "priority", "end"})
 	c.shortPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_short_pools", Help: "Pools for which this box, as the one that places, lately found no room for a request."})
+	c.copies = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copies_total", Help: "Copies of runs at other engines by pool: asked for, used by a run whose engine was lost, or missing then."}, []string{"pool", "end"})
+	c.copiedTokens = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copied_tokens_total", Help: "Memory of the runs for which a copy was asked, in tokens, by pool; each copy is at most that large."}, []string{"pool"})
 	r.MustRegister(
 		c.queued, c.queueEnds,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
-		c.waited, c.pause, c.refused, c.late,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten, c.shortPools,
+		c.waited, c.pause, c.refused, c.late, c.shortPools, c.copies, c.copiedTokens,
+		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
 	)
 	return c
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -116,9 +116,11 @@
 		}
 		return place, refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, request.Job))
 	}
+	d.addCopy(now, t, request, &place, d.copyLoss(now, t, request), inBackoff(now))
 	t.countSent(now, place)
 	t.placed.add(place.Tokens, request.Job)
 	t.beginAccount(request.Job, place)
+	t.countCopy(request.Job.ID, place)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	return place, nil
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -88,6 +88,7 @@
 		Account: accountName(job), Priority: routing.Priority(job.Route, job.Account), RoutePriority: job.Route.Priority,
 	}
 	request.IdleConnections, request.Excluded = d.targetHints(now, t.engines(job.Pool.Name))
+	request.LossMS = d.copyLoss(now, t, m.ask).Milliseconds()
 	if regions := allowedRegions(job); regions.Limited() {
 		request.Limited, request.Regions = true, regions
 	}
@@ -240,9 +241,11 @@
 	for _, m := range p.Transfers {
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
 	}
+	d.acceptCopy(now, t, job, &place, p.CopyTarget)
 	t.countSent(now, place)
 	t.placed.add(place.Tokens, job)
 	t.beginAccount(job, place)
+	t.countCopy(job.ID, place)
 	d.notePlacement(now, request, nil)
 	return placementAnswer{place: place}, true
 }
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -66,6 +66,7 @@
 		}
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
 	}
+	d.addCopy(now, t, request, &place, time.Duration(m.PlacementRequest.LossMS)*time.Millisecond, excluded)
 	t.countForPeer(m.From, place)
 	t.placed.addUntil(now, now.Add(t.holdTime(pool.Name)), place.Tokens, pool.Name)
 	t.accounts.Place(m.From, pool.Name, m.PlacementRequest.Account, place.Tokens)
@@ -84,6 +85,7 @@
 		UntilMS: place.FetchUntil.Milliseconds(), CachedTokens: place.CachedTokens, FetchedTokens: place.FetchedTokens, SavedTokens: place.SavedTokens,
 		PrefillTokens: place.PrefillTokens, Rule: place.Rule, PrefillBacklog: place.PrefillBacklog, Transfers: transfers, QuotaGranted: place.QuotaGranted,
 		NextBest: nextBest, NextBestCostMS: place.NextBestCost.Round(time.Millisecond).Milliseconds(),
+		CopyTarget: place.CopyTarget,
 	}
 }
 
@@ -132,6 +134,9 @@
 // countForPeer counts a request placed for another box until that box reports it itself.
 func (t *tables) countForPeer(box string, place deliver.Placement) {
 	t.othersUsage.Add(box, peer.TargetLoad{Target: placement.Hash(place.Target), Tokens: place.Tokens})
+	if place.CopyTarget != "" {
+		t.othersUsage.Add(box, peer.TargetLoad{Target: placement.Hash(place.CopyTarget), Tokens: place.Tokens})
+	}
 }
 
 // namedIn returns a filter for the targets that another box named.
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -37,11 +37,13 @@
 	Quarantine = "quarantine"
 	// Waiting has requests without room wait in order.
 	Waiting = "waiting"
+	// Copies has the memory of runs copied to another engine, so that they survive theirs.
+	Copies = "copies"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -25,6 +25,7 @@
 	"github.com/thymewind/thymewind/reclaim"
 	"github.com/thymewind/thymewind/returning"
 	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/runcopy"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/throughput"
 	"github.com/thymewind/thymewind/versionlog"
@@ -84,6 +85,14 @@
 	// presumedLoad is the presumed load of other boxes' requests at each engine if none of them
 	// reports its load, as of the last placement.
 	presumedLoad peer.TargetLoad
+	// runLosses counts the runs that ended, and those lost with their engine, over all boxes as
+	// far as they report them; heldCopies are the copies of this box's broken runs that engines
+	// still hold.
+	runLosses  runcopy.Losses
+	heldCopies []heldCopy
+	// copied are the IDs of this box's requests whose runs have a copy. Engines tell copies apart
+	// by these IDs, which callers choose, so no two copies may have the same.
+	copied map[string]bool
 	// silences is when connections to targets were last found silent, by address.
 	silences map[netip.AddrPort]time.Time
 	// members are the boxes that have ever written their row, including this one.
--- a/entry/update.go
+++ b/entry/update.go
@@ -34,6 +34,9 @@
 	switch m := m.(type) {
 	case placementRequest:
 		return d.placementRequested(now, t, m)
+	case copyRequest:
+		place, err := d.continueFromCopy(now, t, m)
+		m.reply <- placementAnswer{place, err}
 	case suspectQuery:
 		m.reply <- d.looksDead(now, t, m.target)
 	case signalsReceived:
@@ -148,6 +151,8 @@
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
 	t.endAccount(m)
+	d.recordRunEnd(now, t, m)
+	t.copyEnded(now, m)
 	d.recordLiveness(now, t, m)
 	t.placed.remove(m.Place.Tokens, m.Job)
 	t.learnHoldTime(now, m)
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -55,6 +55,9 @@
 	Fingerprint []byte `cbor:"23,keyasint,omitempty"`
 	// Account names the caller's account; empty if there is none.
 	Account string `cbor:"30,keyasint,omitempty"`
+	// LossMS is the time that the caller loses if the run is lost with its engine, in
+	// milliseconds; zero if the run needs no copy.
+	LossMS int64 `cbor:"60,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -105,6 +108,8 @@
 	AskAnother bool `cbor:"20,keyasint,omitempty"`
 	// SinceMS is how long ago the caller of a queued request first asked, as far as the hub knows.
 	SinceMS int64 `cbor:"21,keyasint,omitempty"`
+	// CopyTarget is the target that is to hold a copy of the run; empty for none.
+	CopyTarget string `cbor:"60,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
--- a/peer/message.go
+++ b/peer/message.go
@@ -94,6 +94,10 @@
 	// room; ShortPools are the pools for which the sender, as the box that places, is short of it.
 	AccountLoads []AccountLoad `cbor:"40,keyasint,omitempty"`
 	ShortPools   []string      `cbor:"41,keyasint,omitempty"`
+	// RunLosses count the runs that ended lately, of pools whose engines are being lost: a spoke's
+	// own to its hub, a hub's and its spokes' to other hubs, and all that the hub knows of to a
+	// spoke. They are left out while no runs are lost.
+	RunLosses []RunLoss `cbor:"60,keyasint,omitempty"`
 	// Statement is an operator's query.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is a query's result in JSON, or a configuration.
@@ -157,6 +161,15 @@
 	Tokens int    `cbor:"2,keyasint"`
 }
 
+// RunLoss counts a pool's runs that ended within the last 10 s.
+type RunLoss struct {
+	_ struct{} `cbor:",toarray"`
+	// Pool is the lower half of the hash of the pool's name. Lost are those of the Ended runs that
+	// were lost with their engine.
+	Pool        uint32
+	Ended, Lost int
+}
+
 // PrefillTotal is how many prompt tokens a box made a target prefill.
 type PrefillTotal struct {
 	// Target is the hash of the target's ID.
