fix(entry): a hub outside the first two of its domain reports account loads once

Such a box gossips with all hubs, each of which passed its account loads on, so that its own and its spokes' requests counted up to six times at three domains. It reports them to one hub now. It also ignored the shortages in the views that it gets, and reported nothing until it was short itself.

--- a/entry/accountload.go
+++ b/entry/accountload.go
@@ -61,6 +61,26 @@
 	return t.accounts.OwnAndOthers(now, t.hubs())
 }
 
+// accountLoadsTo returns the only gossip partner that gets this box's account loads, if there must
+// be only one. A hub passes on what it hears from boxes that are not among the hubs, so a box that
+// acts as a hub without being one of them would otherwise count once for each hub that it calls.
+func (d *Daemon) accountLoadsTo(now time.Time, t *tables, partners []string) (name string, one bool) {
+	if d.spoke.Load() || !t.usesHubs() || slices.Contains(t.hubs(), d.Settings.Name) {
+		return "", false
+	}
+	return d.firstHub(now, t, func(name string, m *member) bool {
+		return !now.Before(m.retryAt) && slices.Contains(partners, name)
+	}), true
+}
+
+// receiveViewShort applies which pools a hub's view lists as short of room. A box that acts as a hub
+// without being among the hubs gets views, too.
+func (t *tables) receiveViewShort(now time.Time, m peerAnswered) {
+	if m.answer.View != nil {
+		t.accounts.HearShort(now, m.name, m.answer.View.Short)
+	}
+}
+
 // receiveAccounts applies what another box reported of accounts.
 func (t *tables) receiveAccounts(now time.Time, m peer.Message) {
 	if t.members[m.From] == nil {
--- a/entry/accountload_test.go
+++ b/entry/accountload_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -334,3 +335,36 @@
 		t.Errorf("counts %d tokens of an unknown box", got)
 	}
 }
+
+// TestAccountLoadsOfFormerHub guards against a box that acts as a hub outside the first two of its
+// domain and tells several hubs what its own and its spokes' requests use: each of them passes that
+// on, so that all hubs would count it several times. A box acts so for hubLinger and longer after
+// stronger boxes joined.
+func TestAccountLoadsOfFormerHub(t *testing.T) {
+	const boxes, former = 30, 0
+	w := shortFleet(boxes)
+	for _, d := range w.boxes {
+		for i := boxes - 6; i < boxes; i++ {
+			name := w.boxes[i].Settings.Name
+			w.boxes[i].Settings.Box.Share = 0.9
+			if m := d.tables.members[name]; m != nil {
+				m.share = 0.9
+			}
+		}
+		d.tables.hubRanks = nil
+	}
+	short := func() {
+		w.boxes[boxes-1].tables.noteShort(w.now, "models", "b")
+		w.boxes[former].tables.lastHubRequest = w.now
+		w.boxes[former].tables.noteShort(w.now, "models", "b")
+	}
+	w.advance(3*time.Second, short)
+	if d := w.boxes[former]; d.spoke.Load() || slices.Contains(d.tables.hubs(), d.Settings.Name) {
+		t.Fatalf("box %d is a spoke: %v, hubs %v", former, d.spoke.Load(), d.tables.hubs())
+	}
+	for i := boxes - 6; i < boxes; i++ {
+		if got := w.seen(i); got != boxes {
+			t.Errorf("hub %d counts %d boxes' requests, want %d", i, got, boxes)
+		}
+	}
+}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -114,7 +114,9 @@
 // callGossipPartners returns the calls that send a message to this box's gossip partners.
 func (d *Daemon) callGossipPartners(now time.Time, t *tables, message peer.Message) []effect {
 	var effects []effect
-	for _, name := range d.gossipPartners(now, t) {
+	partners := d.gossipPartners(now, t)
+	accountsTo, one := d.accountLoadsTo(now, t, partners)
+	for _, name := range partners {
 		m := t.members[name]
 		if !m.address.IsValid() || m.calling || now.Before(m.retryAt) {
 			continue
@@ -124,6 +126,9 @@
 		if t.hub == name {
 			call.message.ListVersion, call.message.ListStartVersion, call.message.QuarantineVersion = t.hubList.Number, t.hubList.SnapshotAt, t.hubQuarantineVersion
 		}
+		if one && name != accountsTo {
+			call.message.AccountLoads = nil
+		}
 		call.message.CanarySamples = d.canarySamplesForPeer(now, t, m)
 		call.message.RateLimits = d.limitsForPeer(now, m)
 		call.message.RetryCredits = d.takeCredits()
@@ -273,12 +278,11 @@
 	x.heardAt = now
 	if d.spoke.Load() {
 		t.hubHeardAt = now
-		if m.answer.View != nil {
-			t.accounts.HearShort(now, m.name, m.answer.View.Short)
-		}
+		t.receiveViewShort(now, m)
 		return d.applyView(now, t, m.name, m.requestedAt, m.answer.View)
 	}
 	d.applyUsage(now, t, m.answer)
+	t.receiveViewShort(now, m)
 	d.receiveProof(t, m.requestedAt, m.answer)
 	d.receiveRewritten(now, t, m.answer)
 	t.receiveUnlistedCount(now, m.answer)
