--- a/fairshare/order_test.go
+++ b/fairshare/order_test.go
@@ -22,6 +22,9 @@
 	modelPatience = 8 * time.Second
 	modelLength   = 60 * time.Second
 	modelStep     = 10 * time.Millisecond
+	// modelReportFor is how long boxes report an account as waiting without placing a request of it,
+	// as package entry does.
+	modelReportFor = time.Second
 )
 
 // modelRun is one run of the model: boxes that place requests for one pool, each with a queue.
@@ -50,6 +53,8 @@
 type modelBox struct {
 	tracker *fairshare.Tracker
 	queue   []modelRequest
+	// placedAt is when each account's request was last placed.
+	placedAt [modelAccounts]time.Time
 }
 
 // run returns each account's share of requests that began within the goal, and how many requests
@@ -71,7 +76,7 @@
 		}
 		delete(ends, now)
 		if at%(50*time.Millisecond) == 0 && (m.lost == nil || !m.lost(at)) {
-			exchange(now, boxes)
+			exchange(now, boxes, accounts)
 		}
 		for i := range accounts {
 			rate := m.others
@@ -98,6 +103,7 @@
 					break
 				}
 				b.queue = slices.Delete(b.queue, i, i+1)
+				b.placedAt[r.account] = now
 				free--
 				b.tracker.Begin(pool, accounts[r.account], modelTokens)
 				end := now.Add(modelHold)
@@ -126,12 +132,16 @@
 }
 
 // exchange has the boxes tell each other what their own requests use.
-func exchange(now time.Time, boxes []*modelBox) {
+func exchange(now time.Time, boxes []*modelBox, accounts []string) {
 	for i, name := range names(len(boxes)) {
 		from := boxes[i]
 		var waiting []fairshare.Waiting
-		for _, r := range from.queue {
-			waiting = append(waiting, fairshare.Waiting{Pool: pool, Account: names(modelAccounts)[r.account]})
+		var seen [modelAccounts]bool
+		for _, r := range from.queue { // The first of each account has waited longest.
+			if !seen[r.account] && (now.Sub(r.since) < modelReportFor || now.Sub(from.placedAt[r.account]) < modelReportFor) {
+				waiting = append(waiting, fairshare.Waiting{Pool: pool, Account: accounts[r.account]})
+			}
+			seen[r.account] = true
 		}
 		from.tracker.SetWaiting(waiting)
 		for j, to := range boxes {
