feat(waitqueue): admission expects what comes later, and callers return late in their time

Change: a request that can't begin within its goal is admitted by what the requests admitted meanwhile leave of the rate (package flowrate); the prediction counts the callers who were told to return before it would begin. What can't be served at this rate is refused at once, with a return in the last quarter of the third of its time that its caller waits; those who return go before later ones, whether or not their goal can be met.

TestBurst: callers return once, as they do; it asked for 1,090 of 1,200 served and does so still, and now also for half of those in time for whom there is room, and for 1 in 20 at most that wait in vain.

--- a/entry/holdtime.go
+++ b/entry/holdtime.go
@@ -1,8 +1,9 @@
 package entry
 
 import (
-	"math"
 	"time"
+
+	"github.com/thymewind/thymewind/waitqueue"
 )
 
 const (
@@ -14,6 +15,9 @@
 	// minFreeRateAge is how long a computed FreeRate is used. Computing it reads the load of all
 	// engines of the pool.
 	minFreeRateAge = 50 * time.Millisecond
+	// serveRateAfter is how long a queue must have lasted before the rate at which it was served
+	// is used.
+	serveRateAfter = waitqueue.RateWindow / 2
 )
 
 // holdTime is how long requests hold engine memory, weighted by their tokens.
@@ -54,9 +58,9 @@
 	if !w.ratedAt.IsZero() && now.Sub(w.ratedAt) < minFreeRateAge {
 		return w.rate
 	}
-	if rate, known := w.served.rate(now); known {
-		w.ratedAt, w.rate = now, rate
-		return rate
+	if w.served.Lasted(now) >= serveRateAfter {
+		w.ratedAt, w.rate = now, w.served.Rate(now)
+		return w.rate
 	}
 	used := 0
 	targets := t.engines(w.pool.Name)
@@ -79,39 +83,3 @@
 	}
 	return min(max(equal, float64(t.placed.of(now, w.pool.Name))/float64(used)), 1)
 }
-
-const (
-	// serveRateWindow is the time constant of the rate at which a queue is served. Requests hold
-	// memory for 1 to 2 s, so shorter ones show how they end in groups.
-	serveRateWindow = time.Second
-	// serveRateAfter is how long a queue must have lasted for its rate to be known.
-	serveRateAfter = serveRateWindow / 2
-)
-
-// serveRate is the rate at which a queue's requests were placed lately, in tokens.
-type serveRate struct {
-	// since is when the queue began, at when tokens, which decay, were last computed.
-	since, at time.Time
-	tokens    float64
-}
-
-func (s *serveRate) add(now time.Time, tokens int) {
-	s.decay(now)
-	s.tokens += float64(tokens)
-}
-
-func (s *serveRate) decay(now time.Time) {
-	s.tokens *= math.Exp(-now.Sub(s.at).Seconds() / serveRateWindow.Seconds())
-	s.at = now
-}
-
-// rate returns the tokens per second, or false if the queue has not lasted long enough.
-func (s *serveRate) rate(now time.Time) (float64, bool) {
-	lasted := now.Sub(s.since)
-	if s.since.IsZero() || lasted < serveRateAfter {
-		return 0, false
-	}
-	s.decay(now)
-	window := serveRateWindow.Seconds()
-	return s.tokens / (window * (1 - math.Exp(-lasted.Seconds()/window))), true
-}
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/flowrate"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
@@ -59,7 +60,7 @@
 	// servedAt is when the queue was last served.
 	servedAt time.Time
 	// served is the rate at which requests leave the queue for an engine.
-	served serveRate
+	served flowrate.Meter
 	// rate is the last computed rate at which memory becomes free, as of ratedAt.
 	rate    float64
 	ratedAt time.Time
@@ -114,7 +115,7 @@
 func (d *Daemon) queueOf(t *tables, pool *routing.Pool) *waitingPool {
 	w := t.waiting[pool.Name]
 	if w == nil {
-		w = &waitingPool{waiters: make(map[string]*waiter), placedAt: make(map[string]time.Time)}
+		w = &waitingPool{served: flowrate.Meter{Window: waitqueue.RateWindow}, waiters: make(map[string]*waiter), placedAt: make(map[string]time.Time)}
 		w.queue = waitqueue.Queue{
 			MaxRequests: maxWaiting, Draw: d.random,
 			FreeRate: func(now time.Time) float64 { return d.freeRate(now, t, w) },
@@ -174,7 +175,7 @@
 	job := m.ask.Job
 	return waitqueue.Request{
 		ID: id, Account: accountName(job), LeavesReserve: d.leavesReserve(job), Priority: routing.Priority(job.Route, job.Account), RoutePriority: job.Route.Priority, Tokens: job.PromptTokens + job.MaxOutputTokens, Bytes: len(job.Body),
-		Since: m.askedSince(now), Returning: m.returning, GoalAt: d.goalAt(now, t, job), BeginBy: d.beginBy(now, job),
+		Since: m.askedSince(now), Returning: m.returning, GoalAt: d.goalAt(now, t, job), BeginBy: d.beginBy(now, job), Until: job.Until,
 	}
 }
 
@@ -304,7 +305,7 @@
 	}
 	w.stats.waited++
 	if !w.stats.emptyAt.IsZero() {
-		w.served = serveRate{since: now, at: now}
+		w.served.Start(now)
 	}
 	w.stats.emptyAt = time.Time{}
 	d.metrics.queued.WithLabelValues(w.pool.Name).Set(float64(w.queue.Len()))
@@ -443,7 +444,7 @@
 		t.answer(now, x.request, placementAnswer{err: refused})
 		return true
 	}
-	w.served.add(now, x.queued.Tokens)
+	w.served.Add(now, float64(x.queued.Tokens))
 	d.endWait(now, w, x.queued.ID, endPlaced)
 	t.answer(now, x.request, placementAnswer{place: place})
 	return true
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -58,6 +58,7 @@
 	request.Wait, request.Hold, request.Ticket = true, hold, m.ticket
 	request.SinceMS = now.Sub(m.askedSince(now)).Milliseconds()
 	request.LeftMS = d.beginBy(now, job).Sub(now).Milliseconds()
+	request.DeadlineMS = job.Until.Sub(now).Milliseconds()
 	request.GoalLeftMS = leftMS(now, d.goalAt(now, t, job))
 	if hold || t.isShort(now, job.Pool.Name) {
 		sum := job.Fingerprint()
@@ -207,6 +208,9 @@
 		ID: heldID(m), Account: p.Account, LeavesReserve: p.MaxMemoryShare < maxShare, Priority: p.Priority, RoutePriority: p.RoutePriority, Tokens: p.Tokens,
 		Since: now.Add(-time.Duration(p.SinceMS) * time.Millisecond), BeginBy: now.Add(time.Duration(p.LeftMS) * time.Millisecond),
 	}
+	if p.DeadlineMS > 0 {
+		r.Until = now.Add(time.Duration(p.DeadlineMS) * time.Millisecond)
+	}
 	if returns {
 		r.Since, r.Returning = since, true
 	}
@@ -237,7 +241,7 @@
 	case response.Refused != "":
 		d.endWait(now, w, x.queued.ID, endRefused)
 	default:
-		w.served.add(now, x.queued.Tokens)
+		w.served.Add(now, float64(x.queued.Tokens))
 		d.endWait(now, w, x.queued.ID, endPlaced)
 	}
 	d.answerHeld(x, response)
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -51,6 +51,8 @@
 	SinceMS    int64 `cbor:"20,keyasint,omitempty"`
 	LeftMS     int64 `cbor:"21,keyasint,omitempty"`
 	GoalLeftMS int64 `cbor:"22,keyasint,omitempty"`
+	// DeadlineMS is how long the caller waits at the most, over refusals and returns.
+	DeadlineMS int64 `cbor:"25,keyasint,omitempty"`
 	// Fingerprint is the request's, which is sent only while the hub is short of room.
 	Fingerprint []byte `cbor:"23,keyasint,omitempty"`
 	// Account names the caller's account; empty if there is none.
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -15,6 +15,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/thymewind/thymewind/flowrate"
 )
 
 const (
@@ -32,6 +34,9 @@
 	// returnShare is the share of the time that a caller has left up to which it waits before
 	// it returns. A later return time would not be kept.
 	returnShare = 1.0 / 3
+	// RateWindow is over which time the rates of the queue are measured. Requests hold memory for
+	// 1 to 2 s, so shorter windows show how they end in groups.
+	RateWindow = time.Second
 	// refusedTTL is how long a refused request counts towards the span over which return times
 	// are spread: the longest return time, by when its caller has returned or gone.
 	refusedTTL = MaxReturn
@@ -57,12 +62,17 @@
 	GoalAt time.Time
 	// BeginBy is the latest begin that leaves it enough time to end.
 	BeginBy time.Time
+	// Until is the caller's deadline, also if it is refused and returns; zero if it is not known.
+	Until time.Time
 	// Returning says that its caller was refused before and returned when told to.
 	Returning bool
 }
 
-// inGoal reports whether the request can still meet its goal, if it has one.
-func (r *Request) inGoal(now time.Time) bool { return r.GoalAt.IsZero() || !now.After(r.GoalAt) }
+// inGoal reports whether the request can still meet its goal, if it has one. A caller who returned
+// when told to keeps the place that its first try had.
+func (r *Request) inGoal(now time.Time) bool {
+	return r.Returning || r.GoalAt.IsZero() || !now.After(r.GoalAt)
+}
 
 // Refusal says why a request does not wait and when its caller should return.
 type Refusal struct {
@@ -100,10 +110,10 @@
 	bytes            int
 	// sortedAt is when waiting was last sorted; zero if it must be sorted again.
 	sortedAt time.Time
-	// refused are the requests refused within refusedTTL, oldest first, and refusedTokens the
-	// sum of their tokens.
-	refused       []refusedRequest
-	refusedTokens int
+	// refused are the requests refused lately, or whose callers have yet to return.
+	refused []refusedRequest
+	// offered is the rate of tokens that requests admitted to the queue need.
+	offered flowrate.Meter
 }
 
 // entry is a queued request with its place in the order.
@@ -115,9 +125,12 @@
 	usage int
 }
 
+// refusedRequest is a request whose caller is expected to return.
 type refusedRequest struct {
-	at     time.Time
-	tokens int
+	at, returnAt time.Time
+	tokens       int
+	// returns says that the caller is expected back, as it does not return twice.
+	returns bool
 }
 
 // Len returns how many requests wait.
@@ -145,6 +158,7 @@
 		q.ids = make(map[string]bool)
 	}
 	q.ids[r.ID] = true
+	q.noteOffered(now, r)
 	q.bytes += r.Bytes
 	e := &entry{Request: r}
 	q.waiting, q.grouped = append(q.waiting, e), append(q.grouped, e)
@@ -191,30 +205,62 @@
 	if left <= 0 {
 		return Refusal{"no time is left to answer", MaxReturn}
 	}
+	lately := q.forgetRefused(now) + r.Tokens
 	rate := q.FreeRate(now)
-	wait := q.Predict(now, r)
-	taken := max(wait-left, 0) // By then the queue is short enough.
+	taken := max(q.Predict(now, r)-left, 0) // By then the queue is short enough.
+	refused := Refusal{"other requests wait for the same engine memory", 0}
 	if rate <= 0 || taken > left {
-		return Refusal{"no engine memory is expected to become free before the deadline", MaxReturn}
+		refused.Reason = "no engine memory is expected to become free before the deadline"
+		refused.RetryAfter = q.afterOverload(now, r)
+	} else {
+		after := taken + time.Duration(q.Draw()*float64(q.timeFor(lately, rate)))
+		refused.RetryAfter = q.spread(after, q.longestReturn(now, r))
 	}
-	q.forgetRefused(now)
-	q.refused = append(q.refused, refusedRequest{now, r.Tokens})
-	q.refusedTokens += r.Tokens
-	after := taken + time.Duration(q.Draw()*float64(q.timeFor(q.refusedTokens, rate)))
-	longest := max(min(MaxReturn, time.Duration(returnShare*float64(left))), minReturn)
-	if after > longest { // Still spread, as all of them would return at the same time otherwise.
+	q.refused = append(q.refused, refusedRequest{now, now.Add(refused.RetryAfter), r.Tokens, !r.Returning})
+	return refused
+}
+
+// longestReturn is the latest time at which a caller returns that was told to.
+func (q *Queue) longestReturn(now time.Time, r Request) time.Duration {
+	if r.Until.IsZero() {
+		return min(MaxReturn, time.Duration(returnShare*float64(r.BeginBy.Sub(now))))
+	}
+	return time.Duration(returnShare * float64(r.Until.Sub(now)))
+}
+
+// spread bounds a return time. Those beyond the bound differ still, as all of the callers would
+// return at the same time otherwise.
+func (q *Queue) spread(after, longest time.Duration) time.Duration {
+	longest = max(longest, minReturn)
+	if after > longest {
 		after = longest - time.Duration(q.Draw()*float64(longest)/4)
 	}
-	return Refusal{"other requests wait for the same engine memory", max(after, minReturn)}
+	return max(after, minReturn)
 }
 
-func (q *Queue) forgetRefused(now time.Time) {
-	n := 0
-	for n < len(q.refused) && now.Sub(q.refused[n].at) >= refusedTTL {
-		q.refusedTokens -= q.refused[n].tokens
-		n++
+// afterOverload is when a caller should return that can't be served before its deadline passes at
+// this rate. Bursts last for seconds and a caller returns once, so it does so in the later half of
+// the time in which it may.
+func (q *Queue) afterOverload(now time.Time, r Request) time.Duration {
+	if r.Until.IsZero() {
+		return MaxReturn
 	}
-	q.refused = slices.Delete(q.refused, 0, n)
+	longest := q.longestReturn(now, r)
+	return max(longest-time.Duration(q.Draw()*float64(longest)/4), minReturn)
+}
+
+// forgetRefused forgets the callers that have returned by now, and returns the tokens of those
+// refused within refusedTTL.
+func (q *Queue) forgetRefused(now time.Time) int {
+	sum := 0
+	q.refused = slices.DeleteFunc(q.refused, func(r refusedRequest) bool {
+		lately := now.Sub(r.at) < refusedTTL
+		if lately {
+			sum += r.tokens
+		}
+		return !lately && !r.returnAt.After(now)
+	})
+	return sum
 }
 
 // Short reports whether requests wait or were refused within refusedTTL.
@@ -223,13 +269,63 @@
 	return len(q.waiting) > 0 || len(q.refused) > 0
 }
 
-// Predict returns how long a request would wait if it were queued.
+// Predict returns how long a request would wait if it were queued. What can't begin within its goal
+// is overtaken by what comes later and can, and so has only the rate that those leave.
 func (q *Queue) Predict(now time.Time, r Request) time.Duration {
 	before := q.tokensBefore(now, r)
 	if before == 0 {
 		return 0
 	}
-	return q.timeFor(before, q.FreeRate(now))
+	rate := q.FreeRate(now)
+	wait := q.timeFor(before, rate)
+	if !r.Returning {
+		wait = q.behindReturning(now, before, wait, rate)
+	}
+	if r.Returning || r.GoalAt.IsZero() || !now.Add(wait).After(r.GoalAt) {
+		return wait
+	}
+	return q.timeFor(before, rate-q.offeredRate(now))
+}
+
+// behindReturning extends a predicted wait by that for the callers who will have returned before its
+// end.
+func (q *Queue) behindReturning(now time.Time, before int, wait time.Duration, rate float64) time.Duration {
+	for {
+		longer := q.timeFor(before+q.returningBy(now, now.Add(wait)), rate)
+		if longer <= wait {
+			return wait
+		}
+		wait = longer
+	}
+}
+
+// returningBy is the tokens of the callers that were told to return by a time and will then go
+// before those that came later.
+func (q *Queue) returningBy(now, at time.Time) int {
+	sum := 0
+	for _, r := range q.refused {
+		if r.returns && r.returnAt.After(now) && r.returnAt.Before(at) {
+			sum += r.tokens
+		}
+	}
+	return sum
+}
+
+// noteOffered records an admitted request.
+func (q *Queue) noteOffered(now time.Time, r Request) {
+	if len(q.waiting) == 0 {
+		q.offered = flowrate.Meter{Window: RateWindow}
+		q.offered.Start(now)
+	}
+	q.offered.Add(now, float64(r.Tokens))
+}
+
+// offeredRate is the rate at which admitted requests came lately, zero until it is known.
+func (q *Queue) offeredRate(now time.Time) float64 {
+	if q.offered.Lasted(now) < RateWindow/2 {
+		return 0
+	}
+	return q.offered.Rate(now)
 }
 
 // IsFirst reports whether a request that does not wait goes before all that do.
--- a/waitqueue/waitqueue_test.go
+++ b/waitqueue/waitqueue_test.go
@@ -248,38 +248,68 @@
 }
 
 // TestBurst plays a burst of 6 s at twice the rate at which memory becomes free, of requests with
-// a deadline of 10 s. It guards against a queue that serves fewer than there is room for, or that
-// has requests wait in vain.
+// a deadline of 10 s. Callers that are refused return once, when told. It guards against a queue
+// that serves fewer than there is room for, that has requests wait in vain, and that serves late
+// requests before those that can be in time.
 func TestBurst(t *testing.T) {
 	const rate = 100 // requests of 1,000 tokens a second.
 	q := newQueue(rate*1000, nil)
-	served, refused, expired, evicted, n := 0, 0, 0, 0, 0
+	served, inTime, late, refused, n := 0, 0, 0, 0, 0
+	returns := make(map[int][]waitqueue.Request) // By the step at which they come.
+	give := func(ms int, r waitqueue.Request, after time.Duration) {
+		if r.Returning {
+			refused++
+			return
+		}
+		r.Returning = true
+		step := (ms + int(after.Milliseconds())) / 10 * 10
+		r.BeginBy = start.Add(time.Duration(step)*time.Millisecond + 4*time.Second)
+		returns[step] = append(returns[step], r)
+	}
 	for ms := 0; ms < 16000; ms += 10 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
-		offered := 0
+		offered := returns[ms]
 		if ms < 6000 {
-			offered = 2
+			for range 2 {
+				n++
+				r := request(fmt.Sprint("r", n), fmt.Sprint("a", n%5), 1, now.Sub(start))
+				r.Until, r.BeginBy = now.Add(10*time.Second), now.Add(4*time.Second)
+				offered = append(offered, r)
+			}
 		}
-		for range offered {
-			n++
-			d := q.Offer(now, request(fmt.Sprint("r", n), fmt.Sprint("a", n%5), 1, now.Sub(start)))
-			evicted += len(d.Evicted)
+		for _, r := range offered {
+			d := q.Offer(now, r)
+			for _, e := range d.Evicted {
+				give(ms, e, q.Refuse(now, e).RetryAfter)
+			}
 			if !d.Admitted {
-				refused++
+				give(ms, r, d.RetryAfter)
 			}
 		}
-		expired += len(q.Expire(now))
+		for _, r := range q.Expire(now) {
+			late++
+			give(ms, r, q.Refuse(now, r).RetryAfter)
+		}
 		if r, ok := q.Next(now, nil); ok {
 			if now.After(r.BeginBy) {
 				t.Fatalf("%s was served %v late", r.ID, now.Sub(r.BeginBy))
 			}
 			q.Remove(r.ID)
 			served++
+			if !now.After(r.GoalAt) {
+				inTime++
+			}
 		}
 	}
-	t.Logf("of %d requests %d were served, %d refused at once, %d evicted, %d expired", n, served, refused, evicted, expired)
-	if served < 1090 || served+refused+evicted+expired != n || q.Len() != 0 {
-		t.Errorf("served %d, refused %d, evicted %d, expired %d of %d", served, refused, evicted, expired, n)
+	t.Logf("of %d requests %d were served, %d of them in time, %d refused for good; %d waited in vain", n, served, inTime, refused, late)
+	if served < 1090 || served+refused != n || q.Len() != 0 {
+		t.Errorf("served %d, refused %d of %d", served, refused, n)
+	}
+	if inTime < 350 { // Half of those for which there is room within their goals.
+		t.Errorf("%d were served in time", inTime)
+	}
+	if late > n/20 {
+		t.Errorf("%d waited in vain", late)
 	}
 }
 
