fix(entry): requests yield and wait only behind what is as urgent

Those of large accounts yielded to drafts that wait at other boxes, though drafts must leave a reserve to them, and the prediction took drafts for requests that go before verdicts.

Change: one number says what goes first (reserve, priority, route); boxes report it, and rates and returns count only what is as urgent. Tests take the number where they had a priority; TestHubLeavesRoom names the route's priority.

--- a/entry/accountload.go
+++ b/entry/accountload.go
@@ -76,19 +76,19 @@
 	var list []fairshare.Waiting
 	for pool, w := range t.waiting {
 		first := make(map[string]*waiter) // The longest waiting of each account.
-		priorities := make(map[string]int)
+		urgencies := make(map[string]int)
 		for _, x := range w.waiters {
 			account := x.queued.Account
 			if before := first[account]; before == nil || x.queuedAt.Before(before.queuedAt) {
 				first[account] = x
 			}
-			if before, known := priorities[account]; !known || x.queued.Priority < before {
-				priorities[account] = x.queued.Priority
+			if before, known := urgencies[account]; !known || x.queued.Urgency() < before {
+				urgencies[account] = x.queued.Urgency()
 			}
 		}
 		for account, x := range first {
 			if now.Sub(x.queuedAt) < waitReportFor || now.Sub(w.placedAt[account]) < waitReportFor {
-				list = append(list, fairshare.Waiting{Pool: pool, Account: account, Priority: priorities[account]})
+				list = append(list, fairshare.Waiting{Pool: pool, Account: account, Urgency: urgencies[account]})
 			}
 		}
 	}
@@ -97,14 +97,14 @@
 
 // yields returns whether a request leaves free room to those that wait at other boxes; it is nil if
 // no request does.
-func (d *Daemon) yields(now time.Time, t *tables, pool string) func(account string, priority int) bool {
+func (d *Daemon) yields(now time.Time, t *tables, pool string) func(account string, urgency int) bool {
 	return t.accounts.Yields(now, pool, d.accountNames)
 }
 
 // yieldsNow is yields for one request.
 func (d *Daemon) yieldsNow(now time.Time, t *tables, pool string, r waitqueue.Request) bool {
 	yields := d.yields(now, t, pool)
-	return yields != nil && yields(r.Account, r.Priority)
+	return yields != nil && yields(r.Account, r.Urgency())
 }
 
 // accountNames lists the accounts that requests may have, with the empty one.
--- a/entry/accountyield_test.go
+++ b/entry/accountyield_test.go
@@ -10,6 +10,7 @@
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/routing"
+	"github.com/thymewind/thymewind/waitqueue"
 )
 
 // withAccounts puts accounts "large" and "small" in force.
@@ -18,6 +19,9 @@
 	w.current.Store(routing.New(1, nil, []*routing.Pool{waitingConfiguration(1).Pools["models"]}, accounts))
 }
 
+// draftWaits is what a box reports at which drafts wait.
+var draftWaits = 1 + (&waitqueue.Request{LeavesReserve: true, Priority: 2, RoutePriority: 2}).Urgency()
+
 // reportWaiting has box b2 report that a request of an account waits there, as peer.AccountLoad.Waits
 // says, or none; the engine has room.
 func (w *waitingBox) reportWaiting(account string, waits int) {
@@ -39,13 +43,13 @@
 		waits           int
 		want            string
 	}{
-		{"over its share", "large", "small", 3, "waits"},
+		{"over its share", "large", "small", draftWaits, "waits"},
 		{"more urgent elsewhere", "large", "small", 1, "waits"},
-		{"less urgent elsewhere", "large", "small", 4, "placed"},
+		{"less urgent elsewhere", "large", "small", draftWaits + 1, "placed"},
 		{"nobody waits elsewhere", "large", "", 0, "placed"},
-		{"under its share", "small", "small", 3, "placed"},
-		{"over its share elsewhere, too", "large", "large", 3, "placed"},
-		{"an account that is not in force", "large", "gone", 3, "placed"},
+		{"under its share", "small", "small", draftWaits, "placed"},
+		{"over its share elsewhere, too", "large", "large", draftWaits, "placed"},
+		{"an account that is not in force", "large", "gone", draftWaits, "placed"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -87,7 +91,7 @@
 	w.withAccounts()
 	w.fill(0)
 	w.ask("draft", "large")
-	w.reportWaiting("small", 3)
+	w.reportWaiting("small", draftWaits)
 	x := w.ask("draft", "large")
 	w.pass(450 * time.Millisecond)
 	if got, _ := x.got(); got != "placed" {
@@ -110,7 +114,7 @@
 
 // TestHubLeavesRoom guards against a hub that leaves room with its own requests only.
 func TestHubLeavesRoom(t *testing.T) {
-	for _, waits := range []int{0, 3} {
+	for _, waits := range []int{0, draftWaits} {
 		t.Run(fmt.Sprint(waits), func(t *testing.T) {
 			w := newWaitingHub()
 			w.withAccounts()
@@ -119,7 +123,7 @@
 			if waits > 0 {
 				w.applyUsage(w.at, &w.tables, peer.Message{From: "box-10", ShortPools: []string{"models"}, AccountLoads: []peer.AccountLoad{{Key: fairshare.Key("models", "small"), Waits: waits}}})
 			}
-			got := answerOf(w.call(1, false, func(p *peer.PlacementRequest) { p.Account = "large" }))
+			got := answerOf(w.call(1, false, func(p *peer.PlacementRequest) { p.Account, p.RoutePriority = "large", 2 }))
 			if queued := got == "queued"; queued != (waits > 0) {
 				t.Errorf("a request of the large account: %s", got)
 			}
@@ -139,7 +143,7 @@
 	first := w.ask("draft", "small")
 	w.at = w.at.Add(100 * time.Millisecond)
 	second := w.ask("question", "small")
-	want := []fairshare.Waiting{{Pool: "models", Account: "small", Priority: 0}}
+	want := []fairshare.Waiting{{Pool: "models", Account: "small", Urgency: 0}}
 	if got := list(); !slices.Equal(got, want) {
 		t.Fatalf("%v, want %v", got, want)
 	}
@@ -157,7 +161,7 @@
 	if got, _ := first.got(); got != "waits" {
 		t.Fatalf("the other request: %s", got)
 	}
-	want[0].Priority = 2
+	want[0].Urgency = draftWaits - 1
 	if got := list(); !slices.Equal(got, want) {
 		t.Errorf("one was placed: %v, want %v", got, want)
 	}
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -398,7 +398,7 @@
 		yields := d.yields(now, t, w.pool.Name) // Changes with each placement.
 		next, ok := w.queue.Next(now, func(id string) bool {
 			x := w.waiters[id]
-			return !x.ready() || yields != nil && yields(x.queued.Account, x.queued.Priority)
+			return !x.ready() || yields != nil && yields(x.queued.Account, x.queued.Urgency())
 		})
 		if !ok || !d.serveWaiter(now, t, w, w.waiters[next.ID]) {
 			return
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -75,14 +75,15 @@
 	reportedAt map[string]time.Time
 }
 
-// Waiting is an account with requests in this box's queue of a pool, and the most urgent priority
+// Waiting is an account with requests in this box's queue of a pool, and the highest urgency
 // of these.
 type Waiting struct {
 	Pool, Account string
-	Priority      int
+	// Urgency is lower for requests that go first.
+	Urgency int
 }
 
-// waitReport is which accounts' requests wait at another box: one more than the most urgent priority,
+// waitReport is which accounts' requests wait at another box: one more than the lowest Urgency,
 // by key.
 type waitReport struct {
 	at    time.Time
@@ -231,7 +232,7 @@
 		if t.waiting == nil {
 			t.waiting = make(map[uint32]int)
 		}
-		addWait(t.waiting, Key(x.Pool, x.Account), x.Priority+1)
+		addWait(t.waiting, Key(x.Pool, x.Account), x.Urgency+1)
 	}
 }
 
@@ -318,13 +319,13 @@
 	return t.shares(pool, accounts, func(key uint32) bool { return t.unserved(now, pool, key) })
 }
 
-// Yields returns whether a request of an account and a priority leaves free room to requests that
+// Yields returns whether a request of an account and an urgency leaves free room to requests that
 // wait at other boxes; it is nil if no request does. That is so if the account uses more than its
-// max-min share, and one that doesn't has a request of no less urgent priority waiting at another box.
+// max-min share, and one that doesn't has a request of no less urgency waiting at another box.
 // Each box's queue has an order of its own: without this, one that holds only requests of a large
 // account takes what becomes free while other accounts' requests wait elsewhere. An account is never
 // held below its share, so no two boxes yield to each other.
-func (t *Tracker) Yields(now time.Time, pool string, accounts func() []string) func(account string, priority int) bool {
+func (t *Tracker) Yields(now time.Time, pool string, accounts func() []string) func(account string, urgency int) bool {
 	if len(t.waitingAt) == 0 {
 		return nil
 	}
@@ -351,7 +352,7 @@
 	if first == 0 {
 		return nil
 	}
-	return func(account string, priority int) bool { return over[Key(pool, account)] && first <= priority+1 }
+	return func(account string, urgency int) bool { return over[Key(pool, account)] && first <= urgency+1 }
 }
 
 // shares is Shares with another definition of the accounts that want more than they have.
--- a/peer/message.go
+++ b/peer/message.go
@@ -159,8 +159,8 @@
 	// Key is a hash of the pool and the account.
 	Key    uint32 `cbor:"1,keyasint"`
 	Tokens int    `cbor:"2,keyasint"`
-	// Waits is one more than the most urgent priority of the account's requests that wait in the
-	// sender's own queue; zero if none does.
+	// Waits is one more than the lowest urgency number of the account's requests that wait in the
+	// sender's own queue; zero if none does. Lower goes first.
 	Waits int `cbor:"3,keyasint,omitempty"`
 }
 
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -74,6 +74,18 @@
 	return r.Returning || r.GoalAt.IsZero() || !now.After(r.GoalAt)
 }
 
+// Urgency is lower for requests that go first: those that need leave no reserve, then by priority,
+// then by the route's. Boxes compare it with that of requests which wait at other boxes.
+func (r *Request) Urgency() int {
+	const levels = 1 << 8
+	level := func(priority int) int { return min(max(priority, 0), levels-1) }
+	urgency := level(r.Priority)*levels + level(r.RoutePriority)
+	if r.LeavesReserve {
+		urgency += levels * levels
+	}
+	return urgency
+}
+
 // Refusal says why a request does not wait and when its caller should return.
 type Refusal struct {
 	Reason     string
@@ -112,8 +124,8 @@
 	sortedAt time.Time
 	// refused are the requests refused lately, or whose callers have yet to return.
 	refused []refusedRequest
-	// offered is the rate of tokens that requests admitted to the queue need.
-	offered flowrate.Meter
+	// offered are the rates of tokens that requests admitted to the queue need, by urgency.
+	offered map[int]*flowrate.Meter
 }
 
 // entry is a queued request with its place in the order.
@@ -127,8 +139,8 @@
 
 // refusedRequest is a request whose caller is expected to return.
 type refusedRequest struct {
-	at, returnAt time.Time
-	tokens       int
+	at, returnAt    time.Time
+	urgency, tokens int
 	// returns says that the caller is expected back, as it does not return twice.
 	returns bool
 }
@@ -216,7 +228,7 @@
 		after := taken + time.Duration(q.Draw()*float64(q.timeFor(lately, rate)))
 		refused.RetryAfter = q.spread(after, q.longestReturn(now, r))
 	}
-	q.refused = append(q.refused, refusedRequest{now, now.Add(refused.RetryAfter), r.Tokens, !r.Returning})
+	q.refused = append(q.refused, refusedRequest{now, now.Add(refused.RetryAfter), r.Urgency(), r.Tokens, !r.Returning})
 	return refused
 }
 
@@ -279,19 +291,19 @@
 	rate := q.FreeRate(now)
 	wait := q.timeFor(before, rate)
 	if !r.Returning {
-		wait = q.behindReturning(now, before, wait, rate)
+		wait = q.behindReturning(now, r.Urgency(), before, wait, rate)
 	}
 	if r.Returning || r.GoalAt.IsZero() || !now.Add(wait).After(r.GoalAt) {
 		return wait
 	}
-	return q.timeFor(before, rate-q.offeredRate(now))
+	return q.timeFor(before, rate-q.offeredRate(now, r.Urgency()))
 }
 
 // behindReturning extends a predicted wait by that for the callers who will have returned before its
 // end.
-func (q *Queue) behindReturning(now time.Time, before int, wait time.Duration, rate float64) time.Duration {
+func (q *Queue) behindReturning(now time.Time, urgency, before int, wait time.Duration, rate float64) time.Duration {
 	for {
-		longer := q.timeFor(before+q.returningBy(now, now.Add(wait)), rate)
+		longer := q.timeFor(before+q.returningBy(now, now.Add(wait), urgency), rate)
 		if longer <= wait {
 			return wait
 		}
@@ -301,10 +313,10 @@
 
 // returningBy is the tokens of the callers that were told to return by a time and will then go
 // before those that came later.
-func (q *Queue) returningBy(now, at time.Time) int {
+func (q *Queue) returningBy(now, at time.Time, urgency int) int {
 	sum := 0
 	for _, r := range q.refused {
-		if r.returns && r.returnAt.After(now) && r.returnAt.Before(at) {
+		if r.returns && r.urgency <= urgency && r.returnAt.After(now) && r.returnAt.Before(at) {
 			sum += r.tokens
 		}
 	}
@@ -314,18 +326,27 @@
 // noteOffered records an admitted request.
 func (q *Queue) noteOffered(now time.Time, r Request) {
 	if len(q.waiting) == 0 {
-		q.offered = flowrate.Meter{Window: RateWindow}
-		q.offered.Start(now)
+		q.offered = make(map[int]*flowrate.Meter)
+	}
+	meter := q.offered[r.Urgency()]
+	if meter == nil {
+		meter = &flowrate.Meter{Window: RateWindow}
+		meter.Start(now)
+		q.offered[r.Urgency()] = meter
 	}
-	q.offered.Add(now, float64(r.Tokens))
+	meter.Add(now, float64(r.Tokens))
 }
 
-// offeredRate is the rate at which admitted requests came lately, zero until it is known.
-func (q *Queue) offeredRate(now time.Time) float64 {
-	if q.offered.Lasted(now) < RateWindow/2 {
-		return 0
+// offeredRate is the rate at which admitted requests of no less urgency came lately, zero until it
+// is known.
+func (q *Queue) offeredRate(now time.Time, urgency int) float64 {
+	sum := 0.0
+	for of, meter := range q.offered {
+		if of <= urgency && meter.Lasted(now) >= RateWindow/2 {
+			sum += meter.Rate(now)
+		}
 	}
-	return q.offered.Rate(now)
+	return sum
 }
 
 // IsFirst reports whether a request that does not wait goes before all that do.
@@ -466,10 +487,8 @@
 	return cmp.Compare(a.usage, b.usage)
 }
 
-// compareUrgency orders requests by what they may use and by their priorities alone.
-func compareUrgency(a, b *Request) int {
-	return cmp.Or(compareBool(a.LeavesReserve, b.LeavesReserve), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.RoutePriority, b.RoutePriority))
-}
+// compareUrgency orders requests by Urgency alone.
+func compareUrgency(a, b *Request) int { return cmp.Compare(a.Urgency(), b.Urgency()) }
 
 // withinAccount orders requests of one account.
 func withinAccount(a, b *entry) int {
