feat(peer): report late first events with the loads

TargetLoad gets fields 70 to 72, PlacementResponse 70; empty in calm times. peerload.Totals.AnyLate spares calm fleets the lookups; Without no longer lists targets without load, and a difference keeps its target. go test -race ./peer ./peerload: passes.

--- a/peer/hub.go
+++ b/peer/hub.go
@@ -103,6 +103,9 @@
 	AskAnother bool `cbor:"20,keyasint,omitempty"`
 	// SinceMS is how long ago the caller of a queued request first asked, as far as the hub knows.
 	SinceMS int64 `cbor:"21,keyasint,omitempty"`
+	// SlowdownPercent is by which factor the hub scaled the target's predicted first event, in
+	// hundredths; zero if it did not.
+	SlowdownPercent int `cbor:"70,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
--- a/peer/message.go
+++ b/peer/message.go
@@ -148,6 +148,14 @@
 	// how long they took, in milliseconds.
 	ExpectedMS int `cbor:"4,keyasint,omitempty"`
 	ActualMS   int `cbor:"5,keyasint,omitempty"`
+	// These three are set only for engines some of whose answers began late (package engineslow);
+	// Target is then the hash of the engine's incarnation. FirstExpectedMS is the time that recent
+	// first events should have taken, FirstTookMS the time they took, in milliseconds, and
+	// LateTenths counts the late ones less
+	// those in time, in tenths.
+	FirstExpectedMS int `cbor:"70,keyasint,omitempty"`
+	FirstTookMS     int `cbor:"71,keyasint,omitempty"`
+	LateTenths      int `cbor:"72,keyasint,omitempty"`
 }
 
 // AccountLoad is the engine memory that the running requests of one client account use at a pool.
@@ -167,17 +175,23 @@
 
 // IsZero reports whether the load is empty.
 func (s TargetLoad) IsZero() bool {
-	return s.Tokens == 0 && s.PrefillBacklog == 0 && s.ExpectedMS == 0 && s.ActualMS == 0
+	return s == TargetLoad{Target: s.Target}
 }
 
 // Add returns the sum of two loads of one target.
 func (s TargetLoad) Add(b TargetLoad) TargetLoad {
-	return TargetLoad{s.Target, s.Tokens + b.Tokens, s.PrefillBacklog + b.PrefillBacklog, s.ExpectedMS + b.ExpectedMS, s.ActualMS + b.ActualMS}
+	return TargetLoad{
+		s.Target, s.Tokens + b.Tokens, s.PrefillBacklog + b.PrefillBacklog, s.ExpectedMS + b.ExpectedMS, s.ActualMS + b.ActualMS,
+		s.FirstExpectedMS + b.FirstExpectedMS, s.FirstTookMS + b.FirstTookMS, s.LateTenths + b.LateTenths,
+	}
 }
 
 // Sub returns the load without a part of it.
 func (s TargetLoad) Sub(b TargetLoad) TargetLoad {
-	return TargetLoad{s.Target, s.Tokens - b.Tokens, s.PrefillBacklog - b.PrefillBacklog, s.ExpectedMS - b.ExpectedMS, s.ActualMS - b.ActualMS}
+	return TargetLoad{
+		s.Target, s.Tokens - b.Tokens, s.PrefillBacklog - b.PrefillBacklog, s.ExpectedMS - b.ExpectedMS, s.ActualMS - b.ActualMS,
+		s.FirstExpectedMS - b.FirstExpectedMS, s.FirstTookMS - b.FirstTookMS, s.LateTenths - b.LateTenths,
+	}
 }
 
 // Leaving names a target that is leaving. Its age counts from when the target announced that, or
--- a/peerload/peerload.go
+++ b/peerload/peerload.go
@@ -21,6 +21,8 @@
 	boxes map[string]*box
 	// total is the sum over boxes, by target, without zero entries.
 	total map[uint64]peer.TargetLoad
+	// late counts the targets in total with late answers.
+	late int
 }
 
 // box is the last report of one box.
@@ -54,19 +56,33 @@
 
 func (t *Totals) add(b *box, load peer.TargetLoad) {
 	b.loads[load.Target] = load.Add(b.loads[load.Target])
-	t.total[load.Target] = load.Add(t.total[load.Target])
+	t.setTotal(load.Add(t.total[load.Target]))
 }
 
 // sub subtracts a box's load from the total.
 func (t *Totals) sub(load peer.TargetLoad) {
 	left := t.total[load.Target].Sub(load)
-	if left.IsZero() {
+	left.Target = load.Target
+	t.setTotal(left)
+}
+
+func (t *Totals) setTotal(load peer.TargetLoad) {
+	if t.total[load.Target].LateTenths > 0 {
+		t.late--
+	}
+	if load.LateTenths > 0 {
+		t.late++
+	}
+	if load.IsZero() {
 		delete(t.total, load.Target)
 		return
 	}
-	t.total[load.Target] = left
+	t.total[load.Target] = load
 }
 
+// AnyLate reports whether a box reported late answers of any target.
+func (t *Totals) AnyLate() bool { return t.late > 0 }
+
 // Expire drops the boxes that have not reported since a time.
 func (t *Totals) Expire(since time.Time) {
 	for name, b := range t.boxes {
@@ -94,7 +110,7 @@
 // Of returns the load of all boxes on a target or store.
 func (t *Totals) Of(target uint64) peer.TargetLoad { return t.total[target] }
 
-// Without returns the load by target, leaving out some boxes.
+// Without returns the load by target, leaving out some boxes and targets without load.
 func (t *Totals) Without(names []string) map[uint64]peer.TargetLoad {
 	rest := maps.Clone(t.total)
 	for _, name := range names {
@@ -103,7 +119,13 @@
 			continue
 		}
 		for target, load := range b.loads {
-			rest[target] = rest[target].Sub(load)
+			left := rest[target].Sub(load)
+			left.Target = target
+			if left.IsZero() {
+				delete(rest, target)
+				continue
+			}
+			rest[target] = left
 		}
 	}
 	return rest
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -116,3 +116,28 @@
 		t.Errorf("left: %+v", got)
 	}
 }
+
+// TestLate guards against AnyLate, which spares calm fleets the lookups, being wrong, and against
+// targets without load in what is left when boxes are taken out.
+func TestLate(t *testing.T) {
+	totals := peerload.New()
+	totals.Set(start, "a", []peer.TargetLoad{{Target: 7, LateTenths: 10}})
+	totals.Set(start, "b", []peer.TargetLoad{{Target: 7, LateTenths: -10}, {Target: 8, Tokens: 1}})
+	if totals.AnyLate() {
+		t.Error("late although all late answers are cancelled")
+	}
+	if left := totals.Without([]string{"b"}); len(left) != 1 || left[7] != (peer.TargetLoad{Target: 7, LateTenths: 10}) {
+		t.Errorf("without b: %+v", left)
+	}
+	totals.Drop("b")
+	if !totals.AnyLate() || totals.Of(7).Target != 7 {
+		t.Errorf("late: %v, of the target: %+v", totals.AnyLate(), totals.Of(7))
+	}
+	if left := totals.Without([]string{"a"}); len(left) != 0 {
+		t.Errorf("without all: %+v", left)
+	}
+	totals.Drop("a")
+	if totals.AnyLate() {
+		t.Error("late although no box reports any")
+	}
+}
