feat(affinity): scale an engine's predicted first event by its slowdown

The cost ignored how slow an engine is. It uses the expected factor; the goal is compared with the possible one. go test -race ./affinity: passes (TestSlowEngine).

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -128,7 +128,9 @@
 	PrefillTokens, PrefillBacklog int
 	// Transfers are those that the engine needs before it can prefill the rest.
 	Transfers []throughput.Transfer
-	Rule      string
+	// Slowdown is by which factor the engine's first events may be later than predicted, 1 or more.
+	Slowdown float64
+	Rule     string
 	// NextBest is the cheapest other engine, or empty: of those that are not full, unless all
 	// are. NextBestCost is by how much more it costs; it is negative if the chosen one was
 	// preferred by its rank, within the slack.
@@ -151,6 +153,10 @@
 	// means zero.
 	FirstEventBase func() time.Duration
 	Slowdown       func(now time.Time, source string) float64
+	// EngineSlowdown is by which factor an engine's first events are expected to be later than
+	// predicted, and by which they may be; both are 1 or more, nil means 1. The first scales the
+	// predicted time to the first event, the second the one that is compared with the goal.
+	EngineSlowdown func(now time.Time, t *fleet.Target) (expected, possible float64)
 
 	// Slack is the difference in cost within which the best-ranked engine is taken.
 	Slack time.Duration
@@ -172,9 +178,11 @@
 	cached, available int
 	// prefillBacklog are the tokens that the engine prefills first for other requests.
 	prefillBacklog int
-	full           bool
-	cost           time.Duration
-	rank           uint64
+	// slowdown is the engine's, 1 or more.
+	slowdown float64
+	full     bool
+	cost     time.Duration
+	rank     uint64
 }
 
 // Choose returns the engine for a prompt, or false if none takes new work.
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -245,3 +245,42 @@
 	}
 	return list[i].Name
 }
+
+// TestSlowEngine guards against a cost that ignores how slow an engine is, or that compares an
+// engine's usual first event with the goal although it may be later.
+func TestSlowEngine(t *testing.T) {
+	tests := []struct {
+		name               string
+		expected, possible float64
+		goal               time.Duration
+		want               string
+	}{
+		{"normal", 1, 1, 0, "home"},
+		{"slow", 4, 4, 0, "other"},
+		{"may be slow, no goal", 1, 4, 0, "home"},
+		{"may miss the goal", 1, 4, 400 * time.Millisecond, "other"},
+		{"meets the goal even if slow", 1, 4, 4 * time.Second, "home"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newFixture()
+			targets := []*fleet.Target{x.a, x.b}
+			home, _ := x.chooser.Choose(start, x.request, targets)
+			x.request.Goal = tt.goal
+			x.chooser.EngineSlowdown = func(_ time.Time, e *fleet.Target) (float64, float64) {
+				if e == home.Target {
+					return tt.expected, tt.possible
+				}
+				return 1, 1
+			}
+			choice, _ := x.chooser.Choose(start, x.request, targets)
+			got := "other"
+			if choice.Target == home.Target {
+				got = "home"
+			}
+			if got != tt.want {
+				t.Errorf("chose the %s engine, want %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/affinity/plan.go
+++ b/affinity/plan.go
@@ -12,7 +12,7 @@
 // plan decides what the chosen engine does with the prompt's parts.
 func (s *search) plan(one candidate) Choice {
 	l := s.locate(one.version)
-	choice := Choice{Target: one.target, Version: one.version, Keys: l.keys, CachedParts: one.cached, PrefillBacklog: one.prefillBacklog}
+	choice := Choice{Target: one.target, Version: one.version, Keys: l.keys, CachedParts: one.cached, PrefillBacklog: one.prefillBacklog, Slowdown: one.slowdown}
 	s.planFetch(l, one, &choice)
 	s.planTransfers(&choice, one)
 	s.planFallbackFetch(l, &choice)
--- a/affinity/search.go
+++ b/affinity/search.go
@@ -93,8 +93,11 @@
 	var transfers time.Duration
 	one.available, transfers = s.availableParts(l, t, one.cached)
 	prefill, recompute := s.prefillCost(l, one.available)
-	one.cost = wait + transfers + prefill + recompute
-	one.cost += lateness(s.firstEventBase+wait+transfers+prefill, s.request.Goal)
+	slowdown, possible := s.engineSlowdown(t)
+	one.slowdown = possible
+	first := s.firstEventBase + wait + transfers + prefill
+	one.cost = time.Duration(float64(first)*slowdown) - s.firstEventBase + recompute
+	one.cost += lateness(time.Duration(float64(first)*possible), s.request.Goal)
 	one.cost += memoryPressure(running+s.request.Tokens, s.request.Capacity)
 	if t.Domain != s.request.Domain {
 		one.cost += otherDomainCost
@@ -111,6 +114,13 @@
 	return one
 }
 
+func (s *search) engineSlowdown(t *fleet.Target) (expected, possible float64) {
+	if s.EngineSlowdown == nil {
+		return 1, 1
+	}
+	return s.EngineSlowdown(s.now, t)
+}
+
 // availableParts counts the leading parts that an engine has cached or can fetch, and the
 // time of the transfers. A part is usable only together with all parts before it.
 func (s *search) availableParts(l *location, t *fleet.Target, cached int) (int, time.Duration) {
