feat(entry): give slow engines less work

Answers are compared with their prediction, reports go with the loads, and hubs use the sum for their spokes' requests too. Late answers of single engines are no sample of the pool's speed any more. Log line, gauge thymewind_entry_slow_engines and without: [slow_engines].

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -135,6 +135,9 @@
 	PlacedAt       time.Time
 	PrefillBacklog int
 	Transfers      []throughput.Transfer
+	// EngineSlowdown is by which factor first events of the target were taken to be later than
+	// predicted by the speed of its pool; zero if they were not.
+	EngineSlowdown float64
 	// CachedTokens, FetchedTokens and SavedTokens are the prompt tokens that the target was
 	// expected to have cached, and those that it was to fetch and to save.
 	CachedTokens, FetchedTokens, SavedTokens int
--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -8,6 +8,7 @@
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/entry/settings"
 	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/headroom"
 	"github.com/thymewind/thymewind/peer"
 )
@@ -31,6 +32,11 @@
 	quarantined func(now time.Time, t *tables, sum fingerprint.Sum) bool
 	// waits says whether requests without room may wait, at this box or at a hub.
 	waits bool
+	// engineSlowdown is by which factor an engine's first events are later than predicted, as
+	// affinity.Chooser has it; observeEngine learns it from an answer and reports whether that was
+	// late because of the engine.
+	engineSlowdown func(now time.Time, t *tables, x *fleet.Target) (expected, possible float64)
+	observeEngine  func(now time.Time, t *tables, p deliver.Placement) bool
 	// accountUsage is the engine memory in tokens that an account's requests use in a pool.
 	accountUsage func(t *tables, pool, account string) int
 }
@@ -50,8 +56,10 @@
 		quarantined: func(now time.Time, t *tables, sum fingerprint.Sum) bool {
 			return t.quarantined(now, sum)
 		},
-		waits:        true,
-		accountUsage: (*tables).accountUsage,
+		waits:          true,
+		accountUsage:   (*tables).accountUsage,
+		engineSlowdown: func(now time.Time, t *tables, x *fleet.Target) (float64, float64) { return t.effectiveSlowdown(now, x) },
+		observeEngine:  func(now time.Time, t *tables, p deliver.Placement) bool { return t.observeEngine(now, p) },
 	}
 }
 
@@ -104,6 +112,10 @@
 	if off(settings.Waiting) {
 		d.waits = false
 	}
+	if off(settings.SlowEngines) {
+		d.engineSlowdown = func(time.Time, *tables, *fleet.Target) (float64, float64) { return 1, 1 }
+		d.observeEngine = func(time.Time, *tables, deliver.Placement) bool { return false }
+	}
 	if len(d.Settings.Without) > 0 {
 		d.Log.Warn("mechanisms are switched off for measurements", "without", d.Settings.Without)
 	}
--- a/entry/ablation_test.go
+++ b/entry/ablation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/entry/settings"
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/throughput"
@@ -65,6 +66,12 @@
 			}
 			return d.quarantined(start, &d.tables, sum)
 		}},
+		{settings.SlowEngines, func(d *Daemon) bool {
+			d.tables.members["b2"] = &member{}
+			d.tables.receiveLoads(start, "b2", []peer.TargetLoad{{Target: engineKey(fleet.Incarnation{ID: "a"}), FirstExpectedMS: 500, FirstTookMS: 2000, LateTenths: 60}})
+			_, ratio := d.engines.EngineSlowdown(start, &fleet.Target{ID: "a"})
+			return ratio > 2
+		}},
 		{settings.Hurry, func(d *Daemon) bool { return d.server.Suspect != nil }},
 	}
 	for _, tt := range tests {
--- a/entry/build.go
+++ b/entry/build.go
@@ -111,6 +111,7 @@
 		PrefillPerToken: d.prefillPerToken,
 		FirstEventBase:  func() time.Duration { base, _ := d.tables.throughput.Prefill(); return base },
 		Slowdown:        func(now time.Time, source string) float64 { return d.tables.slowdown(now, source) },
+		EngineSlowdown:  func(now time.Time, x *fleet.Target) (float64, float64) { return d.engineSlowdown(now, &d.tables, x) },
 		Load:            func(now time.Time, x *fleet.Target) (int, int) { return d.load(now, &d.tables, x) },
 	}
 	d.budget = retry.Budget{
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -72,6 +72,7 @@
 		return nil
 	}
 	t.due.gossip = now.Add(d.nextGossipDelay(t))
+	d.noteSlowEngines(now, t)
 	message := peer.Message{
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
--- a/entry/load.go
+++ b/entry/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/engineslow"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
@@ -32,6 +33,7 @@
 	t.throughput.Each(now, func(source uint64, expected, took time.Duration) {
 		list = append(list, peer.TargetLoad{Target: source, ExpectedMS: int(expected.Milliseconds()), ActualMS: int(took.Milliseconds())})
 	})
+	t.slowEngines.Each(now, func(engine uint64, e engineslow.Evidence) { list = append(list, reportOf(engine, e)) })
 	for id, x := range t.targetsInUse {
 		load := peer.TargetLoad{Target: placement.Hash(id), Tokens: x.Tokens}
 		load.PrefillBacklog = t.overdue.Tokens(now, load.Target)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,7 @@
 	queued            *prometheus.GaugeVec
 	queueEnds         *prometheus.CounterVec
 	shortPools        prometheus.Gauge
+	slowEngines       prometheus.Gauge
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -101,7 +102,9 @@
 	c.queued = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "thymewind_entry_queued", Help: "Requests that wait at this box for engine memory, by pool."}, []string{"pool"})
 	c.queueEnds = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_queue_ends_total", Help: "Requests that waited at this box or were refused its queue, by pool, priority and how that ended."}, []string{"pool", "priority", "end"})
 	c.shortPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_short_pools", Help: "Pools for which this box, as the one that places, lately found no room for a request."})
+	c.slowEngines = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_slow_engines", Help: "Engines whose first events came late lately, as far as this box knows."})
 	r.MustRegister(
+		c.slowEngines,
 		c.queued, c.queueEnds,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.waited, c.pause, c.refused, c.late,
--- a/entry/place.go
+++ b/entry/place.go
@@ -269,6 +269,9 @@
 		NewestVersion: w.newestVersion, ReplacedFor: w.replacedFor(now, choice.Version), BeginBy: w.beginBy(choice.Version, d.bounds.Load().WeightsWithin),
 		QuotaGranted: d.takeQuota(now, t, choice.Target), NextBest: choice.NextBest, NextBestCost: choice.NextBestCost,
 	}
+	if choice.Slowdown > 1 {
+		place.EngineSlowdown = choice.Slowdown
+	}
 	if t.clockKnown {
 		place.Fetch = addresses(choice.Fetch)
 		place.FetchUntil = d.uptime(now) + t.clock + reclaim.FetchTimeout(choice.Version >= w.newestVersion, d.provedAgo(now))
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -236,6 +236,7 @@
 		PlacedAt: now, PrefillBacklog: p.PrefillBacklog, QuotaGranted: p.QuotaGranted,
 		NewestVersion: w.newestVersion, ReplacedFor: w.replacedFor(now, p.Version), BeginBy: w.beginBy(p.Version, within),
 		NextBest: t.targetName(job.Pool.Name, p.NextBest), NextBestCost: time.Duration(p.NextBestCostMS) * time.Millisecond,
+		EngineSlowdown: float64(p.SlowdownPercent) / 100,
 	}
 	for _, m := range p.Transfers {
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -84,6 +84,7 @@
 		UntilMS: place.FetchUntil.Milliseconds(), CachedTokens: place.CachedTokens, FetchedTokens: place.FetchedTokens, SavedTokens: place.SavedTokens,
 		PrefillTokens: place.PrefillTokens, Rule: place.Rule, PrefillBacklog: place.PrefillBacklog, Transfers: transfers, QuotaGranted: place.QuotaGranted,
 		NextBest: nextBest, NextBestCostMS: place.NextBestCost.Round(time.Millisecond).Milliseconds(),
+		SlowdownPercent: int(place.EngineSlowdown * 100),
 	}
 }
 
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -37,11 +37,13 @@
 	Quarantine = "quarantine"
 	// Waiting has requests without room wait in order.
 	Waiting = "waiting"
+	// SlowEngines gives less work to engines whose answers began late.
+	SlowEngines = "slow_engines"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, SlowEngines,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -50,6 +50,8 @@
 	}
 	maps.DeleteFunc(t.silences, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > silenceTTL })
 	d.logSlowStores(now, t)
+	t.slowEngines.Expire(now)
+	d.noteSlowEngines(now, t)
 	d.logOverload(t)
 	d.logCongestion(t)
 	d.Sweep(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/congestion"
 	"github.com/thymewind/thymewind/crash"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/engineslow"
 	"github.com/thymewind/thymewind/fairshare"
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
@@ -69,6 +70,11 @@
 	// throughput is the speed of engines' prefill and of transfers from sources, learned from
 	// this box's requests.
 	throughput throughput.Estimator
+	// slowEngines are the engines whose answers to this box's requests began late.
+	// slowEnginesLogged marks those that were logged as slow, mostlySlow the pools most of whose engines are.
+	slowEngines       engineslow.Tracker
+	slowEnginesLogged map[string]bool
+	mostlySlow        map[string]bool
 	// typicalSizes are the typical sizes of requests, in tokens, by route.
 	typicalSizes map[string]float64
 	// latenessByPool are the shares of late answers, by pool.
@@ -302,7 +308,7 @@
 		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), accounts: fairshare.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
 		weights: make(map[string]*modelRollout), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Incarnation]*targetQuota), quotaRetryAt: make(map[quotaAsk]time.Time), probing: make(map[string]bool),
 		silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
-		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
+		slowLogged: make(map[string]bool), slowEnginesLogged: make(map[string]bool), mostlySlow: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
 		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), placed: placedTokens{running: make(map[string]int)},
--- a/entry/throughput.go
+++ b/entry/throughput.go
@@ -17,7 +17,12 @@
 	t.crashes.Alive(placementIncarnation(p), p.PlacedAt)
 	t.overdue.Done(placement.Hash(p.Target), p.PlacedAt)
 	if p.Scope != "" {
-		t.throughput.Observe(now, throughput.Sample{Took: now.Sub(p.PlacedAt), Tokens: p.PrefillBacklog + p.PrefillTokens, Transfers: p.Transfers})
+		// What the engine's own slowness explains is no sample of the pool's speed or of the sources'.
+		if d.observeEngine(now, t, p) && len(p.Transfers) == 0 {
+			return
+		}
+		took := time.Duration(float64(now.Sub(p.PlacedAt)) / max(p.EngineSlowdown, 1))
+		t.throughput.Observe(now, throughput.Sample{Took: took, Tokens: p.PrefillBacklog + p.PrefillTokens, Transfers: p.Transfers})
 	}
 }
 
@@ -30,9 +35,13 @@
 // slowdown is the factor by which transfers from a source take longer than planned, as observed
 // by all boxes.
 func (t *tables) slowdown(now time.Time, source string) float64 {
-	name := placement.Hash(source)
-	expected, took := t.throughput.Transferred(now, name)
-	others := t.othersUsage.Of(name)
+	return t.slowdownOf(now, placement.Hash(source))
+}
+
+// slowdownOf is slowdown by the hash of the source's name.
+func (t *tables) slowdownOf(now time.Time, source uint64) float64 {
+	expected, took := t.throughput.Transferred(now, source)
+	others := t.othersUsage.Of(source)
 	return throughput.Slowdown(expected+milliseconds(others.ExpectedMS), took+milliseconds(others.ActualMS))
 }
 
