--- a/engineslow/engineslow.go
+++ b/engineslow/engineslow.go
@@ -93,7 +93,7 @@
 		return 1, 1
 	}
 	excess := min(float64(e.Took)/float64(e.Expected), maxRatio) - 1
-	// With the weight itself for both, twice as many answers were late in TestUnevenPool.
+	// With the weight itself for both, more than twice as many answers were late in TestUnevenPool.
 	return 1 + weight*weight*excess, 1 + math.Sqrt(weight)*excess
 }
 
