--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -42,6 +42,7 @@
 	shortPools        prometheus.Gauge
 	copies            *prometheus.CounterVec
 	copiedTokens      *prometheus.CounterVec
+	slowEngines       prometheus.Gauge
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -105,7 +106,9 @@
 	c.shortPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_short_pools", Help: "Pools for which this box, as the one that places, lately found no room for a request."})
 	c.copies = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copies_total", Help: "Copies of runs at other engines by pool: asked for, used by a run whose engine was lost, or missing then."}, []string{"pool", "end"})
 	c.copiedTokens = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copied_tokens_total", Help: "Memory of the runs for which a copy was asked, in tokens, by pool; each copy is at most that large."}, []string{"pool"})
+	c.slowEngines = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_slow_engines", Help: "Engines whose first events came late lately, as far as this box knows."})
 	r.MustRegister(
+		c.slowEngines,
 		c.queued, c.queueEnds,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.waited, c.pause, c.refused, c.late, c.shortPools, c.copies, c.copiedTokens,
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -39,11 +39,13 @@
 	Waiting = "waiting"
 	// Copies has the memory of runs copied to another engine, so that they survive theirs.
 	Copies = "copies"
+	// SlowEngines gives less work to engines whose answers began late.
+	SlowEngines = "slow_engines"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies, SlowEngines,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -112,6 +112,9 @@
 	SinceMS int64 `cbor:"21,keyasint,omitempty"`
 	// CopyTarget is the target that is to hold a copy of the run; empty for none.
 	CopyTarget string `cbor:"60,keyasint,omitempty"`
+	// SlowdownPercent is by which factor the hub scaled the target's predicted first event, in
+	// hundredths; zero if it did not.
+	SlowdownPercent int `cbor:"70,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
