fix(engineslow): learn soon that a whole pool became slower

Late answers are no samples of a pool's speed. If the whole pool became 3 times slower or more, they were left out for over 3 s, as its answers in time had to lose weight first. Now about the last 20 answers are judged; once most are late, the evidence of single engines until then is dropped, and all answers are samples until fewer than half are late.

--- a/engineslow/engineslow.go
+++ b/engineslow/engineslow.go
@@ -26,9 +26,9 @@
 )
 
 const (
-	// lateFactor and jitter say when an answer counts as late: first events take 50 ms and,
-	// with some thousand tokens to prefill, up to 200 ms, so that one of up to lateFactor times that plus the usual error of predictions is
-	// still within the shortest goal of model routes, 400 ms.
+	// lateFactor and jitter say when an answer counts as late: first events take 50 ms and, with
+	// some thousand tokens to prefill, up to 200 ms, so that one of up to lateFactor times that plus
+	// the usual error of predictions is still within the shortest goal of model routes, 400 ms.
 	lateFactor = 1.5
 	jitter     = 60 * time.Millisecond
 	// decayTime is the time constant with which answers lose weight. An engine answers some 8
@@ -56,11 +56,18 @@
 	// maxTook bounds one answer, as in package throughput: longer waits have other causes.
 	maxTook = 4 * time.Second
 	// ownFault is the share of late answers over all engines above which the cause is this box
-	// (it was paused, or is short of processor time) or the whole pool. Even if a third of the
-	// engines is slow, most answers are normal.
-	ownFault = 2.0 / 3
+	// (it was paused, or is short of processor time) or the whole pool, until the share is below
+	// ownFaultEnds. Even if a third of the engines is slow, most answers are normal. With one limit
+	// for both, a pool that had become 3 times slower was learned as slower a second later, as
+	// the share falls below ownFault while it is learned.
+	ownFault     = 2.0 / 3
+	ownFaultEnds = 1.0 / 2
 	// minAnswers is how many answers that judgement needs.
 	minAnswers = 2
+	// answerDecay lowers the weight of earlier answers in that judgement with each answer, so that
+	// about the last 20 count. By decayTime alone, late answers of a pool that had become 3 times slower
+	// or more were left out of its learned speed for over 3 s.
+	answerDecay = 0.95
 	// maxEngines bounds the state: more than the engines in use at the largest deployment.
 	maxEngines = 1024
 	// resolution is the unit of Evidence.LateTenths. Less than negligible, in either direction, is
@@ -108,6 +115,8 @@
 	engines map[uint64]*sum
 	// all are the answers of all engines.
 	all sum
+	// ownFault is whether the cause of late answers was last found to be common to all engines.
+	ownFault bool
 }
 
 // sum adds up answers whose weight decays, as of at.
@@ -133,11 +142,17 @@
 	took = min(took, maxTook)
 	late := took > time.Duration(lateFactor*float64(predicted))+jitter
 	t.all.decay(now)
+	t.all.late *= answerDecay
+	t.all.inTime *= answerDecay
 	if late {
 		t.all.late++
 	} else {
 		t.all.inTime++
 	}
+	if t.notEngines(now) {
+		clear(t.engines) // The late answers until this was found had the same cause.
+		return false
+	}
 	if s := t.of(now, engine, late || suspected); s != nil {
 		s.expected += float64(predicted)
 		s.took += float64(took)
@@ -150,7 +165,7 @@
 			s.late = max(s.late-1, minLate)
 		}
 	}
-	return late && !t.notEngines(now)
+	return late
 }
 
 // of returns an engine's sum, decayed to now, or nil if there is none and none may be created.
@@ -187,7 +202,12 @@
 func (t *Tracker) notEngines(now time.Time) bool {
 	t.all.decay(now)
 	answers := t.all.late + t.all.inTime
-	return answers >= minAnswers && t.all.late > ownFault*answers
+	limit := ownFault
+	if t.ownFault {
+		limit = ownFaultEnds
+	}
+	t.ownFault = answers >= minAnswers && t.all.late > limit*answers
+	return t.ownFault
 }
 
 // Each calls yield with what this box reports to others: the engines with late
