fix(entry): forget that most engines are slow with the pool

A pool that was removed from the configuration while most of its engines were slow had its ratios ignored when it was back. The comment on slowRatio says what else depends on it.

--- a/entry/slowengines.go
+++ b/entry/slowengines.go
@@ -15,7 +15,8 @@
 
 const (
 	// slowRatio is the ratio from which an engine is logged and counted as slow, normalRatio the
-	// one below which it no longer is. They are used for nothing else.
+	// one below which it no longer is. Ratios aren't used in pools most of whose engines are slow
+	// by this count; nothing else depends on it.
 	slowRatio   = 1.5
 	normalRatio = 1.2
 	// maxSlowLines bounds the log lines about slow engines in a second; the gauge counts all.
@@ -73,6 +74,7 @@
 		return
 	}
 	slow := make(map[string]float64)
+	clear(t.mostlySlow)
 	for name, pool := range table.Pools {
 		if pool.Engine == nil {
 			continue
--- a/entry/slowengines_test.go
+++ b/entry/slowengines_test.go
@@ -12,6 +12,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/throughput"
 )
 
@@ -182,6 +183,37 @@
 	}
 }
 
+// TestSlowPoolRemoved guards against a pool that is taken from the configuration while most of its
+// engines are slow and whose ratios are still ignored when it is back.
+func TestSlowPoolRemoved(t *testing.T) {
+	d := boxWithEngines("box-00")
+	hear := func(ids ...string) {
+		var list []peer.TargetLoad
+		for _, id := range ids {
+			list = append(list, peer.TargetLoad{Target: engineKey(fleet.Incarnation{ID: id}), FirstExpectedMS: 600, FirstTookMS: 2400, LateTenths: 60})
+		}
+		d.tables.members["box-05"] = &member{}
+		d.tables.receiveLoads(start, "box-05", list)
+		d.noteSlowEngines(start, &d.tables)
+	}
+	ratio := func() float64 {
+		_, possible := d.tables.effectiveSlowdown(start, d.tables.fleet.Target("a"))
+		return possible
+	}
+	hear("a", "b")
+	if got := ratio(); got != 1 {
+		t.Fatalf("ratio %.1f although all engines are slow", got)
+	}
+	table := d.current.Load()
+	d.current.Store(routing.New(2, nil, nil, nil))
+	hear()
+	d.current.Store(table)
+	d.tables.receiveLoads(start, "box-05", []peer.TargetLoad{{Target: engineKey(fleet.Incarnation{ID: "a"}), FirstExpectedMS: 600, FirstTookMS: 2400, LateTenths: 60}})
+	if got := ratio(); got != 4 {
+		t.Errorf("ratio %.1f of the only slow engine", got)
+	}
+}
+
 // TestSlowEngineLogged guards against engines that become slow, or normal again, without a line, and
 // against a gauge that doesn't tell.
 func TestSlowEngineLogged(t *testing.T) {
