test(entry): answers of slow engines at a spoke, pools mostly slow

Each fails without what it guards: the hub's ratio at the spoke, answers in time of suspected engines, their expiry, transfers as a possible cause, and the check of the pool with each gossip message.

--- a/entry/slowengines_test.go
+++ b/entry/slowengines_test.go
@@ -304,3 +304,47 @@
 		})
 	}
 }
+
+// TestSlowEngineAnswers guards against a spoke that doesn't take an answer in time of an engine
+// placed with a ratio as a sign that it recovered, against state that outlasts such answers, and
+// against a late answer with transfers that doesn't count for their source, which may be the cause.
+func TestSlowEngineAnswers(t *testing.T) {
+	d := boxWithEngines("box-05")
+	got, ok := d.acceptHubPlace(start, &d.tables, deliver.PlacementRequest{Job: job("long", 1000)}, &peer.PlacementResponse{Target: "a", Version: 1, SlowdownPercent: 400})
+	if !ok || got.place.EngineSlowdown != 4 {
+		t.Fatalf("placed: %v, with the ratio %v", ok, got.place.EngineSlowdown)
+	}
+	d.answerBegan(start.Add(60*time.Millisecond), &d.tables, got.place)
+	if e := d.tables.slowEngines.Of(start.Add(60*time.Millisecond), engineKey(fleet.Incarnation{ID: got.place.Target, StartedAt: got.place.StartedAt})); e.LateTenths != -10 {
+		t.Errorf("after an answer in time: %+v", e)
+	}
+	d.sweep(start.Add(10*time.Second), &d.tables)
+	if !d.tables.slowEngines.IsEmpty() {
+		t.Error("state is left 10 s after the last answer")
+	}
+	source := placement.Hash("store")
+	place := deliver.Placement{Target: "a", Scope: "m@1", PlacedAt: start, Transfers: []throughput.Transfer{{Source: source, Expected: 80 * time.Millisecond}}}
+	d.answerBegan(start.Add(time.Second), &d.tables, place)
+	if got := d.tables.slowdownOf(start.Add(time.Second), source); got < 2 {
+		t.Errorf("slowdown %.1f of the source", got)
+	}
+}
+
+// TestMostlySlowPool guards against work that gathers at the few engines without a ratio for longer
+// than boxes take to hear of the others.
+func TestMostlySlowPool(t *testing.T) {
+	w, id := slowFleet(5)
+	for i, x := range w.boxes[0].tables.engines("models") {
+		if i < 7 {
+			answered(w.boxes[1], w.now, x.ID, 6, 500*time.Millisecond)
+		}
+	}
+	w.advance(400*time.Millisecond, nil)
+	d := w.boxes[0]
+	if _, got := d.tables.engineSlowdown(w.now, d.tables.fleet.Target(id)); got < 2 {
+		t.Fatalf("ratio %.1f of a slow engine", got)
+	}
+	if _, got := d.tables.effectiveSlowdown(w.now, d.tables.fleet.Target(id)); got != 1 {
+		t.Errorf("placement uses the ratio %.1f although most engines are slow", got)
+	}
+}
