--- a/entry/accountyield_test.go
+++ b/entry/accountyield_test.go
@@ -123,7 +123,9 @@
 			if waits > 0 {
 				w.applyUsage(w.at, &w.tables, peer.Message{From: "box-10", ShortPools: []string{"models"}, AccountLoads: []peer.AccountLoad{{Key: fairshare.Key("models", "small"), Waits: waits}}})
 			}
-			got := answerOf(w.call(1, false, func(p *peer.PlacementRequest) { p.Account, p.RoutePriority, p.MaxMemoryShare = "large", 2, maxShareLowPriority }))
+			got := answerOf(w.call(1, false, func(p *peer.PlacementRequest) {
+				p.Account, p.RoutePriority, p.MaxMemoryShare = "large", 2, maxShareLowPriority
+			}))
 			if queued := got == "queued"; queued != (waits > 0) {
 				t.Errorf("a request of the large account: %s", got)
 			}
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -68,11 +68,8 @@
 	Returning bool
 }
 
-// inGoal reports whether the request can still meet its goal, if it has one. A caller who returned
-// when told to keeps the place that its first try had.
-func (r *Request) inGoal(now time.Time) bool {
-	return r.Returning || r.GoalAt.IsZero() || !now.After(r.GoalAt)
-}
+// inGoal reports whether the request can still meet its goal, if it has one.
+func (r *Request) inGoal(now time.Time) bool { return r.GoalAt.IsZero() || !now.After(r.GoalAt) }
 
 // Urgency is lower for requests that go first: those that need leave no reserve, then by priority,
 // then by the route's. Boxes compare it with that of requests which wait at other boxes.
@@ -478,7 +475,7 @@
 // account that uses least, including what was taken before, is the same as sorting by what each
 // request's account uses when its turn comes.
 func compare(a, b *entry) int {
-	if c := cmp.Or(compareUrgency(&a.Request, &b.Request), compareBool(b.inGoal, a.inGoal)); c != 0 {
+	if c := cmp.Or(compareUrgency(&a.Request, &b.Request), compareStanding(a, b)); c != 0 {
 		return c
 	}
 	if a.usage == b.usage {
@@ -490,9 +487,18 @@
 // compareUrgency orders requests by Urgency alone.
 func compareUrgency(a, b *Request) int { return cmp.Compare(a.Urgency(), b.Urgency()) }
 
+// compareStanding puts first what can still meet its goal, and then the callers who returned when
+// told to.
+func compareStanding(a, b *entry) int {
+	if a.inGoal != b.inGoal {
+		return compareBool(b.inGoal, a.inGoal)
+	}
+	return compareBool(b.Returning, a.Returning)
+}
+
 // withinAccount orders requests of one account.
 func withinAccount(a, b *entry) int {
-	if c := cmp.Or(compareUrgency(&a.Request, &b.Request), compareBool(b.inGoal, a.inGoal)); c != 0 {
+	if c := cmp.Or(compareUrgency(&a.Request, &b.Request), compareStanding(a, b)); c != 0 {
 		return c
 	}
 	if c := a.Since.Compare(b.Since); c != 0 {
