feat(settings): what hard load asks for is switched on by settings and the contract for pressure

Queue, shares and copies are in force only where the settings ask for them, or the platform's contract "pressure", which only some deployments name; others are served as before. The latest begin within a goal uses the usual time to the first event of the route, as of the drafts that waited a quarter missed their goal.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -104,7 +104,9 @@
 	if err != nil {
 		return settings.Settings{}, trace.ConvertSystemError(err)
 	}
-	return settings.Parse(file, data)
+	s, err := settings.Parse(file, data)
+	platform.ApplyContracts(&s)
+	return s, err
 }
 
 // logFindings logs every finding in the settings.
--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -102,6 +102,7 @@
 	flush := http.NewResponseController(x.w)
 	if x.headWritten {
 		x.outcome.Resumed++
+		x.firstAfter = 0
 		x.times.resumed()
 	}
 	for {
@@ -109,7 +110,7 @@
 		event, err := events.Next()
 		wait.end()
 		if errors.Is(err, io.EOF) {
-			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true})
+			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true, FirstAfter: x.firstAfter})
 			x.outcome.Cause = ""
 			x.completed(x.Now())
 			x.writeHead(reply)
@@ -153,6 +154,7 @@
 	now := x.Now()
 	waited, goal := now.Sub(x.lastEventAt), x.job.Route.GapGoal
 	if x.lastEventAt.IsZero() {
+		x.firstAfter = now.Sub(x.outcome.Place.PlacedAt)
 		waited, goal = now.Sub(x.job.Received), x.job.Route.Goal
 	}
 	waited -= x.queued
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -225,6 +225,9 @@
 	Late, Completed bool
 	Verdict         int
 	Version         int64
+	// FirstAfter is the time from the placement to a stream's first event; zero if there was none,
+	// or if it came from an earlier target.
+	FirstAfter time.Duration
 }
 
 // Outcome is the end of a request, for the log and the metrics.
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -62,7 +62,10 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
-	times       eventTimes
+	// firstAfter is the time from the placement to the first event, zero if an earlier target
+	// sent that.
+	firstAfter time.Duration
+	times      eventTimes
 	// queued is how long the request has waited for placements since the last event.
 	queued time.Duration
 	// unnumbered says that an event was passed on whose ID is not a number, or that had none.
--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -54,13 +54,16 @@
 		quarantined: func(now time.Time, t *tables, sum fingerprint.Sum) bool {
 			return t.quarantined(now, sum)
 		},
-		waits:        true,
 		accountUsage: (*tables).accountUsage,
 	}
 }
 
-// ablate switches off the mechanisms that the settings name. Nothing else does.
+// ablate switches off the mechanisms that the settings name or don't ask for.
 func (d *Daemon) ablate() {
+	d.waits = d.Settings.Overload.Queue
+	if !d.Settings.Overload.Copies {
+		d.copiesRuns = func(*routing.Pool) bool { return false }
+	}
 	off := func(mechanism string) bool { return slices.Contains(d.Settings.Without, mechanism) }
 	if off(settings.Saves) {
 		d.engines.AllowSave = func(*affinity.Source) bool { return false }
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -44,9 +44,8 @@
 }
 
 // copyLoss is the time that a request's caller loses if its run is lost: the whole answer, and with
-// it the time that the caller has. It is zero if the run needs no copy, as none are being lost, its
-// prompt is short or it can be resumed at another engine, and if there is a copy under its ID. A hub
-// can't tell whether a prompt is short: it is told the size of prompt and longest answer together.
+// it the time that the caller has. It is zero if the run needs no copy, as none are being lost or it
+// can be resumed at another engine, and if there is a copy under its ID.
 func (d *Daemon) copyLoss(now time.Time, t *tables, request deliver.PlacementRequest) time.Duration {
 	job := request.Job
 	if !d.copiesRuns(job.Pool) || !job.Route.Stream || t.runLosses.Chance(now, poolHash(job.Pool)) == 0 {
@@ -55,9 +54,6 @@
 	if t.copied[job.ID] {
 		return 0
 	}
-	if _, token := t.throughput.Prefill(); time.Duration(job.PromptTokens)*token < runcopy.MinReading {
-		return 0
-	}
 	if job.Route.Resumable && len(request.Attempted)+1 < job.Route.Attempts {
 		return 0
 	}
@@ -71,9 +67,8 @@
 		return
 	}
 	x := t.fleet.Target(place.Target)
-	_, token := t.throughput.Prefill()
 	run := runcopy.Run{
-		Domain: x.Domain, Tokens: place.Tokens, Capacity: job.Pool.Engine.Capacity, Reading: time.Duration(job.PromptTokens) * token,
+		Domain: x.Domain, Tokens: place.Tokens, Capacity: job.Pool.Engine.Capacity,
 		Loss: loss, Chance: t.runLosses.Chance(now, poolHash(job.Pool)), PerToken: t.engineTransferPerToken,
 	}
 	var engines []runcopy.Engine
--- a/entry/place.go
+++ b/entry/place.go
@@ -111,7 +111,7 @@
 	place, refused := choose(now, t, request)
 	d.notePlacement(now, request, refused)
 	if refused != nil {
-		if refused.Code == codeCrowded {
+		if d.waits && refused.Code == codeCrowded {
 			t.noteShort(now, request.Job.Pool.Name, accountName(request.Job))
 		}
 		return place, refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, request.Job))
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -61,7 +61,7 @@
 		place, refused = d.chooseEngine(now, t, request, sender{t.domainOf(m.From), peerAdmissionLimit(m.PlacementRequest), namedIn(m.PlacementRequest.IdleConnections), excluded})
 	}
 	if refused != nil {
-		if refused.Code == codeCrowded {
+		if d.waits && refused.Code == codeCrowded {
 			t.noteShort(now, pool.Name, m.PlacementRequest.Account)
 		}
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -33,6 +33,11 @@
 	Box Box `yaml:"box"`
 	// Bounds are the platform's limits on how this system acts.
 	Bounds Bounds `yaml:"bounds"`
+	// Overload is what this box does while engines have too little room.
+	Overload Overload `yaml:"overload"`
+	// Contracts are the names of the platform's rules in force; package platform knows which of
+	// them ask for a part of Overload.
+	Contracts []string `yaml:"contracts"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
 	// Without names mechanisms that are switched off, to measure what each is worth; empty
@@ -59,6 +64,15 @@
 	Megabits float64 `yaml:"megabits"`
 }
 
+// Overload switches on what a deployment with hard load asks for. All boxes of a deployment have
+// the same.
+type Overload struct {
+	// Queue has requests to engines without room wait in order, by fair shares of the accounts.
+	Queue bool `yaml:"queue"`
+	// Copies has runs copied to another engine while engines are being lost.
+	Copies bool `yaml:"copies"`
+}
+
 // Bounds are the platform's limits. A zero one does not apply.
 type Bounds struct {
 	// Stop is the time from the request to stop until the process is killed.
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -222,6 +222,8 @@
 	heldBytes int
 	// returning are the requests that this box refused for want of room.
 	returning returning.List
+	// firstEvents are the usual times from a request's placement to its first event, by route.
+	firstEvents map[string]usualTime
 	// placed is the engine memory used by requests that this box placed.
 	placed placedTokens
 	// holdTimes is how long requests hold engine memory, by pool.
@@ -314,7 +316,7 @@
 		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
-		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), placed: placedTokens{running: make(map[string]int)},
+		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), firstEvents: make(map[string]usualTime), placed: placedTokens{running: make(map[string]int)},
 		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -156,6 +156,9 @@
 	d.recordLiveness(now, t, m)
 	t.placed.remove(m.Place.Tokens, m.Job)
 	t.learnHoldTime(now, m)
+	if m.Began && m.FirstAfter > 0 {
+		t.learnFirstEvent(m.Job.Route.Name, m.FirstAfter)
+	}
 	x := t.fleet.Incarnation(fleet.Incarnation{ID: m.Place.Target, StartedAt: m.Place.StartedAt})
 	if x == nil {
 		return
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -201,12 +201,40 @@
 	if job.Route.Goal <= 0 {
 		return time.Time{}
 	}
+	return askedAt(now, job).Add(job.Route.Goal - t.firstEvent(job))
+}
+
+// firstEvent is how long requests of a job's route take from their placement to the first event,
+// by those before: with less time left, most would miss their goal. Until one was answered, the
+// engine has to read at least the part of the prompt that no other request has.
+func (t *tables) firstEvent(job *deliver.Job) time.Duration {
+	if usual, known := t.firstEvents[job.Route.Name]; known {
+		return usual.mean + usual.deviation
+	}
 	base, token := t.throughput.Prefill()
 	own := 0
 	if len(job.Parts) > 0 {
 		own = job.Parts[len(job.Parts)-1].Tokens
 	}
-	return askedAt(now, job).Add(job.Route.Goal - base - time.Duration(own)*token)
+	return base + time.Duration(own)*token
+}
+
+// usualTime is a moving average of times, and of how far they are from it.
+type usualTime struct{ mean, deviation time.Duration }
+
+// usualTimeWeight is the weight of the last time: about the last twenty count.
+const usualTimeWeight = 0.05
+
+// learnFirstEvent learns from a request that a target began to answer.
+func (t *tables) learnFirstEvent(route string, took time.Duration) {
+	usual, known := t.firstEvents[route]
+	if !known {
+		usual.mean = took
+	}
+	off := took - usual.mean
+	usual.mean += time.Duration(usualTimeWeight * float64(off))
+	usual.deviation += time.Duration(usualTimeWeight * float64(off.Abs()-usual.deviation))
+	t.firstEvents[route] = usual
 }
 
 // beginBy is the latest begin that leaves a request enough time to end: the time in which no answer
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -709,3 +709,22 @@
 		expect(t, "held call", reply, "placed")
 	}
 }
+
+// TestGoalByUsualFirstEvent guards against requests that wait as long as only the fastest of their
+// route could and then miss their goal.
+func TestGoalByUsualFirstEvent(t *testing.T) {
+	w := newWaitingBox("b1")
+	x := w.request("draft", "x")
+	for range 200 {
+		w.update(w.at, attemptEnded{deliver.AttemptResult{Job: x.ask.Job, Began: true, Completed: true, FirstAfter: 700 * time.Millisecond}})
+	}
+	if got := w.goalAt(w.at, &w.tables, x.ask.Job).Sub(w.at); got < 490*time.Millisecond || got > 510*time.Millisecond {
+		t.Errorf("may wait for %v, want its goal of 1.2 s less the usual 0.7 s", got)
+	}
+	for i := range 200 {
+		w.tables.learnFirstEvent("draft", time.Duration(500+400*(i%2))*time.Millisecond)
+	}
+	if got := w.goalAt(w.at, &w.tables, x.ask.Job).Sub(w.at); got < 250*time.Millisecond || got > 350*time.Millisecond {
+		t.Errorf("may wait for %v, want 0.2 s less as times differ by as much", got)
+	}
+}
--- a/runcopy/runcopy.go
+++ b/runcopy/runcopy.go
@@ -14,10 +14,6 @@
 import "time"
 
 const (
-	// MinReading is the least time to read a run's prompt for which it gets a copy. First
-	// events usually differ by 60 ms from their prediction, so a caller that has to return
-	// with a shorter prompt does not notice that it is read again.
-	MinReading = 60 * time.Millisecond
 	// memoryCost is the cost of all memory of an engine, the same as for the choice of the
 	// engine that runs a request: memory in use evicts cached parts that others read again.
 	memoryCost = 100 * time.Millisecond
@@ -35,8 +31,6 @@
 	Domain string
 	// Tokens is the memory that it uses, Capacity that of an engine.
 	Tokens, Capacity int
-	// Reading is the time to read its whole prompt.
-	Reading time.Duration
 	// Loss is the time that the caller loses if the run is lost: its whole deadline, if the
 	// answer can't be resumed and so has to begin again.
 	Loss time.Duration
@@ -56,7 +50,7 @@
 // Choose returns the engine that is to hold a run's copy, or false if it gets none. It is the one
 // for which a copy costs least, the first in order if several do.
 func Choose(r Run, engines []Engine) (Engine, bool) {
-	if r.Capacity <= 0 || r.Tokens <= 0 || r.Reading < MinReading {
+	if r.Capacity <= 0 || r.Tokens <= 0 {
 		return Engine{}, false
 	}
 	limit := time.Duration(r.Chance * float64(r.Loss))
