--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -69,6 +69,9 @@
 // ablate switches off the mechanisms that the settings name or don't ask for.
 func (d *Daemon) ablate() {
 	d.waits = d.Settings.Overload.Queue
+	if !d.Settings.Overload.SlowEngines {
+		d.withoutSlowEngines()
+	}
 	if !d.Settings.Overload.Copies {
 		d.copiesRuns = func(*routing.Pool) bool { return false }
 	}
@@ -123,10 +126,15 @@
 		d.copiesRuns = func(*routing.Pool) bool { return false }
 	}
 	if off(settings.SlowEngines) {
-		d.engineSlowdown = func(time.Time, *tables, *fleet.Target) (float64, float64) { return 1, 1 }
-		d.observeEngine = func(time.Time, *tables, deliver.Placement) bool { return false }
+		d.withoutSlowEngines()
 	}
 	if len(d.Settings.Without) > 0 {
 		d.Log.Warn("mechanisms are switched off for measurements", "without", d.Settings.Without)
 	}
 }
+
+// withoutSlowEngines neither observes nor uses how late engines answer.
+func (d *Daemon) withoutSlowEngines() {
+	d.engineSlowdown = func(time.Time, *tables, *fleet.Target) (float64, float64) { return 1, 1 }
+	d.observeEngine = func(time.Time, *tables, deliver.Placement) bool { return false }
+}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -71,6 +71,8 @@
 	Queue bool `yaml:"queue"`
 	// Copies has runs copied to another engine while engines are being lost.
 	Copies bool `yaml:"copies"`
+	// SlowEngines gives less work to engines whose first events came late.
+	SlowEngines bool `yaml:"slow_engines"`
 }
 
 // Bounds are the platform's limits. A zero one does not apply.
--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -29,7 +29,7 @@
 func newDaemon(name string) *Daemon {
 	rows := &fake.Table{}
 	d := &Daemon{
-		Settings: settings.Settings{Name: name, Domain: "a", Overload: settings.Overload{Queue: true, Copies: true}, Bounds: settings.Bounds{
+		Settings: settings.Settings{Name: name, Domain: "a", Overload: settings.Overload{Queue: true, Copies: true, SlowEngines: true}, Bounds: settings.Bounds{
 			RevokedWithin: 5 * time.Second, Takeover: 3 * time.Second, WeightsWithin: 12 * time.Second, RetryShare: 0.2, RetryExtra: 50,
 		}},
 		Log: log.New(io.Discard), Registry: prometheus.NewRegistry(), Sweep: func(time.Time) {},
