--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -117,7 +117,7 @@
 }
 
 func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
-	dialer := net.Dialer{}
+	dialer := net.Dialer{Control: exchange.LimitBuffers}
 	connections := &exchange.Client{Dial: dialer.DialContext, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilentAfter: silentAfter}
 	rows := &store.Store{
 		Base: "http://" + s.Store.Address.String(), MinTimeout: minStoreTimeout, Timeout: storeTimeout,
--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -38,8 +38,9 @@
 
 // relay passes an ordinary answer on. A short one is read completely first.
 func (x *run) relay(place Placement, reply *Reply) (*refusal.Refusal, error) {
-	first, err := io.ReadAll(io.LimitReader(reply.Body, bufferBytes))
-	if err == nil && len(first) == bufferBytes {
+	buffer := x.bufferFor(reply)
+	first, err := io.ReadAll(io.LimitReader(reply.Body, buffer))
+	if err == nil && int64(len(first)) == buffer {
 		return x.relayLong(place, reply, first)
 	}
 	if err == nil && reply.Length >= 0 && int64(len(first)) != reply.Length {
@@ -52,7 +53,7 @@
 	x.outcome.Cause = ""
 	x.writeHead(reply)
 	if _, err := x.w.Write(first); err != nil {
-		return x.abort("writing to the caller failed: " + err.Error())
+		return x.abort(x.writeFailure(err))
 	}
 	return nil, nil
 }
@@ -60,13 +61,21 @@
 // relayLong passes an answer on as it arrives.
 func (x *run) relayLong(place Placement, reply *Reply, first []byte) (*refusal.Refusal, error) {
 	x.writeHead(reply)
+	body := &measuredBody{Reader: reply.Body, run: x, last: x.Now()}
 	_, err := x.w.Write(first)
 	if err == nil {
-		_, err = io.Copy(x.w, reply.Body)
-	}
-	failed := err != nil && x.ctx.Err() == nil
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, CutOff: failed, Answered: err == nil, CallerLeft: x.caller.Err() != nil})
-	if err != nil {
+		_, err = io.Copy(x.w, body)
+	}
+	unwritten := err != nil && body.err == nil
+	unread := unwritten || body.err != nil && x.reading.causedCut(x.Now())
+	failed := err != nil && x.ctx.Err() == nil && !unread
+	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, CutOff: failed, Answered: err == nil, CallerLeft: unread || x.caller.Err() != nil, SlowCaller: unread || x.reading.slow()})
+	switch {
+	case unwritten:
+		return x.abort(x.writeFailure(err))
+	case unread:
+		return x.abort(CauseUnread + ": the target cut the answer off: " + err.Error())
+	case err != nil:
 		return x.abort(err.Error())
 	}
 	x.outcome.Cause = ""
@@ -86,18 +95,23 @@
 
 // relayStream passes events on as they arrive, complete ones only.
 func (x *run) relayStream(ctx context.Context, place Placement, reply *Reply) (*refusal.Refusal, error) {
-	events := eventstream.Reader{From: reply.Body}
+	events := eventstream.Reader{From: reply.Body, Grow: x.growEvents(ctx)}
+	passedOn := false
 	wait := &eventWait{}
 	if x.Suspect != nil && x.job.Route.Resumable && x.sent < x.job.Route.Attempts {
 		go x.abortIfStalled(ctx, x.cancel, place.Target, wait)
 	}
 	flush := http.NewResponseController(x.w)
 	for {
-		wait.begin(x.Now())
+		now := x.Now()
+		if passedOn {
+			x.reading.wrote(now, now.Sub(x.lastEventAt))
+		}
+		wait.begin(now)
 		event, err := events.Next()
 		wait.end()
 		if errors.Is(err, io.EOF) {
-			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true})
+			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true, SlowCaller: x.reading.slow()})
 			x.outcome.Cause = ""
 			x.writeHead(reply)
 			return nil, nil
@@ -109,6 +123,7 @@
 			return x.handleStreamCutOff(place, err)
 		}
 		x.recordEvent()
+		passedOn = false
 		id := eventstream.ID(event)
 		if x.headWritten && id != "" && !later(id, x.lastEventID) {
 			continue // The caller received it from the previous attempt.
@@ -118,9 +133,10 @@
 			err = flush.Flush()
 		}
 		if err != nil {
-			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true})
-			return x.abort("writing to the caller failed: " + err.Error())
+			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true, SlowCaller: true})
+			return x.abort(x.writeFailure(err))
 		}
+		passedOn = true
 		if id != "" {
 			x.lastEventID = id
 		}
@@ -141,6 +157,10 @@
 
 // handleStreamCutOff handles a stream that was cut off.
 func (x *run) handleStreamCutOff(place Placement, err error) (*refusal.Refusal, error) {
+	if x.ctx.Err() == nil && !errors.Is(err, errSilent) && x.reading.causedCut(x.Now()) {
+		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true, SlowCaller: true})
+		return x.abort(CauseUnread + ": the target cut the stream off: " + err.Error())
+	}
 	failed := x.ctx.Err() == nil
 	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
 	x.outcome.Cause = "the stream was cut off: " + err.Error()
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/throughput"
@@ -38,6 +39,8 @@
 	Header    http.Header
 	HeadBytes int
 	Body      io.Reader
+	// BodyLength is the body's declared length, or -1 if the caller declares none.
+	BodyLength int64
 	// Key is the API key, which identifies the client account.
 	Key   string
 	Model string
@@ -204,8 +207,10 @@
 	// Late says that the first event or a gap between events exceeded the route's goals,
 	// Completed that the stream ended normally. Late is valid only if Completed is set.
 	Late, Completed bool
-	Verdict         int
-	Version         int64
+	// SlowCaller says that the caller, not the target, decided how long the answer took.
+	SlowCaller bool
+	Verdict    int
+	Version    int64
 }
 
 // Outcome is the end of a request, for the log and the metrics.
@@ -278,6 +283,11 @@
 	RetryAfter    func(code string, job *Job) time.Duration
 	RecordOutcome func(Outcome)
 	Retried       func(Retry)
+	// Held counts the bytes held for callers; nil counts none and refuses nothing.
+	Held *heldbytes.Ledger
+	// MemoryRefused is called when a request with a body of this many bytes is refused for
+	// want of memory; may be nil.
+	MemoryRefused func(job *Job, bytes int64)
 
 	mu sync.Mutex
 	// running are the requests that Reap checks, with the cancel function of each.
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 )
@@ -62,7 +63,10 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
-	outcome     Outcome
+	// held counts the bytes held for this request, reading how its caller reads.
+	held    *heldbytes.Account
+	reading reading
+	outcome Outcome
 }
 
 // errRetry says that another target should be tried.
@@ -73,6 +77,10 @@
 // can't be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
 	x := &run{Server: s, w: w, lastEventID: call.LastEventID, outcome: Outcome{Call: call}}
+	if s.Held != nil {
+		x.held = s.Held.Open()
+		defer x.held.Close()
+	}
 	stopWatching := x.watchCaller(ctx)
 	refused := x.serve()
 	x.outcome.Teardown, x.outcome.CallerLeft = stopWatching()
--- /dev/null
+++ b/deliver/slowreader.go
@@ -0,0 +1,185 @@
+package deliver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/thymewind/thymewind/refusal"
+	"github.com/thymewind/thymewind/routing"
+)
+
+const (
+	// slowWrite is how long one write to a caller must take for a cut that follows within the
+	// same time to be this box's own doing. Targets cut off answers that stay unread for some
+	// seconds; a write to a caller that reads takes well under a millisecond.
+	slowWrite = time.Second
+	// slowCaller is the time that all writes of an answer must take for its length to say
+	// nothing about the target. It is half of the shortest goal of the platform's services.
+	slowCaller = 100 * time.Millisecond
+	// minBufferBytes is the buffer of an answer for which there is no memory: the caller gets
+	// the answer's head sooner, and another target can't replace the answer after that.
+	minBufferBytes = 4 << 10
+	// maxFreeEvent is the buffer that each stream gets whether there is memory or not, so that
+	// streams of usual events never wait for others' memory. An event of a model's step has
+	// some hundred bytes.
+	maxFreeEvent = 8 << 10
+	// roomInterval is how often an answer that waits for memory asks again.
+	roomInterval = 20 * time.Millisecond
+	// bodyStep is by how much the count of a body of unknown length grows; a body of one step is
+	// small at every box.
+	bodyStep = 4 << 10
+)
+
+// CauseUnread is the cause of an answer that ended because its caller did not read it.
+const CauseUnread = "unread"
+
+// CodeHeldMemory refuses a request for want of memory at this box. Its body may be unread.
+const CodeHeldMemory = "held_memory"
+
+// errHeldMemory says that there is no memory for the rest of a body of unknown length.
+var errHeldMemory = errors.New("no memory for the rest of the body")
+
+// reading measures how a caller reads its answer.
+type reading struct {
+	// total is the time spent in writes, slowAt when the last write ended that took slowWrite
+	// or longer.
+	total  time.Duration
+	slowAt time.Time
+}
+
+func (r *reading) wrote(now time.Time, took time.Duration) {
+	r.total += took
+	if took >= slowWrite {
+		r.slowAt = now
+	}
+}
+
+// slow says that the caller, not the target, decided how long the answer took.
+func (r *reading) slow() bool { return r.total >= slowCaller }
+
+// causedCut says that a target that cuts its answer off now does so because this box did not read
+// it. The time after a slow write covers what had arrived before the cut.
+func (r *reading) causedCut(now time.Time) bool {
+	return !r.slowAt.IsZero() && now.Sub(r.slowAt) < slowWrite
+}
+
+// measuredBody is an answer's body that counts the time between two reads as that of a write.
+type measuredBody struct {
+	io.Reader
+	run *run
+	// last is when the last read ended; err is the target's error.
+	last time.Time
+	err  error
+}
+
+// Read implements io.Reader.
+func (b *measuredBody) Read(p []byte) (int, error) {
+	now := b.run.Now()
+	b.run.reading.wrote(now, now.Sub(b.last))
+	n, err := b.Reader.Read(p)
+	b.last = b.run.Now()
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
+// writeFailure is the cause of an answer that could not be written to its caller.
+func (x *run) writeFailure(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !x.disconnected() {
+		return CauseUnread
+	}
+	return "writing to the caller failed: " + err.Error()
+}
+
+// bufferFor is how much of an answer is read before its head is passed on.
+func (x *run) bufferFor(reply *Reply) int64 {
+	bytes := int64(bufferBytes)
+	if reply.Length >= 0 {
+		bytes = min(bytes, reply.Length)
+	}
+	x.held.Set(int64(len(x.job.Body))) // An earlier attempt's buffers are gone.
+	if x.held.Hold(bytes) {
+		return bufferBytes
+	}
+	x.held.Set(int64(len(x.job.Body)) + min(bytes, minBufferBytes))
+	return minBufferBytes
+}
+
+// growEvents counts what a stream's buffer grows by. Beyond maxFreeEvent it waits for room and
+// reads nothing meanwhile, so that the target is held up; it fails when ctx ends.
+func (x *run) growEvents(ctx context.Context) func(by int) error {
+	grown := 0
+	return func(by int) error {
+		grown += by
+		if grown <= maxFreeEvent {
+			x.held.Set(int64(len(x.job.Body) + grown))
+			return nil
+		}
+		for !x.held.Hold(int64(by)) {
+			select {
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			case <-time.After(roomInterval):
+			}
+		}
+		return nil
+	}
+}
+
+// admitBody refuses a request whose body does not fit in memory, before any of it is read if its
+// length is known. It returns the reader of the body.
+func (x *run) admitBody(job *Job, bound int64) (io.Reader, *refusal.Refusal) {
+	body, priority := io.LimitReader(job.Call.Body, bound+1), routing.Priority(job.Route, job.Account)
+	if x.held == nil || job.Call.BodyLength == 0 {
+		return body, nil
+	}
+	if job.Call.BodyLength < 0 {
+		return &countedBody{Reader: body, admit: func() bool { return x.held.Admit(bodyStep, priority) }}, nil
+	}
+	if bytes := min(job.Call.BodyLength, bound+1); !x.held.Admit(bytes, priority) {
+		return nil, x.refuseMemory(job, bytes)
+	}
+	return body, nil
+}
+
+func (x *run) refuseMemory(job *Job, bytes int64) *refusal.Refusal {
+	if x.MemoryRefused != nil {
+		x.MemoryRefused(job, bytes)
+	}
+	return x.unavailable(job, CodeHeldMemory, "this box has no memory for a body of %d bytes", bytes)
+}
+
+// countedBody is a body of unknown length. It asks for memory before it reads more than it has.
+type countedBody struct {
+	io.Reader
+	admit func() bool
+	// room is how much may be read.
+	room int
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	if b.room == 0 {
+		if !b.admit() {
+			return 0, errHeldMemory
+		}
+		b.room = bodyStep
+	}
+	n, err := b.Reader.Read(p[:min(len(p), b.room)])
+	b.room -= n
+	return n, err
+}
+
+// stopReading bounds what the server still reads of a body after its request was refused.
+func stopReading(connection *http.ResponseController) {
+	_ = connection.SetReadDeadline(time.Now().Add(drainTime)) // Only real connections support it.
+}
+
+// drainTime is how long the rest of a refused body is still read and dropped, so that the caller
+// gets the refusal and not a reset. It covers 4 MiB at 100 Mbit/s and some round trips.
+const drainTime = 500 * time.Millisecond
--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -91,6 +91,9 @@
 	if off(settings.Hurry) {
 		d.server.Suspect = nil
 	}
+	if off(settings.HeldBytes) {
+		d.server.Held = nil
+	}
 	if off(settings.Quarantine) {
 		d.quarantined = func(time.Time, *tables, fingerprint.Sum) bool { return false }
 	}
--- a/entry/ablation_test.go
+++ b/entry/ablation_test.go
@@ -64,6 +64,7 @@
 			}
 			return d.quarantined(start, &d.tables, sum)
 		}},
+		{settings.HeldBytes, func(d *Daemon) bool { return d.server.Held != nil }},
 		{settings.Hurry, func(d *Daemon) bool { return d.server.Suspect != nil }},
 	}
 	for _, tt := range tests {
--- a/entry/build.go
+++ b/entry/build.go
@@ -15,6 +15,7 @@
 	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/leastrequest"
 	"github.com/thymewind/thymewind/minlatency"
@@ -74,6 +75,9 @@
 	server            deliver.Server
 	retryEstimator    retryafter.Estimator
 	minAnswerTimes    minlatency.Tracker
+	// held counts the bytes held for callers and targets, callers watches how callers read.
+	held    heldbytes.Ledger
+	callers callerConns
 	// notices are the targets' signals about themselves.
 	notices notice.Registry
 	peers   peer.Node
@@ -98,7 +102,7 @@
 	d.hooks = newHooks()
 	d.metrics = newMetricSet(d.Registry)
 	d.ended = make(chan struct{})
-	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.gossip, d.reapRequests}
+	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.gossip, d.reapRequests, d.endUnread}
 	d.plan = rollout.Plan{MinConcurrent: concurrentLoads, ConcurrentShare: concurrentLoadShare}
 	d.services = leastrequest.Chooser{Domain: d.Settings.Domain, Self: placement.Hash(d.Settings.Name)}
 	d.tables.prefillBacklog.TokenTime = d.prefillPerToken
@@ -123,6 +127,8 @@
 	d.retryEstimator.Started(d.startedAt, noConfiguration)
 	d.logLimiter = rate.NewLimiter(answerLogRate, answerLogRate)
 	d.buildLease()
+	d.held.Limit = heldbytes.LimitOf(int64(d.Settings.Box.MemoryMB) << 20)
+	d.callers.held = &d.held
 	d.buildServer()
 	d.buildPeers()
 	d.ablate()
@@ -166,6 +172,7 @@
 		Suspect: d.isSuspect, MinAnswerTime: d.minAnswerTime,
 		Spend: d.spend, Refund: d.refund, Earn: d.earn,
 		Now: d.now, Random: rand.Uint64, RetryAfter: d.retryAfter, RecordOutcome: d.recordOutcome, Retried: d.recordRetry,
+		Held: &d.held, MemoryRefused: d.countMemoryRefused,
 	}
 }
 
--- a/entry/canarysamples.go
+++ b/entry/canarysamples.go
@@ -31,7 +31,7 @@
 // countCanarySample counts the end of a request in a pool with a canary rollout, and learns the
 // older version's answer times in any pool.
 func (d *Daemon) countCanarySample(now time.Time, t *tables, x *fleet.Target, m attemptEnded) {
-	if m.CallerLeft || m.Verdict == deliver.OtherVersion || m.Verdict == deliver.OtherReplica {
+	if m.CallerLeft || m.SlowCaller || m.Verdict == deliver.OtherVersion || m.Verdict == deliver.OtherReplica {
 		return
 	}
 	c := t.canaryOf(x.Pool)
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -48,6 +48,9 @@
 		if err != nil {
 			return nil, trace.Wrap(err, "listening on %v", l.at)
 		}
+		if l.at == d.Settings.Callers {
+			listener = d.callers.watch(listener)
+		}
 		listeners = append(listeners, listener)
 		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.Log.StandardLog(), ConnContext: hangup.ConnContext})
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,9 @@
 	proofs            *prometheus.CounterVec
 	restores          prometheus.Gauge
 	rewritten         prometheus.Counter
+	held              prometheus.Gauge
+	unread            prometheus.Counter
+	memoryRefused     *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -81,7 +84,11 @@
 	c.proofs = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_proofs_total", Help: "Proofs that the configuration in force is the newest, by who read the table service for it."}, []string{"by"})
 	c.restores = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_store_restores", Help: "How often the table service was restored from an older copy, as it tells."})
 	c.rewritten = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_rows_rewritten_total", Help: "Rows of this box that a restore lost and that it wrote again."})
+	c.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_held_bytes", Help: "Bytes held for callers and targets: bodies, answers' buffers, and what the kernel holds for callers that don't read."})
+	c.unread = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unread_total", Help: "Callers' connections ended as their callers did not read their answers."})
+	c.memoryRefused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_memory_refused_total", Help: "Requests refused for want of memory at this box, by the size of their bodies and their priority."}, []string{"size", "priority"})
 	r.MustRegister(
+		c.held, c.unread, c.memoryRefused,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
 	)
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -35,11 +35,13 @@
 	Hurry = "hurry"
 	// Quarantine refuses requests under which targets ended.
 	Quarantine = "quarantine"
+	// HeldBytes bounds the bytes held for callers and targets.
+	HeldBytes = "held-bytes"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, HeldBytes,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -250,7 +250,7 @@
 
 // due is when each system next has something to do.
 type due struct {
-	sweep, lease, probe, gossip, reap, suspension, refresh time.Time
+	sweep, lease, probe, gossip, reap, suspension, refresh, unreadChecked time.Time
 }
 
 // member is another box.
--- a/entry/update.go
+++ b/entry/update.go
@@ -133,13 +133,13 @@
 	}
 	d.countCanarySample(now, t, x, m)
 	x.Ended(now, m.Began, m.Place.PrefillTokens, m.Place.Tokens, m.Failed)
-	if m.Completed {
+	if m.Completed && !m.SlowCaller {
 		t.lateness(x.Pool).Observe(m.Late)
 	}
 	if m.Verdict != 0 {
 		x.Heard(now)
 	}
-	if m.Began && !m.Failed && m.Job.Pool.Engine == nil {
+	if m.Began && !m.Failed && !m.SlowCaller && m.Job.Pool.Engine == nil {
 		t.congestion(x.Pool).Observe(now, now.Sub(m.Place.PlacedAt))
 	}
 	if m.Unreachable {
--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -24,9 +24,12 @@
 // initialBuffer is the initial buffer size in bytes, enough for a few typical events.
 const initialBuffer = 1 << 10
 
-// Reader reads events. Set From before first use.
+// Reader reads events. Set the exported fields before first use.
 type Reader struct {
 	From io.Reader
+	// Grow is called before the buffer grows by some bytes; its error ends the stream. It may
+	// wait, and nothing is read meanwhile. Nil allows all growth.
+	Grow func(by int) error
 
 	buffer []byte
 	// start and end bound the bytes read and not yet returned.
@@ -94,7 +97,13 @@
 		r.end -= r.start
 		r.start = 0
 	case r.end == len(r.buffer):
-		r.buffer = append(r.buffer, make([]byte, max(initialBuffer, len(r.buffer)))...)
+		by := max(initialBuffer, len(r.buffer))
+		if r.Grow != nil {
+			if r.err = r.Grow(by); r.err != nil {
+				return
+			}
+		}
+		r.buffer = append(r.buffer, make([]byte, by)...)
 	}
 	n, err := r.From.Read(r.buffer[r.end:])
 	r.end += n
