--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -112,19 +112,19 @@
 		bound = 4 << 20 // The largest limit that the platform configures.
 	}
 	connection := http.NewResponseController(x.w)
+	until := func(at time.Time) error { return connection.SetReadDeadline(time.Now().Add(at.Sub(x.Now()))) }
 	counted, refused := x.admitBody(job, bound)
 	if refused != nil {
-		stopReading(connection)
+		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
 		return refused
 	}
-	until := func(at time.Time) error { return connection.SetReadDeadline(time.Now().Add(at.Sub(x.Now()))) }
 	limited := until(job.Until) == nil // Only real connections support it.
 	body, err := readAll(counted, func() error { return until(x.Now().Add(arrivedBodyTime)) })
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time").WithRetryAfter(x.RetryAfter("body_late", job))
 	}
 	if errors.Is(err, errHeldMemory) {
-		stopReading(connection)
+		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
 		return x.refuseMemory(job, int64(len(body)))
 	}
 	if err != nil && x.callerLeft() {
--- a/deliver/slowreader.go
+++ b/deliver/slowreader.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -175,11 +174,6 @@
 	return n, err
 }
 
-// stopReading bounds what the server still reads of a body after its request was refused.
-func stopReading(connection *http.ResponseController) {
-	_ = connection.SetReadDeadline(time.Now().Add(drainTime)) // Only real connections support it.
-}
-
 // drainTime is how long the rest of a refused body is still read and dropped, so that the caller
 // gets the refusal and not a reset. It covers 4 MiB at 100 Mbit/s and some round trips.
 const drainTime = 500 * time.Millisecond
--- a/entry/unread_test.go
+++ b/entry/unread_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/heldbytes"
+	"github.com/thymewind/thymewind/routing"
 )
 
 // watchedPair returns both ends of a watched connection.
@@ -172,3 +174,33 @@
 		conns.check(reapInterval)
 	}
 }
+
+// TestSlowCallersTeachNothing guards against callers that hold their answers up making a service
+// look congested or engines late: healthy callers were refused for that.
+func TestSlowCallersTeachNothing(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		d := boxWithThreeDomains()
+		plain := &deliver.Job{Call: &deliver.Call{ID: "r"}, Route: &routing.Route{Goal: 150 * time.Millisecond}, Pool: &routing.Pool{Name: "orders"}}
+		now := start
+		for range 20 {
+			place, err := d.place(now, &d.tables, deliver.PlacementRequest{Job: plain, Attempted: []string{"i-c"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			now = now.Add(7 * time.Second)
+			d.update(now, answerBegan{place})
+			d.update(now, attemptEnded{deliver.AttemptResult{Place: place, Job: plain, Began: true, SlowCaller: slow}})
+		}
+		if mean := d.tables.congestion("orders").Mean(); (mean > time.Second) == slow {
+			t.Errorf("slow callers: %v, the service's answers take %v", slow, mean)
+		}
+		e := withMemoryUsed(0)
+		for range 100 {
+			e.tables.fleet.Target("a").Sent(start, 0, 0)
+			e.update(start, attemptEnded{deliver.AttemptResult{Place: deliver.Placement{Target: "a"}, Job: job("long", 0), Began: true, Completed: true, Late: true, SlowCaller: slow}})
+		}
+		if late := e.tables.lateness("models").LateShare(); (late > 0.5) == slow {
+			t.Errorf("slow callers: %v, %v of the engines' answers are late", slow, late)
+		}
+	}
+}
