--- a/entry/unread_test.go
+++ b/entry/unread_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +24,11 @@
 	}
 	l = conns.watch(l)
 	t.Cleanup(func() { _ = l.Close() })
-	conn, err := net.Dial("tcp", l.Addr().String())
+	// With a small buffer the window opens for the little that is read, too.
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	conn, err := dialer.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,6 +56,7 @@
 	}{
 		{"reads nothing", func(*net.TCPConn, int) {}, reapInterval, true},
 		{"reads a byte now and then", func(c *net.TCPConn, _ int) { readSome(c, 1) }, reapInterval, true},
+		{"reads 3,000 bytes in 5 s", func(c *net.TCPConn, _ int) { readSome(c, 120) }, reapInterval, true},
 		{"reads slowly", func(c *net.TCPConn, _ int) { readSome(c, 100<<10) }, reapInterval, false},
 		{"pauses for 4 s", func(c *net.TCPConn, i int) {
 			if i%20 == 0 {
