fix: refusals reach slow senders, unscheduled writes end no answer

A body refused for memory was drained for 0.5 s only, so a caller that sent 1 MiB at 5 Mbit/s got a reset and no refusal. A write that was pending as this process did not run, with nothing left in the kernel, counted as a caller that does not read.

--- a/deliver/slowreader.go
+++ b/deliver/slowreader.go
@@ -175,5 +175,6 @@
 }
 
 // drainTime is how long the rest of a refused body is still read and dropped, so that the caller
-// gets the refusal and not a reset. It covers 4 MiB at 100 Mbit/s and some round trips.
-const drainTime = 500 * time.Millisecond
+// gets the refusal and not a reset. It covers the largest body, 4 MiB, at 10 Mbit/s; with 0.5 s a
+// caller that sent 1 MiB at 5 Mbit/s got a reset. The dropped bytes take no memory.
+const drainTime = 4 * time.Second
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -183,7 +183,9 @@
 		c.acked, c.unreadFor, c.seen = info.Bytes_acked, 0, c.writes.Load()|1
 		return false
 	}
-	if info.Unacked == 0 { // Everything sent has arrived, so the caller's window is closed.
+	// Everything sent has arrived and more waits, so the caller's window is closed. If nothing waits,
+	// the write is pending only because this process has not run.
+	if info.Unacked == 0 && held > 0 {
 		c.unreadFor += passed
 	}
 	return c.unreadFor >= unreadTimeout
--- a/entry/unread_test.go
+++ b/entry/unread_test.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// TestUnscheduledWriteIsNotUnread guards against a write that is pending only because this process did
+// not run counting as time in which its caller did not read: nothing waits in the kernel then.
+func TestUnscheduledWriteIsNotUnread(t *testing.T) {
+	conns := &callerConns{held: &heldbytes.Ledger{}}
+	box, _ := watchedPair(t, conns)
+	box.writes.Add(1) // A write that has not reached the kernel.
+	for range 2 * int(unreadTimeout/reapInterval) {
+		if n := conns.check(reapInterval); n > 0 {
+			t.Fatal("ended although everything written had arrived")
+		}
+	}
+}
+
 // TestUnsentBound guards against the kernel holding megabytes for a caller that does not read.
 func TestUnsentBound(t *testing.T) {
 	conns := &callerConns{held: &heldbytes.Ledger{}}
