fix: streams that wait for memory wait neither for each other nor at a target's cost

Streams with large events held their buffers while they waited for more: 4 of them in a bound for two all ended at their timeout. After 4 s one at a time may exceed the bound now. The wait counted as the target's silence, so the target was taken for failed and the stream was sent to another.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -95,9 +95,9 @@
 
 // relayStream passes events on as they arrive, complete ones only.
 func (x *run) relayStream(ctx context.Context, place Placement, reply *Reply) (*refusal.Refusal, error) {
-	events := eventstream.Reader{From: reply.Body, Grow: x.growEvents(ctx)}
 	passedOn := false
 	wait := &eventWait{}
+	events := eventstream.Reader{From: reply.Body, Grow: x.growEvents(ctx, wait)}
 	if x.Suspect != nil && x.job.Route.Resumable && x.sent < x.job.Route.Attempts {
 		go x.abortIfStalled(ctx, x.cancel, place.Target, wait)
 	}
--- a/deliver/slowreader.go
+++ b/deliver/slowreader.go
@@ -28,6 +28,9 @@
 	maxFreeEvent = 8 << 10
 	// roomInterval is how often an answer that waits for memory asks again.
 	roomInterval = 20 * time.Millisecond
+	// roomTimeout is how long an answer waits for memory before it may exceed the bound, if no
+	// other does. Targets cut off answers that stay unread for some seconds.
+	roomTimeout = 4 * time.Second
 	// bodyStep is by how much the count of a body of unknown length grows; a body of one step is
 	// small at every box.
 	bodyStep = 4 << 10
@@ -45,7 +48,7 @@
 // reading measures how a caller reads its answer.
 type reading struct {
 	// total is the time spent in writes, slowAt when the last write ended that took slowWrite
-	// or longer.
+	// or longer. Waits for memory count as writes: they hold the target up as well.
 	total  time.Duration
 	slowAt time.Time
 }
@@ -110,8 +113,9 @@
 }
 
 // growEvents counts what a stream's buffer grows by. Beyond maxFreeEvent it waits for room and
-// reads nothing meanwhile, so that the target is held up; it fails when ctx ends.
-func (x *run) growEvents(ctx context.Context) func(by int) error {
+// reads nothing meanwhile, so that the target is held up; it fails when ctx ends. The wait does not count
+// as one for the target's next event.
+func (x *run) growEvents(ctx context.Context, wait *eventWait) func(by int) error {
 	grown := 0
 	return func(by int) error {
 		grown += by
@@ -119,15 +123,31 @@
 			x.held.Set(int64(len(x.job.Body) + grown))
 			return nil
 		}
-		for !x.held.Hold(int64(by)) {
-			select {
-			case <-ctx.Done():
-				return context.Cause(ctx)
-			case <-time.After(roomInterval):
-			}
+		if x.held.Hold(int64(by)) {
+			return nil
+		}
+		wait.end()
+		began := x.Now()
+		err := x.waitForRoom(ctx, int64(by))
+		now := x.Now()
+		x.reading.wrote(now, now.Sub(began))
+		wait.begin(now)
+		return err
+	}
+}
+
+// waitForRoom adds bytes once there is room for them, or after roomTimeout if no other answer exceeds
+// the bound then.
+func (x *run) waitForRoom(ctx context.Context, bytes int64) error {
+	until := x.Now().Add(roomTimeout)
+	for !x.held.Hold(bytes) && (x.Now().Before(until) || !x.held.Exceed(bytes)) {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(roomInterval):
 		}
-		return nil
 	}
+	return nil
 }
 
 // admitBody refuses a request whose body does not fit in memory, before any of it is read if its
--- a/deliver/slowreader_test.go
+++ b/deliver/slowreader_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -253,3 +254,80 @@
 	}
 	return w.ResponseRecorder.Write(b)
 }
+
+// TestStreamsWaitForEachOther guards against streams that all wait for memory which they hold
+// themselves: none would end before its timeout.
+func TestStreamsWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{}
+		s := x.server(&routing.Route{Stream: true, Attempts: 1, Timeout: time.Minute})
+		// Two buffers of 64 KiB fit, and a third piece of that size does not.
+		s.Held = &heldbytes.Ledger{Limit: 256 << 10}
+		s.Ended = func(deliver.AttemptResult) {}
+		s.Place = func(context.Context, deliver.PlacementRequest) (deliver.Placement, error) {
+			return deliver.Placement{Target: "t"}, nil
+		}
+		event := "id: 1\ndata: " + strings.Repeat("x", 100<<10) + "\n\n"
+		s.Send = func(context.Context, deliver.Attempt) (*deliver.Reply, error) {
+			return streamReply(&pacedReader{Reader: strings.NewReader(event)}), nil
+		}
+		began := time.Now()
+		var all sync.WaitGroup
+		for range 4 {
+			all.Go(func() {
+				w := httptest.NewRecorder()
+				serveAborted(t, s, w)
+				if w.Body.Len() != len(event) {
+					t.Errorf("%d bytes passed on", w.Body.Len())
+				}
+			})
+		}
+		all.Wait()
+		if took := time.Since(began); took > 20*time.Second {
+			t.Errorf("took %v", took)
+		}
+		if held := s.Held.Held(); held != 0 {
+			t.Errorf("%d bytes stay counted", held)
+		}
+	})
+}
+
+// pacedReader takes a millisecond for each read of up to 1 KiB.
+type pacedReader struct{ io.Reader }
+
+func (r *pacedReader) Read(b []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return r.Reader.Read(b[:min(len(b), 1<<10)])
+}
+
+// TestTargetOfWaitingStream guards against a target being taken for silent, late or failed because
+// this box had no memory for its event.
+func TestTargetOfWaitingStream(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			x := &targets{}
+			s := x.server(&routing.Route{Stream: true, Resumable: true, Attempts: 2, Timeout: time.Minute})
+			s.Held = &heldbytes.Ledger{Limit: 1 << 20}
+			others := s.Held.Open()
+			others.Set(1 << 20)
+			var ended []deliver.AttemptResult
+			s.Ended = func(e deliver.AttemptResult) { ended = append(ended, e) }
+			body := io.Reader(strings.NewReader("id: 1\ndata: " + strings.Repeat("x", 100<<10) + "\n\n"))
+			if cut {
+				body = io.MultiReader(io.LimitReader(body, 50<<10), brokenBody{})
+			}
+			s.Send = func(context.Context, deliver.Attempt) (*deliver.Reply, error) { return streamReply(body), nil }
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				serveAborted(t, s, httptest.NewRecorder())
+			}()
+			time.Sleep(3500 * time.Millisecond) // Longer than the longest gap between events.
+			others.Close()
+			<-done
+			if len(ended) != 1 || ended[0].Failed || ended[0].CutOff || ended[0].Unreachable || !ended[0].SlowCaller {
+				t.Errorf("cut %v: attempts %+v", cut, ended)
+			}
+		})
+	}
+}
--- a/heldbytes/heldbytes.go
+++ b/heldbytes/heldbytes.go
@@ -61,6 +61,8 @@
 	Limit int64
 
 	held atomic.Int64
+	// exceeding is the account that may exceed the bound; nil if none does.
+	exceeding atomic.Pointer[Account]
 }
 
 // Held returns the bytes held in all.
@@ -129,6 +131,21 @@
 	return a == nil || a.add(bytes, int64(bufferShare*float64(a.ledger.Limit)))
 }
 
+// Exceed adds bytes of an answer's buffer whether there is room for them or not, or returns false if
+// another account does so. One account may until it is closed: it needs no other to release
+// memory first, so answers that wait for memory never all wait for each other.
+func (a *Account) Exceed(bytes int64) bool {
+	if a == nil {
+		return true
+	}
+	if !a.ledger.exceeding.CompareAndSwap(nil, a) && a.ledger.exceeding.Load() != a {
+		return false
+	}
+	a.ledger.held.Add(bytes)
+	a.held.Add(bytes)
+	return true
+}
+
 func (a *Account) add(bytes, bound int64) bool {
 	if !a.ledger.take(bytes, bound) {
 		return false
@@ -146,4 +163,9 @@
 }
 
 // Close releases everything that the connection holds.
-func (a *Account) Close() { a.Set(0) }
+func (a *Account) Close() {
+	a.Set(0)
+	if a != nil {
+		a.ledger.exceeding.CompareAndSwap(a, nil)
+	}
+}
