fix(deliver): many quick writes don't make a slow caller

A stream of 4,000 events at 50 us a write passed for one whose caller held it up, so that long streams taught nothing about lateness and canaries.

--- a/deliver/slowreader.go
+++ b/deliver/slowreader.go
@@ -16,7 +16,10 @@
 	// same time to be this box's own doing. Targets cut off answers that stay unread for some
 	// seconds; a write to a caller that reads takes well under a millisecond.
 	slowWrite = time.Second
-	// slowCaller is the time that all writes of an answer must take for its length to say
+	// quickWrite is the time under which a write does not count: it did not wait for its caller.
+	// Without it, streams of thousands of events pass for slow callers' by their number of writes.
+	quickWrite = time.Millisecond
+	// slowCaller is the time that all other writes of an answer must take for its length to say
 	// nothing about the target. It is half of the shortest goal of the platform's services.
 	slowCaller = 100 * time.Millisecond
 	// minBufferBytes is the buffer of an answer for which there is no memory: the caller gets
@@ -47,14 +50,16 @@
 
 // reading measures how a caller reads its answer.
 type reading struct {
-	// total is the time spent in writes, slowAt when the last write ended that took slowWrite
+	// total is the time spent in writes other than quick ones, slowAt when the last write ended that took slowWrite
 	// or longer. Waits for memory count as writes: they hold the target up as well.
 	total  time.Duration
 	slowAt time.Time
 }
 
 func (r *reading) wrote(now time.Time, took time.Duration) {
-	r.total += took
+	if took >= quickWrite {
+		r.total += took
+	}
 	if took >= slowWrite {
 		r.slowAt = now
 	}
--- a/deliver/slowreader_test.go
+++ b/deliver/slowreader_test.go
@@ -331,3 +331,21 @@
 		})
 	}
 }
+
+// TestManyQuickWrites guards against a long stream whose caller reads at once passing for one that
+// its caller held up, because its writes add up: long streams would teach nothing about their targets.
+func TestManyQuickWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &targets{}
+		s := x.server(&routing.Route{Stream: true, Attempts: 1, Timeout: time.Minute})
+		var ended []deliver.AttemptResult
+		s.Ended = func(e deliver.AttemptResult) { ended = append(ended, e) }
+		s.Send = func(context.Context, deliver.Attempt) (*deliver.Reply, error) {
+			return streamReply(strings.NewReader(strings.Repeat("data: x\n\n", 4000))), nil
+		}
+		serveAborted(t, s, &slowWriter{ResponseRecorder: httptest.NewRecorder(), pause: 50 * time.Microsecond})
+		if len(ended) != 1 || !ended[0].Completed || ended[0].SlowCaller {
+			t.Errorf("attempts %+v", ended)
+		}
+	})
+}
