--- a/heldbytes/heldbytes_test.go
+++ b/heldbytes/heldbytes_test.go
@@ -131,6 +131,49 @@
 	}
 }
 
+// TestTurn guards against large bodies being refused for ever while others' load lasts, against more
+// than one of them exceeding the bound at a time, and against less urgent refusals giving a more
+// urgent body its turn, or the reverse.
+func TestTurn(t *testing.T) {
+	l := heldbytes.Ledger{Limit: limit}
+	l.Open().Set(limit)
+	// refusedBefore is how many bodies are refused before one is admitted, at most 100.
+	refusedBefore := func(bytes int64, priority int) (refused int, admitted *heldbytes.Account) {
+		for ; refused < 100; refused++ {
+			if a := l.Open(); a.Admit(bytes, priority) {
+				return refused, a
+			}
+		}
+		return refused, nil
+	}
+	for range 3 {
+		l.Open().Admit(large, 2)
+	}
+	refused, first := refusedBefore(4*large, 1)
+	if refused != 8 {
+		t.Fatalf("%d of the middle priority were refused before one was admitted, want 8", refused)
+	}
+	if again, _ := refusedBefore(large, 0); again != 100 {
+		t.Error("a second exceeds the bound while the first does")
+	}
+	if got, want := l.Held(), int64(limit+4*large); got != want || first.Held() != 4*large {
+		t.Errorf("held %d, want %d; %d by the first", got, want, first.Held())
+	}
+	if !first.Admit(small, 1) {
+		t.Error("the body that exceeds the bound can't grow")
+	}
+	first.Close()
+	if refused, second := refusedBefore(large, 0); refused != 0 || second == nil {
+		t.Errorf("%d more were refused after the first has ended", refused)
+	}
+	if refused, _ := refusedBefore(medium, 0); refused != 100 {
+		t.Error("a body that is not large exceeds the bound")
+	}
+	if refused, _ := refusedBefore(limit+1, 0); refused != 100 {
+		t.Error("a body over the limit is admitted")
+	}
+}
+
 // TestNoBound guards against refusals at boxes without a limit and in servers without a ledger.
 func TestNoBound(t *testing.T) {
 	var l heldbytes.Ledger
