fix(heldbytes): one large body at a time may exceed the bound

Large bodies are admitted up to less than half of the limit, so other load could keep them out for ever. After eight refusals of a priority one is admitted beyond the bound, until it ends.

--- a/heldbytes/heldbytes.go
+++ b/heldbytes/heldbytes.go
@@ -45,6 +45,11 @@
 	Large:  {0.45, 0.4, 0.35},
 }
 
+// turnAfter is how many large bodies of a priority are refused before one may exceed the bound. They
+// are admitted up to less than half of the limit, and smaller bodies and answers may hold more than
+// that for as long as their load lasts.
+const turnAfter = 8
+
 // bufferShare is the share of the limit up to which answers get more than their least buffers.
 const bufferShare = 0.65
 
@@ -63,6 +68,10 @@
 	held atomic.Int64
 	// exceeding is the account that may exceed the bound; nil if none does.
 	exceeding atomic.Pointer[Account]
+	// exceedingBody is the account whose body may exceed the bound; nil if none does.
+	exceedingBody atomic.Pointer[Account]
+	// refused counts the large bodies refused since one last exceeded the bound, by priority.
+	refused [priorities]atomic.Int64
 }
 
 // Held returns the bytes held in all.
@@ -81,9 +90,12 @@
 
 // Bound returns the bytes up to which a body of this length and priority, 0 first, is admitted.
 func (l *Ledger) Bound(bytes int64, priority int) int64 {
-	return int64(shares[l.Size(bytes)][min(max(priority, 0), priorities-1)] * float64(l.Limit))
+	return int64(shares[l.Size(bytes)][index(priority)] * float64(l.Limit))
 }
 
+// index returns the index of a priority.
+func index(priority int) int { return min(max(priority, 0), priorities-1) }
+
 // Open returns the account of one connection, which holds nothing yet.
 func (l *Ledger) Open() *Account { return &Account{ledger: l} }
 
@@ -113,7 +125,9 @@
 
 // Admit adds the bytes of a request's body, or returns false if the request is to be refused. Large
 // bodies are refused first, and among bodies of a size those of the lowest priority. A body may use
-// the whole limit while nothing else is held, so that none is refused for ever at a small box.
+// the whole limit while nothing else is held, and one large body at a time may exceed the bound after
+// turnAfter refusals, so that none is refused for ever under constant load. No body may be longer
+// than the limit.
 func (a *Account) Admit(bytes int64, priority int) bool {
 	if a == nil {
 		return true
@@ -123,7 +137,26 @@
 	if a.ledger.Held() == own {
 		bound = a.ledger.Limit
 	}
-	return a.add(bytes, bound)
+	return a.add(bytes, bound) || a.takeTurn(own+bytes, bytes, priority)
+}
+
+// takeTurn adds bytes of a large body of the given total beyond the bound, or counts a refusal and
+// returns false.
+func (a *Account) takeTurn(total, bytes int64, priority int) bool {
+	l := a.ledger
+	if l.Size(total) != Large || total > l.Limit {
+		return false
+	}
+	if l.exceedingBody.Load() != a {
+		refused := &l.refused[index(priority)]
+		if refused.Add(1) <= turnAfter || !l.exceedingBody.CompareAndSwap(nil, a) {
+			return false
+		}
+		refused.Store(0)
+	}
+	l.held.Add(bytes)
+	a.held.Add(bytes)
+	return true
 }
 
 // Hold adds bytes of an answer's buffer, or returns false if there is no room for them.
@@ -167,5 +200,6 @@
 	a.Set(0)
 	if a != nil {
 		a.ledger.exceeding.CompareAndSwap(a, nil)
+		a.ledger.exceedingBody.CompareAndSwap(a, nil)
 	}
 }
