--- a/deliver/run.go
+++ b/deliver/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 )
@@ -73,7 +74,10 @@
 	// copyTried says that the run was to continue from its copy, which is tried once.
 	copyTried bool
 	// broken is why the run broke that was to continue from its copy.
-	broken  error
+	broken error
+	// held counts the bytes held for this request, reading how its caller reads.
+	held    *heldbytes.Account
+	reading reading
 	outcome Outcome
 }
 
@@ -85,6 +89,10 @@
 // can't be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
 	x := &run{Server: s, w: w, lastEventID: call.LastEventID, outcome: Outcome{Call: call}}
+	if s.Held != nil {
+		x.held = s.Held.Open()
+		defer x.held.Close()
+	}
 	stopWatching := x.watchCaller(ctx)
 	refused := x.serve()
 	x.outcome.Teardown, x.outcome.CallerLeft = stopWatching()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,6 +43,9 @@
 	copies            *prometheus.CounterVec
 	copiedTokens      *prometheus.CounterVec
 	slowEngines       prometheus.Gauge
+	held              prometheus.Gauge
+	unread            prometheus.Counter
+	memoryRefused     *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -107,9 +110,13 @@
 	c.copies = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copies_total", Help: "Copies of runs at other engines by pool: asked for, used by a run whose engine was lost, or missing then."}, []string{"pool", "end"})
 	c.copiedTokens = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copied_tokens_total", Help: "Memory of the runs for which a copy was asked, in tokens, by pool; each copy is at most that large."}, []string{"pool"})
 	c.slowEngines = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_slow_engines", Help: "Engines whose first events came late lately, as far as this box knows."})
+	c.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_held_bytes", Help: "Bytes held for callers and targets: bodies, answers' buffers, and what the kernel holds for callers that don't read."})
+	c.unread = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unread_total", Help: "Callers' connections ended as their callers did not read their answers."})
+	c.memoryRefused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_memory_refused_total", Help: "Requests refused for want of memory at this box, by the size of their bodies and their priority."}, []string{"size", "priority"})
 	r.MustRegister(
 		c.slowEngines,
 		c.queued, c.queueEnds,
+		c.held, c.unread, c.memoryRefused,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.waited, c.pause, c.refused, c.late, c.shortPools, c.copies, c.copiedTokens,
 		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -41,11 +41,13 @@
 	Copies = "copies"
 	// SlowEngines gives less work to engines whose answers began late.
 	SlowEngines = "slow_engines"
+	// HeldBytes bounds the bytes held for callers and targets.
+	HeldBytes = "held-bytes"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies, SlowEngines,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies, SlowEngines, HeldBytes,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -73,6 +73,8 @@
 	Copies bool `yaml:"copies"`
 	// SlowEngines gives less work to engines whose first events came late.
 	SlowEngines bool `yaml:"slow_engines"`
+	// HeldBytes bounds what is held for callers and targets that read slowly.
+	HeldBytes bool `yaml:"held_bytes"`
 }
 
 // Bounds are the platform's limits. A zero one does not apply.
