--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -18,6 +18,15 @@
 // admit resolves the route, account and pool of a call. It does not read the body. With a
 // refusal, the job has only what was resolved before.
 func (s *Server) admit(call *Call) (*Job, *refusal.Refusal) {
+	job, refused := s.resolve(call)
+	if refused != nil {
+		return job, refused
+	}
+	return job, s.refuseShortDeadline(job)
+}
+
+// resolve is admit without a check of the deadline.
+func (s *Server) resolve(call *Call) (*Job, *refusal.Refusal) {
 	job := &Job{Call: call}
 	table := s.Configuration()
 	if table == nil || table.Table == nil {
@@ -53,7 +62,7 @@
 		return job, s.unavailable(job, "no_pool", "the route's pool is not configured")
 	}
 	job.Until = call.Received.Add(timeoutOf(r, call))
-	return job, s.refuseShortDeadline(job)
+	return job, nil
 }
 
 // refuseShortDeadline refuses a call whose deadline is shorter than the time in which any
@@ -114,11 +123,20 @@
 	}
 	connection := http.NewResponseController(x.w)
 	until := func(at time.Time) error { return connection.SetReadDeadline(time.Now().Add(at.Sub(x.Now()))) }
+	counted, refused := x.admitBody(job, bound)
+	if refused != nil {
+		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
+		return refused
+	}
 	limited := until(job.Until) == nil // Only real connections support it.
-	body, err := readAll(io.LimitReader(job.Call.Body, bound+1), func() error { return until(x.Now().Add(arrivedBodyTime)) })
+	body, err := readAll(counted, func() error { return until(x.Now().Add(arrivedBodyTime)) })
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time").WithRetryAfter(x.RetryAfter("body_late", job))
 	}
+	if errors.Is(err, errHeldMemory) {
+		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
+		return x.refuseMemory(job, int64(len(body)))
+	}
 	if err != nil && x.callerLeft() {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "caller_left", "the caller left in the middle of the body: %v", err)
 	}
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fingerprint"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/throughput"
@@ -38,6 +39,8 @@
 	Header    http.Header
 	HeadBytes int
 	Body      io.Reader
+	// BodyLength is the body's declared length, or -1 if the caller declares none.
+	BodyLength int64
 	// Key is the API key, which identifies the client account.
 	Key   string
 	Model string
@@ -135,6 +138,9 @@
 	PlacedAt       time.Time
 	PrefillBacklog int
 	Transfers      []throughput.Transfer
+	// EngineSlowdown is by which factor first events of the target were taken to be later than
+	// predicted by the speed of its pool; zero if they were not.
+	EngineSlowdown float64
 	// CachedTokens, FetchedTokens and SavedTokens are the prompt tokens that the target was
 	// expected to have cached, and those that it was to fetch and to save.
 	CachedTokens, FetchedTokens, SavedTokens int
@@ -148,6 +154,13 @@
 	// Waited is how long the request waited in a queue of this system for this placement. It is
 	// also set if the wait ended with a refusal.
 	Waited time.Duration
+	// CopyTarget names the target that the run is copied to as it grows; empty for none.
+	// CopyAddress is its address, CopyStartedAt the start of its incarnation.
+	CopyTarget    string
+	CopyAddress   netip.AddrPort
+	CopyStartedAt time.Time
+	// FromCopy says that the target holds the copy of a broken run, which continues from it.
+	FromCopy bool
 }
 
 // Attempt is one request on its way to a target.
@@ -158,6 +171,9 @@
 	Timeout time.Duration
 	// LastEventID is the last event passed on, if a stream is resumed.
 	LastEventID string
+	// ResumeFrom is the address of the copy from which a broken run continues, which is the
+	// placed target's own; unset for a run from the start.
+	ResumeFrom netip.AddrPort
 	// Allow is called right before the request leaves this box; its error keeps it here.
 	// Nil allows it.
 	Allow func() error
@@ -209,11 +225,17 @@
 	CutOff, CallerLeft, Answered bool
 	// ConnectionRefused says that the target's address refuses connections.
 	ConnectionRefused bool
-	// Late says that the first event or a gap between events exceeded the route's goals,
-	// Completed that the stream ended normally. Late is valid only if Completed is set.
+	// Late says that the first event or a gap between events exceeded the route's goals, not
+	// counting the time for which the request waited for its placement; Completed that the
+	// stream ended normally. Late is valid only if Completed is set.
 	Late, Completed bool
-	Verdict         int
-	Version         int64
+	// SlowCaller says that the caller, not the target, decided how long the answer took.
+	SlowCaller bool
+	Verdict    int
+	Version    int64
+	// FirstAfter is the time from the placement to a stream's first event; zero if there was none,
+	// or if it came from an earlier target.
+	FirstAfter time.Duration
 }
 
 // Outcome is the end of a request, for the log and the metrics.
@@ -266,6 +288,8 @@
 	Cause string
 	// Resumed is the ID of the event after which a stream continues.
 	Resumed string
+	// Copy says that the run continues from its copy at Place's CopyTarget.
+	Copy bool
 }
 
 // Server serves calls. Set the exported fields before first use; it is safe
@@ -281,6 +305,9 @@
 	ConfigurationFresh func(now time.Time, proved *routing.Proved) bool
 	Place              func(ctx context.Context, request PlacementRequest) (Placement, error)
 	Send               func(ctx context.Context, s Attempt) (*Reply, error)
+	// PlaceCopy places a broken run at the target that holds its copy, or says why that is not
+	// possible. If nil, no run continues from a copy.
+	PlaceCopy func(ctx context.Context, job *Job, broken Placement) (Placement, error)
 	// Began is called when an answer's head arrived, Ended when an attempt ended:
 	// exactly once for each attempt.
 	Began func(Placement)
@@ -303,6 +330,11 @@
 	RetryAfter    func(code string, job *Job) time.Duration
 	RecordOutcome func(Outcome)
 	Retried       func(Retry)
+	// Held counts the bytes held for callers; nil counts none and refuses nothing.
+	Held *heldbytes.Ledger
+	// MemoryRefused is called when a request with a body of this many bytes is refused for
+	// want of memory; may be nil.
+	MemoryRefused func(job *Job, bytes int64)
 
 	mu sync.Mutex
 	// running are the requests that Reap checks, with the cancel function of each.
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 )
@@ -62,8 +63,22 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
-	times       eventTimes
-	outcome     Outcome
+	// firstAfter is the time from the placement to the first event, zero if an earlier target
+	// sent that.
+	firstAfter time.Duration
+	times      eventTimes
+	// queued is how long the request has waited for placements since the last event.
+	queued time.Duration
+	// unnumbered says that an event was passed on whose ID is not a number, or that had none.
+	unnumbered atomic.Bool
+	// copyTried says that the run was to continue from its copy, which is tried once.
+	copyTried bool
+	// broken is why the run broke that was to continue from its copy.
+	broken error
+	// held counts the bytes held for this request, reading how its caller reads.
+	held    *heldbytes.Account
+	reading reading
+	outcome Outcome
 }
 
 // errRetry says that another target should be tried.
@@ -74,6 +89,10 @@
 // can't be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
 	x := &run{Server: s, w: w, lastEventID: call.LastEventID, outcome: Outcome{Call: call}}
+	if s.Held != nil {
+		x.held = s.Held.Open()
+		defer x.held.Close()
+	}
 	stopWatching := x.watchCaller(ctx)
 	refused := x.serve()
 	x.outcome.Teardown, x.outcome.CallerLeft = stopWatching()
@@ -122,12 +141,19 @@
 			return x.refuse(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
 		}
 		x.outcome.Place = place
+		x.queued += place.Waited
+		if refused := x.recheck(place); refused != nil {
+			return x.refuse(refused)
+		}
 		x.attempted = append(x.attempted, place.Target)
 		refused, err := x.attempt(place)
+		if errors.Is(err, errContinue) {
+			refused, err = x.continueFromCopy(place)
+		}
 		if !errors.Is(err, errRetry) {
 			return refused
 		}
-		x.Retried(Retry{Job: job, Place: place, Cause: x.outcome.Cause, Resumed: x.resumedAfter()})
+		x.Retried(Retry{Job: job, Place: x.outcome.Place, Cause: x.outcome.Cause, Resumed: x.resumedAfter()})
 	}
 }
 
@@ -141,6 +167,20 @@
 // repeatable says that running the request again does no harm.
 func (x *run) repeatable() bool { return x.job.Route.Repeatable || x.job.Route.Resumable }
 
+// recheck admits a request again that waited for its placement, as its route or its key may have
+// been removed meanwhile, or the proof of the configuration become too old. If it is refused, its
+// placement is given up.
+func (x *run) recheck(place Placement) *refusal.Refusal {
+	if place.Waited == 0 {
+		return nil
+	}
+	_, refused := x.resolve(x.job.Call)
+	if refused != nil {
+		x.Ended(AttemptResult{Place: place, Job: x.job})
+	}
+	return refused
+}
+
 // attempt sends the request to one target and passes its answer on.
 func (x *run) attempt(place Placement) (*refusal.Refusal, error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
@@ -172,7 +212,11 @@
 }
 
 func (x *run) send(ctx context.Context, answered func(), place Placement) (*refusal.Refusal, error) {
-	reply, err := x.Send(ctx, Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID})
+	attempt := Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID}
+	if place.FromCopy {
+		attempt.ResumeFrom = place.Address
+	}
+	reply, err := x.Send(ctx, attempt)
 	answered()
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errWeightsExpired) {
@@ -191,6 +235,10 @@
 	x.countArrived()
 	x.ran++
 	x.Began(place)
+	if place.FromCopy && (reply.Status != http.StatusOK || !reply.Events) {
+		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
+		return x.endWithoutCopy(fmt.Errorf("the target answered %d", reply.Status))
+	}
 	if reply.Status >= http.StatusInternalServerError && x.job.Route.Repeatable && x.retryAllowed(true) {
 		x.outcome.Cause = fmt.Sprintf("answered %d", reply.Status)
 		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
@@ -223,6 +271,9 @@
 		x.countArrived()
 		x.ran++
 	}
+	if failed && !over && !notSent && x.mayContinue(place) {
+		return x.breakOff(err)
+	}
 	mayRepeat := notSent || x.repeatable()
 	if left || over || !mayRepeat || !x.retryAllowed(!notSent) {
 		return x.fail(err)
@@ -239,8 +290,11 @@
 // handleTurnedAway handles a target's statement that it did not run the request.
 func (x *run) handleTurnedAway(place Placement, reply *Reply) (*refusal.Refusal, error) {
 	x.countArrived()
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun, Verdict: reply.Verdict, Version: reply.Version})
+	x.Ended(AttemptResult{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun && !place.FromCopy, Verdict: reply.Verdict, Version: reply.Version})
 	x.outcome.Cause = fmt.Sprintf("turned away with %d", reply.Status)
+	if place.FromCopy {
+		return x.endWithoutCopy(errors.New(x.outcome.Cause))
+	}
 	if x.retryAllowed(true) {
 		return nil, errRetry
 	}
@@ -258,14 +312,23 @@
 
 // retryAllowed says whether another attempt is allowed, and takes it from the budget if an
 // earlier one reached a target. What was taken for one that never left this box is used
-// for the next.
+// for the next. After an attempt to continue from a copy a run that can't be resumed must
+// not begin again.
 func (x *run) retryAllowed(reached bool) bool {
+	if x.copyTried && !x.job.Route.Resumable {
+		return false
+	}
 	if x.sent >= x.job.Route.Attempts || x.unsent >= maxUnsent || x.job.Until.Sub(x.Now()) < minTimeLeft || x.callerLeft() {
 		return false
 	}
 	if !reached && x.sent == 0 {
 		return true
 	}
+	return x.payRetry()
+}
+
+// payRetry takes a retry from the budget, unless one was taken that is not used yet.
+func (x *run) payRetry() bool {
 	x.retryPaid = x.retryPaid || x.retryReserved.Swap(false) || x.Spend(x.job.Pool.Name)
 	return x.retryPaid
 }
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -42,11 +42,31 @@
 // admissionLimit returns the bound for a job. Requests of the pool's lowest priority leave a
 // reserve for the others, which grows while answers are late.
 func (d *Daemon) admissionLimit(t *tables, job *deliver.Job) admissionLimit {
-	r := admissionLimit{maxMemoryShare: maxShare, typicalTokens: d.typicalTokens(t, job)}
-	if routing.Priority(job.Route, job.Account) > 0 && job.Route.Priority >= d.current.Load().LowestPriority(job.Pool.Name) {
-		r.maxMemoryShare = d.maxShareLowPriority - d.reservedShare(t.lateness(job.Pool.Name))
+	return admissionLimit{maxMemoryShare: d.maxMemoryShare(t, job), typicalTokens: d.typicalTokens(t, job)}
+}
+
+func (d *Daemon) maxMemoryShare(t *tables, job *deliver.Job) float64 {
+	if d.leavesReserve(job) {
+		return d.maxShareLowPriority - d.reservedShare(t.lateness(job.Pool.Name))
+	}
+	return maxShare
+}
+
+// leavesReserve reports whether a request must leave a reserve of the engines' memory to others.
+func (d *Daemon) leavesReserve(job *deliver.Job) bool {
+	return routing.Priority(job.Route, job.Account) > 0 && job.Route.Priority >= d.current.Load().LowestPriority(job.Pool.Name)
+}
+
+// limitOf is the admissionLimit of a request that may be placed again and again while it waits.
+// Its size counts in its route's typical size once.
+func (d *Daemon) limitOf(t *tables, m *placementRequest) admissionLimit {
+	if m.ask.Job.Pool.Engine == nil {
+		return admissionLimit{}
+	}
+	if m.typicalTokens == 0 {
+		m.typicalTokens = d.typicalTokens(t, m.ask.Job)
 	}
-	return r
+	return admissionLimit{d.maxMemoryShare(t, m.ask.Job), m.typicalTokens}
 }
 
 // learnTypicalTokens returns the typical size in tokens of the requests on a job's route, and
@@ -69,7 +89,7 @@
 		return nil
 	}
 	share := func(tokens int) float64 { return float64(running+tokens) / float64(query.Capacity) }
-	return refusal.New(refusal.DidNotRun, 503, "crowded",
+	return refusal.New(refusal.DidNotRun, 503, codeCrowded,
 		"the engines' memory is taken up: %.2f at the best of them, %.2f with a usual request, of %.2f", share(query.Tokens), share(r.typicalTokens), r.maxMemoryShare)
 }
 
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -47,6 +47,8 @@
 	// tableServiceDown are the boxes that get no answer from the table service, dead those
 	// that are down.
 	tableServiceDown, dead map[string]bool
+	// cut reports whether messages between two boxes are lost; nil loses none.
+	cut func(from, to string) bool
 	// operator is the content of the operator's rows.
 	operator Operator
 	// targets is the content of the list of targets.
@@ -340,15 +342,39 @@
 // call has a box answer another one.
 func (w *emulator) call(from *Daemon, name string, m peer.Message, done func(peer.Message, error)) {
 	to := w.byName[name]
-	if to == nil || w.dead[name] {
+	if to == nil || w.dead[name] || w.cut != nil && w.cut(from.Settings.Name, name) {
 		w.after(gossipTimeout, func() { done(peer.Message{}, context.DeadlineExceeded) })
 		return
 	}
 	w.count(from, m)
 	w.after(networkDelay, func() {
-		answer := to.peerRequest(w.now, &to.tables, m)
-		w.count(to, answer)
+		reply := make(chan peer.Message, 1)
+		w.perform(to, to.update(w.now, peerRequest{m, reply}))
+		w.await(to, reply, w.now.Add(waitHold+hubPlaceTimeout), done)
+	})
+}
+
+// await waits for a box's answer, which it may hold back.
+func (w *emulator) await(from *Daemon, reply <-chan peer.Message, until time.Time, done func(peer.Message, error)) {
+	select {
+	case answer := <-reply:
+		w.count(from, answer)
 		w.after(networkDelay, func() { done(answer, nil) })
+		return
+	default:
+	}
+	if w.now.After(until) {
+		done(peer.Message{}, context.DeadlineExceeded)
+		return
+	}
+	w.after(emulatorStep, func() {
+		select {
+		case answer := <-reply: // The step includes the way back.
+			w.count(from, answer)
+			done(answer, nil)
+		default:
+			w.await(from, reply, until, done)
+		}
 	})
 }
 
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -62,6 +62,7 @@
 // those whose names sort after its own, so that each pair talks once. A spoke calls its hub.
 func (d *Daemon) gossip(now time.Time, t *tables) []effect {
 	t.othersUsage.Expire(now.Add(-peerLoadTTL))
+	d.expireAccounts(now, t)
 	return d.gossipDue(now, t)
 }
 
@@ -71,10 +72,12 @@
 		return nil
 	}
 	t.due.gossip = now.Add(d.nextGossipDelay(t))
+	d.noteSlowEngines(now, t)
 	message := peer.Message{
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
-		Domain: d.Settings.Domain, Unlisted: t.unlistedMet,
+		Domain: d.Settings.Domain, Unlisted: t.unlistedMet, AccountLoads: d.accountLoads(now, t), ShortPools: t.accounts.ShortHere(now),
+		RunLosses: d.runLossesFor(now, t, ""),
 	}
 	if !t.usesHubs() {
 		d.addProof(now, t, &message)
@@ -113,7 +116,9 @@
 // callGossipPartners returns the calls that send a message to this box's gossip partners.
 func (d *Daemon) callGossipPartners(now time.Time, t *tables, message peer.Message) []effect {
 	var effects []effect
-	for _, name := range d.gossipPartners(now, t) {
+	partners := d.gossipPartners(now, t)
+	accountsTo, one := d.accountLoadsTo(now, t, partners)
+	for _, name := range partners {
 		m := t.members[name]
 		if !m.address.IsValid() || m.calling || now.Before(m.retryAt) {
 			continue
@@ -123,6 +128,9 @@
 		if t.hub == name {
 			call.message.ListVersion, call.message.ListStartVersion, call.message.QuarantineVersion = t.hubList.Number, t.hubList.SnapshotAt, t.hubQuarantineVersion
 		}
+		if one && name != accountsTo {
+			call.message.AccountLoads = nil
+		}
 		call.message.CanarySamples = d.canarySamplesForPeer(now, t, m)
 		call.message.RateLimits = d.limitsForPeer(now, m)
 		call.message.RetryCredits = d.takeCredits()
@@ -221,8 +229,11 @@
 		answer.EndedIncarnations, answer.Stale = t.recentlyReplaced(now), d.refusesKeyed(now)
 		answer.CrashReports, answer.Lifted = t.recentCrashes(now), t.recentlyLifted(now)
 		d.applyUsage(now, t, m)
+		t.receiveRunLosses(now, m)
 		if !t.usesHubs() || slices.Contains(t.hubs(), m.From) {
 			answer.TargetLoads, answer.PrefillTotals = d.gossipLoads(now, t), t.prefillBacklog.Totals(now)
+			answer.AccountLoads, answer.ShortPools = d.accountLoads(now, t), t.accounts.ShortHere(now)
+			answer.RunLosses = d.runLossesFor(now, t, "")
 			d.addProof(now, t, &answer)
 			d.receiveRewritten(now, t, m)
 			d.receiveListRevision(now, t, m)
@@ -235,10 +246,12 @@
 			break
 		}
 		t.lastHubRequest = now
+		answer.RunLosses = d.runLossesFor(now, t, m.From)
 		d.receiveCredits(m)
 		d.receiveCanarySamples(now, t, m.CanarySamples)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.ListVersion, SnapshotAt: m.ListStartVersion})
 		t.addQuarantine(answer.View, m.QuarantineVersion)
+		answer.View.Short = t.accounts.Short(now)
 		answer.View.Restores, answer.View.RowLost = t.ownRowsRevision.Restores, t.lostRows[m.From]
 	}
 	return answer
@@ -268,11 +281,14 @@
 	d.receiveAdmitting(now, m.answer)
 	d.receiveLimits(now, m.requestedAt, t, m.answer)
 	x.heardAt = now
+	t.receiveRunLosses(now, m.answer)
 	if d.spoke.Load() {
 		t.hubHeardAt = now
+		t.receiveViewShort(now, m)
 		return d.applyView(now, t, m.name, m.requestedAt, m.answer.View)
 	}
 	d.applyUsage(now, t, m.answer)
+	t.receiveViewShort(now, m)
 	d.receiveProof(t, m.requestedAt, m.answer)
 	d.receiveRewritten(now, t, m.answer)
 	t.receiveUnlistedCount(now, m.answer)
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -48,6 +48,9 @@
 		if err != nil {
 			return nil, trace.Wrap(err, "listening on %v", l.at)
 		}
+		if l.at == d.Settings.Callers && d.Settings.Overload.HeldBytes {
+			listener = d.callers.watch(listener)
+		}
 		listeners = append(listeners, listener)
 		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.Log.StandardLog(), ConnContext: hangup.ConnContext})
 	}
@@ -85,10 +88,11 @@
 // drain stops in order: it reports not ready at once, still serves new connections until the
 // platform has noticed that, and closes each connection after its next answer.
 func (d *Daemon) drain(servers []*http.Server) {
-	d.stopping.Store(true)
 	bounds := d.bounds.Load()
-	d.Log.Info("stopping", "kill_after", bounds.Stop)
 	end := d.now().Add(bounds.Stop - shutdownMargin)
+	d.stopEnds.Store(&end)
+	d.stopping.Store(true)
+	d.Log.Info("stopping", "kill_after", bounds.Stop)
 	d.closing.Store(true)
 	time.Sleep(bounds.Notice)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(d.now()))
--- a/entry/message.go
+++ b/entry/message.go
@@ -23,6 +23,21 @@
 	askedHubs []string
 	// trial says that the request is placed even if requests like it are quarantined.
 	trial bool
+	// typicalTokens is the typical size of its route's requests when it came; zero if it was not
+	// needed yet.
+	typicalTokens int
+	// queuedAt is since when it waits for room, here or at hubs; zero if it does not. atHub says that
+	// a hub has queued it.
+	queuedAt time.Time
+	atHub    bool
+	// since is when its caller first asked, if not with this request; returning says that it was
+	// refused then and returned when told.
+	since     time.Time
+	returning bool
+	// ticket identifies it in the queue of a hub; heldBytes is what this box holds for it while
+	// it waits there.
+	ticket    uint64
+	heldBytes int
 }
 
 // placementAnswer is a placement or the refusal.
@@ -31,6 +46,16 @@
 	err   error
 }
 
+// copyRequest asks to place a broken run at the engine that holds its copy; the loop answers on
+// reply, which is buffered.
+type copyRequest struct {
+	// ctx ends when the caller leaves or at the deadline.
+	ctx    context.Context
+	job    *deliver.Job
+	broken deliver.Placement
+	reply  chan<- placementAnswer
+}
+
 // suspectQuery asks whether a target looks dead; the loop answers on reply, which is
 // buffered.
 type suspectQuery struct {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -37,6 +37,15 @@
 	rewritten         prometheus.Counter
 	waited, pause     *prometheus.HistogramVec
 	refused, late     *prometheus.CounterVec
+	queued            *prometheus.GaugeVec
+	queueEnds         *prometheus.CounterVec
+	shortPools        prometheus.Gauge
+	copies            *prometheus.CounterVec
+	copiedTokens      *prometheus.CounterVec
+	slowEngines       prometheus.Gauge
+	held              prometheus.Gauge
+	unread            prometheus.Counter
+	memoryRefused     *prometheus.CounterVec
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -95,10 +104,22 @@
 	c.pause = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_pause_seconds", Help: "The longest gap between two events of a stream.", Buckets: pauseBuckets}, []string{"pool", "priority"})
 	c.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refused_total", Help: "Refused requests by pool, priority and the refusal's code."}, []string{"pool", "priority", "code"})
 	c.late = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_late_total", Help: "Complete answers later than their route's goals, by what made them late first."}, []string{"pool", "priority", "cause"})
+	c.queued = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "thymewind_entry_queued", Help: "Requests that wait at this box for engine memory, by pool."}, []string{"pool"})
+	c.queueEnds = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_queue_ends_total", Help: "Requests that waited at this box or were refused its queue, by pool, priority and how that ended."}, []string{"pool", "priority", "end"})
+	c.shortPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_short_pools", Help: "Pools for which this box, as the one that places, lately found no room for a request."})
+	c.copies = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copies_total", Help: "Copies of runs at other engines by pool: asked for, used by a run whose engine was lost, or missing then."}, []string{"pool", "end"})
+	c.copiedTokens = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_copied_tokens_total", Help: "Memory of the runs for which a copy was asked, in tokens, by pool; each copy is at most that large."}, []string{"pool"})
+	c.slowEngines = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_slow_engines", Help: "Engines whose first events came late lately, as far as this box knows."})
+	c.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_held_bytes", Help: "Bytes held for callers and targets: bodies, answers' buffers, and what the kernel holds for callers that don't read."})
+	c.unread = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unread_total", Help: "Callers' connections ended as their callers did not read their answers."})
+	c.memoryRefused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_memory_refused_total", Help: "Requests refused for want of memory at this box, by the size of their bodies and their priority."}, []string{"size", "priority"})
 	r.MustRegister(
+		c.slowEngines,
+		c.queued, c.queueEnds,
+		c.held, c.unread, c.memoryRefused,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
+		c.waited, c.pause, c.refused, c.late, c.shortPools, c.copies, c.copiedTokens,
 		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
-		c.waited, c.pause, c.refused, c.late,
 	)
 	return c
 }
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -19,10 +19,18 @@
 // events at least once before it places requests for others.
 const warmShare = 0.8
 
-// placeForPeer places another box's request by what this box knows. It returns nil if it knows
-// too little.
+// placeForPeer places another box's request by what this box knows, or queues it. It returns nil
+// if it knows too little.
 func (d *Daemon) placeForPeer(now time.Time, t *tables, m peer.Message) *peer.PlacementResponse {
 	t.lastHubRequest = now
+	if !m.PlacementRequest.Wait && len(t.waiting) == 0 {
+		return d.placeNowForPeer(now, t, m)
+	}
+	return d.placeOrQueueForPeer(now, t, m)
+}
+
+// placeNowForPeer is placeForPeer without the queue.
+func (d *Daemon) placeNowForPeer(now time.Time, t *tables, m peer.Message) *peer.PlacementResponse {
 	table := d.current.Load()
 	if table == nil || table.Pools[m.PlacementRequest.Pool] == nil || d.evacuationsStale(now) {
 		return nil
@@ -53,9 +61,15 @@
 		place, refused = d.chooseEngine(now, t, request, sender{t.domainOf(m.From), peerAdmissionLimit(m.PlacementRequest), namedIn(m.PlacementRequest.IdleConnections), excluded})
 	}
 	if refused != nil {
+		if d.waits && refused.Code == codeCrowded {
+			t.noteShort(now, pool.Name, m.PlacementRequest.Account)
+		}
 		return &peer.PlacementResponse{Refused: refused.Code, Reason: refused.Reason}
 	}
+	d.addCopy(now, t, request, &place, time.Duration(m.PlacementRequest.LossMS)*time.Millisecond, excluded)
 	t.countForPeer(m.From, place)
+	t.placed.addUntil(now, now.Add(t.holdTime(pool.Name)), place.Tokens, pool.Name)
+	t.accounts.Place(m.From, pool.Name, m.PlacementRequest.Account, place.Tokens)
 	t.prefillBacklog.Place(now, placement.Hash(place.Target), place.PrefillTokens)
 	var transfers []peer.Transfer
 	for _, m := range place.Transfers {
@@ -71,6 +85,8 @@
 		UntilMS: place.FetchUntil.Milliseconds(), CachedTokens: place.CachedTokens, FetchedTokens: place.FetchedTokens, SavedTokens: place.SavedTokens,
 		PrefillTokens: place.PrefillTokens, Rule: place.Rule, PrefillBacklog: place.PrefillBacklog, Transfers: transfers, QuotaGranted: place.QuotaGranted,
 		NextBest: nextBest, NextBestCostMS: place.NextBestCost.Round(time.Millisecond).Milliseconds(),
+		CopyTarget:      place.CopyTarget,
+		SlowdownPercent: int(place.EngineSlowdown * 100),
 	}
 }
 
@@ -119,6 +135,9 @@
 // countForPeer counts a request placed for another box until that box reports it itself.
 func (t *tables) countForPeer(box string, place deliver.Placement) {
 	t.othersUsage.Add(box, peer.TargetLoad{Target: placement.Hash(place.Target), Tokens: place.Tokens})
+	if place.CopyTarget != "" {
+		t.othersUsage.Add(box, peer.TargetLoad{Target: placement.Hash(place.CopyTarget), Tokens: place.Tokens})
+	}
 }
 
 // namedIn returns a filter for the targets that another box named.
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -35,11 +35,19 @@
 	Hurry = "hurry"
 	// Quarantine refuses requests under which targets ended.
 	Quarantine = "quarantine"
+	// Waiting has requests without room wait in order.
+	Waiting = "waiting"
+	// Copies has the memory of runs copied to another engine, so that they survive theirs.
+	Copies = "copies"
+	// SlowEngines gives less work to engines whose answers began late.
+	SlowEngines = "slow_engines"
+	// HeldBytes bounds the bytes held for callers and targets.
+	HeldBytes = "held-bytes"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies, SlowEngines, HeldBytes,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -42,6 +42,7 @@
 	d.expireQuotas(t)
 	t.expireQuotaPauses(now)
 	t.expireTrials()
+	t.returning.Expire(now)
 	t.expireEnded(now)
 	for _, w := range t.weights {
 		w.versionLog.Trim()
@@ -49,6 +50,8 @@
 	}
 	maps.DeleteFunc(t.silences, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > silenceTTL })
 	d.logSlowStores(now, t)
+	t.slowEngines.Expire(now)
+	d.noteSlowEngines(now, t)
 	d.logOverload(t)
 	d.logCongestion(t)
 	d.Sweep(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -12,6 +12,8 @@
 	"github.com/thymewind/thymewind/congestion"
 	"github.com/thymewind/thymewind/crash"
 	"github.com/thymewind/thymewind/directory"
+	"github.com/thymewind/thymewind/engineslow"
+	"github.com/thymewind/thymewind/fairshare"
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/grace"
@@ -22,7 +24,9 @@
 	"github.com/thymewind/thymewind/peerload"
 	"github.com/thymewind/thymewind/quarantine"
 	"github.com/thymewind/thymewind/reclaim"
+	"github.com/thymewind/thymewind/returning"
 	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/runcopy"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/throughput"
 	"github.com/thymewind/thymewind/versionlog"
@@ -57,6 +61,8 @@
 	clockKnown bool
 	// othersUsage is the load of other boxes' requests, by the hash of the target's ID.
 	othersUsage *peerload.Totals
+	// accounts is what client accounts' requests use of the pools, over all boxes.
+	accounts *fairshare.Tracker
 	// prefillBacklog is what targets still have to prefill, as reported by all boxes that
 	// place requests; overdue is what should have been prefilled by now of this box's
 	// requests.
@@ -65,6 +71,11 @@
 	// throughput is the speed of engines' prefill and of transfers from sources, learned from
 	// this box's requests.
 	throughput throughput.Estimator
+	// slowEngines are the engines whose answers to this box's requests began late.
+	// slowEnginesLogged marks those that were logged as slow, mostlySlow the pools most of whose engines are.
+	slowEngines       engineslow.Tracker
+	slowEnginesLogged map[string]bool
+	mostlySlow        map[string]bool
 	// typicalSizes are the typical sizes of requests, in tokens, by route.
 	typicalSizes map[string]float64
 	// latenessByPool are the shares of late answers, by pool.
@@ -80,6 +91,14 @@
 	// presumedLoad is the presumed load of other boxes' requests at each engine if none of them
 	// reports its load, as of the last placement.
 	presumedLoad peer.TargetLoad
+	// runLosses counts the runs that ended, and those lost with their engine, over all boxes as
+	// far as they report them; heldCopies are the copies of this box's broken runs that engines
+	// still hold.
+	runLosses  runcopy.Losses
+	heldCopies []heldCopy
+	// copied are the IDs of this box's requests whose runs have a copy. Engines tell copies apart
+	// by these IDs, which callers choose, so no two copies may have the same.
+	copied map[string]bool
 	// silences is when connections to targets were last found silent, by address.
 	silences map[netip.AddrPort]time.Time
 	// members are the boxes that have ever written their row, including this one.
@@ -203,6 +222,18 @@
 	// have not written them again yet; hubRestores is how many restores a hub reported.
 	lostRows    map[string]bool
 	hubRestores uint64
+	// waiting are the queues of requests that wait for room, by pool, and heldBytes is what this
+	// box holds for its requests that wait at hubs.
+	waiting   map[string]*waitingPool
+	heldBytes int
+	// returning are the requests that this box refused for want of room.
+	returning returning.List
+	// firstEvents are the usual times from a request's placement to its first event, by route.
+	firstEvents map[string]usualTime
+	// placed is the engine memory used by requests that this box placed.
+	placed placedTokens
+	// holdTimes is how long requests hold engine memory, by pool.
+	holdTimes map[string]*holdTime
 }
 
 // scan identifies a state of the list and of the named versions.
@@ -250,7 +281,7 @@
 
 // due is when each system next has something to do.
 type due struct {
-	sweep, lease, probe, gossip, reap, suspension, refresh time.Time
+	sweep, lease, probe, gossip, reap, suspension, refresh, unreadChecked time.Time
 }
 
 // member is another box.
@@ -285,13 +316,14 @@
 
 func newTables() tables {
 	return tables{
-		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
+		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), accounts: fairshare.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
 		weights: make(map[string]*modelRollout), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Incarnation]*targetQuota), quotaRetryAt: make(map[quotaAsk]time.Time), probing: make(map[string]bool),
 		silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
-		slowLogged: make(map[string]bool), typicalSizes: make(map[string]float64),
+		slowLogged: make(map[string]bool), slowEnginesLogged: make(map[string]bool), mostlySlow: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
-		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
+		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), firstEvents: make(map[string]usualTime), placed: placedTokens{running: make(map[string]int)},
+		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -5,16 +5,38 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
 	"github.com/thymewind/thymewind/revision"
 )
 
 // update changes the tables for one message and returns the resulting effects.
 func (d *Daemon) update(now time.Time, m message) []effect {
-	t := &d.tables
+	effects := d.handle(now, &d.tables, m)
+	if len(d.tables.waiting) > 0 && mayFreeMemory(m) {
+		d.serveQueues(now, &d.tables)
+	}
+	return effects
+}
+
+// mayFreeMemory reports whether engines may have room for waiting requests after a message.
+func mayFreeMemory(m message) bool {
+	switch m := m.(type) {
+	case attemptEnded, peerAnswered, targetsRead, operatorRead:
+		return true
+	case peerRequest:
+		return m.message.Kind == peer.KindGossip
+	}
+	return false
+}
+
+func (d *Daemon) handle(now time.Time, t *tables, m message) []effect {
 	switch m := m.(type) {
 	case placementRequest:
 		return d.placementRequested(now, t, m)
+	case copyRequest:
+		place, err := d.continueFromCopy(now, t, m)
+		m.reply <- placementAnswer{place, err}
 	case suspectQuery:
 		m.reply <- d.looksDead(now, t, m.target)
 	case signalsReceived:
@@ -57,7 +79,9 @@
 	case peerAnswered:
 		return d.peerAnswered(now, t, m)
 	case peerRequest:
-		m.reply <- d.peerRequest(now, t, m.message)
+		d.answerPeerRequest(now, t, m)
+	case waiterLeft:
+		d.waiterLeft(now, t, m)
 	case probed:
 		d.probed(now, t, m)
 	case trialClaimed:
@@ -126,20 +150,28 @@
 // attemptEnded learns from the result of an attempt.
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
+	t.endAccount(m)
+	d.recordRunEnd(now, t, m)
+	t.copyEnded(now, m)
 	d.recordLiveness(now, t, m)
+	t.placed.remove(m.Place.Tokens, m.Job)
+	t.learnHoldTime(now, m)
+	if m.Began && m.FirstAfter > 0 {
+		t.learnFirstEvent(m.Job.Route.Name, m.FirstAfter)
+	}
 	x := t.fleet.Incarnation(fleet.Incarnation{ID: m.Place.Target, StartedAt: m.Place.StartedAt})
 	if x == nil {
 		return
 	}
 	d.countCanarySample(now, t, x, m)
 	x.Ended(now, m.Began, m.Place.PrefillTokens, m.Place.Tokens, m.Failed)
-	if m.Completed {
+	if m.Completed && !m.SlowCaller {
 		t.lateness(x.Pool).Observe(m.Late)
 	}
 	if m.Verdict != 0 {
 		x.Heard(now)
 	}
-	if m.Began && !m.Failed && m.Job.Pool.Engine == nil {
+	if m.Began && !m.Failed && !m.SlowCaller && m.Job.Pool.Engine == nil {
 		t.congestion(x.Pool).Observe(now, now.Sub(m.Place.PlacedAt))
 	}
 	if m.Unreachable {
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,6 +35,31 @@
 	// Excluded are the targets that must get no request from the asking box because they are
 	// leaving or asked it for a backoff; named likewise.
 	Excluded []uint32 `cbor:"12,keyasint,omitempty"`
+	// Priority is the request's priority, RoutePriority that of its route, which an account's
+	// priority may stand for.
+	Priority      int `cbor:"19,keyasint,omitempty"`
+	RoutePriority int `cbor:"24,keyasint,omitempty"`
+	// Wait says that the request can wait in the hub's queue. The fields after it are set then.
+	Wait bool `cbor:"15,keyasint,omitempty"`
+	// Hold says that the hub may hold this call until the request, which it has queued, is placed
+	// or refused. Ticket identifies the request among the sender's.
+	Hold   bool   `cbor:"16,keyasint,omitempty"`
+	Ticket uint64 `cbor:"17,keyasint,omitempty"`
+	// SinceMS is how long ago the caller asked. LeftMS is how long the request may wait at the
+	// most, GoalLeftMS how long if it is to meet its goal: zero if it has none, negative if it
+	// can't any more.
+	SinceMS    int64 `cbor:"20,keyasint,omitempty"`
+	LeftMS     int64 `cbor:"21,keyasint,omitempty"`
+	GoalLeftMS int64 `cbor:"22,keyasint,omitempty"`
+	// DeadlineMS is how long the caller waits at the most, over refusals and returns.
+	DeadlineMS int64 `cbor:"25,keyasint,omitempty"`
+	// Fingerprint is the request's, which is sent only while the hub is short of room.
+	Fingerprint []byte `cbor:"23,keyasint,omitempty"`
+	// Account names the caller's account; empty if there is none.
+	Account string `cbor:"30,keyasint,omitempty"`
+	// LossMS is the time that the caller loses if the run is lost with its engine, in
+	// milliseconds; zero if the run needs no copy.
+	LossMS int64 `cbor:"60,keyasint,omitempty"`
 }
 
 // Part is one part of a prompt.
@@ -74,6 +99,22 @@
 	// negative.
 	NextBest       uint32 `cbor:"17,keyasint,omitempty"`
 	NextBestCostMS int64  `cbor:"18,keyasint,omitempty"`
+	// Queued says that the request waits at the hub as long as its sender asks again in time;
+	// AheadMS is how long it is expected to wait.
+	Queued  bool  `cbor:"22,keyasint,omitempty"`
+	AheadMS int64 `cbor:"23,keyasint,omitempty"`
+	// RetryAfterMS is when the caller of a refused request should return; zero if the hub does
+	// not say.
+	RetryAfterMS int64 `cbor:"19,keyasint,omitempty"`
+	// AskAnother says that the hub keeps no request, as it stops or knows too little by now.
+	AskAnother bool `cbor:"20,keyasint,omitempty"`
+	// SinceMS is how long ago the caller of a queued request first asked, as far as the hub knows.
+	SinceMS int64 `cbor:"21,keyasint,omitempty"`
+	// CopyTarget is the target that is to hold a copy of the run; empty for none.
+	CopyTarget string `cbor:"60,keyasint,omitempty"`
+	// SlowdownPercent is by which factor the hub scaled the target's predicted first event, in
+	// hundredths; zero if it did not.
+	SlowdownPercent int `cbor:"70,keyasint,omitempty"`
 }
 
 // Transfer is one fetch of cached parts.
@@ -126,6 +167,8 @@
 	Canaries []Canary `cbor:"11,keyasint,omitempty"`
 	// ListBehind says that the hub's list lacks a change that another hub has read.
 	ListBehind bool `cbor:"10,keyasint,omitempty"`
+	// Short are the pools for which a box that places requests is short of room, as the hub knows.
+	Short []string `cbor:"23,keyasint,omitempty"`
 }
 
 // Canary is the state of one software version's canary rollout in a pool.
--- a/peer/message.go
+++ b/peer/message.go
@@ -90,6 +90,14 @@
 	// PrefillTotals count the prompt tokens that targets had to prefill for placements the sender
 	// chose itself.
 	PrefillTotals []PrefillTotal `cbor:"19,keyasint,omitempty"`
+	// AccountLoads are what the requests of client accounts use, sent only while a pool is short of
+	// room; ShortPools are the pools for which the sender, as the box that places, is short of it.
+	AccountLoads []AccountLoad `cbor:"40,keyasint,omitempty"`
+	ShortPools   []string      `cbor:"41,keyasint,omitempty"`
+	// RunLosses count the runs that ended lately, of pools whose engines are being lost: a spoke's
+	// own to its hub, a hub's and its spokes' to other hubs, and all that the hub knows of to a
+	// spoke. They are left out while no runs are lost.
+	RunLosses []RunLoss `cbor:"60,keyasint,omitempty"`
 	// Statement is an operator's query.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is a query's result in JSON, or a configuration.
@@ -98,6 +106,9 @@
 	Error string `cbor:"9,keyasint,omitempty"`
 }
 
+// isHeld reports whether the answer may be held back for longer than it takes to compute.
+func (m *Message) isHeld() bool { return m.PlacementRequest != nil && m.PlacementRequest.Hold }
+
 // Incarnation identifies a target between one of its starts and the next.
 type Incarnation struct {
 	ID string `cbor:"1,keyasint"`
@@ -141,6 +152,33 @@
 	// how long they took, in milliseconds.
 	ExpectedMS int `cbor:"4,keyasint,omitempty"`
 	ActualMS   int `cbor:"5,keyasint,omitempty"`
+	// These three are set only for engines some of whose answers began late (package engineslow);
+	// Target is then the hash of the engine's incarnation. FirstExpectedMS is the time that recent
+	// first events should have taken, FirstTookMS the time they took, in milliseconds, and
+	// LateTenths counts the late ones less
+	// those in time, in tenths.
+	FirstExpectedMS int `cbor:"70,keyasint,omitempty"`
+	FirstTookMS     int `cbor:"71,keyasint,omitempty"`
+	LateTenths      int `cbor:"72,keyasint,omitempty"`
+}
+
+// AccountLoad is the engine memory that the running requests of one client account use at a pool.
+type AccountLoad struct {
+	// Key is a hash of the pool and the account.
+	Key    uint32 `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+	// Waits is one more than the lowest urgency number of the account's requests that wait in the
+	// sender's own queue; zero if none does. Lower goes first.
+	Waits int `cbor:"3,keyasint,omitempty"`
+}
+
+// RunLoss counts a pool's runs that ended within the last 10 s.
+type RunLoss struct {
+	_ struct{} `cbor:",toarray"`
+	// Pool is the lower half of the hash of the pool's name. Lost are those of the Ended runs that
+	// were lost with their engine.
+	Pool        uint32
+	Ended, Lost int
 }
 
 // PrefillTotal is how many prompt tokens a box made a target prefill.
@@ -153,17 +191,23 @@
 
 // IsZero reports whether the load is empty.
 func (s TargetLoad) IsZero() bool {
-	return s.Tokens == 0 && s.PrefillBacklog == 0 && s.ExpectedMS == 0 && s.ActualMS == 0
+	return s == TargetLoad{Target: s.Target}
 }
 
 // Add returns the sum of two loads of one target.
 func (s TargetLoad) Add(b TargetLoad) TargetLoad {
-	return TargetLoad{s.Target, s.Tokens + b.Tokens, s.PrefillBacklog + b.PrefillBacklog, s.ExpectedMS + b.ExpectedMS, s.ActualMS + b.ActualMS}
+	return TargetLoad{
+		s.Target, s.Tokens + b.Tokens, s.PrefillBacklog + b.PrefillBacklog, s.ExpectedMS + b.ExpectedMS, s.ActualMS + b.ActualMS,
+		s.FirstExpectedMS + b.FirstExpectedMS, s.FirstTookMS + b.FirstTookMS, s.LateTenths + b.LateTenths,
+	}
 }
 
 // Sub returns the load without a part of it.
 func (s TargetLoad) Sub(b TargetLoad) TargetLoad {
-	return TargetLoad{s.Target, s.Tokens - b.Tokens, s.PrefillBacklog - b.PrefillBacklog, s.ExpectedMS - b.ExpectedMS, s.ActualMS - b.ActualMS}
+	return TargetLoad{
+		s.Target, s.Tokens - b.Tokens, s.PrefillBacklog - b.PrefillBacklog, s.ExpectedMS - b.ExpectedMS, s.ActualMS - b.ActualMS,
+		s.FirstExpectedMS - b.FirstExpectedMS, s.FirstTookMS - b.FirstTookMS, s.LateTenths - b.LateTenths,
+	}
 }
 
 // Leaving names a target that is leaving. Its age counts from when the target announced that, or
--- a/peerload/peerload_test.go
+++ b/peerload/peerload_test.go
@@ -31,6 +31,7 @@
 			totals.Set(start, "a", []peer.TargetLoad{load(7, 110, 0)})
 		}, 130, 2, 2},
 		{"added for an unknown box", func(totals *peerload.Totals) { totals.Add("c", load(7, 100, 50)) }, 30, 3, 2},
+		{"dropped", func(totals *peerload.Totals) { totals.Drop("a"); totals.Drop("c") }, 20, 2, 1},
 		{"both expired", func(totals *peerload.Totals) { totals.Expire(start.Add(time.Second)) }, 0, 0, 0},
 		{"one expired", func(totals *peerload.Totals) {
 			totals.Set(start.Add(time.Second), "b", []peer.TargetLoad{load(7, 1, 1)})
@@ -115,3 +116,28 @@
 		t.Errorf("left: %+v", got)
 	}
 }
+
+// TestLate guards against AnyLate, which spares calm fleets the lookups, being wrong, and against
+// targets without load in what is left when boxes are taken out.
+func TestLate(t *testing.T) {
+	totals := peerload.New()
+	totals.Set(start, "a", []peer.TargetLoad{{Target: 7, LateTenths: 10}})
+	totals.Set(start, "b", []peer.TargetLoad{{Target: 7, LateTenths: -10}, {Target: 8, Tokens: 1}})
+	if totals.AnyLate() {
+		t.Error("late although all late answers are cancelled")
+	}
+	if left := totals.Without([]string{"b"}); len(left) != 1 || left[7] != (peer.TargetLoad{Target: 7, LateTenths: 10}) {
+		t.Errorf("without b: %+v", left)
+	}
+	totals.Drop("b")
+	if !totals.AnyLate() || totals.Of(7).Target != 7 {
+		t.Errorf("late: %v, of the target: %+v", totals.AnyLate(), totals.Of(7))
+	}
+	if left := totals.Without([]string{"a"}); len(left) != 0 {
+		t.Errorf("without all: %+v", left)
+	}
+	totals.Drop("a")
+	if totals.AnyLate() {
+		t.Error("late although no box reports any")
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -108,6 +108,11 @@
 	Megabits float64
 	// MaxWatchers is how many callers may wait for a target's events at once.
 	MaxWatchers int
+	// RunCopies says that the memory of a run can be copied to another target as it grows,
+	// RunMoves that runs can be moved to another target. A copy that nobody uses is dropped
+	// CopyTTL after its last part.
+	RunCopies, RunMoves bool
+	CopyTTL             time.Duration
 }
 
 // Store is a box that stores prompt parts for engines.
@@ -186,6 +191,16 @@
 	return a, known
 }
 
+// AccountNames lists the accounts that have a key, in order.
+func (t *Table) AccountNames() []string {
+	names := make([]string, 0, len(t.keys))
+	for _, a := range t.keys {
+		names = append(names, a.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // NeedsKey says whether requests on a route need a key.
 func (t *Table) NeedsKey(r *Route) bool { return t.keyed && !r.Open }
 
