refactor: one concern a file in the queue, the shares and the loop

waitqueue (order, prediction, refusals), fairshare (shares), entry (times of waits, serving queues, silence, rollouts), deliver (recheck) are split by concern; a function that nothing used is gone. No behaviour changes.

--- a/deliver/run.go
+++ b/deliver/run.go
@@ -167,20 +167,6 @@
 // repeatable says that running the request again does no harm.
 func (x *run) repeatable() bool { return x.job.Route.Repeatable || x.job.Route.Resumable }
 
-// recheck admits a request again that waited for its placement, as its route or its key may have
-// been removed meanwhile, or the proof of the configuration become too old. If it is refused, its
-// placement is given up.
-func (x *run) recheck(place Placement) *refusal.Refusal {
-	if place.Waited == 0 {
-		return nil
-	}
-	_, refused := x.resolve(x.job.Call)
-	if refused != nil {
-		x.Ended(AttemptResult{Place: place, Job: x.job})
-	}
-	return refused
-}
-
 // attempt sends the request to one target and passes its answer on.
 func (x *run) attempt(place Placement) (*refusal.Refusal, error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -23,13 +23,11 @@
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/peerload"
 	"github.com/thymewind/thymewind/quarantine"
-	"github.com/thymewind/thymewind/reclaim"
 	"github.com/thymewind/thymewind/returning"
 	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/runcopy"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/throughput"
-	"github.com/thymewind/thymewind/versionlog"
 )
 
 // tables are the state that the loop owns. Only the loop accesses them.
@@ -236,49 +234,6 @@
 	holdTimes map[string]*holdTime
 }
 
-// scan identifies a state of the list and of the named versions.
-type scan struct {
-	list          uint64
-	newestVersion int64
-}
-
-// modelRollout is one model's rollout as seen by this box.
-type modelRollout struct {
-	// newestVersion is the newest version named, versionLog when each version was named.
-	newestVersion int64
-	versionLog    versionlog.Log
-	// upToDateScan is the list and the version for which no engine was behind, minVersion
-	// the lowest version of any engine then: engines need not be checked again until either
-	// changes.
-	upToDateScan scan
-	minVersion   int64
-	// announceRetryAt is when writing the rollout's row may be retried after a failure.
-	announceRetryAt time.Time
-	// ordered marks the targets with an order of this box in flight.
-	ordered map[string]bool
-	// orderedAt is when this box last gave targets an order, barredUntil until when it must
-	// give them none, as another box did.
-	orderedAt, barredUntil map[string]time.Time
-	// allBarredUntil is until when it must give no target an order, as it can't know which
-	// ones another box ordered.
-	allBarredUntil time.Time
-	// epoch is the lease's epoch in the row last read.
-	epoch uint64
-	// reclaim says when parts made on older weights may be freed.
-	reclaim reclaim.Tracker
-	// freed is the version for which the stores were cleared of older parts.
-	freed   int64
-	freeing bool
-	// freeAttempts counts failed attempts to clear the stores, freeRetryAt is when the next
-	// one may be made.
-	freeAttempts int
-	freeRetryAt  time.Time
-	// planned are the targets that wait until their loading is announced.
-	planned []string
-	// announcing says that the row is being written.
-	announcing bool
-}
-
 // due is when each system next has something to do.
 type due struct {
 	sweep, lease, probe, gossip, reap, suspension, refresh, unreadChecked time.Time
