--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -85,7 +85,9 @@
 	r := d.limitOf(t, &m)
 	request := peer.PlacementRequest{
 		Request: job.ID, Pool: job.Pool.Name, Model: job.Model, Tokens: job.PromptTokens + job.MaxOutputTokens, MaxMemoryShare: r.maxMemoryShare, TypicalTokens: r.typicalTokens, Tried: m.ask.Attempted, GoalMS: job.Route.Goal.Milliseconds(),
-		Account: accountName(job), Priority: routing.Priority(job.Route, job.Account), RoutePriority: job.Route.Priority,
+	}
+	if d.waits {
+		request.Account, request.Priority, request.RoutePriority = accountName(job), routing.Priority(job.Route, job.Account), job.Route.Priority
 	}
 	request.IdleConnections, request.Excluded = d.targetHints(now, t.engines(job.Pool.Name))
 	request.LossMS = d.copyLoss(now, t, m.ask).Milliseconds()
