--- a/entry/waitingtimes.go
+++ b/entry/waitingtimes.go
@@ -22,8 +22,7 @@
 	return job.Received
 }
 
-// goalAt is the latest begin for an answer within the goal. An engine has to read at least the part
-// of the prompt that no other request has.
+// goalAt is the latest begin for an answer within the goal; zero if the route has none.
 func (d *Daemon) goalAt(now time.Time, t *tables, job *deliver.Job) time.Time {
 	if job.Route.Goal <= 0 {
 		return time.Time{}
--- a/waitqueue/refuse.go
+++ b/waitqueue/refuse.go
@@ -54,8 +54,8 @@
 }
 
 // afterOverload is when a caller should return that can't be served before its deadline passes at
-// this rate. Bursts last for seconds and a caller returns once, so it does so in the later half of
-// the time in which it may.
+// this rate. Bursts last for seconds and a caller returns once, so it does so in the last quarter
+// of the time in which it may.
 func (q *Queue) afterOverload(now time.Time, r Request) time.Duration {
 	if r.Until.IsZero() {
 		return MaxReturn
