fix(entry): a box that becomes a hub reads few sources at once

Cause: such a box starts the watchers of all 170 sources at once, each from its beginning. Their answers fill its link, so that its own reads of the operator's rows, its calls to other boxes and its dials time out.

Change: at most four sources are read whole at once, from the call until the loop has applied the answer. A read without an answer gives its slot to the next source after a time that leaves half of the box's link free.

Test: TestWholeReadsBounded.

--- a/entry/build.go
+++ b/entry/build.go
@@ -81,6 +81,8 @@
 	// notices are the targets' signals about themselves.
 	notices notice.Registry
 	peers   peer.Node
+	// wholeReads bounds the reads of whole sources.
+	wholeReads wholeReads
 	hooks
 	// oneIn returns true once in oneIn times on average.
 	oneIn func(oneIn int) bool
@@ -102,6 +104,7 @@
 	d.hooks = newHooks()
 	d.metrics = newMetricSet(d.Registry)
 	d.ended = make(chan struct{})
+	d.wholeReads = newWholeReads(d.Settings.Box.Megabits)
 	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.expireCopies, d.gossip, d.reapRequests, d.tendQueues, d.endUnread}
 	d.plan = rollout.Plan{MinConcurrent: concurrentLoads, ConcurrentShare: concurrentLoadShare}
 	d.services = leastrequest.Chooser{Domain: d.Settings.Domain, Self: placement.Hash(d.Settings.Name)}
--- a/entry/message.go
+++ b/entry/message.go
@@ -109,6 +109,15 @@
 	// requestedAt is when the read was sent.
 	requestedAt time.Time
 	err         error
+	// applied frees the slot of a read of the whole source; nil for others.
+	applied func()
+}
+
+// end is called once the events were applied or dropped.
+func (m cacheEventsRead) end() {
+	if m.applied != nil {
+		m.applied()
+	}
 }
 
 // leaseStepped reports that a step of the rollout's lease ended. While the lease is held, it
--- a/entry/sources.go
+++ b/entry/sources.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/thymewind/thymewind/affinity"
@@ -27,6 +28,15 @@
 	// Without its cache events, the parts that it holds are prefilled again elsewhere.
 	eventsRetryDelay = 300 * time.Millisecond
 	maxEventsBackoff = 3 * time.Second
+	// maxWholeReads is how many sources are read whole at once. A box that becomes a hub reads all
+	// of them; without a bound these fill its link for seconds, and its reads of the operator's
+	// rows and its calls to other boxes time out.
+	maxWholeReads = 4
+	// wholeReadBytes is the size of the answer of a source with some thousand cached parts.
+	wholeReadBytes = 64 << 10
+	// minWholeReadSlot is the least time after which the next source is read although one has not
+	// answered: a source without changes holds the call.
+	minWholeReadSlot = 50 * time.Millisecond
 )
 
 // configureStores takes the stores of cached parts from the configuration.
@@ -130,6 +140,32 @@
 	return effects
 }
 
+// wholeReads bounds the reads of whole sources, from the call until the loop has applied the answer.
+type wholeReads struct {
+	slots chan struct{}
+	// slot is the longest time for which a read takes up a slot.
+	slot time.Duration
+}
+
+// newWholeReads returns the bound for a box's link: reads without an answer leave half of it free.
+// The link's bandwidth is zero if it is not known.
+func newWholeReads(megabits float64) wholeReads {
+	slot := max(minWholeReadSlot, maxWholeReads*transferTime(wholeReadBytes, megabits/2))
+	return wholeReads{make(chan struct{}, maxWholeReads), slot}
+}
+
+// begin waits for a slot and returns the function that frees it.
+func (w wholeReads) begin(ctx context.Context) func() {
+	select {
+	case w.slots <- struct{}{}:
+	case <-ctx.Done():
+		return func() {}
+	}
+	free := sync.OnceFunc(func() { <-w.slots })
+	time.AfterFunc(w.slot, free)
+	return free
+}
+
 // watchSource reads one source's cache events until either context ends.
 func (d *Daemon) watchSource(ctx context.Context, e watchSource) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -138,14 +174,20 @@
 	defer stop()
 	var since uint64
 	for ctx.Err() == nil {
+		m := cacheEventsRead{source: e.name}
+		if since == 0 {
+			m.applied = d.wholeReads.begin(ctx)
+		}
 		began := d.now()
-		m := cacheEventsRead{source: e.name, requestedAt: began}
+		m.requestedAt = began
 		m.events, m.err = d.Platform.CacheEvents(ctx, e.address, since, e.hold)
 		if m.err == nil && m.events.Gap && since > 0 {
+			m.applied = d.wholeReads.begin(ctx)
 			m.events, m.err = d.Platform.ListCache(ctx, e.address)
 			m.listed = true
 		}
 		if ctx.Err() != nil {
+			m.end()
 			return
 		}
 		d.postContext(ctx, m)
--- a/entry/sources_test.go
+++ b/entry/sources_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,68 @@
 		})
 	}
 }
+
+// TestWholeReadsBounded guards against a box that becomes a hub and reads all sources whole at once:
+// the answers fill its link, its own reads of the operator's rows and its calls to other boxes time
+// out, and it goes on by an old configuration.
+func TestWholeReadsBounded(t *testing.T) {
+	const sources = 150
+	tests := []struct {
+		name     string
+		megabits float64
+		// answers is how long a source takes to answer, within the time in which all are read.
+		answers, within time.Duration
+		// most is the largest number of calls at once that the box waits for.
+		most int
+	}{
+		{"a fast link", 1000, 5 * time.Millisecond, time.Second, maxWholeReads},
+		{"a slow link", 24, 80 * time.Millisecond, 4 * time.Second, maxWholeReads},
+		{"a slow link that is full", 24, time.Second, 10 * time.Second, 6 * maxWholeReads},
+		{"sources without changes hold their calls", 200, eventsHold, 4 * time.Second, 9 * maxWholeReads},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDaemon("b1")
+				d.now, d.wholeReads = time.Now, newWholeReads(tt.megabits)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var mu sync.Mutex
+				calls, most := 0, 0
+				count := func(by int) {
+					mu.Lock()
+					defer mu.Unlock()
+					calls += by
+					most = max(most, calls)
+				}
+				d.Platform.CacheEvents = func(ctx context.Context, _ netip.AddrPort, since uint64, _ time.Duration) (CacheEvents, error) {
+					if since > 0 {
+						<-ctx.Done()
+						return CacheEvents{}, ctx.Err()
+					}
+					count(1)
+					<-time.After(tt.answers)
+					count(-1)
+					return CacheEvents{Next: 1}, nil
+				}
+				for range sources {
+					go d.watchSource(ctx, watchSource{ctx: ctx, name: "a", hold: eventsHold, interval: eventsInterval})
+				}
+				end := time.After(tt.within)
+				for read := range sources {
+					select {
+					case m := <-d.messages:
+						d.update(time.Now(), m)
+					case <-end:
+						t.Fatalf("%d of %d sources were read within %v", read, sources, tt.within)
+					}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if most > tt.most {
+					t.Errorf("%d sources were read at once, want at most %d", most, tt.most)
+				}
+			})
+		})
+	}
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -61,6 +61,7 @@
 		t.markListUncertain(now)
 		d.Log.Info("table service back", "configuration", d.version())
 	case cacheEventsRead:
+		defer m.end()
 		return d.cacheEventsRead(now, t, m)
 	case leaseStepped:
 		d.leaseStepped(now, t, m)
