fix(entry): hubs that are busy for a moment draft no other box

Cause: a spoke pauses a hub for a second after two calls without an answer within 0.1 s. The order of hubs ended in these boxes whenever the hubs before them were paused, however short; hubGoneAfter guarded only which go first.

Change: boxes that would have to become hubs are asked only once the hubs of all domains have been silent for 3 s. Meanwhile a box places requests alone.

--- a/entry/hub.go
+++ b/entry/hub.go
@@ -31,6 +31,10 @@
 	// hubGoneAfter is how long all hubs of a domain have to be silent before other boxes of the
 	// domain are asked first: placing across domains costs time and bytes.
 	hubGoneAfter = 10 * time.Second
+	// hubsGoneAfter is how long the hubs of all domains have to be silent before other boxes are
+	// asked at all. Hubs that start, or that are busy for a moment, are silent for less; a box that
+	// is asked reads all sources meanwhile and can't place requests well for as long.
+	hubsGoneAfter = 3 * time.Second
 	// viewTTL is how old a hub's proof of the configuration may be before this box reads the
 	// table service itself. A healthy hub's proof is at most 1.1 s old, and the platform's
 	// bound for applying a change is 2 to 3 s.
@@ -144,7 +148,8 @@
 }
 
 // hubOrder lists the hubs that a box of a domain may ask: those of its own domain, those of
-// other domains, and then boxes of its own domain that become hubs when they are asked. It is
+// other domains, and, if these have been silent for some time, boxes of its own domain that become
+// hubs when they are asked. It is
 // computed as far as it is read, as each placement asks for it.
 func (t *tables) hubOrder(now time.Time, self, domain string) iter.Seq[string] {
 	return func(yield func(string) bool) {
@@ -155,10 +160,13 @@
 				return
 			}
 		}
-		rest := own[len(first):min(maxOwnHubs, len(own))]
-		order := slices.Concat(t.foreignHubs(self, domain), rest)
-		if t.gone(now, first) {
-			order = slices.Concat(rest, t.foreignHubs(self, domain))
+		rest, foreign := own[len(first):min(maxOwnHubs, len(own))], t.foreignHubs(self, domain)
+		order := foreign
+		switch {
+		case t.gone(now, first, hubGoneAfter):
+			order = slices.Concat(rest, foreign)
+		case t.gone(now, first, hubsGoneAfter) && t.gone(now, foreign, hubsGoneAfter):
+			order = slices.Concat(foreign, rest)
 		}
 		for _, name := range order {
 			if !yield(name) {
@@ -168,10 +176,10 @@
 	}
 }
 
-// gone reports whether all of some boxes have been silent for hubGoneAfter.
-func (t *tables) gone(now time.Time, boxes []string) bool {
+// gone reports whether all of some boxes have been silent for a time.
+func (t *tables) gone(now time.Time, boxes []string, after time.Duration) bool {
 	for _, name := range boxes {
-		if m := t.members[name]; !m.unanswered || now.Sub(m.unansweredSince) < hubGoneAfter {
+		if m := t.members[name]; !m.unanswered || now.Sub(m.unansweredSince) < after {
 			return false
 		}
 	}
--- a/entry/hubfailover_test.go
+++ b/entry/hubfailover_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -65,3 +67,59 @@
 		}
 	}
 }
+
+// strengthen makes all boxes strong enough to be hubs.
+func (w *emulator) strengthen() {
+	for _, d := range w.boxes {
+		for _, other := range w.boxes {
+			d.tables.members[other.Settings.Name].share = max(other.Settings.Box.Share, hubMinShare)
+		}
+		d.tables.hubRanks = nil
+		w.perform(d, d.updateRole(w.now, &d.tables))
+	}
+}
+
+// TestBusyHubsDraftNobody guards against a box that, as all hubs leave its requests for placements
+// unanswered for a moment, asks a box of its own domain, which then reads all sources and falls
+// behind. If the hubs stay silent, other boxes have to become hubs.
+func TestBusyHubsDraftNobody(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// every is the time between two calls without an answer, for how long they are made.
+		every, lasts time.Duration
+		drafts       bool
+	}{
+		{"missed two calls each within a second", 40 * time.Millisecond, time.Second, false},
+		{"missed for two seconds", 40 * time.Millisecond, 2 * time.Second, false},
+		{"silent for five seconds", 40 * time.Millisecond, 5 * time.Second, true},
+	}
+	for _, tt := range tests {
+		for _, boxes := range []int{32, 84} {
+			t.Run(fmt.Sprintf("%s, %d boxes", tt.name, boxes), func(t *testing.T) {
+				t.Parallel()
+				w := emulate(boxes, 4, configuration(1))
+				w.strengthen()
+				w.advance(2*time.Second, nil)
+				domain := w.boxes[0].Settings.Domain
+				ranked := w.boxes[0].tables.rankedHubs(domain)
+				d, hubs := w.byName[ranked[hubsPerDomain+maxOwnHubs]], w.boxes[0].tables.hubs()
+				drafted := ""
+				for now := w.now; now.Sub(w.now) < tt.lasts; now = now.Add(tt.every) {
+					hub := d.placementHub(now, &d.tables, nil)
+					if hub == "" {
+						continue
+					}
+					if !slices.Contains(hubs, hub) {
+						drafted = hub
+						break
+					}
+					d.hubFailed(now, &d.tables, hub, context.DeadlineExceeded)
+				}
+				if (drafted != "") != tt.drafts {
+					t.Errorf("asked to become a hub: %q", drafted)
+				}
+			})
+		}
+	}
+}
