fix(deliver): a request is sent by the configuration in force

What callers saw: a request whose body arrived slowly, that waited in a queue or that is retried went by the configuration at its arrival, although this box had a later one by then: to the pool that its route had left, or on a route or with a key that was gone. A retry may come seconds later.

Cause: a request was admitted once. It was checked again only if it had waited in a queue, and then what it resolved to was dropped, so that a route that had moved still led to the old pool.

Change: a request is admitted again before each placement if the configuration has changed or some time has passed, and after a wait as before. If its route leads to another pool, it is placed there; a retry is taken from that pool's budget. An answer that was begun is completed as long as nothing is known against it, also while the box can't tell whether its configuration is the newest.

The goroutines that watch an attempt get the request's job as an argument: it may be another one at the next attempt (found by the race detector).

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -38,7 +38,7 @@
 	path, _, _ := strings.Cut(call.Path, "?")
 	r := table.Route(call.Host, path)
 	if r == nil && !s.ConfigurationFresh(s.Now(), table) {
-		return job, s.unavailable(job, "stale", "this box can't tell whether there is a route for %s%s by now", call.Host, path)
+		return job, s.unavailable(job, codeStale, "this box can't tell whether there is a route for %s%s by now", call.Host, path)
 	}
 	if r == nil {
 		return job, refusal.New(refusal.DidNotRun, http.StatusNotFound, "no_route", "no route for %s%s", call.Host, path)
@@ -46,11 +46,11 @@
 	job.Route = r
 	if table.NeedsKey(r) {
 		if !s.KeysFresh(s.Now(), table) {
-			return job, s.unavailable(job, "stale", "this box can't tell whether the key is still good")
+			return job, s.unavailable(job, codeStale, "this box can't tell whether the key is still good")
 		}
 		account, known := table.Account(call.Key)
 		if !known && !s.ConfigurationFresh(s.Now(), table) {
-			return job, s.unavailable(job, "stale", "this box can't tell whether the key is known by now")
+			return job, s.unavailable(job, codeStale, "this box can't tell whether the key is known by now")
 		}
 		if !known {
 			return job, refusal.New(refusal.DidNotRun, http.StatusUnauthorized, "unknown_key", "unknown key")
@@ -61,6 +61,7 @@
 	if job.Pool == nil {
 		return job, s.unavailable(job, "no_pool", "the route's pool is not configured")
 	}
+	job.table = table.Table
 	job.Until = call.Received.Add(timeoutOf(r, call))
 	return job, nil
 }
--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -107,7 +107,7 @@
 	events := eventstream.Reader{From: reply.Body, Grow: x.growEvents(ctx, wait)}
 	resumable := x.job.Route.Resumable && x.sent < x.job.Route.Attempts
 	if x.Suspect != nil && (resumable || x.hasCopy(place)) {
-		go x.abortIfStalled(ctx, x.cancel, place.Target, wait, resumable)
+		go x.abortIfStalled(ctx, x.cancel, x.job, place.Target, wait, resumable)
 	}
 	flush := http.NewResponseController(x.w)
 	if x.headWritten {
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -77,6 +77,8 @@
 	// Until is the deadline for the final answer.
 	Until time.Time
 
+	// table is the configuration that it was admitted by.
+	table *routing.Table
 	// sum caches the fingerprint.
 	sum atomic.Pointer[fingerprint.Sum]
 }
--- a/deliver/gap.go
+++ b/deliver/gap.go
@@ -27,8 +27,8 @@
 // The stream then continues at another target. A stream that could only continue from a copy
 // is not aborted for maxGap alone: the copy may be missing, and a late event is better than
 // none. Other streams are not watched, as an abort gains them nothing.
-func (x *run) abortIfStalled(ctx context.Context, cancel context.CancelCauseFunc, target string, p *eventWait, resumable bool) {
-	ticks := time.NewTicker(x.gapTimeout() / 2)
+func (x *run) abortIfStalled(ctx context.Context, cancel context.CancelCauseFunc, job *Job, target string, p *eventWait, resumable bool) {
+	ticks := time.NewTicker(gapTimeout(job) / 2)
 	defer ticks.Stop()
 	for {
 		select {
@@ -44,10 +44,10 @@
 			continue
 		}
 		waited := x.Now().Sub(*since)
-		if (waited < maxGap || !resumable) && (waited < x.gapTimeout() || !x.Suspect(ctx, target)) {
+		if (waited < maxGap || !resumable) && (waited < gapTimeout(job) || !x.Suspect(ctx, target)) {
 			continue
 		}
-		if x.reserveRetry() {
+		if x.reserveRetry(job) {
 			cancel(errSilent)
 			return
 		}
@@ -55,9 +55,9 @@
 }
 
 // gapTimeout is the gap between events after which the stream's target is checked with Suspect.
-func (x *run) gapTimeout() time.Duration {
-	if x.job.Route.GapGoal == 0 {
+func gapTimeout(job *Job) time.Duration {
+	if job.Route.GapGoal == 0 {
 		return maxSilence
 	}
-	return min(max(silenceFactor*x.job.Route.GapGoal, minSilence), maxSilence)
+	return min(max(silenceFactor*job.Route.GapGoal, minSilence), maxSilence)
 }
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -41,6 +41,8 @@
 	// finishBy is the request's deadline, beginBy the deadline for the target to begin
 	// its answer; unset if there is none or it has begun.
 	finishBy, beginBy deadline
+	// admittedAt is when the request was last admitted.
+	admittedAt time.Time
 	// cancel aborts the current attempt.
 	cancel    context.CancelCauseFunc
 	attempted []string
@@ -123,6 +125,7 @@
 		return refused
 	}
 	x.job, x.outcome.Job = job, job
+	x.admittedAt = x.Now()
 	if refused := x.readBody(job); refused != nil {
 		return refused
 	}
@@ -135,25 +138,32 @@
 		if x.callerLeft() {
 			return x.refuse(x.unavailable(x.job, "caller_left", "the caller closed its connection"))
 		}
-		place, err := x.Place(x.ctx, PlacementRequest{Job: job, Attempted: x.attempted})
+		if refused := x.recheck(); refused != nil {
+			return x.refuse(refused)
+		}
+		place, err := x.Place(x.ctx, PlacementRequest{Job: x.job, Attempted: x.attempted})
 		x.outcome.Waited += place.Waited
 		if err != nil {
 			return x.refuse(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
 		}
 		x.outcome.Place = place
 		x.queued += place.Waited
-		if refused := x.recheck(place); refused != nil {
+		moved, refused := x.recheckWaited(place)
+		if refused != nil {
 			return x.refuse(refused)
 		}
+		if moved {
+			continue
+		}
 		x.attempted = append(x.attempted, place.Target)
-		refused, err := x.attempt(place)
+		refused, err = x.attempt(place)
 		if errors.Is(err, errContinue) {
 			refused, err = x.continueFromCopy(place)
 		}
 		if !errors.Is(err, errRetry) {
 			return refused
 		}
-		x.Retried(Retry{Job: job, Place: x.outcome.Place, Cause: x.outcome.Cause, Resumed: x.resumedAfter()})
+		x.Retried(Retry{Job: x.job, Place: x.outcome.Place, Cause: x.outcome.Cause, Resumed: x.resumedAfter()})
 	}
 }
 
@@ -191,7 +201,7 @@
 func (x *run) attemptGuarded(ctx context.Context, cancel context.CancelCauseFunc, answered func(), place Placement) (*refusal.Refusal, error) {
 	if x.Suspect != nil && x.repeatable() && x.sent+1 < x.job.Route.Attempts {
 		over := make(chan struct{})
-		go x.abortIfSuspect(ctx, cancel, over, place.Target)
+		go x.abortIfSuspect(ctx, cancel, over, x.job, place.Target)
 		return x.send(ctx, func() { answered(); close(over) }, place)
 	}
 	return x.send(ctx, answered, place)
--- a/deliver/suspect.go
+++ b/deliver/suspect.go
@@ -8,8 +8,8 @@
 
 // abortIfSuspect cancels an attempt that has waited for longer than the silence timeout and
 // whose target looks dead.
-func (x *run) abortIfSuspect(ctx context.Context, cancel context.CancelCauseFunc, answered <-chan struct{}, target string) {
-	timer := time.NewTicker(x.silenceTimeout())
+func (x *run) abortIfSuspect(ctx context.Context, cancel context.CancelCauseFunc, answered <-chan struct{}, job *Job, target string) {
+	timer := time.NewTicker(silenceTimeout(job))
 	defer timer.Stop()
 	for {
 		select {
@@ -26,7 +26,7 @@
 				return
 			default:
 			}
-			if x.reserveRetry() {
+			if x.reserveRetry(job) {
 				cancel(errSilent)
 				return
 			}
@@ -42,15 +42,17 @@
 	errWeightsExpired = errors.New("the request did not begin before the deadline for the target's weights")
 )
 
-func (x *run) silenceTimeout() time.Duration {
-	return min(max(silenceFactor*x.job.Route.Goal, minSilence), maxSilence)
+// silenceTimeout is how long an attempt may be without an answer before its target is checked with
+// Suspect.
+func silenceTimeout(job *Job) time.Duration {
+	return min(max(silenceFactor*job.Route.Goal, minSilence), maxSilence)
 }
 
 // reserveRetry takes a retry from the budget before the current attempt is aborted for
 // it. Without budget nothing is aborted: an answer that may still come is better than
 // none.
-func (x *run) reserveRetry() bool {
-	if x.job.Until.Sub(x.Now()) < minTimeLeft || !x.Spend(x.job.Pool.Name) {
+func (x *run) reserveRetry(job *Job) bool {
+	if job.Until.Sub(x.Now()) < minTimeLeft || !x.Spend(job.Pool.Name) {
 		return false
 	}
 	x.retryReserved.Store(true)
