fix(entry): a box whose own reads are late learns of changes from other boxes

What callers saw: a key that had been taken away, or a route that had been dropped or moved, was served for longer than allowed by a box that answered its callers and the other boxes, but whose own reads of the operator's rows came late: keys for up to 4.3 s after the box's last proof, routes without a key until it read again.

Cause: a box that is not a spoke went by its own reads alone, whatever other boxes told it.

Change: each message between boxes names the sender's configuration and for how long it has existed. A box that is behind for 0.2 s, or whose proof is older than its own reads make it, gets all that another box knows of the operator's rows (KindOperator), with that box's proof. If it can't, it refuses its callers once the later configuration has existed for applied_within less 0.7 s. That never happens in an outage of the whole service, as no box has a later configuration then. Only rows read since the same restore of the table service are proofs.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -32,6 +32,9 @@
 	if table == nil || table.Table == nil {
 		return job, s.unavailable(job, "no_configuration", "this box has no configuration yet")
 	}
+	if s.Current != nil && !s.Current(s.Now(), table) {
+		return job, s.unavailable(job, codeStale, "this box lacks a configuration that other boxes have")
+	}
 	if table.MaxHeader > 0 && call.HeadBytes > table.MaxHeader {
 		return job, refusal.New(refusal.DidNotRun, http.StatusRequestHeaderFieldsTooLarge, "head_too_large", "the head has over %d bytes", table.MaxHeader)
 	}
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -299,6 +299,9 @@
 type Server struct {
 	// Configuration is the configuration in force with its proof, or nil.
 	Configuration func() *routing.Proved
+	// Current says that requests may still be handled by a configuration, as no later one has been
+	// known for too long. If nil, they always may.
+	Current func(now time.Time, proved *routing.Proved) bool
 	// KeysFresh says that a configuration's API keys may be trusted: none can have been
 	// revoked for so long that it must not be honoured any more.
 	KeysFresh func(now time.Time, proved *routing.Proved) bool
--- a/entry/build.go
+++ b/entry/build.go
@@ -105,7 +105,7 @@
 	d.metrics = newMetricSet(d.Registry)
 	d.ended = make(chan struct{})
 	d.wholeReads = newWholeReads(d.Settings.Box.Megabits)
-	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.expireCopies, d.gossip, d.reapRequests, d.tendQueues, d.endUnread}
+	d.systems = []system{d.sweep, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.catchUp, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.expireCopies, d.gossip, d.reapRequests, d.tendQueues, d.endUnread}
 	d.plan = rollout.Plan{MinConcurrent: concurrentLoads, ConcurrentShare: concurrentLoadShare}
 	d.services = leastrequest.Chooser{Domain: d.Settings.Domain, Self: placement.Hash(d.Settings.Name)}
 	d.tables.prefillBacklog.TokenTime = d.prefillPerToken
@@ -170,7 +170,7 @@
 
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
-		Configuration: d.current.Proved, KeysFresh: d.keysFresh, ConfigurationFresh: d.configurationFresh, Place: d.requestPlacement, Send: d.send,
+		Configuration: d.current.Proved, Current: d.configurationCurrent, KeysFresh: d.keysFresh, ConfigurationFresh: d.configurationFresh, Place: d.requestPlacement, Send: d.send,
 		Began:     func(p deliver.Placement) { d.post(answerBegan{p}) },
 		Ended:     func(e deliver.AttemptResult) { d.post(attemptEnded{e}) },
 		PlaceCopy: d.requestCopy,
@@ -193,6 +193,13 @@
 	return provedWithin(now, proved, d.bounds.Load().AppliedWithin, answerMargin)
 }
 
+// configurationCurrent says that requests may still be handled by a configuration: no later one has
+// been known to exist for so long that it must be in force.
+func (d *Daemon) configurationCurrent(now time.Time, proved *routing.Proved) bool {
+	within := d.bounds.Load().AppliedWithin
+	return within == 0 || proved.SupersededAt.IsZero() || now.Sub(proved.SupersededAt) < within-proofMargin
+}
+
 // provedWithin says that a configuration was known to be the newest within a bound less a
 // margin; zero is no bound.
 func provedWithin(now time.Time, proved *routing.Proved, bound, margin time.Duration) bool {
--- /dev/null
+++ b/entry/catchup.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/routing"
+)
+
+// A box whose own reads of the operator's rows are late is told by the other boxes: each message
+// between boxes names the sender's configuration and for how long it has existed. A box that lacks
+// one for longer than a read takes, or whose proof is older than a healthy one, gets all that
+// another box knows of the operator's rows, as a spoke does with each view of its hub. Until it has
+// the later configuration it goes on by its own for as long as the platform allows after the
+// change, and then refuses callers. In an outage of the table service no box has a later one, and
+// all go on.
+
+const (
+	// catchUpAfter is how long a box that is behind waits for its own read.
+	catchUpAfter = 200 * time.Millisecond
+	// catchUpTimeout bounds a call for the operator's rows, with a whole configuration over a
+	// link of 10 Mbit/s. catchUpPause is the pause after a call that did not help.
+	catchUpTimeout = time.Second
+	catchUpPause   = 300 * time.Millisecond
+	// lateProof is an age that a box's proof does not reach while its reads are answered: twice the
+	// hold of a read, and some time for the answers. lateOwnProof is the same for the hub that
+	// reads for the others, latePeerProof for a hub that relies on its proofs.
+	lateProof     = 2*proofHold + 250*time.Millisecond
+	lateOwnProof  = peerProofBase
+	latePeerProof = peerProofLimit + 2*hubGossipInterval
+	// laterVersionTTL is for how long a later configuration counts that no box tells any more. It
+	// is longer than the platform's bound for applying one.
+	laterVersionTTL = 10 * time.Second
+)
+
+// behind is what a box lacks of the operator's rows, as another one told it.
+type behind struct {
+	// since is since when it lacks something, toldAt when that was last told; zero if it lacks
+	// nothing.
+	since, toldAt time.Time
+	// box is the one that told it last.
+	box string
+	// version and revision are the latest that were told.
+	version  int64
+	revision revision.Revision
+	// reading says that a call for it is in flight, retryAt is when the next may be made, and
+	// asked how many were made since this box was last up to date.
+	reading bool
+	retryAt time.Time
+	asked   int
+}
+
+// addVersion adds to a message which configuration this box has and for how long it has existed.
+func (d *Daemon) addVersion(now time.Time, t *tables, m *peer.Message) {
+	if m.ConfigurationVersion = d.version(); m.ConfigurationVersion > 0 {
+		m.ConfigurationAgeMS = min(now.Sub(t.versionSince), time.Minute).Milliseconds()
+	}
+}
+
+// noteVersionInForce records since when a box is known to have had the configuration that was just
+// put in force.
+func (d *Daemon) noteVersionInForce(now time.Time, t *tables, since time.Time) {
+	if told, known := t.laterVersions.Since(now, d.version()-1); known && told.Before(since) {
+		since = told
+	}
+	t.versionSince = since
+	d.noteSuperseded(now, t)
+}
+
+// noteSuperseded makes known to requests since when there is a later configuration than the one in
+// force.
+func (d *Daemon) noteSuperseded(now time.Time, t *tables) {
+	since, _ := t.laterVersions.Since(now, d.version())
+	d.current.Supersede(since)
+}
+
+// noteBehind compares what another box knows of the operator's rows with what this one does. The
+// ages in its message count from madeAt, the time at which it was made at the earliest, as far as
+// this box can tell.
+func (d *Daemon) noteBehind(now time.Time, t *tables, madeAt time.Time, m peer.Message) {
+	later := m.ConfigurationVersion > d.version()
+	if d.version() == 0 || !later && !d.lacks(t, m.OperatorRevision) {
+		return
+	}
+	if later {
+		t.laterVersions.Note(now, m.ConfigurationVersion, madeAt.Add(-time.Duration(m.ConfigurationAgeMS)*time.Millisecond))
+		d.noteSuperseded(now, t)
+	}
+	b := &t.behind
+	if b.since.IsZero() {
+		b.since = now
+	}
+	b.toldAt, b.box = now, m.From
+	b.version, b.revision = max(b.version, m.ConfigurationVersion), revision.Max(b.revision, m.OperatorRevision)
+}
+
+// lacks reports whether this box has not read up to a revision of the operator's rows. Revisions
+// from before and after a restore of the table service are not compared: each box reads itself what
+// the restore lost.
+func (d *Daemon) lacks(t *tables, r revision.Revision) bool {
+	return !d.spoke.Load() && r.SameRestores(t.operatorKnown) && r.After(t.operatorKnown)
+}
+
+// catchUp reads from another box what this one lacks of the operator's rows.
+func (d *Daemon) catchUp(now time.Time, t *tables) []effect {
+	d.noteSuperseded(now, t)
+	b := &t.behind
+	missing := !b.since.IsZero() && now.Sub(b.toldAt) < laterVersionTTL && (b.version > d.version() || d.lacks(t, b.revision))
+	if !missing {
+		b.since, b.box, b.version, b.revision = time.Time{}, "", 0, revision.Revision{}
+	}
+	late := d.proofLate(now, t)
+	if !missing && !late {
+		b.asked = 0
+		return nil
+	}
+	if b.reading || now.Before(b.retryAt) || !late && now.Sub(b.since) < catchUpAfter {
+		return nil
+	}
+	name := b.box
+	if b.asked++; !missing || b.asked%2 == 0 { // The box that told it may not answer.
+		name = d.anotherReader(now, t, b.asked)
+	}
+	m := t.members[name]
+	if m == nil || !m.address.IsValid() {
+		return nil
+	}
+	b.reading = true
+	return []effect{readFromBox{name, m.address, now, d.version()}}
+}
+
+// proofLate reports whether this box's proof is older than one of its own reads would be. Spokes
+// have their hubs, and boxes that never had a proof read themselves.
+func (d *Daemon) proofLate(now time.Time, t *tables) bool {
+	if _, ever := d.current.ProvedAt(); !ever || d.spoke.Load() {
+		return false
+	}
+	return d.readAgo(now) > d.lateProofAge(t)
+}
+
+// lateProofAge is the age from which this box's proof is late.
+func (d *Daemon) lateProofAge(t *tables) time.Duration {
+	switch {
+	case !t.usesHubs():
+		return lateProof
+	case d.peerProofMaxAge.Load() == 0:
+		return lateOwnProof
+	}
+	return latePeerProof
+}
+
+// anotherReader returns one of the boxes that read the operator's rows themselves and that answers,
+// another one with each number, or an empty name.
+func (d *Daemon) anotherReader(now time.Time, t *tables, n int) string {
+	names := slices.DeleteFunc(slices.Clone(t.hubs()), func(name string) bool {
+		m := t.members[name]
+		return name == d.Settings.Name || m.unanswered || now.Before(m.retryAt) || !m.address.IsValid()
+	})
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	return names[n%len(names)]
+}
+
+// readFromBox reads from another box what it knows of the operator's rows.
+type readFromBox struct {
+	box         string
+	address     netip.AddrPort
+	requestedAt time.Time
+	// version is the configuration that this box has.
+	version int64
+}
+
+// operatorFromBox is the result of readFromBox.
+type operatorFromBox struct {
+	box         string
+	requestedAt time.Time
+	answer      peer.Message
+	// table is the later configuration; nil if the box has none.
+	table *routing.Table
+	err   error
+}
+
+func (d *Daemon) readFromBox(ctx context.Context, e readFromBox) operatorFromBox {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	m := operatorFromBox{box: e.box, requestedAt: e.requestedAt}
+	m.answer, m.err = d.peers.Call(ctx, e.address, peer.Message{Kind: peer.KindOperator, From: d.Settings.Name, ConfigurationVersion: e.version})
+	if m.err == nil && len(m.answer.Body) > 0 {
+		m.table, m.err = d.Platform.Decode(m.answer.Body)
+	}
+	return m
+}
+
+// answerOperator answers another box's call for the operator's rows.
+func (d *Daemon) answerOperator(now time.Time, t *tables, m peer.Message, answer *peer.Message) {
+	d.addProof(now, t, answer)
+	answer.View = d.operatorView(now, t)
+	if raw := d.rawConfiguration.Load(); raw != nil && d.version() > m.ConfigurationVersion {
+		answer.Body = *raw
+	}
+}
+
+// operatorFromBox applies what another box knows of the operator's rows. It proves what this box
+// has only if both have read since the same restore of the table service and neither waits for what
+// that lost.
+func (d *Daemon) operatorFromBox(now time.Time, t *tables, m operatorFromBox) []effect {
+	t.behind.reading, t.behind.retryAt = false, now.Add(catchUpPause)
+	v := m.answer.View
+	if m.err != nil || v == nil || v.WeightVersions == nil {
+		d.Log.Warn("another box did not send the operator's rows", "box", m.box, "err", m.err)
+		return nil
+	}
+	proof := proofTime(m.requestedAt, m.answer.ProofAgeMS)
+	d.applyHubVersions(now, t, m.box, m.requestedAt, v)
+	d.applyHubEvacuations(now, t, m.box, proof, v.Evacuated)
+	d.applyHubCanaries(now, t, m.box, v.Canaries)
+	proves := !m.answer.RewritePending && m.answer.OperatorRevision.SameRestores(t.operatorKnown) && t.olderSince.IsZero() && !proof.IsZero()
+	change, before := Operator{Table: m.table, Raw: m.answer.Body}, d.version()
+	newer := d.putInForce(operatorRead{proof, change}, proves)
+	if proves {
+		t.operatorChange = revision.Max(t.operatorChange, m.answer.OperatorRevision)
+		t.operatorKnown = revision.Max(t.operatorKnown, m.answer.OperatorRevision)
+		t.lastTableClock = 0 // The clock of this box's own last read is not that of this proof.
+		d.metrics.proofs.WithLabelValues("another").Inc()
+		d.noteProof(proof)
+		if !d.proofLate(now, t) {
+			t.behind.retryAt = now
+		}
+	}
+	if !newer {
+		return nil
+	}
+	if !proves && t.rewriteGrace.Covers(now) && t.olderSince.IsZero() {
+		t.olderSince = now // The rows that this box reads lack it until the operator writes again.
+	}
+	since := m.requestedAt.Add(-time.Duration(m.answer.ConfigurationAgeMS) * time.Millisecond)
+	d.Log.Info("configuration of another box in force", "version", d.version(), "before", before, "box", m.box, "exists_for", now.Sub(since), "proved_ago", now.Sub(proof), "proved", proves)
+	return d.configurationChanged(now, t, change, since)
+}
--- a/entry/effect.go
+++ b/entry/effect.go
@@ -75,6 +75,8 @@
 		d.postContext(ctx, d.askHub(ctx, e))
 	case fetchConfiguration:
 		d.postContext(ctx, d.fetchConfiguration(ctx, e))
+	case readFromBox:
+		d.postContext(ctx, d.readFromBox(ctx, e))
 	case callPeer:
 		d.postContext(ctx, d.callPeer(ctx, e))
 	case pollLoaded:
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -311,6 +311,8 @@
 			w.after(2*networkDelay, func() {
 				w.perform(d, d.update(w.now, configurationFromHub{e.proof, Operator{Table: w.operator.Table}, nil}))
 			})
+		case readFromBox:
+			w.readFromBox(d, e)
 		case watchSource:
 			w.cost[d.Settings.Name].watched++
 			w.after(tableServiceDelay, func() {
@@ -332,6 +334,18 @@
 	}
 }
 
+// readFromBox has a box read the operator's rows from another one.
+func (w *emulator) readFromBox(d *Daemon, e readFromBox) {
+	m := peer.Message{Kind: peer.KindOperator, From: d.Settings.Name, ConfigurationVersion: e.version}
+	w.call(d, e.box, m, func(answer peer.Message, err error) {
+		read := operatorFromBox{box: e.box, requestedAt: e.requestedAt, answer: answer, err: err}
+		if len(answer.Body) > 0 {
+			read.table = w.byName[e.box].current.Load()
+		}
+		w.receive(d, read)
+	})
+}
+
 // receive delivers a message to a box unless it is dead.
 func (w *emulator) receive(d *Daemon, m message) {
 	if !w.dead[d.Settings.Name] {
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -79,6 +79,7 @@
 		Domain: d.Settings.Domain, Unlisted: t.unlistedMet, AccountLoads: d.accountLoads(now, t), ShortPools: t.accounts.ShortHere(now),
 		RunLosses: d.runLossesFor(now, t, ""),
 	}
+	d.addVersion(now, t, &message)
 	if !t.usesHubs() {
 		d.addProof(now, t, &message)
 	}
@@ -88,7 +89,8 @@
 // addProof adds to a message what this box knows of the operator's rows and how old its proof
 // is.
 func (d *Daemon) addProof(now time.Time, t *tables, m *peer.Message) {
-	m.OperatorRevision, m.ProofAgeMS, m.ConfigurationVersion = t.operatorChange, d.proofAge(now).Milliseconds(), d.version()
+	m.OperatorRevision, m.ProofAgeMS = t.operatorChange, d.proofAge(now).Milliseconds()
+	d.addVersion(now, t, m)
 	if unproved, age := d.unproved(now); unproved {
 		m.RewritePending, m.ReadAgeMS = true, age.Milliseconds()
 	}
@@ -215,6 +217,8 @@
 		if raw := d.rawConfiguration.Load(); raw != nil {
 			answer.Body = *raw
 		}
+	case peer.KindOperator:
+		d.answerOperator(now, t, m, &answer)
 	case peer.KindRetry:
 		l := d.retryBudget.Load()
 		answer.RetryGranted = l != nil && l.local && d.sharedRetryBudget.Spend(m.RetryPool)
@@ -225,6 +229,8 @@
 		d.receiveAdmitting(now, m)
 		d.receiveLimits(now, now, t, m)
 		t.markHeard(now, m.From)
+		d.noteBehind(now, t, now, m)
+		d.addVersion(now, t, &answer)
 		answer.RateLimits = d.limitsForPeer(now, t.members[m.From])
 		answer.EndedIncarnations, answer.Stale = t.recentlyReplaced(now), d.refusesKeyed(now)
 		answer.CrashReports, answer.Lifted = t.recentCrashes(now), t.recentlyLifted(now)
@@ -281,6 +287,7 @@
 	d.receiveAdmitting(now, m.answer)
 	d.receiveLimits(now, m.requestedAt, t, m.answer)
 	x.heardAt = now
+	d.noteBehind(now, t, m.requestedAt, m.answer)
 	t.receiveRunLosses(now, m.answer)
 	if d.spoke.Load() {
 		t.hubHeardAt = now
--- a/entry/inforce.go
+++ b/entry/inforce.go
@@ -52,6 +52,15 @@
 	f.change(func(held *routing.Proved) { held.At = later(held.At, at) })
 }
 
+// Supersede records since when a later configuration than the one in force is known to exist; the
+// zero time if none is.
+func (f *inForce) Supersede(at time.Time) {
+	if held := f.held.Load(); held == nil || held.SupersededAt.Equal(at) {
+		return
+	}
+	f.change(func(held *routing.Proved) { held.SupersededAt = at })
+}
+
 // change replaces what is held by a changed copy.
 func (f *inForce) change(apply func(held *routing.Proved)) {
 	for {
--- a/entry/retryafter.go
+++ b/entry/retryafter.go
@@ -84,10 +84,11 @@
 	}
 }
 
-// admitsKeyed reports whether this box has a configuration and may trust its keys.
+// admitsKeyed reports whether this box has a configuration that is not superseded, and may trust its
+// keys.
 func (d *Daemon) admitsKeyed(now time.Time) bool {
 	proved := d.current.Proved()
-	return proved != nil && proved.Table != nil && d.keysFresh(now, proved)
+	return proved != nil && proved.Table != nil && d.configurationCurrent(now, proved) && d.keysFresh(now, proved)
 }
 
 // refusesKeyed reports whether this box refuses callers who need a key.
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -27,6 +27,7 @@
 	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/runcopy"
 	"github.com/thymewind/thymewind/slowstart"
+	"github.com/thymewind/thymewind/superseded"
 	"github.com/thymewind/thymewind/throughput"
 )
 
@@ -162,6 +163,12 @@
 	lastHubRequest time.Time
 	// loadingConfiguration says that the configuration is being read from a hub.
 	loadingConfiguration bool
+	// laterVersions are the configurations later than the one in force that other boxes have.
+	// versionSince is since when a box is known to have had the one in force.
+	laterVersions superseded.Versions
+	versionSince  time.Time
+	// behind is what this box lacks of the operator's rows.
+	behind behind
 	// operatorChange is the newest change of the operator's rows that was read,
 	// operatorKnown the revision up to which all are known.
 	operatorChange, operatorKnown revision.Revision
@@ -278,7 +285,8 @@
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
 		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), firstEvents: make(map[string]usualTime), placed: placedTokens{running: make(map[string]int)},
-		rewriteGrace: grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
+		laterVersions: superseded.Versions{TTL: laterVersionTTL},
+		rewriteGrace:  grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
 	}
 }
 
--- a/entry/update.go
+++ b/entry/update.go
@@ -77,6 +77,8 @@
 		return d.hubPlaced(now, t, m)
 	case configurationFromHub:
 		return d.configurationFromHub(now, t, m)
+	case operatorFromBox:
+		return d.operatorFromBox(now, t, m)
 	case peerAnswered:
 		return d.peerAnswered(now, t, m)
 	case peerRequest:
@@ -108,8 +110,10 @@
 	}
 	proved := d.provesNewest(now, t, m)
 	d.applyWeightVersions(now, t, m, proved)
-	d.applyEvacuations(now, t, m, proved)
-	d.applyCanarySpecs(now, t, m)
+	if !t.operatorKnown.SameRestores(m.change.Known) || !t.operatorKnown.After(m.change.Known) {
+		d.applyEvacuations(now, t, m, proved)
+		d.applyCanarySpecs(now, t, m)
+	} // Otherwise another box told later ones meanwhile.
 	before := d.version()
 	newer := d.putInForce(m, proved)
 	d.noteRead(t, m, proved)
@@ -122,10 +126,17 @@
 	if !newer {
 		return nil
 	}
-	next := m.change.Table
-	d.Log.Info("configuration in force", "version", next.Version, "before", before, "row", m.change.Changed, "asked_ago", now.Sub(m.requestedAt))
+	d.Log.Info("configuration in force", "version", d.version(), "before", before, "row", m.change.Changed, "asked_ago", now.Sub(m.requestedAt))
+	return d.configurationChanged(now, t, m.change, now)
+}
+
+// configurationChanged has everything follow the configuration that was just put in force. since is
+// when a box had it at the latest.
+func (d *Daemon) configurationChanged(now time.Time, t *tables, change Operator, since time.Time) []effect {
+	next := change.Table
+	d.noteVersionInForce(now, t, since)
 	d.metrics.configuration.Set(float64(next.Version))
-	d.rawConfiguration.Store(&m.change.Raw)
+	d.rawConfiguration.Store(&change.Raw)
 	d.retryEstimator.Ended(now, noConfiguration)
 	d.configureStores(t, next)
 	t.refreshedList = 0 // Which pools are engine pools may have changed.
--- a/entry/view.go
+++ b/entry/view.go
@@ -15,9 +15,24 @@
 
 // view is this box's view of the platform for a box that has the target list up to have.
 func (d *Daemon) view(now time.Time, t *tables, have changelog.Cursor) *peer.View {
+	v := d.operatorView(now, t)
+	v.ListBehind, v.Boxes, v.Unlisted = t.listBehind(now), t.boxCount(now), t.unlistedTotal(now)
+	if t.changes == nil {
+		return v
+	}
+	part := t.changes.Since(have, maxViewTargets)
+	v.ListVersion, v.ListStartVersion, v.Delta, v.More, v.Removed = part.Next.Number, part.Next.SnapshotAt, !part.Snapshot, part.More, part.Removed
+	for _, id := range part.Changed {
+		v.Entries = append(v.Entries, entryOf(now, t.fleet.Target(id)))
+	}
+	return v
+}
+
+// operatorView is what this box knows of the operator's rows, except for the configuration itself.
+func (d *Daemon) operatorView(now time.Time, t *tables) *peer.View {
 	v := &peer.View{
 		ConfigurationVersion: d.version(), ProofAgeMS: d.proofAge(now).Milliseconds(),
-		WeightVersions: make(map[string][]peer.WeightVersion, len(t.weights)), Evacuated: t.fleet.Evacuated(), ListBehind: t.listBehind(now), Canaries: t.canarySnapshot(), Boxes: t.boxCount(now), Unlisted: t.unlistedTotal(now),
+		WeightVersions: make(map[string][]peer.WeightVersion, len(t.weights)), Evacuated: t.fleet.Evacuated(), Canaries: t.canarySnapshot(),
 	}
 	v.OperatorRestores = t.operatorKnown.Restores
 	if unproved, age := d.unproved(now); unproved {
@@ -29,14 +44,6 @@
 		}
 		v.WeightVersions[model] = w.versionsSnapshot(now, d.bounds.Load().WeightsWithin)
 	}
-	if t.changes == nil {
-		return v
-	}
-	part := t.changes.Since(have, maxViewTargets)
-	v.ListVersion, v.ListStartVersion, v.Delta, v.More, v.Removed = part.Next.Number, part.Next.SnapshotAt, !part.Snapshot, part.More, part.Removed
-	for _, id := range part.Changed {
-		v.Entries = append(v.Entries, entryOf(now, t.fleet.Target(id)))
-	}
 	return v
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -13,6 +13,10 @@
 	KindQuery = "query"
 	// KindConfiguration asks for the configuration that a box holds.
 	KindConfiguration = "configuration"
+	// KindOperator asks for all that a box knows of the operator's rows: the answer has a View
+	// without targets and, if it is later than the ConfigurationVersion in the request, the
+	// configuration.
+	KindOperator = "operator"
 )
 
 // Message is a request between daemons; answers have the same type. It carries soft state only:
@@ -68,8 +72,10 @@
 	// from before that restore.
 	RewritePending bool  `cbor:"38,keyasint,omitempty"`
 	ReadAgeMS      int64 `cbor:"39,keyasint,omitempty"`
-	// ConfigurationVersion is the version in force at the sender.
+	// ConfigurationVersion is the version in force at the sender, ConfigurationAgeMS for how long
+	// the sender has known that it or a later one exists.
 	ConfigurationVersion int64 `cbor:"37,keyasint,omitempty"`
+	ConfigurationAgeMS   int64 `cbor:"42,keyasint,omitempty"`
 	// ListRevision is the newest revision of the list of targets that the sender has read.
 	ListRevision revision.Revision `cbor:"36,keyasint,omitempty"`
 	// Domain is the sender's failure domain, Unlisted the number of boxes without a row that it
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -34,6 +34,9 @@
 // After reports whether r is after o.
 func (r Revision) After(o Revision) bool { return r.Compare(o) > 0 }
 
+// SameRestores reports whether no restore lies between r and o, so that their numbers are comparable.
+func (r Revision) SameRestores(o Revision) bool { return r.Restores == o.Restores }
+
 // Max returns the later one.
 func Max(a, b Revision) Revision {
 	if b.After(a) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,6 +42,8 @@
 	*Table
 	// At is zero if the configuration was never known to be the newest.
 	At time.Time
+	// SupersededAt is since when a later configuration is known to exist; zero if none is.
+	SupersededAt time.Time
 }
 
 // Route is the configuration of the requests under one host and path prefix.
