--- a/entry/peerproof.go
+++ b/entry/peerproof.go
@@ -90,7 +90,7 @@
 // logPeerProof counts another box's proof and logs it if it is of a change not logged before.
 func (d *Daemon) logPeerProof(t *tables, box string, newest revision.Revision) {
 	d.metrics.proofs.WithLabelValues("another").Inc()
-	if newest != t.provedNewest {
+	if newest.After(t.provedNewest) {
 		d.Log.Info("configuration proved by another box", "box", box, "newest_there", newest, "known", t.operatorKnown, "configuration", d.version())
 		t.provedNewest = newest
 	}
