--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -213,7 +213,7 @@
 	t.behind.reading, t.behind.retryAt = false, now.Add(catchUpPause)
 	v := m.answer.View
 	if m.err != nil || v == nil || v.WeightVersions == nil {
-		d.Log.Warn("another box did not send the operator's rows", "box", m.box, "err", m.err)
+		d.Log.Warn("another box did not send the operator's rows", "told_by", m.box, "err", m.err)
 		return nil
 	}
 	proof := proofTime(m.requestedAt, m.answer.ProofAgeMS)
@@ -240,6 +240,6 @@
 		t.olderSince = now // The rows that this box reads lack it until the operator writes again.
 	}
 	since := m.requestedAt.Add(-time.Duration(m.answer.ConfigurationAgeMS) * time.Millisecond)
-	d.Log.Info("configuration of another box in force", "version", d.version(), "before", before, "box", m.box, "exists_for", now.Sub(since), "proved_ago", now.Sub(proof), "proved", proves)
+	d.Log.Info("configuration of another box in force", "version", d.version(), "before", before, "told_by", m.box, "exists_for", now.Sub(since), "proved_ago", now.Sub(proof), "proved", proves)
 	return d.configurationChanged(now, t, change, since)
 }
