fix(entry): an answer without a revision of the rows proves nothing

What callers would see during an upgrade: a key that was taken away is served without an end by a box whose reads are late.

Cause: a box of the release before answers a call for the operator's rows as it answers a spoke's gossip: with a view, but with neither a revision nor the age of its proof in the message. That counted as a proof of age zero of whatever the asking box had, again with each call. A box that takes part as a hub only because it was asked (hubLinger) gets such answers from all hubs.

Change: an answer proves only if it names the revision that was read and if its configuration came with it. The age of the proof is the view's, which both releases set.

Test: TestNoProofWithoutRows.

--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -206,9 +206,19 @@
 	}
 }
 
-// operatorFromBox applies what another box knows of the operator's rows. It proves what this box
-// has only if both have read since the same restore of the table service and neither waits for what
-// that lost.
+// answerProves reports whether another box's proof is one of what this box has with the answer: both
+// have read since the same restore of the table service, neither waits for what that lost, and the
+// configuration came with it. A box that names no revision has not read the rows itself, or is of a
+// release that does not know the call.
+func (d *Daemon) answerProves(t *tables, m operatorFromBox) bool {
+	read, has := m.answer.OperatorRevision, d.version()
+	if m.table != nil {
+		has = max(has, m.table.Version)
+	}
+	return !read.IsZero() && read.SameRestores(t.operatorKnown) && !m.answer.RewritePending && t.olderSince.IsZero() && has >= m.answer.View.ConfigurationVersion
+}
+
+// operatorFromBox applies what another box knows of the operator's rows.
 func (d *Daemon) operatorFromBox(now time.Time, t *tables, m operatorFromBox) []effect {
 	t.behind.reading, t.behind.retryAt = false, now.Add(catchUpPause)
 	v := m.answer.View
@@ -216,11 +226,11 @@
 		d.Log.Warn("another box did not send the operator's rows", "box", m.box, "err", m.err)
 		return nil
 	}
-	proof := proofTime(m.requestedAt, m.answer.ProofAgeMS)
+	proof := proofTime(m.requestedAt, v.ProofAgeMS)
 	d.applyHubVersions(now, t, m.box, m.requestedAt, v)
 	d.applyHubEvacuations(now, t, m.box, proof, v.Evacuated)
 	d.applyHubCanaries(now, t, m.box, v.Canaries)
-	proves := !m.answer.RewritePending && m.answer.OperatorRevision.SameRestores(t.operatorKnown) && t.olderSince.IsZero() && !proof.IsZero()
+	proves := d.answerProves(t, m) && !proof.IsZero()
 	change, before := Operator{Table: m.table, Raw: m.answer.Body}, d.version()
 	newer := d.putInForce(operatorRead{proof, change}, proves)
 	if proves {
