fix(entry): evacuations of another box count by their revision

What callers would see: requests sent to a domain seconds after its evacuation, for ever if nothing else makes the box ask again, by a box whose own reads are late but whose proof is young; or no requests sent to one that is open again.

Cause: an own read counted as of its arrival. Another box's proof from before that arrival was taken, with the revision of its rows, but not its evacuations; the own read that had them came later, was older than that revision and was dropped. The other way round, a younger proof of a box that had read less took an evacuation back.

Change: evacuations from another box's rows are compared by revision if both sides' is known.

Test: TestEvacuationsByRevision. Without the change four of five rows fail: three with 'evacuated [], want [a]', one with 'evacuated [a], want []'.

--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -228,7 +228,7 @@
 	}
 	proof := proofTime(m.requestedAt, v.ProofAgeMS)
 	d.applyHubVersions(now, t, m.box, m.requestedAt, v)
-	d.applyHubEvacuations(now, t, m.box, proof, v.Evacuated)
+	d.applyBoxEvacuations(now, t, m, proof)
 	d.applyHubCanaries(now, t, m.box, v.Canaries)
 	proves := d.answerProves(t, m) && !proof.IsZero()
 	change, before := Operator{Table: m.table, Raw: m.answer.Body}, d.version()
--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +43,57 @@
 		})
 	}
 }
+
+// TestEvacuationsByRevision has a box get the operator's rows from another box and from its own
+// read, which was answered late. The rows of the later revision count, whichever came last.
+func TestEvacuationsByRevision(t *testing.T) {
+	at := func(tenths int) time.Time { return start.Add(time.Duration(tenths) * 100 * time.Millisecond) }
+	// other applies an answer of a box that has read up to a revision and was proved at a time.
+	other := func(now, proved int, number uint64, domains ...string) func(*Daemon) {
+		return func(d *Daemon) {
+			age := at(now).Sub(at(proved)).Milliseconds()
+			d.update(at(now), operatorFromBox{box: "other", requestedAt: at(now), answer: peer.Message{
+				OperatorRevision: rev(number), ProofAgeMS: age, ConfigurationVersion: 1,
+				View: &peer.View{ProofAgeMS: age, WeightVersions: map[string][]peer.WeightVersion{}, Evacuated: domains},
+			}})
+		}
+	}
+	// own applies this box's own read.
+	own := func(now, requested int, number uint64, changes map[string]bool) func(*Daemon) {
+		return func(d *Daemon) {
+			d.update(at(now), operatorRead{at(requested), Operator{Evacuations: changes, Changed: rev(number), Known: rev(number)}})
+		}
+	}
+	tests := []struct {
+		name  string
+		steps []func(*Daemon)
+		want  []string
+	}{
+		{"an older own answer arrives first", []func(*Daemon){
+			own(30, 2, 6, map[string]bool{}), other(31, 29, 7, "a"),
+		}, []string{"a"}},
+		{"own answers arrive before and after", []func(*Daemon){
+			own(30, 2, 6, map[string]bool{}), other(31, 29, 8, "a"), own(60, 30, 7, map[string]bool{"a": true}), own(61, 60, 8, map[string]bool{}),
+		}, []string{"a"}},
+		{"another box whose proof is younger, but which lacks the change", []func(*Daemon){
+			other(20, 15, 8, "a"), other(21, 19, 7),
+		}, []string{"a"}},
+		{"an evacuation is revoked", []func(*Daemon){
+			own(30, 2, 6, map[string]bool{"a": true}), other(31, 29, 7),
+		}, nil},
+		{"an own answer from before the revocation arrives after it", []func(*Daemon){
+			other(20, 15, 8), own(30, 2, 7, map[string]bool{"a": true}),
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := boxThatRead(start, Operator{Table: configuration(1), Evacuations: map[string]bool{}, Snapshot: true, Changed: rev(5), Known: rev(5)})
+			for _, step := range tt.steps {
+				step(d)
+			}
+			if got := d.tables.fleet.Evacuated(); !slices.Equal(got, tt.want) {
+				t.Errorf("evacuated %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/thymewind/thymewind/revision"
 )
 
 // An evacuation asks that nothing more be sent to the targets of a failure domain until it is
@@ -21,6 +23,7 @@
 	if proved { // Otherwise a hub may know of an evacuation that a restore lost.
 		t.evacuatedAt = now
 	}
+	t.evacuatedRevision = m.change.Known
 	wanted := m.change.Evacuations
 	if m.change.Snapshot {
 		d.revokeMissing(now, t, m)
@@ -63,14 +66,35 @@
 	if proof.Before(t.evacuatedAt) {
 		return
 	}
-	t.evacuatedAt = proof
+	t.evacuatedRevision = revision.Revision{}
+	d.replaceEvacuations(now, t, hub, proof, domains)
+}
+
+// applyBoxEvacuations applies which domains another box knows to be evacuated. The later rows
+// count if both sides know from which theirs are: an own read may have been answered late, and
+// a proof may be younger than the rows that it is for.
+func (d *Daemon) applyBoxEvacuations(now time.Time, t *tables, m operatorFromBox, proof time.Time) {
+	read := m.answer.OperatorRevision
+	if read.IsZero() || t.evacuatedRevision.IsZero() || !read.SameRestores(t.evacuatedRevision) {
+		d.applyHubEvacuations(now, t, m.box, proof, m.answer.View.Evacuated)
+		return
+	}
+	if read.After(t.evacuatedRevision) {
+		t.evacuatedRevision = read
+		d.replaceEvacuations(now, t, m.box, later(t.evacuatedAt, proof), m.answer.View.Evacuated)
+	}
+}
+
+// replaceEvacuations sets which domains are evacuated, as known at a time.
+func (d *Daemon) replaceEvacuations(now time.Time, t *tables, from string, at time.Time, domains []string) {
+	t.evacuatedAt = at
 	for _, domain := range t.fleet.Evacuated() {
 		if !slices.Contains(domains, domain) {
-			d.evacuate(now, t, domain, false, hub)
+			d.evacuate(now, t, domain, false, from)
 		}
 	}
 	for _, domain := range domains {
-		d.evacuate(now, t, domain, true, hub)
+		d.evacuate(now, t, domain, true, from)
 	}
 }
 
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -186,6 +186,9 @@
 	// evacuatedAt is the time of the evacuations that the fleet has; an older view of a hub
 	// changes nothing.
 	evacuatedAt time.Time
+	// evacuatedRevision is the revision of the operator's rows that they are from; zero if a
+	// hub's view named none.
+	evacuatedRevision revision.Revision
 	// lostEvacuations are the domains whose evacuation the operator requested before a
 	// restore of the table service and not since, with the time at which that was read.
 	lostEvacuations map[string]time.Time
