fix(entry): a late own read still tells how long a canary rollout may take

What callers would see: none directly. The operator would see a canary version rolled back within a second, before it was tried.

Cause: an own read that is older than another box's rows was dropped, but the other box does not tell how long the rollout may take. If the lease's holder learned of the rollout that way, it wrote a deadline of that moment.

Change: such a read still starts rollouts, in which later orders win; only what it takes back is dropped. No row is written while the time is not known.

Test: TestCanarySpecAfterAnotherBox. Without the change: 'writes the row {Order:6 Version:2 State:trying DeadlineMS:3602001 ...} before it knows how long the rollout may take' and 'the rollout is {... Timeout:0s}, want {... 1m0s}'.

--- a/entry/canary.go
+++ b/entry/canary.go
@@ -62,14 +62,20 @@
 // canaryOf returns the canary rollout in a pool, or nil.
 func (t *tables) canaryOf(pool string) *canaryRollout { return t.canaries[pool] }
 
-// applyCanarySpecs applies the rollouts that the operator requests.
-func (d *Daemon) applyCanarySpecs(now time.Time, t *tables, m operatorRead) {
+// startCanaries starts the rollouts that the operator requests. Another box may have told of them
+// before, but not how long they may take.
+func (d *Daemon) startCanaries(now time.Time, t *tables, m operatorRead) {
 	specs := m.change.Canaries
 	for _, pool := range slices.Sorted(maps.Keys(specs)) {
 		if spec := specs[pool]; spec != nil {
 			d.startCanary(now, t, *spec, "the operator")
 		}
 	}
+}
+
+// stopCanaries stops the rollouts that the operator took back.
+func (d *Daemon) stopCanaries(now time.Time, t *tables, m operatorRead) {
+	specs := m.change.Canaries
 	for pool, c := range t.canaries {
 		spec, present := specs[pool]
 		lost := m.change.Snapshot && specs != nil && !present
--- a/entry/canaryrow.go
+++ b/entry/canaryrow.go
@@ -135,6 +135,8 @@
 	case c.state.Ended():
 		row.Reported = c.stateReported()
 		return row, row.Reported && !c.rowReported
+	case c.deadline == 0 && c.spec.Timeout == 0 && c.spec.Version != "":
+		return row, false // Another box told of it; this one has yet to read how long it may take.
 	case c.deadline == 0:
 		row.DeadlineMS = (clock + c.spec.Timeout - now.Sub(c.stateSince)).Milliseconds()
 		return row, true
--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/canary"
 	"github.com/thymewind/thymewind/peer"
 )
 
@@ -97,3 +98,22 @@
 		})
 	}
 }
+
+// TestCanarySpecAfterAnotherBox has a box learn of a canary version from another box before its own
+// late read of the operator's rows tells it how long the rollout may take.
+func TestCanarySpecAfterAnotherBox(t *testing.T) {
+	spec := canary.Rollout{Pool: "orders", Version: "2", Order: 6, Timeout: time.Minute}
+	d := boxThatRead(start, Operator{Table: configuration(1), Canaries: map[string]*canary.Rollout{}, Snapshot: true, Changed: rev(5), Known: rev(5), Clock: time.Hour})
+	now := start.Add(2 * time.Second)
+	d.update(now, operatorFromBox{box: "other", requestedAt: now, answer: peer.Message{
+		OperatorRevision: rev(7), ConfigurationVersion: 1,
+		View: &peer.View{WeightVersions: map[string][]peer.WeightVersion{}, Canaries: []peer.Canary{{Pool: "orders", Version: "2", Order: 6}}},
+	}})
+	if row, changes := d.nextCanaryRow(now, &d.tables, d.tables.canaryOf("orders")); changes {
+		t.Errorf("writes the row %+v before it knows how long the rollout may take", row)
+	}
+	d.update(now.Add(time.Second), operatorRead{start, Operator{Canaries: map[string]*canary.Rollout{"orders": &spec}, Changed: rev(6), Known: rev(6)}})
+	if got := d.tables.canaryOf("orders").spec; got != spec {
+		t.Errorf("the rollout is %+v, want %+v", got, spec)
+	}
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -110,9 +110,10 @@
 	}
 	proved := d.provesNewest(now, t, m)
 	d.applyWeightVersions(now, t, m, proved)
+	d.startCanaries(now, t, m)
 	if !t.operatorKnown.SameRestores(m.change.Known) || !t.operatorKnown.After(m.change.Known) {
 		d.applyEvacuations(now, t, m, proved)
-		d.applyCanarySpecs(now, t, m)
+		d.stopCanaries(now, t, m)
 	} // Otherwise another box told later ones meanwhile.
 	before := d.version()
 	newer := d.putInForce(m, proved)
