fix(deliver): a retry follows its key's account and its route's shares

What callers would see: a request retried after its key went to another account runs as the account before; one whose route gives its pool no share any more is retried there; one that may have run is run again on a route that says once at most.

Cause: a request that is admitted again was left as it was if its route still named its pool, with any share, and a request that moved to another pool was not checked against what its new route allows.

Change: the account counts as the pool does, a share of zero is none, and what may have run is not sent again on a route whose requests run once at most. The pool's retry budget is refunded and earned only if the pool changes.

Test: TestRetryAfterChange. Without the change four of its six rows fail: 'retried for account "a" in pool "p", want "b" in "p"' (twice), '... in pool "p", want "a" in "moved"', '... in pool "moved", want "" in ""'.

--- a/deliver/recheck.go
+++ b/deliver/recheck.go
@@ -1,7 +1,6 @@
 package deliver
 
 import (
-	"slices"
 	"time"
 
 	"github.com/thymewind/thymewind/refusal"
@@ -33,7 +32,7 @@
 }
 
 // recheckWaited admits a request again that waited for its placement. It reports whether the request
-// goes to another pool and has to be placed again. In that case, and if the request is refused, its
+// goes to another pool, or is another account's, and has to be placed again. In that case, and if the request is refused, its
 // placement is given up.
 func (x *run) recheckWaited(place Placement) (moved bool, refused *refusal.Refusal) {
 	if place.Waited == 0 {
@@ -47,7 +46,8 @@
 	return moved, refused
 }
 
-// readmit admits the request again and reports whether its route leads to another pool now.
+// readmit admits the request again and reports whether its route leads to another pool or its key
+// belongs to another account now.
 func (x *run) readmit() (moved bool, refused *refusal.Refusal) {
 	job, refused := x.resolve(x.job.Call)
 	switch {
@@ -57,35 +57,47 @@
 		return false, refused
 	}
 	x.admittedAt = x.Now()
-	if hasPool(job.Route, x.job.Pool) {
+	stays := job.Route.Uses(x.job.Pool.Name)
+	if stays && sameAccount(job.Account, x.job.Account) {
 		x.job.table = job.table
 		return false, nil
 	}
+	if stays {
+		job.Pool = x.job.Pool
+	}
 	refused = x.move(job)
 	return refused == nil, refused
 }
 
-// hasPool reports whether a pool serves a route.
-func hasPool(r *routing.Route, pool *routing.Pool) bool {
-	return slices.ContainsFunc(r.Shares, func(s routing.Share) bool { return s.Pool == pool.Name })
+// sameAccount reports whether two accounts, which may be of different configurations, are the same
+// client's.
+func sameAccount(a, b *routing.Account) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name
 }
 
 // move has the request served as its route is configured now. A stream that was begun can't be
-// continued by another pool.
+// continued by another pool or for another account.
 func (x *run) move(job *Job) *refusal.Refusal {
 	if x.headWritten {
-		return x.unavailable(x.job, "moved", "the route leads to another pool")
+		return x.unavailable(x.job, "moved", "the route leads to another pool, or the key is another account's")
 	}
-	if x.retryReserved.Swap(false) || x.retryPaid {
+	otherPool := job.Pool.Name != x.job.Pool.Name
+	if otherPool && (x.retryReserved.Swap(false) || x.retryPaid) {
 		x.Refund(x.job.Pool.Name)
 		x.retryPaid = false
 	}
 	job.Body, job.Until = x.job.Body, x.job.Until
 	x.job = job
 	x.outcome.Job, x.outcome.Route, x.outcome.Account, x.outcome.Pool = job, job.Route, job.Account, job.Pool
-	x.Earn(job.Pool.Name)
-	if x.sent > 0 && !x.retryAllowed(true) {
-		return x.unavailable(job, "moved", "the route leads to another pool, and no retry is allowed there")
+	if otherPool {
+		x.Earn(job.Pool.Name)
+	}
+	mayRepeat := x.ran == 0 || x.repeatable()
+	if x.sent > 0 && (!mayRepeat || !x.retryAllowed(true)) {
+		return x.unavailable(job, "moved", "the route or the key's account has changed, and no retry is allowed")
 	}
 	return nil
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -225,6 +225,18 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
+// Uses reports whether Pick may return a pool.
+func (r *Route) Uses(pool string) bool {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Pool == pool
+	}
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
+}
+
 // Goal returns the shortest goal of a pool's routes, or zero if none has one.
 func (t *Table) Goal(pool string) time.Duration { return t.goals[pool] }
 
