fix(entry): a box whose proof is late asks one that has a young proof

What callers would see: 503 for good keys at boxes that hear from a box with a young proof: with one of 12 boxes reading, 11 boxes refused for 2.8 to 3.2 s of 10 s; with one of 14 hubs reading, 13 hubs for 2.2 s (TestServedByOneReader).

Cause: a box whose proof was late asked the other boxes in turn, one each 0.3 s, most of which had none either.

Change: calls between boxes that read name the caller's proof in large fleets too, and boxes whose proof is not late are asked first.

Test: TestServedByOneReader.

--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -153,13 +153,29 @@
 	return latePeerProof
 }
 
+// noteProofOf records when another box's knowledge of the operator's rows was last proved. Its message
+// was made at madeAt at the earliest.
+func (t *tables) noteProofOf(madeAt time.Time, m peer.Message) {
+	x := t.members[m.From]
+	if x == nil || m.OperatorRevision.IsZero() || m.RewritePending {
+		return
+	}
+	x.provedAt = proofTime(madeAt, m.ProofAgeMS)
+}
+
 // anotherReader returns one of the boxes that read the operator's rows themselves and that answers,
-// another one with each number, or an empty name.
+// another one with each number, or an empty name. Those whose proof is not late go first.
 func (d *Daemon) anotherReader(now time.Time, t *tables, n int) string {
 	names := slices.DeleteFunc(slices.Clone(t.hubs()), func(name string) bool {
 		m := t.members[name]
 		return name == d.Settings.Name || m.unanswered || now.Before(m.retryAt) || !m.address.IsValid()
 	})
+	fresh := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		return now.Sub(t.members[name].provedAt) > d.lateProofAge(t)
+	})
+	if len(fresh) > 0 {
+		names = fresh
+	}
 	if len(names) == 0 {
 		return ""
 	}
--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -117,3 +118,41 @@
 		t.Errorf("the rollout is %+v, want %+v", got, spec)
 	}
 }
+
+// TestServedByOneReader guards against boxes that refuse keys although another box they hear from
+// has a proof: all reads are late except one box's, and nothing changes.
+func TestServedByOneReader(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name  string
+		boxes int
+		late  func(f *lateFleet) []string
+	}{
+		{"without hubs, half", 12, func(f *lateFleet) []string { return f.allBoxes()[6:] }},
+		{"without hubs, all but the first", 12, func(f *lateFleet) []string { return f.allBoxes()[1:] }},
+		{"without hubs, all but the last", 12, func(f *lateFleet) []string { return f.allBoxes()[:11] }},
+		{"all hubs but the first", 84, func(f *lateFleet) []string { return f.hubNames()[1:] }},
+		{"all hubs but the last", 84, func(f *lateFleet) []string { hubs := f.hubNames(); return hubs[:len(hubs)-1] }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newLateFleet(tt.boxes, 2+tt.boxes/16)
+			for _, name := range tt.late(f) {
+				f.tableServiceDown[name] = true
+			}
+			refused := make(map[string]int)
+			for end := f.now.Add(10 * time.Second); f.now.Before(end); {
+				f.advance(emulatorStep, nil)
+				for _, d := range f.boxes {
+					if status, _ := f.ask(d, "good", "/stays/false/"); status != http.StatusOK {
+						refused[d.Settings.Name]++
+					}
+				}
+			}
+			if len(refused) > 0 {
+				t.Errorf("refused callers with keys: %v", refused)
+			}
+		})
+	}
+}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -80,7 +80,7 @@
 		RunLosses: d.runLossesFor(now, t, ""),
 	}
 	d.addVersion(now, t, &message)
-	if !t.usesHubs() {
+	if !d.spoke.Load() {
 		d.addProof(now, t, &message)
 	}
 	return d.callGossipPartners(now, t, message)
@@ -230,6 +230,7 @@
 		d.receiveLimits(now, now, t, m)
 		t.markHeard(now, m.From)
 		d.noteBehind(now, t, now, m)
+		t.noteProofOf(now, m)
 		d.addVersion(now, t, &answer)
 		answer.RateLimits = d.limitsForPeer(now, t.members[m.From])
 		answer.EndedIncarnations, answer.Stale = t.recentlyReplaced(now), d.refusesKeyed(now)
@@ -288,6 +289,7 @@
 	d.receiveLimits(now, m.requestedAt, t, m.answer)
 	x.heardAt = now
 	d.noteBehind(now, t, m.requestedAt, m.answer)
+	t.noteProofOf(m.requestedAt, m.answer)
 	t.receiveRunLosses(now, m.answer)
 	if d.spoke.Load() {
 		t.hubHeardAt = now
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -260,6 +260,8 @@
 	limitsDue time.Time
 	// heardAt is when it last called or answered this one, or when its row was read.
 	heardAt time.Time
+	// provedAt is when its knowledge of the operator's rows was last proved, as it told.
+	provedAt time.Time
 	// calling says that gossip with it is in flight, unanswered that it did not answer the
 	// last gossip, or too many placement requests since.
 	calling, unanswered bool
