fix(entry): a spoke that fetches a configuration does not read it twice

What callers would see: slower changes on links that a configuration fills.

Cause: a spoke fetches a later configuration from its hub when the view names it, and 0.2 s later called the same hub for all of the operator's rows, with the configuration again, also while the first answer was on its way. A hub has some 40 spokes, which all do so at the same time.

Test: TestConfigurationFetchedOnce. Without the change: 'reads it a second time meanwhile: [{box:box-00 ...}]'.

--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -118,7 +118,7 @@
 		b.asked = 0
 		return nil
 	}
-	if b.reading || now.Before(b.retryAt) || !late && now.Sub(b.since) < catchUpAfter {
+	if b.reading || t.loadingConfiguration || now.Before(b.retryAt) || !late && now.Sub(b.since) < catchUpAfter {
 		return nil
 	}
 	name := b.box
--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"testing"
@@ -156,3 +157,24 @@
 		})
 	}
 }
+
+// TestConfigurationFetchedOnce has a hub's view name a later configuration: a spoke that is fetching it
+// from that hub does not read it a second time meanwhile, and does once that has failed.
+func TestConfigurationFetchedOnce(t *testing.T) {
+	d := boxOfFleet("box-05")
+	d.current.Replace(configuration(1), start)
+	hub := d.viewHub(start, &d.tables)
+	view := &peer.View{ConfigurationVersion: 2, WeightVersions: map[string][]peer.WeightVersion{}}
+	effects := d.update(start, peerAnswered{name: hub, requestedAt: start, answer: peer.Message{From: hub, ConfigurationVersion: 2, View: view}})
+	if len(effects) != 1 {
+		t.Fatalf("effects %+v, want a call for the configuration", effects)
+	}
+	now := start.Add(2 * catchUpAfter)
+	if again := d.catchUp(now, &d.tables); len(again) > 0 {
+		t.Errorf("reads it a second time meanwhile: %+v", again)
+	}
+	d.update(now, configurationFromHub{err: context.DeadlineExceeded})
+	if again := d.catchUp(now, &d.tables); len(again) != 1 {
+		t.Errorf("effects %+v after the call failed, want a call", again)
+	}
+}
