--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -178,3 +179,52 @@
 		t.Errorf("effects %+v after the call failed, want a call", again)
 	}
 }
+
+// TestLateReadsOfRows is TestLateReads for evacuations, weight versions and canary versions.
+func TestLateReadsOfRows(t *testing.T) {
+	t.Parallel()
+	const within = 2 * time.Second
+	first := func(f *lateFleet) []string { return f.allBoxes()[:1] }
+	lastBox := func(f *lateFleet) []string { return f.allBoxes()[len(f.boxes)-1:] }
+	reader := func(f *lateFleet) []string { hubs := f.hubNames(); return hubs[len(hubs)-1:] }
+	otherHubs := func(f *lateFleet) []string { hubs := f.hubNames(); return hubs[:len(hubs)-1] }
+	domainButOne := func(f *lateFleet) []string { return f.ofDomain()[1:] }
+	tests := []struct {
+		name  string
+		boxes int
+		late  func(f *lateFleet) []string
+	}{
+		{"the first box", 6, first},
+		{"the last box", 6, lastBox},
+		{"the hub that reads for the others", 84, reader},
+		{"all hubs but that one", 84, otherHubs},
+		{"all boxes of a domain but one", 84, domainButOne},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newLateFleet(tt.boxes, 2+tt.boxes/16)
+			for _, name := range tt.late(f) {
+				f.tableServiceDown[name] = true
+			}
+			change := func(version int64, closed bool) {
+				f.writeOperator(func(o *Operator) {
+					o.Evacuations = map[string]bool{"d1": closed}
+					o.Weights = map[string]int64{"m": version}
+					o.Canaries = map[string]*canary.Rollout{"new": {Pool: "new", Version: fmt.Sprint(version), Order: uint64(version), Timeout: time.Minute}}
+				})
+				f.advance(within, nil)
+				for _, d := range f.boxes {
+					evacuated := len(d.tables.fleet.Evacuated()) > 0
+					w, c := d.tables.weights["m"], d.tables.canaryOf("new")
+					if evacuated != closed || w == nil || w.newestVersion != version || c == nil || c.spec.Order != uint64(version) {
+						t.Errorf("%s (late %v, spoke %v) after %v: evacuated %v, want %v; weights %+v and canary %+v, want version %d", d.Settings.Name, f.tableServiceDown[d.Settings.Name], d.spoke.Load(), within, evacuated, closed, w, c, version)
+					}
+				}
+			}
+			change(1, true)
+			change(2, false)
+			change(3, true)
+		})
+	}
+}
