fix(entry): a later configuration that no box has any more is soon forgotten

What callers would see: in an outage of the table service, 503 also without a key at all boxes, for 8.9 s, if the only box that had read a later configuration told of it and ended before another one could read it there.

Cause: a later configuration counted for 10 s after it was last told.

Change: it counts for 2 s.

Test: TestLaterVersionThatNobodyHas.

--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -32,9 +32,10 @@
 	lateProof     = 2*proofHold + 250*time.Millisecond
 	lateOwnProof  = peerProofBase
 	latePeerProof = peerProofLimit + 2*hubGossipInterval
-	// laterVersionTTL is for how long a later configuration counts that no box tells any more. It
-	// is longer than the platform's bound for applying one.
-	laterVersionTTL = 10 * time.Second
+	// laterVersionTTL is for how long a later configuration counts that no box tells any more. Boxes
+	// repeat theirs more often, also after a call that failed. If all that had it are gone, the table
+	// service is as well, or others would have read it.
+	laterVersionTTL = 2 * time.Second
 )
 
 // behind is what a box lacks of the operator's rows, as another one told it.
--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -228,3 +228,35 @@
 		})
 	}
 }
+
+// TestLaterVersionThatNobodyHas has the only box that read a later configuration end in an outage of the
+// table service: the others can't get it and go on serving callers without a key.
+func TestLaterVersionThatNobodyHas(t *testing.T) {
+	t.Parallel()
+	const most = time.Second
+	f := newLateFleet(12, 2)
+	reader := f.allBoxes()[0]
+	for _, name := range f.allBoxes()[1:] {
+		f.tableServiceDown[name] = true
+	}
+	f.writeOperator(func(o *Operator) { o.Table = lateTable(2) })
+	for f.byName[reader].version() < 2 {
+		f.advance(emulatorStep, nil)
+	}
+	f.advance(gossipInterval, nil)
+	f.dead[reader] = true
+	refused := make(map[string]time.Duration)
+	for end := f.now.Add(12 * time.Second); f.now.Before(end); {
+		f.advance(emulatorStep, nil)
+		for _, d := range f.boxes[1:] {
+			if status, _ := f.ask(d, "", "/stays/true/"); status != http.StatusOK {
+				refused[d.Settings.Name] += emulatorStep
+			}
+		}
+	}
+	for box, lasted := range refused {
+		if f.byName[box].version() < 2 && lasted > most {
+			t.Errorf("%s refused callers without a key for %v", box, lasted)
+		}
+	}
+}
