fix(entry): a box that becomes a hub takes proofs also after a restore

What callers would see: 503 for good keys from 3.65 s on at a box that becomes a hub with late reads, if the table service was restored at any time before.

Cause: a spoke's own count of restores is that of its own last read, which may be from before the restore or missing, so that no proof was of the same one.

Change: a hub's view that proves what a spoke has also tells since which restore that was read. An own read from before it takes nothing back.

Test: TestServedByNewHubAfterRestore.

--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -260,3 +260,32 @@
 		}
 	}
 }
+
+// TestServedByNewHubAfterRestore has a box become a hub some time after a restore of the table service,
+// with late reads: it takes the other hubs' proofs, as what it knows is from after that restore.
+func TestServedByNewHubAfterRestore(t *testing.T) {
+	t.Parallel()
+	for _, changed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("changed %v", changed), func(t *testing.T) {
+			t.Parallel()
+			f := newLateFleet(84, 7)
+			f.restore(5, f.rows.Snapshot())
+			f.advance(10*time.Second, nil)
+			hub := f.newHub(t)[0]
+			f.tableServiceDown[hub] = true
+			if changed {
+				f.writeOperator(func(o *Operator) { o.Table = lateTable(2) })
+			}
+			refused := 0
+			for end := f.now.Add(lateFor); f.now.Before(end); {
+				f.advance(emulatorStep, nil)
+				if status, _ := f.ask(f.byName[hub], "good", "/stays/false/"); status != http.StatusOK {
+					refused++
+				}
+			}
+			if refused > 0 {
+				t.Errorf("%s refused a good key in %d rounds of %v", hub, refused, emulatorStep)
+			}
+		})
+	}
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -111,7 +111,7 @@
 	proved := d.provesNewest(now, t, m)
 	d.applyWeightVersions(now, t, m, proved)
 	d.startCanaries(now, t, m)
-	if !t.operatorKnown.SameRestores(m.change.Known) || !t.operatorKnown.After(m.change.Known) {
+	if !t.operatorKnown.After(m.change.Known) {
 		d.applyEvacuations(now, t, m, proved)
 		d.stopCanaries(now, t, m)
 	} // Otherwise another box told later ones meanwhile.
--- a/entry/view.go
+++ b/entry/view.go
@@ -8,6 +8,7 @@
 	"github.com/thymewind/thymewind/changelog"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // maxViewTargets is the most targets in one view: 60 kB, 50 ms on a 10 Mbit/s link.
@@ -76,6 +77,9 @@
 		}
 	case v.ConfigurationVersion == d.version():
 		d.noteProof(proof)
+		if !v.RewritePending && !proof.IsZero() { // What this box knows was read since that restore.
+			t.operatorKnown = revision.Max(t.operatorKnown, revision.Revision{Restores: v.OperatorRestores})
+		}
 	}
 	d.applyHubQuarantine(now, t, hub, v)
 	d.applyHubCanaries(now, t, hub, v.Canaries)
