fix(entry): a hub of the release before tells of later configurations too

What callers would see during an upgrade: routes and keys of the configuration before for 3.8 s (keyed) and for the whole 7 s of the row (open), at a box that became a hub because it was asked, with late reads.

Cause: the hubs do not call such a box, and theirs of the release before name their configuration only in the view, which only spokes read.

Change: the version in a view counts as told, also in an answer to a call for the operator's rows. The box can't get the configuration there and refuses callers once it has to.

Without the change 'a box that becomes a hub' fails: 'an open route dropped: goes by the old configuration up to 7s after the change, allowed 2s'.

--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -83,12 +83,16 @@
 // ages in its message count from madeAt, the time at which it was made at the earliest, as far as
 // this box can tell.
 func (d *Daemon) noteBehind(now time.Time, t *tables, madeAt time.Time, m peer.Message) {
-	later := m.ConfigurationVersion > d.version()
+	version := m.ConfigurationVersion
+	if m.View != nil { // A hub of the release before names it only there.
+		version = max(version, m.View.ConfigurationVersion)
+	}
+	later := version > d.version()
 	if d.version() == 0 || !later && !d.lacks(t, m.OperatorRevision) {
 		return
 	}
 	if later {
-		t.laterVersions.Note(now, m.ConfigurationVersion, madeAt.Add(-time.Duration(m.ConfigurationAgeMS)*time.Millisecond))
+		t.laterVersions.Note(now, version, madeAt.Add(-time.Duration(m.ConfigurationAgeMS)*time.Millisecond))
 		d.noteSuperseded(now, t)
 	}
 	b := &t.behind
@@ -96,7 +100,7 @@
 		b.since = now
 	}
 	b.toldAt, b.box = now, m.From
-	b.version, b.revision = max(b.version, m.ConfigurationVersion), revision.Max(b.revision, m.OperatorRevision)
+	b.version, b.revision = max(b.version, version), revision.Max(b.revision, m.OperatorRevision)
 }
 
 // lacks reports whether this box has not read up to a revision of the operator's rows. Revisions
@@ -261,6 +265,7 @@
 		}
 	}
 	if !newer {
+		d.noteBehind(now, t, m.requestedAt, m.answer)
 		return nil
 	}
 	if !proves && t.rewriteGrace.Covers(now) && t.olderSince.IsZero() {
--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -289,3 +289,36 @@
 		})
 	}
 }
+
+// TestLateReadsAmongOldReleases is TestLateReads for boxes that can't get the operator's rows from the
+// other ones, which are of the release before. They refuse callers once they have to.
+func TestLateReadsAmongOldReleases(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name  string
+		boxes int
+		late  func(t *testing.T, f *lateFleet) []string
+	}{
+		{"without hubs, the first box", 6, func(_ *testing.T, f *lateFleet) []string { return f.allBoxes()[:1] }},
+		{"without hubs, the last box", 6, func(_ *testing.T, f *lateFleet) []string { return f.allBoxes()[5:] }},
+		{"a hub", 32, func(_ *testing.T, f *lateFleet) []string { return f.hubNames()[:1] }},
+		{"a box that becomes a hub", 32, func(t *testing.T, f *lateFleet) []string { t.Helper(); return f.newHub(t) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newLateFleet(tt.boxes, 2+tt.boxes/16)
+			late := tt.late(t, f)
+			f.oldRelease = make(map[string]bool)
+			for _, name := range f.allBoxes() {
+				f.oldRelease[name] = name != late[0]
+			}
+			last := f.changeLate(late, false)
+			for i, r := range lateRequests {
+				if took, broke := last[i][late[0]]; broke {
+					t.Errorf("%s: goes by the old configuration up to %v after the change, allowed %v", r.name, took, r.within)
+				}
+			}
+		})
+	}
+}
--- a/entry/emulator_test.go
+++ b/entry/emulator_test.go
@@ -47,6 +47,9 @@
 	// tableServiceDown are the boxes that get no answer from the table service, dead those
 	// that are down.
 	tableServiceDown, dead map[string]bool
+	// oldRelease are the boxes of the release before boxes told each other how long their
+	// configuration has existed.
+	oldRelease map[string]bool
 	// cut reports whether messages between two boxes are lost; nil loses none.
 	cut func(from, to string) bool
 	// operator is the content of the operator's rows.
@@ -360,6 +363,9 @@
 		w.after(gossipTimeout, func() { done(peer.Message{}, context.DeadlineExceeded) })
 		return
 	}
+	if m = w.asReleased(from, m); w.oldRelease[name] && m.Kind == peer.KindOperator {
+		m.Kind = "unknown" // It is answered like gossip.
+	}
 	w.count(from, m)
 	w.after(networkDelay, func() {
 		reply := make(chan peer.Message, 1)
@@ -368,10 +374,22 @@
 	})
 }
 
+// asReleased returns a message as a box's release sends it.
+func (w *emulator) asReleased(from *Daemon, m peer.Message) peer.Message {
+	if w.oldRelease[from.Settings.Name] {
+		m.ConfigurationAgeMS = 0
+		if m.OperatorRevision.IsZero() {
+			m.ConfigurationVersion = 0
+		}
+	}
+	return m
+}
+
 // await waits for a box's answer, which it may hold back.
 func (w *emulator) await(from *Daemon, reply <-chan peer.Message, until time.Time, done func(peer.Message, error)) {
 	select {
 	case answer := <-reply:
+		answer = w.asReleased(from, answer)
 		w.count(from, answer)
 		w.after(networkDelay, func() { done(answer, nil) })
 		return
@@ -384,6 +402,7 @@
 	w.after(emulatorStep, func() {
 		select {
 		case answer := <-reply: // The step includes the way back.
+			answer = w.asReleased(from, answer)
 			w.count(from, answer)
 			done(answer, nil)
 		default:
