--- a/entry/catchup.go
+++ b/entry/catchup.go
@@ -32,9 +32,10 @@
 	lateProof     = 2*proofHold + 250*time.Millisecond
 	lateOwnProof  = peerProofBase
 	latePeerProof = peerProofLimit + 2*hubGossipInterval
-	// laterVersionTTL is for how long a later configuration counts that no box tells any more. It
-	// is longer than the platform's bound for applying one.
-	laterVersionTTL = 10 * time.Second
+	// laterVersionTTL is for how long a later configuration counts that no box tells any more. Boxes
+	// repeat theirs more often, also after a call that failed. If all that had it are gone, the table
+	// service is as well, or others would have read it.
+	laterVersionTTL = 2 * time.Second
 )
 
 // behind is what a box lacks of the operator's rows, as another one told it.
@@ -82,12 +83,16 @@
 // ages in its message count from madeAt, the time at which it was made at the earliest, as far as
 // this box can tell.
 func (d *Daemon) noteBehind(now time.Time, t *tables, madeAt time.Time, m peer.Message) {
-	later := m.ConfigurationVersion > d.version()
+	version := m.ConfigurationVersion
+	if m.View != nil { // A hub of the release before names it only there.
+		version = max(version, m.View.ConfigurationVersion)
+	}
+	later := version > d.version()
 	if d.version() == 0 || !later && !d.lacks(t, m.OperatorRevision) {
 		return
 	}
 	if later {
-		t.laterVersions.Note(now, m.ConfigurationVersion, madeAt.Add(-time.Duration(m.ConfigurationAgeMS)*time.Millisecond))
+		t.laterVersions.Note(now, version, madeAt.Add(-time.Duration(m.ConfigurationAgeMS)*time.Millisecond))
 		d.noteSuperseded(now, t)
 	}
 	b := &t.behind
@@ -95,7 +100,7 @@
 		b.since = now
 	}
 	b.toldAt, b.box = now, m.From
-	b.version, b.revision = max(b.version, m.ConfigurationVersion), revision.Max(b.revision, m.OperatorRevision)
+	b.version, b.revision = max(b.version, version), revision.Max(b.revision, m.OperatorRevision)
 }
 
 // lacks reports whether this box has not read up to a revision of the operator's rows. Revisions
@@ -118,7 +123,7 @@
 		b.asked = 0
 		return nil
 	}
-	if b.reading || now.Before(b.retryAt) || !late && now.Sub(b.since) < catchUpAfter {
+	if b.reading || t.loadingConfiguration || now.Before(b.retryAt) || !late && now.Sub(b.since) < catchUpAfter {
 		return nil
 	}
 	name := b.box
@@ -153,13 +158,29 @@
 	return latePeerProof
 }
 
+// noteProofOf records when another box's knowledge of the operator's rows was last proved. Its message
+// was made at madeAt at the earliest.
+func (t *tables) noteProofOf(madeAt time.Time, m peer.Message) {
+	x := t.members[m.From]
+	if x == nil || m.OperatorRevision.IsZero() || m.RewritePending {
+		return
+	}
+	x.provedAt = proofTime(madeAt, m.ProofAgeMS)
+}
+
 // anotherReader returns one of the boxes that read the operator's rows themselves and that answers,
-// another one with each number, or an empty name.
+// another one with each number, or an empty name. Those whose proof is not late go first.
 func (d *Daemon) anotherReader(now time.Time, t *tables, n int) string {
 	names := slices.DeleteFunc(slices.Clone(t.hubs()), func(name string) bool {
 		m := t.members[name]
 		return name == d.Settings.Name || m.unanswered || now.Before(m.retryAt) || !m.address.IsValid()
 	})
+	fresh := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		return now.Sub(t.members[name].provedAt) > d.lateProofAge(t)
+	})
+	if len(fresh) > 0 {
+		names = fresh
+	}
 	if len(names) == 0 {
 		return ""
 	}
@@ -206,9 +227,19 @@
 	}
 }
 
-// operatorFromBox applies what another box knows of the operator's rows. It proves what this box
-// has only if both have read since the same restore of the table service and neither waits for what
-// that lost.
+// answerProves reports whether another box's proof is one of what this box has with the answer: both
+// have read since the same restore of the table service, neither waits for what that lost, and the
+// configuration came with it. A box that names no revision has not read the rows itself, or is of a
+// release that does not know the call.
+func (d *Daemon) answerProves(t *tables, m operatorFromBox) bool {
+	read, has := m.answer.OperatorRevision, d.version()
+	if m.table != nil {
+		has = max(has, m.table.Version)
+	}
+	return !read.IsZero() && read.SameRestores(t.operatorKnown) && !m.answer.RewritePending && t.olderSince.IsZero() && has >= m.answer.View.ConfigurationVersion
+}
+
+// operatorFromBox applies what another box knows of the operator's rows.
 func (d *Daemon) operatorFromBox(now time.Time, t *tables, m operatorFromBox) []effect {
 	t.behind.reading, t.behind.retryAt = false, now.Add(catchUpPause)
 	v := m.answer.View
@@ -216,11 +247,11 @@
 		d.Log.Warn("another box did not send the operator's rows", "told_by", m.box, "err", m.err)
 		return nil
 	}
-	proof := proofTime(m.requestedAt, m.answer.ProofAgeMS)
+	proof := proofTime(m.requestedAt, v.ProofAgeMS)
 	d.applyHubVersions(now, t, m.box, m.requestedAt, v)
-	d.applyHubEvacuations(now, t, m.box, proof, v.Evacuated)
+	d.applyBoxEvacuations(now, t, m, proof)
 	d.applyHubCanaries(now, t, m.box, v.Canaries)
-	proves := !m.answer.RewritePending && m.answer.OperatorRevision.SameRestores(t.operatorKnown) && t.olderSince.IsZero() && !proof.IsZero()
+	proves := d.answerProves(t, m) && !proof.IsZero()
 	change, before := Operator{Table: m.table, Raw: m.answer.Body}, d.version()
 	newer := d.putInForce(operatorRead{proof, change}, proves)
 	if proves {
@@ -234,6 +265,7 @@
 		}
 	}
 	if !newer {
+		d.noteBehind(now, t, m.requestedAt, m.answer)
 		return nil
 	}
 	if !proves && t.rewriteGrace.Covers(now) && t.olderSince.IsZero() {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -186,6 +186,9 @@
 	// evacuatedAt is the time of the evacuations that the fleet has; an older view of a hub
 	// changes nothing.
 	evacuatedAt time.Time
+	// evacuatedRevision is the revision of the operator's rows that they are from; zero if a
+	// hub's view named none.
+	evacuatedRevision revision.Revision
 	// lostEvacuations are the domains whose evacuation the operator requested before a
 	// restore of the table service and not since, with the time at which that was read.
 	lostEvacuations map[string]time.Time
@@ -257,6 +260,8 @@
 	limitsDue time.Time
 	// heardAt is when it last called or answered this one, or when its row was read.
 	heardAt time.Time
+	// provedAt is when its knowledge of the operator's rows was last proved, as it told.
+	provedAt time.Time
 	// calling says that gossip with it is in flight, unanswered that it did not answer the
 	// last gossip, or too many placement requests since.
 	calling, unanswered bool
