fix(entry): a box that was paused does not take its targets for silent

Callers that came while a box was paused for over 0.35 s, or right after that, were refused with 503 `no target of orders takes work now`, although all targets lived. Cause: requests waited at all targets of the service and nothing had been heard of them for SilenceTimeout, as this box had not run; what they had sent lay unread in its sockets.

Evidence (trial, box stopped for 1 s while 400 slow callers came): requests placed 1.08 s before, nothing heard of any target, a gap of 1.005 s in the loop with 12 messages waiting; 2 of 400 refused.

Change: after more than two ticks in which the loop did not run, the silence of all targets counts from then on. A target that is really silent is found 0.35 s after that.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -125,10 +125,12 @@
 			return
 		case m := <-d.messages:
 			now := d.now()
+			d.noteStall(now, &d.tables)
 			d.run(ctx, d.update(now, m))
 			d.run(ctx, d.gossipBetweenTicks(now, &d.tables))
 		case <-ticks.C:
 			now := d.now()
+			d.noteStall(now, &d.tables)
 			for _, system := range d.systems {
 				d.run(ctx, system(now, &d.tables))
 			}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -221,6 +221,8 @@
 	hubQuarantineVersion uint64
 	// suspended is the machine's total suspended time as logged so far.
 	suspended time.Duration
+	// ranAt is when the loop last ran.
+	ranAt time.Time
 	// membersKnown says that the other boxes are known, so that this one knows its role.
 	membersKnown bool
 	// ownRowsKnown says that the system's own rows were read, ownRowsRevision up to where.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -233,6 +233,13 @@
 	return f.ids
 }
 
+// RestartSilence has the silence of all targets count from now on.
+func (f *Fleet) RestartSilence(now time.Time) {
+	for _, t := range f.byID {
+		t.waitingSince = now
+	}
+}
+
 // Lapsed returns the IDs of the targets whose entries are missing for LapseGrace.
 func (f *Fleet) Lapsed(now time.Time) []string {
 	var ids []string
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -54,7 +54,8 @@
 	// PrefillBacklog is the prompt tokens sent by this box that wait for prefill, Tokens the
 	// memory that its requests take up.
 	PrefillBacklog, Tokens int
-	// waiting counts requests without any answer yet, since the first of them was sent.
+	// waiting counts requests without any answer yet, since the first of them was sent or the
+	// silence was restarted.
 	waiting      int
 	waitingSince time.Time
 	// lastHeard is when anything was last received from it.
