fix(congestion): one late answer does not make a service congested

Callers were refused with 503 `congested` after a single answer of a second, without a queue anywhere. Seen in TestSlowCallersAtOneBox beside 8 busy processes on 4 cores (load 44): 1 of 378 healthy requests got "answers of orders take 174ms, as they queue, of a goal of 200ms", while the median took 4 ms. Cause: one answer counts a fifth in the mean, so one of 1.2 s raises it by 240 ms, and up to 0.7 of the requests are shed until some more answers have come.

Change: the share to shed goes by a mean in which an answer counts as at most 1.5 goals, so that three in a row are needed. The mean that messages tell, and the comparison with the fastest answers, are as before. Observe takes the goal; the tests' calls pass it, their bounds are unchanged.

TestOverload prints the same 20 pairs of figures before and after.

--- a/congestion/congestion.go
+++ b/congestion/congestion.go
@@ -2,7 +2,7 @@
 // queues are full.
 //
 //	g := congestion.Gauge{}
-//	g.Observe(now, took)                    // as each answer ends
+//	g.Observe(now, took, goal)              // as each answer ends
 //	if g.Shed(goal, rand.Float64()) { ... } // before a request is placed
 //
 // It guards against a sustained overload of a service with few targets, by slightly more
@@ -33,6 +33,9 @@
 	// queued is the ratio of the mean to the fastest response time at which requests count as
 	// queueing.
 	queued = 1.8
+	// maxSample is the longest that one answer counts as, in goals. A machine that is late for a
+	// second delays single answers without any queue.
+	maxSample = 1.5
 	// minDrift is how much of its distance to the mean the minimum rises in a second, so
 	// that a service that became slower does not count as congested forever.
 	minDrift = 0.01
@@ -41,20 +44,26 @@
 // Gauge tracks one pool's response times as one box sees them. The zero value is ready;
 // it is not safe for concurrent use.
 type Gauge struct {
-	// mean and fastest are in seconds, last is when an answer was last observed; all are
-	// zero before the first.
-	mean, fastest float64
-	last          time.Time
+	// mean, fastest and clipped are in seconds, last is when an answer was last observed; all
+	// are zero before the first. clipped is the mean with each answer counted as at most
+	// maxSample.
+	mean, fastest, clipped float64
+	last                   time.Time
 }
 
-// Observe records how long a successful, complete answer took.
-func (g *Gauge) Observe(now time.Time, took time.Duration) {
+// Observe records how long a successful, complete answer took, of a goal or zero for none.
+func (g *Gauge) Observe(now time.Time, took, goal time.Duration) {
 	s := took.Seconds()
+	clipped := s
+	if goal > 0 {
+		clipped = min(s, maxSample*goal.Seconds())
+	}
 	if g.last.IsZero() {
-		g.mean, g.fastest, g.last = s, s, now
+		g.mean, g.fastest, g.clipped, g.last = s, s, clipped, now
 		return
 	}
 	g.mean += (s - g.mean) * weight
+	g.clipped += (clipped - g.clipped) * weight
 	g.fastest += (g.mean - g.fastest) * min(minDrift*now.Sub(g.last).Seconds(), 1)
 	g.fastest = min(g.fastest, s)
 	g.last = now
@@ -65,7 +74,7 @@
 	if goal <= 0 || g.mean < queued*g.fastest {
 		return 0
 	}
-	return min(max((g.mean/goal.Seconds()-free)*gain, 0), maxShed)
+	return min(max((g.clipped/goal.Seconds()-free)*gain, 0), maxShed)
 }
 
 // Shed reports whether to shed a request with a goal; draw is a random number from 0 to
--- a/congestion/congestion_test.go
+++ b/congestion/congestion_test.go
@@ -82,7 +82,7 @@
 		e := heap.Pop(&queue).(event)
 		if e.target >= 0 {
 			busy[e.target]--
-			gauges[e.request.box].Observe(start.Add(time.Duration(e.at*1e9)), time.Duration((e.at-e.request.sent)*1e9))
+			gauges[e.request.box].Observe(start.Add(time.Duration(e.at*1e9)), time.Duration((e.at-e.request.sent)*1e9), time.Duration(goal*1e9))
 			if e.at-e.request.came <= goal {
 				got.inTime++
 			} else {
@@ -158,6 +158,8 @@
 		{"no goal", []time.Duration{30 * ms, 500 * ms, 500 * ms}, 0, 0, 0},
 		{"fast", []time.Duration{30 * ms, 40 * ms, 50 * ms}, 150 * ms, 0, 0},
 		{"one late answer", []time.Duration{30 * ms, 30 * ms, 200 * ms}, 150 * ms, 0, 0},
+		{"one answer far beyond the goal", []time.Duration{30 * ms, 30 * ms, 1200 * ms}, 150 * ms, 0, 0},
+		{"two answers far beyond the goal", []time.Duration{30 * ms, 30 * ms, 1200 * ms, 30 * ms, 1200 * ms}, 150 * ms, 0, 0.2},
 		{"slow without a queue", []time.Duration{140 * ms, 150 * ms, 145 * ms, 150 * ms}, 150 * ms, 0, 0},
 		{"queueing", []time.Duration{30 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms, 130 * ms}, 150 * ms, 0.2, 0.4},
 		{"far beyond the goal", []time.Duration{30 * ms, 900 * ms, 900 * ms, 900 * ms, 900 * ms, 900 * ms}, 150 * ms, 0.7, 0.7},
@@ -166,7 +168,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var g congestion.Gauge
 			for i, took := range tt.took {
-				g.Observe(start.Add(time.Duration(i)*200*ms), took)
+				g.Observe(start.Add(time.Duration(i)*200*ms), took, tt.goal)
 			}
 			if got := g.ShedShare(tt.goal); got < tt.least || got > tt.most {
 				t.Errorf("share %.2f at a mean of %v, want %.2f to %.2f", got, g.Mean(), tt.least, tt.most)
--- a/entry/update.go
+++ b/entry/update.go
@@ -185,7 +185,7 @@
 		x.Heard(now)
 	}
 	if m.Began && !m.Failed && !m.SlowCaller && m.Job.Pool.Engine == nil {
-		t.congestion(x.Pool).Observe(now, now.Sub(m.Place.PlacedAt))
+		t.congestion(x.Pool).Observe(now, now.Sub(m.Place.PlacedAt), m.Job.Route.Goal)
 	}
 	if m.Unreachable {
 		x.Fail(now)
