fix(deliver): long answers that end as unread are not told as callers that left

All 200 unread long answers of TestSlowCallersAtOneBox were logged `outcome=caller_left cause="writing to the caller failed: ... i/o timeout"` and counted so in thymewind_entry_requests_total; the 200 streams were `broken_off cause=unread`, as docs/OPERATIONS.md says. Cause: net/http closes the connection when a write of a long body fails, and a closed connection then passed for one that its caller had left.

Change: the watched connection says why the write failed (deliver.ErrUnread).

Red without the change: TestUnreadIsNotCallerLeft "the answer of orders ends" not within 20 s, with the line above for its only long answer. With it 8.6 s, most of which is the 5 s of the check.

--- a/deliver/run.go
+++ b/deliver/run.go
@@ -80,6 +80,8 @@
 	// held counts the bytes held for this request, reading how its caller reads.
 	held    *heldbytes.Account
 	reading reading
+	// unread says that the answer was ended as its caller did not read it.
+	unread  bool
 	outcome Outcome
 }
 
@@ -98,6 +100,9 @@
 	stopWatching := x.watchCaller(ctx)
 	refused := x.serve()
 	x.outcome.Teardown, x.outcome.CallerLeft = stopWatching()
+	if x.unread { // The HTTP server closes the connection after a failed write.
+		x.outcome.Teardown, x.outcome.CallerLeft = 0, false
+	}
 	x.outcome.Took = s.Now().Sub(call.Received)
 	x.outcome.Attempts = x.sent
 	x.outcome.Pause = x.times.pause
--- a/deliver/slowreader.go
+++ b/deliver/slowreader.go
@@ -42,6 +42,9 @@
 // CauseUnread is the cause of an answer that ended because its caller did not read it.
 const CauseUnread = "unread"
 
+// ErrUnread is the error of a write to a caller whose connection was ended as it does not read.
+var ErrUnread = errors.New("the caller does not read its answer")
+
 // CodeHeldMemory refuses a request for want of memory at this box. Its body may be unread.
 const CodeHeldMemory = "held_memory"
 
@@ -97,7 +100,8 @@
 
 // writeFailure is the cause of an answer that could not be written to its caller.
 func (x *run) writeFailure(err error) string {
-	if errors.Is(err, os.ErrDeadlineExceeded) && !x.disconnected() {
+	if errors.Is(err, ErrUnread) || errors.Is(err, os.ErrDeadlineExceeded) && !x.disconnected() {
+		x.unread = true
 		return CauseUnread
 	}
 	return "writing to the caller failed: " + err.Error()
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -108,14 +109,19 @@
 	// unreadFor for how long its window has been closed since then.
 	acked     uint64
 	unreadFor time.Duration
-	ended     bool
+	// ended says that it was ended as the caller did not read; it is not guarded.
+	ended atomic.Bool
 }
 
 // Write implements net.Conn.
 func (c *callerConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
 	defer c.writes.Add(1)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil && c.ended.Load() {
+		err = fmt.Errorf("%w: %w", deliver.ErrUnread, err)
+	}
+	return n, err
 }
 
 // ReadFrom implements io.ReaderFrom, by which the HTTP server passes answers on unbuffered.
@@ -176,7 +182,7 @@
 		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	c.account.Set(int64(held))
-	if info == nil || c.ended {
+	if info == nil || c.ended.Load() {
 		return false
 	}
 	if info.Bytes_acked-c.acked >= minProgress || c.seen%2 == 0 {
@@ -194,7 +200,7 @@
 // end resets the connection when it is closed, so that the kernel keeps nothing of the answer, and
 // fails the pending write.
 func (c *callerConn) end() {
-	c.ended = true
+	c.ended.Store(true)
 	_ = c.tcp.SetLinger(0)                      // Otherwise the kernel keeps what is unsent for some time.
 	_ = c.tcp.SetWriteDeadline(time.Unix(1, 0)) // A connection that is closed already needs none.
 }
