--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -76,6 +76,19 @@
 	if hub == "" {
 		return nil, false
 	}
+	if d.spoke.Load() {
+		return []effect{d.askHubToPlace(now, t, hub, m, false)}, true
+	}
+	if len(m.askedHubs) == 0 && t.isQuotaShort(now, m.ask.Job.Pool.Name) {
+		t.quotaShortage(m.ask.Job.Pool.Name).unmet = new(m.ask)
+		return nil, false
+	}
+	if m.askUntil.IsZero() {
+		m.askUntil = now.Add(hubPlaceTimeout)
+	}
+	if !now.Before(m.askUntil) {
+		return nil, false
+	}
 	return []effect{d.askHubToPlace(now, t, hub, m, false)}, true
 }
 
@@ -135,6 +148,8 @@
 	timeout := hubPlaceTimeout
 	if e.ask.Hold {
 		timeout += waitHold
+	} else if until := e.request.askUntil; !until.IsZero() {
+		timeout = min(timeout, until.Sub(d.now()))
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -153,6 +168,9 @@
 	switch {
 	case m.err != nil || m.placed == nil && d.spoke.Load():
 		d.hubFailed(now, t, m.hub, m.err)
+		if !d.spoke.Load() {
+			t.noteQuotaSpent(now, m.hub, m.request.ask)
+		}
 	case m.placed == nil: // It can't place requests yet, though it answers.
 		t.noteQuotaSpent(now, m.hub, m.request.ask)
 	default:
