test(entry): restores, pending rewrites and the age of a configuration

Two checks were taken out one at a time and no test noticed: that both sides have read since the same restore (run: entry's TestLateReads, TestServed*, TestRestored*, TestLost*, TestPeerProof*, TestEvacuate, TestCanary* and the like) and that a box passes on since when it was told of a configuration (the same, and platform's TestLateReads and TestServed*). They fail now in TestNoProofWithoutRows ('configuration 1 is proved 2.9s after the box's own read') and TestConfigurationAge ('exists for 500 ms, want 1300'). For RewritePending and for the age that comes with the rows only the new tests were run without the code; they fail.

--- a/entry/catchup_test.go
+++ b/entry/catchup_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymewind/thymewind/canary"
 	"github.com/thymewind/thymewind/peer"
+	"github.com/thymewind/thymewind/revision"
 )
 
 // boxThatRead returns a box that has read the operator's rows up to a revision at a time.
@@ -32,6 +33,8 @@
 	}{
 		{"a box of the release before", peer.Message{Kind: peer.KindOperator, From: "other", View: view}},
 		{"a box that never read the rows", peer.Message{Kind: peer.KindOperator, From: "other", View: view, ConfigurationVersion: 2, ProofAgeMS: 100}},
+		{"a box that read after a restore", peer.Message{Kind: peer.KindOperator, From: "other", View: &peer.View{ConfigurationVersion: 1, ProofAgeMS: 100, WeightVersions: map[string][]peer.WeightVersion{}}, OperatorRevision: revision.Revision{Restores: 1, Number: 6}}},
+		{"a box that waits for what a restore lost", peer.Message{Kind: peer.KindOperator, From: "other", View: &peer.View{ConfigurationVersion: 1, ProofAgeMS: 100, WeightVersions: map[string][]peer.WeightVersion{}}, OperatorRevision: rev(6), RewritePending: true}},
 		{"a box that sent no configuration", peer.Message{Kind: peer.KindOperator, From: "other", View: view, ConfigurationVersion: 2, OperatorRevision: rev(6), ProofAgeMS: 100}},
 	}
 	for _, tt := range tests {
@@ -322,3 +325,53 @@
 		})
 	}
 }
+
+// TestConfigurationAge checks for how long a box says that its configuration exists: since it was first
+// told of it, not since it has it. Other boxes refuse callers by that.
+func TestConfigurationAge(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	told := func(now, version, age int) func(*Daemon) {
+		return func(d *Daemon) {
+			m := peer.Message{Kind: peer.KindGossip, From: "other", ConfigurationVersion: int64(version), ConfigurationAgeMS: int64(age)}
+			d.peerRequest(at(now), &d.tables, m)
+		}
+	}
+	read := func(now, version int) func(*Daemon) {
+		return func(d *Daemon) {
+			d.update(at(now), operatorRead{at(now), Operator{Table: configuration(int64(version)), Changed: rev(uint64(4 + version)), Known: rev(uint64(4 + version))}})
+		}
+	}
+	fromBox := func(now, version, age int) func(*Daemon) {
+		return func(d *Daemon) {
+			d.update(at(now), operatorFromBox{box: "other", requestedAt: at(now), table: configuration(int64(version)), answer: peer.Message{
+				ConfigurationVersion: int64(version), ConfigurationAgeMS: int64(age), OperatorRevision: rev(uint64(4 + version)),
+				View: &peer.View{ConfigurationVersion: int64(version), WeightVersions: map[string][]peer.WeightVersion{}},
+			}})
+		}
+	}
+	const now = 2000
+	tests := []struct {
+		name  string
+		steps []func(*Daemon)
+		want  int64
+	}{
+		{"read", []func(*Daemon){read(1500, 2)}, 500},
+		{"told, then read", []func(*Daemon){told(1000, 2, 300), read(1500, 2)}, 1300},
+		{"told of a later one, then read", []func(*Daemon){told(1000, 2, 300), told(1100, 3, 0), read(1500, 3)}, 900},
+		{"told, then read a later one", []func(*Daemon){told(1000, 2, 300), read(1500, 3)}, 500},
+		{"from another box", []func(*Daemon){fromBox(1500, 2, 700)}, 1200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := boxThatRead(start, Operator{Table: configuration(1), Changed: rev(5), Known: rev(5)})
+			for _, step := range tt.steps {
+				step(d)
+			}
+			var m peer.Message
+			d.addVersion(at(now), &d.tables, &m)
+			if m.ConfigurationAgeMS != tt.want {
+				t.Errorf("configuration %d exists for %d ms, want %d", m.ConfigurationVersion, m.ConfigurationAgeMS, tt.want)
+			}
+		})
+	}
+}
