--- a/deliver/recheck.go
+++ b/deliver/recheck.go
@@ -32,8 +32,8 @@
 }
 
 // recheckWaited admits a request again that waited for its placement. It reports whether the request
-// goes to another pool, or is another account's, and has to be placed again. In that case, and if the request is refused, its
-// placement is given up.
+// goes to another pool, or is another account's, and has to be placed again. In that case, and if
+// the request is refused, its placement is given up.
 func (x *run) recheckWaited(place Placement) (moved bool, refused *refusal.Refusal) {
 	if place.Waited == 0 {
 		return false, nil
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -86,16 +86,6 @@
 	return d.callGossipPartners(now, t, message)
 }
 
-// addProof adds to a message what this box knows of the operator's rows and how old its proof
-// is.
-func (d *Daemon) addProof(now time.Time, t *tables, m *peer.Message) {
-	m.OperatorRevision, m.ProofAgeMS = t.operatorChange, d.proofAge(now).Milliseconds()
-	d.addVersion(now, t, m)
-	if unproved, age := d.unproved(now); unproved {
-		m.RewritePending, m.ReadAgeMS = true, age.Milliseconds()
-	}
-}
-
 // gossipBetweenTicks has hubs gossip as soon as it is due, without waiting for the next tick.
 func (d *Daemon) gossipBetweenTicks(now time.Time, t *tables) []effect {
 	if d.spoke.Load() || !t.usesHubs() {
--- a/entry/peerproof.go
+++ b/entry/peerproof.go
@@ -54,6 +54,16 @@
 	return maxAge > 0 && !d.operatorBehind.Load() && !d.outage.lost() && d.readAgo(now) < maxAge
 }
 
+// addProof adds to a message what this box knows of the operator's rows and how old its proof
+// is.
+func (d *Daemon) addProof(now time.Time, t *tables, m *peer.Message) {
+	m.OperatorRevision, m.ProofAgeMS = t.operatorChange, d.proofAge(now).Milliseconds()
+	d.addVersion(now, t, m)
+	if unproved, age := d.unproved(now); unproved {
+		m.RewritePending, m.ReadAgeMS = true, age.Milliseconds()
+	}
+}
+
 // receiveProof takes another hub's proof if this box knows all that was known there. The
 // proof's age counts from when it was requested, as the answer was made later. A hub that has
 // not read the table service since a restore, or whose proof is from before it, proves nothing
