feat(reach): logs tell a box's lost links from targets that ended

Cause: the lines on a target that can't be reached name one target each.

Change: package reach judges by all targets of a pool that were tried since any was heard. A box logs when a pool is out of its reach and when it is reached again, counts such pools in thymewind_entry_lost_pools, and tells other boxes, so that the line says how many boxes reach the pool (reached_by). Nothing is decided by it yet.

Shown by TestLostLinksAndLostTargetsDiffer and TestReachedAgain; entry and peer tests pass.

--- a/entry/cacheevents.go
+++ b/entry/cacheevents.go
@@ -24,7 +24,7 @@
 			if !x.Ejected(now) {
 				d.Log.Warn("target can't be heard", "target", m.source, "err", m.err)
 			}
-			x.Fail(now)
+			t.unreachable(now, x)
 			x.FeedLost = true
 		}
 		return nil
@@ -41,7 +41,7 @@
 	}
 	if x != nil {
 		d.signalsFromEvents(now, t, x, m.events.Signals)
-		x.Heard(now)
+		t.heard(now, x)
 		x.FeedLost = false // It is still the same incarnation.
 	}
 	if m.events.Clock > 0 {
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -77,7 +77,7 @@
 		Kind: peer.KindGossip, From: d.Settings.Name, TargetLoads: d.gossipLoads(now, t), PrefillTotals: t.prefillBacklog.Totals(now),
 		EndedIncarnations: t.recentlyReplaced(now), Stale: d.refusesKeyed(now), CrashReports: t.recentCrashes(now), Lifted: t.recentlyLifted(now), ListRevision: t.listChanged,
 		Domain: d.Settings.Domain, Unlisted: t.unlistedMet, AccountLoads: d.accountLoads(now, t), ShortPools: t.accounts.ShortHere(now),
-		RunLosses: d.runLossesFor(now, t, ""),
+		RunLosses: d.runLossesFor(now, t, ""), LostPools: t.lostPoolNames(),
 	}
 	d.addVersion(now, t, &message)
 	if !d.spoke.Load() {
@@ -219,6 +219,8 @@
 		d.receiveAdmitting(now, m)
 		d.receiveLimits(now, now, t, m)
 		t.markHeard(now, m.From)
+		t.receiveReach(m)
+		answer.LostPools = t.lostPoolNames()
 		d.noteBehind(now, t, now, m)
 		t.noteProofOf(now, m)
 		d.addVersion(now, t, &answer)
@@ -278,6 +280,7 @@
 	d.receiveAdmitting(now, m.answer)
 	d.receiveLimits(now, m.requestedAt, t, m.answer)
 	x.heardAt = now
+	t.receiveReach(m.answer)
 	d.noteBehind(now, t, m.requestedAt, m.answer)
 	t.noteProofOf(m.requestedAt, m.answer)
 	t.receiveRunLosses(now, m.answer)
--- a/entry/list.go
+++ b/entry/list.go
@@ -166,6 +166,9 @@
 }
 
 func (d *Daemon) removeTarget(t *tables, id string) {
+	if x := t.fleet.Target(id); x != nil {
+		t.reach.Forget(x.Pool, id)
+	}
 	t.markRemoved(id)
 	t.fleet.Drop(id)
 	t.forgetTarget(id)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -46,6 +46,7 @@
 	held              prometheus.Gauge
 	unread            prometheus.Counter
 	memoryRefused     *prometheus.CounterVec
+	lostPools         prometheus.Gauge
 }
 
 // latencyBuckets are the latency histograms' buckets in seconds, around the goals of 0.15
@@ -113,7 +114,9 @@
 	c.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_held_bytes", Help: "Bytes held for callers and targets: bodies, answers' buffers, and what the kernel holds for callers that don't read."})
 	c.unread = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unread_total", Help: "Callers' connections ended as their callers did not read their answers."})
 	c.memoryRefused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_memory_refused_total", Help: "Requests refused for want of memory at this box, by the size of their bodies and their priority."}, []string{"size", "priority"})
+	c.lostPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_lost_pools", Help: "Pools none of whose targets this box reaches."})
 	r.MustRegister(
+		c.lostPools,
 		c.slowEngines,
 		c.queued, c.queueEnds,
 		c.held, c.unread, c.memoryRefused,
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/thymewind/thymewind/affinity"
@@ -27,6 +28,16 @@
 // whether its target looks dead; this spans several such rounds.
 const silenceTTL = 3 * time.Second
 
+// silenceSeen records that a connection to an address was found silent.
+func (t *tables) silenceSeen(now time.Time, at netip.AddrPort) {
+	t.silences[at] = now
+	for _, id := range t.fleet.IDs() {
+		if x := t.fleet.Target(id); x.Address == at {
+			t.reach.Failed(now, x.Pool, id)
+		}
+	}
+}
+
 // looksDead reports whether a target is gone, unreachable or silent, or had a connection that
 // was found silent within silenceTTL.
 func (d *Daemon) looksDead(now time.Time, t *tables, id string) bool {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -23,6 +23,7 @@
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/peerload"
 	"github.com/thymewind/thymewind/quarantine"
+	"github.com/thymewind/thymewind/reach"
 	"github.com/thymewind/thymewind/returning"
 	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/runcopy"
@@ -98,6 +99,10 @@
 	// copied are the IDs of this box's requests whose runs have a copy. Engines tell copies apart
 	// by these IDs, which callers choose, so no two copies may have the same.
 	copied map[string]bool
+	// reach tells which pools this box reaches; lostPools are those that it does not, with the
+	// time at which it noticed.
+	reach     reach.Tracker
+	lostPools map[string]time.Time
 	// silences is when connections to targets were last found silent, by address.
 	silences map[netip.AddrPort]time.Time
 	// members are the boxes that have ever written their row, including this one.
@@ -275,6 +280,8 @@
 	misses int
 	// retryAt is when a box that did not answer is called again.
 	retryAt time.Time
+	// lostPools are the pools that it does not reach, as it last reported.
+	lostPools []string
 	// unlisted says that it has no row; metAt is when it last sent a message.
 	unlisted bool
 	metAt    time.Time
@@ -289,7 +296,7 @@
 	return tables{
 		fleet: fleet.New(), directory: directory.New(), othersUsage: peerload.New(), accounts: fairshare.New(), targetsInUse: make(map[string]*fleet.Target), watched: make(map[string]context.CancelFunc),
 		weights: make(map[string]*modelRollout), loading: make(map[string]time.Time), members: make(map[string]*member), quotas: make(map[fleet.Incarnation]*targetQuota), quotaRetryAt: make(map[quotaAsk]time.Time), quotaShortages: make(map[string]*quotaShortage), probing: make(map[string]bool),
-		silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
+		lostPools: make(map[string]time.Time), silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
 		slowLogged: make(map[string]bool), slowEnginesLogged: make(map[string]bool), mostlySlow: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
 		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
--- a/entry/throughput.go
+++ b/entry/throughput.go
@@ -13,6 +13,7 @@
 func (d *Daemon) answerBegan(now time.Time, t *tables, p deliver.Placement) {
 	if x := t.fleet.Incarnation(fleet.Incarnation{ID: p.Target, StartedAt: p.StartedAt}); x != nil {
 		x.Began(now, p.PrefillTokens)
+		t.reach.Heard(now, x.Pool)
 	}
 	t.crashes.Alive(placementIncarnation(p), p.PlacedAt)
 	t.overdue.Done(placement.Hash(p.Target), p.PlacedAt)
--- a/entry/update.go
+++ b/entry/update.go
@@ -42,7 +42,7 @@
 	case signalsReceived:
 		d.signalsReceived(now, t, m.incarnation)
 	case silenceSeen:
-		t.silences[m.at] = now
+		t.silenceSeen(now, m.at)
 	case answerBegan:
 		d.answerBegan(now, t, m.place)
 	case attemptEnded:
@@ -184,13 +184,16 @@
 		t.lateness(x.Pool).Observe(m.Late)
 	}
 	if m.Verdict != 0 {
-		x.Heard(now)
+		t.heard(now, x)
+	}
+	if m.Answered {
+		t.reach.Heard(now, x.Pool)
 	}
 	if m.Began && !m.Failed && !m.SlowCaller && m.Job.Pool.Engine == nil {
 		t.congestion(x.Pool).Observe(now, now.Sub(m.Place.PlacedAt), m.Job.Route.Goal)
 	}
 	if m.Unreachable {
-		x.Fail(now)
+		t.unreachable(now, x)
 		d.logFailure(now, x, m)
 	}
 	d.learnVersion(now, t, x, m)
@@ -219,10 +222,10 @@
 		return
 	}
 	if m.err == nil {
-		x.Heard(now)
+		t.heard(now, x)
 		return
 	}
 	if !m.suspected { // A suspect that is only busy may leave its probe unanswered.
-		x.Fail(now)
+		t.unreachable(now, x)
 	}
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -104,6 +104,8 @@
 	// own to its hub, a hub's and its spokes' to other hubs, and all that the hub knows of to a
 	// spoke. They are left out while no runs are lost.
 	RunLosses []RunLoss `cbor:"60,keyasint,omitempty"`
+	// LostPools are the pools none of whose targets the sender reaches.
+	LostPools []string `cbor:"43,keyasint,omitempty"`
 	// Statement is an operator's query.
 	Statement string `cbor:"7,keyasint,omitempty"`
 	// Body is a query's result in JSON, or a configuration.
