feat(handoff): another box serves requests whose targets a box does not reach

Cause: a box's only way to a target was its own connections. It took what it could reach itself for what the system could reach.

Ruled out: readiness. Callers keep open connections, and where all boxes of a domain are cut the platform uses them all the same. A late finding: it explains the first second, not the refusals after it.

One hop; boxes' credential only.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -106,7 +106,7 @@
 	wait := &eventWait{}
 	events := eventstream.Reader{From: reply.Body, Grow: x.growEvents(ctx, wait)}
 	resumable := x.job.Route.Resumable && x.sent < x.job.Route.Attempts
-	if x.Suspect != nil && (resumable || x.hasCopy(place)) {
+	if x.Suspect != nil && place.Box == "" && (resumable || x.hasCopy(place)) {
 		go x.abortIfStalled(ctx, x.cancel, x.job, place.Target, wait, resumable)
 	}
 	flush := http.NewResponseController(x.w)
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -22,6 +22,7 @@
 	"github.com/thymewind/thymewind/fingerprint"
 	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
 	"github.com/thymewind/thymewind/throughput"
 )
@@ -57,6 +58,18 @@
 	// Disconnected reports whether the caller has closed its connection, which it may
 	// see before the request's context ends. Nil means that this can't be checked.
 	Disconnected func() bool
+	// HandedOn is set if the caller asked another box, which handed the request on to this one.
+	HandedOn *HandedOn
+}
+
+// HandedOn is what another box tells of a request that it handed on.
+type HandedOn struct {
+	// By names the box.
+	By string
+	// Attempts is how many targets may have received the request before. Count is called with
+	// the total at each further one.
+	Attempts int
+	Count    func(attempts int)
 }
 
 // Part is a section of a prompt that other prompts may share.
@@ -104,6 +117,10 @@
 	// Attempted names the targets that this request was sent to or that could not be
 	// reached, in order.
 	Attempted []string
+	// Unreached is how many of them could not be reached.
+	Unreached int
+	// Boxes names the boxes that the request was handed on to.
+	Boxes []string
 }
 
 // Placement is the target that a request is sent to, and how.
@@ -113,6 +130,9 @@
 	// not report it.
 	StartedAt time.Time
 	Address   netip.AddrPort
+	// Box names the box that serves the request instead of this one, as this one does not reach
+	// the targets; Address is then that box's, and Target is empty.
+	Box string
 	// Version is the weight version that the target must have; zero for none.
 	Version int64
 	// NewestVersion is the newest version known to the placing box. ReplacedFor is for
@@ -173,6 +193,8 @@
 	Timeout time.Duration
 	// LastEventID is the last event passed on, if a stream is resumed.
 	LastEventID string
+	// Attempts is how many targets may have received the request before.
+	Attempts int
 	// ResumeFrom is the address of the copy from which a broken run continues, which is the
 	// placed target's own; unset for a run from the start.
 	ResumeFrom netip.AddrPort
@@ -199,6 +221,12 @@
 	Header http.Header
 	// Verdict says whether the request may have run.
 	Verdict int
+	// Attempts returns how many targets may have received a request that another box serves, with
+	// those before; nil for a target's answer. Refused is that box's refusal, and TryAnother says
+	// that a third box may serve the request.
+	Attempts   func() int
+	Refused    *refusal.Refusal
+	TryAnother bool
 	// Signals are the target's own signals, set if the answer is the placed target's.
 	Signals notice.Signals
 	// Version is the target's weight version; zero if it does not report one.
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -46,6 +46,10 @@
 	// cancel aborts the current attempt.
 	cancel    context.CancelCauseFunc
 	attempted []string
+	// boxes names the boxes that the request was handed on to, boxRefusal is the last refusal of
+	// one of them; nil if there was none.
+	boxes      []string
+	boxRefusal *refusal.Refusal
 	// sent counts the targets that may have received the request, ran those of them that
 	// may have run it.
 	sent, ran int
@@ -93,6 +97,9 @@
 // can't be completed.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, call *Call) error {
 	x := &run{Server: s, w: w, lastEventID: call.LastEventID, outcome: Outcome{Call: call}}
+	if call.HandedOn != nil {
+		x.sent = call.HandedOn.Attempts
+	}
 	if s.Held != nil {
 		x.held = s.Held.Open()
 		defer x.held.Close()
@@ -134,7 +141,9 @@
 	if refused := x.readBody(job); refused != nil {
 		return refused
 	}
-	x.Earn(job.Pool.Name)
+	if job.HandedOn == nil { // Otherwise the box that the caller asked has counted it.
+		x.Earn(job.Pool.Name)
+	}
 	ctx, cancel := context.WithTimeout(x.caller, job.Until.Sub(x.Now()))
 	defer cancel()
 	x.ctx = ctx
@@ -146,10 +155,10 @@
 		if refused := x.recheck(); refused != nil {
 			return x.refuse(refused)
 		}
-		place, err := x.Place(x.ctx, PlacementRequest{Job: x.job, Attempted: x.attempted})
+		place, err := x.Place(x.ctx, PlacementRequest{Job: x.job, Attempted: x.attempted, Unreached: x.unsent, Boxes: x.boxes})
 		x.outcome.Waited += place.Waited
 		if err != nil {
-			return x.refuse(refusal.Of(err, refusal.DidNotRun, http.StatusServiceUnavailable))
+			return x.refuse(x.refusalOfBox(err))
 		}
 		x.outcome.Place = place
 		x.queued += place.Waited
@@ -160,7 +169,11 @@
 		if moved {
 			continue
 		}
-		x.attempted = append(x.attempted, place.Target)
+		if place.Box != "" {
+			x.boxes = append(x.boxes, place.Box)
+		} else {
+			x.attempted = append(x.attempted, place.Target)
+		}
 		refused, err = x.attempt(place)
 		if errors.Is(err, errContinue) {
 			refused, err = x.continueFromCopy(place)
@@ -204,7 +217,7 @@
 // attemptGuarded sends the request and, if it is repeatable, aborts that once the target
 // looks dead. It calls answered when an answer or an error arrived.
 func (x *run) attemptGuarded(ctx context.Context, cancel context.CancelCauseFunc, answered func(), place Placement) (*refusal.Refusal, error) {
-	if x.Suspect != nil && x.repeatable() && x.sent+1 < x.job.Route.Attempts {
+	if x.Suspect != nil && place.Box == "" && x.repeatable() && x.sent+1 < x.job.Route.Attempts {
 		over := make(chan struct{})
 		go x.abortIfSuspect(ctx, cancel, over, x.job, place.Target)
 		return x.send(ctx, func() { answered(); close(over) }, place)
@@ -213,7 +226,7 @@
 }
 
 func (x *run) send(ctx context.Context, answered func(), place Placement) (*refusal.Refusal, error) {
-	attempt := Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID}
+	attempt := Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID, Attempts: x.sent}
 	if place.FromCopy {
 		attempt.ResumeFrom = place.Address
 	}
@@ -230,6 +243,9 @@
 		return x.handleNoAnswer(place, errWeightsExpired)
 	}
 	defer reply.Close()
+	if place.Box != "" {
+		return x.relayFromBox(ctx, place, reply)
+	}
 	if reply.Verdict != MayHaveRun {
 		return x.handleTurnedAway(place, reply)
 	}
@@ -266,9 +282,10 @@
 		CutOff: failed && !notSent, CallerLeft: left && !notSent, ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED),
 	})
 	x.outcome.Cause = err.Error()
-	if notSent {
+	switch {
+	case notSent && place.Box == "":
 		x.unsent++
-	} else {
+	case !notSent:
 		x.countArrived()
 		x.ran++
 	}
@@ -307,8 +324,7 @@
 
 // countArrived counts an attempt that may have reached its target.
 func (x *run) countArrived() {
-	x.sent++
-	x.retryPaid = false
+	x.setSent(x.sent + 1)
 }
 
 // retryAllowed says whether another attempt is allowed, and takes it from the budget if an
--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -33,6 +33,8 @@
 	copiesRuns func(pool *routing.Pool) bool
 	// quarantined says whether a request must not reach any target.
 	quarantined func(now time.Time, t *tables, sum fingerprint.Sum) bool
+	// handsOn says whether requests may be handed on to other boxes.
+	handsOn bool
 	// waits says whether requests without room may wait, at this box or at a hub.
 	waits bool
 	// engineSlowdown is by which factor an engine's first events are later than predicted, as
@@ -69,6 +71,7 @@
 // ablate switches off the mechanisms that the settings name or don't ask for.
 func (d *Daemon) ablate() {
 	d.waits = d.Settings.Overload.Queue
+	d.handsOn = true
 	if !d.Settings.Overload.SlowEngines {
 		d.withoutSlowEngines()
 	}
@@ -128,6 +131,9 @@
 	if off(settings.Copies) {
 		d.copiesRuns = func(*routing.Pool) bool { return false }
 	}
+	if off(settings.HandingOn) {
+		d.handsOn = false
+	}
 	if off(settings.SlowEngines) {
 		d.withoutSlowEngines()
 	}
--- a/entry/build.go
+++ b/entry/build.go
@@ -15,6 +15,7 @@
 	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/handoff"
 	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/leastrequest"
@@ -81,6 +82,8 @@
 	// notices are the targets' signals about themselves.
 	notices notice.Registry
 	peers   peer.Node
+	// handoff hands requests on to other boxes and serves theirs.
+	handoff handoff.Node
 	// wholeReads bounds the reads of whole sources.
 	wholeReads wholeReads
 	hooks
@@ -99,13 +102,14 @@
 	d.startedAt = d.now()
 	d.bounds.Store(&d.Settings.Bounds)
 	d.tables = newTables()
+	d.tables.self = d.Settings.Name
 	d.tables.regions[d.Settings.Domain] = d.Settings.Region
 	d.messages = make(chan message, messageBuffer)
 	d.hooks = newHooks()
 	d.metrics = newMetricSet(d.Registry)
 	d.ended = make(chan struct{})
 	d.wholeReads = newWholeReads(d.Settings.Box.Megabits)
-	d.systems = []system{d.sweep, d.noteReach, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.catchUp, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.borrowTokens, d.expireCopies, d.gossip, d.reapRequests, d.tendQueues, d.endUnread}
+	d.systems = []system{d.sweep, d.noteReach, d.probeLost, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.probeSuspects, d.rereadIfBehind, d.catchUp, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.borrowTokens, d.expireCopies, d.gossip, d.reapRequests, d.tendQueues, d.endUnread}
 	d.plan = rollout.Plan{MinConcurrent: concurrentLoads, ConcurrentShare: concurrentLoadShare}
 	d.services = leastrequest.Chooser{Domain: d.Settings.Domain, Self: placement.Hash(d.Settings.Name)}
 	d.tables.prefillBacklog.TokenTime = d.prefillPerToken
@@ -135,6 +139,7 @@
 	d.callers.held = &d.held
 	d.buildServer()
 	d.buildPeers()
+	d.buildHandoff()
 	d.ablate()
 }
 
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/thymewind/thymewind/handoff"
 	"github.com/thymewind/thymewind/hangup"
 )
 
@@ -66,7 +67,9 @@
 
 // peerHandler answers other boxes once the credential was read.
 func (d *Daemon) peerHandler() http.Handler {
-	handler := d.peers.Handler()
+	handler := http.NewServeMux()
+	handler.Handle("/", d.peers.Handler())
+	handler.Handle(handoff.Path, d.handoff.Handler())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.credential.Load() == nil {
 			http.Error(w, "this box has not read the credential yet", http.StatusServiceUnavailable)
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -26,6 +26,9 @@
 	}
 	d.metrics.requests.WithLabelValues(pool, strconv.Itoa(o.Status), outcomeKind(o)).Inc()
 	d.learnMinAnswerTime(o)
+	if o.Call.HandedOn != nil {
+		d.metrics.takenOver.WithLabelValues(poolName(o), outcomeKind(o)).Inc()
+	}
 	if o.RefusalCode != "" {
 		d.metrics.refusals.WithLabelValues(o.RefusalCode).Inc()
 	}
@@ -44,6 +47,12 @@
 	if o.Cause != "" && o.Attempts > 0 || o.RefusalCode == codeQuarantined {
 		fields = append(fields, "fingerprint", o.Job.Fingerprint())
 	}
+	if o.Call.HandedOn != nil {
+		fields = append(fields, "handed_on_by", o.Call.HandedOn.By)
+	}
+	if o.Place.Box != "" {
+		fields = append(fields, "handed_on_to", o.Place.Box)
+	}
 	if o.CallerLeft {
 		fields = append(fields, "ended_after", o.Teardown)
 	}
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -56,6 +56,9 @@
 		t.answer(now, m, placementAnswer{err: refused})
 		return nil
 	}
+	if d.handOn(now, t, m) {
+		return nil
+	}
 	if effects, remote := d.placeRemotely(now, t, m); remote {
 		return effects
 	}
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -26,7 +26,9 @@
 }
 
 // lost reports whether this box seems to reach no target of a pool.
-func (t *tables) lost(pool string) bool { return t.reach.Lost(pool, len(t.fleet.Pool(pool))) }
+func (t *tables) lost(now time.Time, pool string) bool {
+	return t.reach.Lost(now, pool, len(t.fleet.Pool(pool)))
+}
 
 // noteReach logs and counts pools that this box stopped or began to reach.
 func (d *Daemon) noteReach(now time.Time, t *tables) []effect {
@@ -36,7 +38,7 @@
 	}
 	for name := range table.Pools {
 		_, before := t.lostPools[name]
-		lost := t.lost(name)
+		lost := t.lost(now, name)
 		if lost == before {
 			continue
 		}
@@ -58,6 +60,30 @@
 	return nil
 }
 
+// probeLost probes the targets of pools out of this box's reach in turn, one of a pool at a time,
+// unless their cache events are read anyway: no request shows when the links are back.
+func (d *Daemon) probeLost(now time.Time, t *tables) []effect {
+	if len(t.lostPools) == 0 || now.Before(t.due.lostProbe) {
+		return nil
+	}
+	t.due.lostProbe = now.Add(probeInterval)
+	var effects []effect
+	for _, name := range t.lostPoolNames() {
+		targets := t.fleet.Pool(name)
+		if len(targets) == 0 || slices.ContainsFunc(targets, func(x *fleet.Target) bool { return t.probing[x.ID] || t.watched[x.ID] != nil }) {
+			continue
+		}
+		t.lostProbes++
+		x := targets[t.lostProbes%len(targets)]
+		if p, ok := d.probeFor(now, t, x); ok {
+			p.suspected = false
+			t.probing[x.ID] = true
+			effects = append(effects, p)
+		}
+	}
+	return effects
+}
+
 // lostPoolNames lists the pools that this box does not reach, for other boxes.
 func (t *tables) lostPoolNames() []string { return slices.Sorted(maps.Keys(t.lostPools)) }
 
--- a/entry/retryafter.go
+++ b/entry/retryafter.go
@@ -25,7 +25,7 @@
 		return d.retryEstimator.MemoryFull(job.Route.Goal, priority)
 	case "congested", codeLimited:
 		return d.retryEstimator.Congested(priority)
-	case "no_target", "old_weights":
+	case "no_target", "old_weights", codeLost:
 		return d.retryEstimator.DuringOutage(now, noTarget+job.Pool.Name, priority)
 	case "no_configuration":
 		return d.retryEstimator.DuringOutage(now, noConfiguration, priority)
--- a/entry/settings/mechanisms.go
+++ b/entry/settings/mechanisms.go
@@ -41,13 +41,15 @@
 	Copies = "copies"
 	// SlowEngines gives less work to engines whose answers began late.
 	SlowEngines = "slow_engines"
+	// HandingOn has other boxes serve requests whose targets a box does not reach.
+	HandingOn = "handing-on"
 	// HeldBytes bounds the bytes held for callers and targets.
 	HeldBytes = "held-bytes"
 )
 
 // mechanisms lists all of them.
 var mechanisms = []string{
-	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies, SlowEngines, HeldBytes,
+	Saves, StoreFetches, EngineFetches, LearntMoves, LearntReading, RankSlack, OwnDomain, LeastUrgent, Reserve, UsualSize, Freeing, Loads, Hurry, Quarantine, Waiting, Copies, SlowEngines, HandingOn, HeldBytes,
 }
 
 func (s *Settings) checkWithout(d *document.Document) {
--- a/entry/signals.go
+++ b/entry/signals.go
@@ -48,6 +48,9 @@
 // send sends a request to its target, unless the target has since asked for none, and records
 // the signals in the answer.
 func (d *Daemon) send(ctx context.Context, s deliver.Attempt) (*deliver.Reply, error) {
+	if s.Place.Box != "" {
+		return d.sendToBox(ctx, s)
+	}
 	incarnation := incarnationOf(s.Place)
 	s.Allow = func() error { return d.allow(incarnation, s) }
 	sentAt := d.now()
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -55,6 +55,7 @@
 	d.logOverload(t)
 	d.logCongestion(t)
 	d.Sweep(now)
+	d.handoff.Sweep()
 	d.recountBoxes(now, t)
 	d.countTables(t)
 	d.resizeInUse(now, t)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -18,6 +18,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/grace"
 	"github.com/thymewind/thymewind/headroom"
+	"github.com/thymewind/thymewind/helper"
 	"github.com/thymewind/thymewind/outlier"
 	"github.com/thymewind/thymewind/overdue"
 	"github.com/thymewind/thymewind/peer"
@@ -103,6 +104,14 @@
 	// time at which it noticed.
 	reach     reach.Tracker
 	lostPools map[string]time.Time
+	// lostProbes counts the probes of targets of such pools.
+	lostProbes int
+	// helpers chooses the boxes that serve requests for this one, whose name is self. candidates
+	// are those that it chooses from, of candidatesOf members.
+	helpers      helper.Chooser
+	self         string
+	candidates   []helper.Candidate
+	candidatesOf int
 	// silences is when connections to targets were last found silent, by address.
 	silences map[netip.AddrPort]time.Time
 	// members are the boxes that have ever written their row, including this one.
@@ -255,7 +264,7 @@
 
 // due is when each system next has something to do.
 type due struct {
-	sweep, lease, probe, gossip, reap, suspension, refresh, unreadChecked time.Time
+	sweep, lease, probe, gossip, reap, suspension, refresh, unreadChecked, lostProbe time.Time
 }
 
 // member is another box.
--- a/entry/throughput.go
+++ b/entry/throughput.go
@@ -11,6 +11,9 @@
 
 // answerBegan learns from the time to first byte of an answer.
 func (d *Daemon) answerBegan(now time.Time, t *tables, p deliver.Placement) {
+	if p.Box != "" {
+		return
+	}
 	if x := t.fleet.Incarnation(fleet.Incarnation{ID: p.Target, StartedAt: p.StartedAt}); x != nil {
 		x.Began(now, p.PrefillTokens)
 		t.reach.Heard(now, x.Pool)
--- a/entry/update.go
+++ b/entry/update.go
@@ -164,6 +164,10 @@
 
 // attemptEnded learns from the result of an attempt.
 func (d *Daemon) attemptEnded(now time.Time, t *tables, m attemptEnded) {
+	if m.Place.Box != "" {
+		d.handedOnEnded(now, t, m)
+		return
+	}
 	t.overdue.Done(placement.Hash(m.Place.Target), m.Place.PlacedAt)
 	t.endAccount(m)
 	d.recordRunEnd(now, t, m)
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -142,7 +142,7 @@
 	w := t.waiting[job.Pool.Name]
 	if job.Pool.Engine == nil || d.spoke.Load() || (w == nil || w.queue.Len() == 0) && !d.mayWait(job) {
 		place, err := d.place(now, t, m.ask)
-		t.answer(now, m, placementAnswer{place, err})
+		d.answerPlaced(now, t, m, place, err)
 		return
 	}
 	d.noteReturn(now, t, &m)
@@ -159,7 +159,7 @@
 	case refused.Code == codeCrowded:
 		d.waitOrRefuse(now, t, m, refused)
 	default:
-		t.answer(now, m, placementAnswer{err: refused})
+		d.answerPlaced(now, t, m, place, refused)
 	}
 }
 
--- a/entry/waitingserve.go
+++ b/entry/waitingserve.go
@@ -75,7 +75,7 @@
 	}
 	if refused != nil {
 		d.endWait(now, w, x.queued.ID, endRefused)
-		t.answer(now, x.request, placementAnswer{err: refused})
+		d.answerPlaced(now, t, x.request, place, refused)
 		return true
 	}
 	w.served.Add(now, float64(x.queued.Tokens))
--- /dev/null
+++ b/handoff/serve.go
@@ -0,0 +1,210 @@
+package handoff
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// chunkBytes is how much of an answer is collected before it is sent, unless it is flushed.
+const chunkBytes = 16 << 10
+
+// Attempts counts the targets that may have received a request, over both boxes.
+type Attempts struct{ n atomic.Int64 }
+
+// Set sets the count.
+func (a *Attempts) Set(n int) { a.n.Store(int64(n)) }
+
+// Count returns the count.
+func (a *Attempts) Count() int { return int(a.n.Load()) }
+
+// Handler accepts connections of boxes that present the credential.
+func (n *Node) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !n.authenticated(r.Header.Get("Authorization")) {
+			http.Error(w, "the peer credential is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		if !n.admit() {
+			http.Error(w, "this box serves as many requests of other boxes as it can", http.StatusServiceUnavailable)
+			return
+		}
+		defer n.release()
+		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{subprotocol}})
+		if err != nil {
+			return // Accept has answered.
+		}
+		defer func() { _ = ws.CloseNow() }()
+		ws.SetReadLimit(maxMessage)
+		n.serveConnection(r.Context(), ws)
+	})
+}
+
+func (n *Node) admit() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.accepted >= n.MaxServed {
+		return false
+	}
+	n.accepted++
+	return true
+}
+
+func (n *Node) release() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accepted--
+}
+
+// Served returns how many connections of other boxes are open.
+func (n *Node) Served() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.accepted
+}
+
+// serveConnection serves the requests of a connection one after another. Something is always being
+// read meanwhile, so that the end of the connection ends the request under way.
+func (n *Node) serveConnection(ctx context.Context, ws *websocket.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	requests := make(chan *Request)
+	go func() {
+		defer cancel()
+		for {
+			f, err := n.receive(ctx, ws)
+			if err != nil || f.Request == nil {
+				return
+			}
+			select {
+			case requests <- f.Request:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	defer cancel()
+	idle := time.NewTimer(2 * idleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case r := <-requests:
+			if n.serveRequest(ctx, ws, r) != nil {
+				return
+			}
+			idle.Reset(2 * idleTimeout)
+		case <-idle.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serveRequest serves one request and returns an error if the connection can't be used any more.
+func (n *Node) serveRequest(ctx context.Context, ws *websocket.Conn, r *Request) error {
+	w := &answerWriter{ctx: ctx, node: n, ws: ws, header: make(http.Header)}
+	w.attempts.Set(r.Attempts)
+	cut, err := n.call(ctx, w, r)
+	if err != nil && !w.began {
+		refused := n.Refusal(err)
+		w.began = true
+		err = w.send(frame{Head: &head{Refused: &refused, Attempts: w.attempts.Count()}})
+		if err != nil {
+			return err
+		}
+		return w.send(frame{End: &end{Attempts: w.attempts.Count()}})
+	}
+	cut = cut || err != nil
+	if !cut {
+		if err := w.FlushError(); err != nil {
+			return err
+		}
+	}
+	return w.send(frame{End: &end{Cut: cut, Attempts: w.attempts.Count()}})
+}
+
+// call calls Serve. It reports whether an answer was begun that could not be completed.
+func (n *Node) call(ctx context.Context, w *answerWriter, r *Request) (cut bool, err error) {
+	defer func() {
+		switch reason := recover(); reason {
+		case nil:
+		case http.ErrAbortHandler:
+			cut = true
+		default:
+			panic(reason)
+		}
+	}()
+	return false, n.Serve(ctx, w, r, &w.attempts)
+}
+
+// errNoAnswer is the refusal's reason if Serve wrote nothing before it gave up.
+var errNoAnswer = errors.New("the box gave the request up without an answer")
+
+// answerWriter is the http.ResponseWriter of a request of another box.
+type answerWriter struct {
+	ctx      context.Context
+	node     *Node
+	ws       *websocket.Conn
+	header   http.Header
+	status   int
+	began    bool
+	attempts Attempts
+	data     []byte
+}
+
+// Header implements http.ResponseWriter.
+func (w *answerWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if w.status == 0 {
+		w.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	w.data = append(w.data, b...)
+	if len(w.data) < chunkBytes {
+		return len(b), nil
+	}
+	if err := w.FlushError(); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// FlushError sends what was written, for http.ResponseController. It blocks while the other box's
+// caller does not read.
+func (w *answerWriter) FlushError() error {
+	if !w.began {
+		if w.status == 0 {
+			return errNoAnswer
+		}
+		w.began = true
+		if err := w.send(frame{Head: &head{Status: w.status, Header: w.header, Attempts: w.attempts.Count()}}); err != nil {
+			return err
+		}
+	}
+	if len(w.data) == 0 {
+		return nil
+	}
+	data := w.data
+	w.data = w.data[:0]
+	return w.send(frame{Data: data})
+}
+
+func (w *answerWriter) send(f frame) error {
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		return err
+	}
+	w.node.OnSent(len(data))
+	return w.ws.Write(w.ctx, websocket.MessageBinary, data)
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -5,7 +5,7 @@
 //	r := reach.Tracker{}
 //	r.Heard(now, "menu")            // something came from one of its targets
 //	r.Failed(now, "menu", "i-7f")   // this one could not be reached
-//	if r.Lost("menu", targets) {    // other boxes may still reach the pool
+//	if r.Lost(now, "menu", targets) {    // other boxes may still reach the pool
 //	}
 package reach
 
@@ -18,6 +18,10 @@
 // that watches no target learns of each only from its own requests.
 const maxEvidence = 4
 
+// quiet is how long nothing must have come from a pool that counts as lost. Where only new
+// connections fail, answers still come on open ones.
+const quiet = 250 * time.Millisecond
+
 // Tracker is what one box knows of its own links. The zero value is ready; it is not safe for
 // concurrent use.
 type Tracker struct {
@@ -62,16 +66,17 @@
 
 // Lost reports whether this box seems to reach no target of a pool, which has the given number
 // of targets.
-func (r *Tracker) Lost(name string, targets int) bool {
-	return targets > 0 && len(r.failedOf(name)) >= evidence(targets) || r.lostBeside(name, targets)
+func (r *Tracker) Lost(now time.Time, name string, targets int) bool {
+	p := r.pools[name]
+	if p != nil && now.Sub(p.heardAt) < quiet || targets == 0 {
+		return false
+	}
+	return p != nil && len(p.failed) >= evidence(targets) || r.lostBeside(name)
 }
 
 // lostBeside reports whether another pool's targets have been out of reach since before anything
 // last came from this pool: its kept connections would be found silent only by a request each.
-func (r *Tracker) lostBeside(name string, targets int) bool {
-	if targets == 0 {
-		return false
-	}
+func (r *Tracker) lostBeside(name string) bool {
 	var heardAt time.Time
 	if p := r.pools[name]; p != nil {
 		heardAt = p.heardAt
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -43,6 +43,7 @@
 		{"the same one again", []func(*reach.Tracker){failed("menu", 0, 1), failed("menu", 5, 1)}, 3, false},
 		{"another heard in between", []func(*reach.Tracker){failed("menu", 0, 3), heard("menu", 10), failed("menu", 20, 3)}, 9, false},
 		{"heard afterwards", []func(*reach.Tracker){failed("menu", 0, 9), heard("menu", 10)}, 9, false},
+		{"heard just before", []func(*reach.Tracker){heard("menu", 800), failed("menu", 900, 9)}, 9, false},
 		{"left since", []func(*reach.Tracker){failed("menu", 0, 2), func(r *reach.Tracker) { r.Forget("menu", "i-0") }}, 3, false},
 		{"another pool lost since it was heard", []func(*reach.Tracker){heard("menu", 0), failed("orders", 10, 4)}, 9, true},
 		{"heard after the other pool was lost", []func(*reach.Tracker){failed("orders", 10, 4), heard("menu", 20)}, 9, false},
@@ -54,7 +55,7 @@
 			for _, step := range tt.steps {
 				step(&r)
 			}
-			if got := r.Lost("menu", tt.targets); got != tt.want {
+			if got := r.Lost(at(1000), "menu", tt.targets); got != tt.want {
 				t.Errorf("Lost = %v, want %v", got, tt.want)
 			}
 		})
