--- a/entry/reach.go
+++ b/entry/reach.go
@@ -94,12 +94,12 @@
 	}
 }
 
-// boxesReaching counts, over all boxes that answer, those that have not reported a pool as out of
-// their reach.
+// boxesReaching counts the other boxes that answer and have not reported a pool as out of their
+// reach.
 func (t *tables) boxesReaching(pool string) int {
 	n := 0
-	for _, m := range t.members {
-		if !m.unanswered && m.address.IsValid() && !slices.Contains(m.lostPools, pool) {
+	for name, m := range t.members {
+		if name != t.self && !m.unanswered && m.address.IsValid() && !slices.Contains(m.lostPools, pool) {
 			n++
 		}
 	}
