fix(entry): a box whose links are reset does not take its targets for ended

What callers saw: after a box's links to all targets were reset, requests that had merely run there were refused as quarantined by all boxes, for an hour or until one like them was answered. TestCutBoxBlamesNobody before the fix: all three boxes refuse ('6 targets ended while requests for the same ran there'), though no target had ended.

Cause: 'its address refuses connections' was taken for the end of the target's process. Lost links can look just so (the same cause as boxes-without-targets: what a box reaches itself is taken for what is).

Change: a refusal counts once another target is heard 0.15 s after it, and not if the pool was out of reach in between; a box without other traffic probes one target that should live. Where a part of the links is lost that is still wrong, so every box that hears an incarnation itself takes its end back and tells others; one that does not watch it probes it once. An engine's cache events count for the incarnation only once their epoch was compared. A request whose pool is lost goes to a box with its own quarantine, whatever this box suspects.

Tests: entry tests that have a target end now also have another one heard, as the end is not known before; their expectations are unchanged, and TestRefusalsOfLostLinks adds the cases in which nothing else is heard.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -107,14 +107,17 @@
 }
 
 // Alive records that a target answered a request sent at a time. What was cut off there
-// before was not cut off by a crash.
-func (t *Tracker) Alive(incarnation string, sentAt time.Time) {
+// before was not cut off by a crash. It reports whether the incarnation was known to have ended:
+// something on the way, not the target, refused the connections.
+func (t *Tracker) Alive(incarnation string, sentAt time.Time) (revived bool) {
 	if at, ended := t.ended[incarnation]; ended && sentAt.After(at) {
-		delete(t.ended, incarnation) // Something on the way, not the target, refused the connections.
+		delete(t.ended, incarnation)
+		revived = true
 	}
 	if s := t.suspects[incarnation]; s != nil && sentAt.After(s.last) {
 		delete(t.suspects, incarnation)
 	}
+	return revived
 }
 
 // Ended records that an incarnation ended and returns the requests that ran there.
--- a/entry/cacheevents.go
+++ b/entry/cacheevents.go
@@ -12,10 +12,8 @@
 		return nil // It arrived while the watcher was being stopped.
 	}
 	x := t.fleet.Target(m.source)
-	if x != nil {
-		d.livenessFromEvents(now, t, x, m)
-	}
 	if x != nil && m.err != nil {
+		d.livenessFromEvents(now, t, x, m)
 		d.signalsFromEvents(now, t, x, m.events.Signals)
 	}
 	if m.err != nil {
@@ -40,6 +38,7 @@
 		d.Log.Warn("store restarted and lost its cache", "store", m.source, "epoch", m.events.Epoch)
 	}
 	if x != nil {
+		d.livenessFromEvents(now, t, x, m)
 		d.signalsFromEvents(now, t, x, m.events.Signals)
 		t.heard(now, x)
 		x.FeedLost = false // It is still the same incarnation.
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -52,12 +52,12 @@
 func (d *Daemon) recordLiveness(now time.Time, t *tables, m attemptEnded) {
 	incarnation := placementIncarnation(m.Place)
 	if m.Began || m.Verdict == deliver.DidNotRun || m.Verdict == deliver.OtherVersion {
-		t.crashes.Alive(incarnation, m.Place.PlacedAt)
+		d.alive(now, t, incarnation, m.Place.PlacedAt)
 	}
 	ended := false
 	switch {
 	case m.ConnectionRefused:
-		d.incarnationEnded(now, t, incarnation, "its address refuses connections")
+		d.addressRefuses(now, t, incarnation, "its address refuses connections")
 	case m.Answered:
 		d.clearAnswered(now, t, m.Job)
 	case m.CutOff:
@@ -90,6 +90,7 @@
 		return
 	}
 	t.endedIncarnations[incarnation] = now
+	t.verifyEnd(now, incarnation)
 	d.incarnationEnded(now, t, incarnation, from)
 }
 
@@ -175,10 +176,11 @@
 func (d *Daemon) probeAnswered(now time.Time, t *tables, m probed) {
 	incarnation := incarnationKey(m.incarnation)
 	switch {
+	case m.engine && t.crashes.HasEnded(incarnation): // An engine's report does not say whose it is.
 	case m.err == nil || errors.Is(m.err, ErrUnhealthy):
-		t.crashes.Alive(incarnation, m.decidedAt)
+		d.alive(now, t, incarnation, m.decidedAt)
 	case errors.Is(m.err, syscall.ECONNREFUSED):
-		d.incarnationEnded(now, t, incarnation, "its address refuses connections")
+		d.addressRefuses(now, t, incarnation, "its address refuses connections")
 	}
 }
 
@@ -187,9 +189,9 @@
 func (d *Daemon) livenessFromEvents(now time.Time, t *tables, x *fleet.Target, m cacheEventsRead) {
 	switch {
 	case m.err == nil:
-		t.crashes.Alive(incarnationKey(x.Incarnation()), m.requestedAt)
+		d.alive(now, t, incarnationKey(x.Incarnation()), m.requestedAt)
 	case errors.Is(m.err, syscall.ECONNREFUSED):
-		d.incarnationEnded(now, t, incarnationKey(x.Incarnation()), "its news")
+		d.addressRefuses(now, t, incarnationKey(x.Incarnation()), "its news")
 	}
 }
 
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -56,6 +56,15 @@
 	return attemptEnded{deliver.AttemptResult{Place: placeAt(0, target), Job: jobWithBody("another"), Failed: true, Unreachable: true, ConnectionRefused: true}}
 }
 
+// confirmEnds has a target that works be heard after others' addresses refused connections, which
+// shows that the box's own links work.
+func confirmEnds(d *Daemon) {
+	later := start.Add(2 * refusalMargin)
+	ids := d.tables.fleet.IDs()
+	d.tables.heard(later, d.tables.fleet.Target(ids[len(ids)-1]))
+	d.judgeRefusals(later, &d.tables)
+}
+
 func answersAt(ms int, target string) message { return answerBegan{placeAt(ms, target)} }
 
 // placeCode returns the code of an immediate refusal, or an empty string.
@@ -131,6 +140,7 @@
 				for _, m := range tt.after(target) {
 					d.update(start, m)
 				}
+				confirmEnds(d)
 			}
 			later := start.Add(10 * time.Second)
 			d.tables.crashes.Expire(later)
@@ -169,6 +179,7 @@
 		target := fmt.Sprintf("e%d", i%8)
 		d.update(start, cutOff(target, "bystander"))
 		d.update(start, refusesDial(target))
+		confirmEnds(d)
 		if i%2 == 1 {
 			d.update(start, attemptEnded{deliver.AttemptResult{Place: placeAt(1, "e7"), Job: jobWithBody("bystander"), Began: true, Answered: true}})
 		}
@@ -188,6 +199,7 @@
 			t.Fatal("refused as callers left")
 		}
 		d.update(start, refusesDial(target))
+		confirmEnds(d)
 	}
 	if got := placeCode(d, start, jobWithBody("same")); got != codeQuarantined {
 		t.Errorf("refused with %q", got)
@@ -218,6 +230,7 @@
 		d.update(start, cutOff(target, "same"))
 		d.update(start, cutOff(target, "bystander of "+name))
 		d.update(start, refusesDial(target))
+		confirmEnds(d)
 		rows = append(rows, rowsOf(t, d, start)...)
 		boxes = append(boxes, d)
 	}
@@ -259,6 +272,7 @@
 	d := engines("b1")
 	d.update(start, cutOff("e0", "same"))
 	d.update(start, refusesDial("e0"))
+	confirmEnds(d)
 	first := d.reportCrashes(start, &d.tables)[0].(writeCrashes)
 	if again := d.reportCrashes(start, &d.tables); len(again) != 0 {
 		t.Error("two writes at once")
@@ -326,6 +340,7 @@
 	b2.tables.members["b1"] = &member{}
 	b1.update(start, cutOff("e0", "same"))
 	b1.update(start, refusesDial("e0"))
+	confirmEnds(b1)
 	answer := b1.peerRequest(start, &b1.tables, peer.Message{Kind: peer.KindGossip, From: "b2"})
 	b2.update(start, peerAnswered{"b1", start, answer, nil})
 	if got := b2.tables.quarantine.Crashes(jobWithBody("same").Fingerprint()); got != 1 {
@@ -344,6 +359,7 @@
 	spoke.update(start, attemptEnded{deliver.AttemptResult{Place: placeAt(0, "a"), Job: jobWithBody("same"), CallerLeft: true}})
 	finder.update(start, cutOff("a", "bystander"))
 	finder.update(start, refusesDial("a"))
+	confirmEnds(finder)
 	hub.update(start, ownRead{OwnRows{Rows: rowsOf(t, finder, start)}, true})
 	answer := hub.peerRequest(start, &hub.tables, gossipFrom("box-05"))
 	answer.View = nil // Its list has no addresses, so the view would show the same.
@@ -385,6 +401,8 @@
 			for _, e := range effects {
 				p := e.(probe)
 				tt.box.update(later, probed{p, syscall.ECONNREFUSED})
+				tt.box.tables.heard(later.Add(2*refusalMargin), tt.box.tables.fleet.Target(tt.box.tables.fleet.IDs()[1]))
+				tt.box.judgeRefusals(later.Add(2*refusalMargin), &tt.box.tables)
 				if tt.box.tables.quarantine.Crashes(jobWithBody("same").Fingerprint()) != 1 {
 					t.Error("the answer does not count")
 				}
--- a/entry/handoff.go
+++ b/entry/handoff.go
@@ -84,6 +84,11 @@
 	return true
 }
 
+// mayHandOn reports whether a request's pool is out of this box's reach and another box may serve it.
+func (d *Daemon) mayHandOn(now time.Time, t *tables, job *deliver.Job) bool {
+	return d.handsOn && job.HandedOn == nil && t.lost(now, job.Pool.Name) && len(t.reaching(now, job.Pool.Name)) > 0
+}
+
 // placeAtBox places a request at another box if one may serve it.
 func (d *Daemon) placeAtBox(now time.Time, t *tables, m placementRequest) bool {
 	if !d.handsOn || m.ask.Job.HandedOn != nil || len(m.ask.Boxes) >= maxBoxesAsked {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -21,6 +21,9 @@
 		return nil
 	}
 	sum := job.Fingerprint()
+	if d.mayHandOn(now, t, job) && t.quarantine.Crashes(sum) < quarantine.Threshold {
+		return nil // This box's own suspicions may be of its links; the other box has its own.
+	}
 	if !d.quarantined(now, t, sum) {
 		return nil
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -224,6 +224,10 @@
 	// endedIncarnations are targets' incarnations that other boxes found to have ended, with
 	// the time at which this box learned it.
 	endedIncarnations map[string]time.Time
+	// refusals are the incarnations whose addresses refuse connections, verify those that other
+	// boxes reported as ended and that are to be probed, with the time of the report.
+	refusals map[string]connRefusal
+	verify   map[string]time.Time
 	// nextTrial is when this box may claim the next trial of a quarantined request.
 	nextTrial map[fingerprint.Sum]time.Time
 	// lifted are requests that were answered after all, with the time at which this box
@@ -308,7 +312,7 @@
 		lostPools: make(map[string]time.Time), silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
 		slowLogged: make(map[string]bool), slowEnginesLogged: make(map[string]bool), mostlySlow: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
-		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time),
+		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time), refusals: make(map[string]connRefusal), verify: make(map[string]time.Time),
 		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), firstEvents: make(map[string]usualTime), placed: placedTokens{running: make(map[string]int)},
 		laterVersions: superseded.Versions{TTL: laterVersionTTL},
 		rewriteGrace:  grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
--- a/entry/throughput.go
+++ b/entry/throughput.go
@@ -18,7 +18,7 @@
 		x.Began(now, p.PrefillTokens)
 		t.reach.Heard(now, x.Pool)
 	}
-	t.crashes.Alive(placementIncarnation(p), p.PlacedAt)
+	d.alive(now, t, placementIncarnation(p), p.PlacedAt)
 	t.overdue.Done(placement.Hash(p.Target), p.PlacedAt)
 	if p.Scope != "" && !p.FromCopy { // What a run that continues has to read is not known.
 		// What the engine's own slowness explains is no sample of the pool's speed or of the sources'.
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -124,6 +124,9 @@
 	}
 }
 
+// HeardSince reports whether something was received from the target after a time.
+func (t *Target) HeardSince(at time.Time) bool { return t.lastHeard.After(at) }
+
 // Ended records the end of a request, and whether Began was called for it.
 func (t *Target) Ended(now time.Time, began bool, prefillTokens, tokens int, failed bool) {
 	t.InFlight--
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -107,6 +107,25 @@
 	return true
 }
 
+// Lives takes back that an incarnation ended. It returns the fingerprints that are no longer
+// refused, in order.
+func (l *List) Lives(incarnation string) []fingerprint.Sum {
+	var lifted []fingerprint.Sum
+	for sum, r := range l.bySum {
+		if !r.crashes[incarnation] {
+			continue
+		}
+		before := r.counts()
+		r.crashes[incarnation] = false
+		if before >= Threshold && r.counts() < Threshold {
+			l.changed = true
+			lifted = append(lifted, sum)
+		}
+	}
+	slices.SortFunc(lifted, func(x, y fingerprint.Sum) int { return bytes.Compare(x[:], y[:]) })
+	return lifted
+}
+
 // Refuses reports whether a request with the fingerprint must not be sent to a target,
 // with some more incarnations that may have crashed under it.
 func (l *List) Refuses(now time.Time, sum fingerprint.Sum, suspects int) bool {
