fix(entry): a hub that reaches no engine places for nobody

What callers saw: in a fleet with hubs, a hub that lost its links to the engines placed its boxes' requests on engines that it took for ejected, or refused them, though these boxes reach the engines.

--- a/entry/hub.go
+++ b/entry/hub.go
@@ -124,11 +124,12 @@
 	return d.firstHub(now, t, func(_ string, m *member) bool { return !now.Before(m.retryAt) })
 }
 
-// placementHub returns the hub to ask for a placement, or an empty name if none answers. A hub
+// placementHub returns the hub to ask for a placement in a pool, or an empty name if none answers
+// and reaches the pool. A hub
 // that failed to answer must first answer gossip again, as a request can't wait for it.
-func (d *Daemon) placementHub(now time.Time, t *tables, excluded []string) string {
+func (d *Daemon) placementHub(now time.Time, t *tables, pool string, excluded []string) string {
 	return d.firstHub(now, t, func(name string, m *member) bool {
-		return !m.unanswered && !now.Before(m.retryAt) && !slices.Contains(excluded, name)
+		return !m.unanswered && !now.Before(m.retryAt) && !slices.Contains(excluded, name) && !slices.Contains(m.lostPools, pool)
 	})
 }
 
--- a/entry/hub_test.go
+++ b/entry/hub_test.go
@@ -395,14 +395,14 @@
 	for range maxHubMisses {
 		d.hubFailed(start, &d.tables, "box-00", silent)
 	}
-	if got := d.placementHub(again, &d.tables, nil); got != "box-01" {
+	if got := d.placementHub(again, &d.tables, "models", nil); got != "box-01" {
 		t.Errorf("placements are requested from %q", got)
 	}
 	if got := d.viewHub(again, &d.tables); got != "box-00" {
 		t.Errorf("gossip goes to %q", got)
 	}
 	d.update(again, peerAnswered{name: "box-00", requestedAt: again})
-	if got := d.placementHub(again, &d.tables, nil); got != "box-00" {
+	if got := d.placementHub(again, &d.tables, "models", nil); got != "box-00" {
 		t.Errorf("placements are requested from %q after it answered", got)
 	}
 }
--- a/entry/hubfailover_test.go
+++ b/entry/hubfailover_test.go
@@ -106,7 +106,7 @@
 				d, hubs := w.byName[ranked[hubsPerDomain+maxOwnHubs]], w.boxes[0].tables.hubs()
 				drafted := ""
 				for now := w.now; now.Sub(w.now) < tt.lasts; now = now.Add(tt.every) {
-					hub := d.placementHub(now, &d.tables, nil)
+					hub := d.placementHub(now, &d.tables, "models", nil)
 					if hub == "" {
 						continue
 					}
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -130,7 +130,7 @@
 	if !d.spoke.Load() || m.ask.Job.Pool.Engine == nil && !t.onlyLimited(now, m.ask) {
 		return ""
 	}
-	return d.placementHub(now, t, m.askedHubs)
+	return d.placementHub(now, t, m.ask.Job.Pool.Name, m.askedHubs)
 }
 
 // targetHints lists the targets to which this box has an idle connection, and those to which it
--- a/entry/placepeer.go
+++ b/entry/placepeer.go
@@ -26,6 +26,9 @@
 	if m.PlacementRequest.TokenOnly {
 		return d.lendToken(now, t, m.PlacementRequest)
 	}
+	if t.lost(now, m.PlacementRequest.Pool) && t.otherHubReaches(now, m.PlacementRequest.Pool) {
+		return &peer.PlacementResponse{AskAnother: true} // It can't tell which targets live.
+	}
 	if !m.PlacementRequest.Wait && len(t.waiting) == 0 {
 		return d.placeNowForPeer(now, t, m)
 	}
--- a/entry/quotahub.go
+++ b/entry/quotahub.go
@@ -35,7 +35,7 @@
 	}
 	targets := t.limitedTargets(now, m.ask)
 	if d.spoke.Load() {
-		if hub := d.placementHub(now, t, m.askedHubs); hub != "" && t.shareOf(hub, targets) > 0 {
+		if hub := d.placementHub(now, t, m.ask.Job.Pool.Name, m.askedHubs); hub != "" && t.shareOf(hub, targets) > 0 {
 			return hub
 		}
 	} else if t.shareOf(d.Settings.Name, targets) > 0 || d.hasToken(now, t, targets) {
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// otherHubReaches reports whether a hub, or in a small fleet any other box, answers and may reach a
+// pool that this box does not.
+func (t *tables) otherHubReaches(now time.Time, pool string) bool {
+	return slices.ContainsFunc(t.hubs(), func(name string) bool {
+		m := t.members[name]
+		return name != t.self && m.answersCalls(now) && !slices.Contains(m.lostPools, pool)
+	})
+}
+
 // boxesReaching counts the other boxes that answer and have not reported a pool as out of their
 // reach.
 func (t *tables) boxesReaching(pool string) int {
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -259,10 +259,11 @@
 }
 
 // moveWaiters sends waiting requests elsewhere: those of spokes while this box stops, and all of
-// them once it has become a spoke itself.
+// them once it has become a spoke itself or does not reach the engines.
 func (d *Daemon) moveWaiters(now time.Time, t *tables, w *waitingPool) []effect {
 	stopping, spoke := d.stopping.Load(), d.spoke.Load()
-	if !stopping && !spoke {
+	lost := d.handsOn && t.lost(now, w.pool.Name) && t.otherHubReaches(now, w.pool.Name)
+	if !stopping && !spoke && !lost {
 		return nil
 	}
 	var effects []effect
@@ -271,7 +272,7 @@
 		case !x.own():
 			d.endWait(now, w, id, endMoved)
 			d.answerHeld(x, &peer.PlacementResponse{AskAnother: true})
-		case spoke:
+		case spoke || lost:
 			d.endWait(now, w, id, endMoved)
 			effects = append(effects, d.placementRequested(now, t, x.request)...)
 		case now.After(d.beginBy(now, x.request.ask.Job)):
