feat(entry): logs name the prompt parts of requests that targets cut off before they began

Cause: the lines on an engine's end name fingerprints of whole requests.

Change: a request that a target cut off without having sent an event is logged with the IDs of its prompt's shared parts (all but the last), and its result says whether an event came. Nothing is decided by it. fingerprint.OfPart identifies a part of one account's prompts to one model. deliver and fingerprint pass.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return x.handleCutOff(place, err)
 	}
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: reply.Status >= http.StatusInternalServerError, Answered: true})
+	x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: reply.Status >= http.StatusInternalServerError, Answered: true})
 	x.outcome.Cause = ""
 	arrivedAt := x.Now()
 	x.writeHead(reply)
@@ -73,7 +73,7 @@
 	unwritten := err != nil && body.err == nil
 	unread := unwritten || body.err != nil && x.reading.causedCut(x.Now())
 	failed := err != nil && x.ctx.Err() == nil && !unread
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, CutOff: failed, Answered: err == nil, CallerLeft: unread || x.caller.Err() != nil, SlowCaller: unread || x.reading.slow()})
+	x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, CutOff: failed, Answered: err == nil, CallerLeft: unread || x.caller.Err() != nil, SlowCaller: unread || x.reading.slow()})
 	switch {
 	case unwritten:
 		return x.abort(x.writeFailure(err))
@@ -92,7 +92,7 @@
 // handleCutOff handles an answer that was cut off before any of it was passed on.
 func (x *run) handleCutOff(place Placement, err error) (*refusal.Refusal, error) {
 	failed := x.ctx.Err() == nil
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
+	x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
 	x.outcome.Cause = "the answer was cut off: " + err.Error()
 	if failed && x.repeatable() && x.retryAllowed(true) {
 		return nil, errRetry
@@ -124,7 +124,7 @@
 		event, err := events.Next()
 		wait.end()
 		if errors.Is(err, io.EOF) {
-			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true, FirstAfter: x.firstAfter, SlowCaller: x.reading.slow()})
+			x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Completed: true, Late: x.late, Answered: true, FirstAfter: x.firstAfter, SlowCaller: x.reading.slow()})
 			x.outcome.Cause = ""
 			x.completed(x.Now())
 			x.writeHead(reply)
@@ -136,6 +136,7 @@
 			}
 			return x.handleStreamCutOff(place, err)
 		}
+		x.events++
 		x.recordEvent()
 		passedOn = false
 		id := eventstream.ID(event)
@@ -152,7 +153,7 @@
 			err = flush.Flush()
 		}
 		if err != nil {
-			x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true, SlowCaller: true})
+			x.ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true, SlowCaller: true})
 			return x.abort(x.writeFailure(err))
 		}
 		x.times.written(x.Now())
@@ -181,11 +182,11 @@
 // handleStreamCutOff handles a stream that was cut off.
 func (x *run) handleStreamCutOff(place Placement, err error) (*refusal.Refusal, error) {
 	if x.ctx.Err() == nil && !errors.Is(err, errSilent) && x.reading.causedCut(x.Now()) {
-		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true, SlowCaller: true})
+		x.ended(AttemptResult{Place: place, Job: x.job, Began: true, CallerLeft: true, SlowCaller: true})
 		return x.abort(CauseUnread + ": the target cut the stream off: " + err.Error())
 	}
 	failed := x.ctx.Err() == nil
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
+	x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: failed, Unreachable: failed, CutOff: failed, CallerLeft: x.caller.Err() != nil})
 	x.outcome.Cause = "the stream was cut off: " + err.Error()
 	if failed && x.mayContinue(place) {
 		return x.breakOff(err)
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -92,8 +92,29 @@
 
 	// table is the configuration that it was admitted by.
 	table *routing.Table
-	// sum caches the fingerprint.
-	sum atomic.Pointer[fingerprint.Sum]
+	// sum caches the fingerprint, partSums those of the parts.
+	sum      atomic.Pointer[fingerprint.Sum]
+	partSums atomic.Pointer[[]fingerprint.Sum]
+}
+
+// SharedParts are the parts of the prompt that other requests may share: all but the last.
+func (j *Job) SharedParts() []Part { return j.Parts[:max(len(j.Parts)-1, 0)] }
+
+// PartFingerprints identifies the shared parts, in order. They are computed on first use.
+func (j *Job) PartFingerprints() []fingerprint.Sum {
+	if sums := j.partSums.Load(); sums != nil {
+		return *sums
+	}
+	account := ""
+	if j.Account != nil {
+		account = j.Account.Name
+	}
+	sums := make([]fingerprint.Sum, 0, len(j.Parts))
+	for _, p := range j.SharedParts() {
+		sums = append(sums, fingerprint.OfPart(account, j.Model, p.ID))
+	}
+	j.partSums.Store(&sums)
+	return sums
 }
 
 // Fingerprint identifies what the request asks for. It is computed on first use, as that
@@ -263,6 +284,8 @@
 	SlowCaller bool
 	Verdict    int
 	Version    int64
+	// Events says that the target sent at least one event.
+	Events bool
 	// FirstAfter is the time from the placement to a stream's first event; zero if there was none,
 	// or if it came from an earlier target.
 	FirstAfter time.Duration
--- a/deliver/handoff.go
+++ b/deliver/handoff.go
@@ -20,7 +20,7 @@
 	x.ran++
 	x.Began(place)
 	if x.headWritten && (reply.Status != http.StatusOK || !reply.Events) {
-		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
+		x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
 		return x.abort("the stream could not be resumed at another box")
 	}
 	if reply.Events && reply.Status == http.StatusOK {
@@ -33,7 +33,7 @@
 // reason was that box's own.
 func (x *run) handleBoxRefusal(place Placement, reply *Reply) (*refusal.Refusal, error) {
 	ran := reply.Refused.Outcome != refusal.DidNotRun
-	x.Ended(AttemptResult{Place: place, Job: x.job, Failed: reply.TryAnother, Verdict: reply.Verdict})
+	x.ended(AttemptResult{Place: place, Job: x.job, Failed: reply.TryAnother, Verdict: reply.Verdict})
 	x.boxRefusal = reply.Refused
 	x.outcome.Cause = place.Box + " refused it: " + reply.Refused.Code
 	if ran {
--- a/deliver/recheck.go
+++ b/deliver/recheck.go
@@ -41,7 +41,7 @@
 	job := x.job
 	moved, refused = x.readmit()
 	if moved || refused != nil {
-		x.Ended(AttemptResult{Place: place, Job: job})
+		x.ended(AttemptResult{Place: place, Job: job})
 	}
 	return moved, refused
 }
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -73,6 +73,8 @@
 	// sent that.
 	firstAfter time.Duration
 	times      eventTimes
+	// events counts the events that the current target sent.
+	events int
 	// queued is how long the request has waited for placements since the last event.
 	queued time.Duration
 	// unnumbered says that an event was passed on whose ID is not a number, or that had none.
@@ -192,6 +194,12 @@
 	return ""
 }
 
+// ended reports the result of the current attempt.
+func (x *run) ended(result AttemptResult) {
+	result.Events = x.events > 0
+	x.Ended(result)
+}
+
 // repeatable says that running the request again does no harm.
 func (x *run) repeatable() bool { return x.job.Route.Repeatable || x.job.Route.Resumable }
 
@@ -226,6 +234,7 @@
 }
 
 func (x *run) send(ctx context.Context, answered func(), place Placement) (*refusal.Refusal, error) {
+	x.events = 0
 	attempt := Attempt{Job: x.job, Place: place, Timeout: x.job.Until.Sub(x.Now()), LastEventID: x.lastEventID, Attempts: x.sent}
 	if place.FromCopy {
 		attempt.ResumeFrom = place.Address
@@ -253,16 +262,16 @@
 	x.ran++
 	x.Began(place)
 	if place.FromCopy && (reply.Status != http.StatusOK || !reply.Events) {
-		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
+		x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
 		return x.endWithoutCopy(fmt.Errorf("the target answered %d", reply.Status))
 	}
 	if reply.Status >= http.StatusInternalServerError && x.job.Route.Repeatable && x.retryAllowed(true) {
 		x.outcome.Cause = fmt.Sprintf("answered %d", reply.Status)
-		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
+		x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
 		return nil, errRetry
 	}
 	if x.headWritten && (reply.Status != http.StatusOK || !reply.Events) {
-		x.Ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
+		x.ended(AttemptResult{Place: place, Job: x.job, Began: true, Failed: true})
 		return x.abort(fmt.Sprintf("the stream could not be resumed: the target answered %d", reply.Status))
 	}
 	if reply.Events && reply.Status == http.StatusOK {
@@ -277,7 +286,7 @@
 	left := x.caller.Err() != nil
 	over := !left && x.ctx.Err() != nil
 	failed := !left && !ownFault(err)
-	x.Ended(AttemptResult{
+	x.ended(AttemptResult{
 		Place: place, Job: x.job, Failed: failed, Unreachable: failed && !over,
 		CutOff: failed && !notSent, CallerLeft: left && !notSent, ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED),
 	})
@@ -308,7 +317,7 @@
 // handleTurnedAway handles a target's statement that it did not run the request.
 func (x *run) handleTurnedAway(place Placement, reply *Reply) (*refusal.Refusal, error) {
 	x.countArrived()
-	x.Ended(AttemptResult{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun && !place.FromCopy, Verdict: reply.Verdict, Version: reply.Version})
+	x.ended(AttemptResult{Place: place, Job: x.job, Began: false, Failed: reply.Verdict == DidNotRun && !place.FromCopy, Verdict: reply.Verdict, Version: reply.Version})
 	x.outcome.Cause = fmt.Sprintf("turned away with %d", reply.Status)
 	if place.FromCopy {
 		return x.endWithoutCopy(errors.New(x.outcome.Cause))
--- a/entry/update.go
+++ b/entry/update.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
+	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/placement"
@@ -209,10 +211,22 @@
 	if m.CutOff {
 		d.metrics.cutOff.WithLabelValues(x.Pool).Inc()
 		fields = append(fields, "cut_after", now.Sub(m.Place.PlacedAt), "fingerprint", m.Job.Fingerprint())
+		if !m.Events && len(m.Job.SharedParts()) > 0 {
+			fields = append(fields, "parts", partIDs(m.Job)) // The target ended, if it did, as it began to answer.
+		}
 	}
 	d.Log.Warn("target failed a request", fields...)
 }
 
+// partIDs lists the shared parts of a request's prompt, for the log.
+func partIDs(job *deliver.Job) string {
+	var ids []string
+	for _, p := range job.SharedParts() {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // probed applies the result of a health probe.
 func (d *Daemon) probed(now time.Time, t *tables, m probed) {
 	delete(t.probing, m.target)
--- a/fingerprint/fingerprint.go
+++ b/fingerprint/fingerprint.go
@@ -29,6 +29,16 @@
 	return Sum(h.Sum(whole[:0])[:len(Sum{})])
 }
 
+// OfPart returns the fingerprint of a part of a client account's prompts to a model.
+func OfPart(account, model, part string) Sum {
+	h := sha256.New()
+	for _, text := range []string{"part", account, model, part} {
+		write(h, []byte(text))
+	}
+	var whole [sha256.Size]byte
+	return Sum(h.Sum(whole[:0])[:len(Sum{})])
+}
+
 // write adds a field after its length, so that no two lists of fields have the same
 // encoding.
 func write(h hash.Hash, field []byte) {
--- a/fingerprint/fingerprint_test.go
+++ b/fingerprint/fingerprint_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// TestOfPart checks that an account can't have another's part mistaken for its own.
+func TestOfPart(t *testing.T) {
+	same := fingerprint.OfPart("cafe", "m", "p1")
+	for _, other := range []fingerprint.Sum{fingerprint.OfPart("bistro", "m", "p1"), fingerprint.OfPart("cafe", "n", "p1"), fingerprint.OfPart("cafe", "m", "p2"), fingerprint.OfPart("cafem", "", "p1")} {
+		if other == same {
+			t.Error("two parts have the same fingerprint")
+		}
+	}
+	if fingerprint.OfPart("cafe", "m", "p1") != same {
+		t.Error("a part has two fingerprints")
+	}
+}
+
 // TestParse checks that only the result of String is valid.
 func TestParse(t *testing.T) {
 	sum := fingerprint.Of("cafe", "GET", "h", "/", nil)
