feat(poison): a prompt part that crashes engines is refused at all boxes

Cause: an end was held against fingerprints of whole requests. What ended the engines was a part that unlike requests share. The class: blame counted by what is the request's own, not by what it has in common.

Ruled out: late news among boxes (37 more in the 5 s after the fifth end), ends that went unseen (46 were logged).

Change: an end counts against the shared parts of the requests that had sent no event there; the first event of a request with a part, anywhere, clears it; three ends over all boxes (five for what began within a minute) refuse it, with the rows, gossip, hub views and trials that whole requests have.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -145,6 +145,13 @@
 // Suspected reports whether an incarnation may have ended.
 func (t *Tracker) Suspected(incarnation string) bool { return t.suspects[incarnation] != nil }
 
+// Clear drops a request from the suspicions, as it can't have ended a target.
+func (t *Tracker) Clear(sum fingerprint.Sum) {
+	for _, s := range t.suspects {
+		delete(s.sums, sum)
+	}
+}
+
 // Suspects returns how many suspected incarnations cut a request off.
 func (t *Tracker) Suspects(sum fingerprint.Sum) int {
 	n := 0
--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -137,6 +137,9 @@
 			return x.handleStreamCutOff(place, err)
 		}
 		x.events++
+		if x.events == 1 && place.Box == "" && x.FirstEvent != nil {
+			x.FirstEvent(x.job)
+		}
 		x.recordEvent()
 		passedOn = false
 		id := eventstream.ID(event)
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -364,6 +364,8 @@
 	// PlaceCopy places a broken run at the target that holds its copy, or says why that is not
 	// possible. If nil, no run continues from a copy.
 	PlaceCopy func(ctx context.Context, job *Job, broken Placement) (Placement, error)
+	// FirstEvent is called when the first event of a target's answer came; may be nil.
+	FirstEvent func(job *Job)
 	// Began is called when an answer's head arrived, Ended when an attempt ended:
 	// exactly once for each attempt.
 	Began func(Placement)
--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -33,6 +33,8 @@
 	copiesRuns func(pool *routing.Pool) bool
 	// quarantined says whether a request must not reach any target.
 	quarantined func(now time.Time, t *tables, sum fingerprint.Sum) bool
+	// quarantinedPart returns the part of a prompt that must not reach any target.
+	quarantinedPart func(now time.Time, t *tables, job *deliver.Job, retry bool) (fingerprint.Sum, bool)
 	// handsOn says whether requests may be handed on to other boxes.
 	handsOn bool
 	// waits says whether requests without room may wait, at this box or at a hub.
@@ -124,6 +126,7 @@
 	}
 	if off(settings.Quarantine) {
 		d.quarantined = func(time.Time, *tables, fingerprint.Sum) bool { return false }
+		d.quarantinedPart = func(time.Time, *tables, *deliver.Job, bool) (fingerprint.Sum, bool) { return fingerprint.Sum{}, false }
 	}
 	if off(settings.Waiting) {
 		d.waits = false
--- a/entry/build.go
+++ b/entry/build.go
@@ -106,6 +106,7 @@
 	d.tables.regions[d.Settings.Domain] = d.Settings.Region
 	d.messages = make(chan message, messageBuffer)
 	d.hooks = newHooks()
+	d.quarantinedPart = d.refusedPart
 	d.metrics = newMetricSet(d.Registry)
 	d.ended = make(chan struct{})
 	d.wholeReads = newWholeReads(d.Settings.Box.Megabits)
@@ -176,6 +177,7 @@
 func (d *Daemon) buildServer() {
 	d.server = deliver.Server{
 		Configuration: d.current.Proved, Current: d.configurationCurrent, KeysFresh: d.keysFresh, ConfigurationFresh: d.configurationFresh, Place: d.requestPlacement, Send: d.send,
+		FirstEvent: d.firstEventCame,
 		Began:     func(p deliver.Placement) { d.post(answerBegan{p}) },
 		Ended:     func(e deliver.AttemptResult) { d.post(attemptEnded{e}) },
 		PlaceCopy: d.requestCopy,
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -73,6 +73,7 @@
 // incarnationEnded notes that an incarnation has ended, and blames the requests that were cut
 // off there since it last answered.
 func (d *Daemon) incarnationEnded(now time.Time, t *tables, incarnation, foundBy string) {
+	d.partsEnded(now, t, incarnation)
 	sums := t.crashes.Ended(now, incarnation)
 	if len(sums) == 0 {
 		return
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -35,10 +35,12 @@
 	return d
 }
 
-// jobWithBody is a request with a body; equal bodies have equal fingerprints.
+// jobWithBody is a request with a body; equal bodies have equal fingerprints. Different ones share
+// no part of their prompts.
 func jobWithBody(name string) *deliver.Job {
 	j := job("long", 10)
 	j.ID, j.Body = "r", []byte(name)
+	j.Parts = []deliver.Part{{ID: "of " + name, Tokens: 5}, {ID: "own", Tokens: 5}}
 	return j
 }
 
@@ -144,6 +146,7 @@
 			}
 			later := start.Add(10 * time.Second)
 			d.tables.crashes.Expire(later)
+			d.expireParts(later, &d.tables)
 			d.update(later, operatorRead{later, Operator{}})
 			if got := placeCode(d, later, jobWithBody("same")) == codeQuarantined; got != tt.want {
 				t.Errorf("refused: %v, want %v", got, tt.want)
--- a/entry/crashrow.go
+++ b/entry/crashrow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -24,6 +25,8 @@
 	// an engine runs 128 at once.
 	maxCrashRows         = 32
 	maxCrashFingerprints = 256
+	// maxCrashParts bounds the prompt parts in each row.
+	maxCrashParts = 256
 	// crashRetryDelay is the pause after a failed write. Boxes have 3 s to learn of the
 	// reports.
 	crashRetryDelay = 300 * time.Millisecond
@@ -32,6 +35,8 @@
 // crashRow is the value of such a row.
 type crashRow struct {
 	Fingerprints []string `json:"sums"`
+	// Parts are the prompt parts of which requests had not begun there.
+	Parts []string `json:"parts,omitempty"`
 	// AtMS is when the target ended, in Unix milliseconds. The row is deleted an hour later, so
 	// an error of seconds does not matter.
 	AtMS int64 `json:"at_ms"`
@@ -51,25 +56,43 @@
 
 // crashReport is one of this box's rows.
 type crashReport struct {
-	fingerprints map[fingerprint.Sum]bool
-	endedAt      time.Time
+	fingerprints, parts map[fingerprint.Sum]bool
+	endedAt             time.Time
 	// written means that the row as it is here was written.
 	written bool
 }
 
 // add notes requests that ran on a target when it ended.
 func (r *crashReports) add(now time.Time, incarnation string, sums []fingerprint.Sum) {
+	x := r.of(now, incarnation)
+	x.addTo(x.fingerprints, sums, maxCrashFingerprints)
+}
+
+// addParts notes prompt parts of which requests had not begun on a target when it ended.
+func (r *crashReports) addParts(now time.Time, incarnation string, parts []fingerprint.Sum) {
+	if len(parts) > 0 {
+		x := r.of(now, incarnation)
+		x.addTo(x.parts, parts, maxCrashParts)
+	}
+}
+
+func (r *crashReports) of(now time.Time, incarnation string) *crashReport {
 	if r.byIncarnation == nil {
 		r.byIncarnation = make(map[string]*crashReport)
 	}
 	x := r.byIncarnation[incarnation]
 	if x == nil {
-		x = &crashReport{fingerprints: make(map[fingerprint.Sum]bool, len(sums)), endedAt: now}
+		x = &crashReport{fingerprints: make(map[fingerprint.Sum]bool), parts: make(map[fingerprint.Sum]bool), endedAt: now}
 		r.byIncarnation[incarnation] = x
 	}
+	return x
+}
+
+// addTo adds to a set of at most so many.
+func (x *crashReport) addTo(set map[fingerprint.Sum]bool, sums []fingerprint.Sum, most int) {
 	for _, sum := range sums {
-		if !x.fingerprints[sum] && len(x.fingerprints) < maxCrashFingerprints {
-			x.fingerprints[sum], x.written = true, false
+		if !set[sum] && len(set) < most {
+			set[sum], x.written = true, false
 		}
 	}
 }
@@ -82,9 +105,11 @@
 	weight := make(map[string]int, len(r.byIncarnation))
 	for incarnation, x := range r.byIncarnation {
 		incarnations = append(incarnations, incarnation)
-		for sum := range x.fingerprints {
-			if refused(sum) {
-				weight[incarnation] = 1
+		for _, set := range []map[fingerprint.Sum]bool{x.fingerprints, x.parts} {
+			for sum := range set {
+				if refused(sum) {
+					weight[incarnation] = 1
+				}
 			}
 		}
 	}
@@ -122,7 +147,9 @@
 	e := writeCrashes{tx: table.Transaction{Delete: r.deleteKeys}}
 	r.deleteKeys = nil
 	if len(r.byIncarnation) > 0 {
-		for _, incarnation := range r.surplus(now, func(sum fingerprint.Sum) bool { return t.quarantine.Crashes(sum) >= quarantine.Threshold }) {
+		for _, incarnation := range r.surplus(now, func(sum fingerprint.Sum) bool {
+			return t.quarantine.Crashes(sum) >= quarantine.Threshold || t.parts.Refuses(now, sum, 0)
+		}) {
 			e.tx.Delete = append(e.tx.Delete, d.crashKey(incarnation))
 			delete(r.byIncarnation, incarnation)
 		}
@@ -150,7 +177,11 @@
 	for sum := range x.fingerprints {
 		row.Fingerprints = append(row.Fingerprints, sum.String())
 	}
+	for part := range x.parts {
+		row.Parts = append(row.Parts, part.String())
+	}
 	slices.Sort(row.Fingerprints)
+	slices.Sort(row.Parts)
 	value, err := json.Marshal(row)
 	if err != nil {
 		panic(err) // The row's own type always encodes.
@@ -184,23 +215,21 @@
 func (d *Daemon) applyCrashRow(now time.Time, t *tables, key string, value []byte) {
 	box, incarnation, ok := strings.Cut(key, "/")
 	var row crashRow
-	if err := json.Unmarshal(value, &row); !ok || err != nil || len(row.Fingerprints) > maxCrashFingerprints {
+	if err := json.Unmarshal(value, &row); !ok || err != nil || len(row.Fingerprints) > maxCrashFingerprints || len(row.Parts) > maxCrashParts {
 		d.Log.Error("crash report's row is invalid", "key", key, "requests", len(row.Fingerprints), "err", err)
 		return
 	}
 	d.receiveIncarnationEnded(now, t, incarnation, box)
-	var sums []fingerprint.Sum
-	for _, text := range row.Fingerprints {
-		sum, ok := fingerprint.Parse(text)
-		if !ok {
-			d.Log.Error("crash report's row holds an invalid fingerprint", "key", key, "text", text)
-			continue
-		}
-		sums = append(sums, sum)
+	sums, parts := d.parseSums(key, row.Fingerprints), d.parseSums(key, row.Parts)
+	for _, sum := range sums {
 		d.blameRequest(now, t, incarnation, sum, box)
 	}
+	for _, part := range parts {
+		d.blamePart(now, t, incarnation, part, box)
+	}
 	if box == d.Settings.Name && t.reports.byIncarnation[incarnation] == nil {
 		t.reports.add(now, incarnation, sums)
+		t.reports.addParts(now, incarnation, parts)
 		own := t.reports.byIncarnation[incarnation]
 		own.written = true
 		if at := time.UnixMilli(row.AtMS); at.Before(now) {
@@ -209,6 +238,20 @@
 	}
 }
 
+// parseSums returns the valid fingerprints of a row.
+func (d *Daemon) parseSums(key string, texts []string) []fingerprint.Sum {
+	var sums []fingerprint.Sum
+	for _, text := range texts {
+		sum, ok := fingerprint.Parse(text)
+		if !ok {
+			d.Log.Error("crash report's row holds an invalid fingerprint", "key", key, "text", text)
+			continue
+		}
+		sums = append(sums, sum)
+	}
+	return sums
+}
+
 // recentCrashes lists the crashes that this box reported recently, for boxes that can't read
 // the rows now, and the ended incarnations that others reported to it.
 func (t *tables) recentCrashes(now time.Time) []peer.CrashReport {
@@ -221,6 +264,7 @@
 		for sum := range x.fingerprints {
 			report.Fingerprints = append(report.Fingerprints, sum)
 		}
+		report.Parts = slices.Collect(maps.Keys(x.parts))
 		list = append(list, report)
 	}
 	for incarnation, at := range t.endedIncarnations {
@@ -240,6 +284,7 @@
 			d.blameRequest(now, t, report.Incarnation, sum, m.From)
 		}
 	}
+	d.receiveParts(now, t, m)
 	for _, sum := range m.Lifted {
 		if _, known := t.lifted[sum]; !known {
 			d.liftQuarantine(now, t, sum, m.From)
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -79,6 +79,7 @@
 		Domain: d.Settings.Domain, Unlisted: t.unlistedMet, AccountLoads: d.accountLoads(now, t), ShortPools: t.accounts.ShortHere(now),
 		RunLosses: d.runLossesFor(now, t, ""), LostPools: t.lostPoolNames(),
 	}
+	t.addParts(now, &message)
 	d.addVersion(now, t, &message)
 	if !d.spoke.Load() {
 		d.addProof(now, t, &message)
@@ -227,6 +228,7 @@
 		answer.RateLimits = d.limitsForPeer(now, t.members[m.From])
 		answer.EndedIncarnations, answer.Stale = t.recentlyReplaced(now), d.refusesKeyed(now)
 		answer.CrashReports, answer.Lifted = t.recentCrashes(now), t.recentlyLifted(now)
+		t.addParts(now, &answer)
 		d.applyUsage(now, t, m)
 		t.receiveRunLosses(now, m)
 		if !t.usesHubs() || slices.Contains(t.hubs(), m.From) {
@@ -249,7 +251,7 @@
 		d.receiveCredits(m)
 		d.receiveCanarySamples(now, t, m.CanarySamples)
 		answer.View = d.view(now, t, changelog.Cursor{Number: m.ListVersion, SnapshotAt: m.ListStartVersion})
-		t.addQuarantine(answer.View, m.QuarantineVersion)
+		t.addQuarantine(now, answer.View, m.QuarantineVersion)
 		answer.View.Short = t.accounts.Short(now)
 		answer.View.Restores, answer.View.RowLost = t.ownRowsRevision.Restores, t.lostRows[m.From]
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -47,6 +47,7 @@
 	unread            prometheus.Counter
 	memoryRefused     *prometheus.CounterVec
 	lostPools         prometheus.Gauge
+	quarantinedParts  prometheus.Gauge
 	handedOn          *prometheus.CounterVec
 	takenOver         *prometheus.CounterVec
 }
@@ -117,10 +118,11 @@
 	c.unread = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unread_total", Help: "Callers' connections ended as their callers did not read their answers."})
 	c.memoryRefused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_memory_refused_total", Help: "Requests refused for want of memory at this box, by the size of their bodies and their priority."}, []string{"size", "priority"})
 	c.lostPools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_lost_pools", Help: "Pools none of whose targets this box reaches."})
+	c.quarantinedParts = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined_parts", Help: "Prompt parts that are refused, as targets ended before requests with them began."})
 	c.handedOn = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_handed_on_total", Help: "Requests handed on to other boxes, as this one did not reach their targets, by pool and how that ended."}, []string{"pool", "end"})
 	c.takenOver = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_taken_over_total", Help: "Requests that other boxes handed on to this one, by pool and whether they were answered."}, []string{"pool", "outcome"})
 	r.MustRegister(
-		c.lostPools, c.handedOn, c.takenOver,
+		c.lostPools, c.quarantinedParts, c.handedOn, c.takenOver,
 		c.slowEngines,
 		c.queued, c.queueEnds,
 		c.held, c.unread, c.memoryRefused,
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -30,6 +30,18 @@
 	return d.refusePermanently(job, codeQuarantined, "%d targets ended while requests for the same ran there, and %d more may have", t.quarantine.Crashes(sum), t.crashes.Suspects(sum))
 }
 
+// refuseSuspect is refuseQuarantined for whole requests and for the parts of their prompts. It also
+// returns what is refused.
+func (d *Daemon) refuseSuspect(now time.Time, t *tables, ask deliver.PlacementRequest) (*refusal.Refusal, fingerprint.Sum) {
+	if refused := d.refuseQuarantined(now, t, ask.Job); refused != nil {
+		return refused, ask.Job.Fingerprint()
+	}
+	if part, ok := d.quarantinedPart(now, t, ask.Job, len(ask.Attempted) > 0); ok {
+		return d.refusePart(t, ask.Job, part), part
+	}
+	return nil, fingerprint.Sum{}
+}
+
 // codeQuarantined is the refusal's code.
 const codeQuarantined = "quarantined"
 
@@ -53,16 +65,21 @@
 		return
 	}
 	t.lifted[sum] = now
-	if _, tried := t.nextTrial[sum]; tried {
-		delete(t.nextTrial, sum)
-		t.reports.deleteKeys = append(t.reports.deleteKeys, trialPrefix+sum.String())
-	}
+	t.dropTrial(sum)
 	if refused {
 		d.countQuarantined(t)
 		d.Log.Info("request is not refused any more, as it was answered", "fingerprint", sum, "told_by", from)
 	}
 }
 
+// dropTrial forgets the trials of what is not refused any more.
+func (t *tables) dropTrial(sum fingerprint.Sum) {
+	if _, tried := t.nextTrial[sum]; tried {
+		delete(t.nextTrial, sum)
+		t.reports.deleteKeys = append(t.reports.deleteKeys, trialPrefix+sum.String())
+	}
+}
+
 // recentlyLifted lists the requests that were cleared so recently that other boxes may not
 // know.
 func (t *tables) recentlyLifted(now time.Time) []fingerprint.Sum {
@@ -83,16 +100,22 @@
 			d.Log.Warn("request is refused from now on", "fingerprint", sum, "told_by", hub)
 		}
 	}
+	for _, part := range v.QuarantinedParts {
+		if t.parts.AddRemote(now, part) {
+			d.partsSuspected.Store(true)
+			d.Log.Warn("prompt part is refused from now on", "part", part, "told_by", hub)
+		}
+	}
 	t.hubQuarantineVersion = v.QuarantineVersion
 }
 
 // addQuarantine adds the requests that a hub refuses to its view, unless the asking box has
 // that set.
-func (t *tables) addQuarantine(v *peer.View, have uint64) {
-	refused := t.quarantine.Refused()
-	v.QuarantineVersion = quarantineVersion(refused)
+func (t *tables) addQuarantine(now time.Time, v *peer.View, have uint64) {
+	refused, parts := t.quarantine.Refused(), t.parts.Refused(now)
+	v.QuarantineVersion = quarantineVersion(refused) ^ quarantineVersion(parts)
 	if v.QuarantineVersion != have {
-		v.Quarantined = refused
+		v.Quarantined, v.QuarantinedParts = refused, parts
 	}
 }
 
--- a/entry/refused.go
+++ b/entry/refused.go
@@ -95,6 +95,7 @@
 // alive records that an incarnation answered what was sent at a time. If it was taken for ended, its
 // end is taken back.
 func (d *Daemon) alive(now time.Time, t *tables, incarnation string, sentAt time.Time) {
+	t.partCrashes.Alive(incarnation, sentAt)
 	if !t.crashes.Alive(incarnation, sentAt) {
 		return
 	}
@@ -104,6 +105,9 @@
 		delete(t.reports.byIncarnation, incarnation)
 		t.reports.deleteKeys = append(t.reports.deleteKeys, d.crashKey(incarnation))
 	}
+	for _, part := range t.parts.Lives(incarnation) {
+		t.begunParts[part] = now // Other boxes clear it as if a request had begun.
+	}
 	for _, sum := range t.quarantine.Lives(incarnation) {
 		d.announceLifted(now, t, sum, "target "+incarnation)
 	}
@@ -112,10 +116,7 @@
 // announceLifted has gossip tell other boxes that a request is not refused any more.
 func (d *Daemon) announceLifted(now time.Time, t *tables, sum fingerprint.Sum, from string) {
 	t.lifted[sum] = now
-	if _, tried := t.nextTrial[sum]; tried {
-		delete(t.nextTrial, sum)
-		t.reports.deleteKeys = append(t.reports.deleteKeys, trialPrefix+sum.String())
-	}
+	t.dropTrial(sum)
 	d.countQuarantined(t)
 	d.Log.Info("request is not refused any more, as its target lives", "fingerprint", sum, "told_by", from)
 }
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -38,6 +38,7 @@
 	t.slowStart.Expire(now)
 	t.crashes.Expire(now)
 	t.quarantine.Expire(now)
+	d.expireParts(now, t)
 	d.notices.Expire(now)
 	d.expireQuotas(t)
 	t.expireQuotaPauses(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -23,6 +23,7 @@
 	"github.com/thymewind/thymewind/overdue"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/peerload"
+	"github.com/thymewind/thymewind/poison"
 	"github.com/thymewind/thymewind/quarantine"
 	"github.com/thymewind/thymewind/reach"
 	"github.com/thymewind/thymewind/returning"
@@ -228,6 +229,13 @@
 	// boxes reported as ended and that are to be probed, with the time of the report.
 	refusals map[string]connRefusal
 	verify   map[string]time.Time
+	// partCrashes and parts are like crashes and quarantine, for the parts of prompts; partNames are
+	// the IDs of suspected ones. begunParts are those that began although ends had counted against
+	// them, knownGood those that began before, with the time at which this box learned it.
+	partCrashes           crash.Tracker
+	parts                 poison.List
+	partNames             map[fingerprint.Sum]string
+	begunParts, knownGood map[fingerprint.Sum]time.Time
 	// nextTrial is when this box may claim the next trial of a quarantined request.
 	nextTrial map[fingerprint.Sum]time.Time
 	// lifted are requests that were answered after all, with the time at which this box
@@ -312,7 +320,7 @@
 		lostPools: make(map[string]time.Time), silences: make(map[netip.AddrPort]time.Time), lostEvacuations: make(map[string]time.Time), tombstones: make(map[string]tombstone), heldEntries: make(map[string]heldEntry),
 		slowLogged: make(map[string]bool), slowEnginesLogged: make(map[string]bool), mostlySlow: make(map[string]bool), typicalSizes: make(map[string]float64),
 		latenessByPool: make(map[string]*headroom.Gauge), lateLogged: make(map[string]bool),
-		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time), refusals: make(map[string]connRefusal), verify: make(map[string]time.Time),
+		canaries: make(map[string]*canaryRollout), inUse: make(map[string]*inUse), regions: make(map[string]string), answerTimes: make(map[string]*outlier.Detector), lifted: make(map[fingerprint.Sum]time.Time), nextTrial: make(map[fingerprint.Sum]time.Time), endedIncarnations: make(map[string]time.Time), refusals: make(map[string]connRefusal), verify: make(map[string]time.Time), partNames: make(map[fingerprint.Sum]string), begunParts: make(map[fingerprint.Sum]time.Time), knownGood: make(map[fingerprint.Sum]time.Time),
 		congestionByPool: make(map[string]*congestion.Gauge), congestionLogged: make(map[string]bool), waiting: make(map[string]*waitingPool), holdTimes: make(map[string]*holdTime), firstEvents: make(map[string]usualTime), placed: placedTokens{running: make(map[string]int)},
 		laterVersions: superseded.Versions{TTL: laterVersionTTL},
 		rewriteGrace:  grace.Period{Length: rewriteGrace, Max: maxRewriteGrace},
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -58,11 +58,10 @@
 // refuseOrClaimTrial refuses a quarantined request, or claims its trial if one may be due. It reports
 // whether the request needs no further handling.
 func (d *Daemon) refuseOrClaimTrial(now time.Time, t *tables, m placementRequest) ([]effect, bool) {
-	refused := d.refuseQuarantined(now, t, m.ask.Job)
+	refused, sum := d.refuseSuspect(now, t, m.ask)
 	if refused == nil || m.trial {
 		return nil, false
 	}
-	sum := m.ask.Job.Fingerprint()
 	if t.trialDue(now, sum) {
 		return []effect{claimTrial{m, sum}}, true
 	}
@@ -77,7 +76,7 @@
 		t.nextTrial[sum] = now.Add(firstTrialDelay)
 		return false
 	}
-	if now.Before(at) || t.crashes.Suspects(sum) > 0 {
+	if now.Before(at) || t.crashes.Suspects(sum)+t.partCrashes.Suspects(sum) > 0 {
 		return false
 	}
 	t.nextTrial[sum] = now.Add(nextTrialDelay)
@@ -127,6 +126,6 @@
 // three targets.
 func (t *tables) expireTrials() {
 	maps.DeleteFunc(t.nextTrial, func(sum fingerprint.Sum, _ time.Time) bool {
-		return t.quarantine.Crashes(sum) == 0 && t.crashes.Suspects(sum) == 0
+		return t.quarantine.Crashes(sum)+t.crashes.Suspects(sum)+t.parts.Crashes(sum)+t.partCrashes.Suspects(sum) == 0
 	})
 }
--- a/entry/update.go
+++ b/entry/update.go
@@ -45,6 +45,8 @@
 		d.signalsReceived(now, t, m.incarnation)
 	case silenceSeen:
 		t.silenceSeen(now, m.at)
+	case firstEvent:
+		d.partsBegan(now, t, m.job)
 	case answerBegan:
 		d.answerBegan(now, t, m.place)
 	case attemptEnded:
@@ -175,6 +177,7 @@
 	d.recordRunEnd(now, t, m)
 	t.copyEnded(now, m)
 	d.recordLiveness(now, t, m)
+	d.recordParts(now, t, m)
 	t.placed.remove(m.Place.Tokens, m.Job)
 	t.learnHoldTime(now, m)
 	if m.Began && m.FirstAfter > 0 {
--- a/entry/waitingserve.go
+++ b/entry/waitingserve.go
@@ -64,7 +64,7 @@
 	if !x.own() {
 		return d.serveHeld(now, t, w, x)
 	}
-	if refused := d.refuseQuarantined(now, t, x.request.ask.Job); refused != nil && !x.request.trial {
+	if refused, _ := d.refuseSuspect(now, t, x.request.ask); refused != nil && !x.request.trial {
 		d.endWait(now, w, x.queued.ID, endRefused)
 		t.answer(now, x.request, placementAnswer{err: refused})
 		return true
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -154,6 +154,8 @@
 	// QuarantineVersion numbers that set, which is sent only if the asking box has another one.
 	Quarantined       []fingerprint.Sum `cbor:"8,keyasint,omitempty"`
 	QuarantineVersion uint64            `cbor:"9,keyasint,omitempty"`
+	// QuarantinedParts are the prompt parts that it refuses; QuarantineVersion covers them.
+	QuarantinedParts []fingerprint.Sum `cbor:"61,keyasint,omitempty"`
 	// Boxes is how many boxes share the work, Unlisted how many of them have no row.
 	Boxes    int `cbor:"16,keyasint,omitempty"`
 	Unlisted int `cbor:"17,keyasint,omitempty"`
--- a/peer/message.go
+++ b/peer/message.go
@@ -104,6 +104,10 @@
 	// own to its hub, a hub's and its spokes' to other hubs, and all that the hub knows of to a
 	// spoke. They are left out while no runs are lost.
 	RunLosses []RunLoss `cbor:"60,keyasint,omitempty"`
+	// BegunParts are prompt parts held against which ends of targets no longer count, as a request
+	// began; KnownGoodParts are suspected ones that began lately, maybe before those ends.
+	BegunParts     []fingerprint.Sum `cbor:"44,keyasint,omitempty"`
+	KnownGoodParts []fingerprint.Sum `cbor:"45,keyasint,omitempty"`
 	// LostPools are the pools none of whose targets the sender reaches.
 	LostPools []string `cbor:"43,keyasint,omitempty"`
 	// Statement is an operator's query.
@@ -129,6 +133,8 @@
 	// Incarnation is the key of the target's incarnation, the same on all boxes.
 	Incarnation  string            `cbor:"1,keyasint"`
 	Fingerprints []fingerprint.Sum `cbor:"2,keyasint"`
+	// Parts are the prompt parts of which requests had not begun there.
+	Parts []fingerprint.Sum `cbor:"3,keyasint,omitempty"`
 }
 
 // Load is one target's load report.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -148,6 +148,12 @@
 	return 0
 }
 
+// IsRemote reports whether another box refuses a fingerprint.
+func (l *List) IsRemote(sum fingerprint.Sum) bool {
+	r := l.bySum[sum]
+	return r != nil && r.remote
+}
+
 // Len returns the number of fingerprints.
 func (l *List) Len() int { return len(l.bySum) }
 
