--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -72,9 +72,10 @@
 }
 
 // TestStorm has engines end one after another under one part, each with a request that shares the
-// other part, while such requests begin elsewhere: only the first part is refused.
+// other part, while such requests begin elsewhere, as they did before: only the first part is refused.
 func TestStorm(t *testing.T) {
 	l, shared := poison.List{}, fingerprint.Sum{2}
+	l.Began(at(-1000), shared)
 	for i := range 20 {
 		incarnation := fmt.Sprint("i-", i)
 		l.Crashed(at(150*i), part, incarnation)
