feat(brittle): boxes bound together what brittle targets have to turn away

Change: a box's requests at such a target stay below its part of what the target runs and bears, each one turned away takes one off for a second, and after a refusal the box keeps to what was there then and raises it slowly. No messages: the parts sum up over the boxes.

Boxes that are more than the places and the bound together may still exceed it, one request each.

--- a/entry/hub_bench_test.go
+++ b/entry/hub_bench_test.go
@@ -76,7 +76,7 @@
 			}
 			b.Run(fmt.Sprintf("%d of %d", excluded, n), func(b *testing.B) {
 				for b.Loop() {
-					d.targetHints(start, d.tables.fleet.Pool("models"))
+					d.targetHints(start, &d.tables, d.tables.fleet.Pool("models"))
 				}
 			})
 		}
--- a/entry/place.go
+++ b/entry/place.go
@@ -86,7 +86,7 @@
 }
 
 func (d *Daemon) placePlain(now time.Time, t *tables, request deliver.PlacementRequest) (deliver.Placement, *refusal.Refusal) {
-	return d.choosePlain(now, t, request, inBackoff(now))
+	return d.choosePlain(now, t, request, d.unwilling(now, t))
 }
 
 // choosePlain chooses a target of a plain service, except those excluded for the box that sends
@@ -118,6 +118,9 @@
 	if refused := d.refuseLimited(now, t, request, excluded); refused != nil {
 		return refused
 	}
+	if refused := d.refuseBrittle(now, t, request); refused != nil {
+		return refused
+	}
 	if refused := refuseBackoff(now, t, request, excluded); refused != nil {
 		return refused
 	}
@@ -172,7 +175,7 @@
 
 // placeWithin is placeModel with a given bound of the engines' memory.
 func (d *Daemon) placeWithin(now time.Time, t *tables, request deliver.PlacementRequest, limit admissionLimit) (deliver.Placement, *refusal.Refusal) {
-	return d.chooseEngine(now, t, request, sender{d.Settings.Domain, limit, d.hasIdleConnection, inBackoff(now)})
+	return d.chooseEngine(now, t, request, sender{d.Settings.Domain, limit, d.hasIdleConnection, d.unwilling(now, t)})
 }
 
 // chooseEngine chooses an engine, trying the software versions in the order of softwareFilters.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -39,6 +39,7 @@
 	t.crashes.Expire(now)
 	t.quarantine.Expire(now)
 	d.expireParts(now, t)
+	t.brittle.Expire(now)
 	d.notices.Expire(now)
 	d.expireQuotas(t)
 	t.expireQuotaPauses(now)
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -7,6 +7,7 @@
 
 	"github.com/thymewind/thymewind/affinity"
 	"github.com/thymewind/thymewind/backlog"
+	"github.com/thymewind/thymewind/brittle"
 	"github.com/thymewind/thymewind/changelog"
 	"github.com/thymewind/thymewind/clockbound"
 	"github.com/thymewind/thymewind/congestion"
@@ -225,6 +226,8 @@
 	// endedIncarnations are targets' incarnations that other boxes found to have ended, with
 	// the time at which this box learned it.
 	endedIncarnations map[string]time.Time
+	// brittle knows which requests brittle targets turned away.
+	brittle brittle.Limiter
 	// refusals are the incarnations whose addresses refuse connections, verify those that other
 	// boxes reported as ended and that are to be probed, with the time of the report.
 	refusals map[string]connRefusal
--- a/entry/update.go
+++ b/entry/update.go
@@ -178,6 +178,7 @@
 	t.copyEnded(now, m)
 	d.recordLiveness(now, t, m)
 	d.recordParts(now, t, m)
+	d.noteTurnedAway(now, t, m)
 	t.placed.remove(m.Place.Tokens, m.Job)
 	t.learnHoldTime(now, m)
 	if m.Began && m.FirstAfter > 0 {
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -124,6 +124,9 @@
 	}
 }
 
+// Waiting returns how many of this box's requests there have no answer yet.
+func (t *Target) Waiting() int { return t.waiting }
+
 // HeardSince reports whether something was received from the target after a time.
 func (t *Target) HeardSince(at time.Time) bool { return t.lastHeard.After(at) }
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -29,6 +29,9 @@
 	// signalled or was listed. One that leaves is gone within a minute, but a stale list may
 	// name it again.
 	retention = time.Hour
+	// brittleFor is how long a target that said that it is brittle counts as such. It says so in each
+	// answer while it is.
+	brittleFor = 10 * time.Second
 	// maxRecords bounds the targets remembered, at some 200 bytes each: several times the
 	// fleet's targets.
 	maxRecords = 4096
@@ -56,6 +59,9 @@
 	// accepts from all boxes together for as long as its answers name one.
 	Limited bool
 	Rate    float64
+	// Brittle is how many requests a second the target can turn away for want of room without
+	// failing; zero if it names no number.
+	Brittle int
 	// Unlimited is set if the answer would name a rate if there were one.
 	Unlimited bool
 }
@@ -79,6 +85,9 @@
 	limit    Limit
 	newsAt   time.Time
 	newsRate float64
+	// brittle is what the target last said that it can turn away in a second, at brittleAt.
+	brittle   int
+	brittleAt time.Time
 	// usedAt is when the target last signalled or, by Touch, was listed.
 	usedAt time.Time
 }
@@ -92,6 +101,9 @@
 // news. A later incarnation discards the record of an earlier one; late signals of an
 // earlier one change nothing.
 func (reg *Registry) Observe(now time.Time, incarnation fleet.Incarnation, signals Signals) Signals {
+	if signals.Brittle > 0 {
+		reg.setBrittle(now, incarnation, signals.Brittle)
+	}
 	if !signals.Leaving && signals.Backoff <= 0 {
 		return Signals{}
 	}
@@ -118,6 +130,23 @@
 	return news
 }
 
+// Brittle returns how many requests a second an incarnation can turn away without failing, by what it
+// said within brittleFor; zero if it named no number.
+func (reg *Registry) Brittle(now time.Time, incarnation fleet.Incarnation) int {
+	if r := reg.find(incarnation); r != nil && now.Sub(r.brittleAt) < brittleFor {
+		return r.brittle
+	}
+	return 0
+}
+
+func (reg *Registry) setBrittle(now time.Time, incarnation fleet.Incarnation, bears int) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	if r := reg.record(now, incarnation); r != nil {
+		r.brittle, r.brittleAt = bears, now
+	}
+}
+
 // record returns an incarnation's record, a new one if there is none; nil if a later
 // incarnation is known.
 func (reg *Registry) record(now time.Time, incarnation fleet.Incarnation) *record {
@@ -232,7 +261,7 @@
 		if r.leaving || r.limit.Active {
 			return now.Sub(r.usedAt) > retention
 		}
-		return !now.Before(r.until) && now.Sub(r.limit.At) > liftedRetention
+		return !now.Before(r.until) && now.Sub(r.limit.At) > liftedRetention && now.Sub(r.brittleAt) >= brittleFor
 	})
 	reg.size.Store(int64(len(reg.byID)))
 }
