--- a/entry/brittle.go
+++ b/entry/brittle.go
@@ -54,7 +54,9 @@
 // One to an engine may wait.
 func (d *Daemon) refuseBrittle(now time.Time, t *tables, request deliver.PlacementRequest) *refusal.Refusal {
 	pool := request.Job.Pool
-	full := func(x *fleet.Target) bool { return x.Available(now) && !x.InBackoff(now) && d.hasBrittleShare(now, t, x) }
+	full := func(x *fleet.Target) bool {
+		return x.Available(now) && !x.InBackoff(now) && d.hasBrittleShare(now, t, x)
+	}
 	if !slices.ContainsFunc(t.fleet.Pool(pool.Name), full) {
 		return nil
 	}
