--- a/entry/handoff.go
+++ b/entry/handoff.go
@@ -207,11 +207,8 @@
 
 // serveForBox serves a request that another box handed on.
 func (d *Daemon) serveForBox(ctx context.Context, w http.ResponseWriter, r *handoff.Request, attempts *handoff.Attempts) error {
-	switch {
-	case d.stopping.Load():
-		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, codeStopping, "the box is stopping")
-	case d.version() < r.ConfigurationVersion:
-		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "stale", "the box has configuration %d, not %d", d.version(), r.ConfigurationVersion)
+	if refused := d.declines(r); refused != nil {
+		return refused.WithRetryAfter(d.retryAfter(refused.Code, &deliver.Job{}))
 	}
 	call := &deliver.Call{
 		ID: r.ID, Method: r.Method, Path: r.Path, Host: r.Host, Header: http.Header(r.Header), HeadBytes: r.HeadBytes, Body: bytes.NewReader(r.Body), BodyLength: int64(len(r.Body)),
@@ -228,6 +225,17 @@
 	return d.server.Serve(ctx, w, call)
 }
 
+// declines returns why this box takes no request, or nil.
+func (d *Daemon) declines(r *handoff.Request) *refusal.Refusal {
+	switch {
+	case d.stopping.Load():
+		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, codeStopping, "the box is stopping")
+	case d.version() < r.ConfigurationVersion:
+		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "stale", "the box has configuration %d, not %d", d.version(), r.ConfigurationVersion)
+	}
+	return nil
+}
+
 // describeRefusal describes a refusal for the box that handed the request on.
 func describeRefusal(err error) handoff.Refusal {
 	r := refusal.Of(err, refusal.Unknown, http.StatusBadGateway)
--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -45,6 +45,7 @@
 	mode     atomic.Int32
 	delay    atomic.Int64
 	accepted atomic.Int64
+	cut      atomic.Pointer[Cut]
 
 	mu    sync.Mutex
 	links map[*link]bool
@@ -154,7 +155,8 @@
 }
 
 func (p *Proxy) forward(down net.Conn) {
-	if p.mode.Load() == Resets {
+	cut, isCut := p.isCut(down)
+	if p.mode.Load() == Resets || isCut && !cut.Silent {
 		reset(down)
 		return
 	}
@@ -164,6 +166,7 @@
 		return
 	}
 	l := &link{down: down, up: up}
+	l.silenced.Store(isCut)
 	p.track(l, true)
 	defer p.track(l, false)
 	var both sync.WaitGroup
