fix(handoff): a stopping box completes what it serves for others

Found by reading the diff: a planned stop waits for callers' connections only, and the process ended in the middle of requests that it served for other boxes, whose callers saw the stream end.

Also: a target that rejects a call, or says that it is unhealthy, was reached; it no longer counts as out of reach (TestRejectedCallsAreNoLostLinks).

--- a/entry/cacheevents.go
+++ b/entry/cacheevents.go
@@ -22,7 +22,7 @@
 			if !x.Ejected(now) {
 				d.Log.Warn("target can't be heard", "target", m.source, "err", m.err)
 			}
-			t.unreachable(now, x)
+			t.callFailed(now, x, m.err)
 			x.FeedLost = true
 		}
 		return nil
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -106,4 +106,5 @@
 			_ = s.Close() // The process exits next.
 		}
 	}
+	d.handoff.Drain(ctx) // Servers don't wait for connections that were upgraded.
 }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -55,6 +55,9 @@
 // ErrUnhealthy says that the intended replica answered and reports that it is not healthy.
 var ErrUnhealthy = errors.New("the replica reports that it is unhealthy")
 
+// ErrRejected says that a target answered a call and did not do what it asked for.
+var ErrRejected = errors.New("the target rejected the call")
+
 // ErrReplaced says that the address belongs to another replica than the intended one, which
 // is gone for good.
 var ErrReplaced = errors.New("another replica has the address")
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -25,6 +26,15 @@
 	t.reach.Failed(now, x.Pool, x.ID)
 }
 
+// callFailed records that a call to a target failed. A target that rejected it was reached.
+func (t *tables) callFailed(now time.Time, x *fleet.Target, err error) {
+	if errors.Is(err, ErrRejected) || errors.Is(err, ErrUnhealthy) {
+		x.Fail(now)
+		return
+	}
+	t.unreachable(now, x)
+}
+
 // lost reports whether this box seems to reach no target of a pool.
 func (t *tables) lost(now time.Time, pool string) bool {
 	return t.reach.Lost(now, pool, len(t.fleet.Pool(pool)))
--- a/entry/reach_test.go
+++ b/entry/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -82,3 +83,16 @@
 	}
 	return "", false
 }
+
+// TestRejectedCallsAreNoLostLinks has all engines reject the calls for their cache events.
+func TestRejectedCallsAreNoLostLinks(t *testing.T) {
+	for _, err := range []error{ErrRejected, ErrUnhealthy} {
+		d, _ := reachFleet()
+		for _, id := range d.tables.fleet.IDs() {
+			d.tables.callFailed(start, d.tables.fleet.Target(id), fmt.Errorf("the call: %w", err))
+		}
+		if d.tables.lost(start.Add(time.Second), "models") {
+			t.Errorf("lost by %v", err)
+		}
+	}
+}
--- a/entry/update.go
+++ b/entry/update.go
@@ -248,6 +248,6 @@
 		return
 	}
 	if !m.suspected { // A suspect that is only busy may leave its probe unanswered.
-		t.unreachable(now, x)
+		t.callFailed(now, x, m.err)
 	}
 }
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -80,8 +80,8 @@
 	mu sync.Mutex
 	// idle are the unused connections by address, the most recently used last.
 	idle map[netip.AddrPort][]*connection
-	// accepted counts the connections of other boxes.
-	accepted int
+	// accepted counts the connections of other boxes, serving the requests that are being served.
+	accepted, serving int
 }
 
 // Request is a caller's request as it is handed on. The receiving box admits it by its own
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -285,3 +285,36 @@
 		t.Fatal("not in time")
 	}
 }
+
+// TestDrain waits for the request that is being served, and for no unused connection.
+func TestDrain(t *testing.T) {
+	running, end := make(chan struct{}), make(chan struct{})
+	other := node("secret", func(_ context.Context, w http.ResponseWriter, _ *handoff.Request, _ *handoff.Attempts) error {
+		close(running)
+		<-end
+		_, err := io.WriteString(w, "ok")
+		return err
+	})
+	n, at := node("secret", nil), listen(t, other.Handler())
+	answered := make(chan error, 1)
+	go func() {
+		answer, err := n.Do(context.Background(), at, request())
+		if err == nil {
+			defer answer.Close()
+			_, err = io.ReadAll(answer)
+		}
+		answered <- err
+	}()
+	await(t, running)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	other.Drain(ctx)
+	if ctx.Err() == nil {
+		t.Error("it did not wait for the request")
+	}
+	close(end)
+	other.Drain(t.Context())
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+}
--- a/handoff/serve.go
+++ b/handoff/serve.go
@@ -14,6 +14,9 @@
 // chunkBytes is how much of an answer is collected before it is sent, unless it is flushed.
 const chunkBytes = 16 << 10
 
+// drainCheck is how often Drain looks whether requests are left.
+const drainCheck = 20 * time.Millisecond
+
 // Attempts counts the targets that may have received a request, over both boxes.
 type Attempts struct{ n atomic.Int64 }
 
@@ -61,13 +64,6 @@
 	n.accepted--
 }
 
-// Served returns how many connections of other boxes are open.
-func (n *Node) Served() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.accepted
-}
-
 // serveConnection serves the requests of a connection one after another. Something is always being
 // read meanwhile, so that the end of the connection ends the request under way.
 func (n *Node) serveConnection(ctx context.Context, ws *websocket.Conn) {
@@ -105,8 +101,32 @@
 	}
 }
 
+// Drain waits until no request of another box is being served, or ctx ends. Serve must refuse new ones
+// by then.
+func (n *Node) Drain(ctx context.Context) {
+	ticks := time.NewTicker(drainCheck)
+	defer ticks.Stop()
+	for n.served(0) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
+// served changes the number of requests that are being served, and returns it.
+func (n *Node) served(by int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.serving += by
+	return n.serving
+}
+
 // serveRequest serves one request and returns an error if the connection can't be used any more.
 func (n *Node) serveRequest(ctx context.Context, ws *websocket.Conn, r *Request) error {
+	n.served(1)
+	defer n.served(-1)
 	w := &answerWriter{ctx: ctx, node: n, ws: ws, header: make(http.Header)}
 	w.attempts.Set(r.Attempts)
 	cut, err := n.call(ctx, w, r)
