fix(entry): a box that lost its links suspects no prompt part

Change: as for whole requests, a box whose pool is lost leaves suspicions to the box that serves the request; what is proved stays refused. A refusal by suspicion alone now has a short Retry-After, as the suspicion is settled within half a second.

--- a/entry/handoff_test.go
+++ b/entry/handoff_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -81,3 +83,20 @@
 	j.HandedOn = &deliver.HandedOn{By: "b9", Count: func(int) {}}
 	return j
 }
+
+// TestCutBoxHandsOnSuspects has a box lose its links while requests with one part wait at all engines: it
+// takes the part for no crashing one, and hands requests with it on.
+func TestCutBoxHandsOnSuspects(t *testing.T) {
+	d := engines("b1")
+	d.tables.members["b2"].address = netip.MustParseAddrPort("10.0.0.2:1")
+	d.tables.helpers.Max = 10
+	for i, id := range d.tables.fleet.IDs() {
+		d.update(start, attemptEnded{deliver.AttemptResult{Place: placeAt(0, id), Job: jobWithParts("cafe", fmt.Sprint("r", i), "shared"), Failed: true, Unreachable: true, CutOff: true}})
+	}
+	later := start.Add(time.Second)
+	reply := make(chan placementAnswer, 1)
+	d.placementRequested(later, &d.tables, placementRequest{ctx: t.Context(), ask: deliver.PlacementRequest{Job: jobWithParts("cafe", "new", "shared")}, reply: reply})
+	if answer := <-reply; answer.place.Box != "b2" {
+		t.Errorf("placed at %q, %v", answer.place.Box, answer.err)
+	}
+}
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -115,8 +115,12 @@
 	if t.parts.Len() == 0 && t.partCrashes.Len() == 0 {
 		return fingerprint.Sum{}, false
 	}
+	cut := d.mayHandOn(now, t, job) // This box's own suspicions may be of its links then.
 	for _, part := range job.PartFingerprints() {
-		suspects := t.partCrashes.Suspects(part)
+		suspects := 0
+		if !cut {
+			suspects = t.partCrashes.Suspects(part)
+		}
 		if retry && suspects > 0 {
 			suspects++
 		}
@@ -128,14 +132,18 @@
 }
 
 // refusePart refuses a request for one of its parts.
-func (d *Daemon) refusePart(t *tables, job *deliver.Job, part fingerprint.Sum) *refusal.Refusal {
+func (d *Daemon) refusePart(now time.Time, t *tables, job *deliver.Job, part fingerprint.Sum) *refusal.Refusal {
 	id := ""
 	for i, sum := range job.PartFingerprints() {
 		if sum == part {
 			id = job.Parts[i].ID
 		}
 	}
-	return d.refusePermanently(job, codeQuarantined, "%d targets ended before requests with the prompt part %s began there, and %d more may have", t.parts.Crashes(part), id, t.partCrashes.Suspects(part))
+	refused := d.refusePermanently(job, codeQuarantined, "%d targets ended before requests with the prompt part %s began there, and %d more may have", t.parts.Crashes(part), id, t.partCrashes.Suspects(part))
+	if !t.parts.Refuses(now, part, 0) { // It is known within half a second.
+		return refused.WithRetryAfter(d.retryAfter("suspect", job))
+	}
+	return refused
 }
 
 // receiveParts applies what another box tells of parts: the ends of engines under them, and which
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -37,7 +37,7 @@
 		return refused, ask.Job.Fingerprint()
 	}
 	if part, ok := d.quarantinedPart(now, t, ask.Job, len(ask.Attempted) > 0); ok {
-		return d.refusePart(t, ask.Job, part), part
+		return d.refusePart(now, t, ask.Job, part), part
 	}
 	return nil, fingerprint.Sum{}
 }
