--- a/entry/signals.go
+++ b/entry/signals.go
@@ -23,6 +23,7 @@
 	signalLeaving = "leaving"
 	signalBackoff = "backoff"
 	signalLimit   = "limit"
+	signalBrittle = "brittle"
 )
 
 const (
@@ -116,6 +117,10 @@
 		d.metrics.notices.WithLabelValues(signalBackoff).Inc()
 		d.Log.Info("target wants no requests", "target", incarnation.ID, "born", incarnation.StartedAt, "for", added.Backoff, "told_by", from)
 	}
+	if added.Brittle > 0 {
+		d.metrics.notices.WithLabelValues(signalBrittle).Inc()
+		d.Log.Info("target is brittle", "target", incarnation.ID, "born", incarnation.StartedAt, "bears", added.Brittle, "told_by", from)
+	}
 	limited := d.notices.ObserveLimit(now, sentAt, incarnation, signals)
 	if limited {
 		d.logLimit(notice.TargetLimit{Incarnation: incarnation, Limit: d.notices.Limit(incarnation)}, from)
--- a/notice/brittle_test.go
+++ b/notice/brittle_test.go
@@ -21,3 +21,17 @@
 		}
 	}
 }
+
+// TestBrittleNews checks when a target's word that it is brittle is news.
+func TestBrittleNews(t *testing.T) {
+	var reg Registry
+	for _, tt := range []struct {
+		at   time.Duration
+		says int
+		want int
+	}{{0, 6, 6}, {time.Second, 6, 0}, {2 * time.Second, 0, 0}, {3 * time.Second, 4, 4}, {3*time.Second + brittleFor, 4, 4}} {
+		if got := reg.Observe(start.Add(tt.at), plain, Signals{Brittle: tt.says}).Brittle; got != tt.want {
+			t.Errorf("after %v news is %d, want %d", tt.at, got, tt.want)
+		}
+	}
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -101,10 +101,7 @@
 // news. A later incarnation discards the record of an earlier one; late signals of an
 // earlier one change nothing.
 func (reg *Registry) Observe(now time.Time, incarnation fleet.Incarnation, signals Signals) Signals {
-	if signals.Brittle > 0 {
-		reg.setBrittle(now, incarnation, signals.Brittle)
-	}
-	if !signals.Leaving && signals.Backoff <= 0 {
+	if !signals.Leaving && signals.Backoff <= 0 && signals.Brittle <= 0 {
 		return Signals{}
 	}
 	reg.mu.Lock()
@@ -114,6 +111,12 @@
 		return Signals{}
 	}
 	var news Signals
+	if signals.Brittle > 0 {
+		if r.brittle != signals.Brittle || now.Sub(r.brittleAt) >= brittleFor {
+			news.Brittle = signals.Brittle
+		}
+		r.brittle, r.brittleAt = signals.Brittle, now
+	}
 	if signals.Leaving && !r.leaving {
 		r.leaving, news.Leaving = true, true
 	}
@@ -139,14 +142,6 @@
 	return 0
 }
 
-func (reg *Registry) setBrittle(now time.Time, incarnation fleet.Incarnation, bears int) {
-	reg.mu.Lock()
-	defer reg.mu.Unlock()
-	if r := reg.record(now, incarnation); r != nil {
-		r.brittle, r.brittleAt = bears, now
-	}
-}
-
 // record returns an incarnation's record, a new one if there is none; nil if a later
 // incarnation is known.
 func (reg *Registry) record(now time.Time, incarnation fleet.Incarnation) *record {
