fix(permit,entry): no two boxes keep a target's room while boxes are slow

Cause: an ask that was not answered within 0.1 s made its box take another one for the keeper of the targets, which gave their room out a second time; a box that changed its mind told the first that it held nothing there. A new keeper learned for 0.3 s, which is shorter than renewals take on a busy machine, and an old renewal counted ended requests again.

Change: an ask that is late is no reason to take another box, three one after the other are (a refused connection is one at once); renewals name all that a box holds to all keepers that it used lately; a keeper learns for a second, by group, so that a target that comes back to a group is not taken for unknown; ended permits are not taken up again.

TestHeldByOtherBoxes has the late renewal.

--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -23,8 +23,10 @@
 	// targetsPerKeeper is how many targets of a pool one box keeps, so that it chooses among all of a
 	// small pool. A large one is divided.
 	targetsPerKeeper = 32
+	// maxKeeperMisses is how many asks a keeper may leave unanswered, each within keeperRetryDelay of the last.
+	maxKeeperMisses = 3
 	// keeperSilence is how long a keeper may say nothing to the others, which gossip all the time.
-	keeperSilence = time.Second
+	keeperSilence = 2 * time.Second
 	// unheardFor is how long a box that starts among others asks whether a pool is brittle, until one of
 	// them has told it.
 	unheardFor = 3 * time.Second
@@ -137,14 +139,14 @@
 		err := d.callKeeper(ctx, keeper, peer.Permits{Ask: a.encode()}, &answer)
 		switch {
 		case err != nil:
-			d.post(keeperSilent{keeper, ctx.Err() == nil})
+			d.post(keeperSilent{keeper, ctx.Err() == nil, errors.Is(err, context.DeadlineExceeded)})
 			return keeper, reply, err
 		case answer == nil:
 			return keeper, reply, errors.New("the box knows no permits")
 		case answer.Keeper == "":
 			return keeper, decodeAnswer(answer), nil
 		}
-		d.post(keeperSilent{answer.Keeper, false})
+		d.post(keeperSilent{box: answer.Keeper})
 		keeper = answer.Keeper
 	}
 	return "", reply, errors.New("boxes disagree on which of them keeps its targets")
@@ -166,6 +168,8 @@
 type keeperSilent struct {
 	box    string
 	silent bool
+	// late says that it may merely be slow: no other box takes its place at once then.
+	late bool
 }
 
 func (d *Daemon) keeperSilent(now time.Time, t *tables, m keeperSilent) {
@@ -173,9 +177,17 @@
 	if x == nil {
 		return
 	}
-	x.keeperRetryAt = time.Time{}
-	if m.silent {
-		x.keeperRetryAt = now.Add(keeperRetryDelay)
+	if !m.silent {
+		x.keeperRetryAt, x.keeperMisses = time.Time{}, 0
+		d.publishBrittle(now, t)
+		return
+	}
+	if now.Sub(x.keeperMissedAt) >= keeperRetryDelay {
+		x.keeperMisses = 0
+	}
+	x.keeperMisses, x.keeperMissedAt = x.keeperMisses+1, now
+	if !m.late || x.keeperMisses >= maxKeeperMisses {
+		x.keeperRetryAt, x.keeperMisses = now.Add(keeperRetryDelay), 0
 		d.Log.Warn("box that keeps brittle targets does not answer", "box", m.box)
 	}
 	d.publishBrittle(now, t)
@@ -279,8 +291,9 @@
 	}
 }
 
-// renew lists this box's requests at brittle targets by the box that keeps these, with the number up to
-// which they are all. Boxes that no longer keep any get an empty list.
+// renew lists this box's requests at brittle targets for each box that it has lately taken for one that
+// keeps these, with the number up to which they are all. All get the whole list: boxes may disagree for a
+// while on which of them keeps a target.
 func (p *permits) renew(now time.Time, view *brittleView) (upTo uint64, held map[string][]peer.HeldPermit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -291,10 +304,9 @@
 	for keeper, usedAt := range p.keepers {
 		if now.Sub(usedAt) >= keeperTTL {
 			delete(p.keepers, keeper)
-			continue
 		}
-		held[keeper] = nil
 	}
+	var list []peer.HeldPermit
 	for number, h := range p.held {
 		if _, brittle := view.pools[h.pool]; !brittle {
 			continue
@@ -306,7 +318,10 @@
 		h.keeper = keeper
 		p.held[number] = h
 		p.keepers[keeper] = now
-		held[keeper] = append(held[keeper], peer.HeldPermit{Number: number, Pool: h.pool, Key: h.target.Key, Places: h.target.Places})
+		list = append(list, peer.HeldPermit{Number: number, Pool: h.pool, Key: h.target.Key, Places: h.target.Places})
+	}
+	for keeper := range p.keepers {
+		held[keeper] = list
 	}
 	return upTo, held
 }
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -24,7 +24,7 @@
 
 const (
 	// permitTimeout bounds the call for a permit, besides the wait for room.
-	permitTimeout = 100 * time.Millisecond
+	permitTimeout = 250 * time.Millisecond
 	// maxPermitWait is how long a request may wait for room, waitShare the share of its route's goal for
 	// that: what waits longer had better be refused.
 	maxPermitWait = 100 * time.Millisecond
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -23,9 +23,9 @@
 	// lenientTime is how long after its pool became brittle a target's requests are bounded by what it
 	// is ever tried with alone: until then it turns none away for being brittle.
 	lenientTime = time.Second
-	// learnTime is how long a target that this box begins to keep gets one request at a time: other boxes
-	// may still have to tell what they have under way there.
-	learnTime = 300 * time.Millisecond
+	// learnTime is how long the targets of a group that this box begins to keep get one request at a time:
+	// other boxes may still have to tell what they have under way there.
+	learnTime = time.Second
 	// boxTTL is how long the permits of a box count that says nothing. It renews them several times.
 	boxTTL = 2 * time.Second
 	// targetTTL is how long an unused target is kept.
@@ -106,6 +106,8 @@
 
 // group is the order in which the room of some targets is given out.
 type group struct {
+	// keptSince is when this box began to keep it, askedAt when it was last asked.
+	keptSince, askedAt time.Time
 	// waiting are the requests without a permit, the next first. granted are the times of the permits
 	// within the last rateTime.
 	waiting []*waiter
@@ -116,10 +118,10 @@
 
 // target is the room of one incarnation.
 type target struct {
-	room              brittle.Room
-	keptSince, usedAt time.Time
-	lenientUntil      time.Time
-	held              int
+	room         brittle.Room
+	usedAt       time.Time
+	lenientUntil time.Time
+	held         int
 }
 
 // box is one start of a box with its permits, by number.
@@ -127,6 +129,8 @@
 	epoch   uint64
 	heardAt time.Time
 	permits map[uint64]*held
+	// ended are permits that have ended, with the time: a renewal made before may come later.
+	ended map[uint64]time.Time
 }
 
 // held is a permit.
@@ -188,6 +192,7 @@
 	defer k.mu.Unlock()
 	k.boxOf(now, a.Box, a.Epoch)
 	q := k.groupOf(a.Group)
+	q.asked(now)
 	if len(q.waiting) == 0 || q.waiting[0].ask.Urgency > a.Urgency {
 		if answer, ok := k.grant(now, q, a, brittle.Spare); ok {
 			return nil, answer
@@ -201,6 +206,14 @@
 	return w, Answer{}
 }
 
+// asked notes that this box is taken for the one that keeps the group.
+func (q *group) asked(now time.Time) {
+	if now.Sub(q.askedAt) >= targetTTL {
+		q.keptSince = now
+	}
+	q.askedAt = now
+}
+
 func (k *Keeper) groupOf(name string) *group {
 	q := k.groups[name]
 	if q == nil {
@@ -285,7 +298,7 @@
 	key := ""
 	for i, x := range a.Targets {
 		t := k.targetOf(now, x, a.Bears, a.BrittleFor)
-		free := t.free(now)
+		free := t.free(now, q.keptSince)
 		if free < want || best != nil && (free < sure || free == sure && t.room.Level() >= best.room.Level()) {
 			continue
 		}
@@ -303,8 +316,8 @@
 }
 
 // free returns how sure it is that a target has room for one more request.
-func (t *target) free(now time.Time) brittle.Certainty {
-	lenient, learning := now.Before(t.lenientUntil), now.Sub(t.keptSince) < learnTime
+func (t *target) free(now, keptSince time.Time) brittle.Certainty {
+	lenient, learning := now.Before(t.lenientUntil), now.Sub(keptSince) < learnTime
 	switch {
 	case lenient && !t.room.Full():
 		return brittle.Spare
@@ -321,7 +334,7 @@
 		if k.targets == nil {
 			k.targets = make(map[string]*target)
 		}
-		t = &target{keptSince: now, lenientUntil: now.Add(lenientTime - brittleFor)}
+		t = &target{lenientUntil: now.Add(lenientTime - brittleFor)}
 		k.targets[x.Key] = t
 	}
 	t.usedAt = now
@@ -339,7 +352,7 @@
 		if b != nil {
 			k.drop(now, b)
 		}
-		b = &box{epoch: epoch, permits: make(map[uint64]*held)}
+		b = &box{epoch: epoch, permits: make(map[uint64]*held), ended: make(map[uint64]time.Time)}
 		k.boxes[name] = b
 	}
 	b.heardAt = now
@@ -372,6 +385,9 @@
 }
 
 func (k *Keeper) report(now time.Time, b *box, r Report) {
+	if r.End != Began {
+		b.ended[r.Number] = now
+	}
 	h := b.permits[r.Number]
 	if h == nil {
 		return
@@ -413,7 +429,7 @@
 	for _, x := range list {
 		renewed[x.Number] = true
 		t := k.targetOf(now, x.Target, x.Bears, x.BrittleFor)
-		if b.permits[x.Number] == nil {
+		if _, ended := b.ended[x.Number]; !ended && b.permits[x.Number] == nil {
 			k.hold(now, name, epoch, x.Number, t)
 		}
 	}
@@ -437,6 +453,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	maps.DeleteFunc(k.boxes, func(_ string, b *box) bool {
+		maps.DeleteFunc(b.ended, func(_ uint64, at time.Time) bool { return now.Sub(at) >= boxTTL })
 		silent := now.Sub(b.heardAt) >= boxTTL
 		if silent {
 			k.drop(now, b)
@@ -444,7 +461,7 @@
 		return silent
 	})
 	maps.DeleteFunc(k.groups, func(_ string, q *group) bool {
-		return len(q.waiting) == 0 && (len(q.granted) == 0 || now.Sub(q.granted[len(q.granted)-1]) >= targetTTL)
+		return len(q.waiting) == 0 && now.Sub(q.askedAt) >= targetTTL
 	})
 	maps.DeleteFunc(k.targets, func(_ string, t *target) bool { return t.held == 0 && now.Sub(t.usedAt) >= targetTTL })
 	k.serveAll(now)
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -73,6 +73,10 @@
 		}, 2},
 		{"its box holds none", func(k *permit.Keeper, c *clock) { k.Renew(c.read(), "a", 1, 1, nil) }, 0},
 		{"its box did not know it yet", func(k *permit.Keeper, c *clock) { k.Renew(c.read(), "a", 1, 0, nil) }, 1},
+		{"an older renewal comes after its end", func(k *permit.Keeper, c *clock) {
+			k.Report(c.read(), "a", 1, []permit.Report{{Number: 1, End: permit.Answered}})
+			k.Renew(c.read(), "a", 1, 1, []permit.Renewal{{Number: 1, Target: permit.Target{Key: "x", Places: 6}, Bears: 4, BrittleFor: brittleFor}})
+		}, 0},
 		{"its box starts again", func(k *permit.Keeper, c *clock) { k.Renew(c.read(), "a", 2, 0, nil) }, 0},
 		{"its box is silent", func(k *permit.Keeper, c *clock) { c.set(3 * time.Second); k.Expire(c.read()) }, 0},
 	}
