fix(entry): a box that starts and is asked for a permit does not end

Cause: until a box publishes what it knows of brittle pools its view has no map, and a message that names one was added to a copy of that: a panic, which ended the process.

Change: the copy is a map of its own. TestAskedWhileStarting fails without it.

--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -204,7 +204,8 @@
 // answerPermits answers another box, outside the loop.
 func (d *Daemon) answerPermits(ctx context.Context, m peer.Message) *peer.PermitAnswer {
 	now, view := d.now(), d.brittleView.Load()
-	pools := maps.Clone(view.pools)
+	pools := make(map[uint32]brittlePool) // The view has none while this box starts.
+	maps.Copy(pools, view.pools)
 	news := false
 	for _, b := range m.BrittlePools {
 		if _, known := pools[b.Pool]; !known && b.Bears > 0 {
