fix(entry): that a pool is brittle ends 10 s after a target last said so

Cause: boxes tell each other how long ago a target said so, and a message's way makes that seem later; each took over what was later, so it never ended in a fleet that gossips each 50 ms, and every request to that pool asked for a permit for good (TestBrittlePoolIsTold: all of 6 and of 83 boxes 12 s later).

Change: only what is later by a second is news.

--- a/entry/brittle.go
+++ b/entry/brittle.go
@@ -21,6 +21,10 @@
 // codeBrittle is the code of refusals while all targets that take work are brittle and have no room.
 const codeBrittle = "brittle"
 
+// minNewer is by how much later a target has to have said that it is brittle for that to be news. A message's
+// way makes what it tells seem later, and boxes would tell each other so for ever.
+const minNewer = time.Second
+
 // brittlePool is a pool with brittle targets.
 type brittlePool struct {
 	// bears is how many requests a second each target can turn away: the least that one said.
@@ -53,7 +57,7 @@
 	if said.since.Before(known.since) {
 		known.since = said.since
 	}
-	if said.saidAt.After(known.saidAt) {
+	if said.saidAt.Sub(known.saidAt) >= minNewer {
 		known.saidAt = said.saidAt
 	}
 }
