--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -106,6 +106,9 @@
 		"route", routeName(o), "account", outcomeAccount(o), "priority", priorityText(o),
 		"waited", o.Waited, "pause", o.Pause, "late_by", lateBy, "resumed", o.Resumed,
 	}
+	if p := o.Place.Permit; p.Keeper != "" {
+		fields = append(fields, "permit_by", p.Keeper, "level", p.Level, "bears", p.Bears, "said_ago", p.SaidAgo)
+	}
 	if o.BeganOn != "" {
 		fields = append(fields, "began_on", o.BeganOn, "other_software", o.OtherSoftware)
 	}
