fix(entry): a box that starts alone serves pools that nobody called brittle

Cause: a box that starts among others asks for permits until one of them has told it which pools are brittle. While it reached none of them, it refused requests to all pools for 3 s, as the ask was not answered. A box of an earlier release, which answers without a permit, had the same effect. Change: an ask that can't be answered denies a permit only where the pool is known to be brittle; a box of an earlier release counts as one that keeps none. Before: TestStartsWithoutOtherBoxes fails in two of three cases (no request may go); after: it passes, as do the tests of permits in ./entry. Conclusion: while boxes of earlier releases are hubs, the bound on all boxes does not hold.

--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -77,9 +77,12 @@
 }
 
 // asks reports whether requests to a pool need permits, or may do so.
-func (v *brittleView) asks(pool uint32) bool {
+func (v *brittleView) asks(pool uint32) bool { return v.isBrittle(pool) || v.unheard }
+
+// isBrittle reports whether this box knows that a pool is brittle.
+func (v *brittleView) isBrittle(pool uint32) bool {
 	_, brittle := v.pools[pool]
-	return brittle || v.unheard
+	return brittle
 }
 
 // groupOf is the part of a pool's targets that one belongs to.
@@ -125,8 +128,18 @@
 	needless bool
 }
 
-// askForPermit asks the box that keeps some targets, and the one that this names instead.
+// askForPermit asks for a permit. None is needed of a box that can't be asked while nobody has said that the
+// pool is brittle.
 func (d *Daemon) askForPermit(ctx context.Context, view *brittleView, a permitAsk) (keeper string, reply permitReply, err error) {
+	keeper, reply, err = d.askKeeper(ctx, view, a)
+	if err != nil && !view.isBrittle(a.pool) {
+		return "", permitReply{needless: true}, nil
+	}
+	return keeper, reply, err
+}
+
+// askKeeper asks the box that keeps some targets, and the one that this names instead.
+func (d *Daemon) askKeeper(ctx context.Context, view *brittleView, a permitAsk) (keeper string, reply permitReply, err error) {
 	keeper = view.keeperOf(a.pool, a.group)
 	for range 2 {
 		switch keeper {
@@ -141,8 +154,8 @@
 		case err != nil:
 			d.post(keeperSilent{keeper, ctx.Err() == nil, errors.Is(err, context.DeadlineExceeded)})
 			return keeper, reply, err
-		case answer == nil:
-			return keeper, reply, errors.New("the box knows no permits")
+		case answer == nil: // A box of an earlier release, which keeps no room.
+			return keeper, permitReply{needless: true}, nil
 		case answer.Keeper == "":
 			return keeper, decodeAnswer(answer), nil
 		}
--- a/entry/permits_test.go
+++ b/entry/permits_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"net"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -9,13 +12,14 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/permit"
+	"github.com/thymewind/thymewind/routing"
 )
 
 // brittleOrders starts an emulated fleet with one target, which one of its boxes hears is brittle.
 func brittleOrders(boxes, domains int) *emulator {
 	w := emulate(boxes, domains, configuration(1))
 	w.addTargets(fleet.Entry{ID: "t1", Pool: "orders", Slots: 6})
-	w.advance(3 * time.Second, nil)
+	w.advance(3*time.Second, nil)
 	i := slices.IndexFunc(w.boxes, func(d *Daemon) bool { return d.tables.fleet.Target("t1") != nil })
 	w.boxes[i].observeSignals(w.now, fleet.Incarnation{ID: "t1"}, notice.Signals{Brittle: 4}, "an answer")
 	return w
@@ -56,7 +60,7 @@
 		w.advance(time.Second, nil)
 		keeper := w.keeperOf(t)
 		w.dead[keeper] = true
-		w.advance(4 * time.Second, nil)
+		w.advance(4*time.Second, nil)
 		for _, d := range w.boxes {
 			if d.spoke.Load() && !w.dead[d.Settings.Name] { // Its ask is not answered.
 				d.update(w.now, keeperSilent{box: keeper, silent: true})
@@ -145,3 +149,35 @@
 		t.Errorf("the end of a request that was sent without a permit is told to %q", box)
 	}
 }
+
+// TestStartsWithoutOtherBoxes guards against a box that refuses requests as it starts, while it can't ask the
+// others which pools are brittle.
+func TestStartsWithoutOtherBoxes(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(closed.Addr().String())
+	if err := closed.Close(); err != nil {
+		t.Fatal(err)
+	}
+	d := newDaemon("a")
+	j := &deliver.Job{Call: &deliver.Call{}, Pool: &routing.Pool{Name: "orders"}, Route: &routing.Route{}}
+	place := deliver.Placement{Target: "t1", Slots: 6}
+	for _, tt := range []struct {
+		name    string
+		pools   map[uint32]brittlePool
+		granted bool
+		keepers []string
+	}{
+		{"nobody has said that the pool is brittle", nil, true, []string{"b"}},
+		{"no other box is known to answer", nil, true, nil},
+		{"the pool is brittle", map[uint32]brittlePool{poolHashOf("orders"): {bears: 4}}, false, []string{"b"}},
+	} {
+		d.brittleView.Store(&brittleView{pools: tt.pools, keepers: tt.keepers, addresses: map[string]netip.AddrPort{"b": address}, unheard: true})
+		given := d.permitFor(context.Background(), j, place, time.Millisecond)
+		if got := given.target.Key == placementIncarnation(place); got != tt.granted {
+			t.Errorf("%s: it may go there: %v, want %v", tt.name, got, tt.granted)
+		}
+	}
+}
