--- a/entry/permits.go
+++ b/entry/permits.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
@@ -50,142 +48,6 @@
 	permitNeedless   = "not_brittle"
 )
 
-// permits are this box's requests at targets, numbered, and what it has yet to tell the boxes that keep
-// the targets' room.
-type permits struct {
-	// epoch tells this start of the box from others.
-	epoch uint64
-
-	mu     sync.Mutex
-	next   uint64
-	held   map[uint64]heldPermit
-	asking map[uint64]bool
-	paused map[string]pausedTarget
-	// outbox are reports by the box that they are for, sending those boxes that are being told, and keepers
-	// when this box last used each.
-	outbox  map[string][]permit.Report
-	sending map[string]bool
-	keepers map[string]time.Time
-}
-
-// heldPermit is a request at a target. keeper is the box that counts it, tell says that this wants to know
-// as soon as the target accepts the request.
-type heldPermit struct {
-	pool   uint32
-	target permit.Target
-	keeper string
-	tell   bool
-}
-
-// pausedTarget is a target without room for requests that are no more urgent than this.
-type pausedTarget struct {
-	until   time.Time
-	urgency int
-}
-
-func newPermits(epoch uint64) *permits {
-	return &permits{
-		epoch: epoch, held: make(map[uint64]heldPermit), asking: make(map[uint64]bool), paused: make(map[string]pausedTarget),
-		outbox: make(map[string][]permit.Report), sending: make(map[string]bool), keepers: make(map[string]time.Time),
-	}
-}
-
-// number numbers a request that is to get a permit.
-func (p *permits) number() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.next++
-	p.asking[p.next] = true
-	return p.next
-}
-
-// begin records that a request goes to a target.
-func (p *permits) begin(now time.Time, number uint64, h heldPermit) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.asking, number)
-	p.held[number] = h
-	if h.keeper != "" {
-		p.keepers[h.keeper] = now
-	}
-}
-
-// giveUp records that a request does not go to a target; the box that was asked, if one was, is told.
-func (p *permits) giveUp(number uint64, keeper string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.asking, number)
-	if keeper != "" {
-		p.outbox[keeper] = append(p.outbox[keeper], permit.Report{Number: number, End: permit.NotSent})
-	}
-}
-
-// report records how a request went and returns the box to tell, if there is one.
-func (p *permits) report(number uint64, end int) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.held[number]
-	if end != permit.Began {
-		delete(p.held, number)
-	}
-	if h.keeper == "" || end == permit.Began && !h.tell {
-		return ""
-	}
-	p.outbox[h.keeper] = append(p.outbox[h.keeper], permit.Report{Number: number, End: end})
-	return h.keeper
-}
-
-// anyPaused reports whether isPaused may hold for a target.
-func (p *permits) anyPaused() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.paused) > 0
-}
-
-// expire forgets pauses that are over.
-func (p *permits) expire(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	maps.DeleteFunc(p.paused, func(_ string, x pausedTarget) bool { return !now.Before(x.until) })
-}
-
-// isPaused reports whether a target had no room a moment ago for requests as urgent as this.
-func (p *permits) isPaused(now time.Time, key string, urgency int) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	x, known := p.paused[key]
-	return known && now.Before(x.until) && urgency >= x.urgency
-}
-
-// pause keeps requests that are no more urgent from targets.
-func (p *permits) pause(targets []permit.Target, until time.Time, urgency int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, x := range targets {
-		p.paused[x.Key] = pausedTarget{until, urgency}
-	}
-}
-
-// nextReports takes the reports for a box; there are none while others are on their way.
-func (p *permits) nextReports(box string) []permit.Report {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.outbox[box]
-	if p.sending[box] || len(list) == 0 {
-		return nil
-	}
-	p.sending[box] = true
-	delete(p.outbox, box)
-	return list
-}
-
-// reportsSent allows further reports to a box.
-func (p *permits) reportsSent(box string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.sending, box)
-}
-
 // urgencyOf orders requests for the room of targets: lower goes first, and a stream that goes on before
 // one that begins.
 func urgencyOf(job *deliver.Job) int {
@@ -247,58 +109,64 @@
 
 // permitFor gets a permit for a placed request, at its target or an alternative.
 func (d *Daemon) permitFor(ctx context.Context, job *deliver.Job, place deliver.Placement, wait time.Duration) permission {
-	pool, chosen := poolHash(job.Pool), permit.Target{Key: placementIncarnation(place), Places: place.Slots}
-	number := d.permits.number()
-	view := d.brittleView.Load()
-	now := d.now()
-	if !view.asks(pool) {
-		d.permits.begin(now, number, heldPermit{pool: pool, target: chosen})
-		return permission{target: chosen, permit: deliver.Permit{Number: number}}
-	}
-	group := view.groupOf(pool, place.Target)
-	targets := []permit.Target{chosen}
-	for _, x := range place.Alternatives {
-		if view.groupOf(pool, x.Target) == group {
-			targets = append(targets, permit.Target{Key: incarnationKey(fleet.Incarnation{ID: x.Target, StartedAt: x.StartedAt}), Places: x.Slots})
-		}
+	now, view := d.now(), d.brittleView.Load()
+	ask := d.permitAskFor(view, job, place, wait)
+	if !view.asks(ask.pool) {
+		return d.goWithoutPermit(now, ask)
 	}
-	ask := permitAsk{number: number, pool: pool, group: group, targets: targets, urgency: urgencyOf(job), wait: wait}
 	keeper, answer, err := d.askForPermit(ctx, view, ask)
-	result := permitDenied
+	at := slices.IndexFunc(ask.targets, func(x permit.Target) bool { return x.Key == answer.Target })
 	switch {
 	case err != nil:
-		result = permitUnanswered
-		d.permits.giveUp(number, keeper)
-		d.permits.pause(targets, d.now().Add(permitTimeout), ask.urgency)
+		d.countPermit(job, permitUnanswered)
+		d.permits.giveUp(ask.number, keeper)
+		d.permits.pause(ask.targets, d.now().Add(permitTimeout), ask.urgency)
 		d.Log.Warn("no permit for a brittle target", "request", job.ID, "target", place.Target, "keeper", keeper, "err", err)
 	case answer.needless:
-		d.permits.begin(now, number, heldPermit{pool: pool, target: chosen})
 		d.countPermit(job, permitNeedless)
-		return permission{target: chosen, permit: deliver.Permit{Number: number}}
-	case answer.Target == "" && wait == 0:
-		d.permits.giveUp(number, "")
-	case answer.Target == "":
-		d.permits.giveUp(number, "")
-		d.permits.pause(targets, d.now().Add(answer.Pause), ask.urgency)
-	default:
-		at := slices.IndexFunc(targets, func(x permit.Target) bool { return x.Key == answer.Target })
-		if at < 0 {
-			d.permits.giveUp(number, keeper)
-			break
-		}
-		d.permits.begin(now, number, heldPermit{pool, targets[at], keeper, answer.Tell && job.Route.Stream})
-		result = permitGranted
-		if at > 0 {
-			result = permitOther
+		return d.goWithoutPermit(now, ask)
+	case at < 0:
+		d.countPermit(job, permitDenied)
+		d.permits.giveUp(ask.number, "")
+		if wait > 0 {
+			d.permits.pause(ask.targets, d.now().Add(answer.Pause), ask.urgency)
 		}
-		d.countPermit(job, result)
-		b := view.pools[pool]
-		return permission{target: targets[at], permit: deliver.Permit{Number: number, Keeper: keeper, GivenAt: now, Level: answer.Level, Bears: b.bears, SaidAgo: now.Sub(b.saidAt)}}
+	default:
+		d.countPermit(job, grantedAs(at))
+		d.permits.begin(now, ask.number, heldPermit{ask.pool, ask.targets[at], keeper, answer.Tell && job.Route.Stream})
+		b := view.pools[ask.pool]
+		return permission{target: ask.targets[at], permit: deliver.Permit{Number: ask.number, Keeper: keeper, GivenAt: now, Level: answer.Level, Bears: b.bears, SaidAgo: now.Sub(b.saidAt)}}
 	}
-	d.countPermit(job, result)
 	return permission{crowded: answer.Crowded}
 }
 
+// permitAskFor numbers a placed request and asks for its target or, of the same group, an alternative.
+func (d *Daemon) permitAskFor(view *brittleView, job *deliver.Job, place deliver.Placement, wait time.Duration) permitAsk {
+	pool := poolHash(job.Pool)
+	group := view.groupOf(pool, place.Target)
+	targets := []permit.Target{{Key: placementIncarnation(place), Places: place.Slots}}
+	for _, x := range place.Alternatives {
+		if view.groupOf(pool, x.Target) == group {
+			targets = append(targets, permit.Target{Key: incarnationKey(fleet.Incarnation{ID: x.Target, StartedAt: x.StartedAt}), Places: x.Slots})
+		}
+	}
+	return permitAsk{number: d.permits.number(), pool: pool, group: group, targets: targets, urgency: urgencyOf(job), wait: wait}
+}
+
+// goWithoutPermit sends a request to its first target. It counts there in case the pool becomes brittle.
+func (d *Daemon) goWithoutPermit(now time.Time, ask permitAsk) permission {
+	d.permits.begin(now, ask.number, heldPermit{pool: ask.pool, target: ask.targets[0]})
+	return permission{target: ask.targets[0], permit: deliver.Permit{Number: ask.number}}
+}
+
+// grantedAs is the result of an ask that was granted, by which of its targets it is for.
+func grantedAs(at int) string {
+	if at > 0 {
+		return permitOther
+	}
+	return permitGranted
+}
+
 func (d *Daemon) countPermit(job *deliver.Job, result string) {
 	d.metrics.permits.WithLabelValues(job.Pool.Name, result).Inc()
 }
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -9,10 +9,7 @@
 package permit
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -104,18 +101,6 @@
 	groups  map[string]*group
 }
 
-// group is the order in which the room of some targets is given out.
-type group struct {
-	// keptSince is when this box began to keep it, askedAt when it was last asked.
-	keptSince, askedAt time.Time
-	// waiting are the requests without a permit, the next first. granted are the times of the permits
-	// within the last rateTime.
-	waiting []*waiter
-	granted []time.Time
-	// mayWait is how many might wait as one last came.
-	mayWait int
-}
-
 // target is the room of one incarnation.
 type target struct {
 	room         brittle.Room
@@ -124,40 +109,6 @@
 	held         int
 }
 
-// box is one start of a box with its permits, by number.
-type box struct {
-	epoch   uint64
-	heardAt time.Time
-	permits map[uint64]*held
-	// ended are permits that have ended, with the time: a renewal made before may come later.
-	ended map[uint64]time.Time
-}
-
-// held is a permit.
-type held struct {
-	target *target
-	grant  brittle.Grant
-}
-
-// waiter is a request that waits for room.
-type waiter struct {
-	ask    Ask
-	since  time.Time
-	answer chan Answer
-}
-
-// want is how sure room has to be for it: less so the longer it waits, as one that is turned away may not
-// be allowed to run elsewhere.
-func (w *waiter) want(now time.Time) brittle.Certainty {
-	switch waited := now.Sub(w.since); {
-	case waited >= 2*w.ask.Wait/waitSteps:
-		return brittle.Tried
-	case waited >= w.ask.Wait/waitSteps:
-		return brittle.Known
-	}
-	return brittle.Spare
-}
-
 // Ask answers at once, or within the request's wait.
 func (k *Keeper) Ask(ctx context.Context, now func() time.Time, a Ask) Answer {
 	w, answer := k.askOrWait(now(), a)
@@ -206,89 +157,6 @@
 	return w, Answer{}
 }
 
-// asked notes that this box is taken for the one that keeps the group.
-func (q *group) asked(now time.Time) {
-	if now.Sub(q.askedAt) >= targetTTL {
-		q.keptSince = now
-	}
-	q.askedAt = now
-}
-
-func (k *Keeper) groupOf(name string) *group {
-	q := k.groups[name]
-	if q == nil {
-		if k.groups == nil {
-			k.groups = make(map[string]*group)
-		}
-		q = &group{}
-		k.groups[name] = q
-	}
-	return q
-}
-
-// enqueue has a request wait behind those that are as urgent, if it can be granted a permit within its
-// wait. The least urgent one makes room for it.
-func (k *Keeper) enqueue(now time.Time, q *group, w *waiter) bool {
-	if w.ask.Wait <= 0 {
-		return false
-	}
-	for len(q.granted) > 0 && now.Sub(q.granted[0]) >= rateTime {
-		q.granted = q.granted[1:]
-	}
-	most := max(int(float64(len(q.granted))*w.ask.Wait.Seconds()/rateTime.Seconds()), minWaiting*len(w.ask.Targets))
-	q.mayWait = most
-	at, _ := slices.BinarySearchFunc(q.waiting, w.ask.Urgency+1, func(x *waiter, urgency int) int { return cmp.Compare(x.ask.Urgency, urgency) })
-	if at > most {
-		return false
-	}
-	q.waiting = slices.Insert(q.waiting, at, w)
-	if last := len(q.waiting) - 1; last > most {
-		q.waiting[last].answer <- k.denial(q)
-		q.waiting = q.waiting[:last]
-	}
-	return true
-}
-
-// giveUp denies a request its permit once it has waited, unless it got one meanwhile.
-func (k *Keeper) giveUp(now time.Time, w *waiter) Answer {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	q := k.groupOf(w.ask.Group)
-	at := slices.Index(q.waiting, w)
-	if at < 0 {
-		return <-w.answer
-	}
-	q.waiting = slices.Delete(q.waiting, at, at+1)
-	if answer, ok := k.grant(now, q, w.ask, brittle.Tried); ok { // Time alone may make room.
-		return answer
-	}
-	return k.denial(q)
-}
-
-// denial is the answer without a permit.
-func (k *Keeper) denial(q *group) Answer {
-	perSecond := max(minAsks, asksPerGrant*len(q.granted))
-	return Answer{Crowded: 2*len(q.waiting) > q.mayWait, Pause: max(minPause, time.Duration(len(k.boxes))*time.Second/time.Duration(perSecond))}
-}
-
-// serve grants permits to requests of a group that wait, in order.
-func (k *Keeper) serve(now time.Time, q *group) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool {
-		answer, ok := k.grant(now, q, w.ask, w.want(now))
-		if ok {
-			w.answer <- answer
-		}
-		return ok
-	})
-}
-
-// serveAll grants permits to all requests that wait.
-func (k *Keeper) serveAll(now time.Time) {
-	for _, q := range k.groups {
-		k.serve(now, q)
-	}
-}
-
 // grant grants a permit at the first target if that has room to spare, or else at the one with the
 // surest room, of those that are as sure as is wanted. A request that is turned away may not be allowed to
 // run elsewhere.
@@ -342,131 +210,6 @@
 	return t
 }
 
-// boxOf returns a box, with nothing held by an earlier start of it.
-func (k *Keeper) boxOf(now time.Time, name string, epoch uint64) *box {
-	b := k.boxes[name]
-	if b == nil || b.epoch != epoch {
-		if k.boxes == nil {
-			k.boxes = make(map[string]*box)
-		}
-		if b != nil {
-			k.drop(now, b)
-		}
-		b = &box{epoch: epoch, permits: make(map[uint64]*held), ended: make(map[uint64]time.Time)}
-		k.boxes[name] = b
-	}
-	b.heardAt = now
-	return b
-}
-
-// hold counts a permit.
-func (k *Keeper) hold(now time.Time, name string, epoch, number uint64, t *target) brittle.Grant {
-	g := t.room.Count(now)
-	t.held++
-	k.boxOf(now, name, epoch).permits[number] = &held{t, g}
-	return g
-}
-
-// Report is what became of one permit.
-type Report struct {
-	Number uint64
-	End    int
-}
-
-// Report applies how requests of a box went.
-func (k *Keeper) Report(now time.Time, name string, epoch uint64, reports []Report) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	b := k.boxOf(now, name, epoch)
-	for _, r := range reports {
-		k.report(now, b, r)
-	}
-	k.serveAll(now)
-}
-
-func (k *Keeper) report(now time.Time, b *box, r Report) {
-	if r.End != Began {
-		b.ended[r.Number] = now
-	}
-	h := b.permits[r.Number]
-	if h == nil {
-		return
-	}
-	room := &h.target.room
-	switch r.End {
-	case NotSent:
-		room.End(&h.grant)
-	case Began:
-		room.Accepted(now, &h.grant)
-		return
-	case TurnedAway:
-		room.TurnedAway(now, &h.grant)
-	case Unanswered:
-		room.Unanswered(now, &h.grant)
-	default:
-		room.Accepted(now, &h.grant)
-		room.End(&h.grant)
-	}
-	h.target.held--
-	delete(b.permits, r.Number)
-}
-
-// Renewal is a permit that a box still holds. Bears and BrittleFor are as in Ask.
-type Renewal struct {
-	Number     uint64
-	Target     Target
-	Bears      int
-	BrittleFor time.Duration
-}
-
-// Renew applies which permits a box holds of those up to a number: others have ended, and unknown ones
-// count from now on.
-func (k *Keeper) Renew(now time.Time, name string, epoch, upTo uint64, list []Renewal) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	b := k.boxOf(now, name, epoch)
-	renewed := make(map[uint64]bool, len(list))
-	for _, x := range list {
-		renewed[x.Number] = true
-		t := k.targetOf(now, x.Target, x.Bears, x.BrittleFor)
-		if _, ended := b.ended[x.Number]; !ended && b.permits[x.Number] == nil {
-			k.hold(now, name, epoch, x.Number, t)
-		}
-	}
-	for number := range b.permits {
-		if number <= upTo && !renewed[number] {
-			k.report(now, b, Report{number, Unanswered})
-		}
-	}
-	k.serveAll(now)
-}
-
-// drop has all permits of a box end.
-func (k *Keeper) drop(now time.Time, b *box) {
-	for number := range b.permits {
-		k.report(now, b, Report{number, Unanswered})
-	}
-}
-
-// Expire drops boxes that are silent and targets that are not used. Call it periodically.
-func (k *Keeper) Expire(now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	maps.DeleteFunc(k.boxes, func(_ string, b *box) bool {
-		maps.DeleteFunc(b.ended, func(_ uint64, at time.Time) bool { return now.Sub(at) >= boxTTL })
-		silent := now.Sub(b.heardAt) >= boxTTL
-		if silent {
-			k.drop(now, b)
-		}
-		return silent
-	})
-	maps.DeleteFunc(k.groups, func(_ string, q *group) bool {
-		return len(q.waiting) == 0 && now.Sub(q.askedAt) >= targetTTL
-	})
-	maps.DeleteFunc(k.targets, func(_ string, t *target) bool { return t.held == 0 && now.Sub(t.usedAt) >= targetTTL })
-	k.serveAll(now)
-}
-
 // Held returns how many permits are held, and at how many targets.
 func (k *Keeper) Held() (permits, targets int) {
 	k.mu.Lock()
