--- a/brittle/brittle_test.go
+++ b/brittle/brittle_test.go
@@ -50,6 +50,8 @@
 	runs, waits   int
 	serve, giveUp time.Duration
 	pausedUntil   time.Time
+	// burst is how many requests come at once, one if it is zero.
+	burst int
 
 	running, waiting int
 	turnedAway       []time.Time
@@ -146,8 +148,11 @@
 	var next func()
 	next = func() {
 		if s.now.Before(end) {
-			s.offer()
-			s.after(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+			size := max(s.burst, 1)
+			for range size {
+				s.offer()
+			}
+			s.after(time.Duration(s.random.ExpFloat64()*float64(size)/perSecond*float64(time.Second)), next)
 		}
 	}
 	next()
@@ -209,6 +214,45 @@
 	}
 }
 
+// TestRoomShrinks guards against a target that falls as it suddenly runs fewer requests than it did, in a
+// steady load and in bursts.
+func TestRoomShrinks(t *testing.T) {
+	tests := []struct {
+		bears, runs, left int
+		serve             time.Duration
+		burst             int
+	}{
+		{4, 24, 8, 15 * time.Millisecond, 1},
+		{4, 24, 8, 150 * time.Millisecond, 1},
+		{6, 40, 4, 400 * time.Millisecond, 1},
+		{4, 24, 4, 15 * time.Millisecond, 12},
+		{4, 24, 4, 150 * time.Millisecond, 12},
+		{2, 12, 6, 80 * time.Millisecond, 6},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%+v", tt), func(t *testing.T) {
+			falls := 0
+			for seed := range uint64(seeds) {
+				s := &simulation{
+					random: rand.New(rand.NewPCG(seed, 3)), now: start, runs: tt.runs, serve: tt.serve, burst: tt.burst,
+					room: brittle.Room{Places: tt.runs, Bears: tt.bears},
+				}
+				load := 2 * float64(tt.runs) / tt.serve.Seconds()
+				s.run(load, 3*time.Second)
+				s.most, s.turnedAway = 0, nil
+				s.runs = tt.left
+				s.run(load, 3*time.Second)
+				if s.most > tt.bears {
+					falls++
+				}
+			}
+			if falls > 0 {
+				t.Errorf("in %d of %d seeds it turns more away than it bears", falls, seeds)
+			}
+		})
+	}
+}
+
 // TestRoomOfPausedTarget guards against a target that falls when it goes on after a pause: what was sent
 // meanwhile, also what was given up, is still there.
 func TestRoomOfPausedTarget(t *testing.T) {
@@ -248,3 +292,39 @@
 		t.Errorf("%d are under way a second later", r.Level())
 	}
 }
+
+// TestTriesAtOnce checks how many requests are tried above the level that is proven: half of what the target can
+// turn away, and a quarter once it has turned one away.
+func TestTriesAtOnce(t *testing.T) {
+	r := brittle.Room{Places: 20, Bears: 8}
+	now := start
+	tries := func() (list []brittle.Grant) {
+		now = now.Add(3 * time.Second) // No level is barred any more, and nothing that was turned away counts.
+		for {
+			now = now.Add(10 * time.Millisecond)
+			g, ok := r.Take(now)
+			if !ok {
+				return list
+			}
+			list = append(list, g)
+		}
+	}
+	first := tries()
+	if len(first) != r.Bears/2 {
+		t.Errorf("%d are tried at first, want %d", len(first), r.Bears/2)
+	}
+	r.TurnedAway(now, &first[len(first)-1])
+	for i := range first[:len(first)-1] {
+		r.Accepted(now, &first[i])
+		r.End(&first[i])
+	}
+	tried := 0
+	for _, g := range tries() {
+		if g.Tried {
+			tried++
+		}
+	}
+	if tried != r.Bears/4 {
+		t.Errorf("%d are tried after one was turned away, want %d", tried, r.Bears/4)
+	}
+}
