refactor(brittle): one way down for the level that is proven

What was accepted lately, its ageing, the bar and the certainties have tests of their own, which fail without each.

--- a/brittle/brittle.go
+++ b/brittle/brittle.go
@@ -48,11 +48,10 @@
 	// earlier, which counts as well.
 	proven, earlier int
 	provenAt        time.Time
-	// turnedAway are the times of the requests turned away within the window, missed those of them
-	// below the proven level. taken counts the requests taken since the last of them that are not
-	// accepted yet.
-	turnedAway, missed []time.Time
-	taken              int
+	// turnedAway are the times of the requests turned away within the window, taken counts the requests
+	// taken since the last of them that are not accepted yet.
+	turnedAway []time.Time
+	taken      int
 	// bar is the level that is not tried until barUntil.
 	bar      int
 	barUntil time.Time
@@ -188,7 +187,6 @@
 
 // TurnedAway records that the target had no room for a request.
 func (r *Room) TurnedAway(now time.Time, g *Grant) {
-	tried := g.Tried
 	r.End(g)
 	r.expire(now)
 	r.turnedAway = append(r.turnedAway, now)
@@ -196,12 +194,6 @@
 	r.taken = 0
 	level := min(r.level(), g.level-1)
 	r.bar, r.barUntil = max(g.level, 2), now.Add(barTime)
-	if !tried {
-		r.missed = append(r.missed, now)
-	}
-	if 2*len(r.missed) > r.Bears { // There is less room than there was.
-		level = level * 3 / 4
-	}
 	r.proven, r.earlier, r.provenAt = max(level, 1), 0, now
 }
 
@@ -230,7 +222,7 @@
 // expire forgets what no longer counts.
 func (r *Room) expire(now time.Time) {
 	past := func(at time.Time) bool { return now.Sub(at) >= window }
-	r.turnedAway, r.missed = slices.DeleteFunc(r.turnedAway, past), slices.DeleteFunc(r.missed, past)
+	r.turnedAway = slices.DeleteFunc(r.turnedAway, past)
 	for len(r.recent) > 0 && now.Sub(r.recent[0]) >= answerTime {
 		r.recent = r.recent[1:]
 	}
--- a/brittle/brittle_test.go
+++ b/brittle/brittle_test.go
@@ -215,13 +215,15 @@
 }
 
 // TestRoomShrinks guards against a target that falls as it suddenly runs fewer requests than it did, in a
-// steady load and in bursts.
+// steady load and in bursts. It also guards against room that stays unused, as the level comes down too slowly.
 func TestRoomShrinks(t *testing.T) {
 	tests := []struct {
 		bears, runs, left int
 		serve             time.Duration
 		burst             int
 	}{
+		{8, 16, 8, 15 * time.Millisecond, 1},
+		{4, 16, 8, 80 * time.Millisecond, 1},
 		{4, 24, 8, 15 * time.Millisecond, 1},
 		{4, 24, 8, 150 * time.Millisecond, 1},
 		{6, 40, 4, 400 * time.Millisecond, 1},
@@ -231,7 +233,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%+v", tt), func(t *testing.T) {
-			falls := 0
+			falls, worst := 0, 1.0
 			for seed := range uint64(seeds) {
 				s := &simulation{
 					random: rand.New(rand.NewPCG(seed, 3)), now: start, runs: tt.runs, serve: tt.serve, burst: tt.burst,
@@ -242,13 +244,20 @@
 				s.most, s.turnedAway = 0, nil
 				s.runs = tt.left
 				s.run(load, 3*time.Second)
+				s.served = 0
+				s.run(load, 5*time.Second)
+				worst = min(worst, float64(s.served)/(5*float64(tt.left)/tt.serve.Seconds()))
 				if s.most > tt.bears {
 					falls++
 				}
 			}
+			t.Logf("%.2f served, %d falls", worst, falls)
 			if falls > 0 {
 				t.Errorf("in %d of %d seeds it turns more away than it bears", falls, seeds)
 			}
+			if 2*tt.left >= tt.runs && tt.burst == 1 && worst < crowdServed*tt.serve.Seconds()/(tt.serve+2*delay).Seconds() {
+				t.Errorf("%.2f of what it can run is served", worst)
+			}
 		})
 	}
 }
@@ -328,3 +337,78 @@
 		t.Errorf("%d are tried after one was turned away, want %d", tried, r.Bears/4)
 	}
 }
+
+// TestCertainty checks how sure room is below, at and above the level up to which requests were accepted, that
+// this is forgotten, and that a level at which one was turned away is not tried for a while.
+func TestCertainty(t *testing.T) {
+	// proven returns a room of which requests were accepted up to level 6, with some under way a time later.
+	proven := func(underWay int, later time.Duration) *brittle.Room {
+		r := &brittle.Room{Places: 12, Bears: 8}
+		list := make([]brittle.Grant, 6)
+		for i := range list {
+			list[i] = r.Count(start)
+		}
+		for i := range list {
+			r.Accepted(start, &list[i])
+			r.End(&list[i])
+		}
+		for range underWay {
+			r.Count(start.Add(later - 100*time.Millisecond))
+		}
+		return r
+	}
+	tests := []struct {
+		underWay int
+		later    time.Duration
+		want     brittle.Certainty
+	}{
+		{0, time.Second, brittle.Spare},
+		{3, time.Second, brittle.Spare},
+		{4, time.Second, brittle.Known},
+		{5, time.Second, brittle.Known},
+		{6, time.Second, brittle.Tried},
+		{4, 9 * time.Second, brittle.Known},
+		{4, 11 * time.Second, brittle.None}, // As many are tried as may be.
+		{1, 11 * time.Second, brittle.Tried},
+	}
+	for _, tt := range tests {
+		if got := proven(tt.underWay, tt.later).Free(start.Add(tt.later)); got != tt.want {
+			t.Errorf("with %d under way %v later it is %v, want %v", tt.underWay, tt.later, got, tt.want)
+		}
+	}
+	r := proven(6, time.Second)
+	away := r.Count(start.Add(time.Second))
+	r.TurnedAway(start.Add(time.Second), &away)
+	for _, tt := range []struct {
+		after time.Duration
+		want  brittle.Certainty
+	}{{1900 * time.Millisecond, brittle.None}, {2100 * time.Millisecond, brittle.Tried}} {
+		if got := r.Free(start.Add(time.Second + tt.after)); got != tt.want {
+			t.Errorf("%v after one was turned away it is %v, want %v", tt.after, got, tt.want)
+		}
+	}
+}
+
+// TestLaterProof has the level last proven outlast a higher one that is older.
+func TestLaterProof(t *testing.T) {
+	r := brittle.Room{Places: 12, Bears: 8}
+	prove := func(now time.Time, level int) {
+		list := make([]brittle.Grant, level)
+		for i := range list {
+			list[i] = r.Count(now)
+		}
+		for i := range list {
+			r.Accepted(now, &list[i])
+			r.End(&list[i])
+		}
+	}
+	prove(start, 6)
+	prove(start.Add(6*time.Second), 3)
+	now := start.Add(12 * time.Second)
+	for i, want := range []brittle.Certainty{brittle.Spare, brittle.Spare, brittle.Known, brittle.Tried} {
+		if got := r.Free(now); got != want {
+			t.Errorf("with %d under way it is %v, want %v", i, got, want)
+		}
+		r.Count(now.Add(-100 * time.Millisecond))
+	}
+}
