test(permit): pools that have just become brittle, crowds, waits, pauses; one bound on waiting requests

Taking out the time in which a pool has just become brittle, the bound on requests that wait, the wait for sure room, the looks at a request that waits, the choice of the emptiest target or the growth of pauses failed no test. Each has one now. One of two checks of the same bound goes.

--- a/permit/group.go
+++ b/permit/group.go
@@ -71,9 +71,6 @@
 	most := max(int(float64(len(q.granted))*w.ask.Wait.Seconds()/rateTime.Seconds()), minWaiting*len(w.ask.Targets))
 	q.mayWait = most
 	at, _ := slices.BinarySearchFunc(q.waiting, w.ask.Urgency+1, func(x *waiter, urgency int) int { return cmp.Compare(x.ask.Urgency, urgency) })
-	if at > most {
-		return false
-	}
 	q.waiting = slices.Insert(q.waiting, at, w)
 	if last := len(q.waiting) - 1; last > most {
 		q.waiting[last].answer <- k.denial(q)
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -115,7 +115,7 @@
 	if w == nil {
 		return answer
 	}
-	step := time.NewTicker(a.Wait / waitSteps)
+	step := time.NewTicker(max(a.Wait/waitSteps, time.Millisecond))
 	defer step.Stop()
 	for range waitSteps {
 		select {
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -106,7 +107,7 @@
 	}
 }
 
-// TestAlternatives has a request that can't go to its target go to the one with the fewest requests.
+// TestAlternatives has a request that can't go to its target go to another one.
 func TestAlternatives(t *testing.T) {
 	k, c := &permit.Keeper{}, &clock{now: start}
 	if got := ask(k, c, "a", 1, 1, "x", "y"); got.Target != "x" {
@@ -117,6 +118,28 @@
 	}
 }
 
+// TestEmptiestAlternative has a request that can't go to its target go to the one with the fewest requests.
+func TestEmptiestAlternative(t *testing.T) {
+	k, c := &permit.Keeper{}, &clock{now: start}
+	number := uint64(0)
+	next := func(keys ...string) string {
+		number++
+		a := permit.Ask{Box: "a", Number: number, Group: "g", Bears: 4}
+		for _, key := range keys {
+			a.Targets = append(a.Targets, permit.Target{Key: key, Places: 6})
+		}
+		return k.Ask(context.Background(), c.read, a).Target
+	}
+	for key, n := range map[string]int{"x": 8, "y": 5, "z": 3} { // More don't go to x.
+		for range n {
+			next(key)
+		}
+	}
+	if got := next("x", "y", "z"); got != "z" {
+		t.Errorf("it goes to %q", got)
+	}
+}
+
 // TestUrgentFirst has the most urgent of the requests that wait get the room that comes, and a less urgent one
 // make place for it.
 func TestUrgentFirst(t *testing.T) {
@@ -156,3 +179,105 @@
 		t.Errorf("%s goes second", got)
 	}
 }
+
+// TestRoomBeforeBrittle bounds requests by what a target is ever tried with alone while it has just become
+// brittle: until then it turned none away for that.
+func TestRoomBeforeBrittle(t *testing.T) {
+	for _, tt := range []struct {
+		brittleFor time.Duration
+		want       int
+	}{{0, 8}, {2 * time.Second, 1}} { // Of six places, and two more.
+		k, c := &permit.Keeper{}, &clock{now: start}
+		for n := range uint64(12) {
+			k.Ask(context.Background(), c.read, permit.Ask{Box: "a", Number: n + 1, Group: "g", Bears: 4, BrittleFor: tt.brittleFor, Targets: []permit.Target{{Key: "x", Places: 6}}})
+		}
+		if got, _ := k.Held(); got != tt.want {
+			t.Errorf("%v after the pool became brittle %d requests have a permit, want %d", tt.brittleFor, got, tt.want)
+		}
+	}
+}
+
+// TestCrowdIsDenied has requests that can't get room within their wait be denied at once, the least urgent first.
+func TestCrowdIsDenied(t *testing.T) {
+	k, c := &permit.Keeper{}, &clock{now: start}
+	ask(k, c, "a", 1, 1, "x")
+	answers := make(chan uint64, 200)
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	wait := func(number uint64, urgency int) {
+		callers.Go(func() {
+			k.Ask(ctx, c.read, permit.Ask{Box: "a", Epoch: 1, Number: number, Group: "g", Bears: 4, BrittleFor: brittleFor, Urgency: urgency, Wait: 10 * time.Second, Targets: []permit.Target{{Key: "x", Places: 6}}})
+			answers <- number
+		})
+	}
+	waiting := func(n int) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); k.Waiting() != n; {
+			if time.Now().After(end) {
+				t.Fatalf("%d wait, want %d", k.Waiting(), n)
+			}
+			<-time.After(time.Millisecond)
+		}
+	}
+	most := 0
+	for n := range uint64(100) {
+		wait(10+n, 5)
+		before := most
+		for end := time.Now().Add(5 * time.Second); k.Waiting() == before && len(answers) == 0 && time.Now().Before(end); {
+			<-time.After(time.Millisecond)
+		}
+		if most = k.Waiting(); most == before {
+			break
+		}
+	}
+	if got := <-answers; got != uint64(10+most) {
+		t.Errorf("with %d waiting, request %d is denied", most, got)
+	}
+	wait(200, 1)
+	if got := <-answers; got != uint64(10+most-1) {
+		t.Errorf("for a more urgent one request %d is denied, want the last of the others", got)
+	}
+	waiting(most)
+	cancel()
+	callers.Wait()
+}
+
+// TestWaitsForSureRoom has a request that may wait be tried at a target only once no surer room has come for a part
+// of its wait, and then without waiting to the end.
+func TestWaitsForSureRoom(t *testing.T) {
+	k, c := &permit.Keeper{}, &clock{now: start}
+	ask(k, c, "a", 1, 1, "x")
+	c.set(2 * time.Second) // It is known what the others hold.
+	answer := make(chan permit.Answer, 1)
+	go func() {
+		answer <- k.Ask(context.Background(), c.read, permit.Ask{Box: "a", Epoch: 1, Number: 2, Group: "g", Bears: 4, BrittleFor: brittleFor, Wait: 8 * time.Second, Targets: []permit.Target{{Key: "x", Places: 6}}})
+	}()
+	for k.Waiting() == 0 && len(answer) == 0 {
+		<-time.After(time.Millisecond)
+	}
+	k.Renew(c.read(), "a", 1, 1, []permit.Renewal{{Number: 1, Target: permit.Target{Key: "x", Places: 6}, Bears: 4, BrittleFor: brittleFor}})
+	if len(answer) > 0 {
+		t.Fatalf("it gets %+v at once", <-answer)
+	}
+	from := time.Now()
+	c.set(7 * time.Second)
+	if got := <-answer; got.Target != "x" || !got.Tell {
+		t.Errorf("it gets %+v", got)
+	}
+	if took := time.Since(from); took > 6*time.Second {
+		t.Errorf("it waits to its end, %v", took)
+	}
+}
+
+// TestPauseGrowsWithBoxes keeps what a crowd of boxes asks in all within bounds.
+func TestPauseGrowsWithBoxes(t *testing.T) {
+	k, c := &permit.Keeper{}, &clock{now: start}
+	ask(k, c, "a", 1, 1, "x")
+	few := ask(k, c, "b", 1, 1, "x").Pause
+	for n := range 330 {
+		ask(k, c, fmt.Sprint("box-", n), 1, 1, "x")
+	}
+	if many := ask(k, c, "b", 1, 2, "x").Pause; few <= 0 || many < 300*time.Millisecond {
+		t.Errorf("a denied box pauses for %v among few and %v among 330", few, many)
+	}
+}
