test(entry): asks for permits while a box starts, full targets, probes, urgency, keepers

Nothing failed without any of: the ask of a box that starts, the naming of the box that keeps a target, the news that an ask brings, the pause of a full target, the return of a permit, the permit of a probe, the order of streams, the bound on asks in a crowd. Each has a test now; that of late keepers counts by itself.

--- a/entry/permits.go
+++ b/entry/permits.go
@@ -82,9 +82,7 @@
 		if request.Only == "" {
 			request.Denied = append(slices.Clone(request.Denied), place.Target)
 			denied = append(denied, deliver.Alternative{Target: place.Target, StartedAt: place.StartedAt, Slots: place.Slots})
-			if given.crowded {
-				ask = max(ask, maxPermitAsks-2) // The next one waits.
-			}
+			ask = lastAsk(ask, given.crowded)
 		}
 	}
 	d.returnPermit(given)
@@ -92,6 +90,15 @@
 	return deliver.Placement{}, refused.WithRetryAfter(d.retryAfter(refused.Code, request.Job))
 }
 
+// lastAsk is the number after which a denied request goes on asking. Where many requests wait already the
+// next ask is the one that waits, too: each of the others would cost a call in vain.
+func lastAsk(ask int, crowded bool) int {
+	if crowded {
+		return max(ask, maxPermitAsks-2)
+	}
+	return ask
+}
+
 // permission is a permit at a target; without one the target's key is empty.
 type permission struct {
 	target permit.Target
--- a/entry/permits_test.go
+++ b/entry/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -101,15 +103,15 @@
 		d = w.boxes[1]
 	}
 	late := keeperSilent{box: keeper, silent: true, late: true}
-	for range maxKeeperMisses - 1 {
+	for range 2 {
 		d.update(w.now, late)
 	}
 	if got := d.brittleView.Load().keeperOf(poolHashOf("orders"), 0); got != keeper {
-		t.Errorf("after %d late answers it asks %s", maxKeeperMisses-1, got)
+		t.Errorf("after two late answers it asks %s", got)
 	}
 	d.update(w.now, late)
 	if got := d.brittleView.Load().keeperOf(poolHashOf("orders"), 0); got == keeper {
-		t.Errorf("after %d late answers it still asks it", maxKeeperMisses)
+		t.Error("after three late answers it still asks it")
 	}
 }
 
@@ -181,3 +183,102 @@
 		}
 	}
 }
+
+// TestAsksUntilTold has a box that starts among others ask whether a pool is brittle until one of them has told it,
+// for a while.
+func TestAsksUntilTold(t *testing.T) {
+	pool := poolHashOf("orders")
+	tests := []struct {
+		name string
+		then func(d *Daemon)
+		at   time.Duration
+		want bool
+	}{
+		{"it was told nothing yet", func(*Daemon) {}, time.Second, true},
+		{"another box has told it", func(d *Daemon) {
+			d.receiveBrittle(start, start, &d.tables, peer.Message{From: "b"})
+		}, time.Second, false},
+		{"nobody tells it", func(*Daemon) {}, unheardFor, false},
+	}
+	for _, tt := range tests {
+		d := newDaemon("a")
+		d.startedAt = start
+		d.tables.members["b"] = &member{address: netip.MustParseAddrPort("127.0.0.1:1"), heardAt: start}
+		tt.then(d)
+		d.publishBrittle(start.Add(tt.at), &d.tables)
+		if got := d.brittleView.Load().asks(pool); got != tt.want {
+			t.Errorf("%s: it asks: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// brittleKeeper returns a box that keeps brittle targets itself, with a request for one of them.
+func brittleKeeper() (*Daemon, *deliver.Job, deliver.Placement) {
+	d := newDaemon("a")
+	d.now = func() time.Time { return start }
+	d.brittleView.Store(&brittleView{pools: map[uint32]brittlePool{poolHashOf("orders"): {4, start.Add(-time.Minute), start}}, keepers: []string{"a"}})
+	return d, &deliver.Job{Call: &deliver.Call{}, Pool: &routing.Pool{Name: "orders"}, Route: &routing.Route{}}, deliver.Placement{Target: "t1", Slots: 6}
+}
+
+// TestFullTargetIsPaused has a box leave a target alone for a moment once a request has waited there in vain, and
+// one with a permit that is not used give it back.
+func TestFullTargetIsPaused(t *testing.T) {
+	d, j, place := brittleKeeper()
+	key := placementIncarnation(place)
+	given := d.permitFor(context.Background(), j, place, 0)
+	if given.target.Key != key {
+		t.Fatalf("the first request may go to %q", given.target.Key)
+	}
+	if d.permitFor(context.Background(), j, place, 0).target.Key != "" || d.permits.isPaused(start, key, urgencyOf(j)) {
+		t.Error("a target is left alone for a request that did not wait")
+	}
+	if d.permitFor(context.Background(), j, place, time.Millisecond).target.Key != "" || !d.permits.isPaused(start, key, urgencyOf(j)) {
+		t.Error("a full target is asked for at once again")
+	}
+	if d.permits.isPaused(start, key, urgencyOf(j)-1) {
+		t.Error("a more urgent request may not ask")
+	}
+	d.returnPermit(given)
+	if held, _ := d.keeper.Held(); held != 0 {
+		t.Errorf("%d permits are held after it was given back", held)
+	}
+}
+
+// TestProbesTakeRoom has a health probe be sent only where a request could be.
+func TestProbesTakeRoom(t *testing.T) {
+	d, j, place := brittleKeeper()
+	p := probe{target: "t1", pool: "orders", slots: 6, incarnation: fleet.Incarnation{ID: "t1"}}
+	if number, err := d.permitProbe(context.Background(), p); err != nil || number == 0 {
+		t.Errorf("a probe of an empty target: %v", err)
+	}
+	if d.permitFor(context.Background(), j, place, 0).target.Key != "" {
+		t.Error("a request goes to a target that may have room for the probe alone")
+	}
+	if _, err := d.permitProbe(context.Background(), p); !errors.Is(err, notice.ErrBrittle) {
+		t.Errorf("another probe: %v", err)
+	}
+}
+
+// TestUrgency has a stream that goes on ask before one that begins, after those of a more urgent route.
+func TestUrgency(t *testing.T) {
+	route := &routing.Route{Stream: true, Priority: 1}
+	begins, goesOn := &deliver.Job{Call: &deliver.Call{}, Route: route}, &deliver.Job{Call: &deliver.Call{LastEventID: "3"}, Route: route}
+	urgent := &deliver.Job{Call: &deliver.Call{}, Route: &routing.Route{Stream: true}}
+	if urgencyOf(urgent) >= urgencyOf(goesOn) || urgencyOf(goesOn) >= urgencyOf(begins) {
+		t.Errorf("urgent %d, goes on %d, begins %d", urgencyOf(urgent), urgencyOf(goesOn), urgencyOf(begins))
+	}
+}
+
+// TestLastAsk has a request whose targets many wait for not be asked for in vain.
+func TestLastAsk(t *testing.T) {
+	for _, tt := range []struct {
+		ask     int
+		crowded bool
+		wait    bool
+	}{{0, false, false}, {0, true, true}, {2, false, true}, {2, true, true}} {
+		next := lastAsk(tt.ask, tt.crowded) + 1
+		if got := permitWait(&deliver.Job{Pool: &routing.Pool{Engine: &routing.Engine{}}, Route: &routing.Route{}}, next) > 0; got != tt.wait {
+			t.Errorf("after ask %d, crowded %v, the next waits: %v", tt.ask, tt.crowded, got)
+		}
+	}
+}
