--- a/entry/permits.go
+++ b/entry/permits.go
@@ -58,8 +58,8 @@
 	return urgency
 }
 
-// placePermitted has the loop place a request and gets the permit that it needs there.
-func (d *Daemon) placePermitted(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
+// requestPlacement has the loop place a request and gets the permit that it needs there.
+func (d *Daemon) requestPlacement(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
 	var given permission
 	var denied []deliver.Alternative
 	for ask := 0; ask <= maxPermitAsks; ask++ { // The last may place it where it has a permit.
--- a/entry/place.go
+++ b/entry/place.go
@@ -24,13 +24,7 @@
 	expectedTTL = 1500 * time.Millisecond
 )
 
-// requestPlacement requests a placement from the loop. In a large fleet the loop asks hubs first.
-func (d *Daemon) requestPlacement(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
-	place, err := d.placePermitted(ctx, request)
-	return place, err
-}
-
-// placeInLoop is requestPlacement without the permit that the target may need.
+// placeInLoop requests a placement from the loop. In a large fleet the loop asks hubs first.
 func (d *Daemon) placeInLoop(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
 	if d.short.Load() && d.mayWait(request.Job) {
 		request.Job.Fingerprint() // Cached, so that the loop need not compute it.
--- a/entry/signals.go
+++ b/entry/signals.go
@@ -152,7 +152,7 @@
 
 // signalsReceived applies a target's recorded signals to it.
 func (d *Daemon) signalsReceived(now time.Time, t *tables, incarnation fleet.Incarnation) {
-	if known := len(t.brittlePools); known == 0 {
+	if len(t.brittlePools) == 0 {
 		d.updateBrittle(now, t)
 	}
 	x := t.fleet.Incarnation(incarnation)
