--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// TestPartThatBeganIsNoSuspect guards against a part that stays a suspect of engines that may have ended before
+// a request with it began elsewhere.
+func TestPartThatBeganIsNoSuspect(t *testing.T) {
+	for _, began := range []bool{false, true} {
+		d := engines("b1")
+		for i := range poison.KnownGoodThreshold - 1 { // With the retry that is one more.
+			d.update(start, attemptEnded{deliver.AttemptResult{Place: placeAt(0, fmt.Sprint("e", i)), Job: badJob(i), Failed: true, Unreachable: true, CutOff: true}})
+		}
+		if began {
+			d.update(start, firstEvent{jobWithParts("cafe", "sound", "first", "bad")})
+		}
+		refused, _ := d.refuseSuspect(start, &d.tables, deliver.PlacementRequest{Job: badJob(9), Attempted: []string{"e0"}})
+		if got := refused != nil; got == began {
+			t.Errorf("a request with the part began: %v, a retry is refused: %v", began, got)
+		}
+	}
+}
+
 // TestTrialLiftsPart tries one request with a refused part 10 s later; as it begins, the part is
 // served again.
 func TestTrialLiftsPart(t *testing.T) {
