fix(entry): a box that starts keeps no targets until it knows which pools are brittle

Cause: a box that starts asks whether a pool is brittle. Where it would keep the pool's targets itself it asked itself, and gave out the room of a target that bears nothing. Change: it asks the next box. If that calls the pool brittle and names the one that starts, this one refuses until its loop knows, which the answer now tells it. TestStartingBoxKeepsNothing fails before in two of three cases, passes after.

--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -186,7 +186,7 @@
 // answerPeer has the loop answer another box's call.
 func (d *Daemon) answerPeer(ctx context.Context, m peer.Message) peer.Message {
 	if m.Permits != nil {
-		return peer.Message{Kind: m.Kind, From: d.Settings.Name, PermitAnswer: d.answerPermits(ctx, m)}
+		return peer.Message{Kind: m.Kind, From: d.Settings.Name, PermitAnswer: d.answerPermits(ctx, m), BrittlePools: d.brittleView.Load().forPeer(d.now())}
 	}
 	reply := make(chan peer.Message, 1)
 	d.postContext(ctx, peerRequest{m, reply})
--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -99,6 +99,17 @@
 	return slices.MinFunc(v.keepers, byWeight(key))
 }
 
+// lacks reports whether another box names a brittle pool that this one does not know.
+func (v *brittleView) lacks(told []peer.BrittlePool) bool {
+	return slices.ContainsFunc(told, func(b peer.BrittlePool) bool { return !v.isBrittle(b.Pool) })
+}
+
+// otherKeeperOf is keeperOf without one box.
+func (v *brittleView) otherKeeperOf(pool uint32, group int, box string) string {
+	others := brittleView{keepers: slices.DeleteFunc(slices.Clone(v.keepers), func(name string) bool { return name == box })}
+	return others.keeperOf(pool, group)
+}
+
 // forPeer lists the brittle pools for another box.
 func (v *brittleView) forPeer(now time.Time) []peer.BrittlePool {
 	var list []peer.BrittlePool
@@ -132,20 +143,29 @@
 // pool is brittle.
 func (d *Daemon) askForPermit(ctx context.Context, view *brittleView, a permitAsk) (keeper string, reply permitReply, err error) {
 	keeper, reply, err = d.askKeeper(ctx, view, a)
-	if err != nil && !view.isBrittle(a.pool) {
+	if err != nil && !errors.Is(err, errBrittle) && !view.isBrittle(a.pool) {
 		return "", permitReply{needless: true}, nil
 	}
 	return keeper, reply, err
 }
 
-// askKeeper asks the box that keeps some targets, and the one that this names instead.
+// errBrittle means that another box says that a pool is brittle of which this one does not know it yet.
+var errBrittle = errors.New("the pool is brittle, which this box was just told")
+
+// askKeeper asks the box that keeps some targets, and the one that this names instead. A box that does not know
+// yet whether the pool is brittle can't answer itself.
 func (d *Daemon) askKeeper(ctx context.Context, view *brittleView, a permitAsk) (keeper string, reply permitReply, err error) {
 	keeper = view.keeperOf(a.pool, a.group)
+	if keeper == d.Settings.Name && !view.isBrittle(a.pool) {
+		keeper = view.otherKeeperOf(a.pool, a.group, d.Settings.Name)
+	}
 	for range 2 {
-		switch keeper {
-		case "":
+		switch {
+		case keeper == "":
 			return "", reply, errors.New("no box that keeps its targets is known")
-		case d.Settings.Name:
+		case keeper == d.Settings.Name && !view.isBrittle(a.pool):
+			return "", reply, errBrittle
+		case keeper == d.Settings.Name:
 			return keeper, permitReply{Answer: d.keepRoom(ctx, d.Settings.Name, d.permits.epoch, view.pools[a.pool], a)}, nil
 		}
 		var answer *peer.PermitAnswer
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -260,6 +260,9 @@
 	defer cancel()
 	m.Epoch = d.permits.epoch
 	reply, err := d.peers.Call(ctx, at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Permits: &m, BrittlePools: view.forPeer(d.now())})
+	if err == nil && view.lacks(reply.BrittlePools) {
+		d.post(brittleTold{reply})
+	}
 	if answer != nil {
 		*answer = reply.PermitAnswer
 	}
--- a/entry/permits_test.go
+++ b/entry/permits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"testing"
@@ -282,3 +283,41 @@
 		}
 	}
 }
+
+// TestStartingBoxKeepsNothing guards against a box that starts and takes all pools for brittle whose targets it
+// would keep, and against one that sends freely to a pool that another box has just called brittle.
+func TestStartingBoxKeepsNothing(t *testing.T) {
+	pool := poolHashOf("orders")
+	told := peer.Message{From: "b", PermitAnswer: &peer.PermitAnswer{Keeper: "a"}, BrittlePools: []peer.BrittlePool{{Pool: pool, Bears: 4}}}
+	node := peer.Node{Credential: "secret", Handle: func(context.Context, peer.Message) peer.Message { return told }, OnSent: func(int) {}, OnReceived: func(int) {}}
+	server := httptest.NewServer(node.Handler())
+	defer server.Close()
+	tests := []struct {
+		name    string
+		keepers []string
+		want    bool
+	}{
+		{"it would keep the targets and knows no other box", []string{"a"}, true},
+		{"another box says that it is to keep them", []string{"b"}, false},
+		{"another box says so when asked in its place", []string{"a", "b"}, false},
+	}
+	for _, tt := range tests {
+		d, j, place := brittleKeeper()
+		credential := "secret"
+		d.credential.Store(&credential)
+		d.brittleView.Store(&brittleView{keepers: tt.keepers, unheard: true, addresses: map[string]netip.AddrPort{"b": netip.MustParseAddrPort(server.Listener.Addr().String())}})
+		for range 3 {
+			if got := d.permitFor(context.Background(), j, place, time.Millisecond).target.Key != ""; got != tt.want {
+				t.Errorf("%s: it may go: %v, want %v", tt.name, got, tt.want)
+			}
+		}
+		news := false
+		for len(d.messages) > 0 {
+			m, ok := (<-d.messages).(brittleTold)
+			news = news || ok && m.message.From == "b"
+		}
+		if news == tt.want {
+			t.Errorf("%s: the loop is told: %v", tt.name, news)
+		}
+	}
+}
