--- a/brittle/brittle.go
+++ b/brittle/brittle.go
@@ -6,8 +6,8 @@
 //	r := brittle.Room{Places: 6, Bears: 4}
 //	if g, ok := r.Take(now); ok {
 //		// send the request, and then one of
-//		r.Accepted(now, g) // and, once it has ended, r.End(g)
-//		r.TurnedAway(now, g)
+//		r.Accepted(now, &g) // and, once it has ended, r.End(&g)
+//		r.TurnedAway(now, &g)
 //	}
 package brittle
 
