feat(entry): logs and metrics of boxes that keep brittle targets and are given up

How long asks for permits take, how many a request needed, and why and after how long a keeper was given up: what the three hypotheses differ in.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -257,6 +257,9 @@
 	// pool had said so.
 	Bears   int
 	SaidAgo time.Duration
+	// Asks is how many times a permit was asked for, Took how long that took.
+	Asks int
+	Took time.Duration
 }
 
 // Attempt is one request on its way to a target.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -33,6 +33,8 @@
 	rateLimited       prometheus.Counter
 	turnedAway        *prometheus.CounterVec
 	permits           *prometheus.CounterVec
+	permitSeconds     *prometheus.HistogramVec
+	keepersLost       *prometheus.CounterVec
 	permitsKept       prometheus.Gauge
 	brittlePools      prometheus.Gauge
 	canaries          *prometheus.CounterVec
@@ -111,6 +113,8 @@
 	c.rateLimited = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_limited_total", Help: "Requests placed on targets that limit the requests of all boxes."})
 	c.turnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_turned_away_total", Help: "Requests that targets turned away without running them, by pool."}, []string{"pool"})
 	c.permits = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_permits_total", Help: "Permits for brittle targets that this box asked for, by pool and result."}, []string{"pool", "result"})
+	c.permitSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_permit_seconds", Help: "How long a request to brittle targets took to get a permit, or to be denied one, by pool.", Buckets: latencyBuckets}, []string{"pool"})
+	c.keepersLost = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_keepers_lost_total", Help: "Boxes that this one asked for permits and gave up, by reason."}, []string{"reason"})
 	c.permitsKept = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_permits_held", Help: "Permits of all boxes for the brittle targets that this box keeps."})
 	c.brittlePools = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_brittle_pools", Help: "Pools with brittle targets, as this box knows."})
 	c.canaries = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_canaries_total", Help: "Versions of pools' software that were tried out, by what this box learnt of them."}, []string{"what"})
@@ -141,7 +145,7 @@
 	c.originLookups = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_origin_lookups_total", Help: "Streams to be continued by pool and where it was known from on which software version they began."}, []string{"pool", "from"})
 	r.MustRegister(
 		c.takenUp, c.otherSoftware, c.origins, c.originsDropped, c.originLookups,
-		c.lostPools, c.turnedAway, c.permits, c.permitsKept, c.brittlePools, c.quarantinedParts, c.handedOn, c.takenOver,
+		c.lostPools, c.turnedAway, c.permits, c.permitSeconds, c.keepersLost, c.permitsKept, c.brittlePools, c.quarantinedParts, c.handedOn, c.takenOver,
 		c.slowEngines,
 		c.queued, c.queueEnds,
 		c.held, c.unread, c.memoryRefused,
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -107,7 +107,7 @@
 		"waited", o.Waited, "pause", o.Pause, "late_by", lateBy, "resumed", o.Resumed,
 	}
 	if p := o.Place.Permit; p.Keeper != "" {
-		fields = append(fields, "permit_by", p.Keeper, "level", p.Level, "bears", p.Bears, "said_ago", p.SaidAgo)
+		fields = append(fields, "permit_by", p.Keeper, "level", p.Level, "bears", p.Bears, "said_ago", p.SaidAgo, "permit_asks", p.Asks, "permit_took", p.Took)
 	}
 	if o.BeganOn != "" {
 		fields = append(fields, "began_on", o.BeganOn, "other_software", o.OtherSoftware)
--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/thymewind/thymewind/peer"
@@ -172,7 +173,7 @@
 		err := d.callKeeper(ctx, keeper, peer.Permits{Ask: a.encode()}, &answer)
 		switch {
 		case err != nil:
-			d.post(keeperSilent{keeper, ctx.Err() == nil, errors.Is(err, context.DeadlineExceeded)})
+			d.post(keeperSilent{keeper, ctx.Err() == nil, errors.Is(err, context.DeadlineExceeded), err})
 			return keeper, reply, err
 		case answer == nil: // A box of an earlier release, which keeps no room.
 			return keeper, permitReply{needless: true}, nil
@@ -203,6 +204,7 @@
 	silent bool
 	// late says that it may merely be slow: no other box takes its place at once then.
 	late bool
+	err  error
 }
 
 func (d *Daemon) keeperSilent(now time.Time, t *tables, m keeperSilent) {
@@ -221,11 +223,31 @@
 	x.keeperMisses, x.keeperMissedAt = x.keeperMisses+1, now
 	if !m.late || x.keeperMisses >= maxKeeperMisses {
 		x.keeperRetryAt, x.keeperMisses = now.Add(keeperRetryDelay), 0
-		d.Log.Warn("box that keeps brittle targets does not answer", "box", m.box)
+		reason := silenceReason(m.err)
+		d.metrics.keepersLost.WithLabelValues(reason).Inc()
+		d.Log.Warn("box that keeps brittle targets does not answer", "box", m.box, "reason", reason, "heard_ago", now.Sub(x.heardAt), "err", m.err)
 	}
 	d.publishBrittle(now, t)
 }
 
+// Reasons for which a box that keeps targets is given up, in the metrics.
+const (
+	keeperRefuses = "refused"
+	keeperLate    = "late"
+	keeperCutOff  = "connection_lost"
+)
+
+// silenceReason is why a call to a box was not answered.
+func silenceReason(err error) string {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return keeperRefuses
+	case errors.Is(err, context.DeadlineExceeded):
+		return keeperLate
+	}
+	return keeperCutOff
+}
+
 // keepRoom gives out a part of the room of targets that this box keeps.
 func (d *Daemon) keepRoom(ctx context.Context, box string, epoch uint64, b brittlePool, a permitAsk) permit.Answer {
 	return d.keeper.Ask(ctx, d.now, permit.Ask{
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -62,6 +62,8 @@
 func (d *Daemon) requestPlacement(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
 	var given permission
 	var denied []deliver.Alternative
+	var asks int
+	var took time.Duration
 	for ask := 0; ask <= maxPermitAsks; ask++ { // The last may place it where it has a permit.
 		place, err := d.placeInLoop(ctx, request)
 		if err != nil || place.Box != "" {
@@ -71,10 +73,14 @@
 		if given.target.Key != placementIncarnation(place) {
 			d.returnPermit(given)
 			place.Alternatives = append(place.Alternatives, denied...)
+			began := d.now()
 			given = d.permitFor(ctx, request.Job, place, permitWait(request.Job, ask))
+			asks, took = asks+1, took+d.now().Sub(began)
 		}
 		if given.target.Key == placementIncarnation(place) {
 			place.Permit = given.permit
+			place.Permit.Asks, place.Permit.Took = asks, took
+			d.observePermit(request.Job, given.permit.Keeper, took)
 			return place, nil
 		}
 		d.post(attemptEnded{deliver.AttemptResult{Place: place, Job: request.Job}}) // It does not go there.
@@ -86,6 +92,8 @@
 		}
 	}
 	d.returnPermit(given)
+	d.Log.Info("no permit for a request", "request", request.Job.ID, "pool", request.Job.Pool.Name, "asks", asks, "took", took)
+	d.observePermit(request.Job, "", took)
 	refused := refuseNoRoom(request.Job)
 	return deliver.Placement{}, refused.WithRetryAfter(d.retryAfter(refused.Code, request.Job))
 }
@@ -190,6 +198,13 @@
 	return min(maxPermitWait, time.Duration(waitShare*float64(job.Route.Goal)))
 }
 
+// observePermit records how long the asks of a request took, unless its pool is not brittle.
+func (d *Daemon) observePermit(job *deliver.Job, keeper string, took time.Duration) {
+	if keeper != "" || took > 0 {
+		d.metrics.permitSeconds.WithLabelValues(job.Pool.Name).Observe(took.Seconds())
+	}
+}
+
 // attemptOver tells the box that counts a request how it ended.
 func (d *Daemon) attemptOver(e deliver.AttemptResult) {
 	if number := e.Place.Permit.Number; number != 0 {
