fix(entry): late answers of brittle targets are no sign of a queue

Cause: the congestion control takes the time that answers take for the length of the targets' queues. Permits bound what is under way at brittle targets, so that no queue is long; answers were late as boxes had no processor. Change: nothing is refused as congested while a pool is brittle.

--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -19,11 +19,12 @@
 }
 
 // refuseCongested refuses a share of the requests to a service whose answers queue, or returns
-// nil. A request that was sent before goes on, as it has already waited.
+// nil. A request that was sent before goes on, as it has already waited. Permits keep the queues of
+// brittle targets short, so that late answers of those are no sign of a queue.
 func (d *Daemon) refuseCongested(t *tables, request deliver.PlacementRequest) *refusal.Refusal {
 	job := request.Job
 	g := t.congestion(job.Pool.Name)
-	if len(request.Attempted) > 0 || !g.Shed(job.Route.Goal, d.random()) {
+	if len(request.Attempted) > 0 || t.brittlePools[poolHashOf(job.Pool.Name)] != nil || !g.Shed(job.Route.Goal, d.random()) {
 		return nil
 	}
 	return refusal.New(refusal.DidNotRun, 503, "congested", "answers of %s take %v, as they queue, of a goal of %v", job.Pool.Name, g.Mean().Round(time.Millisecond), job.Route.Goal)
