fix(entry): a box that keeps brittle targets and is merely busy is not given up

Boxes took another keeper by turns, each of which gives one request at a time for a second. Cause: asks that were late at once counted as late in a row, so that one stall of 0.35 s sufficed; a connection that the asking box had closed as silent counted as refused, and one late gossip as an end. Change: a keeper is given up once it refuses connections, or has sent nothing, not even a late answer, for 2 s in which it was called.

--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/thymewind/thymewind/changelog"
@@ -281,6 +282,9 @@
 	x.setUnanswered(now, failed)
 	if failed {
 		x.retryAt = now.Add(gossipRetryDelay)
+		if errors.Is(m.err, syscall.ECONNREFUSED) && len(t.brittlePools) > 0 {
+			d.keeperSilent(now, t, keeperSilent{m.name, now.Sub(x.heardAt), m.err})
+		}
 		return nil
 	}
 	d.receiveReplaced(now, t, m.answer)
--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -24,9 +24,8 @@
 	// targetsPerKeeper is how many targets of a pool one box keeps, so that it chooses among all of a
 	// small pool. A large one is divided.
 	targetsPerKeeper = 32
-	// maxKeeperMisses is how many asks a keeper may leave unanswered, each within keeperRetryDelay of the last.
-	maxKeeperMisses = 3
-	// keeperSilence is how long a keeper may say nothing to the others, which gossip all the time.
+	// keeperSilence is how long a keeper that is called may say nothing, not even late, before another one takes
+	// its place. That one has to learn what is under way, which costs more than a busy keeper does.
 	keeperSilence = 2 * time.Second
 	// unheardFor is how long a box that starts among others asks whether a pool is brittle, until one of
 	// them has told it.
@@ -74,7 +73,7 @@
 	if !m.address.IsValid() || now.Before(m.keeperRetryAt) {
 		return false
 	}
-	return d.spoke.Load() || !m.unanswered && now.Sub(m.heardAt) < keeperSilence
+	return d.spoke.Load() || now.Sub(m.heardAt) < keeperSilence
 }
 
 // asks reports whether requests to a pool need permits, or may do so.
@@ -173,14 +172,13 @@
 		err := d.callKeeper(ctx, keeper, peer.Permits{Ask: a.encode()}, &answer)
 		switch {
 		case err != nil:
-			d.post(keeperSilent{keeper, ctx.Err() == nil, errors.Is(err, context.DeadlineExceeded), err})
 			return keeper, reply, err
 		case answer == nil: // A box of an earlier release, which keeps no room.
 			return keeper, permitReply{needless: true}, nil
 		case answer.Keeper == "":
 			return keeper, decodeAnswer(answer), nil
 		}
-		d.post(keeperSilent{box: answer.Keeper})
+		d.post(keeperNamed{answer.Keeper})
 		keeper = answer.Keeper
 	}
 	return "", reply, errors.New("boxes disagree on which of them keeps its targets")
@@ -198,54 +196,60 @@
 	return permitReply{permit.Answer{Target: m.Target, Tell: m.Tell, Pause: time.Duration(m.PauseMS) * time.Millisecond, Level: m.Level, Crowded: m.Crowded}, m.NotBrittle}
 }
 
-// keeperSilent reports that a box did not answer an ask for a permit, or that it is known to answer others.
+// keeperSilent reports that a box that is called about permits has ended, or has been silent for too long.
 type keeperSilent struct {
-	box    string
-	silent bool
-	// late says that it may merely be slow: no other box takes its place at once then.
-	late bool
-	err  error
+	box       string
+	silentFor time.Duration
+	err       error
 }
 
 func (d *Daemon) keeperSilent(now time.Time, t *tables, m keeperSilent) {
 	x := t.members[m.box]
-	if x == nil {
+	if x == nil || now.Before(x.keeperRetryAt) {
 		return
 	}
-	if !m.silent {
-		x.keeperRetryAt, x.keeperMisses = time.Time{}, 0
+	x.keeperRetryAt = now.Add(keeperRetryDelay)
+	reason := silenceReason(m.err)
+	d.metrics.keepersLost.WithLabelValues(reason).Inc()
+	d.Log.Warn("box that keeps brittle targets does not answer", "box", m.box, "reason", reason, "silent_for", m.silentFor, "err", m.err)
+	d.publishBrittle(now, t)
+}
+
+// keeperNamed reports that another box names one as the keeper, so that it answers others.
+type keeperNamed struct{ box string }
+
+func (d *Daemon) keeperNamed(now time.Time, t *tables, m keeperNamed) {
+	if x := t.members[m.box]; x != nil {
+		x.keeperRetryAt = time.Time{}
 		d.publishBrittle(now, t)
-		return
 	}
-	if now.Sub(x.keeperMissedAt) >= keeperRetryDelay {
-		x.keeperMisses = 0
+}
+
+// noteKeeper records whether a box answered a call of a time about permits. An answer that is merely late is
+// no reason to take another keeper.
+func (d *Daemon) noteKeeper(box string, at netip.AddrPort, calledAt time.Time, err error) {
+	if err == nil {
+		d.permits.heard(box)
+		return
 	}
-	x.keeperMisses, x.keeperMissedAt = x.keeperMisses+1, now
-	if !m.late || x.keeperMisses >= maxKeeperMisses {
-		x.keeperRetryAt, x.keeperMisses = now.Add(keeperRetryDelay), 0
-		reason := silenceReason(m.err)
-		d.metrics.keepersLost.WithLabelValues(reason).Inc()
-		d.Log.Warn("box that keeps brittle targets does not answer", "box", m.box, "reason", reason, "heard_ago", now.Sub(x.heardAt), "err", m.err)
+	silentFor := min(d.now().Sub(d.permits.unheardSince(box, calledAt)), d.peers.SilentFor(at))
+	if errors.Is(err, syscall.ECONNREFUSED) || silentFor >= keeperSilence {
+		d.post(keeperSilent{box, silentFor, err})
 	}
-	d.publishBrittle(now, t)
 }
 
 // Reasons for which a box that keeps targets is given up, in the metrics.
 const (
-	keeperRefuses = "refused"
-	keeperLate    = "late"
-	keeperCutOff  = "connection_lost"
+	keeperRefuses  = "refused"
+	keeperIsSilent = "silent"
 )
 
-// silenceReason is why a call to a box was not answered.
+// silenceReason is why a box is given up after a call failed with an error.
 func silenceReason(err error) string {
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		return keeperRefuses
-	case errors.Is(err, context.DeadlineExceeded):
-		return keeperLate
 	}
-	return keeperCutOff
+	return keeperIsSilent
 }
 
 // keepRoom gives out a part of the room of targets that this box keeps.
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -35,6 +35,8 @@
 	renewInterval = 250 * time.Millisecond
 	// keeperRetryDelay is for how long a box that did not answer is not asked for permits.
 	keeperRetryDelay = time.Second
+	// silentTTL is for how long it is known that a box left calls unanswered.
+	silentTTL = time.Minute
 	// keeperTTL is for how long a box is told what this one holds after it last gave a permit.
 	keeperTTL = 10 * time.Second
 )
@@ -261,7 +263,7 @@
 }
 
 // callKeeper sends a message about permits to a box; with an answer it waits for that.
-func (d *Daemon) callKeeper(ctx context.Context, box string, m peer.Permits, answer **peer.PermitAnswer) error {
+func (d *Daemon) callKeeper(caller context.Context, box string, m peer.Permits, answer **peer.PermitAnswer) error {
 	view := d.brittleView.Load()
 	at, known := view.addresses[box]
 	if !known {
@@ -271,10 +273,14 @@
 	if m.Ask != nil {
 		timeout += time.Duration(m.Ask.WaitMS) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(caller, timeout)
 	defer cancel()
 	m.Epoch = d.permits.epoch
+	calledAt := d.now()
 	reply, err := d.peers.Call(ctx, at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Permits: &m, BrittlePools: view.forPeer(d.now())})
+	if err == nil || caller.Err() == nil {
+		d.noteKeeper(box, at, calledAt, err)
+	}
 	if err == nil && view.lacks(reply.BrittlePools) {
 		d.post(brittleTold{reply})
 	}
--- a/entry/permittable.go
+++ b/entry/permittable.go
@@ -24,6 +24,9 @@
 	outbox  map[string][]permit.Report
 	sending map[string]bool
 	keepers map[string]time.Time
+	// silent are the boxes that left calls unanswered since they last answered one, by when the first was
+	// made.
+	silent map[string]time.Time
 }
 
 // heldPermit is a request at a target. keeper is the box that counts it, tell says that this wants to know
@@ -44,10 +47,29 @@
 func newPermits(epoch uint64) *permits {
 	return &permits{
 		epoch: epoch, held: make(map[uint64]heldPermit), asking: make(map[uint64]bool), paused: make(map[string]pausedTarget),
-		outbox: make(map[string][]permit.Report), sending: make(map[string]bool), keepers: make(map[string]time.Time),
+		outbox: make(map[string][]permit.Report), sending: make(map[string]bool), keepers: make(map[string]time.Time), silent: make(map[string]time.Time),
 	}
 }
 
+// heard records that a box answered a call.
+func (p *permits) heard(box string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.silent, box)
+}
+
+// unheardSince records that a box left a call of a time unanswered and returns when it was made, or the first
+// one since the box last answered.
+func (p *permits) unheardSince(box string, calledAt time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if since, known := p.silent[box]; known {
+		return since
+	}
+	p.silent[box] = calledAt
+	return calledAt
+}
+
 // number numbers a request that is to get a permit.
 func (p *permits) number() uint64 {
 	p.mu.Lock()
@@ -100,11 +122,12 @@
 	return len(p.paused) > 0
 }
 
-// expire forgets pauses that are over.
+// expire forgets pauses that are over and boxes that were last called long ago.
 func (p *permits) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.paused, func(_ string, x pausedTarget) bool { return !now.Before(x.until) })
+	maps.DeleteFunc(p.silent, func(_ string, since time.Time) bool { return now.Sub(since) >= silentTTL })
 }
 
 // isPaused reports whether a target had no room a moment ago for requests as urgent as this.
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -323,11 +323,8 @@
 	unansweredSince time.Time
 	// originsRetryAt is when it is told of origins again after it did not answer.
 	originsRetryAt time.Time
-	// keeperRetryAt is when it is asked for permits again after it did not answer, keeperMisses counts
-	// the asks that it left unanswered one soon after the other, keeperMissedAt is the last.
-	keeperRetryAt  time.Time
-	keeperMisses   int
-	keeperMissedAt time.Time
+	// keeperRetryAt is when it is asked for permits again after it was silent.
+	keeperRetryAt time.Time
 	// misses counts unanswered placement requests in a row.
 	misses int
 	// retryAt is when a box that did not answer is called again.
--- a/peer/link.go
+++ b/peer/link.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -41,6 +42,8 @@
 	at   netip.AddrPort
 	// answerTimeout adapts the wait for an answer to the answer times of this peer.
 	answerTimeout *adaptive.Timeout
+	// heardAt is when something was last received, at first when the link was made; it is never nil.
+	heardAt *atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// conn is the current connection; nil if there is none.
@@ -124,6 +127,7 @@
 	node          *Node
 	at            netip.AddrPort
 	answerTimeout *adaptive.Timeout
+	heardAt       *atomic.Pointer[time.Time]
 	conn          *websocket.Conn
 	// queue holds messages waiting to be written.
 	queue chan []byte
@@ -152,7 +156,7 @@
 func newConnection(l *link, conn *websocket.Conn) *connection {
 	conn.SetReadLimit(maxMessage)
 	c := &connection{
-		node: l.node, at: l.at, answerTimeout: l.answerTimeout, conn: conn, queue: make(chan []byte, writeQueueSize), closed: make(chan struct{}),
+		node: l.node, at: l.at, answerTimeout: l.answerTimeout, heardAt: l.heardAt, conn: conn, queue: make(chan []byte, writeQueueSize), closed: make(chan struct{}),
 		pending: make(map[uint64]pendingCall),
 	}
 	go c.read()
@@ -257,6 +261,7 @@
 
 // noteReceived restarts the silence timer, and stops it if no calls are pending.
 func (c *connection) noteReceived() {
+	c.heardAt.Store(new(boottime.Now()))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unansweredSince = time.Time{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -144,6 +145,12 @@
 	return answer, nil
 }
 
+// SilentFor returns how long nothing has been received on calls to a peer: not even an answer to a call that
+// was given up, as a busy peer sends. A peer that has never answered is silent since it was first called.
+func (n *Node) SilentFor(at netip.AddrPort) time.Duration {
+	return boottime.Since(*n.link(at).heardAt.Load())
+}
+
 func (n *Node) link(at netip.AddrPort) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -152,7 +159,8 @@
 	}
 	l, ok := n.links[at]
 	if !ok {
-		l = &link{node: n, at: at, answerTimeout: &adaptive.Timeout{Min: minSilence, Max: maxSilence}}
+		l = &link{node: n, at: at, answerTimeout: &adaptive.Timeout{Min: minSilence, Max: maxSilence}, heardAt: &atomic.Pointer[time.Time]{}}
+		l.heardAt.Store(new(boottime.Now()))
 		n.links[at] = l
 	}
 	return l
