fix(entry): a request to brittle engines asks for all their room at once

Cause: a request to an engine was placed at a hub and asked for at that engine alone, then placed again, up to five times: ten calls, most for requests that were then refused, and most where callers are the most. Change: a placement of an engine names alternatives, the next best first, and the keeper chooses among them, as for services. A request waits for room once in all, not at each ask. While all targets had no room a moment ago, a box refuses without a call. TestEngineAlternatives, TestPausedPool and TestPermitSearch fail without the change.

--- a/entry/brittle.go
+++ b/entry/brittle.go
@@ -156,6 +156,24 @@
 	return list
 }
 
+// engineAlternatives is alternatives for a placement on an engine: the next best first, of those with weights
+// that are recent enough. Whether they have memory for it is found out when it is placed there.
+func (d *Daemon) engineAlternatives(now time.Time, t *tables, request deliver.PlacementRequest, place deliver.Placement, excluded func(*fleet.Target) bool) []deliver.Alternative {
+	job, chosen := request.Job, t.fleet.Target(place.Target)
+	if chosen == nil || t.brittlePools[poolHash(job.Pool)] == nil {
+		return nil
+	}
+	minVersion := t.rolloutOf(job.Model).requiredVersion(now, d.bounds.Load().WeightsWithin)
+	skip := d.skip(now, t, request, func(x *fleet.Target) bool {
+		return excluded(x) || x.Versions[job.Model] < max(minVersion, 1) || d.softwareForbids(now, t, request, x)
+	})
+	list := d.alternatives(now, t, chosen, skip)
+	if at := slices.IndexFunc(list, func(a deliver.Alternative) bool { return a.Target == place.NextBest }); at > 0 {
+		list[0], list[at] = list[at], list[0]
+	}
+	return list
+}
+
 // maxAlternatives bounds the targets among which the box that keeps them chooses.
 const maxAlternatives = 7
 
@@ -169,6 +187,31 @@
 	return refuseNoRoom(request.Job)
 }
 
+// refusePaused refuses a request, without a call, while all targets that it could go to are brittle and had no
+// room a moment ago.
+func (d *Daemon) refusePaused(now time.Time, t *tables, request deliver.PlacementRequest) error {
+	job := request.Job
+	if request.Only != "" || !d.permits.anyPaused() {
+		return nil
+	}
+	urgency, regions, paused := urgencyOf(job), allowedRegions(job), false
+	for _, x := range t.fleet.Pool(job.Pool.Name) {
+		if !x.Available(now) || slices.Contains(request.Attempted, x.ID) || !t.inRegions(regions, x.Domain) {
+			continue
+		}
+		if !d.permits.isPaused(now, incarnationKey(x.Incarnation()), urgency) {
+			return nil
+		}
+		paused = true
+	}
+	if !paused {
+		return nil
+	}
+	refused := refuseNoRoom(job)
+	d.notePlacement(now, request, refused)
+	return refused.WithRetryAfter(d.retryAfterRefusal(now, t, refused.Code, job))
+}
+
 // refuseNoRoom refuses a request for which brittle targets have no room.
 func refuseNoRoom(job *deliver.Job) *refusal.Refusal {
 	return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, codeBrittle, "the targets of %s that take work are brittle and have no room for another request", job.Pool.Name)
--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -193,7 +193,7 @@
 }
 
 func decodeAnswer(m *peer.PermitAnswer) permitReply {
-	return permitReply{permit.Answer{Target: m.Target, Tell: m.Tell, Pause: time.Duration(m.PauseMS) * time.Millisecond, Level: m.Level, Crowded: m.Crowded}, m.NotBrittle}
+	return permitReply{permit.Answer{Target: m.Target, Tell: m.Tell, Pause: time.Duration(m.PauseMS) * time.Millisecond, Level: m.Level}, m.NotBrittle}
 }
 
 // keeperSilent reports that a box that is called about permits has ended, or has been silent for too long.
@@ -255,11 +255,15 @@
 // keepRoom gives out a part of the room of targets that this box keeps.
 func (d *Daemon) keepRoom(ctx context.Context, box string, epoch uint64, b brittlePool, a permitAsk) permit.Answer {
 	return d.keeper.Ask(ctx, d.now, permit.Ask{
-		Box: box, Epoch: epoch, Number: a.number, Group: strconv.FormatUint(uint64(a.pool), 16) + "/" + strconv.Itoa(a.group), Targets: a.targets,
+		Box: box, Epoch: epoch, Number: a.number, Group: groupName(a.pool, a.group), Targets: a.targets,
 		Bears: b.bears, BrittleFor: d.now().Sub(b.since), Urgency: a.urgency, Wait: a.wait,
 	})
 }
 
+func groupName(pool uint32, group int) string {
+	return strconv.FormatUint(uint64(pool), 16) + "/" + strconv.Itoa(group)
+}
+
 // answerPermits answers another box, outside the loop.
 func (d *Daemon) answerPermits(ctx context.Context, m peer.Message) *peer.PermitAnswer {
 	now, view := d.now(), d.brittleView.Load()
@@ -297,7 +301,7 @@
 		a.targets = append(a.targets, permit.Target{Key: x.Key, Places: x.Places})
 	}
 	answer := d.keepRoom(ctx, m.From, p.Epoch, b, a)
-	return &peer.PermitAnswer{Target: answer.Target, Tell: answer.Tell, PauseMS: answer.Pause.Milliseconds(), Level: answer.Level, Crowded: answer.Crowded}
+	return &peer.PermitAnswer{Target: answer.Target, Tell: answer.Tell, PauseMS: answer.Pause.Milliseconds(), Level: answer.Level}
 }
 
 // brittleTold is a message in which another box told of a brittle pool that this one did not know.
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -60,61 +60,10 @@
 	return urgency
 }
 
-// requestPlacement has the loop place a request and gets the permit that it needs there.
-func (d *Daemon) requestPlacement(ctx context.Context, request deliver.PlacementRequest) (deliver.Placement, error) {
-	var given permission
-	var denied []deliver.Alternative
-	var asks int
-	var took time.Duration
-	for ask := 0; ask <= maxPermitAsks; ask++ { // The last may place it where it has a permit.
-		place, err := d.placeInLoop(ctx, request)
-		if err != nil || place.Box != "" {
-			d.returnPermit(given)
-			return place, err
-		}
-		if given.target.Key != placementIncarnation(place) {
-			d.returnPermit(given)
-			place.Alternatives = append(place.Alternatives, denied...)
-			began := d.now()
-			given = d.permitFor(ctx, request.Job, place, permitWait(request.Job, ask))
-			asks, took = asks+1, took+d.now().Sub(began)
-		}
-		if given.target.Key == placementIncarnation(place) {
-			place.Permit = given.permit
-			place.Permit.Asks, place.Permit.Took = asks, took
-			d.observePermit(request.Job, given.permit.Keeper, took)
-			return place, nil
-		}
-		d.post(attemptEnded{deliver.AttemptResult{Place: place, Job: request.Job}}) // It does not go there.
-		request.Only = incarnationTarget(given.target.Key)
-		if request.Only == "" {
-			request.Denied = append(slices.Clone(request.Denied), place.Target)
-			denied = append(denied, deliver.Alternative{Target: place.Target, StartedAt: place.StartedAt, Slots: place.Slots})
-			ask = lastAsk(ask, given.crowded)
-		}
-	}
-	d.returnPermit(given)
-	d.Log.Info("no permit for a request", "request", request.Job.ID, "pool", request.Job.Pool.Name, "asks", asks, "took", took)
-	d.observePermit(request.Job, "", took)
-	refused := refuseNoRoom(request.Job)
-	return deliver.Placement{}, refused.WithRetryAfter(d.retryAfter(refused.Code, request.Job))
-}
-
-// lastAsk is the number after which a denied request goes on asking. Where many requests wait already the
-// next ask is the one that waits, too: each of the others would cost a call in vain.
-func lastAsk(ask int, crowded bool) int {
-	if crowded {
-		return max(ask, maxPermitAsks-2)
-	}
-	return ask
-}
-
 // permission is a permit at a target; without one the target's key is empty.
 type permission struct {
 	target permit.Target
 	permit deliver.Permit
-	// crowded says, without one, that many requests wait for the targets' room.
-	crowded bool
 }
 
 // returnPermit returns a permit that is not used.
@@ -154,7 +103,7 @@
 		b := view.pools[ask.pool]
 		return permission{target: ask.targets[at], permit: deliver.Permit{Number: ask.number, Keeper: keeper, GivenAt: now, Level: answer.Level, Bears: b.bears, SaidAgo: now.Sub(b.saidAt)}}
 	}
-	return permission{crowded: answer.Crowded}
+	return permission{}
 }
 
 // permitAskFor numbers a placed request and asks for its target or, of the same group, an alternative.
@@ -188,13 +137,9 @@
 	d.metrics.permits.WithLabelValues(job.Pool.Name, result).Inc()
 }
 
-// permitWait is how long a request may wait for room with one of its asks. One to an engine, for which
-// there are no alternatives at first, is placed again before.
-func permitWait(job *deliver.Job, ask int) time.Duration {
-	switch {
-	case job.Pool.Engine != nil && ask+1 < maxPermitAsks:
-		return 0
-	case job.Route.Goal == 0:
+// permitWait is how long a request may wait for room with one of its asks.
+func permitWait(job *deliver.Job) time.Duration {
+	if job.Route.Goal == 0 {
 		return maxPermitWait
 	}
 	return min(maxPermitWait, time.Duration(waitShare*float64(job.Route.Goal)))
--- a/entry/place.go
+++ b/entry/place.go
@@ -256,6 +256,7 @@
 			place.SavedTokens += p.Tokens
 		}
 	}
+	place.Alternatives = d.engineAlternatives(now, t, request, place, either(from.excluded, filter))
 	expectCached(now, t, job.Parts, choice)
 	return place, nil
 }
--- a/entry/placehub.go
+++ b/entry/placehub.go
@@ -62,6 +62,10 @@
 	if d.handOn(now, t, m) {
 		return nil
 	}
+	if refused := d.refusePaused(now, t, m.ask); refused != nil {
+		t.answer(now, m, placementAnswer{err: refused})
+		return nil
+	}
 	if effects, remote := d.placeRemotely(now, t, m); remote {
 		return effects
 	}
@@ -270,6 +274,7 @@
 	for _, m := range p.Transfers {
 		place.Transfers = append(place.Transfers, throughput.Transfer{Source: m.Source, Expected: time.Duration(m.ExpectedUS) * time.Microsecond})
 	}
+	place.Alternatives = d.engineAlternatives(now, t, request, place, d.unwilling(now, request))
 	d.acceptCopy(now, t, job, &place, p.CopyTarget)
 	t.countSent(now, place)
 	t.placed.add(place.Tokens, job)
--- a/peer/permit.go
+++ b/peer/permit.go
@@ -64,8 +64,6 @@
 	Level int `cbor:"4,keyasint,omitempty"`
 	// Keeper is the box that keeps the targets' room, if it is not the receiver.
 	Keeper string `cbor:"5,keyasint,omitempty"`
-	// Crowded says that many requests wait for room.
-	Crowded bool `cbor:"7,keyasint,omitempty"`
 	// NotBrittle says that the receiver knows of no brittle target in the pool.
 	NotBrittle bool `cbor:"6,keyasint,omitempty"`
 }
--- a/permit/group.go
+++ b/permit/group.go
@@ -16,8 +16,6 @@
 	// within the last rateTime.
 	waiting []*waiter
 	granted []time.Time
-	// mayWait is how many might wait as one last came.
-	mayWait int
 }
 
 // waiter is a request that waits for room.
@@ -69,7 +67,6 @@
 		q.granted = q.granted[1:]
 	}
 	most := max(int(float64(len(q.granted))*w.ask.Wait.Seconds()/rateTime.Seconds()), minWaiting*len(w.ask.Targets))
-	q.mayWait = most
 	at, _ := slices.BinarySearchFunc(q.waiting, w.ask.Urgency+1, func(x *waiter, urgency int) int { return cmp.Compare(x.ask.Urgency, urgency) })
 	q.waiting = slices.Insert(q.waiting, at, w)
 	if last := len(q.waiting) - 1; last > most {
@@ -98,7 +95,7 @@
 // denial is the answer without a permit.
 func (k *Keeper) denial(q *group) Answer {
 	perSecond := max(minAsks, asksPerGrant*len(q.granted))
-	return Answer{Crowded: 2*len(q.waiting) > q.mayWait, Pause: max(minPause, time.Duration(len(k.boxes))*time.Second/time.Duration(perSecond))}
+	return Answer{Pause: max(minPause, time.Duration(len(k.boxes))*time.Second/time.Duration(perSecond))}
 }
 
 // serve grants permits to requests of a group that wait, in order.
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -89,8 +89,6 @@
 	Pause time.Duration
 	// Level is how many requests of all boxes the target has with this one.
 	Level int
-	// Crowded says that many requests wait for room in the group.
-	Crowded bool
 }
 
 // Keeper keeps the room of targets for all boxes. The zero value is ready; it is safe for concurrent use.
