perf(permit): requests that wait cost nothing while there is no room

Each ask, report and step of a wait looked at each waiting request and each of its targets, at the one box that keeps them. Now the surest room of the group is looked at first.

--- a/permit/box.go
+++ b/permit/box.go
@@ -143,6 +143,14 @@
 	maps.DeleteFunc(k.groups, func(_ string, q *group) bool {
 		return len(q.waiting) == 0 && now.Sub(q.askedAt) >= targetTTL
 	})
-	maps.DeleteFunc(k.targets, func(_ string, t *target) bool { return t.held == 0 && now.Sub(t.usedAt) >= targetTTL })
+	maps.DeleteFunc(k.targets, func(_ string, t *target) bool {
+		unused := t.held == 0 && now.Sub(t.usedAt) >= targetTTL
+		if unused {
+			for _, q := range k.groups {
+				delete(q.targets, t)
+			}
+		}
+		return unused
+	})
 	k.serveAll(now)
 }
--- a/permit/group.go
+++ b/permit/group.go
@@ -16,6 +16,8 @@
 	// within the last rateTime.
 	waiting []*waiter
 	granted []time.Time
+	// targets are those that were asked for.
+	targets map[*target]bool
 }
 
 // waiter is a request that waits for room.
@@ -51,7 +53,7 @@
 		if k.groups == nil {
 			k.groups = make(map[string]*group)
 		}
-		q = &group{}
+		q = &group{targets: make(map[*target]bool)}
 		k.groups[name] = q
 	}
 	return q
@@ -98,17 +100,39 @@
 	return Answer{Pause: max(minPause, time.Duration(len(k.boxes))*time.Second/time.Duration(perSecond))}
 }
 
-// serve grants permits to requests of a group that wait, in order.
+// serve grants permits to requests of a group that wait, in order. Mostly there is room for none of them, which
+// costs no look at each.
 func (k *Keeper) serve(now time.Time, q *group) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	surest := q.surest(now)
+	if surest == brittle.None {
+		return
+	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool {
-		answer, ok := k.grant(now, q, w.ask, w.want(now))
+		want := w.want(now)
+		if surest < want {
+			return false
+		}
+		answer, ok := k.grant(now, q, w.ask, want)
 		if ok {
 			w.answer <- answer
+			surest = q.surest(now)
 		}
 		return ok
 	})
 }
 
+// surest returns how sure it is that some target of the group has room for one more request.
+func (q *group) surest(now time.Time) brittle.Certainty {
+	surest := brittle.None
+	for t := range q.targets {
+		surest = max(surest, t.free(now, q.keptSince))
+	}
+	return surest
+}
+
 // serveAll grants permits to all requests that wait.
 func (k *Keeper) serveAll(now time.Time) {
 	for _, q := range k.groups {
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -164,6 +164,7 @@
 	key := ""
 	for i, x := range a.Targets {
 		t := k.targetOf(now, x, a.Bears, a.BrittleFor)
+		q.targets[t] = true
 		free := t.free(now, q.keptSince)
 		if free < want || best != nil && (free < sure || free == sure && t.room.Level() >= best.room.Level()) {
 			continue
