fix(brittle): the level comes down fast where a target has less room than it had

Cause: each request that was turned away lowered the level by one. From 10 to 5 that takes more than a target bears half of, after which it gets one request at a time until a second has passed. Change: where a request is turned away that was known to fit, and that was taken after the last one, 0.6 of its level is left.

--- a/brittle/brittle.go
+++ b/brittle/brittle.go
@@ -12,6 +12,7 @@
 package brittle
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -29,6 +30,9 @@
 	// spareShare is the share of the proven level up to which room is sure: what is on the way from and to
 	// the target counts as well, which is more while boxes are busy.
 	spareShare = 2.0 / 3
+	// shrinkTo is the share of a level that is left once a request was turned away that was known to fit: the target
+	// has less room than it had, and each step down costs a request.
+	shrinkTo = 0.6
 	// lingerTime is how long a request counts whose target did not answer: it may find it still, when it
 	// goes on after a pause.
 	lingerTime = time.Second
@@ -218,12 +222,16 @@
 // TurnedAway records that the target had no room for a request.
 func (r *Room) TurnedAway(now time.Time, g *Grant) {
 	tooMuch := r.triedSince(g)
+	shrunk := !g.Tried && tooMuch == g.level && g.epoch == r.epoch
 	r.End(now, g)
 	r.expire(now)
 	r.turnedAway = append(r.turnedAway, now)
 	r.epoch++
 	r.taken = 0
 	level := min(r.level(), tooMuch-1)
+	if shrunk {
+		level = min(level, int(math.Ceil(shrinkTo*float64(tooMuch))))
+	}
 	r.bar, r.barUntil = max(tooMuch, 2), now.Add(barTime)
 	r.proven, r.earlier, r.provenAt = max(level, 1), 0, now
 }
--- a/brittle/brittle_test.go
+++ b/brittle/brittle_test.go
@@ -262,6 +262,51 @@
 	}
 }
 
+// TestRoomAfterShrinking guards against a level that comes down by one with each request that is turned away, until
+// the target bears no more and its room stays unused: in a crowd of twice what it runs, from when it lets fewer
+// requests wait.
+func TestRoomAfterShrinking(t *testing.T) {
+	tests := []struct {
+		places, bears, waits, left int
+		serve                      time.Duration
+	}{
+		{8, 6, 20, 5, 80 * time.Millisecond},
+		{8, 6, 20, 5, 250 * time.Millisecond},
+		{6, 4, 24, 8, 150 * time.Millisecond},
+		{8, 4, 24, 6, 15 * time.Millisecond},
+		{8, 4, 20, 4, 80 * time.Millisecond},
+		{16, 4, 20, 8, 80 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%+v", tt), func(t *testing.T) {
+			const courses, span = 40, 4 * time.Second
+			runs, served, falls := min(tt.left, tt.places), 0, 0
+			capacity := float64(runs) / tt.serve.Seconds()
+			for seed := range uint64(courses) {
+				s := &simulation{
+					random: rand.New(rand.NewPCG(seed, 3)), now: start, runs: runs, waits: tt.waits, serve: tt.serve,
+					room: brittle.Room{Places: tt.places, Bears: tt.bears},
+				}
+				s.run(2*capacity, 3*time.Second)
+				s.waits, s.most, s.served, s.turnedAway = tt.left-runs, 0, 0, nil
+				s.run(2*capacity, span)
+				served += s.served
+				if s.most > tt.bears {
+					falls++
+				}
+			}
+			share := float64(served) / (courses * capacity * span.Seconds())
+			t.Logf("%.2f served, %d falls", share, falls)
+			if falls > 0 {
+				t.Errorf("in %d of %d seeds it turns more away than it bears", falls, courses)
+			}
+			if share < crowdServed*tt.serve.Seconds()/(tt.serve+2*delay).Seconds() {
+				t.Errorf("%.2f of what it can run is served", share)
+			}
+		})
+	}
+}
+
 // TestRoomOfPausedTarget guards against a target that falls when it goes on after a pause: what was sent
 // meanwhile, also what was given up, is still there.
 func TestRoomOfPausedTarget(t *testing.T) {
