fix(entry): a box that does not reach the keeper of its targets asks through another one

Cause: whether the keeper lives was each box's own finding, acted upon alone. Change: asks, reports and renewals for a keeper that does not answer here go to another box that may keep targets, which passes them on. A box that would keep targets only because a better one does not answer it asks another box first. A silent keeper is tried again after 5 s instead of 1 s, as each try has requests wait in vain.

--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -99,6 +99,20 @@
 	return slices.MinFunc(v.keepers, byWeight(key))
 }
 
+// wayTo returns the box to call for one that keeps targets: that one, or if it does not answer here another one that
+// may keep targets, to pass the call on.
+func (v *brittleView) wayTo(box string) string {
+	if slices.Contains(v.keepers, box) {
+		return box
+	}
+	for _, name := range v.keepers {
+		if _, other := v.addresses[name]; other {
+			return name
+		}
+	}
+	return box
+}
+
 // lacks reports whether another box names a brittle pool that this one does not know.
 func (v *brittleView) lacks(told []peer.BrittlePool) bool {
 	return slices.ContainsFunc(told, func(b peer.BrittlePool) bool { return !v.isBrittle(b.Pool) })
@@ -152,13 +166,16 @@
 // errBrittle means that another box says that a pool is brittle of which this one does not know it yet.
 var errBrittle = errors.New("the pool is brittle, which this box was just told")
 
-// askKeeper asks the box that keeps some targets, and the one that this names instead. A box that does not know
-// yet whether the pool is brittle can't answer itself.
+// askKeeper asks the box that keeps some targets, and the one that this names instead.
 func (d *Daemon) askKeeper(ctx context.Context, view *brittleView, a permitAsk) (keeper string, reply permitReply, err error) {
 	keeper = view.keeperOf(a.pool, a.group)
-	if keeper == d.Settings.Name && !view.isBrittle(a.pool) {
+	asksOther := keeper == d.Settings.Name && view.isUnsure(a.pool, a.group, d.Settings.Name)
+	if asksOther {
 		keeper = view.otherKeeperOf(a.pool, a.group, d.Settings.Name)
 	}
+	if keeper == "" && asksOther && view.isBrittle(a.pool) {
+		keeper = d.Settings.Name
+	}
 	for range 2 {
 		switch {
 		case keeper == "":
@@ -166,11 +183,14 @@
 		case keeper == d.Settings.Name && !view.isBrittle(a.pool):
 			return "", reply, errBrittle
 		case keeper == d.Settings.Name:
-			return keeper, permitReply{Answer: d.keepRoom(ctx, d.Settings.Name, d.permits.epoch, view.pools[a.pool], a)}, nil
+			return d.Settings.Name, permitReply{Answer: d.keepRoom(ctx, d.Settings.Name, d.permits.epoch, view.pools[a.pool], a)}, nil
 		}
 		var answer *peer.PermitAnswer
 		err := d.callKeeper(ctx, keeper, peer.Permits{Ask: a.encode()}, &answer)
 		switch {
+		case err != nil && asksOther && view.isBrittle(a.pool):
+			keeper = d.Settings.Name
+			continue
 		case err != nil:
 			return keeper, reply, err
 		case answer == nil: // A box of an earlier release, which keeps no room.
@@ -178,12 +198,18 @@
 		case answer.Keeper == "":
 			return keeper, decodeAnswer(answer), nil
 		}
-		d.post(keeperNamed{answer.Keeper})
-		keeper = answer.Keeper
+		keeper, asksOther = answer.Keeper, false
 	}
 	return "", reply, errors.New("boxes disagree on which of them keeps its targets")
 }
 
+// isUnsure reports whether a box that would keep some targets asks another one first: it does not know yet whether
+// the pool is brittle, or a better box does not answer it, but may answer others.
+func (v *brittleView) isUnsure(pool uint32, group int, box string) bool {
+	all := brittleView{keepers: append(slices.Collect(maps.Keys(v.addresses)), box)}
+	return !v.isBrittle(pool) || all.keeperOf(pool, group) != box
+}
+
 func (a permitAsk) encode() *peer.PermitAsk {
 	m := &peer.PermitAsk{Number: a.number, Pool: a.pool, Group: a.group, Urgency: a.urgency, WaitMS: a.wait.Milliseconds()}
 	for _, x := range a.targets {
@@ -209,22 +235,15 @@
 		return
 	}
 	x.keeperRetryAt = now.Add(keeperRetryDelay)
+	if !errors.Is(m.err, syscall.ECONNREFUSED) {
+		x.keeperRetryAt = now.Add(silentRetryDelay)
+	}
 	reason := silenceReason(m.err)
 	d.metrics.keepersLost.WithLabelValues(reason).Inc()
 	d.Log.Warn("box that keeps brittle targets does not answer", "box", m.box, "reason", reason, "silent_for", m.silentFor, "err", m.err)
 	d.publishBrittle(now, t)
 }
 
-// keeperNamed reports that another box names one as the keeper, so that it answers others.
-type keeperNamed struct{ box string }
-
-func (d *Daemon) keeperNamed(now time.Time, t *tables, m keeperNamed) {
-	if x := t.members[m.box]; x != nil {
-		x.keeperRetryAt = time.Time{}
-		d.publishBrittle(now, t)
-	}
-}
-
 // noteKeeper records whether a box answered a call of a time about permits. An answer that is merely late is
 // no reason to take another keeper.
 func (d *Daemon) noteKeeper(box string, at netip.AddrPort, calledAt time.Time, err error) {
@@ -267,6 +286,9 @@
 // answerPermits answers another box, outside the loop.
 func (d *Daemon) answerPermits(ctx context.Context, m peer.Message) *peer.PermitAnswer {
 	now, view := d.now(), d.brittleView.Load()
+	if box := m.Permits.For; box != "" && box != d.Settings.Name {
+		return d.passOnPermits(ctx, view, m)
+	}
 	pools := make(map[uint32]brittlePool) // The view has none while this box starts.
 	maps.Copy(pools, view.pools)
 	news := false
@@ -304,6 +326,23 @@
 	return &peer.PermitAnswer{Target: answer.Target, Tell: answer.Tell, PauseMS: answer.Pause.Milliseconds(), Level: answer.Level}
 }
 
+// passOnPermits passes a message on to a box that its sender does not reach, and the answer back; nil if this box
+// does not reach it either.
+func (d *Daemon) passOnPermits(ctx context.Context, view *brittleView, m peer.Message) *peer.PermitAnswer {
+	at, known := view.addresses[m.Permits.For]
+	if !known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(*m.Permits))
+	defer cancel()
+	reply, err := d.peers.Call(ctx, at, m)
+	if err != nil {
+		d.Log.Warn("a message about brittle targets was not passed on", "from", m.From, "to", m.Permits.For, "err", err)
+		return nil
+	}
+	return reply.PermitAnswer
+}
+
 // brittleTold is a message in which another box told of a brittle pool that this one did not know.
 type brittleTold struct{ message peer.Message }
 
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -33,8 +33,11 @@
 	maxPermitAsks = 4
 	// renewInterval is how often a box tells what it holds.
 	renewInterval = 250 * time.Millisecond
-	// keeperRetryDelay is for how long a box that did not answer is not asked for permits.
+	// keeperRetryDelay is for how long a box that refused connections is not asked for permits, silentRetryDelay
+	// one that was silent: each time requests wait in vain for it. Other boxes pass on to it meanwhile what they
+	// can.
 	keeperRetryDelay = time.Second
+	silentRetryDelay = 5 * time.Second
 	// silentTTL is for how long it is known that a box left calls unanswered.
 	silentTTL = time.Minute
 	// keeperTTL is for how long a box is told what this one holds after it last gave a permit.
@@ -210,21 +213,21 @@
 // callKeeper sends a message about permits to a box; with an answer it waits for that.
 func (d *Daemon) callKeeper(caller context.Context, box string, m peer.Permits, answer **peer.PermitAnswer) error {
 	view := d.brittleView.Load()
-	at, known := view.addresses[box]
+	next := view.wayTo(box)
+	if next != box {
+		m.For = box
+	}
+	at, known := view.addresses[next]
 	if !known {
 		return errors.New("the box is not known any more")
 	}
-	timeout := permitTimeout
-	if m.Ask != nil {
-		timeout += time.Duration(m.Ask.WaitMS) * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(caller, timeout)
+	ctx, cancel := context.WithTimeout(caller, timeoutOf(m))
 	defer cancel()
 	m.Epoch = d.permits.epoch
 	calledAt := d.now()
 	reply, err := d.peers.Call(ctx, at, peer.Message{Kind: peer.KindPlace, From: d.Settings.Name, Permits: &m, BrittlePools: view.forPeer(d.now())})
 	if err == nil || caller.Err() == nil {
-		d.noteKeeper(box, at, calledAt, err)
+		d.noteKeeper(next, at, calledAt, err)
 	}
 	if err == nil && view.lacks(reply.BrittlePools) {
 		d.post(brittleTold{reply})
@@ -232,9 +235,23 @@
 	if answer != nil {
 		*answer = reply.PermitAnswer
 	}
+	if err == nil && next != box && reply.PermitAnswer == nil {
+		return errNotPassedOn
+	}
 	return cmp.Or(err, answerError(reply))
 }
 
+// timeoutOf bounds the call with a message about permits.
+func timeoutOf(m peer.Permits) time.Duration {
+	if m.Ask == nil {
+		return permitTimeout
+	}
+	return permitTimeout + min(time.Duration(m.Ask.WaitMS)*time.Millisecond, maxPermitWait)
+}
+
+// errNotPassedOn says that a box that this one asked instead does not reach another one either.
+var errNotPassedOn = errors.New("another box did not pass the message on")
+
 func encodeReports(list []permit.Report) []peer.PermitReport {
 	out := make([]peer.PermitReport, len(list))
 	for i, r := range list {
--- a/entry/update.go
+++ b/entry/update.go
@@ -92,8 +92,6 @@
 		return d.hubPlaced(now, t, m)
 	case keeperSilent:
 		d.keeperSilent(now, t, m)
-	case keeperNamed:
-		d.keeperNamed(now, t, m)
 	case brittleTold:
 		d.receiveBrittle(now, now, t, m.message)
 	case tokenLent:
--- a/peer/permit.go
+++ b/peer/permit.go
@@ -13,6 +13,8 @@
 	Renews bool         `cbor:"4,keyasint,omitempty"`
 	UpTo   uint64       `cbor:"5,keyasint,omitempty"`
 	Held   []HeldPermit `cbor:"6,keyasint,omitempty"`
+	// For is the box that the message is for if the receiver is to pass it on: the sender does not reach that one.
+	For string `cbor:"7,keyasint,omitempty"`
 }
 
 // PermitAsk asks for a permit at one of some targets of a pool, the first preferred.
