fix(entry): what a box knows of targets that want nothing travels with requests that it hands on

Cause: the request carried nothing of what its sender knew. TestUnwillingTargetsTravel fails without.

--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -78,6 +78,8 @@
 	// its events is passed on.
 	Software *string
 	Began    func(software string)
+	// Unwilling are the hashes of the targets that must get nothing now, as the other box knows.
+	Unwilling []uint32
 }
 
 // Resumable reports whether the caller may have its stream continued after this call.
@@ -179,6 +181,9 @@
 	// Box names the box that serves the request instead of this one, as this one does not reach
 	// the targets; Address is then that box's, and Target is empty.
 	Box string
+	// Unwilling are the hashes of the targets to which that box must send nothing now, as this one knows: they
+	// leave, or asked for a backoff.
+	Unwilling []uint32
 	// Version is the weight version that the target must have; zero for none.
 	Version int64
 	// NewestVersion is the newest version known to the placing box. ReplacedFor is for
--- a/entry/brittle.go
+++ b/entry/brittle.go
@@ -125,8 +125,16 @@
 }
 
 // unwilling returns a filter for the targets to which this box must send nothing now: they asked for a
-// backoff, or are brittle and had no room a moment ago.
+// backoff, or are brittle and had no room a moment ago, or the box that handed the request on named them.
 func (d *Daemon) unwilling(now time.Time, request deliver.PlacementRequest) func(*fleet.Target) bool {
+	here := d.unwillingHere(now, request)
+	if h := request.Job.HandedOn; h != nil && len(h.Unwilling) > 0 {
+		return either(here, namedIn(h.Unwilling))
+	}
+	return here
+}
+
+func (d *Daemon) unwillingHere(now time.Time, request deliver.PlacementRequest) func(*fleet.Target) bool {
 	switch {
 	case request.Only != "":
 		return func(x *fleet.Target) bool { return x.ID != request.Only || x.InBackoff(now) }
--- a/entry/handoff.go
+++ b/entry/handoff.go
@@ -100,10 +100,22 @@
 		return false
 	}
 	t.helpers.Begin(box)
-	t.answer(now, m, placementAnswer{place: deliver.Placement{Box: box, Address: t.members[box].address, Software: softwareOf(m.ask), PlacedAt: now, Rule: "handed on"}})
+	t.answer(now, m, placementAnswer{place: deliver.Placement{Box: box, Address: t.members[box].address, Software: softwareOf(m.ask), Unwilling: t.unwillingTargets(now, pool), PlacedAt: now, Rule: "handed on"}})
 	return true
 }
 
+// unwillingTargets lists the targets of a pool that said that they want no requests now. The box that a request is
+// handed on to may not have heard it yet.
+func (t *tables) unwillingTargets(now time.Time, pool string) []uint32 {
+	var list []uint32
+	for _, x := range t.fleet.Pool(pool) {
+		if x.Leaving || x.InBackoff(now) {
+			list = append(list, shortID(x))
+		}
+	}
+	return list
+}
+
 // answerPlaced answers a request with its placement here. One that finds no target although some
 // are listed goes to another box, as these may be silent for this box alone.
 func (d *Daemon) answerPlaced(now time.Time, t *tables, m placementRequest, place deliver.Placement, refused error) {
@@ -197,7 +209,7 @@
 	r := &handoff.Request{
 		From: d.Settings.Name, ID: job.ID, Method: job.Method, Path: job.Path, Host: job.Host, Header: job.Header, HeadBytes: job.HeadBytes, Body: job.Body,
 		Key: job.Key, Model: job.Model, PromptTokens: job.PromptTokens, MaxOutputTokens: job.MaxOutputTokens,
-		Timeout: s.Timeout, LastEventID: s.LastEventID, Attempts: s.Attempts, ConfigurationVersion: d.version(), Software: s.Software,
+		Timeout: s.Timeout, LastEventID: s.LastEventID, Attempts: s.Attempts, ConfigurationVersion: d.version(), Software: s.Software, Unwilling: s.Place.Unwilling,
 	}
 	for _, p := range job.Parts {
 		r.Parts = append(r.Parts, handoff.Part{ID: p.ID, Tokens: p.Tokens})
@@ -214,7 +226,7 @@
 		ID: r.ID, Method: r.Method, Path: r.Path, Host: r.Host, Header: http.Header(r.Header), HeadBytes: r.HeadBytes, Body: bytes.NewReader(r.Body), BodyLength: int64(len(r.Body)),
 		Key: r.Key, Model: r.Model, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens, Timeout: max(r.Timeout, time.Millisecond), LastEventID: r.LastEventID,
 		Received: d.now(), Disconnected: func() bool { return ctx.Err() != nil },
-		HandedOn: &deliver.HandedOn{By: r.From, Attempts: r.Attempts, Count: attempts.Set, Software: r.Software, Began: attempts.Began},
+		HandedOn: &deliver.HandedOn{By: r.From, Attempts: r.Attempts, Count: attempts.Set, Software: r.Software, Began: attempts.Began, Unwilling: r.Unwilling},
 	}
 	if call.Header == nil {
 		call.Header = make(http.Header)
--- a/entry/handoff_test.go
+++ b/entry/handoff_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/deliver"
+	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/handoff"
 	"github.com/thymewind/thymewind/refusal"
 )
@@ -100,3 +101,37 @@
 		t.Errorf("placed at %q, %v", answer.place.Box, answer.err)
 	}
 }
+
+// TestUnwillingTargetsTravel guards against requests that reach a target after it announced that it leaves or asked
+// for a backoff, as they were handed on to a box that had not heard it.
+func TestUnwillingTargetsTravel(t *testing.T) {
+	tests := []struct {
+		name string
+		say  func(x *fleet.Target)
+	}{
+		{"it leaves", func(x *fleet.Target) { x.Leaving = true }},
+		{"it asked for a backoff", func(x *fleet.Target) { x.BackoffUntil = start.Add(time.Minute) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			later := start.Add(time.Second)
+			d, _ := reachFleet()
+			d.now = func() time.Time { return later }
+			d.tables.helpers.Max = 10
+			loseEngines(d, later)
+			other, _ := reachFleet()
+			home, _ := other.placeModel(start, &other.tables, deliver.PlacementRequest{Job: handedOn(job("long", 10))})
+			tt.say(d.tables.fleet.Target(home.Target))
+			reply := make(chan placementAnswer, 1)
+			j := job("long", 10)
+			d.placementRequested(later, &d.tables, placementRequest{ctx: t.Context(), ask: deliver.PlacementRequest{Job: j}, reply: reply})
+			r := d.handedOnRequest(deliver.Attempt{Job: j, Place: (<-reply).place})
+			taken := handedOn(job("long", 10))
+			taken.HandedOn.Unwilling = r.Unwilling
+			place, refused := other.placeModel(start, &other.tables, deliver.PlacementRequest{Job: taken})
+			if refused != nil || place.Target == home.Target {
+				t.Errorf("the other box sends it to %q: %v", place.Target, refused)
+			}
+		})
+	}
+}
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -114,6 +114,8 @@
 	// Software is the software version that began the stream that the request continues; nil if it
 	// begins one.
 	Software *string `cbor:"18,keyasint,omitempty"`
+	// Unwilling are the hashes of the targets that must get nothing now, as the sending box knows.
+	Unwilling []uint32 `cbor:"19,keyasint,omitempty"`
 }
 
 // Part is a section of a prompt.
