fix(entry): nobody passes on to a keeper that has ended, or that nothing is held

Only what is for a box that is silent here is passed on, and no empty list. TestEndedKeeperIsLeftAlone fails without each part.

--- a/entry/permitkeeper.go
+++ b/entry/permitkeeper.go
@@ -40,13 +40,15 @@
 	// keepers are the boxes that may keep targets and answer, addresses those of all that may.
 	keepers   []string
 	addresses map[string]netip.AddrPort
+	// unreached are boxes that say nothing to this one, but may answer others.
+	unreached map[string]bool
 	// unheard says that no other box has told this one yet which pools are brittle.
 	unheard bool
 }
 
 // publishBrittle publishes the view.
 func (d *Daemon) publishBrittle(now time.Time, t *tables) {
-	v := &brittleView{pools: make(map[uint32]brittlePool), groups: make(map[uint32]int), addresses: make(map[string]netip.AddrPort)}
+	v := &brittleView{pools: make(map[uint32]brittlePool), groups: make(map[uint32]int), addresses: make(map[string]netip.AddrPort), unreached: make(map[string]bool)}
 	for pool, b := range t.brittlePools {
 		v.pools[pool] = *b
 		v.groups[pool] = (len(t.fleet.Pool(d.poolName(pool))) + targetsPerKeeper - 1) / targetsPerKeeper
@@ -55,6 +57,7 @@
 		m := t.members[name]
 		if name != d.Settings.Name {
 			v.addresses[name] = m.address
+			v.unreached[name] = now.Before(m.keeperRetryAt) && !m.keeperEnded
 		}
 		if name == d.Settings.Name || d.mayKeep(now, m) {
 			v.keepers = append(v.keepers, name)
@@ -99,10 +102,10 @@
 	return slices.MinFunc(v.keepers, byWeight(key))
 }
 
-// wayTo returns the box to call for one that keeps targets: that one, or if it does not answer here another one that
-// may keep targets, to pass the call on.
+// wayTo returns the box to call for one that keeps targets: that one, or if it says nothing to this box another one
+// that may keep targets, to pass the call on.
 func (v *brittleView) wayTo(box string) string {
-	if slices.Contains(v.keepers, box) {
+	if !v.unreached[box] {
 		return box
 	}
 	for _, name := range v.keepers {
@@ -234,9 +237,10 @@
 	if x == nil || now.Before(x.keeperRetryAt) {
 		return
 	}
-	x.keeperRetryAt = now.Add(keeperRetryDelay)
-	if !errors.Is(m.err, syscall.ECONNREFUSED) {
-		x.keeperRetryAt = now.Add(silentRetryDelay)
+	x.keeperEnded = errors.Is(m.err, syscall.ECONNREFUSED)
+	x.keeperRetryAt = now.Add(silentRetryDelay)
+	if x.keeperEnded {
+		x.keeperRetryAt = now.Add(keeperRetryDelay)
 	}
 	reason := silenceReason(m.err)
 	d.metrics.keepersLost.WithLabelValues(reason).Inc()
@@ -377,6 +381,9 @@
 			d.keeper.Renew(now, keeper, d.permits.epoch, upTo, decodeHeld(now, list, view.pools))
 			continue
 		}
+		if len(list) == 0 && view.unreached[keeper] {
+			continue // Nobody needs to pass on that there is nothing.
+		}
 		effects = append(effects, renewAt{keeper, peer.Permits{Renews: true, UpTo: upTo, Held: list}})
 	}
 	return effects
--- a/entry/permitrelay_test.go
+++ b/entry/permitrelay_test.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"context"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,9 +49,10 @@
 				boxes[name], address[name] = d, netip.MustParseAddrPort(server.Listener.Addr().String())
 			}
 			for name, d := range boxes {
-				view := &brittleView{pools: map[uint32]brittlePool{poolHashOf(pool): {4, time.Now().Add(-time.Minute), time.Now()}}, addresses: make(map[string]netip.AddrPort)}
+				view := &brittleView{pools: map[uint32]brittlePool{poolHashOf(pool): {4, time.Now().Add(-time.Minute), time.Now()}}, addresses: make(map[string]netip.AddrPort), unreached: make(map[string]bool)}
 				for other, at := range address {
 					unreached := other == first && (tt.gone || name == tt.box)
+					view.unreached[other] = unreached
 					if unreached || tt.alone && name == tt.box {
 						at = netip.MustParseAddrPort("127.0.0.1:1")
 					}
@@ -95,3 +99,35 @@
 	}
 	return rest
 }
+
+// TestEndedKeeperIsLeftAlone guards against boxes that all have others pass on what they hold to a box that has ended.
+func TestEndedKeeperIsLeftAlone(t *testing.T) {
+	for _, tt := range []struct {
+		err  error
+		want bool
+	}{{syscall.ECONNREFUSED, false}, {context.DeadlineExceeded, true}} {
+		w := brittleOrders(6, 1)
+		w.advance(time.Second, nil)
+		keeper := w.keeperOf(t)
+		d := w.boxes[0]
+		if keeper == d.Settings.Name {
+			d = w.boxes[1]
+		}
+		d.update(w.now, keeperSilent{box: keeper, err: tt.err})
+		view := d.brittleView.Load()
+		if got := view.wayTo(keeper) != keeper; got != tt.want {
+			t.Errorf("%v: another box passes on to it: %v, want %v", tt.err, got, tt.want)
+		}
+		if slices.Contains(view.keepers, keeper) {
+			t.Errorf("%v: it is asked for permits", tt.err)
+		}
+		d.permits.begin(w.now, d.permits.number(), heldPermit{pool: poolHashOf("orders"), target: permit.Target{Key: "t1"}, keeper: keeper})
+		delete(d.permits.held, d.permits.next)
+		d.tables.due.renew = w.now
+		for _, e := range d.renewPermits(w.now, &d.tables) {
+			if x, ok := e.(renewAt); ok && x.keeper == keeper && tt.want {
+				t.Errorf("%v: it is told that nothing is held, through another box", tt.err)
+			}
+		}
+	}
+}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -323,8 +323,10 @@
 	unansweredSince time.Time
 	// originsRetryAt is when it is told of origins again after it did not answer.
 	originsRetryAt time.Time
-	// keeperRetryAt is when it is asked for permits again after it was silent.
+	// keeperRetryAt is when it is asked for permits again after it was silent or, with keeperEnded, refused a
+	// connection.
 	keeperRetryAt time.Time
+	keeperEnded   bool
 	// misses counts unanswered placement requests in a row.
 	misses int
 	// retryAt is when a box that did not answer is called again.
