fix(permit,entry): an ask that its box has given up holds no room

Cause: the keeper gave such an ask its permit all the same, as it came to it, and kept the room: the box told that it had given up only with its next report, and a permit given after that counted until the next renewal, and as a request that was not answered for a second more. That is nearly all the room there was. Change: a box tells at once that it has given up an ask, and the keeper grants nothing to that. TestLateAsk, TestGivenUpWhileWaiting and TestGivenUpAskIsToldAtOnce fail without.

--- a/entry/permits.go
+++ b/entry/permits.go
@@ -89,6 +89,7 @@
 	case err != nil:
 		d.countPermit(job, permitUnanswered)
 		d.permits.giveUp(ask.number, keeper)
+		d.tell(keeper)
 		d.permits.pause(ask.targets, d.now().Add(permitTimeout), ask.urgency)
 		d.Log.Warn("no permit for a brittle target", "request", job.ID, "target", place.Target, "keeper", keeper, "err", err)
 	case answer.needless:
@@ -140,7 +141,7 @@
 	d.metrics.permits.WithLabelValues(job.Pool.Name, result).Inc()
 }
 
-// permitWait is how long a request may wait for room with one of its asks.
+// permitWait is how long a request may wait for room, in all its asks.
 func permitWait(job *deliver.Job) time.Duration {
 	if job.Route.Goal == 0 {
 		return maxPermitWait
@@ -286,6 +287,7 @@
 	keeper, answer, err := d.askForPermit(ctx, view, permitAsk{number: number, pool: pool, group: view.groupOf(pool, p.target), targets: []permit.Target{target}})
 	if err != nil {
 		d.permits.giveUp(number, keeper)
+		d.tell(keeper)
 		return 0, notice.ErrBrittle
 	}
 	if answer.Target == "" && !answer.needless {
--- a/entry/permits_test.go
+++ b/entry/permits_test.go
@@ -344,3 +344,36 @@
 		}
 	}
 }
+
+// TestGivenUpAskIsToldAtOnce guards against a keeper that holds room for requests which their box has given up, as its answer was
+// late.
+func TestGivenUpAskIsToldAtOnce(t *testing.T) {
+	told := make(chan peer.PermitReport, 8)
+	node := peer.Node{Credential: "secret", Handle: func(_ context.Context, m peer.Message) peer.Message {
+		for _, r := range m.Permits.Reports {
+			told <- r
+		}
+		if m.Permits.Ask != nil {
+			<-time.After(2 * permitTimeout)
+		}
+		return peer.Message{PermitAnswer: &peer.PermitAnswer{}}
+	}, OnSent: func(int) {}, OnReceived: func(int) {}}
+	server := httptest.NewServer(node.Handler())
+	defer server.Close()
+	d, j, place := brittleKeeper()
+	d.now = time.Now
+	credential := "secret"
+	d.credential.Store(&credential)
+	d.brittleView.Store(&brittleView{pools: map[uint32]brittlePool{poolHashOf("orders"): {4, start, start}}, keepers: []string{"b"}, addresses: map[string]netip.AddrPort{"b": netip.MustParseAddrPort(server.Listener.Addr().String())}})
+	if given := d.permitFor(t.Context(), j, place, time.Millisecond); given.target.Key != "" {
+		t.Fatalf("it has a permit for %q", given.target.Key)
+	}
+	select {
+	case r := <-told:
+		if r.Number != 1 || r.End != permit.NotSent {
+			t.Errorf("the keeper is told %+v", r)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the keeper is told nothing")
+	}
+}
--- a/permit/box.go
+++ b/permit/box.go
@@ -39,6 +39,16 @@
 	return b
 }
 
+// hasEnded reports whether a box has given up a request before it got a permit: its ask was late.
+func (k *Keeper) hasEnded(a Ask) bool {
+	b := k.boxes[a.Box]
+	if b == nil || b.epoch != a.Epoch {
+		return false
+	}
+	_, ended := b.ended[a.Number]
+	return ended
+}
+
 // hold counts a permit.
 func (k *Keeper) hold(now time.Time, name string, epoch, number uint64, t *target) brittle.Grant {
 	g := t.room.Count(now)
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -159,6 +159,9 @@
 // surest room, of those that are as sure as is wanted. A request that is turned away may not be allowed to
 // run elsewhere.
 func (k *Keeper) grant(now time.Time, q *group, a Ask, want brittle.Certainty) (Answer, bool) {
+	if k.hasEnded(a) {
+		return Answer{}, false
+	}
 	var best *target
 	var sure brittle.Certainty
 	key := ""
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/thymewind/thymewind/permit"
@@ -281,3 +282,37 @@
 		t.Errorf("a denied box pauses for %v among few and %v among 330", few, many)
 	}
 }
+
+// TestLateAsk guards against room that is held for a request which its box has given up, as the ask was late.
+func TestLateAsk(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		number uint64
+		epoch  uint64
+		want   string
+	}{{"given up", 7, 1, ""}, {"another request", 8, 1, "x"}, {"of another start of the box", 7, 2, "x"}} {
+		k, c := &permit.Keeper{}, &clock{now: start}
+		k.Report(c.now, "a", 1, []permit.Report{{Number: 7, End: permit.NotSent}})
+		if got := ask(k, c, "a", tt.epoch, tt.number, "x"); got.Target != tt.want {
+			t.Errorf("%s: the permit is for %q, want %q", tt.name, got.Target, tt.want)
+		}
+	}
+}
+
+// TestGivenUpWhileWaiting is TestLateAsk with an ask that waits at the keeper as its box gives it up.
+func TestGivenUpWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &permit.Keeper{}
+		first := permit.Ask{Box: "a", Epoch: 1, Number: 1, Group: "g", Targets: []permit.Target{{Key: "x", Places: 6}}, Bears: 4, BrittleFor: brittleFor}
+		k.Ask(t.Context(), time.Now, first)
+		waits := first
+		waits.Number, waits.Wait = 2, 100*time.Millisecond
+		answered := make(chan permit.Answer)
+		go func() { answered <- k.Ask(t.Context(), time.Now, waits) }()
+		time.Sleep(10 * time.Millisecond)
+		k.Report(time.Now(), "a", 1, []permit.Report{{Number: 2, End: permit.NotSent}, {Number: 1, End: permit.Answered}})
+		if got := <-answered; got.Target != "" {
+			t.Errorf("it gets a permit for %q", got.Target)
+		}
+	})
+}
