--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"refused": playRefused,
+	"turns":   playTurns,
 }
 
 func main() { os.Exit(run()) }
