--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"refused": playRefused,
 	"turns":   playTurns,
+	"flood":   playFlood,
 }
 
 func main() { os.Exit(run()) }
