--- a/review/stage/turns.go
+++ b/review/stage/turns.go
@@ -15,17 +15,13 @@
 	lease = 3 * time.Second
 	// lateFor is for how long a replica leaves its orders unanswered.
 	lateFor = 7 * time.Second
-	// killAfter is when the holder is killed after its first order of a rollout, restartAfter how long
-	// its process is away.
-	killAfter    = 5500 * time.Millisecond
-	restartAfter = 500 * time.Millisecond
+	// killAfter is when the holder is killed after its first order of a rollout.
+	killAfter = 5500 * time.Millisecond
 	// roundTime is the time between two versions.
 	roundTime = 20 * time.Second
 	rounds    = 5
 )
 
-var zones = []string{"quezon", "makati", "pasig"}
-
 // playTurns names new weights again and again. In each rollout the replica that is ordered first leaves
 // its orders unanswered and carries them out late, and the daemon that gives the orders is killed.
 func playTurns(w *world, trouble bool) (broken bool, err error) {
--- a/review/stage/world.go
+++ b/review/stage/world.go
@@ -31,6 +31,11 @@
 	portPeers   = 7715
 )
 
+// restartAfter is how long a killed process is away.
+const restartAfter = 500 * time.Millisecond
+
+var zones = []string{"quezon", "makati", "pasig"}
+
 // world is the platform with its daemons and replicas.
 type world struct {
 	program, dir string
