--- a/review/stage/flood.go
+++ b/review/stage/flood.go
@@ -24,8 +24,8 @@
 	oneIn = 50
 	// garbleFor is the length of a disruption, garblePause the time between two.
 	garbleFor   = 5 * time.Second
-	garblePause = 3 * time.Second
-	floodRounds = 11
+	garblePause = 2 * time.Second
+	floodRounds = 15
 	// maxEnds and minMachines are those of the rule: processes end by themselves that often, on that many
 	// machines.
 	maxEnds     = 3
