feat(entry): logs and a counter tell who ordered which target, and whom a new lease holder waits for

A target was logged once a rollout, the orders that followed were not; what the row named and what a new holder read in it could not be seen. Each order is a line with its epoch, so are the row written and the targets that a new holder leaves alone; thymewind_entry_orders_total counts orders by outcome.

--- a/entry/effect.go
+++ b/entry/effect.go
@@ -67,7 +67,7 @@
 	case freeParts:
 		d.postContext(ctx, staleFreed{e.model, e.version, d.freeStores(ctx, e)})
 	case announce:
-		d.postContext(ctx, announced{e.model, d.writeRow(ctx, e.row)})
+		d.postContext(ctx, announced{e, d.writeRow(ctx, e.row)})
 	case sendOrder:
 		err := d.loadWeights(ctx, e)
 		d.postContext(ctx, orderEnded{e.order.Target, e.order.Model, e.order.Version, err})
--- a/entry/message.go
+++ b/entry/message.go
@@ -146,6 +146,6 @@
 
 // announced reports that the rollout's row was written, or why not.
 type announced struct {
-	model string
-	err   error
+	announce
+	err error
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -23,6 +23,7 @@
 	unlogged          prometheus.Counter
 	refusals          *prometheus.CounterVec
 	replaced          prometheus.Histogram
+	orders            *prometheus.CounterVec
 	silentConnections *prometheus.CounterVec
 	cutOff            *prometheus.CounterVec
 	endedTargets      prometheus.Counter
@@ -102,6 +103,7 @@
 	c.teardown = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "thymewind_entry_caller_left_seconds", Help: "From when a caller was seen to leave until all that was under way for it had ended.", Buckets: teardownBuckets}, []string{"pool"})
 	c.unlogged = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_unlogged_total", Help: "Whole answers without a line of their own in the log, as there were many."})
 	c.replaced = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "thymewind_entry_replaced_weights_seconds", Help: "How long the weights of a placed request had been replaced by newer ones; only requests on replaced weights count.", Buckets: weightsAgeBuckets})
+	c.orders = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_orders_total", Help: "Orders to load weights that this box gave, by outcome."}, []string{"outcome"})
 	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
 	c.silentConnections = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_silent_connections_total", Help: "Connections given up as they said nothing, by what they led to."}, []string{"to"})
 	c.cutOff = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_cut_total", Help: "Requests that a target may have run and gave no whole answer to, by pool."}, []string{"pool"})
@@ -151,7 +153,7 @@
 		c.held, c.unread, c.memoryRefused,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.waited, c.pause, c.refused, c.late, c.shortPools, c.copies, c.copiedTokens,
-		c.peerBytes, c.unlogged, c.replaced, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
+		c.peerBytes, c.unlogged, c.replaced, c.orders, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
 	)
 	return c
 }
--- a/entry/order.go
+++ b/entry/order.go
@@ -74,12 +74,27 @@
 	ctx, cancel := context.WithTimeout(ctx, until.Sub(d.now()))
 	defer cancel()
 	e.order.Until = until
+	d.Log.Info("order sent", "target", e.order.Target, "model", e.order.Model, "version", e.order.Version, "epoch", epoch, "after_orders", e.order.OrdersTaken, "lease_left", until.Sub(d.now()))
 	requestedAt := d.now()
 	signals, err := d.Platform.Order(ctx, e.address, e.order)
 	d.recordSignals(requestedAt, e.incarnation, signals, "an order")
+	d.metrics.orders.WithLabelValues(orderOutcome(err)).Inc()
 	return err
 }
 
+// orderOutcome is the metric label of an order's result.
+func orderOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "taken"
+	case errors.Is(err, exchange.ErrNotSent):
+		return "not_sent"
+	case trace.IsCompareFailed(err), trace.IsBadParameter(err), errors.Is(err, ErrReplaced):
+		return "refused"
+	}
+	return "unanswered"
+}
+
 // orderEnded frees the order's slot among the concurrent loads. A target that was replaced must
 // not hold it until maxLoadTime is over: with two slots the rollout would run at half speed for
 // that time.
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -38,6 +38,7 @@
 func (d *Daemon) barRecentlyOrdered(now time.Time, t *tables, rows []table.Row) {
 	apart := d.bounds.Load().Takeover + handoverMargin
 	until := now.Add(apart)
+	d.Log.Info("rows of earlier lease holders were read", "rows", len(rows))
 	for _, w := range t.weights {
 		w.allBarredUntil = d.lease.LostUntil().Add(apart)
 	}
@@ -57,6 +58,7 @@
 		for _, id := range last.Recent {
 			t.rolloutOf(model).barredUntil[id] = until
 		}
+		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "for", apart, "loading", last.Loading)
 	}
 }
 
@@ -94,6 +96,7 @@
 		d.Log.Warn("rollout's row was not written, so no order is sent", "model", m.model, "err", m.err)
 	} else {
 		w.versionLog.Written()
+		d.Log.Info("rollout's row was written", "model", m.model, "row", string(m.row.Value))
 	}
 	epoch, _, held := d.lease.Held()
 	planned := w.planned
--- a/entry/weights_test.go
+++ b/entry/weights_test.go
@@ -69,7 +69,7 @@
 		if !ok {
 			continue
 		}
-		for _, sent := range d.update(now, announced{a.model, nil}) {
+		for _, sent := range d.update(now, announced{a, nil}) {
 			got += sent.(sendOrder).order.Target + " "
 		}
 	}
@@ -80,7 +80,7 @@
 func TestNoOrderWithoutRow(t *testing.T) {
 	d := newDaemon("b1")
 	d.tables.rolloutOf("m").planned = []string{"a"}
-	if effects := d.update(start, announced{"m", errors.New("lost")}); len(effects) != 0 {
+	if effects := d.update(start, announced{announce{model: "m"}, errors.New("lost")}); len(effects) != 0 {
 		t.Errorf("effects %v", effects)
 	}
 }
