fix(entry,takeover): a row names each target for as long as its holder may order it

Cause: the rollout's row named a target for 5 s after it was announced or its load had ended, while the holder repeated unanswered orders for 6 s. Once another target was announced between 5 and 6 s, a successor read a row without the first one and ordered it at once. Ruled out: a row that went back, rows read before the lease was held, a wait that ended early.

Change: package takeover records each series of orders from before its row is written until its last order, and for the bound after that; the row names what it lists. No time constant says any more how long orders go on.

--- a/entry/build.go
+++ b/entry/build.go
@@ -108,6 +108,7 @@
 	d.bounds.Store(&d.Settings.Bounds)
 	d.tables = newTables()
 	d.tables.self = d.Settings.Name
+	d.tables.orders.Apart = d.ordersApart
 	d.tables.regions[d.Settings.Domain] = d.Settings.Region
 	d.messages = make(chan message, messageBuffer)
 	d.hooks = newHooks()
--- a/entry/modelrollout.go
+++ b/entry/modelrollout.go
@@ -27,9 +27,8 @@
 	announceRetryAt time.Time
 	// ordered marks the targets with an order of this box in flight.
 	ordered map[string]bool
-	// orderedAt is when this box last gave targets an order, barredUntil until when it must
-	// give them none, as another box did.
-	orderedAt, barredUntil map[string]time.Time
+	// barredUntil is until when this box must give targets no order, as another box did.
+	barredUntil map[string]time.Time
 	// allBarredUntil is until when it must give no target an order, as it can't know which
 	// ones another box ordered.
 	allBarredUntil time.Time
--- a/entry/order.go
+++ b/entry/order.go
@@ -101,7 +101,7 @@
 func (d *Daemon) orderEnded(now time.Time, t *tables, m orderEnded) []effect {
 	w := t.rolloutOf(m.model)
 	delete(w.ordered, m.target)
-	w.orderedAt[m.target] = now
+	t.orders.End(now, m.target)
 	x := t.fleet.Target(m.target)
 	if x == nil {
 		return nil
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -24,8 +24,8 @@
 	// Loading are the targets that are loading, Done those that have the version.
 	Loading []string `json:"loading"`
 	Done    []string `json:"done"`
-	// Recent are the targets that were sent any order lately. A successor sends them none for a
-	// while.
+	// Recent are the targets that this holder may order, or ordered lately, for any model. A
+	// successor sends them no order for a while.
 	Recent []string `json:"recent"`
 	// Namings are the recently named weight versions and when each was named.
 	Namings []versionlog.Row `json:"namings,omitempty"`
@@ -36,7 +36,7 @@
 // barRecentlyOrdered blocks orders to the targets that an earlier holder ordered lately, or to
 // all targets if a restore of the table service may have lost the row that names them.
 func (d *Daemon) barRecentlyOrdered(now time.Time, t *tables, rows []table.Row) {
-	apart := d.bounds.Load().Takeover + handoverMargin
+	apart := d.ordersApart()
 	until := now.Add(apart)
 	d.Log.Info("rows of earlier lease holders were read", "rows", len(rows))
 	for _, w := range t.weights {
@@ -66,12 +66,11 @@
 func (d *Daemon) announceRollout(now time.Time, t *tables, model string, w *modelRollout, epoch uint64) effect {
 	w.announcing = true
 	for _, id := range w.planned {
-		w.orderedAt[id] = now
+		t.orders.Begin(id)
 	}
-	maps.DeleteFunc(w.orderedAt, func(_ string, at time.Time) bool { return now.Sub(at) > recentOrderFor })
 	row := rolloutRow{
 		Epoch: epoch, Version: w.newestVersion, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
-		Recent: slices.Sorted(maps.Keys(w.orderedAt)), Freed: w.freed,
+		Recent: t.orders.Recent(now), Freed: w.freed,
 		Namings: w.versionLog.Rows(now.Add(-reportBounds*d.bounds.Load().WeightsWithin), &t.tableClock),
 	}
 	for _, id := range t.fleet.IDs() {
@@ -101,13 +100,11 @@
 	epoch, _, held := d.lease.Held()
 	planned := w.planned
 	w.planned = nil
-	if !held || m.err != nil {
-		return nil
-	}
 	var effects []effect
 	for _, id := range planned {
 		x := t.fleet.Target(id)
-		if x == nil {
+		if x == nil || !held || m.err != nil {
+			t.orders.Cancel(id)
 			continue
 		}
 		w.ordered[id] = true
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -32,6 +32,7 @@
 	"github.com/thymewind/thymewind/runcopy"
 	"github.com/thymewind/thymewind/slowstart"
 	"github.com/thymewind/thymewind/superseded"
+	"github.com/thymewind/thymewind/takeover"
 	"github.com/thymewind/thymewind/throughput"
 )
 
@@ -54,6 +55,8 @@
 	loading map[string]time.Time
 	// weights are the rollouts of the models whose newest version was named.
 	weights map[string]*modelRollout
+	// orders are this box's orders to targets, for all models.
+	orders takeover.Log
 	// tableClock is the table service's clock, lastTableClock its value in the last answer
 	// that proved the operator's rows; zero if that had none.
 	tableClock     clockbound.Clock
@@ -383,7 +386,7 @@
 func (t *tables) rolloutOf(name string) *modelRollout {
 	w := t.weights[name]
 	if w == nil {
-		w = &modelRollout{ordered: make(map[string]bool), orderedAt: make(map[string]time.Time), barredUntil: make(map[string]time.Time)}
+		w = &modelRollout{ordered: make(map[string]bool), barredUntil: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -29,12 +29,14 @@
 	// 9, 90 and 112 engines load 2, 18 and 22 at full speed.
 	concurrentLoads     = 2
 	concurrentLoadShare = 0.2
-	// recentOrderFor is how long an order counts as recent. handoverMargin is added to the
-	// platform's bound between two lease holders' orders to one target.
-	recentOrderFor = 5 * time.Second
+	// handoverMargin is added to the platform's bound between two lease holders' orders to one
+	// target.
 	handoverMargin = 300 * time.Millisecond
 )
 
+// ordersApart is the least time between two lease holders' orders to one target.
+func (d *Daemon) ordersApart() time.Duration { return d.bounds.Load().Takeover + handoverMargin }
+
 // rollWeights keeps all engines on the newest weights if this box holds the lease, and tries to
 // get the lease while there is work to do.
 func (d *Daemon) rollWeights(now time.Time, t *tables) []effect {
--- /dev/null
+++ b/takeover/takeover.go
@@ -0,0 +1,64 @@
+// Package takeover keeps the orders of two lease holders to one target apart by a bound. A holder
+// stores in a row which targets it may order before it orders them, and names each of them there
+// until the bound has passed since its last order. A successor reads the row:
+//
+//	l := takeover.Log{Apart: func() time.Duration { return 3 * time.Second }}
+//	l.Begin("t-1")            // before the row is written
+//	row.Recent = l.Recent(now)
+//	l.End(now, "t-1")         // after the last order
+package takeover
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Log records the targets that this daemon orders as the holder of a lease. Set Apart before first
+// use; it is not safe for concurrent use.
+type Log struct {
+	// Apart returns the least time between two holders' orders to one target.
+	Apart func() time.Duration
+
+	// open counts, by target, the series of orders that have not ended. It holds no zero.
+	open map[string]int
+	// endedAt is when a target's last series ended. It holds none that ended Apart ago or longer
+	// when Recent was last called.
+	endedAt map[string]time.Time
+}
+
+// Begin records that a target may be ordered from now on, until Cancel or End is called for it as
+// often as Begin.
+func (l *Log) Begin(target string) {
+	if l.open == nil {
+		l.open = make(map[string]int)
+	}
+	l.open[target]++
+}
+
+// Cancel records that a series ended before its first order.
+func (l *Log) Cancel(target string) {
+	if l.open[target] > 1 {
+		l.open[target]--
+		return
+	}
+	delete(l.open, target)
+}
+
+// End records that a series has ended: its last order was sent before now.
+func (l *Log) End(now time.Time, target string) {
+	l.Cancel(target)
+	if l.endedAt == nil {
+		l.endedAt = make(map[string]time.Time)
+	}
+	l.endedAt[target] = now
+}
+
+// Recent lists the targets that a successor must leave alone for Apart: those that may still be
+// ordered, and those whose last order may have been less than Apart ago.
+func (l *Log) Recent(now time.Time) []string {
+	maps.DeleteFunc(l.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= l.Apart() })
+	targets := slices.AppendSeq(slices.Collect(maps.Keys(l.open)), maps.Keys(l.endedAt))
+	slices.Sort(targets)
+	return slices.Compact(targets)
+}
