fix(entry): a failed order does not shorten the wait for another holder's orders

A box that lost the lease and took it again could order a target 1 s after another holder had: the end of its own order under the earlier epoch put the pause between two orders (1 s) in the place of the wait for the other holder (3.3 s), as both were in one map. They are two now.

TestBarOutlastsEndedOrder failed before: "the target is ordered within the bound of the other holder's order".

--- a/entry/modelrollout.go
+++ b/entry/modelrollout.go
@@ -29,6 +29,8 @@
 	ordered map[string]bool
 	// barredUntil is until when this box must give targets no order, as another box did.
 	barredUntil map[string]time.Time
+	// orderRetryAt is when targets that did not load may be ordered again.
+	orderRetryAt map[string]time.Time
 	// allBarredUntil is until when it must give no target an order, as it can't know which
 	// ones another box ordered.
 	allBarredUntil time.Time
--- a/entry/order.go
+++ b/entry/order.go
@@ -112,7 +112,7 @@
 	x.LoadingUntil = time.Time{}
 	t.markChanged(m.target)
 	if m.err != nil {
-		w.barredUntil[m.target] = now.Add(orderRetryDelay)
+		w.orderRetryAt[m.target] = now.Add(orderRetryDelay)
 		d.Log.Warn("target did not load weights", "target", m.target, "version", m.version, "err", m.err)
 		return nil
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -386,7 +386,7 @@
 func (t *tables) rolloutOf(name string) *modelRollout {
 	w := t.weights[name]
 	if w == nil {
-		w = &modelRollout{ordered: make(map[string]bool), barredUntil: make(map[string]time.Time)}
+		w = &modelRollout{ordered: make(map[string]bool), barredUntil: make(map[string]time.Time), orderRetryAt: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- /dev/null
+++ b/entry/takeover_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/table"
+)
+
+// rolloutRowOf encodes the row of a model's rollout.
+func rolloutRowOf(t *testing.T, model string, row rolloutRow) table.Row {
+	t.Helper()
+	value, err := json.Marshal(row)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table.Row{Key: rolloutPrefix + model, Value: value}
+}
+
+// newLeaseHolder returns a box that has just taken the lease and read rows of earlier holders. There
+// are some engines with older weights than the operator named.
+func newLeaseHolder(t *testing.T, now time.Time, engines []string, rows ...table.Row) *Daemon {
+	t.Helper()
+	d := newDaemon("b1")
+	d.now = func() time.Time { return now }
+	d.lease.Now = d.now
+	d.update(now, operatorRead{now, Operator{Table: configuration(1), Weights: map[string]int64{"m": 2}}})
+	var listed []fleet.Entry
+	for _, id := range engines {
+		listed = append(listed, engine(id, 1))
+	}
+	d.update(now, targetsRead{now, Targets{Snapshot: true, Listed: listed}, false})
+	if err := d.lease.AcquireOrRenew(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	d.update(now, leaseStepped{read: true, rows: rows})
+	return d
+}
+
+// isBarred reports whether an engine gets no order to load a model's weights at a time.
+func isBarred(d *Daemon, at time.Time, model, id string) bool {
+	for _, r := range d.replicas(at, &d.tables, model, d.tables.rolloutOf(model)) {
+		if r.ID == id {
+			return r.Barred
+		}
+	}
+	return false
+}
+
+// TestBarOutlastsEndedOrder has an order end that this box sent under an earlier epoch of the lease,
+// after another holder ordered the same target. It guards against the pause after a failed order
+// replacing the longer wait for the other holder.
+func TestBarOutlastsEndedOrder(t *testing.T) {
+	d := newLeaseHolder(t, start, []string{"a"}, rolloutRowOf(t, "m", rolloutRow{Epoch: 1, Version: 2, Recent: []string{"a"}}))
+	d.update(start, orderEnded{"a", "m", 2, errLeaseNotHeld})
+	if !isBarred(d, start.Add(d.ordersApart()-time.Millisecond), "m", "a") {
+		t.Error("the target is ordered within the bound of the other holder's order")
+	}
+}
