fix(entry,takeover): a new holder waits for a target's earlier orders, whichever model they loaded

A target that serves two models could be ordered by two holders at once: what a new holder read of one model's row kept back its orders for that model only. The platform's bound is one for a target. The bars now stand in takeover.Log, once for a box.

TestBarHoldsForAllModels failed before: 'the target is ordered to load model "n"'.

--- a/entry/modelrollout.go
+++ b/entry/modelrollout.go
@@ -27,13 +27,8 @@
 	announceRetryAt time.Time
 	// ordered marks the targets with an order of this box in flight.
 	ordered map[string]bool
-	// barredUntil is until when this box must give targets no order, as another box did.
-	barredUntil map[string]time.Time
 	// orderRetryAt is when targets that did not load may be ordered again.
 	orderRetryAt map[string]time.Time
-	// allBarredUntil is until when it must give no target an order, as it can't know which
-	// ones another box ordered.
-	allBarredUntil time.Time
 	// epoch is the lease's epoch in the row last read.
 	epoch uint64
 	// reclaim says when parts made on older weights may be freed.
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -36,12 +36,8 @@
 // barRecentlyOrdered blocks orders to the targets that an earlier holder ordered lately, or to
 // all targets if a restore of the table service may have lost the row that names them.
 func (d *Daemon) barRecentlyOrdered(now time.Time, t *tables, rows []table.Row) {
-	apart := d.ordersApart()
-	until := now.Add(apart)
 	d.Log.Info("rows of earlier lease holders were read", "rows", len(rows))
-	for _, w := range t.weights {
-		w.allBarredUntil = d.lease.LostUntil().Add(apart)
-	}
+	lost := true
 	for _, row := range rows {
 		model, ok := strings.CutPrefix(row.Key, rolloutPrefix)
 		if !ok {
@@ -52,13 +48,12 @@
 		if json.Unmarshal(row.Value, &last) != nil {
 			continue // Logged by applyRolloutRow.
 		}
-		if last.Epoch >= d.lease.FirstEpoch() {
-			t.rolloutOf(model).allBarredUntil = time.Time{}
-		}
-		for _, id := range last.Recent {
-			t.rolloutOf(model).barredUntil[id] = until
-		}
-		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "for", apart, "loading", last.Loading)
+		lost = lost && last.Epoch < d.lease.FirstEpoch()
+		t.orders.Bar(now, last.Recent...)
+		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "for", d.ordersApart(), "loading", last.Loading)
+	}
+	if lost {
+		t.orders.BarAll(d.lease.LostUntil())
 	}
 }
 
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -46,9 +46,9 @@
 	t.expireTrials()
 	t.returning.Expire(now)
 	t.expireEnded(now)
+	t.orders.Expire(now)
 	for _, w := range t.weights {
 		w.versionLog.Trim()
-		maps.DeleteFunc(w.barredUntil, func(_ string, until time.Time) bool { return now.After(until) })
 		maps.DeleteFunc(w.orderRetryAt, func(_ string, at time.Time) bool { return now.After(at) })
 	}
 	maps.DeleteFunc(t.silences, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > silenceTTL })
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -55,7 +55,8 @@
 	loading map[string]time.Time
 	// weights are the rollouts of the models whose newest version was named.
 	weights map[string]*modelRollout
-	// orders are this box's orders to targets, for all models.
+	// orders are the orders to targets that successors of this box must know of, and those of
+	// earlier holders that it must keep apart from, for all models.
 	orders takeover.Log
 	// tableClock is the table service's clock, lastTableClock its value in the last answer
 	// that proved the operator's rows; zero if that had none.
@@ -386,7 +387,7 @@
 func (t *tables) rolloutOf(name string) *modelRollout {
 	w := t.weights[name]
 	if w == nil {
-		w = &modelRollout{ordered: make(map[string]bool), barredUntil: make(map[string]time.Time), orderRetryAt: make(map[string]time.Time)}
+		w = &modelRollout{ordered: make(map[string]bool), orderRetryAt: make(map[string]time.Time)}
 		t.weights[name] = w
 	}
 	return w
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -60,3 +60,20 @@
 		t.Error("the target is ordered within the bound of the other holder's order")
 	}
 }
+
+// TestBarHoldsForAllModels has an earlier holder order a target that serves two models. It guards
+// against the bound being kept for orders of the same model only.
+func TestBarHoldsForAllModels(t *testing.T) {
+	d := newLeaseHolder(t, start, nil, rolloutRowOf(t, "m", rolloutRow{Epoch: 1, Version: 2, Recent: []string{"a"}}))
+	both := engine("a", 1)
+	both.Versions["n"] = 1
+	d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{both}}, false})
+	for _, model := range []string{"m", "n"} {
+		if !isBarred(d, start, model, "a") {
+			t.Errorf("the target is ordered to load model %q", model)
+		}
+		if isBarred(d, start.Add(d.ordersApart()), model, "a") {
+			t.Errorf("the target is not ordered to load model %q once the bound has passed", model)
+		}
+	}
+}
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -92,7 +92,7 @@
 				continue
 			}
 			list = append(list, rollout.Replica{
-				ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight, Barred: now.Before(w.orderRetryAt[x.ID]) || now.Before(w.barredUntil[x.ID]) || now.Before(w.allBarredUntil),
+				ID: x.ID, Version: version, Loading: w.ordered[x.ID], Busy: x.InFlight, Barred: now.Before(w.orderRetryAt[x.ID]) || t.orders.Barred(now, x.ID),
 			})
 		}
 	}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -6,6 +6,11 @@
 //	l.Begin("t-1")            // before the row is written
 //	row.Recent = l.Recent(now)
 //	l.End(now, "t-1")         // after the last order
+//
+//	l.Bar(now, row.Recent...) // by the successor
+//	if !l.Barred(now, "t-1") {
+//		order("t-1")
+//	}
 package takeover
 
 import (
@@ -25,6 +30,10 @@
 	// endedAt is when a target's last series ended. It holds none that ended Apart ago or longer
 	// when Recent was last called.
 	endedAt map[string]time.Time
+	// barredUntil is until when targets get no order, as an earlier holder may have ordered them,
+	// allBarredUntil until when none gets one.
+	barredUntil    map[string]time.Time
+	allBarredUntil time.Time
 }
 
 // Begin records that a target may be ordered from now on, until Cancel or End is called for it as
@@ -62,3 +71,30 @@
 	slices.Sort(targets)
 	return slices.Compact(targets)
 }
+
+// Bar records that an earlier holder may have ordered some targets until now.
+func (l *Log) Bar(now time.Time, targets ...string) {
+	if l.barredUntil == nil {
+		l.barredUntil = make(map[string]time.Time)
+	}
+	for _, target := range targets {
+		l.barredUntil[target] = now.Add(l.Apart())
+	}
+}
+
+// BarAll records that an earlier holder may have ordered any target until a time.
+func (l *Log) BarAll(until time.Time) {
+	if until = until.Add(l.Apart()); until.After(l.allBarredUntil) {
+		l.allBarredUntil = until
+	}
+}
+
+// Barred reports whether a target must get no order, for whichever model.
+func (l *Log) Barred(now time.Time, target string) bool {
+	return now.Before(l.allBarredUntil) || now.Before(l.barredUntil[target])
+}
+
+// Expire forgets bars that have ended.
+func (l *Log) Expire(now time.Time) {
+	maps.DeleteFunc(l.barredUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
