fix(takeover): a row names the targets of earlier holders too, until their bound has passed

A, B and C hold the lease one after the other: B waited for A's targets itself, but its row named only its own, and C reads B's row alone. The times of the lease (0.8 s and 2.4 s) keep A's and C's orders 3.2 s apart where the bound is 3 s, by chance and only without a planned release; it is kept by the row now.

TestRowNamesEarlierHoldersTargets failed before: "named [b], want true". Found by reading.

--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,3 +78,45 @@
 		}
 	}
 }
+
+// announcedRow returns the row that a holder announces next.
+func announcedRow(t *testing.T, d *Daemon, now time.Time) rolloutRow {
+	t.Helper()
+	for _, e := range d.rollWeights(now, &d.tables) {
+		if a, ok := e.(announce); ok {
+			var row rolloutRow
+			if err := json.Unmarshal(a.row.Value, &row); err != nil {
+				t.Fatal(err)
+			}
+			return row
+		}
+	}
+	t.Fatal("no row is announced")
+	return rolloutRow{}
+}
+
+// TestRowNamesEarlierHoldersTargets has three holders follow each other. It guards against the row of
+// the second one, which stands when the third takes the lease, not naming the targets of the first.
+func TestRowNamesEarlierHoldersTargets(t *testing.T) {
+	earlier := rolloutRowOf(t, "m", rolloutRow{Epoch: 1, Version: 2, Recent: []string{"a"}})
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  bool
+	}{
+		{"at once", 0, true},
+		{"just within the bound", newDaemon("b1").ordersApart() - time.Millisecond, true},
+		{"once the bound has passed", newDaemon("b1").ordersApart(), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newLeaseHolder(t, start, []string{"a", "b", "c"}, earlier)
+			w := d.tables.rolloutOf("m")
+			w.ordered["a"] = true // It is not due itself.
+			row := announcedRow(t, d, start.Add(tt.after))
+			if got := slices.Contains(row.Recent, "a"); got != tt.want {
+				t.Errorf("named %v, want %v", row.Recent, tt.want)
+			}
+		})
+	}
+}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -27,8 +27,7 @@
 
 	// open counts, by target, the series of orders that have not ended. It holds no zero.
 	open map[string]int
-	// endedAt is when a target's last series ended. It holds none that ended Apart ago or longer
-	// when Recent was last called.
+	// endedAt is when a target's last series ended.
 	endedAt map[string]time.Time
 	// barredUntil is until when targets get no order, as an earlier holder may have ordered them,
 	// allBarredUntil until when none gets one.
@@ -64,10 +63,13 @@
 }
 
 // Recent lists the targets that a successor must leave alone for Apart: those that may still be
-// ordered, and those whose last order may have been less than Apart ago.
+// ordered, and those whose last order may have been less than Apart ago, whoever sent it. The
+// successor may be the third holder within that time, and reads the last one's row alone.
 func (l *Log) Recent(now time.Time) []string {
-	maps.DeleteFunc(l.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= l.Apart() })
-	targets := slices.AppendSeq(slices.Collect(maps.Keys(l.open)), maps.Keys(l.endedAt))
+	l.Expire(now)
+	targets := slices.Collect(maps.Keys(l.open))
+	targets = slices.AppendSeq(targets, maps.Keys(l.endedAt))
+	targets = slices.AppendSeq(targets, maps.Keys(l.barredUntil))
 	slices.Sort(targets)
 	return slices.Compact(targets)
 }
@@ -94,7 +96,8 @@
 	return now.Before(l.allBarredUntil) || now.Before(l.barredUntil[target])
 }
 
-// Expire forgets bars that have ended.
+// Expire forgets what successors and this holder need not know any more.
 func (l *Log) Expire(now time.Time) {
+	maps.DeleteFunc(l.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= l.Apart() })
 	maps.DeleteFunc(l.barredUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
