fix(entry): a rollout's row that can't be decoded keeps back orders to all targets

A new holder logged such a row and ordered every target at once, as if the row had named none. It waits for all now.

TestUnreadableRowBarsAll failed before for each of three rows: "the target is ordered at once". Found by reading.

--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -34,7 +34,7 @@
 }
 
 // barRecentlyOrdered blocks orders to the targets that an earlier holder ordered lately, or to
-// all targets if a restore of the table service may have lost the row that names them.
+// all targets if a row is not readable or a restore of the table service may have lost it.
 func (d *Daemon) barRecentlyOrdered(now time.Time, t *tables, rows []table.Row) {
 	d.Log.Info("rows of earlier lease holders were read", "rows", len(rows))
 	lost := true
@@ -45,8 +45,9 @@
 		}
 		d.applyRolloutRow(now, t, model, row.Value)
 		var last rolloutRow
-		if json.Unmarshal(row.Value, &last) != nil {
-			continue // Logged by applyRolloutRow.
+		if json.Unmarshal(row.Value, &last) != nil { // Logged by applyRolloutRow.
+			t.orders.BarAll(now)
+			continue
 		}
 		lost = lost && last.Epoch < d.lease.FirstEpoch()
 		t.orders.Bar(now, last.Recent...)
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -120,3 +120,17 @@
 		})
 	}
 }
+
+// TestUnreadableRowBarsAll guards against a row that can't be decoded being taken for one that names
+// no target.
+func TestUnreadableRowBarsAll(t *testing.T) {
+	for _, value := range []string{"", "{", `{"epoch":"1"}`} {
+		d := newLeaseHolder(t, start, []string{"a"}, table.Row{Key: rolloutPrefix + "m", Value: []byte(value)})
+		if !isBarred(d, start, "m", "a") {
+			t.Errorf("row %q: the target is ordered at once", value)
+		}
+		if isBarred(d, start.Add(d.ordersApart()), "m", "a") {
+			t.Errorf("row %q: the target is not ordered once the bound has passed", value)
+		}
+	}
+}
