fix(entry,takeover): a row tells that the targets of an earlier holder are unknown

After a restore of the table service, or on a row that can't be decoded, a new holder orders nothing for the bound. Its own row, which it may write meanwhile (a version named, stores cleared), told nothing of that: a third holder read a valid row of the present epoch and ordered any target at once. The row has all_recent now.

TestRowPassesOnBarOfAll failed before: "the third holder orders the target at once". Found by reading.

--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -27,6 +27,9 @@
 	// Recent are the targets that this holder may order, or ordered lately, for any model. A
 	// successor sends them no order for a while.
 	Recent []string `json:"recent"`
+	// AllRecent says that Recent is incomplete: this holder doesn't know which targets an earlier one
+	// ordered lately.
+	AllRecent bool `json:"all_recent,omitempty"`
 	// Namings are the recently named weight versions and when each was named.
 	Namings []versionlog.Row `json:"namings,omitempty"`
 	// Freed is the version up to which the stores were cleared of older parts.
@@ -51,7 +54,10 @@
 		}
 		lost = lost && last.Epoch < d.lease.FirstEpoch()
 		t.orders.Bar(now, last.Recent...)
-		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "for", d.ordersApart(), "loading", last.Loading)
+		if last.AllRecent {
+			t.orders.BarAll(now)
+		}
+		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "all", last.AllRecent, "for", d.ordersApart(), "loading", last.Loading)
 	}
 	if lost {
 		t.orders.BarAll(d.lease.LostUntil())
@@ -66,7 +72,7 @@
 	}
 	row := rolloutRow{
 		Epoch: epoch, Version: w.newestVersion, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
-		Recent: t.orders.Recent(now), Freed: w.freed,
+		Recent: t.orders.Recent(now), AllRecent: t.orders.AllBarred(now), Freed: w.freed,
 		Namings: w.versionLog.Rows(now.Add(-reportBounds*d.bounds.Load().WeightsWithin), &t.tableClock),
 	}
 	for _, id := range t.fleet.IDs() {
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -134,3 +134,21 @@
 		}
 	}
 }
+
+// TestRowPassesOnBarOfAll guards against a third holder ordering any target at once, because the row
+// of the second one does not tell that the targets of the first are unknown.
+func TestRowPassesOnBarOfAll(t *testing.T) {
+	unreadable := table.Row{Key: rolloutPrefix + "m", Value: []byte("{")}
+	second := newLeaseHolder(t, start, []string{"a"}, unreadable)
+	effects := second.update(start, staleFreed{model: "m", version: 1}) // The row is written whoever is barred.
+	if len(effects) != 1 {
+		t.Fatalf("effects %v", effects)
+	}
+	third := newLeaseHolder(t, start, []string{"a"}, effects[0].(announce).row)
+	if !isBarred(third, start, "m", "a") {
+		t.Error("the third holder orders the target at once")
+	}
+	if isBarred(third, start.Add(third.ordersApart()), "m", "a") {
+		t.Error("the third holder does not order the target once the bound has passed")
+	}
+}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -91,9 +91,12 @@
 	}
 }
 
+// AllBarred reports whether no target may get an order, which a successor must know as well.
+func (l *Log) AllBarred(now time.Time) bool { return now.Before(l.allBarredUntil) }
+
 // Barred reports whether a target must get no order, for whichever model.
 func (l *Log) Barred(now time.Time, target string) bool {
-	return now.Before(l.allBarredUntil) || now.Before(l.barredUntil[target])
+	return l.AllBarred(now) || now.Before(l.barredUntil[target])
 }
 
 // Expire forgets what successors and this holder need not know any more.
