fix(entry): no order on a row that was written under an earlier epoch

A write of the rollout's row that is answered after its box lost the lease and took it again led to orders under the new epoch, although another holder may have ordered the same targets in between: the row was made before this box read that one's. The announcement carries its epoch now, and orders nothing under another.

TestAnnouncementOfEarlierEpoch failed before: "the target is ordered" under epoch 3. Found by reading. The messages in weightversions_test.go name the epoch under which the daemon made them.

--- a/entry/effect.go
+++ b/entry/effect.go
@@ -37,9 +37,10 @@
 	until time.Duration
 }
 
-// announce writes which targets of a model load weights now.
+// announce writes which targets of a model load weights now, under an epoch of the lease.
 type announce struct {
 	model string
+	epoch uint64
 	row   table.Row
 }
 
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -84,11 +84,11 @@
 	if err != nil {
 		panic(err) // The row's own type always encodes.
 	}
-	return announce{model, table.Row{Key: rolloutPrefix + model, Value: value}}
+	return announce{model, epoch, table.Row{Key: rolloutPrefix + model, Value: value}}
 }
 
-// announced sends the orders that were announced. If the row was not written, no order is sent,
-// as a successor could not know of it.
+// announced sends the orders that were announced. If the row was not written, or not under the
+// present epoch, no order is sent, as a successor could not know of it.
 func (d *Daemon) announced(now time.Time, t *tables, m announced) []effect {
 	w := t.rolloutOf(m.model)
 	w.announcing = false
@@ -100,12 +100,14 @@
 		d.Log.Info("rollout's row was written", "model", m.model, "row", string(m.row.Value))
 	}
 	epoch, _, held := d.lease.Held()
+	// Under another epoch, another holder may have ordered targets since the row was made.
+	may := held && m.err == nil && epoch == m.epoch
 	planned := w.planned
 	w.planned = nil
 	var effects []effect
 	for _, id := range planned {
 		x := t.fleet.Target(id)
-		if x == nil || !held || m.err != nil {
+		if x == nil || !may {
 			t.orders.Cancel(id)
 			continue
 		}
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/fleet"
+	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/table"
 )
 
@@ -152,3 +153,41 @@
 		t.Error("the third holder does not order the target once the bound has passed")
 	}
 }
+
+// retakeLease has another box hold the lease for a moment and returns when this one has it again.
+func retakeLease(t *testing.T, d *Daemon, now *time.Time) {
+	t.Helper()
+	d.now = func() time.Time { return *now }
+	d.lease.Now = d.now
+	other := lease.Lease{
+		Name: d.lease.Name, Holder: "b2", TTL: d.lease.TTL, Margin: d.lease.Margin,
+		Commit: d.lease.Commit, Read: d.lease.Read, Nonce: func() string { return now.String() }, Now: d.now,
+	}
+	for _, l := range []*lease.Lease{&other, &d.lease} {
+		for range 2 {
+			if err := l.AcquireOrRenew(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, held := l.Held(); !held {
+				*now = now.Add(d.lease.TTL + d.lease.Margin)
+			}
+		}
+	}
+	if epoch, _, held := d.lease.Held(); !held || epoch != 3 {
+		t.Fatalf("held %v, epoch %d", held, epoch)
+	}
+}
+
+// TestAnnouncementOfEarlierEpoch has the write of a row end after its box lost the lease and took it
+// again. It guards against orders under the new epoch on the strength of a row that was written
+// before the box read what the holder in between ordered.
+func TestAnnouncementOfEarlierEpoch(t *testing.T) {
+	now := start
+	d := newLeaseHolder(t, start, []string{"a"})
+	effects := d.rollWeights(now, &d.tables)
+	retakeLease(t, d, &now)
+	d.update(now, leaseStepped{read: true})
+	if got := d.update(now, announced{effects[0].(announce), nil}); len(got) != 0 {
+		t.Errorf("the target is ordered: %v", got)
+	}
+}
--- a/entry/weightversions_test.go
+++ b/entry/weightversions_test.go
@@ -122,7 +122,7 @@
 	if _, written := rowWritten(d, now); !written {
 		t.Fatal("the rollout's row is not written")
 	}
-	d.update(now, announced{announce{model: "m"}, nil})
+	d.update(now, announced{announce{model: "m", epoch: 1}, nil})
 	now = now.Add(5 * time.Second)
 	d.update(now, operatorRead{now, Operator{Clock: time.Second}})
 	w := d.tables.rolloutOf("m")
@@ -138,12 +138,12 @@
 func TestLateRowIsCorrected(t *testing.T) {
 	d, now := leaderWithTwoVersions(t, engine("a", 1))
 	old, _ := rowWritten(d, now)
-	d.update(now, announced{announce{model: "m"}, nil})
+	d.update(now, announced{announce{model: "m", epoch: 1}, nil})
 	d.update(now, operatorRead{now, Operator{Weights: map[string]int64{"m": 3}, Clock: 110 * time.Second}})
 	if _, written := rowWritten(d, now); !written {
 		t.Fatal("version 3 is not written")
 	}
-	d.update(now, announced{announce{model: "m"}, nil})
+	d.update(now, announced{announce{model: "m", epoch: 1}, nil})
 	d.update(now, ownRead{change: OwnRows{Rows: []table.Row{old}}})
 	if _, written := rowWritten(d, now); !written {
 		t.Error("the late row stands")
@@ -157,7 +157,7 @@
 	if _, written := rowWritten(d, now); !written {
 		t.Fatal("the rollout's row is not written")
 	}
-	d.update(now, announced{announce{model: "m"}, errors.New("lost")})
+	d.update(now, announced{announce{model: "m", epoch: 1}, errors.New("lost")})
 	if _, written := rowWritten(d, now.Add(announceRetryDelay-time.Millisecond)); written {
 		t.Error("tried again at once")
 	}
@@ -200,7 +200,7 @@
 func TestVersionIsRecordedWithoutOrders(t *testing.T) {
 	d, now := leaderWithTwoVersions(t, engine("a", 1), engine("b", 1), engine("c", 1))
 	row, _ := rowWritten(d, now)
-	d.update(now, announced{announce{model: "m"}, nil})
+	d.update(now, announced{announce{model: "m", epoch: 1}, nil})
 	if _, again := rowWritten(d, now); again {
 		t.Error("the row is written again without need")
 	}
@@ -214,7 +214,7 @@
 	if newest.Version != 3 || newest.Assumed || newest.AtMS != 110000 {
 		t.Errorf("recorded %+v", newest)
 	}
-	d.update(now, announced{announce{model: "m"}, nil})
+	d.update(now, announced{announce{model: "m", epoch: 1}, nil})
 	if _, again := rowWritten(d, now); again {
 		t.Error("the row is written again without need")
 	}
