fix(entry): a holder replaces no rollout's row before it has read it

A box that cleared the stores wrote the rollout's row when that ended, also if it had lost the lease meanwhile, had just taken it again and had not read the other holder's row yet: what that one had ordered was gone from the row.

TestNoRowBeforeRowsAreRead failed before: "the row is written". Found by reading.

--- a/entry/free.go
+++ b/entry/free.go
@@ -109,7 +109,7 @@
 	w.freeAttempts = 0
 	w.freed = max(w.freed, m.version)
 	epoch, _, held := d.lease.Held()
-	if !held || w.announcing {
+	if !held || w.announcing || !t.mayOrder(epoch) {
 		return nil
 	}
 	return []effect{d.announceRollout(now, t, m.model, w, epoch)}
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -191,3 +191,13 @@
 		t.Errorf("the target is ordered: %v", got)
 	}
 }
+// TestNoRowBeforeRowsAreRead guards against a holder that replaces an earlier holder's row before it
+// has read which targets that one ordered.
+func TestNoRowBeforeRowsAreRead(t *testing.T) {
+	now := start
+	d := newLeaseHolder(t, start, []string{"a"})
+	retakeLease(t, d, &now)
+	if got := d.update(now, staleFreed{model: "m", version: 1}); len(got) != 0 {
+		t.Errorf("the row is written: %v", got)
+	}
+}
--- a/entry/weights.go
+++ b/entry/weights.go
@@ -72,7 +72,8 @@
 	return effects
 }
 
-// mayOrder reports whether the rows of the lease's previous holder were read.
+// mayOrder reports whether the rows of the lease's previous holder were read. Until then this box
+// neither orders targets nor replaces a row.
 func (t *tables) mayOrder(epoch uint64) bool { return t.readEpoch == epoch }
 
 // replicas lists the engines that serve a model.
