fix(entry): the rollout's row never goes back to an earlier one

The row was put without a condition. A write whose answer was lost may be carried out seconds later; over a newer row of the same holder or of its successor it took away the targets that were ordered since, and the next holder believed it. A write now names the revision that it replaces. On a conflict, which a holder's own last write causes if it has not been read yet, the row is read and replaced once more, unless it is a successor's.

TestRowNeverGoesBack (late writes of the same and of an earlier holder) failed before in two of four cases, "the row is ... recent: [a]; want ... recent: [b]", and TestRowOfSuccessorStands: the write succeeded. Found by reading.

--- a/entry/effect.go
+++ b/entry/effect.go
@@ -42,6 +42,8 @@
 	model string
 	epoch uint64
 	row   table.Row
+	// at is the revision of the row that it replaces, as far as this box has read.
+	at revision.Revision
 }
 
 // sendOrder brings one target to a version.
@@ -68,7 +70,7 @@
 	case freeParts:
 		d.postContext(ctx, staleFreed{e.model, e.version, d.freeStores(ctx, e)})
 	case announce:
-		d.postContext(ctx, announced{e, d.writeRow(ctx, e.row)})
+		d.postContext(ctx, announced{e, d.writeRolloutRow(ctx, e)})
 	case sendOrder:
 		err := d.loadWeights(ctx, e)
 		d.postContext(ctx, orderEnded{e.order.Target, e.order.Model, e.order.Version, err})
@@ -126,9 +128,3 @@
 	m.read, m.rows = true, own.Rows
 	return m
 }
-
-// writeRow puts one row unconditionally: only the holder of the rollout's lease writes it, and
-// readers treat it as a hint.
-func (d *Daemon) writeRow(ctx context.Context, row table.Row) error {
-	return d.Platform.Commit(ctx, table.Transaction{Put: []table.Row{row}})
-}
--- a/entry/join.go
+++ b/entry/join.go
@@ -60,6 +60,11 @@
 	}
 }
 
+// writeRow puts one row unconditionally: no other box writes it.
+func (d *Daemon) writeRow(ctx context.Context, row table.Row) error {
+	return d.Platform.Commit(ctx, table.Transaction{Put: []table.Row{row}})
+}
+
 // hasRow reports whether rows contain own with the same value.
 func hasRow(rows []table.Row, own table.Row) bool {
 	return slices.ContainsFunc(rows, func(r table.Row) bool { return r.Key == own.Key && bytes.Equal(r.Value, own.Value) })
--- a/entry/modelrollout.go
+++ b/entry/modelrollout.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/thymewind/thymewind/reclaim"
+	"github.com/thymewind/thymewind/revision"
+	"github.com/thymewind/thymewind/table"
 	"github.com/thymewind/thymewind/versionlog"
 )
 
@@ -31,6 +33,8 @@
 	orderRetryAt map[string]time.Time
 	// epoch is the lease's epoch in the row last read.
 	epoch uint64
+	// rowAt is the latest revision of the row that this box has read.
+	rowAt revision.Revision
 	// reclaim says when parts made on older weights may be freed.
 	reclaim reclaim.Tracker
 	// freed is the version for which the stores were cleared of older parts.
@@ -45,3 +49,6 @@
 	// announcing says that the row is being written.
 	announcing bool
 }
+
+// noteRow records the revision of the rollout's row as read.
+func (w *modelRollout) noteRow(row table.Row) { w.rowAt = revision.Max(w.rowAt, row.At()) }
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
 	"github.com/thymewind/thymewind/versionlog"
@@ -46,6 +50,7 @@
 		if !ok {
 			continue
 		}
+		t.rolloutOf(model).noteRow(row)
 		d.applyRolloutRow(now, t, model, row.Value)
 		var last rolloutRow
 		if json.Unmarshal(row.Value, &last) != nil { // Logged by applyRolloutRow.
@@ -84,7 +89,33 @@
 	if err != nil {
 		panic(err) // The row's own type always encodes.
 	}
-	return announce{model, epoch, table.Row{Key: rolloutPrefix + model, Value: value}}
+	return announce{model, epoch, table.Row{Key: rolloutPrefix + model, Value: value}, w.rowAt}
+}
+
+// writeRolloutRow replaces a rollout's row if nobody changed it meanwhile. The table service may carry
+// out a write seconds after its answer was lost; the condition keeps it from replacing a newer row.
+func (d *Daemon) writeRolloutRow(ctx context.Context, e announce) error {
+	err := d.replaceRow(ctx, e.row, e.at)
+	if !trace.IsCompareFailed(err) {
+		return err
+	}
+	// This box may not have read its own last write yet.
+	current, readErr := d.Platform.Read(ctx, e.row.Key)
+	if readErr != nil && !trace.IsNotFound(readErr) {
+		return trace.Wrap(readErr)
+	}
+	var stored rolloutRow
+	if json.Unmarshal(current.Value, &stored) == nil && stored.Epoch > e.epoch {
+		return trace.Wrap(err, "the row is that of a successor in epoch %d", stored.Epoch)
+	}
+	return d.replaceRow(ctx, e.row, current.At())
+}
+
+// replaceRow puts a row if it has a revision.
+func (d *Daemon) replaceRow(ctx context.Context, row table.Row, at revision.Revision) error {
+	return d.Platform.Commit(ctx, table.Transaction{
+		Expect: []table.Condition{{Key: row.Key, Revision: at.Number, Restores: at.Restores}}, Put: []table.Row{row},
+	})
 }
 
 // announced sends the orders that were announced. If the row was not written, or not under the
@@ -144,6 +175,7 @@
 			d.applyCredential(row.Value)
 		}
 		if model, ok := strings.CutPrefix(row.Key, rolloutPrefix); ok {
+			t.rolloutOf(model).noteRow(row)
 			d.applyRolloutRow(now, t, model, row.Value)
 		}
 	}
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/table"
@@ -191,6 +195,7 @@
 		t.Errorf("the target is ordered: %v", got)
 	}
 }
+
 // TestNoRowBeforeRowsAreRead guards against a holder that replaces an earlier holder's row before it
 // has read which targets that one ordered.
 func TestNoRowBeforeRowsAreRead(t *testing.T) {
@@ -201,3 +206,77 @@
 		t.Errorf("the row is written: %v", got)
 	}
 }
+
+// TestRowNeverGoesBack loses the answers to writes of the rollout's row, which the table service
+// carries out after newer ones, of the same holder or of its successor. It guards against a row
+// without the targets that were ordered since.
+func TestRowNeverGoesBack(t *testing.T) {
+	tests := []struct {
+		name string
+		// successor says that another holder writes the newer row.
+		successor bool
+		// early says that the late write comes before the newer one.
+		early bool
+	}{
+		{"an earlier row of the same holder", false, false},
+		{"an earlier holder's row", true, false},
+		{"an earlier row of the same holder, before the newer one", false, true},
+		{"an earlier holder's row, before the newer one", true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, now := context.Background(), start
+			first := newLeaseHolder(t, now, []string{"a"})
+			late := table.Transaction{}
+			commit := first.Platform.Commit
+			first.Platform.Commit = func(_ context.Context, tx table.Transaction) error {
+				late = tx
+				return table.ErrOutcomeUnknown
+			}
+			lost := first.rollWeights(now, &first.tables)[0].(announce)
+			err := first.writeRolloutRow(ctx, lost)
+			if effects := first.update(now, announced{lost, err}); !errors.Is(err, table.ErrOutcomeUnknown) || len(effects) > 0 {
+				t.Fatalf("%v; effects %v", err, effects)
+			}
+			first.Platform.Commit = commit
+			newer, holder := announce{"m", 1, rolloutRowOf(t, "m", rolloutRow{Epoch: 1, Recent: []string{"b"}}), lost.at}, first
+			if tt.successor {
+				newer.epoch, newer.row = 2, rolloutRowOf(t, "m", rolloutRow{Epoch: 2, Recent: []string{"b"}})
+				holder = newDaemon("b2")
+				holder.Platform.Commit, holder.Platform.Read = commit, first.Platform.Read
+			}
+			carryOut := func() { _ = commit(ctx, late) } // It may fail now.
+			if tt.early {
+				carryOut()
+			}
+			if err := holder.writeRolloutRow(ctx, newer); err != nil {
+				t.Fatal(err)
+			}
+			if !tt.early {
+				carryOut()
+			}
+			stored, err := first.Platform.Read(ctx, newer.row.Key)
+			if err != nil || !bytes.Equal(stored.Value, newer.row.Value) {
+				t.Errorf("the row is %s, %v; want %s", stored.Value, err, newer.row.Value)
+			}
+		})
+	}
+}
+
+// TestRowOfSuccessorStands guards against a holder that has lost the lease replacing its successor's
+// row.
+func TestRowOfSuccessorStands(t *testing.T) {
+	ctx := context.Background()
+	d := newLeaseHolder(t, start, []string{"a"})
+	late := d.rollWeights(start, &d.tables)[0].(announce)
+	row := rolloutRowOf(t, "m", rolloutRow{Epoch: 2, Recent: []string{"b"}})
+	if err := d.Platform.Commit(ctx, table.Transaction{Put: []table.Row{row}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.writeRolloutRow(ctx, late); !trace.IsCompareFailed(err) {
+		t.Errorf("the write failed with %v", err)
+	}
+	if stored, err := d.Platform.Read(ctx, row.Key); err != nil || !bytes.Equal(stored.Value, row.Value) {
+		t.Errorf("the row is %s, %v; want %s", stored.Value, err, row.Value)
+	}
+}
