fix(exchange): the head of a target's answer has a bound

Cause: readHead gave http.ReadResponse a reader without a limit, which keeps a line until it ends.

Change: reads.head_bytes (32 KiB) bounds an answer's head together with the informational ones before it. Long heads and bodies that are read whole share a budget, a sixteenth of the box's memory, as thousands of connections may be read at once. The connection is closed, the request counts as one that may have run, the target as failed; a line and thymewind_entry_overlong_total tell how many bytes came.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -61,6 +62,9 @@
 	// exchange has. With 500 slow callers all together was 111 to 115 of 128 MB, and 104 with half of
 	// this share.
 	receiveShare = 1.0 / 16
+	// readShare is the share of the box's memory for answers that are being read whole and for long
+	// heads, those of targets and those of the table service each.
+	readShare = 1.0 / 16
 )
 
 func main() {
@@ -124,6 +128,7 @@
 
 func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
 	connections := &exchange.Client{Dial: (&net.Dialer{}).DialContext, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilentAfter: silentAfter}
+	connections.MaxHead, connections.ReadBudget.Bytes = s.Reads.HeadBytes, readBudget(s)
 	if s.Overload.HeldBytes {
 		connections.Dial = (&net.Dialer{Control: exchange.LimitBuffers}).DialContext
 		connections.ReceiveBudget = int64(receiveShare * float64(s.Box.MemoryMB<<20))
@@ -143,5 +148,11 @@
 	}
 	rows.OnSilent = func(call string, waited time.Duration) { d.ReportSilence(entry.ToTableService, call, waited) }
 	connections.OnSilent = d.ReportSilentTarget
+	connections.OnOverlong = func(at netip.AddrPort, part string, bytes int64) {
+		d.ReportOverlong(entry.ToTarget, at.String(), part, bytes)
+	}
 	return d.Run(ctx)
 }
+
+// readBudget is the budget for answers that are being read, in bytes.
+func readBudget(s settings.Settings) int64 { return int64(readShare * float64(s.Box.MemoryMB<<20)) }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,6 +25,7 @@
 	replaced          prometheus.Histogram
 	orders            *prometheus.CounterVec
 	silentConnections *prometheus.CounterVec
+	overlong          *prometheus.CounterVec
 	cutOff            *prometheus.CounterVec
 	endedTargets      prometheus.Counter
 	quarantined       prometheus.Gauge
@@ -106,6 +107,7 @@
 	c.orders = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_orders_total", Help: "Orders to load weights that this box gave, by outcome."}, []string{"outcome"})
 	c.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_refusals_total", Help: "Refused requests by the refusal's code."}, []string{"code"})
 	c.silentConnections = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_silent_connections_total", Help: "Connections given up as they said nothing, by what they led to."}, []string{"to"})
+	c.overlong = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_overlong_total", Help: "Answers given up as they were longer than allowed, by what sent them and the part that was too long."}, []string{"from", "part"})
 	c.cutOff = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "thymewind_entry_cut_total", Help: "Requests that a target may have run and gave no whole answer to, by pool."}, []string{"pool"})
 	c.endedTargets = prometheus.NewCounter(prometheus.CounterOpts{Name: "thymewind_entry_ended_targets_total", Help: "Targets that were found to have ended while requests of this box ran there."})
 	c.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Name: "thymewind_entry_quarantined", Help: "Requests, by what they ask for, that are refused as targets ended under them."})
@@ -153,7 +155,7 @@
 		c.held, c.unread, c.memoryRefused,
 		c.requests, c.retries, c.firstByte, c.answer, c.configuration, c.targets, c.cachedParts, c.boxes, c.evacuated, c.cold,
 		c.waited, c.pause, c.refused, c.late, c.shortPools, c.copies, c.copiedTokens,
-		c.peerBytes, c.unlogged, c.replaced, c.orders, c.refusals, c.silentConnections, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
+		c.peerBytes, c.unlogged, c.replaced, c.orders, c.refusals, c.silentConnections, c.overlong, c.teardown, c.cutOff, c.endedTargets, c.quarantined, c.suspended, c.notices, c.withheld, c.rateLimited, c.canaries, c.proofs, c.restores, c.rewritten,
 	)
 	return c
 }
@@ -191,7 +193,14 @@
 	d.post(silenceSeen{at})
 }
 
-// Where silent connections led to.
+// ReportOverlong records that an answer was given up because a part of it was too long, and how
+// many bytes of it came or were stated. It may be called once Run has begun.
+func (d *Daemon) ReportOverlong(from, at, part string, bytes int64) {
+	d.metrics.overlong.WithLabelValues(from, part).Inc()
+	d.Log.Warn("an answer is too long", "from", from, "at", at, "part", part, "bytes", bytes)
+}
+
+// Where connections led to.
 const (
 	ToTableService = "table service"
 	ToTarget       = "target"
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -33,6 +33,8 @@
 	Box Box `yaml:"box"`
 	// Bounds are the platform's limits on how this system acts.
 	Bounds Bounds `yaml:"bounds"`
+	// Reads bounds what this box reads of other servers' answers.
+	Reads Reads `yaml:"reads"`
 	// Overload is what this box does while engines have too little room.
 	Overload Overload `yaml:"overload"`
 	// Contracts are the names of the platform's rules in force; package platform knows which of
@@ -64,6 +66,18 @@
 	Megabits float64 `yaml:"megabits"`
 }
 
+// Reads bounds answers of targets, stores and the table service, in bytes. What is longer is taken for
+// bytes that are no answer.
+type Reads struct {
+	// HeadBytes bounds an answer's head, with the informational ones before it.
+	HeadBytes int64 `yaml:"head_bytes"`
+	// CallBytes bounds the body of an answer to one of this box's own calls, such as the list of a
+	// source's cached parts, and a message of another box.
+	CallBytes int64 `yaml:"call_bytes"`
+	// AnswerBytes bounds the body of an answer to a caller.
+	AnswerBytes int64 `yaml:"answer_bytes"`
+}
+
 // Overload switches on what a deployment with hard load asks for. All boxes of a deployment have
 // the same.
 type Overload struct {
@@ -126,6 +140,7 @@
 	return Settings{
 		LogLevel: "info",
 		Box:      Box{MemoryMB: 128, Descriptors: 1024, Share: 1, Megabits: 100},
+		Reads:    Reads{HeadBytes: 32 << 10, CallBytes: 8 << 20, AnswerBytes: 64 << 20},
 		Bounds: Bounds{
 			Stop: 8 * time.Second, Notice: 2300 * time.Millisecond, Drain: 2 * time.Second, RetryShare: 0.1, RetryExtra: 10,
 			RetryWindow: 10 * time.Second, Takeover: 3 * time.Second, WeightsWithin: 12 * time.Second, ColdFactor: 1,
@@ -150,6 +165,7 @@
 	d.CheckOneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	s.checkAddresses(d)
 	s.checkBox(d)
+	s.checkReads(d)
 	s.checkBounds(d)
 	s.checkWithout(d)
 }
@@ -177,6 +193,19 @@
 	}
 }
 
+func (s *Settings) checkReads(d *document.Document) {
+	const minHead, minBody = 4 << 10, 64 << 10
+	if s.Reads.HeadBytes < minHead {
+		d.Add("reads.head_bytes", "must be at least %d", minHead)
+	}
+	if s.Reads.CallBytes < minBody {
+		d.Add("reads.call_bytes", "must be at least %d", minBody)
+	}
+	if s.Reads.AnswerBytes < minBody {
+		d.Add("reads.answer_bytes", "must be at least %d", minBody)
+	}
+}
+
 func (s *Settings) checkBounds(d *document.Document) {
 	const maxBound = time.Hour
 	d.CheckWithin("bounds.stop", s.Bounds.Stop, time.Second, maxBound)
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -32,6 +32,7 @@
 		{"the same address twice", "127.0.0.1:8081", "127.0.0.1:8080", []string{"has the address of callers"}},
 		{"no time unit", "5000ms", "5000", []string{"s.yaml:9:"}},
 		{"stop too short", "stop: 8s", "stop: 1ms", []string{"s.yaml:8:9: bounds.stop"}},
+		{"heads of no length", "bounds:", "reads: {head_bytes: 0, call_bytes: 1, answer_bytes: -1}\nbounds:", []string{"reads.head_bytes", "reads.call_bytes", "reads.answer_bytes"}},
 		{"negative share", "0.2", "-1", []string{"retry_share"}},
 		{"mechanism switched off", "bounds:", "without: [saves, hurry]\nbounds:", nil},
 		{"unknown mechanism", "bounds:", "without: [magic]\nbounds:", []string{"without"}},
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/readlimit"
 )
 
 // readBuffer is the read buffer's size in bytes: room for an answer's head and some events. A
@@ -34,10 +35,15 @@
 	// receive is the receive buffer in bytes, zero before the first exchange; granted is how much
 	// of the budget it takes.
 	receive, granted int64
+	// headLeft is how many more bytes the head that is being read may have; negative outside of heads
+	// or if there is no bound. headRead counts those that came, taken what the exchange takes of the
+	// client's budget.
+	headLeft, headRead, taken int64
+	budget                    *readlimit.Budget
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	c := &connection{Conn: conn, at: at, openedAt: boottime.Now(), idleSince: boottime.Now()}
+	c := &connection{Conn: conn, at: at, headLeft: -1, openedAt: boottime.Now(), idleSince: boottime.Now()}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -12,6 +12,8 @@
 	"sync"
 
 	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/readlimit"
 )
 
 // maxInlineBody is the largest body, in bytes, that is written before the answer is read. A larger
@@ -32,7 +34,9 @@
 	writeDone chan struct{}
 	writeErr  error
 	bodyRead  bool
-	once      sync.Once
+	// read counts the bytes of the body that were read.
+	read int64
+	once sync.Once
 }
 
 // Do sends a request and waits for the head of the answer until ctx ends. The error is ErrNotSent
@@ -106,8 +110,21 @@
 	out.WriteString("\r\n")
 }
 
-// readHead reads the answer's head and skips informational ones.
+// readHead reads the answer's head.
 func (a *Answer) readHead(method string) error {
+	a.conn.beginHead(a.client.MaxHead)
+	defer a.conn.endHead()
+	if err := a.readFinalHead(method); err != nil {
+		return a.noteOverlong(PartHead, a.conn.headRead, err)
+	}
+	if limit := a.client.MaxBody; limit > 0 && a.Length() > limit && method != http.MethodHead {
+		return a.noteOverlong(PartBody, a.Length(), readlimit.Overlong(a.Length(), limit))
+	}
+	return nil
+}
+
+// readFinalHead reads heads until one is not informational.
+func (a *Answer) readFinalHead(method string) error {
 	for {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -133,6 +150,10 @@
 // without a length is an error.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
+	a.read += int64(n)
+	if limit := a.client.MaxBody; limit > 0 && a.read > limit {
+		return n, a.noteOverlong(PartBody, a.read, readlimit.Overlong(a.read, limit))
+	}
 	if errors.Is(err, io.EOF) {
 		a.bodyRead = true
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/readlimit"
 )
 
 // ErrNotSent says that no byte of the request left this box.
@@ -53,6 +54,15 @@
 	// ReceiveBudget is how many bytes the receive buffers of all exchanges under way may have
 	// beyond 32 KiB each; zero leaves all buffers as they were dialled. Unread answers fill them.
 	ReceiveBudget int64
+	// MaxHead bounds an answer's head in bytes, with the informational ones before it, MaxBody its
+	// body, and MaxWhole a body that ReadAll reads; zero means no bound. What is longer is no answer.
+	MaxHead, MaxBody, MaxWhole int64
+	// ReadBudget bounds the bytes of all heads that are longer than usual, and of all bodies that
+	// ReadAll reads, until their exchanges end.
+	ReadBudget readlimit.Budget
+	// OnOverlong is called for each answer a part of which is too long, with the bytes that came or
+	// that its head stated; may be nil.
+	OnOverlong func(at netip.AddrPort, part string, bytes int64)
 
 	mu sync.Mutex
 	// idle holds idle connections, the most recently used last.
@@ -127,7 +137,9 @@
 	if c.OnDial != nil {
 		c.OnDial(at)
 	}
-	return newConnection(conn, at), nil
+	opened := newConnection(conn, at)
+	opened.budget = &c.ReadBudget
+	return opened, nil
 }
 
 func (c *Client) reserve(at netip.AddrPort) bool {
@@ -159,6 +171,7 @@
 // closeConnection closes a connection and frees its place under the limit.
 func (c *Client) closeConnection(conn *connection) {
 	_ = conn.Close() // The connection is discarded, so the error does not matter.
+	conn.returnTaken()
 	c.mu.Lock()
 	c.returnReceive(conn)
 	c.mu.Unlock()
@@ -193,6 +206,7 @@
 
 // addIdle makes a usable connection available for the next request.
 func (c *Client) addIdle(conn *connection) {
+	conn.returnTaken()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -6,15 +6,25 @@
 	"time"
 
 	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/readlimit"
 )
 
-// Read records how long it has been waiting while no bytes arrive.
+// Read records how long it has been waiting while no bytes arrive, and bounds heads.
 func (c *connection) Read(b []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, readlimit.Overlong(c.headRead, c.headRead)
+	}
+	if c.headLeft > 0 {
+		b = b[:min(int64(len(b)), c.headLeft)]
+	}
 	c.readingSince = boottime.Now()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.readingSince = time.Time{}
 	}
+	if c.headLeft > 0 && !c.countHead(int64(n)) {
+		return n, readlimit.ErrBudget
+	}
 	return n, err
 }
 
