fix(platform/store): answers of the table service have a bound

They were read whole, whatever their length, and their heads up to the library's 10 MB. reads.call_bytes and reads.head_bytes bound them, and a budget of their own, a sixteenth of the box's memory, all that are being read: what targets send can't take the table service's share.

--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -29,6 +29,7 @@
 	"github.com/thymewind/thymewind/logqueue"
 	"github.com/thymewind/thymewind/platform"
 	"github.com/thymewind/thymewind/platform/store"
+	"github.com/thymewind/thymewind/readlimit"
 )
 
 // Limits of connections, the log and memory.
@@ -137,7 +138,9 @@
 		Base: "http://" + s.Store.Address.String(), MinTimeout: minStoreTimeout, Timeout: storeTimeout,
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
+			MaxResponseHeaderBytes: s.Reads.HeadBytes,
 		}},
+		MaxBody: s.Reads.CallBytes, ReadBudget: readlimit.Budget{Bytes: readBudget(s)},
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
@@ -147,6 +150,9 @@
 		Sweep:  connections.Sweep,
 	}
 	rows.OnSilent = func(call string, waited time.Duration) { d.ReportSilence(entry.ToTableService, call, waited) }
+	rows.OnOverlong = func(bytes int64) {
+		d.ReportOverlong(entry.ToTableService, s.Store.Address.String(), exchange.PartBody, bytes)
+	}
 	connections.OnSilent = d.ReportSilentTarget
 	connections.OnOverlong = func(at netip.AddrPort, part string, bytes int64) {
 		d.ReportOverlong(entry.ToTarget, at.String(), part, bytes)
