fix(exchange): a line of a head that is too long is told as such, not quoted

The library takes the part of a line that had come for a whole line and fails to parse it: the error told nothing of the bound and quoted up to 32 KiB, in the log and in the answer to the caller, and thymewind_entry_overlong_total did not count it. The bound's own error goes first now, and the text of others is cut off at 200 bytes.

--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -40,6 +40,8 @@
 	// client's budget.
 	headLeft, headRead, taken int64
 	budget                    *readlimit.Budget
+	// headErr says why the head was not read on, which its parser may not tell.
+	headErr error
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -115,7 +116,7 @@
 	a.conn.beginHead(a.client.MaxHead)
 	defer a.conn.endHead()
 	if err := a.readFinalHead(method); err != nil {
-		return a.noteOverlong(PartHead, a.conn.headRead, err)
+		return a.noteOverlong(PartHead, a.conn.headRead, cmp.Or(a.conn.headErr, shortError(err)))
 	}
 	if limit := a.client.MaxBody; limit > 0 && a.Length() > limit && method != http.MethodHead {
 		return a.noteOverlong(PartBody, a.Length(), readlimit.Overlong(a.Length(), limit))
@@ -123,6 +124,17 @@
 	return nil
 }
 
+// maxErrorText bounds the text of an error in bytes. The library's quotes the line that it can't parse.
+const maxErrorText = 200
+
+// shortError cuts an error's text off.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return trace.BadParameter("%s...", text[:maxErrorText])
+	}
+	return err
+}
+
 // readFinalHead reads heads until one is not informational.
 func (a *Answer) readFinalHead(method string) error {
 	for {
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -12,7 +12,8 @@
 // Read records how long it has been waiting while no bytes arrive, and bounds heads.
 func (c *connection) Read(b []byte) (int, error) {
 	if c.headLeft == 0 {
-		return 0, readlimit.Overlong(c.headRead, c.headRead)
+		c.headErr = readlimit.Overlong(c.headRead, c.headRead)
+		return 0, c.headErr
 	}
 	if c.headLeft > 0 {
 		b = b[:min(int64(len(b)), c.headLeft)]
@@ -23,7 +24,8 @@
 		c.readingSince = time.Time{}
 	}
 	if c.headLeft > 0 && !c.countHead(int64(n)) {
-		return n, readlimit.ErrBudget
+		c.headErr = readlimit.ErrBudget
+		return n, c.headErr
 	}
 	return n, err
 }
