--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -129,7 +129,8 @@
 
 func run(ctx context.Context, s settings.Settings, logger *log.Logger, reload <-chan settings.Settings) error {
 	connections := &exchange.Client{Dial: (&net.Dialer{}).DialContext, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilentAfter: silentAfter}
-	connections.MaxHead, connections.MaxWhole, connections.ReadBudget.Bytes = s.Reads.HeadBytes, s.Reads.CallBytes, readBudget(s)
+	connections.MaxHead, connections.MaxBody, connections.MaxWhole = s.Reads.HeadBytes, s.Reads.AnswerBytes, s.Reads.CallBytes
+	connections.ReadBudget.Bytes = readBudget(s)
 	if s.Overload.HeldBytes {
 		connections.Dial = (&net.Dialer{Control: exchange.LimitBuffers}).DialContext
 		connections.ReceiveBudget = int64(receiveShare * float64(s.Box.MemoryMB<<20))
