fix(eventstream): a stream without events ends

Comments and empty lines came as blocks of a few bytes each, so that a stream of nothing else passed every bound and went on until the request's deadline, without a sign that its target is at fault. They count toward the bound of the next event (1 MiB) now: the stream is cut off there, and continues elsewhere where it may.

TestBlocksWithoutData failed before: "EOF after 209725 of 209725 blocks".

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -17,8 +17,9 @@
 // ErrTruncated says that the body ended inside an event.
 var ErrTruncated = trace.BadParameter("event stream ended inside an event")
 
-// MaxEventBytes bounds one event, in bytes. It is far above the size of a model's step and
-// keeps a corrupt stream from exhausting memory.
+// MaxEventBytes bounds one event with the blocks without data before it, in bytes. It is far above
+// the size of a model's step and keeps a corrupt stream from exhausting memory, or from going on
+// without any event.
 const MaxEventBytes = 1 << 20
 
 // initialBuffer is the initial buffer size in bytes, enough for a few typical events.
@@ -36,7 +37,9 @@
 	start, end int
 	// searched is the number of bytes after start that contain no end of an event.
 	searched int
-	err      error
+	// blank is the length of the blocks without data or ID since the last event.
+	blank int
+	err   error
 }
 
 // Next returns the next event with the blank line that ends it. It returns io.EOF at
@@ -44,7 +47,7 @@
 func (r *Reader) Next() ([]byte, error) {
 	for {
 		if event := r.buffered(); event != nil {
-			return event, nil
+			return event, r.countBlank(event)
 		}
 		if r.err != nil {
 			return nil, r.endError()
@@ -56,6 +59,18 @@
 	}
 }
 
+// countBlank fails if there have been too many blocks without data or ID.
+func (r *Reader) countBlank(event []byte) error {
+	if HasData(event) || ID(event) != "" {
+		r.blank = 0
+		return nil
+	}
+	if r.blank += len(event); r.blank > MaxEventBytes {
+		return trace.LimitExceeded("no event within %d bytes", MaxEventBytes)
+	}
+	return nil
+}
+
 func (r *Reader) buffered() []byte {
 	unread := r.buffer[r.start:r.end]
 	from := max(r.searched-3, 0)
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -90,3 +90,31 @@
 		}
 	}
 }
+
+// TestBlocksWithoutData has a stream send comments or empty lines without end. It guards against such a
+// stream going on until the request's deadline, as each block of it is short.
+func TestBlocksWithoutData(t *testing.T) {
+	tests := []struct {
+		name, block string
+		ends        bool
+	}{
+		{"comments", ": x\n\n", true},
+		{"empty lines", "\n\n", true},
+		{"events", "data: x\n\n", false},
+		{"events with an ID", "id: 1\ndata: x\n\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			blocks := eventstream.MaxEventBytes/len(tt.block) + 10
+			r := eventstream.Reader{From: strings.NewReader(strings.Repeat(tt.block, blocks))}
+			read := 0
+			var err error
+			for ; err == nil; read++ {
+				_, err = r.Next()
+			}
+			if ended := !errors.Is(err, io.EOF); ended != tt.ends {
+				t.Errorf("%v after %d of %d blocks", err, read-1, blocks)
+			}
+		})
+	}
+}
