fix(exchange): an idle connection on which bytes came is closed

A target that goes on sending after a whole answer filled the kernel's buffer of the kept connection, which was only looked at when the next request wanted it, up to 20 s later. Bytes that have arrived and aren't read count as a box's memory.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -216,7 +216,8 @@
 	c.idle[conn.at] = append(c.idle[conn.at], conn)
 }
 
-// Sweep closes connections that have been idle for too long. Call it about once a second.
+// Sweep closes connections that have been idle for too long, that their targets closed, or on which
+// surplus bytes came, which the kernel would hold. Call it about once a second.
 func (c *Client) Sweep(now time.Time) {
 	for _, conn := range c.removeExpired(now) {
 		c.closeConnection(conn)
@@ -230,7 +231,7 @@
 	for at, list := range c.idle {
 		kept := list[:0]
 		for _, conn := range list {
-			if now.Sub(conn.idleSince) >= conn.maxIdle(c.IdleTimeout) {
+			if now.Sub(conn.idleSince) >= conn.maxIdle(c.IdleTimeout) || !conn.usable() {
 				old = append(old, conn)
 				continue
 			}
--- a/exchange/overlong_test.go
+++ b/exchange/overlong_test.go
@@ -10,7 +10,9 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/exchange"
 	"github.com/thymewind/thymewind/readlimit"
 )
@@ -125,3 +127,32 @@
 	}
 	third.Close()
 }
+
+// TestSurplusAtRest has a target go on sending after a whole answer. It guards against such bytes
+// filling the kernel's buffers for as long as the connection would be kept.
+func TestSurplusAtRest(t *testing.T) {
+	closed := make(chan struct{})
+	x := serve(t, func(_ int, conn *net.TCPConn, next func() *http.Request) {
+		next()
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		for err == nil {
+			<-time.After(time.Millisecond)
+			_, err = io.WriteString(conn, "surplus")
+		}
+		close(closed)
+	})
+	c := newClient()
+	if _, _, err := ask(c, x.at, &exchange.Request{Method: "GET", Path: "/", Host: "h"}); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.After(10 * time.Second); ; {
+		c.Sweep(boottime.Now())
+		select {
+		case <-closed:
+			return
+		case <-time.After(10 * time.Millisecond):
+		case <-end:
+			t.Fatal("the connection is still open")
+		}
+	}
+}
