fix(thymewind): answers to the own interface's calls have bounds

The daemon of our own interface decoded answers of the table service, the list of boxes, engines and store boxes as they came, whatever their length, and passed services' answers and engines' streams on without a bound; heads had the library's 10 MB. Each has a bound now, named beside its client.

--- a/boxes/boxes.go
+++ b/boxes/boxes.go
@@ -11,6 +11,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/readlimit"
 )
 
 // The roles a box may have.
@@ -41,6 +43,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// maxAnswerBytes bounds the list, in bytes.
+const maxAnswerBytes = 8 << 20
+
 // List reads the platform's list. Set the exported fields before first use. It is not
 // safe for concurrent use.
 type List struct {
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, false, trace.Wrap(err)
 	}
-	response, err := sling.New().Client(l.HTTP).Do(request.WithContext(ctx), &answer, nil)
+	response, err := sling.New().Doer(readlimit.Doer{HTTP: l.HTTP, MaxBody: maxAnswerBytes}).Do(request.WithContext(ctx), &answer, nil)
 	if err != nil {
 		return nil, false, trace.ConnectionProblem(err, "reading the list of boxes failed")
 	}
--- a/build.go
+++ b/build.go
@@ -49,6 +49,8 @@
 	retryBurst          = 20
 	messageQueueSize    = 1024
 	maxBufferedAccounts = 50000
+	// maxHeadBytes bounds the head of an answer of the table service, engines and store boxes.
+	maxHeadBytes = 32 << 10
 )
 
 // components are what the daemon is assembled from.
@@ -128,7 +130,7 @@
 }
 
 func (d *Daemon) buildPlatform() {
-	client := &http.Client{Timeout: tableTimeout}
+	client := &http.Client{Timeout: tableTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}
 	d.boxes = boxes.List{Base: d.Settings.Platform, HTTP: client}
 	d.table = table.Client{Base: d.Settings.Platform, HTTP: client}
 	d.rows = configuration.Rows{
@@ -166,7 +168,7 @@
 func (d *Daemon) buildRequests() {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	d.engines = engine.Client{HTTP: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 	d.stores = kvcache.Client{HTTP: d.engines.HTTP}
 	for _, key := range d.Settings.TokenKeys {
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/thymewind/thymewind/kvcache"
 	"github.com/thymewind/thymewind/notice"
+	"github.com/thymewind/thymewind/readlimit"
 	"github.com/thymewind/thymewind/stream"
 )
 
@@ -43,8 +44,14 @@
 	return signals
 }
 
-// maxFrameBytes bounds one line of a stream.
-const maxFrameBytes = 1 << 20
+// Bounds in bytes.
+const (
+	// maxFrameBytes bounds one line of a stream, maxStreamBytes the stream.
+	maxFrameBytes  = 1 << 20
+	maxStreamBytes = 64 << 20
+	// maxCallBytes bounds an answer to any other call.
+	maxCallBytes = 8 << 20
+)
 
 // Client calls engines. Set the exported fields before first use.
 type Client struct {
@@ -145,7 +152,7 @@
 }
 
 func (c *Client) endpoint(at netip.AddrPort) *sling.Sling {
-	return sling.New().Client(c.HTTP).Base("http://" + at.String())
+	return sling.New().Doer(readlimit.Doer{HTTP: c.HTTP, MaxBody: maxCallBytes}).Base("http://" + at.String())
 }
 
 func (c *Client) open(ctx context.Context, at netip.AddrPort, path string, body any) (*Frames, error) {
@@ -171,7 +178,7 @@
 		defer response.Body.Close()
 		return nil, refusal(response)
 	}
-	frames := newFrames(response.Body)
+	frames := newFrames(readlimit.Body(response.Body, maxStreamBytes))
 	frames.Signals = SignalsOf(response)
 	return frames, nil
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -8,6 +8,7 @@
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/hop"
 	"github.com/thymewind/thymewind/idempotency"
+	"github.com/thymewind/thymewind/readlimit"
 	"github.com/thymewind/thymewind/route"
 )
 
@@ -24,7 +25,7 @@
 	w.Header().Set(HeaderTarget, placed.Target)
 	w.WriteHeader(response.StatusCode)
 	copied := &tee{caller: w, flush: http.NewResponseController(w), drain: x.atMostOnce}
-	_, err := io.Copy(copied, response.Body)
+	_, err := io.Copy(copied, readlimit.Body(response.Body, maxAnswerBytes))
 	x.OnEnded(route.AttemptResult{Placement: placed, Failed: err != nil && !copied.callerLeft})
 	if err == nil && x.atMostOnce {
 		x.permit.Complete(x.ctx, claim.Answer{
--- a/forward/send.go
+++ b/forward/send.go
@@ -9,6 +9,12 @@
 	"time"
 )
 
+// maxHeadBytes bounds an answer's head, maxAnswerBytes its body, in bytes.
+const (
+	maxHeadBytes   = 32 << 10
+	maxAnswerBytes = 64 << 20
+)
+
 // writeRecorder records whether anything was written to the connection. A failed
 // write counts too, as it may have sent something.
 type writeRecorder struct {
@@ -27,9 +33,10 @@
 func (s *Sender) Send(request *http.Request, at netip.AddrPort, timeout time.Duration) (response *http.Response, wrote bool, err error) {
 	var written atomic.Bool
 	transport := &http.Transport{
-		DisableKeepAlives:     true,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: timeout,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		ResponseHeaderTimeout:  timeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			conn, err := s.Dial(ctx, network, at.String())
 			if err != nil {
--- a/kvcache/client.go
+++ b/kvcache/client.go
@@ -10,8 +10,13 @@
 
 	"github.com/dghubble/sling"
 	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/readlimit"
 )
 
+// maxCallBytes bounds an answer other than a piece, in bytes.
+const maxCallBytes = 8 << 20
+
 // Client is the client of store boxes. Set HTTP before first use.
 type Client struct {
 	HTTP *http.Client
@@ -96,7 +101,7 @@
 }
 
 func (c *Client) to(at netip.AddrPort) *sling.Sling {
-	return sling.New().Client(c.HTTP).Base("http://" + at.String())
+	return sling.New().Doer(readlimit.Doer{HTTP: c.HTTP, MaxBody: maxCallBytes}).Base("http://" + at.String())
 }
 
 func (c *Client) call(ctx context.Context, call *sling.Sling, success any) error {
--- a/readlimit/readlimit.go
+++ b/readlimit/readlimit.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync/atomic"
 )
 
@@ -57,8 +58,30 @@
 	return io.ReadAll(&r)
 }
 
-// Limit returns a reader that fails once more than limit bytes came; zero means no limit.
-func Limit(from io.Reader, limit int64) io.Reader { return &reader{from: from, limit: limit} }
+// Doer calls servers whose answers are decoded as they are read, and bounds these.
+type Doer struct {
+	HTTP *http.Client
+	// MaxBody bounds an answer's body in bytes.
+	MaxBody int64
+}
+
+// Do makes a call. Reading more than MaxBody bytes of the answer fails with ErrOverlong.
+func (d Doer) Do(request *http.Request) (*http.Response, error) {
+	response, err := d.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = Body(response.Body, d.MaxBody)
+	return response, nil
+}
+
+// Body returns an answer's body that fails once more than limit bytes came.
+func Body(body io.ReadCloser, limit int64) io.ReadCloser {
+	return struct {
+		io.Reader
+		io.Closer
+	}{&reader{from: body, limit: limit}, body}
+}
 
 // reader counts the bytes of one answer.
 type reader struct {
--- a/table/client.go
+++ b/table/client.go
@@ -10,8 +10,13 @@
 
 	"github.com/dghubble/sling"
 	"github.com/gravitational/trace"
+
+	"github.com/thymewind/thymewind/readlimit"
 )
 
+// maxAnswerBytes bounds an answer, in bytes.
+const maxAnswerBytes = 16 << 20
+
 // Client calls the table service. Set the exported fields before first use; it is
 // safe for concurrent use after that.
 type Client struct {
@@ -131,7 +136,7 @@
 	if request.Body != nil {
 		request.Body = io.NopCloser(request.Body)
 	}
-	response, err := sling.New().Client(c.HTTP).Do(request, success, failure)
+	response, err := sling.New().Doer(readlimit.Doer{HTTP: c.HTTP, MaxBody: maxAnswerBytes}).Do(request, success, failure)
 	if response == nil {
 		return 0, connected.Load(), err
 	}
