fix(peer,handoff): messages of other boxes have bounds that fit a box's memory

A message could have 32 MB, several connections each one: more than a small box has. A message between boxes is bounded by reads.call_bytes, one of a handed-on answer by 2 MiB, heads of their dials by reads.head_bytes, and messages that are being read share a sixteenth of the box's memory. What is beyond closes the connection, and the next call dials again.

Requests that other boxes hand on still have 16 MiB, a request's largest body, times the connections that a box serves (max_served).

--- a/entry/build.go
+++ b/entry/build.go
@@ -24,6 +24,7 @@
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/permit"
 	"github.com/thymewind/thymewind/placement"
+	"github.com/thymewind/thymewind/readlimit"
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/retryafter"
 	"github.com/thymewind/thymewind/rollout"
@@ -51,6 +52,8 @@
 	// barRecentlyOrdered.
 	leaseTTL    = 2 * time.Second
 	leaseMargin = 400 * time.Millisecond
+	// boxReadShare is the share of the box's memory for messages of other boxes that are being read.
+	boxReadShare = 1.0 / 16
 )
 
 // Front builds the callers' handler from the function that serves a call, the clock, and
@@ -155,9 +158,15 @@
 // allSources allows every source.
 func allSources(*affinity.Source) bool { return true }
 
+// boxClient returns a client that dials other boxes.
+func (d *Daemon) boxClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: d.Settings.Reads.HeadBytes}}
+}
+
 func (d *Daemon) buildPeers() {
 	d.peers = peer.Node{
-		Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
+		Handle: d.answerPeer, HTTP: d.boxClient(), Scheme: "ws",
+		MaxMessage: d.Settings.Reads.CallBytes, ReadBudget: readlimit.Budget{Bytes: int64(boxReadShare * float64(d.Settings.Box.MemoryMB<<20))},
 		CredentialFunc: d.shownCredential,
 		OnSilent:       func(at netip.AddrPort, waited time.Duration) { d.ReportSilence(ToBox, at.String(), waited) },
 		OnSent:         func(n int) { d.metrics.peerBytes.WithLabelValues("sent").Add(float64(n)) },
--- a/entry/handoff.go
+++ b/entry/handoff.go
@@ -56,7 +56,7 @@
 	limit := max(int(float64(d.Settings.Box.MemoryMB<<20)*handedOnShare)/handedOnBytes, 1)
 	d.tables.helpers = helper.Chooser{Domain: d.Settings.Domain, Max: limit}
 	d.handoff = handoff.Node{
-		Credential: d.shownCredential, HTTP: http.DefaultClient, Scheme: "ws", MaxServed: limit,
+		Credential: d.shownCredential, HTTP: d.boxClient(), Scheme: "ws", MaxServed: limit,
 		Serve: d.serveForBox, Refusal: describeRefusal,
 		OnSent:     func(n int) { d.metrics.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		OnReceived: func(n int) { d.metrics.peerBytes.WithLabelValues("received").Add(float64(n)) },
--- a/handoff/connection.go
+++ b/handoff/connection.go
@@ -45,7 +45,7 @@
 }
 
 func newConnection(n *Node, at netip.AddrPort, ws *websocket.Conn) *connection {
-	ws.SetReadLimit(maxMessage)
+	ws.SetReadLimit(maxAnswerMessage)
 	c := &connection{node: n, at: at, ws: ws, frames: make(chan frame), closed: make(chan struct{})}
 	go c.read()
 	return c
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -49,6 +49,8 @@
 	freshFor = 250 * time.Millisecond
 	// maxMessage bounds a message in bytes: a request with the largest body.
 	maxMessage = 16 << 20
+	// maxAnswerMessage bounds a message of an answer: the longest event and a chunk before it.
+	maxAnswerMessage = 2 << 20
 	// maxIdle bounds the unused connections to one box.
 	maxIdle = 32
 )
--- a/peer/link.go
+++ b/peer/link.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
@@ -154,7 +155,7 @@
 }
 
 func newConnection(l *link, conn *websocket.Conn) *connection {
-	conn.SetReadLimit(maxMessage)
+	conn.SetReadLimit(cmp.Or(l.node.MaxMessage, maxMessage))
 	c := &connection{
 		node: l.node, at: l.at, answerTimeout: l.answerTimeout, heardAt: l.heardAt, conn: conn, queue: make(chan []byte, writeQueueSize), closed: make(chan struct{}),
 		pending: make(map[uint64]pendingCall),
--- a/peer/node.go
+++ b/peer/node.go
@@ -6,6 +6,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -22,6 +23,7 @@
 
 	"github.com/thymewind/thymewind/adaptive"
 	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/readlimit"
 )
 
 // maxMessage bounds one message, in bytes. A whole configuration fits.
@@ -53,6 +55,10 @@
 	HTTP *http.Client
 	// Scheme is ws or wss.
 	Scheme string
+	// MaxMessage bounds a message in bytes; zero means maxMessage. ReadBudget bounds all that are being
+	// read. A connection on which more comes is closed.
+	MaxMessage int64
+	ReadBudget readlimit.Budget
 	// OnSilent is called for each connection closed as silent; may be nil.
 	OnSilent func(at netip.AddrPort, waited time.Duration)
 	// OnSent and OnReceived are called with the size of each message; they must be set.
@@ -74,7 +80,7 @@
 			return
 		}
 		defer func() { _ = conn.CloseNow() }()
-		conn.SetReadLimit(maxMessage)
+		conn.SetReadLimit(cmp.Or(n.MaxMessage, maxMessage))
 		n.serve(r.Context(), conn)
 	})
 }
@@ -187,7 +193,7 @@
 	if err != nil {
 		return m, err
 	}
-	data, err := io.ReadAll(notifyingReader{pieces, onRead})
+	data, err := n.ReadBudget.ReadAll(notifyingReader{pieces, onRead}, 0)
 	if err != nil {
 		return m, err
 	}
