fix(entry,takeover): a wait that a row passes on ends when it should

A new holder waited the whole bound for each target that the last row named, also for those that its writer only waited for itself: holders that followed each other within the bound kept such a target from being ordered for as long as that went on. The row says how much of each wait is left; its reader counts that from when it first saw the row, by its own clock, and the whole bound only for targets that the writer may have ordered to the end of its lease.

TestBarEndsAfterLastOrder and TestBarOfUnseenRow with the whole wait: "a target is barred 4.8s after it had 3 s left".

--- a/entry/modelrollout.go
+++ b/entry/modelrollout.go
@@ -33,8 +33,9 @@
 	orderRetryAt map[string]time.Time
 	// epoch is the lease's epoch in the row last read.
 	epoch uint64
-	// rowAt is the latest revision of the row that this box has read.
-	rowAt revision.Revision
+	// rowAt is the latest revision of the row that this box has read, rowSeenAt when it first did.
+	rowAt     revision.Revision
+	rowSeenAt time.Time
 	// reclaim says when parts made on older weights may be freed.
 	reclaim reclaim.Tracker
 	// freed is the version for which the stores were cleared of older parts.
@@ -50,5 +51,9 @@
 	announcing bool
 }
 
-// noteRow records the revision of the rollout's row as read.
-func (w *modelRollout) noteRow(row table.Row) { w.rowAt = revision.Max(w.rowAt, row.At()) }
+// noteRow records the revision of the rollout's row as read at a time. The row was written before.
+func (w *modelRollout) noteRow(now time.Time, row table.Row) {
+	if row.At().After(w.rowAt) || w.rowSeenAt.IsZero() {
+		w.rowAt, w.rowSeenAt = row.At(), now
+	}
+}
--- a/entry/rolloutrow.go
+++ b/entry/rolloutrow.go
@@ -13,6 +13,7 @@
 	"github.com/thymewind/thymewind/revision"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/table"
+	"github.com/thymewind/thymewind/takeover"
 	"github.com/thymewind/thymewind/versionlog"
 )
 
@@ -31,9 +32,12 @@
 	// Recent are the targets that this holder may order, or ordered lately, for any model. A
 	// successor sends them no order for a while.
 	Recent []string `json:"recent"`
-	// AllRecent says that Recent is incomplete: this holder doesn't know which targets an earlier one
+	// LeftMS is, in ms after the row was written, how long a successor leaves each of them alone that
+	// this holder does not order any more. The wait for the others begins when it takes the lease.
+	LeftMS map[string]int64 `json:"left_ms,omitempty"`
+	// AllLeftMS is the same for all targets, if this holder doesn't know which ones an earlier one
 	// ordered lately.
-	AllRecent bool `json:"all_recent,omitempty"`
+	AllLeftMS int64 `json:"all_left_ms,omitempty"`
 	// Namings are the recently named weight versions and when each was named.
 	Namings []versionlog.Row `json:"namings,omitempty"`
 	// Freed is the version up to which the stores were cleared of older parts.
@@ -50,25 +54,37 @@
 		if !ok {
 			continue
 		}
-		t.rolloutOf(model).noteRow(row)
+		w := t.rolloutOf(model)
+		w.noteRow(now, row)
 		d.applyRolloutRow(now, t, model, row.Value)
 		var last rolloutRow
 		if json.Unmarshal(row.Value, &last) != nil { // Logged by applyRolloutRow.
-			t.orders.BarAll(now)
+			t.orders.BarAll(now.Add(d.ordersApart()))
 			continue
 		}
 		lost = lost && last.Epoch < d.lease.FirstEpoch()
-		t.orders.Bar(now, last.Recent...)
-		if last.AllRecent {
-			t.orders.BarAll(now)
-		}
-		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "all", last.AllRecent, "for", d.ordersApart(), "loading", last.Loading)
+		last.bar(&t.orders, now.Add(d.ordersApart()), w.rowSeenAt)
+		d.Log.Info("targets that an earlier lease holder ordered wait", "model", model, "row_epoch", last.Epoch, "waiting", last.Recent, "left_ms", last.LeftMS, "all_left_ms", last.AllLeftMS, "seen_ago", now.Sub(w.rowSeenAt), "loading", last.Loading)
 	}
 	if lost {
-		t.orders.BarAll(d.lease.LostUntil())
+		t.orders.BarAll(d.lease.LostUntil().Add(d.ordersApart()))
 	}
 }
 
+// bar keeps the orders of a new holder apart from those of the row's writer: until a time from the
+// targets that this one may have ordered to the end of its lease, and for the time left since the row
+// was first seen from the others.
+func (r rolloutRow) bar(orders *takeover.Log, until, seenAt time.Time) {
+	for _, id := range r.Recent {
+		if left, ended := r.LeftMS[id]; ended {
+			orders.Bar(id, seenAt.Add(time.Duration(left)*time.Millisecond))
+			continue
+		}
+		orders.Bar(id, until)
+	}
+	orders.BarAll(seenAt.Add(time.Duration(r.AllLeftMS) * time.Millisecond))
+}
+
 // announceRollout makes the effect that writes the rollout's row.
 func (d *Daemon) announceRollout(now time.Time, t *tables, model string, w *modelRollout, epoch uint64) effect {
 	w.announcing = true
@@ -77,9 +93,15 @@
 	}
 	row := rolloutRow{
 		Epoch: epoch, Version: w.newestVersion, Loading: slices.Concat(slices.Sorted(maps.Keys(w.ordered)), w.planned),
-		Recent: t.orders.Recent(now), AllRecent: t.orders.AllBarred(now), Freed: w.freed,
+		LeftMS: make(map[string]int64), AllLeftMS: roundUp(t.orders.AllLeft(now)), Freed: w.freed,
 		Namings: w.versionLog.Rows(now.Add(-reportBounds*d.bounds.Load().WeightsWithin), &t.tableClock),
 	}
+	for _, recent := range t.orders.Recent(now) {
+		row.Recent = append(row.Recent, recent.Target)
+		if !recent.Open {
+			row.LeftMS[recent.Target] = roundUp(recent.Left)
+		}
+	}
 	for _, id := range t.fleet.IDs() {
 		if t.fleet.Target(id).Versions[model] == w.newestVersion {
 			row.Done = append(row.Done, id)
@@ -92,6 +114,9 @@
 	return announce{model, epoch, table.Row{Key: rolloutPrefix + model, Value: value}, w.rowAt}
 }
 
+// roundUp returns a time in ms, so that none is lost.
+func roundUp(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
 // writeRolloutRow replaces a rollout's row if nobody changed it meanwhile. The table service may carry
 // out a write seconds after its answer was lost; the condition keeps it from replacing a newer row.
 func (d *Daemon) writeRolloutRow(ctx context.Context, e announce) error {
@@ -175,7 +200,7 @@
 			d.applyCredential(row.Value)
 		}
 		if model, ok := strings.CutPrefix(row.Key, rolloutPrefix); ok {
-			t.rolloutOf(model).noteRow(row)
+			t.rolloutOf(model).noteRow(now, row)
 			d.applyRolloutRow(now, t, model, row.Value)
 		}
 	}
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -280,3 +280,35 @@
 		t.Errorf("the row is %s, %v; want %s", stored.Value, err, row.Value)
 	}
 }
+
+// TestBarEndsAfterLastOrder has a box see a row, and take the lease some seconds later. It waits for
+// targets that the row's writer may have ordered until then, and for others no longer than the bound
+// after their last order. Otherwise holders that follow each other within the bound would keep a target
+// from being ordered for ever, as each passes on for whom it waits.
+func TestBarEndsAfterLastOrder(t *testing.T) {
+	now := start
+	d := newLeaseHolder(t, now, []string{"ended", "open"})
+	row := rolloutRowOf(t, "m", rolloutRow{Epoch: 2, Version: 2, Recent: []string{"ended", "open"}, LeftMS: map[string]int64{"ended": 3000}, AllLeftMS: 1000})
+	row.Revision = 7
+	d.update(now, ownRead{change: OwnRows{Rows: []table.Row{row}}})
+	retakeLease(t, d, &now)
+	d.update(now, leaseStepped{read: true, rows: []table.Row{row}})
+	if isBarred(d, now, "m", "ended") {
+		t.Errorf("a target is barred %v after it had 3 s left", now.Sub(start))
+	}
+	if !isBarred(d, now.Add(d.ordersApart()-1), "m", "open") || isBarred(d, now.Add(d.ordersApart()), "m", "open") {
+		t.Error("a target that may have been ordered until now is not barred for the bound")
+	}
+	next := announcedRow(t, d, now)
+	if left, ended := next.LeftMS["open"]; !ended || left != d.ordersApart().Milliseconds() {
+		t.Errorf("the next row has %d ms left", left)
+	}
+}
+
+// TestBarOfUnseenRow guards against a wait that is counted from before the row was seen.
+func TestBarOfUnseenRow(t *testing.T) {
+	d := newLeaseHolder(t, start, []string{"a"}, rolloutRowOf(t, "m", rolloutRow{Epoch: 1, Recent: []string{"a"}, LeftMS: map[string]int64{"a": 2000}, AllLeftMS: 1000}))
+	if at := start.Add(2 * time.Second); !isBarred(d, at.Add(-1), "m", "a") || isBarred(d, at, "m", "a") {
+		t.Error("the target is not barred for the time left")
+	}
+}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -7,7 +7,7 @@
 //	row.Recent = l.Recent(now)
 //	l.End(now, "t-1")         // after the last order
 //
-//	l.Bar(now, row.Recent...) // by the successor
+//	l.Bar("t-1", until)       // by the successor, for each target that it reads
 //	if !l.Barred(now, "t-1") {
 //		order("t-1")
 //	}
@@ -62,41 +62,66 @@
 	l.endedAt[target] = now
 }
 
-// Recent lists the targets that a successor must leave alone for Apart: those that may still be
-// ordered, and those whose last order may have been less than Apart ago, whoever sent it. The
-// successor may be the third holder within that time, and reads the last one's row alone.
-func (l *Log) Recent(now time.Time) []string {
+// Recent is a target that a successor must leave alone.
+type Recent struct {
+	Target string
+	// Open says that it may still be ordered, so that the successor's wait begins when it takes the
+	// lease. Otherwise Left is how much of the wait is left.
+	Open bool
+	Left time.Duration
+}
+
+// Recent lists the targets that a successor must leave alone: those that may still be ordered, and
+// those whose last order may have been less than Apart ago, whoever sent it. The successor may be the
+// third holder within that time, and reads the last one's row alone.
+func (l *Log) Recent(now time.Time) []Recent {
 	l.Expire(now)
-	targets := slices.Collect(maps.Keys(l.open))
-	targets = slices.AppendSeq(targets, maps.Keys(l.endedAt))
-	targets = slices.AppendSeq(targets, maps.Keys(l.barredUntil))
-	slices.Sort(targets)
-	return slices.Compact(targets)
+	until := maps.Clone(l.barredUntil)
+	if until == nil {
+		until = make(map[string]time.Time)
+	}
+	for target, at := range l.endedAt {
+		if end := at.Add(l.Apart()); end.After(until[target]) {
+			until[target] = end
+		}
+	}
+	for target := range l.open {
+		until[target] = time.Time{}
+	}
+	var list []Recent
+	for _, target := range slices.Sorted(maps.Keys(until)) {
+		if _, open := l.open[target]; open {
+			list = append(list, Recent{Target: target, Open: true})
+			continue
+		}
+		list = append(list, Recent{Target: target, Left: until[target].Sub(now)})
+	}
+	return list
 }
 
-// Bar records that an earlier holder may have ordered some targets until now.
-func (l *Log) Bar(now time.Time, targets ...string) {
+// Bar keeps orders from a target until a time.
+func (l *Log) Bar(target string, until time.Time) {
 	if l.barredUntil == nil {
 		l.barredUntil = make(map[string]time.Time)
 	}
-	for _, target := range targets {
-		l.barredUntil[target] = now.Add(l.Apart())
+	if until.After(l.barredUntil[target]) {
+		l.barredUntil[target] = until
 	}
 }
 
-// BarAll records that an earlier holder may have ordered any target until a time.
+// BarAll keeps orders from all targets until a time.
 func (l *Log) BarAll(until time.Time) {
-	if until = until.Add(l.Apart()); until.After(l.allBarredUntil) {
+	if until.After(l.allBarredUntil) {
 		l.allBarredUntil = until
 	}
 }
 
-// AllBarred reports whether no target may get an order, which a successor must know as well.
-func (l *Log) AllBarred(now time.Time) bool { return now.Before(l.allBarredUntil) }
+// AllLeft returns for how long no target may get an order, which a successor must know as well.
+func (l *Log) AllLeft(now time.Time) time.Duration { return max(l.allBarredUntil.Sub(now), 0) }
 
 // Barred reports whether a target must get no order, for whichever model.
 func (l *Log) Barred(now time.Time, target string) bool {
-	return l.AllBarred(now) || now.Before(l.barredUntil[target])
+	return now.Before(l.allBarredUntil) || now.Before(l.barredUntil[target])
 }
 
 // Expire forgets what successors and this holder need not know any more.
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -34,7 +34,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			l := newLog()
 			tt.do(l, start)
-			if got := slices.Contains(l.Recent(start.Add(tt.after)), "a"); got != tt.want {
+			if got := slices.ContainsFunc(l.Recent(start.Add(tt.after)), func(r Recent) bool { return r.Target == "a" }); got != tt.want {
 				t.Errorf("named: %v, want %v", got, tt.want)
 			}
 		})
