test(hostile): bodies of clients that keep to no limit

Callers saw a box go: it ran out of memory while clients that we do not control sent many bodies at once, most of them just short of their end.

internal/hostile sends such bodies: whole, piece by piece, in large and in tiny chunks, far over the limit, seven of eight clients stopping short and staying open. They check that the process lives, that it and the kernel hold no more than 64 MB and 256 descriptors, and that an ordinary request is answered while the crowd stays. They run last in `make test`, after all other tests.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/... ./examples/...
 
-# The tests, with the race detector.
+# The tests, with the race detector; those of hostile clients last, apart from other load.
 test:
-	$(GO) test -race -count=1 -timeout 20m $(TESTFLAGS) ./...
+	$(GO) test -race -count=1 -timeout 20m $(TESTFLAGS) $$($(GO) list ./... | grep -v /internal/hostile)
+	$(GO) test -race -count=1 -timeout 20m $(TESTFLAGS) ./internal/hostile
 
 # The main job: the example fleet answers and is checked.
 demo: build
--- /dev/null
+++ b/internal/hostile/thymefront_test.go
@@ -0,0 +1,114 @@
+package hostile_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/thymewind/thymewind/internal/hostile"
+	"github.com/thymewind/thymewind/platform/headers"
+	"github.com/thymewind/thymewind/platform/standin"
+)
+
+// frontBox is a thymefront process with its settings.
+type frontBox struct {
+	*program
+	callers, ready, metrics, peers netip.AddrPort
+}
+
+// startFront starts a box of a platform, with a setting of the deployment.
+func startFront(t *testing.T, path string, s *standin.Store, setting string) *frontBox {
+	t.Helper()
+	b := &frontBox{callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	text := fmt.Sprintf("name: entry-1\ndomain: a\ncallers: %v\nready: %v\nmetrics: %v\npeers: %v\nstore: {address: %v}\nbox: {memory_mb: %d, descriptors: %d}\n%s\n",
+		b.callers, b.ready, b.metrics, b.peers, s.Address(), boxMemoryMB, boxDescriptors, setting)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b.program = start(t, []netip.AddrPort{b.callers, b.ready, b.metrics, b.peers}, path, "-settings", file)
+	eventually(t, "a request is answered", func() bool { return isOK(b.ordinary(t)) })
+	return b
+}
+
+// ordinary is a request that keeps to every limit.
+func (b *frontBox) ordinary(t *testing.T) *http.Request {
+	r := request(t, http.MethodPost, "http://"+b.callers.String()+"/safe/x", strings.Repeat("x", 2<<10), http.Header{
+		headers.RequestID: {"ordinary"}, headers.APIKey: {"good-key"},
+	})
+	r.Host = "shop.example"
+	return r
+}
+
+// startPlatform starts a stand-in platform with two replicas of a service and the test's limit of bodies.
+func startPlatform(t *testing.T) *standin.Store {
+	t.Helper()
+	s := standin.NewStore()
+	t.Cleanup(s.Close)
+	for i := range 2 {
+		r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "orders", Zone: "a"}
+		r.Start(s)
+		t.Cleanup(r.Stop)
+	}
+	s.MaxBody = bodyLimit
+	s.Configure(1,
+		[]map[string]any{{"name": "orders", "health_path": "/health", "max_connections": 16}},
+		[]map[string]any{
+			{"name": "safe", "path_prefix": "/safe/", "route_type": "safe", "service": "orders", "timeout_ms": 60000},
+			{"name": "unsafe", "path_prefix": "/unsafe/", "route_type": "unsafe", "service": "orders", "timeout_ms": 60000},
+		},
+		[]map[string]any{{"name": "cafe", "api_keys": []string{"good-key"}}})
+	return s
+}
+
+// head returns the head of the crowd's requests.
+func head(method, path string) func(client int) string {
+	return func(client int) string {
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\n%s: crowd-%d\r\n%s: good-key\r\n", method, path, headers.RequestID, client, headers.APIKey)
+	}
+}
+
+// TestBodiesAtFront guards against clients whose bodies end a thymefront process, or keep it from
+// serving others, on deployments with and without the contract that bounds slow readers.
+func TestBodiesAtFront(t *testing.T) {
+	path, s := build(t, "thymefront"), startPlatform(t)
+	for _, deployment := range []struct{ name, setting string }{
+		{"plain", ""},
+		{"pressure", "contracts: [pressure]"},
+	} {
+		for _, body := range hostile.Bodies() {
+			t.Run(deployment.name+"/"+body.Name, func(t *testing.T) {
+				b := startFront(t, path, s, deployment.setting)
+				to := target{at: b.callers, head: head(http.MethodPost, "/unsafe/x")}
+				withstand(t, b.program, to, body, func() *http.Request { return b.ordinary(t) })
+			})
+		}
+	}
+}
+
+// TestBodiesAtOtherListenersOfFront is TestBodiesAtFront for the listeners that are not meant for
+// clients, and for requests that are refused before their body is read.
+func TestBodiesAtOtherListenersOfFront(t *testing.T) {
+	path, s := build(t, "thymefront"), startPlatform(t)
+	tests := []struct {
+		name string
+		to   func(b *frontBox) target
+	}{
+		{"callers, no route", func(b *frontBox) target { return target{at: b.callers, head: head(http.MethodPost, "/nothing/x")} }},
+		{"ready", func(b *frontBox) target { return target{at: b.ready, head: head(http.MethodPost, "/v1/ready")} }},
+		{"metrics", func(b *frontBox) target { return target{at: b.metrics, head: head(http.MethodPost, "/metrics")} }},
+		{"peers", func(b *frontBox) target { return target{at: b.peers, head: head(http.MethodPost, "/peer")} }},
+	}
+	for _, tt := range tests {
+		for _, body := range hostile.Bodies() {
+			t.Run(tt.name+"/"+body.Name, func(t *testing.T) {
+				b := startFront(t, path, s, "")
+				withstand(t, b.program, tt.to(b), body, func() *http.Request { return b.ordinary(t) })
+			})
+		}
+	}
+}
