feat(intake): one bound for what clients have a process hold

Cause of what callers saw, found with TestBodiesAtFront and TestBodiesAtWind: nothing bounded the bodies of all callers together, nor their connections, and the kernel took up to 6 MB for each of them. Ruled out: the runtime's memory limit, which refuses nothing, and bodies on their way to targets, which do not pile up.

Package intake is one place for both programs: connections by descriptors and memory (half of the descriptors, and a quarter of the memory at 64 KiB each), the kernel's receive buffers, heads beyond 4 KiB, and which connection goes when there is no room: the request that arrives the most slowly, then the connection idle for the longest, then the new one. What is being served is never closed.

--- a/heldbytes/heldbytes.go
+++ b/heldbytes/heldbytes.go
@@ -129,6 +129,11 @@
 // turnAfter refusals, so that none is refused for ever under constant load. No body may be longer
 // than the limit.
 func (a *Account) Admit(bytes int64, priority int) bool {
+	return a.TryAdmit(bytes, priority) || a.takeTurn(a.held.Load()+bytes, bytes, priority)
+}
+
+// TryAdmit is Admit for a body that is asked for again: it is no refusal, and no body exceeds the bound.
+func (a *Account) TryAdmit(bytes int64, priority int) bool {
 	if a == nil {
 		return true
 	}
@@ -137,7 +142,7 @@
 	if a.ledger.Held() == own {
 		bound = a.ledger.Limit
 	}
-	return a.add(bytes, bound) || a.takeTurn(own+bytes, bytes, priority)
+	return a.add(bytes, bound)
 }
 
 // takeTurn adds bytes of a large body of the given total beyond the bound, or counts a refusal and
--- /dev/null
+++ b/intake/body.go
@@ -0,0 +1,48 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// key is the context key of a connection.
+type key struct{}
+
+// handler follows the bodies of requests: a request is served, and its connection safe, once its body
+// has been read to the end.
+func (g *Gate) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(key{}).(*conn)
+		switch {
+		case c == nil:
+		case r.Body == nil || r.Body == http.NoBody:
+			c.move(served)
+		default:
+			c.inBody.Store(true)
+			connection := http.NewResponseController(w)
+			// The server reads a part of a body that its handler has left, without a deadline of its own.
+			_ = connection.SetReadDeadline(time.Now().Add(g.Limits.BodyTimeout))
+			r.Body = &trackedBody{ReadCloser: r.Body, conn: c, connection: connection}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trackedBody is a request's body.
+type trackedBody struct {
+	io.ReadCloser
+	conn       *conn
+	connection *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.move(served)
+		_ = b.connection.SetReadDeadline(time.Time{}) // The request may take longer than its body.
+	}
+	return n, err
+}
