fix(entry): clients take a bounded part of a thymefront process

Callers lost a box with all its requests: clients that sent many bodies at once had it run out of memory.

Cause: bodies, connections and heads of callers had no bound together. Bodies were counted only where the contract "pressure" is in force; connections nowhere, so that 400 of them took more than all descriptors; an announced body far over the limit was read up to the limit first; and each connection let the kernel hold what its window grows to. At a bound the newcomer was refused, while bodies that had stopped short of their end stayed until their deadline.

Now all listeners share a gate (package intake), bodies are counted on every deployment (overload.held_bytes is on unless a file says false), one that is announced too large is refused from its head, and memory or a place goes to a newcomer by ending the request that arrives the most slowly, which gets a 408 that is true: a body that is not whole was never sent. A 413 reaches its caller before the connection closes, as a refusal for want of memory does. In calm nothing is ended: a slow body has until its deadline.

--- a/deliver/admit.go
+++ b/deliver/admit.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
+	"github.com/thymewind/thymewind/body"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/routing"
 )
@@ -106,18 +106,6 @@
 // request's deadline.
 const arrivedBodyTime = 50 * time.Millisecond
 
-// readAll reads a body until its connection's deadline. If that passes while this process is
-// paused, the read fails although the body may have arrived in time, so extend moves the deadline
-// and what has arrived is read.
-func readAll(body io.Reader, extend func() error) ([]byte, error) {
-	read, err := io.ReadAll(body)
-	if !errors.Is(err, os.ErrDeadlineExceeded) || extend() != nil {
-		return read, err
-	}
-	rest, err := io.ReadAll(body)
-	return append(read, rest...), err
-}
-
 // readBody reads the whole body, within the configured size limit and the request's
 // deadline.
 func (x *run) readBody(job *Job) *refusal.Refusal {
@@ -127,19 +115,26 @@
 	}
 	connection := http.NewResponseController(x.w)
 	until := func(at time.Time) error { return connection.SetReadDeadline(time.Now().Add(at.Sub(x.Now()))) }
-	counted, refused := x.admitBody(job, bound)
-	if refused != nil {
-		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
-		return refused
+	reader := body.Reader{
+		From: job.Call.Body, Length: job.Call.BodyLength, Limit: bound,
+		Admit: func(bytes int64) bool { return x.admitBytes(job, bytes) },
 	}
 	limited := until(job.Until) == nil // Only real connections support it.
-	body, err := readAll(counted, func() error { return until(x.Now().Add(arrivedBodyTime)) })
+	data, err := reader.ReadAll()
+	// If the deadline passes while this process is paused, the body may have arrived in time.
+	if errors.Is(err, os.ErrDeadlineExceeded) && until(x.Now().Add(arrivedBodyTime)) == nil {
+		data, err = reader.ReadAll()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.New(refusal.DidNotRun, http.StatusRequestTimeout, "body_late", "the body did not come in time").WithRetryAfter(x.RetryAfter("body_late", job))
 	}
-	if errors.Is(err, errHeldMemory) {
+	if errors.Is(err, body.ErrNoMemory) {
+		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
+		return x.refuseMemory(job, max(job.Call.BodyLength, int64(len(data))))
+	}
+	if errors.Is(err, body.ErrTooLarge) {
 		_ = until(x.Now().Add(drainTime)) // Only real connections support it.
-		return x.refuseMemory(job, int64(len(body)))
+		return refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, CodeTooLarge, "the body has over %d bytes", bound)
 	}
 	if err != nil && x.callerLeft() {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "caller_left", "the caller left in the middle of the body: %v", err)
@@ -150,9 +145,6 @@
 	if err != nil {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole: %v", err)
 	}
-	if int64(len(body)) > bound {
-		return refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the body has over %d bytes", bound)
-	}
-	job.Body = body
+	job.Body = data
 	return nil
 }
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -470,6 +470,9 @@
 	// MemoryRefused is called when a request with a body of this many bytes is refused for
 	// want of memory; may be nil.
 	MemoryRefused func(job *Job, bytes int64)
+	// Admit asks for memory for bytes of a caller's body, for an account of Held; nil asks the account
+	// itself.
+	Admit func(ctx context.Context, account *heldbytes.Account, bytes int64, priority int) bool
 
 	mu sync.Mutex
 	// running are the requests that Reap checks, with the cancel function of each.
--- a/deliver/slowreader.go
+++ b/deliver/slowreader.go
@@ -34,9 +34,6 @@
 	// roomTimeout is how long an answer waits for memory before it may exceed the bound, if no
 	// other does. Targets cut off answers that stay unread for some seconds.
 	roomTimeout = 4 * time.Second
-	// bodyStep is by how much the count of a body of unknown length grows; a body of one step is
-	// small at every box.
-	bodyStep = 4 << 10
 )
 
 // CauseUnread is the cause of an answer that ended because its caller did not read it.
@@ -48,8 +45,8 @@
 // CodeHeldMemory refuses a request for want of memory at this box. Its body may be unread.
 const CodeHeldMemory = "held_memory"
 
-// errHeldMemory says that there is no memory for the rest of a body of unknown length.
-var errHeldMemory = errors.New("no memory for the rest of the body")
+// CodeTooLarge refuses a request whose body is over the limit. Its body may be unread.
+const CodeTooLarge = "too_large"
 
 // reading measures how a caller reads its answer.
 type reading struct {
@@ -159,20 +156,13 @@
 	return nil
 }
 
-// admitBody refuses a request whose body does not fit in memory, before any of it is read if its
-// length is known. It returns the reader of the body.
-func (x *run) admitBody(job *Job, bound int64) (io.Reader, *refusal.Refusal) {
-	body, priority := io.LimitReader(job.Call.Body, bound+1), routing.Priority(job.Route, job.Account)
-	if x.held == nil || job.Call.BodyLength == 0 {
-		return body, nil
+// admitBytes asks for memory for so many bytes of the body more.
+func (x *run) admitBytes(job *Job, bytes int64) bool {
+	priority := routing.Priority(job.Route, job.Account)
+	if x.Admit == nil || x.held == nil {
+		return x.held.Admit(bytes, priority)
 	}
-	if job.Call.BodyLength < 0 {
-		return &countedBody{Reader: body, admit: func() bool { return x.held.Admit(bodyStep, priority) }}, nil
-	}
-	if bytes := min(job.Call.BodyLength, bound+1); !x.held.Admit(bytes, priority) {
-		return nil, x.refuseMemory(job, bytes)
-	}
-	return body, nil
+	return x.Admit(x.caller, x.held, bytes, priority)
 }
 
 func (x *run) refuseMemory(job *Job, bytes int64) *refusal.Refusal {
@@ -182,27 +172,6 @@
 	return x.unavailable(job, CodeHeldMemory, "this box has no memory for a body of %d bytes", bytes)
 }
 
-// countedBody is a body of unknown length. It asks for memory before it reads more than it has.
-type countedBody struct {
-	io.Reader
-	admit func() bool
-	// room is how much may be read.
-	room int
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	if b.room == 0 {
-		if !b.admit() {
-			return 0, errHeldMemory
-		}
-		b.room = bodyStep
-	}
-	n, err := b.Reader.Read(p[:min(len(p), b.room)])
-	b.room -= n
-	return n, err
-}
-
 // drainTime is how long the rest of a refused body is still read and dropped, so that the caller
 // gets the refusal and not a reset. It covers the largest body, 4 MiB, at 10 Mbit/s; with 0.5 s a
 // caller that sent 1 MiB at 5 Mbit/s got a reset. The dropped bytes take no memory.
--- a/entry/build.go
+++ b/entry/build.go
@@ -17,6 +17,7 @@
 	"github.com/thymewind/thymewind/fleet"
 	"github.com/thymewind/thymewind/handoff"
 	"github.com/thymewind/thymewind/heldbytes"
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/lease"
 	"github.com/thymewind/thymewind/leastrequest"
 	"github.com/thymewind/thymewind/minlatency"
@@ -83,6 +84,8 @@
 	// held counts the bytes held for callers and targets, callers watches how callers read.
 	held    heldbytes.Ledger
 	callers callerConns
+	// gate bounds what the clients of all listeners have this box hold.
+	gate intake.Gate
 	// notices are the targets' signals about themselves.
 	notices notice.Registry
 	peers   peer.Node
@@ -121,7 +124,7 @@
 	d.brittleView.Store(&brittleView{})
 	d.ended = make(chan struct{})
 	d.wholeReads = newWholeReads(d.Settings.Box.Megabits)
-	d.systems = []system{d.sweep, d.noteReach, d.probeLost, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.judgeRefusals, d.probeReported, d.probeSuspects, d.rereadIfBehind, d.catchUp, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.borrowTokens, d.expireCopies, d.updateBrittle, d.renewPermits, d.announceVersions, d.expireOrigins, d.retellOrigins, d.gossip, d.reapRequests, d.tendQueues, d.endUnread}
+	d.systems = []system{d.sweep, d.noteReach, d.probeLost, d.updateInUse, d.probeSilent, d.rollWeights, d.pollLoading, d.judgeRefusals, d.probeReported, d.probeSuspects, d.rereadIfBehind, d.catchUp, d.judgeCanaries, d.reportCrashes, d.noteSuspension, d.updateRole, d.borrowTokens, d.expireCopies, d.updateBrittle, d.renewPermits, d.announceVersions, d.expireOrigins, d.retellOrigins, d.gossip, d.reapRequests, d.tendQueues, d.endUnread, d.reportClosed}
 	d.plan = rollout.Plan{MinConcurrent: concurrentLoads, ConcurrentShare: concurrentLoadShare}
 	d.services = leastrequest.Chooser{Domain: d.Settings.Domain, Self: placement.Hash(d.Settings.Name)}
 	d.tables.prefillBacklog.TokenTime = d.prefillPerToken
@@ -147,7 +150,10 @@
 	d.retryEstimator.Started(d.startedAt, noConfiguration)
 	d.logLimiter = rate.NewLimiter(answerLogRate, answerLogRate)
 	d.buildLease()
-	d.held.Limit = heldbytes.LimitOf(int64(d.Settings.Box.MemoryMB) << 20)
+	memory := int64(d.Settings.Box.MemoryMB) << 20
+	d.held.Limit = heldbytes.LimitOf(memory)
+	d.gate = intake.Gate{Limits: d.Settings.Clients.For(memory, d.Settings.Box.Descriptors), Ledger: &d.held, Now: d.now}
+	d.Registry.MustRegister(d.gate.Collectors("thymewind_entry")...)
 	d.callers.held = &d.held
 	d.buildServer()
 	d.buildPeers()
@@ -202,7 +208,7 @@
 		Suspect:    d.isSuspect, MinAnswerTime: d.minAnswerTime,
 		Spend: d.spend, Refund: d.refund, Earn: d.earn,
 		Now: d.now, Random: rand.Uint64, RetryAfter: d.retryAfter, RecordOutcome: d.recordOutcome, Retried: d.recordRetry,
-		Held: &d.held, MemoryRefused: d.countMemoryRefused,
+		Held: &d.held, MemoryRefused: d.countMemoryRefused, Admit: d.gate.Admit,
 	}
 }
 
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymewind/thymewind/handoff"
 	"github.com/thymewind/thymewind/hangup"
+	"github.com/thymewind/thymewind/intake"
 )
 
 // Limits of callers' connections and of a stop.
@@ -33,11 +34,12 @@
 	list := []struct {
 		at      netip.AddrPort
 		handler http.Handler
+		share   intake.Share
 	}{
-		{d.Settings.Callers, front},
-		{d.Settings.Ready, http.HandlerFunc(d.serveReady)},
-		{d.Settings.Peers, d.peerHandler()},
-		{d.Settings.Metrics, promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{})},
+		{d.Settings.Callers, front, intake.Callers},
+		{d.Settings.Ready, http.HandlerFunc(d.serveReady), intake.Operators},
+		{d.Settings.Peers, d.peerHandler(), intake.Peers},
+		{d.Settings.Metrics, promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}), intake.Operators},
 	}
 	var servers []*http.Server
 	var listeners []net.Listener
@@ -52,8 +54,9 @@
 		if l.at == d.Settings.Callers && d.Settings.Overload.HeldBytes {
 			listener = d.callers.watch(listener)
 		}
-		listeners = append(listeners, listener)
-		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.Log.StandardLog(), ConnContext: hangup.ConnContext})
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.Log.StandardLog(), ConnContext: hangup.ConnContext}
+		listeners = append(listeners, d.gate.Guard(server, listener, l.share))
+		servers = append(servers, server)
 	}
 	for i, s := range servers {
 		d.effects.Go(func() {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/document"
+	"github.com/thymewind/thymewind/intake"
 )
 
 // Settings are what one daemon knows before it talks to any other.
@@ -35,6 +36,8 @@
 	Bounds Bounds `yaml:"bounds"`
 	// Reads bounds what this box reads of other servers' answers.
 	Reads Reads `yaml:"reads"`
+	// Clients bounds what clients may have this box hold.
+	Clients intake.Limits `yaml:"clients"`
 	// Overload is what this box does while engines have too little room.
 	Overload Overload `yaml:"overload"`
 	// Contracts are the names of the platform's rules in force; package platform knows which of
@@ -87,7 +90,8 @@
 	Copies bool `yaml:"copies"`
 	// SlowEngines gives less work to engines whose first events came late.
 	SlowEngines bool `yaml:"slow_engines"`
-	// HeldBytes bounds what is held for callers and targets that read slowly.
+	// HeldBytes bounds what is held for callers and targets that read slowly. It is on unless a file
+	// says otherwise.
 	HeldBytes bool `yaml:"held_bytes"`
 }
 
@@ -139,6 +143,7 @@
 func defaults() Settings {
 	return Settings{
 		LogLevel: "info",
+		Overload: Overload{HeldBytes: true},
 		Box:      Box{MemoryMB: 128, Descriptors: 1024, Share: 1, Megabits: 100},
 		Reads:    Reads{HeadBytes: 32 << 10, CallBytes: 8 << 20, AnswerBytes: 64 << 20},
 		Bounds: Bounds{
@@ -166,6 +171,7 @@
 	s.checkAddresses(d)
 	s.checkBox(d)
 	s.checkReads(d)
+	s.Clients.Check(d)
 	s.checkBounds(d)
 	s.checkWithout(d)
 }
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -68,6 +69,14 @@
 	return l.conns.add(tcp), nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (l watchedListener) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := l.Listener.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 func (c *callerConns) add(tcp *net.TCPConn) *callerConn {
 	conn := &callerConn{Conn: tcp, tcp: tcp, conns: c}
 	if raw, err := tcp.SyscallConn(); err == nil {
@@ -138,6 +147,9 @@
 // CloseWrite lets the HTTP server end a connection without a reset.
 func (c *callerConn) CloseWrite() error { return c.tcp.CloseWrite() }
 
+// SetLinger sets what the kernel does with unsent bytes when the connection is closed.
+func (c *callerConn) SetLinger(seconds int) error { return c.tcp.SetLinger(seconds) }
+
 // SyscallConn implements syscall.Conn.
 func (c *callerConn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
 
@@ -221,6 +233,12 @@
 	return nil
 }
 
+// reportClosed logs the clients' connections that were closed for want of room.
+func (d *Daemon) reportClosed(now time.Time, _ *tables) []effect {
+	d.gate.Report(now, d.Log)
+	return nil
+}
+
 // heldSizes are the labels of the sizes of bodies.
 var heldSizes = [...]string{heldbytes.Small: "small", heldbytes.Medium: "medium", heldbytes.Large: "large"}
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -53,6 +53,9 @@
 	listeners []*listener
 
 	connections, refused, endedSlow, endedIdle atomic.Int64
+	// reported are the counts of the last line of Report, which was written at reportedAt.
+	reported   Counts
+	reportedAt time.Time
 }
 
 // Guard bounds what the clients of a server have it hold. It returns the listener to serve on, and
@@ -84,10 +87,19 @@
 // makeRoom ends the request that arrives the most slowly of those whose bodies hold memory, which is
 // free soon after that. It returns false if all such requests are young.
 func (g *Gate) makeRoom() bool {
+	return g.endSlowest(func(c *conn) bool { return c.body.Load().Held() > 0 })
+}
+
+// endSlowest ends the slowest request of the first listener that has one which may be ended, or returns
+// false if there is none.
+func (g *Gate) endSlowest(mayEnd func(*conn) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.listeners {
-		if l.endHolder() {
+		l.mu.Lock()
+		ended := l.endSlowest(mayEnd)
+		l.mu.Unlock()
+		if ended {
 			return true
 		}
 	}
@@ -165,13 +177,6 @@
 // anyConn allows every connection to be ended.
 func anyConn(*conn) bool { return true }
 
-// endHolder is endSlowest among the connections whose bodies hold memory.
-func (l *listener) endHolder() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.endSlowest(func(c *conn) bool { return c.body.Load().Held() > 0 })
-}
-
 // endSlowest ends the connection whose request arrives the most slowly, of those that may be ended, or
 // returns false if all requests under way are young.
 func (l *listener) endSlowest(mayEnd func(*conn) bool) bool {
--- a/intake/report.go
+++ b/intake/report.go
@@ -1,6 +1,14 @@
 package intake
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// reportInterval is the least time between two lines of Report.
+const reportInterval = time.Second
 
 // Counts are the connections of a gate. All but Open only grow.
 type Counts struct {
@@ -11,11 +19,8 @@
 	Refused, EndedSlow, EndedIdle int64
 }
 
-// Closed are the connections that were closed for want of room.
-func (c Counts) Closed() int64 { return c.Refused + c.EndedSlow + c.EndedIdle }
-
-// Minus returns how much the counts have grown since earlier ones.
-func (c Counts) Minus(earlier Counts) Counts {
+// minus returns how much the counts have grown since earlier ones.
+func (c Counts) minus(earlier Counts) Counts {
 	return Counts{c.Open, c.Refused - earlier.Refused, c.EndedSlow - earlier.EndedSlow, c.EndedIdle - earlier.EndedIdle}
 }
 
@@ -24,6 +29,21 @@
 	return Counts{Open: g.connections.Load(), Refused: g.refused.Load(), EndedSlow: g.endedSlow.Load(), EndedIdle: g.endedIdle.Load()}
 }
 
+// Report logs how many connections were closed for want of room since it last did, at most once a
+// second. It is for one goroutine.
+func (g *Gate) Report(now time.Time, logger *log.Logger) {
+	if now.Sub(g.reportedAt) < reportInterval {
+		return
+	}
+	counts := g.Counts()
+	closed := counts.minus(g.reported)
+	if closed.Refused+closed.EndedSlow+closed.EndedIdle == 0 {
+		return
+	}
+	g.reported, g.reportedAt = counts, now
+	logger.Warn("connections closed for want of room", "open", counts.Open, "limit", g.Limits.Connections, "slow", closed.EndedSlow, "idle", closed.EndedIdle, "refused", closed.Refused)
+}
+
 // Collectors returns the gate's metrics, whose names have a prefix.
 func (g *Gate) Collectors(prefix string) []prometheus.Collector {
 	all := []prometheus.Collector{
