fix: clients take a bounded part of a thymewind process

Callers of a box waited for ever, or lost it: 400 clients that stop just short of the end of their bodies took 451 MB (8.1 GB at the operators' listener) and 616 descriptors, and held the places of a pool, so that no ordinary request was answered.

Cause: a body had a limit but no deadline, and all bodies together, heads and connections had no bound. A body for a service was passed on as it came, so that a slow client held a place of its pool.

The listeners share the gate of package intake, with what settings say of the box or, without that, the machine's memory and open files. Bodies are read whole before a request is placed, within the request's timeout, and count with the copies that decoding makes of them: six of a prompt, four at the operators' listener. A body without memory is refused with 503 and one that is late with 408; neither has run. The runtime's memory limit follows the box.

--- a/build.go
+++ b/build.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/boxes"
@@ -20,7 +21,9 @@
 	"github.com/thymewind/thymewind/dispatch"
 	"github.com/thymewind/thymewind/engine"
 	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/idempotency"
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/kvcache"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/peer"
@@ -78,6 +81,10 @@
 	relay    relay.Relay
 	forward  forward.Forwarder
 	front    caller.Front
+	// held counts the bytes of requests' heads and bodies, gate bounds what clients have this process
+	// hold.
+	held heldbytes.Ledger
+	gate intake.Gate
 }
 
 // build assembles the daemon.
@@ -92,7 +99,8 @@
 	d.shutdown = (*http.Server).Shutdown
 	d.buildScheduler()
 	d.budget = retry.Budget{Share: retryShare, Burst: retryBurst}
-	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.renewLeases, d.advanceRollouts, d.processCharges, d.expireCrashes, d.expireLimits, d.checkCapacity, d.updateMetrics}
+	d.systems = []system{d.pollPlatform, d.pollLoads, d.gossip, d.renewLeases, d.advanceRollouts, d.processCharges, d.expireCrashes, d.expireLimits, d.checkCapacity, d.updateMetrics, d.reportClosed}
+	d.buildGate()
 	d.buildPlatform()
 	d.buildLedger()
 	if err := d.buildPeers(); err != nil {
@@ -102,6 +110,17 @@
 	return nil
 }
 
+// buildGate bounds what clients may have this process hold.
+func (d *Daemon) buildGate() {
+	memory := int64(d.Settings.Box.MemoryMB) << 20
+	d.held.Limit = heldbytes.LimitOf(memory)
+	d.gate = intake.Gate{Limits: d.Settings.Clients.For(memory, d.Settings.Box.Descriptors), Ledger: &d.held, Now: d.now}
+	d.Registry.MustRegister(d.gate.Collectors("thymewind")...)
+	d.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "thymewind_held_bytes", Help: "Bytes counted for heads and bodies of requests."}, func() float64 {
+		return float64(d.held.Held())
+	}))
+}
+
 // buildScheduler sets up the scheduler that places requests.
 func (d *Daemon) buildScheduler() {
 	d.chooser = placement.Chooser{Usable: (*target.Target).Usable, Wait: d.tables.Wait}
@@ -188,13 +207,13 @@
 		Record: d.records.Add, Timeout: tableTimeout, RetryAfter: retryAfter,
 	}
 	d.forward = forward.Forwarder{
-		Place: d.requestPlacement, OnEnded: d.reportEnded, OnSignals: d.reportSignals, Allow: d.allow, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry,
+		Place: d.requestPlacement, OnEnded: d.reportEnded, OnSignals: d.reportSignals, Allow: d.allow, Permits: &d.permits, Send: sender.Send, Retry: d.spendRetry, Gate: &d.gate,
 		MaxAttempts: maxAttempts, RetryAfter: retryAfter,
 	}
 	d.front = caller.Front{
 		Configuration: d.current.Load, Permits: &d.permits, Run: d.relay.Run, Forward: d.forward.Serve, Resume: d.resumeStream,
 		SignToken: d.signer.Sign, VerifyToken: d.signer.Check, OnRefused: d.recordRefused, RequestID: newID, Now: d.now,
-		MaxBodyBytes: d.Settings.Limits.BodyBytes, Timeout: d.Settings.Timing.Request, ResumeRetention: resumeRetention,
+		Gate: &d.gate, RetryAfter: retryAfter, MaxBodyBytes: d.Settings.Limits.BodyBytes, Timeout: d.Settings.Timing.Request, ResumeRetention: resumeRetention,
 	}
 }
 
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,7 +14,9 @@
 	"github.com/thymewind/thymewind/account"
 	"github.com/thymewind/thymewind/configuration"
 	"github.com/thymewind/thymewind/forward"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/idempotency"
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/relay"
 	"github.com/thymewind/thymewind/resume"
@@ -59,6 +61,10 @@
 	// RequestID returns a new request ID.
 	RequestID func() string
 	Now       func() time.Time
+	// Gate bounds what callers have this process hold; nil bounds nothing but each body.
+	Gate *intake.Gate
+	// RetryAfter returns the delay after which a caller that was refused for its body may retry.
+	RetryAfter func() time.Duration
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// Timeout bounds every request; callers may set a shorter one.
@@ -75,6 +81,8 @@
 	id            string
 	account       account.Account
 	configuration *configuration.Configuration
+	// held is the memory of the body; nil if none was read.
+	held *heldbytes.Account
 }
 
 // Handler returns the routes.
@@ -97,6 +105,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := &call{Front: f, w: w, r: r, id: f.RequestID(), configuration: f.Configuration()}
 		w.Header().Set(HeaderRequest, c.id)
+		defer func() { c.held.Close() }()
 		if err := c.serve(method, serve); err != nil {
 			c.refuse(refusal.Of(err, refusal.Unknown, http.StatusInternalServerError))
 		}
--- a/caller/request.go
+++ b/caller/request.go
@@ -2,13 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/refusal"
 )
 
@@ -18,6 +17,10 @@
 	maxMaxTokens     = 32768
 )
 
+// decodeCopies is how often a prompt is in memory while its request is served: as the body, as JSON of
+// a message, as text, in the prompt, as that grows, and on its way to an engine.
+const decodeCopies = 6
+
 // ask is the body of a chat or text completion; other fields are ignored, as the API
 // allows. JSON errors that are sent to callers contain the type's name.
 type ask struct {
@@ -56,13 +59,14 @@
 // decode reads the body and checks what both kinds of completion have in common.
 func (c *call) decode() (ask, error) {
 	var a ask
-	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return a, refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the body has over %d bytes", c.MaxBodyBytes)
-	case err != nil:
-		return a, badRequest("body_cut", "the body did not arrive whole")
+	timeout, err := c.timeout()
+	if err != nil {
+		return a, err
+	}
+	data, held, err := c.Gate.ReadBody(c.w, c.r, c.MaxBodyBytes, decodeCopies, timeout)
+	c.held = held
+	if err != nil {
+		return a, intake.Refusal(err, c.MaxBodyBytes, c.RetryAfter())
 	}
 	if err := json.Unmarshal(data, &a); err != nil {
 		return a, badRequest("invalid_json", "the body is not the JSON of a completion: %v", err)
--- a/cmd/thymewind/main.go
+++ b/cmd/thymewind/main.go
@@ -9,6 +9,7 @@
 	"flag"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/charmbracelet/log"
@@ -18,6 +19,7 @@
 
 	"github.com/thymewind/thymewind"
 	"github.com/thymewind/thymewind/finding"
+	"github.com/thymewind/thymewind/machine"
 	"github.com/thymewind/thymewind/settings"
 )
 
@@ -45,6 +47,7 @@
 		logger.Fatal("the settings are not good", "err", err)
 	}
 	logger.SetLevel(level)
+	limitMemory(&s)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	registry := prometheus.NewRegistry()
@@ -54,3 +57,22 @@
 		logger.Fatal("stopped with an error", "err", err)
 	}
 }
+
+// memoryShare is the Go runtime's memory limit as a share of the box's memory. Near it the runtime
+// collects garbage more often.
+const memoryShare = 0.6
+
+// limitMemory takes what the settings leave open of the box from the machine, and bounds the runtime's
+// memory.
+func limitMemory(s *settings.Settings) {
+	memory, descriptors := machine.Limits()
+	if s.Box.MemoryMB == 0 {
+		s.Box.MemoryMB = int(memory >> 20)
+	}
+	if s.Box.Descriptors == 0 {
+		s.Box.Descriptors = descriptors
+	}
+	if s.Box.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Box.MemoryMB<<20)))
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/idempotency"
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/route"
 )
@@ -59,6 +60,8 @@
 	OnSignals func(route.Placement, notice.Signals)
 	// Allow is called right before a request leaves this box; its error stops the send.
 	Allow func(route.Placement) error
+	// Gate bounds the memory of bodies; nil bounds nothing but each body.
+	Gate *intake.Gate
 	// Permits acquires the claims of not-repeatable requests.
 	Permits *idempotency.Guard
 	// Send makes one attempt on a new connection and reports whether any byte was
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -9,8 +9,10 @@
 	"net/url"
 
 	"github.com/thymewind/thymewind/claim"
+	"github.com/thymewind/thymewind/heldbytes"
 	"github.com/thymewind/thymewind/hop"
 	"github.com/thymewind/thymewind/idempotency"
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/route"
@@ -33,10 +35,8 @@
 	// repeatable says that the request may be sent to a second target after the first
 	// may have run it.
 	repeatable bool
-	// body is the complete body of an atMostOnce request; others are streamed.
+	// body is the complete body: a target is not held by a caller that sends slowly.
 	body []byte
-	// bodyRead says that some of a streamed body was read, so it can't be resent.
-	bodyRead bool
 	// maybeSent says that a target may have received a part of the request.
 	maybeSent bool
 	// permit is set for atMostOnce requests.
@@ -51,9 +51,6 @@
 	if err != nil {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "bad_path", "the path is not well escaped")
 	}
-	if in.ContentLength > call.BodyBytes {
-		return tooLarge(call.BodyBytes)
-	}
 	x.path = path
 	x.repeatable = in.Method == http.MethodGet || in.Method == http.MethodHead || in.Method == http.MethodOptions
 	marked := in.Header.Get(HeaderNotRepeatable) != ""
@@ -61,11 +58,13 @@
 	if x.atMostOnce && x.key == "" {
 		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "key_missing", "a request marked not repeatable needs an %s header", HeaderKey)
 	}
+	held, err := x.readBody(w)
+	defer held.Close()
+	if err != nil {
+		return err
+	}
 	if x.atMostOnce {
 		x.repeatable = false
-		if err := x.readBody(); err != nil {
-			return err
-		}
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(in.Context()), call.Timeout)
 		defer cancel()
 		x.ctx = ctx
@@ -85,20 +84,14 @@
 	return x.run(w)
 }
 
-func (x *exchange) readBody() error {
-	body, err := io.ReadAll(io.LimitReader(x.in.Body, x.call.BodyBytes+1))
+// readBody reads the whole body. The account holds its memory.
+func (x *exchange) readBody(w http.ResponseWriter) (*heldbytes.Account, error) {
+	body, held, err := x.Gate.ReadBody(w, x.in, x.call.BodyBytes, 1, x.call.Timeout)
 	if err != nil {
-		return refusal.New(refusal.DidNotRun, http.StatusBadRequest, "body_cut", "the request's body did not arrive whole")
-	}
-	if int64(len(body)) > x.call.BodyBytes {
-		return tooLarge(x.call.BodyBytes)
+		return held, intake.Refusal(err, x.call.BodyBytes, x.RetryAfter())
 	}
 	x.body = body
-	return nil
-}
-
-func tooLarge(bound int64) error {
-	return refusal.New(refusal.DidNotRun, http.StatusRequestEntityTooLarge, "too_large", "the request's body has over %d bytes", bound)
+	return held, nil
 }
 
 // run tries targets until one answers, no attempt is left, or the outcome is
@@ -135,7 +128,7 @@
 		if wrote && !x.repeatable {
 			return refusal.New(refusal.Unknown, http.StatusBadGateway, "no_answer", "the request was sent to %s but no answer came", placed.Target)
 		}
-		last := request.Attempt >= x.MaxAttempts || x.bodyRead || x.ctx.Err() != nil
+		last := request.Attempt >= x.MaxAttempts || x.ctx.Err() != nil
 		if last || !x.Retry(x.call.Pool) {
 			return x.giveUp(refusal.New(refusal.DidNotRun, http.StatusBadGateway, "unreachable", "no target gave an answer: %v", err).WithRetryAfter(x.RetryAfter()))
 		}
@@ -183,14 +176,9 @@
 	// The target must not see the caller's API key for this system.
 	out.Header.Del("Authorization")
 	out.Header.Set("X-Request-Id", x.call.Request)
-	switch {
-	case x.atMostOnce:
+	out.Body, out.ContentLength, out.TransferEncoding = nil, int64(len(x.body)), nil
+	if len(x.body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(x.body))
-		out.ContentLength = int64(len(x.body))
-	case x.in.ContentLength != 0:
-		out.Body = io.NopCloser(&readRecorder{from: http.MaxBytesReader(nil, x.in.Body, x.call.BodyBytes), read: &x.bodyRead})
-	default:
-		out.Body = nil
 	}
 	timeout := x.call.Timeout
 	if placed.FirstToken > 0 {
@@ -198,15 +186,3 @@
 	}
 	return x.Send(out, placed.Address, timeout)
 }
-
-// readRecorder records that a body was read from, so that it is not sent again.
-type readRecorder struct {
-	from io.Reader
-	read *bool
-}
-
-// Read implements io.Reader.
-func (b *readRecorder) Read(p []byte) (int, error) {
-	*b.read = true
-	return b.from.Read(p)
-}
--- a/internal/hostile/thymewind_test.go
+++ b/internal/hostile/thymewind_test.go
@@ -27,6 +27,7 @@
   - name: ana
     sha256: "f667d28fdd54353c116d8688b1e9bf80c68f77428253075a24833bc4f8dad41e"
 limits: {body_bytes: %d}
+box: {memory_mb: %d, descriptors: %d}
 `
 
 const windConfiguration = `accounts:
@@ -80,7 +81,7 @@
 	t.Helper()
 	b := &windBox{callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)}
 	file := filepath.Join(t.TempDir(), "settings.yaml")
-	text := fmt.Sprintf(windSettings, b.callers, b.operators, b.peers, f.platform, bodyLimit)
+	text := fmt.Sprintf(windSettings, b.callers, b.operators, b.peers, f.platform, bodyLimit, boxMemoryMB, boxDescriptors)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/listen.go
+++ b/listen.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/settings"
 )
 
@@ -44,13 +45,14 @@
 		into    *listener
 		address netip.AddrPort
 		pair    settings.Pair
+		share   intake.Share
 		handler http.Handler
 	}{
-		{&l.operators, d.Settings.Operators, d.Settings.TLS.Operators, operators},
-		{&l.peers, d.Settings.Peers, d.Settings.TLS.Peers, peers},
-		{&l.callers, d.Settings.Callers, d.Settings.TLS.Callers, d.front.Handler()},
+		{&l.operators, d.Settings.Operators, d.Settings.TLS.Operators, intake.Operators, operators},
+		{&l.peers, d.Settings.Peers, d.Settings.TLS.Peers, intake.Peers, peers},
+		{&l.callers, d.Settings.Callers, d.Settings.TLS.Callers, intake.Callers, d.front.Handler()},
 	} {
-		if *one.into, err = d.serve(one.address, one.pair, one.handler); err != nil {
+		if *one.into, err = d.serve(one.address, one.pair, one.share, one.handler); err != nil {
 			l.close()
 			return nil, trace.Wrap(err)
 		}
@@ -71,7 +73,7 @@
 }
 
 // serve opens one listener and serves on it in the background.
-func (d *Daemon) serve(at netip.AddrPort, pair settings.Pair, handler http.Handler) (listener, error) {
+func (d *Daemon) serve(at netip.AddrPort, pair settings.Pair, share intake.Share, handler http.Handler) (listener, error) {
 	const headerTimeout = 10 * time.Second
 	socket, err := net.Listen("tcp", at.String())
 	if err != nil {
@@ -81,6 +83,11 @@
 	if err != nil {
 		return listener{}, trace.Wrap(err)
 	}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: d.Log.StandardLog(),
+	}
+	socket = d.gate.Guard(server, socket, share)
 	if pair.Certificate != "" {
 		certificate, err := tls.LoadX509KeyPair(pair.Certificate, pair.Key)
 		if err != nil {
@@ -89,10 +96,6 @@
 		}
 		socket = tls.NewListener(socket, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
 	}
-	server := &http.Server{
-		Handler: handler, MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: headerTimeout,
-		ErrorLog: d.Log.StandardLog(),
-	}
 	go func() {
 		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 			d.Log.Error("listener failed", "address", at, "err", err)
--- a/operator.go
+++ b/operator.go
@@ -6,7 +6,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,13 +14,18 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/query"
 	"github.com/thymewind/thymewind/report"
 )
 
-// maxOperatorBody bounds an operator's request body, in bytes.
-const maxOperatorBody = 16 << 20
+// maxOperatorBody bounds an operator's request body, in bytes; operatorCopies is how often it is in
+// memory as it is decoded.
+const (
+	maxOperatorBody = 16 << 20
+	operatorCopies  = 4
+)
 
 // operator returns a handler that serves operators with a valid credential.
 func (d *Daemon) operator(serve func(ctx context.Context, name string, body []byte) report.Report) http.HandlerFunc {
@@ -32,9 +36,11 @@
 			http.Error(w, "the operator credential is missing or wrong", http.StatusUnauthorized)
 			return
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOperatorBody))
+		body, held, err := d.gate.ReadBody(w, r, maxOperatorBody, operatorCopies, timeout)
+		defer held.Close()
 		if err != nil {
-			http.Error(w, "the body is too large or did not arrive whole", http.StatusBadRequest)
+			refused := intake.Refusal(err, maxOperatorBody, 0)
+			http.Error(w, refused.Reason, refused.Status)
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/document"
+	"github.com/thymewind/thymewind/intake"
 )
 
 // Settings are the local settings of one daemon.
@@ -38,6 +39,10 @@
 	OperatorCredentials []Operator `yaml:"operator_credentials"`
 	// TLS holds the listeners' key pairs. A listener without one does not use TLS.
 	TLS TLS `yaml:"tls"`
+	// Box limits what this process may use.
+	Box Box `yaml:"box"`
+	// Clients bounds what clients may have this process hold.
+	Clients intake.Limits `yaml:"clients"`
 	// Limits bound callers' requests and the decision records.
 	Limits Limits `yaml:"limits"`
 	// Timing sets the daemon's intervals and timeouts.
@@ -68,6 +73,14 @@
 	Key         string `yaml:"key"`
 }
 
+// Box limits what the process may use. What is zero is the machine's.
+type Box struct {
+	// MemoryMB is the memory limit in MiB.
+	MemoryMB int `yaml:"memory_mb"`
+	// Descriptors limits open files and sockets.
+	Descriptors int `yaml:"descriptors"`
+}
+
 // Limits bound sizes.
 type Limits struct {
 	// BodyBytes and HeaderBytes bound a caller's request.
@@ -123,10 +136,22 @@
 	s.checkAddresses(d)
 	s.checkSecrets(d)
 	s.checkTLS(d)
+	s.checkBox(d)
+	s.Clients.Check(d)
 	s.checkLimits(d)
 	s.checkTiming(d)
 }
 
+func (s *Settings) checkBox(d *document.Document) {
+	const minMemory, minDescriptors = 32, 64
+	if s.Box.MemoryMB != 0 && s.Box.MemoryMB < minMemory {
+		d.Add("box.memory_mb", "must be 0 or at least %d", minMemory)
+	}
+	if s.Box.Descriptors != 0 && s.Box.Descriptors < minDescriptors {
+		d.Add("box.descriptors", "must be 0 or at least %d", minDescriptors)
+	}
+}
+
 func (s *Settings) checkNames(d *document.Document) {
 	d.CheckSet("name", s.Name)
 	d.CheckSet("domain", s.Domain)
--- a/systems.go
+++ b/systems.go
@@ -136,3 +136,9 @@
 	}
 	return slices.Clip(names[:min(n, len(names))])
 }
+
+// reportClosed logs the clients' connections that were closed for want of room.
+func (d *Daemon) reportClosed(now time.Time, _ *tables) []effect {
+	d.gate.Report(now, d.Log)
+	return nil
+}
--- a/tls_test.go
+++ b/tls_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/settings"
 )
@@ -70,7 +71,7 @@
 			if err := d.buildPeers(); err != nil {
 				t.Fatal(err)
 			}
-			l, err := d.serve(netip.MustParseAddrPort("127.0.0.1:0"), own, d.peers.Handler())
+			l, err := d.serve(netip.MustParseAddrPort("127.0.0.1:0"), own, intake.Peers, d.peers.Handler())
 			if err != nil {
 				t.Fatal(err)
 			}
