fix(handoff): requests of other boxes take a bounded part of memory

Found by reading: a crowd travels with what its boxes hand on. Each of up to a quarter of the box's memory by 64 KiB connections of other boxes could bring a message of 16 MiB, which nothing counted until the request was served.

A message now counts, in the ledger of callers' bodies, from when it is read until its request has been served. One without memory is read and dropped, and answered as held_memory: did not run, and a third box may serve it. The connection stays.

--- a/entry/ablation.go
+++ b/entry/ablation.go
@@ -125,7 +125,7 @@
 		d.server.Suspect = nil
 	}
 	if off(settings.HeldBytes) || !d.Settings.Overload.HeldBytes {
-		d.server.Held = nil
+		d.server.Held, d.handoff.Held = nil, nil
 	}
 	if off(settings.Quarantine) {
 		d.quarantined = func(time.Time, *tables, fingerprint.Sum) bool { return false }
--- a/entry/handoff.go
+++ b/entry/handoff.go
@@ -57,7 +57,7 @@
 	d.tables.helpers = helper.Chooser{Domain: d.Settings.Domain, Max: limit}
 	d.handoff = handoff.Node{
 		Credential: d.shownCredential, HTTP: d.boxClient(), Scheme: "ws", MaxServed: limit,
-		Serve: d.serveForBox, Refusal: describeRefusal,
+		Serve: d.serveForBox, Refusal: d.describeRefusal, Held: &d.held,
 		OnSent:     func(n int) { d.metrics.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		OnReceived: func(n int) { d.metrics.peerBytes.WithLabelValues("received").Add(float64(n)) },
 	}
@@ -249,7 +249,10 @@
 }
 
 // describeRefusal describes a refusal for the box that handed the request on.
-func describeRefusal(err error) handoff.Refusal {
+func (d *Daemon) describeRefusal(err error) handoff.Refusal {
+	if errors.Is(err, handoff.ErrNoMemory) {
+		err = refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, deliver.CodeHeldMemory, "%v", err).WithRetryAfter(d.retryAfter(deliver.CodeHeldMemory, &deliver.Job{}))
+	}
 	r := refusal.Of(err, refusal.Unknown, http.StatusBadGateway)
 	return handoff.Refusal{
 		Status: r.Status, Code: r.Code, Reason: r.Reason, DidNotRun: r.Outcome == refusal.DidNotRun, RetryAfter: r.RetryAfter,
--- a/entry/handoff_test.go
+++ b/entry/handoff_test.go
@@ -35,7 +35,7 @@
 			d.bounds.Load().AppliedWithin = time.Second
 			r := &handoff.Request{From: "b2", ID: "r", Method: "POST", Path: "/nowhere/", Host: "h", Timeout: time.Second, ConfigurationVersion: 1}
 			tt.change(d, r)
-			refused := describeRefusal(d.serveForBox(context.Background(), httptest.NewRecorder(), r, &handoff.Attempts{}))
+			refused := d.describeRefusal(d.serveForBox(context.Background(), httptest.NewRecorder(), r, &handoff.Attempts{}))
 			if refused.Code != tt.code || refused.TryAnother != tt.third || !refused.DidNotRun || tt.third && refused.RetryAfter == 0 {
 				t.Errorf("refused %+v", refused)
 			}
--- a/handoff/connection.go
+++ b/handoff/connection.go
@@ -101,7 +101,7 @@
 		return f, err
 	}
 	if kind != websocket.MessageBinary {
-		return f, errors.New("a message of another box is not binary")
+		return f, errNotBinary
 	}
 	n.OnReceived(len(data))
 	return f, cbor.Unmarshal(data, &f)
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -30,6 +30,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/heldbytes"
 )
 
 // Path is where boxes accept connections.
@@ -58,6 +59,15 @@
 // ErrNotSent says that the other box has received nothing of the request.
 var ErrNotSent = errors.New("the request was not handed on")
 
+// ErrNoMemory says that there was no memory for a request of another box, which did not run.
+var ErrNoMemory = errors.New("no memory for a request of another box")
+
+// errNotBinary and errNoRequest say that a message of another box is none of this package.
+var (
+	errNotBinary = errors.New("a message of another box is not binary")
+	errNoRequest = errors.New("a message of another box holds no request")
+)
+
 // errUnsupported says that the other box is of a release that takes no requests.
 var errUnsupported = errors.New("the box takes no requests of other boxes")
 
@@ -72,8 +82,10 @@
 	// Serve serves a request of another box. Its error is the answer of a request for which
 	// nothing was written.
 	Serve func(ctx context.Context, w http.ResponseWriter, r *Request, attempts *Attempts) error
-	// Refusal describes an error of Serve.
+	// Refusal describes an error of Serve, or ErrNoMemory.
 	Refusal func(err error) Refusal
+	// Held counts the messages of other boxes' requests until these are served; nil counts none.
+	Held *heldbytes.Ledger
 	// MaxServed bounds the connections of other boxes; further ones are refused.
 	MaxServed int
 	// OnSent and OnReceived are called with the size of each message; they must be set.
--- a/handoff/serve.go
+++ b/handoff/serve.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/thymewind/thymewind/body"
+	"github.com/thymewind/thymewind/heldbytes"
 )
 
 // chunkBytes is how much of an answer is collected before it is sent, unless it is flushed.
@@ -71,21 +75,30 @@
 	n.accepted--
 }
 
+// receivedRequest is a request of another box. Request is nil if there was no memory for it.
+type receivedRequest struct {
+	*Request
+	// held is the memory of its message.
+	held *heldbytes.Account
+}
+
 // serveConnection serves the requests of a connection one after another. Something is always being
 // read meanwhile, so that the end of the connection ends the request under way.
 func (n *Node) serveConnection(ctx context.Context, ws *websocket.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
-	requests := make(chan *Request)
+	requests := make(chan receivedRequest)
 	go func() {
 		defer cancel()
 		for {
-			f, err := n.receive(ctx, ws)
-			if err != nil || f.Request == nil {
+			r, err := n.receiveRequest(ctx, ws)
+			if err != nil {
+				r.held.Close()
 				return
 			}
 			select {
-			case requests <- f.Request:
+			case requests <- r:
 			case <-ctx.Done():
+				r.held.Close()
 				return
 			}
 		}
@@ -96,7 +109,9 @@
 	for {
 		select {
 		case r := <-requests:
-			if n.serveRequest(ctx, ws, r) != nil {
+			err := n.serveRequest(ctx, ws, r.Request)
+			r.held.Close()
+			if err != nil {
 				return
 			}
 			idle.Reset(2 * idleTimeout)
@@ -108,6 +123,41 @@
 	}
 }
 
+// receiveRequest reads the message of one request. One for which there is no memory is read and
+// dropped, so that the other box gets its refusal.
+func (n *Node) receiveRequest(ctx context.Context, ws *websocket.Conn) (receivedRequest, error) {
+	var r receivedRequest
+	kind, pieces, err := ws.Reader(ctx)
+	if err != nil {
+		return r, err
+	}
+	if kind != websocket.MessageBinary {
+		return r, errNotBinary
+	}
+	if n.Held != nil {
+		r.held = n.Held.Open()
+	}
+	message := body.Reader{From: pieces, Length: -1, Limit: maxMessage, Admit: func(bytes int64) bool { return r.held.TryAdmit(bytes, 0) }}
+	data, err := message.ReadAll()
+	if errors.Is(err, body.ErrNoMemory) {
+		r.held.Set(0)
+		_, err = io.Copy(io.Discard, pieces)
+		return r, err
+	}
+	if err != nil {
+		return r, err
+	}
+	n.OnReceived(len(data))
+	var f frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return r, err
+	}
+	if r.Request = f.Request; r.Request == nil {
+		return r, errNoRequest
+	}
+	return r, nil
+}
+
 // Drain waits until no request of another box is being served, or ctx ends. Serve must refuse new ones
 // by then.
 func (n *Node) Drain(ctx context.Context) {
@@ -130,21 +180,19 @@
 	return n.serving
 }
 
-// serveRequest serves one request and returns an error if the connection can't be used any more.
+// serveRequest serves one request and returns an error if the connection can't be used any more. A
+// request for which there is no memory is nil.
 func (n *Node) serveRequest(ctx context.Context, ws *websocket.Conn, r *Request) error {
 	n.served(1)
 	defer n.served(-1)
 	w := &answerWriter{ctx: ctx, node: n, ws: ws, header: make(http.Header)}
+	if r == nil {
+		return w.refuse(ErrNoMemory)
+	}
 	w.attempts.Set(r.Attempts)
 	cut, err := n.call(ctx, w, r)
 	if err != nil && !w.began {
-		refused := n.Refusal(err)
-		w.began = true
-		err = w.send(frame{Head: &head{Refused: &refused, Attempts: w.attempts.Count()}})
-		if err != nil {
-			return err
-		}
-		return w.send(frame{End: &end{Attempts: w.attempts.Count()}})
+		return w.refuse(err)
 	}
 	cut = cut || err != nil
 	if !cut {
@@ -227,6 +275,16 @@
 	return w.send(frame{Data: data})
 }
 
+// refuse sends a refusal as the answer.
+func (w *answerWriter) refuse(reason error) error {
+	refused := w.node.Refusal(reason)
+	w.began = true
+	if err := w.send(frame{Head: &head{Refused: &refused, Attempts: w.attempts.Count()}}); err != nil {
+		return err
+	}
+	return w.send(frame{End: &end{Attempts: w.attempts.Count()}})
+}
+
 func (w *answerWriter) send(f frame) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
