fix: a stop does not wait for bodies that never come

Operators waited for a stop of thymewind: with clients that stop short of the end of their bodies it took as long as these had left, two minutes by default. Shutdown waits for every request under way, and nothing ended those that do not arrive.

A gate that drains ends requests that are on their way for slow_after, until the last one that has arrived is served.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -224,3 +224,22 @@
 		l.closing--
 	}
 }
+
+// drainCheck is how often Drain looks for requests that have not arrived.
+const drainCheck = 100 * time.Millisecond
+
+// Drain ends requests that are on their way for SlowAfter, until ctx ends. At a stop nothing else ends
+// those whose clients send no more.
+func (g *Gate) Drain(ctx context.Context) {
+	ticks := time.NewTicker(drainCheck)
+	defer ticks.Stop()
+	for {
+		for g.endSlowest(anyConn) {
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -259,6 +259,28 @@
 	}
 }
 
+// TestDrain guards against a stop that waits for requests whose clients send no more, and against one that
+// ends those that have arrived.
+func TestDrain(t *testing.T) {
+	s := serve(t, intake.Limits{SlowAfter: time.Millisecond, BodyTimeout: time.Minute})
+	arrived := s.open(t, heldWhole)
+	if err := <-s.read; err != nil {
+		t.Fatal(err)
+	}
+	s.open(t, part(1))
+	s.open(t, "GET / HT")
+	eventually(t, "all are accepted", func() bool { return s.gate.Counts().Open == 3 })
+	go s.gate.Drain(t.Context())
+	if err := <-s.read; !isTimeout(err) {
+		t.Errorf("the body ended with %v", err)
+	}
+	eventually(t, "the others are closed", func() bool { return s.gate.Counts().Open == 1 })
+	close(s.held)
+	if got := status(arrived); got != http.StatusOK {
+		t.Errorf("the request that had arrived got %d", got)
+	}
+}
+
 // TestFor guards against limits that a box's memory or descriptors don't bear, and against those of
 // settings being replaced.
 func TestFor(t *testing.T) {
--- a/listen.go
+++ b/listen.go
@@ -149,7 +149,11 @@
 	d.stopping.Store(true)
 	d.Log.Info("stopping", "notice", d.Settings.Timing.Notice)
 	_ = wait(ctx, d.Settings.Timing.Notice)
-	// Shutdown waits for the last request without a timeout, as an answer may take long.
+	// Shutdown waits for the last request without a timeout, as an answer may take long. Requests that
+	// don't arrive are ended meanwhile.
+	arriving, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.gate.Drain(arriving)
 	err := d.shutdown(l.callers.server, ctx)
 	d.Log.Info("last answer sent")
 	d.releaseLeases(ctx)
