docs(heldbytes): what a body takes while its buffer grows

A body of known length has one buffer since package body reads it, and one of unknown length grows by doubling, counted before it is made: 1.5 times the counted bytes while it is copied, not 2.25 as with io.ReadAll. No code changes.

--- a/heldbytes/heldbytes.go
+++ b/heldbytes/heldbytes.go
@@ -15,8 +15,8 @@
 import "sync/atomic"
 
 // LimitShare is the share of a box's memory that may be held. The Go runtime's memory limit is
-// 0.6 of it, and a body takes up to 2.25 times its length while its buffer grows: 0.25 * 2.25
-// stays under that limit.
+// 0.6 of it, and a body of unknown length takes up to 1.5 times what is counted while its buffer
+// grows: 0.25 * 1.5 leaves room for connections (package intake) under that limit.
 const LimitShare = 0.25
 
 // A body is large if fewer than maxLarge of its size fit in the limit, and small if more than
