--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -259,6 +260,34 @@
 	}
 }
 
+// TestTLS guards against connections whose states are not followed below TLS, and against handshakes that
+// never end keeping others out.
+func TestTLS(t *testing.T) {
+	s := &server{ledger: &heldbytes.Ledger{}}
+	s.gate = &intake.Gate{Limits: intake.Limits{Connections: 1, SlowAfter: time.Nanosecond, BodyTimeout: time.Minute}, Ledger: s.ledger, Now: time.Now}
+	h := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	h.Listener = s.gate.Guard(h.Config, h.Listener, intake.Callers)
+	h.StartTLS()
+	t.Cleanup(h.Close)
+	s.at = h.Listener.Addr().String()
+	s.open(t, "\x16\x03\x01\x02\x00") // The beginning of a handshake.
+	eventually(t, "it is accepted", func() bool { return s.gate.Counts().Open == 1 })
+	for _, want := range []intake.Counts{{EndedSlow: 1}, {EndedSlow: 1, EndedIdle: 1}} {
+		client := &http.Client{Transport: h.Client().Transport.(*http.Transport).Clone()}
+		response, err := client.Get(h.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		got := s.gate.Counts()
+		got.Open = 0
+		if got != want {
+			t.Errorf("counts %+v, want %+v", got, want)
+		}
+		<-time.After(50 * time.Millisecond) // The connection is idle then.
+	}
+}
+
 // TestDrain guards against a stop that waits for requests whose clients send no more, and against one that
 // ends those that have arrived.
 func TestDrain(t *testing.T) {
--- a/internal/hostile/aftermath_test.go
+++ b/internal/hostile/aftermath_test.go
@@ -68,6 +68,8 @@
 	// metrics is where its metrics are, held the name of what it counts for clients.
 	metrics netip.AddrPort
 	held    string
+	// ordinary returns a request that keeps to every limit, with a body of so many bytes.
+	ordinary func(t *testing.T, bytes int) *http.Request
 }
 
 // boxes starts each program.
@@ -77,15 +79,41 @@
 	return map[string]func(t *testing.T) box{
 		"thymefront": func(t *testing.T) box {
 			b := startFront(t, front, s, "")
-			return box{b.program, target{at: b.callers, head: head(http.MethodPost, "/unsafe/x")}, b.metrics, "thymewind_entry_held_bytes"}
+			return box{b.program, target{at: b.callers, head: head(http.MethodPost, "/unsafe/x")}, b.metrics, "thymewind_entry_held_bytes", b.large}
 		},
 		"thymewind": func(t *testing.T) box {
 			b := f.startWind(t)
-			return box{b.program, target{at: b.callers, head: windHead("/services/orders/orders", "sk-menu", "X-Client: %d\r\n")}, b.operators, "thymewind_held_bytes"}
+			return box{b.program, target{at: b.callers, head: windHead("/services/orders/orders", "sk-menu", "X-Client: %d\r\n")}, b.operators, "thymewind_held_bytes", b.large}
 		},
 	}
 }
 
+// TestHeads guards against heads that never end.
+func TestHeads(t *testing.T) {
+	for name, start := range boxes(t) {
+		for _, kind := range hostile.Heads() {
+			t.Run(name+"/"+kind.Name, func(t *testing.T) {
+				b := start(t)
+				withstand(t, b.program, b.to, kind, func() *http.Request { return b.ordinary(t, 2<<10) })
+			})
+		}
+	}
+}
+
+// TestLargeBodyBeforeCrowd guards against a body of the limit that never gets memory, as a crowd's
+// bodies that stand still hold it.
+func TestLargeBodyBeforeCrowd(t *testing.T) {
+	for name, start := range boxes(t) {
+		t.Run(name, func(t *testing.T) {
+			b := start(t)
+			sendCrowd(t, b.to)
+			if !ask(t, func() *http.Request { return b.ordinary(t, bodyLimit) }) {
+				t.Error("not answered")
+			}
+		})
+	}
+}
+
 // TestCrowdLeaves guards against a crowd that leaves something behind: bytes that stay counted, or
 // connections that stay open.
 func TestCrowdLeaves(t *testing.T) {
--- a/internal/hostile/hostile.go
+++ b/internal/hostile/hostile.go
@@ -40,6 +40,8 @@
 	Complete bool
 	// Over says that the body is far over the limit.
 	Over bool
+	// HeadBytes is how much of a head without end is sent in place of a body; zero for none.
+	HeadBytes int
 }
 
 // Bodies returns all kinds.
@@ -59,6 +61,14 @@
 	}
 }
 
+// Heads returns heads that never end, which take the place of a body.
+func Heads() []Body {
+	return []Body{
+		{Name: "head without end, at once", Pieces: 1, HeadBytes: 12 << 10},
+		{Name: "head without end, piece by piece", Pieces: 32, HeadBytes: 12 << 10},
+	}
+}
+
 // Crowd is many clients of one server. Set the exported fields before Send.
 type Crowd struct {
 	Dial func(ctx context.Context) (net.Conn, error)
@@ -109,6 +119,10 @@
 
 // request sends one request, until the server closes the connection.
 func (c *Crowd) request(ctx context.Context, conn net.Conn, b Body, client int) {
+	if b.HeadBytes > 0 {
+		c.head(ctx, conn, b, client)
+		return
+	}
 	length := c.Limit
 	if b.Over {
 		length *= farOver
@@ -135,6 +149,18 @@
 	}
 }
 
+// head sends a head without end.
+func (c *Crowd) head(ctx context.Context, conn net.Conn, b Body, client int) {
+	if _, err := io.WriteString(conn, c.Head(client)+"X-Long: "); err != nil {
+		return
+	}
+	for range b.Pieces {
+		if c.piece(conn, io.LimitReader(fill{}, int64(b.HeadBytes/b.Pieces)), 0) != nil || b.Pieces > 1 && pause(ctx) != nil {
+			return
+		}
+	}
+}
+
 // body returns a body of a length, or all of it but the last byte.
 func (c *Crowd) body(length int64, complete bool) io.Reader {
 	filler := length - int64(len(c.Prefix)+len(c.Suffix))
--- a/internal/hostile/thymefront_test.go
+++ b/internal/hostile/thymefront_test.go
@@ -36,8 +36,11 @@
 }
 
 // ordinary is a request that keeps to every limit.
-func (b *frontBox) ordinary(t *testing.T) *http.Request {
-	r := request(t, http.MethodPost, "http://"+b.callers.String()+"/safe/x", strings.Repeat("x", 2<<10), http.Header{
+func (b *frontBox) ordinary(t *testing.T) *http.Request { return b.large(t, 2<<10) }
+
+// large is one with a body of so many bytes.
+func (b *frontBox) large(t *testing.T, bytes int) *http.Request {
+	r := request(t, http.MethodPost, "http://"+b.callers.String()+"/safe/x", strings.Repeat("x", bytes), http.Header{
 		headers.RequestID: {"ordinary"}, headers.APIKey: {"good-key"},
 	})
 	r.Host = "shop.example"
--- a/internal/hostile/thymewind_test.go
+++ b/internal/hostile/thymewind_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/thymewind/thymewind/internal/hostile"
@@ -112,8 +113,11 @@
 	return request(t, http.MethodPost, "http://"+b.callers.String()+"/v1/chat/completions", body, http.Header{"Authorization": {"Bearer sk-menu"}})
 }
 
-func (b *windBox) order(t *testing.T) *http.Request {
-	return request(t, http.MethodPost, "http://"+b.callers.String()+"/services/orders/orders", "2 x adobo", http.Header{"Authorization": {"Bearer sk-menu"}})
+func (b *windBox) order(t *testing.T) *http.Request { return b.large(t, 2<<10) }
+
+// large is an order with a body of so many bytes.
+func (b *windBox) large(t *testing.T, bytes int) *http.Request {
+	return request(t, http.MethodPost, "http://"+b.callers.String()+"/services/orders/orders", strings.Repeat("x", bytes), http.Header{"Authorization": {"Bearer sk-menu"}})
 }
 
 // windHead returns the head of the crowd's requests.
