--- a/internal/hostile/hostile.go
+++ b/internal/hostile/hostile.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// Completes reports whether a client sends its body to the end where most stop short.
+func Completes(client int) bool { return client%completeOneIn == 0 }
+
 // Heads returns heads that never end, which take the place of a body.
 func Heads() []Body {
 	return []Body{
@@ -134,7 +137,7 @@
 	if _, err := io.WriteString(conn, c.Head(client)+framing); err != nil {
 		return
 	}
-	complete := b.Complete || client%completeOneIn == 0
+	complete := b.Complete || Completes(client)
 	body := c.body(length, complete)
 	for range b.Pieces {
 		if c.piece(conn, io.LimitReader(body, (length+int64(b.Pieces)-1)/int64(b.Pieces)), b.Chunk) != nil {
