fix(intake): other boxes get a quarter of the descriptors, within memory

A hub in a fleet of 330 boxes has links of other boxes beside up to 448 connections with handed-on requests (112 MB), more than the eighth of 4,100 descriptors that its listener had: found by reading the limits as a newcomer. Nothing bounded that listener, nor those of operators, by memory. Now a quarter of the descriptors, and no more than there is memory for; operators get an eighth of that. TestFor has the figures of five sizes of boxes.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -322,9 +322,9 @@
 		want [3]int
 	}{
 		{"unknown box", intake.Limits{}, 0, 0, [3]int{0, 0, 0}},
-		{"by descriptors", intake.Limits{}, 64 << 20, 256, [3]int{128, 32, 16}},
-		{"by memory", intake.Limits{}, 112 << 20, 4100, [3]int{448, 512, 256}},
-		{"large", intake.Limits{}, 536 << 20, 8192, [3]int{2144, 1024, 512}},
+		{"by descriptors", intake.Limits{}, 64 << 20, 256, [3]int{128, 64, 16}},
+		{"by memory", intake.Limits{}, 112 << 20, 4100, [3]int{448, 448, 56}},
+		{"large", intake.Limits{}, 536 << 20, 8192, [3]int{2144, 2048, 268}},
 		{"tiny", intake.Limits{}, 1 << 20, 10, [3]int{8, 8, 8}},
 		{"set", intake.Limits{Connections: 3000, PeerConnections: 1, OperatorConnections: 2}, 64 << 20, 256, [3]int{3000, 1, 2}},
 	}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -23,7 +23,10 @@
 	bodyTimeout = 10 * time.Second
 	// callersPart, peersPart and operatorsPart are the parts of the descriptors that listeners may
 	// take. The rest is left for targets, other boxes and files.
-	callersPart, peersPart, operatorsPart = 2, 8, 16
+	callersPart, peersPart, operatorsPart = 2, 4, 16
+	// operatorsMemoryPart is the part of the connections that there is memory for which a listener for
+	// operators may take; callers and other boxes may take as many as there are.
+	operatorsMemoryPart = 8
 	// minConnections is the least limit of a listener that is not set.
 	minConnections = 8
 )
@@ -50,10 +53,10 @@
 		l.Connections = fewer(part(descriptors, callersPart), byMemory(memory))
 	}
 	if l.PeerConnections == 0 {
-		l.PeerConnections = part(descriptors, peersPart)
+		l.PeerConnections = fewer(part(descriptors, peersPart), byMemory(memory))
 	}
 	if l.OperatorConnections == 0 {
-		l.OperatorConnections = part(descriptors, operatorsPart)
+		l.OperatorConnections = fewer(part(descriptors, operatorsPart), part(byMemory(memory), operatorsMemoryPart))
 	}
 	if l.ReceiveBytes == 0 && memory > 0 {
 		l.ReceiveBytes = receiveBytes
@@ -98,12 +101,12 @@
 	}
 }
 
-// part returns a part of a number of descriptors, zero of zero.
-func part(descriptors, of int) int {
-	if descriptors == 0 {
+// part returns a part of a number of descriptors or connections, zero of zero.
+func part(number, of int) int {
+	if number == 0 {
 		return 0
 	}
-	return max(descriptors/of, minConnections)
+	return max(number/of, minConnections)
 }
 
 // byMemory returns how many connections there is memory for, zero if that is unknown.
