fix(intake): a request whose connection has ended is not served

Found as the diff was read: a request may be ended for another one between the read of its last bytes and the moment at which it counts as served. It then ran although its connection could not bring its answer any more, and an unsafe one could not be repeated.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -111,16 +111,16 @@
 	}
 }
 
-// move changes the state of a connection unless it has ended.
-func (c *conn) move(to int32) {
+// move changes the state of a connection, or returns false if it has ended.
+func (c *conn) move(to int32) bool {
 	for {
 		state := c.state.Load()
 		if state == ended || state == to {
-			return
+			return state == to
 		}
 		c.since.Store(c.listener.gate.Now().UnixNano())
 		if c.state.CompareAndSwap(state, to) {
-			return
+			return true
 		}
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -73,7 +73,7 @@
 		if next != nil {
 			ctx = next(ctx, c)
 		}
-		return context.WithValue(ctx, key{}, find(c))
+		return withConn(ctx, find(c))
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if own := find(c); own != nil {
