--- a/boottime/source_test.go
+++ b/boottime/source_test.go
@@ -20,6 +20,7 @@
 	{"boottime/boottime.go", "runtime", "implements the clock"},
 	{"caller/writer.go", "event", "a connection's deadline uses the runtime's clock"},
 	{"deliver/admit.go", "readBody", "a connection's deadline uses the runtime's clock"},
+	{"intake/body.go", "setReadTimeout", "a connection's deadline uses the runtime's clock"},
 	{"duty.go", "order", "sends engines a wall clock time"},
 	{"decision/decision.go", "Add", "shows people a wall clock time"},
 	{"target/queue.go", "started", "a reference; the times compared with it come from the caller"},
--- a/intake/body.go
+++ b/intake/body.go
@@ -32,15 +32,19 @@
 			}
 		default:
 			c.inBody.Store(true)
-			connection := http.NewResponseController(w)
 			// The server reads a part of a body that its handler has left, without a deadline of its own.
-			_ = connection.SetReadDeadline(time.Now().Add(g.Limits.BodyTimeout))
-			r.Body = &trackedBody{ReadCloser: r.Body, conn: c, connection: connection}
+			setReadTimeout(w, g.Limits.BodyTimeout)
+			r.Body = &trackedBody{ReadCloser: r.Body, conn: c, connection: http.NewResponseController(w)}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// setReadTimeout bounds how long the rest of a request may take. Only real connections support it.
+func setReadTimeout(w http.ResponseWriter, timeout time.Duration) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+}
+
 // trackedBody is a request's body.
 type trackedBody struct {
 	io.ReadCloser
--- a/intake/read.go
+++ b/intake/read.go
@@ -48,7 +48,7 @@
 			return g.Admit(r.Context(), account, g.counted(total*copies)-before, 0)
 		}
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) // Only real connections support it.
+	setReadTimeout(w, timeout)
 	reader := body.Reader{From: r.Body, Length: r.ContentLength, Limit: limit, Admit: admit}
 	data, err := reader.ReadAll()
 	return data, account, err
