review: changed bounds on repeated requests take no effect

The settings lower the bound at run time; the boxes read them and go on with the budget of their start.

--- a/review/play/main.go
+++ b/review/play/main.go
@@ -19,8 +19,9 @@
 // cases are the cases by name. Each returns the breaches of its rule.
 var cases = map[string]func(w *world) ([]string, error){
 
-	"stale": stale,
-	"wall":  wall,
+	"budget": budget,
+	"stale":  stale,
+	"wall":   wall,
 }
 
 func main() {
