--- a/review/play/budget.go
+++ b/review/play/budget.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -11,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/platform/standin"
 )
 
@@ -40,12 +43,14 @@
 		defer r.Stop()
 		replicas = append(replicas, r)
 	}
+	route := standin.Route("status", "safe", "order-api", 1200*time.Millisecond)
+	route["max_attempts"] = 2
 	w.store.Configure(1, []map[string]any{{"name": "order-api", "health_path": "/health", "max_connections": 96}},
-		[]map[string]any{{"name": "status", "path_prefix": "/status/", "route_type": "safe", "service": "order-api", "timeout_ms": 1200, "max_attempts": 2}}, nil)
+		[]map[string]any{route}, nil)
 	if err := w.startBoxes(4); err != nil {
 		return nil, err
 	}
-	ratio, extra, since := 0.2, 52.0, time.Now()
+	ratio, extra, since := 0.2, 52.0, boottime.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	var work sync.WaitGroup
@@ -54,7 +59,7 @@
 		for n := 0; ctx.Err() == nil; n++ {
 			id, at := fmt.Sprint("s", n), n%len(w.boxes)
 			mu.Lock()
-			sent[id] = time.Now()
+			sent[id] = boottime.Now()
 			mu.Unlock()
 			work.Go(func() {
 				w.send(w.boxes[at], request{id: id, method: "GET", host: "shop.example", path: "/status/" + id, deadline: 2500 * time.Millisecond})
@@ -73,7 +78,7 @@
 		}
 		w.boxes[0].signal(syscall.SIGHUP)
 		w.log("%s gets SIGHUP", w.boxes[0].name)
-		since = time.Now().Add(2 * configApply)
+		since = boottime.Now().Add(2 * configApply)
 	}
 	work.Wait()
 	for _, b := range w.boxes {
--- a/review/play/engine.go
+++ b/review/play/engine.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -10,6 +12,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/platform/headers"
 )
 
 // engine is a stand-in for one model replica with a cache of prompt parts. It follows the pages on
@@ -32,6 +37,9 @@
 	runs   []run
 }
 
+// cachePath begins the paths by which boxes read what is cached.
+const cachePath = "/v1/kv-"
+
 // part is one cached part of a prompt.
 type part struct {
 	tokens int
@@ -61,10 +69,10 @@
 	}
 	e := &engine{w: w, id: id, service: service, model: model, version: 1, address: netip.MustParseAddrPort(l.Addr().String()), cached: make(map[[2]string]part)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("X-Instance-Id", e.id) })
+	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set(headers.InstanceID, e.id) })
 	mux.HandleFunc("GET /v1/report", e.report)
-	mux.HandleFunc("GET /v1/kv-events", e.kvEvents)
-	mux.HandleFunc("GET /v1/kv-list", e.kvList)
+	mux.HandleFunc("GET "+cachePath+"events", e.kvEvents)
+	mux.HandleFunc("GET "+cachePath+"list", e.kvList)
 	mux.HandleFunc("/", e.serve)
 	e.server = &http.Server{Handler: mux}
 	go func() { _ = e.server.Serve(l) }()
@@ -85,12 +93,12 @@
 	})
 }
 
-func (e *engine) clock() int64 { return time.Since(e.w.began).Milliseconds() + 1000 }
+func (e *engine) clock() int64 { return boottime.Since(e.w.began).Milliseconds() + 1000 }
 
 func (e *engine) kvEvents(rw http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since")) // Zero reads all.
-	hold, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
-	for end := time.Now().Add(time.Duration(hold) * time.Millisecond); time.Now().Before(end) && e.eventCount() <= since && r.Context().Err() == nil; {
+	hold, _ := strconv.Atoi(r.Header.Get(headers.WaitMS))
+	for end := boottime.Now().Add(time.Duration(hold) * time.Millisecond); boottime.Now().Before(end) && e.eventCount() <= since && r.Context().Err() == nil; {
 		time.Sleep(10 * time.Millisecond)
 	}
 	e.mu.Lock()
@@ -128,20 +136,20 @@
 // streams a few events.
 func (e *engine) serve(rw http.ResponseWriter, r *http.Request) {
 	h := rw.Header()
-	id := r.Header.Get("X-Request-Id")
-	h.Set("X-Instance-Id", e.id)
-	h.Set("X-Request-Id", id)
-	h.Set("Versions", "1")
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+	id := r.Header.Get(headers.RequestID)
+	h.Set(headers.InstanceID, e.id)
+	h.Set(headers.RequestID, id)
+	h.Set(headers.WeightVersion, "1")
+	if want := r.Header.Get(headers.ExpectInstance); want != "" && want != e.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if want := r.Header.Get("Expect-Version"); want != "" && want != "1" {
+	if want := r.Header.Get(headers.ExpectVersion); want != "" && want != "1" {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.runPrompt(r)
-	h.Set("X-Response-Seal", e.id+"."+id)
+	h.Set(headers.Seal, e.id+"."+id)
 	h.Set("Content-Type", "text/event-stream")
 	for i := 1; i <= 3; i++ {
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s-%d\n\n", i, id, i)
@@ -150,12 +158,12 @@
 }
 
 func (e *engine) runPrompt(r *http.Request) {
-	salt, tenant, id := r.Header.Get("Cache-Salt"), r.Header.Get("X-Tenant"), r.Header.Get("X-Request-Id")
-	x := run{at: time.Now(), request: id, tenant: tenant, reused: make(map[string]part)}
+	salt, tenant, id := r.Header.Get(headers.CacheSalt), r.Header.Get(headers.Tenant), r.Header.Get(headers.RequestID)
+	x := run{at: boottime.Now(), request: id, tenant: tenant, reused: make(map[string]part)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	leading := true
-	for field := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
+	for field := range strings.SplitSeq(r.Header.Get(headers.PromptParts), ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(field), ":")
 		tokens, _ := strconv.Atoi(text)
 		key := [2]string{salt, name}
@@ -168,7 +176,7 @@
 		e.events = append(e.events, event{salt, name, tokens})
 	}
 	e.runs = append(e.runs, x)
-	e.w.log("engine %s runs %s for tenant %q, Cache-Salt %q, parts %q; it uses the cached parts %v", e.id, id, tenant, salt, r.Header.Get("X-Prefix-Hash"), x.reused)
+	e.w.log("engine %s runs %s for tenant %q, Cache-Salt %q, parts %q; it uses the cached parts %v", e.id, id, tenant, salt, r.Header.Get(headers.PromptParts), x.reused)
 }
 
 // allRuns returns what the engine ran.
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command play runs one case of the second review: it starts thymefront as separate processes
 // beside stand-ins of the platform, sends requests, and checks one rule by what the clients and the
 // servers saw.
@@ -18,7 +20,6 @@
 
 // cases are the cases by name. Each returns the breaches of its rule.
 var cases = map[string]func(w *world) ([]string, error){
-
 	"budget": budget,
 	"stale":  stale,
 	"wall":   wall,
--- a/review/play/pool.go
+++ b/review/play/pool.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -11,6 +13,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/platform/headers"
 )
 
 // Figures of the engines, as on the sheet of agnn-norte.
@@ -93,10 +98,10 @@
 	p.engines[e.address] = e
 	p.mu.Unlock()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("X-Instance-Id", e.id) })
+	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set(headers.InstanceID, e.id) })
 	mux.HandleFunc("GET /v1/report", e.report)
-	mux.HandleFunc("GET /v1/kv-events", e.kvEvents)
-	mux.HandleFunc("GET /v1/kv-list", e.kvList)
+	mux.HandleFunc("GET "+cachePath+"events", e.kvEvents)
+	mux.HandleFunc("GET "+cachePath+"list", e.kvList)
 	mux.HandleFunc("POST /v1/order", e.order)
 	mux.HandleFunc("/", e.serve)
 	go func() { _ = (&http.Server{Handler: mux}).Serve(l) }()
@@ -114,7 +119,7 @@
 	})
 }
 
-func (p *pool) clock() int64 { return time.Since(p.w.began).Milliseconds() + 1000 }
+func (p *pool) clock() int64 { return boottime.Since(p.w.began).Milliseconds() + 1000 }
 
 func (e *memEngine) report(rw http.ResponseWriter, _ *http.Request) {
 	e.p.mu.Lock()
@@ -127,7 +132,7 @@
 
 func (e *memEngine) kvEvents(rw http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since")) // Zero reads all.
-	hold, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+	hold, _ := strconv.Atoi(r.Header.Get(headers.WaitMS))
 	end := time.After(time.Duration(hold) * time.Millisecond)
 	for {
 		e.p.mu.Lock()
@@ -178,7 +183,7 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+	if want := r.Header.Get(headers.ExpectInstance); want != "" && want != e.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -262,7 +267,7 @@
 	}
 	for e.used()+e.kept()+tokens > kvCapacity {
 		var oldest [2]string
-		at := time.Now()
+		at := boottime.Now()
 		for key, x := range e.parts {
 			if x.users == 0 && x.used.Before(at) {
 				oldest, at = key, x.used
@@ -286,7 +291,7 @@
 func (e *memEngine) release(r *memRun) {
 	for _, x := range r.held {
 		x.users--
-		x.used = time.Now()
+		x.used = boottime.Now()
 	}
 	r.own, r.held = 0, nil
 }
@@ -294,16 +299,16 @@
 func (e *memEngine) serve(rw http.ResponseWriter, request *http.Request) {
 	h := rw.Header()
 	r := newMemRun(request)
-	h.Set("X-Instance-Id", e.id)
-	h.Set("X-Request-Id", r.id)
-	if want := request.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+	h.Set(headers.InstanceID, e.id)
+	h.Set(headers.RequestID, r.id)
+	if want := request.Header.Get(headers.ExpectInstance); want != "" && want != e.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.p.mu.Lock()
-	h.Set("Versions", fmt.Sprint(e.version))
+	h.Set(headers.WeightVersion, fmt.Sprint(e.version))
 	status := http.StatusOK
-	switch want := request.Header.Get("Expect-Version"); {
+	switch want := request.Header.Get(headers.ExpectVersion); {
 	case e.loading:
 		status = http.StatusServiceUnavailable
 	case want != "" && want != fmt.Sprint(e.version):
@@ -314,18 +319,18 @@
 	}
 	e.p.mu.Unlock()
 	if status != http.StatusOK {
-		h.Set("X-Not-Executed", "1")
+		h.Set(headers.NotExecuted, "1")
 		rw.WriteHeader(status)
 		return
 	}
 	defer e.end(r)
 	began := e.version
 	if !e.read(r, request, began) {
-		h.Set("X-Not-Executed", "1")
+		h.Set(headers.NotExecuted, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	h.Set("X-Response-Seal", e.id+"."+r.id)
+	h.Set(headers.Seal, e.id+"."+r.id)
 	h.Set("Content-Type", "text/event-stream")
 	e.stream(rw, request, r, began)
 }
@@ -377,21 +382,21 @@
 }
 
 func newMemRun(request *http.Request) *memRun {
-	r := &memRun{id: request.Header.Get("X-Request-Id"), salt: request.Header.Get("Cache-Salt"), priority: 5}
-	if n, err := strconv.Atoi(request.Header.Get("Priority")); err == nil {
+	r := &memRun{id: request.Header.Get(headers.RequestID), salt: request.Header.Get(headers.CacheSalt), priority: 5}
+	if n, err := strconv.Atoi(request.Header.Get(headers.Priority)); err == nil {
 		r.priority = n
 	}
-	for field := range strings.SplitSeq(request.Header.Get("X-Prefix-Hash"), ",") {
+	for field := range strings.SplitSeq(request.Header.Get(headers.PromptParts), ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(field), ":")
 		tokens, _ := strconv.Atoi(text)
 		r.names, r.tokens = append(r.names, name), append(r.tokens, tokens)
 	}
-	_, text, _ := strings.Cut(request.Header.Get("X-Token-Usage"), ",")
+	_, text, _ := strings.Cut(request.Header.Get(headers.TokenUsage), ",")
 	r.out, _ = strconv.Atoi(text)
-	if list := request.Header.Get("Kv-Fetch"); list != "" {
+	if list := request.Header.Get(headers.KvFetch); list != "" {
 		r.fetch = strings.Split(list, ",")
 	}
-	r.until, _ = strconv.ParseInt(request.Header.Get("Kv-Until"), 10, 64)
+	r.until, _ = strconv.ParseInt(request.Header.Get(headers.KvUntil), 10, 64)
 	return r
 }
 
@@ -466,7 +471,7 @@
 			found = from.parts[key]
 		}
 		if own == nil && found != nil {
-			e.parts[key] = &memPart{tokens: found.tokens, made: found.made, used: time.Now()}
+			e.parts[key] = &memPart{tokens: found.tokens, made: found.made, used: boottime.Now()}
 			e.tell("+", key, found.tokens)
 			e.p.fetched++
 			if from.version != e.version {
--- a/review/play/stale.go
+++ b/review/play/stale.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -8,6 +10,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/thymewind/thymewind/platform/headers"
+	"github.com/thymewind/thymewind/platform/standin"
 )
 
 // stale checks that no request begins on memory that was made under other weights than those of its
@@ -31,10 +36,7 @@
 			"name": "redactor", "health_path": "/health", "max_connections": 370,
 			"engine": map[string]any{"slots": 64, "kv_capacity": kvCapacity, "kv_token_bytes": 18432, "link_mbps": 370000.0, "max_inflight": 12, "managed": true, "models": []map[string]any{{"name": model}}},
 		}},
-		[]map[string]any{
-			{"name": "draft", "path_prefix": "/draft/", "route_type": "streaming", "service": "redactor", "timeout_ms": 20000, "target_latency_ms": 1200, "gap_aim_ms": 600, "priority": 2, "max_attempts": 1, "sticky": true},
-			{"name": "check", "path_prefix": "/check/", "route_type": "streaming", "service": "redactor", "timeout_ms": 3000, "target_latency_ms": 1200, "gap_aim_ms": 600, "priority": 0, "max_attempts": 1, "sticky": true},
-		},
+		[]map[string]any{promptRoute("draft", 20*time.Second, 2), promptRoute("check", 3*time.Second, 0)},
 		[]map[string]any{{"name": "shipper", "api_keys": []string{"key-shipper"}}})
 	if err := w.startBoxes(2); err != nil {
 		return nil, err
@@ -59,6 +61,13 @@
 	return p.breaches, nil
 }
 
+// promptRoute is a route of prompts with the goals of the sheet.
+func promptRoute(name string, timeout time.Duration, priority int) map[string]any {
+	r := standin.Route(name, "streaming", "redactor", timeout)
+	r["target_latency_ms"], r["gap_aim_ms"], r["priority"], r["max_attempts"], r["sticky"] = 1200, 600, priority, 1, true
+	return r
+}
+
 // model is the name of the model that the engines run.
 const model = "m0"
 
@@ -128,8 +137,8 @@
 	}
 	call.Host = "shop.example"
 	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Deadline-Ms": fmt.Sprint(deadline.Milliseconds()), "X-Api-Key": "key-shipper", "X-Model": model,
-		"X-Token-Usage": fmt.Sprintf("%d,%d", in, out), "X-Prefix-Hash": parts,
+		headers.RequestID: id, headers.DeadlineMS: fmt.Sprint(deadline.Milliseconds()), headers.APIKey: "key-shipper", headers.Model: model,
+		headers.TokenUsage: fmt.Sprintf("%d,%d", in, out), headers.PromptParts: parts,
 	} {
 		call.Header.Set(name, value)
 	}
--- a/review/play/wall.go
+++ b/review/play/wall.go
@@ -1,8 +1,14 @@
+//go:build review
+
 package main
 
 import (
 	"fmt"
 	"time"
+
+	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/platform/headers"
+	"github.com/thymewind/thymewind/platform/standin"
 )
 
 // wall checks that a tenant whom the manifest in force isolates shares no part of a prompt with
@@ -32,7 +38,7 @@
 		time.Sleep(time.Second)
 		w.configureTenants(2, true)
 		w.log("the store confirms manifest 2: tenant north is isolated")
-		since = time.Now().Add(configApply)
+		since = boottime.Now().Add(configApply)
 	}
 	time.Sleep(configApply + time.Second)
 	for i := range rounds {
@@ -55,12 +61,14 @@
 
 // configureTenants writes a manifest with two tenants, the first of which may be isolated.
 func (w *world) configureTenants(version int64, isolated bool) {
+	route := standin.Route("chat", "streaming", "llm-pool", 10*time.Second)
+	route["max_attempts"] = 1
 	w.store.Configure(version,
 		[]map[string]any{{
 			"name": "llm-pool", "health_path": "/health", "max_connections": 600,
 			"engine": map[string]any{"slots": 8, "kv_capacity": 100000, "kv_token_bytes": 35136, "link_mbps": 100000, "max_inflight": 16, "models": []map[string]any{{"name": "m0"}}},
 		}},
-		[]map[string]any{{"name": "chat", "path_prefix": "/chat/", "route_type": "streaming", "service": "llm-pool", "timeout_ms": 10000, "max_attempts": 1}},
+		[]map[string]any{route},
 		[]map[string]any{
 			{"name": "north", "api_keys": []string{"key-north"}, "isolated": isolated},
 			{"name": "south", "api_keys": []string{"key-south"}},
@@ -71,6 +79,6 @@
 func (w *world) prompt(at int, id, key string, shared int) answer {
 	return w.send(w.boxes[at], request{
 		id: id, method: "POST", host: "shop.example", path: "/chat/1", key: key, body: "{}", deadline: 10 * time.Second,
-		header: map[string]string{"X-Model": "m0", "X-Token-Usage": "900,20", "X-Prefix-Hash": fmt.Sprintf("5c1e07a%d:800,%x:100", shared, 4096+len(id)*256+int(key[4])+shared)},
+		header: map[string]string{headers.Model: "m0", headers.TokenUsage: "900,20", headers.PromptParts: fmt.Sprintf("5c1e07a%d:800,%x:100", shared, 4096+len(id)*256+int(key[4])+shared)},
 	})
 }
--- a/review/play/world.go
+++ b/review/play/world.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -18,6 +20,8 @@
 	"syscall"
 	"time"
 
+	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/platform/headers"
 	"github.com/thymewind/thymewind/platform/standin"
 )
 
@@ -54,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{program: program, trouble: trouble, dir: dir, began: time.Now(), store: standin.NewStore(), record: record}
+	w := &world{program: program, trouble: trouble, dir: dir, began: boottime.Now(), store: standin.NewStore(), record: record}
 	w.log("disruption: %v", trouble)
 	return w, nil
 }
@@ -91,7 +95,7 @@
 func (w *world) log(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", boottime.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // box is one thymefront process.
@@ -223,7 +227,7 @@
 
 func (b *box) awaitReady(within time.Duration) error {
 	client := http.Client{Timeout: time.Second}
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := boottime.Now().Add(within); boottime.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		answer, err := client.Get("http://" + b.ready.String() + "/v1/ready")
 		if err != nil {
 			continue
@@ -275,10 +279,10 @@
 		return answer{err: err}
 	}
 	call.Host = r.host
-	call.Header.Set("X-Request-Id", r.id)
-	call.Header.Set("X-Deadline-Ms", fmt.Sprint(r.deadline.Milliseconds()))
+	call.Header.Set(headers.RequestID, r.id)
+	call.Header.Set(headers.DeadlineMS, fmt.Sprint(r.deadline.Milliseconds()))
 	if r.key != "" {
-		call.Header.Set("X-Api-Key", r.key)
+		call.Header.Set(headers.APIKey, r.key)
 	}
 	for name, value := range r.header {
 		call.Header.Set(name, value)
