test: answers of targets that break off or break the protocol

Targets send 19 such answers to callers' requests at both programs that callers reach: at thymefront at the box asked and handed on to another one, at thymewind on all its ways to a target. On the code as it is 22 of 38 cases fail at thymefront: an early answer without a length that a reset cut off came as a whole one (47 of 48 requests at the box asked), and so did answers behind a status below 100, with a status of 600, of another version of the protocol and with a blank in a field's name or before its colon. At thymewind the first came as a whole one as well (24 of 24), and an attempt that was answered with status 000 never ended and kept its place at the target.

--- a/targetlimit_test.go
+++ b/targetlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/engine"
+	"github.com/thymewind/thymewind/internal/standin/broken"
 	"github.com/thymewind/thymewind/notice"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/route"
@@ -26,6 +28,8 @@
 	rateSetAt time.Time
 	// arrivals are the times of requests, including resumed runs.
 	arrivals []time.Time
+	// broken is the answer to all of these; nil lets the handler answer.
+	broken *broken.Answer
 }
 
 func (l *limitedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -35,11 +39,26 @@
 		if l.rate != "" {
 			w.Header().Set(engine.HeaderLimit, l.rate)
 		}
+		answer := l.broken
 		l.mu.Unlock()
+		if answer != nil {
+			sendBroken(w, r, answer)
+			return
+		}
 	}
 	l.handler.ServeHTTP(w, r)
 }
 
+// sendBroken sends a broken answer to a request.
+func sendBroken(w http.ResponseWriter, r *http.Request, answer *broken.Answer) {
+	if !answer.Early {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+	answer.Send(w, "")
+}
+
 // setRate has the target announce a rate limit from now on; an empty rate stops that.
 func (l *limitedTarget) setRate(rate string) {
 	l.mu.Lock()
