fix(exchange): an answer that a reset cut off is not complete

A target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Linux reports a reset once, to the read or the write that asks first. The write of the upload was told, and the read after it found the end of the stream, which is how an answer without a length ends. That the writer had failed was only looked at when the connection was to be kept. net/http's transport, which cmd/thymewind uses, does the same.

cleaneof.Conn keeps what a write was told, and a read that finds the end of the stream fails with it. A peer that closes its side in order and resets the connection later makes the write fail with EPIPE; its answer stays complete. All connections on which answers are read go through it: exchange, and package strict for those of net/http's transport.

TestEarlyAnswersWithoutLength failed without it (its case reset), as did two cases of TestBrokenAnswers at each box. The latter now waits in each case until requests are served: a box whose answer was cut off gets nothing for a second, so that the cases behind it sent no request.

--- a/build.go
+++ b/build.go
@@ -34,6 +34,7 @@
 	"github.com/thymewind/thymewind/retention"
 	"github.com/thymewind/thymewind/retry"
 	"github.com/thymewind/thymewind/stream"
+	"github.com/thymewind/thymewind/strict"
 	"github.com/thymewind/thymewind/table"
 	"github.com/thymewind/thymewind/target"
 )
@@ -149,7 +150,7 @@
 }
 
 func (d *Daemon) buildPlatform() {
-	client := &http.Client{Timeout: tableTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}
+	client := &http.Client{Timeout: tableTimeout, Transport: strict.New(&http.Transport{MaxResponseHeaderBytes: maxHeadBytes})}
 	d.boxes = boxes.List{Base: d.Settings.Platform, HTTP: client}
 	d.table = table.Client{Base: d.Settings.Platform, HTTP: client}
 	d.rows = configuration.Rows{
@@ -186,9 +187,9 @@
 
 func (d *Daemon) buildRequests() {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	d.engines = engine.Client{HTTP: &http.Client{Transport: &http.Transport{
+	d.engines = engine.Client{HTTP: &http.Client{Transport: strict.New(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})}}
 	d.stores = kvcache.Client{HTTP: d.engines.HTTP}
 	for _, key := range d.Settings.TokenKeys {
 		d.signer.Keys = append(d.signer.Keys, []byte(key))
--- a/cmd/thymefront/main.go
+++ b/cmd/thymefront/main.go
@@ -30,6 +30,7 @@
 	"github.com/thymewind/thymewind/platform"
 	"github.com/thymewind/thymewind/platform/store"
 	"github.com/thymewind/thymewind/readlimit"
+	"github.com/thymewind/thymewind/strict"
 )
 
 // Limits of connections, the log and memory.
@@ -137,10 +138,10 @@
 	}
 	rows := &store.Store{
 		Base: "http://" + s.Store.Address.String(), MinTimeout: minStoreTimeout, Timeout: storeTimeout,
-		HTTP: &http.Client{Transport: &http.Transport{
+		HTTP: &http.Client{Transport: strict.New(&http.Transport{
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
 			MaxResponseHeaderBytes: s.Reads.HeadBytes,
-		}},
+		})},
 		MaxBody: s.Reads.CallBytes, ReadBudget: readlimit.Budget{Bytes: readBudget(s)},
 	}
 	registry := prometheus.NewRegistry()
--- a/entry/build.go
+++ b/entry/build.go
@@ -30,6 +30,7 @@
 	"github.com/thymewind/thymewind/retryafter"
 	"github.com/thymewind/thymewind/rollout"
 	"github.com/thymewind/thymewind/routing"
+	"github.com/thymewind/thymewind/strict"
 )
 
 const (
@@ -166,7 +167,7 @@
 
 // boxClient returns a client that dials other boxes.
 func (d *Daemon) boxClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: d.Settings.Reads.HeadBytes}}
+	return &http.Client{Transport: strict.New(&http.Transport{MaxResponseHeaderBytes: d.Settings.Reads.HeadBytes})}
 }
 
 func (d *Daemon) buildPeers() {
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thymewind/thymewind/boottime"
+	"github.com/thymewind/thymewind/cleaneof"
 	"github.com/thymewind/thymewind/readlimit"
 )
 
@@ -21,7 +22,9 @@
 // connection is one connection to a target.
 type connection struct {
 	net.Conn
-	at     netip.AddrPort
+	at netip.AddrPort
+	// stream reads and writes Conn, and reader is buffered over it.
+	stream *cleaneof.Conn
 	reader *bufio.Reader
 	// reused is set once the connection has completed an exchange.
 	reused bool
@@ -45,11 +48,14 @@
 }
 
 func newConnection(conn net.Conn, at netip.AddrPort) *connection {
-	c := &connection{Conn: conn, at: at, headLeft: -1, openedAt: boottime.Now(), idleSince: boottime.Now()}
+	c := &connection{Conn: conn, at: at, stream: cleaneof.New(conn), headLeft: -1, openedAt: boottime.Now(), idleSince: boottime.Now()}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
 
+// Write implements net.Conn.
+func (c *connection) Write(b []byte) (int, error) { return c.stream.Write(b) }
+
 // abort resets the connection, even while it is being read or written, so that unsent data is
 // discarded. After an ordinary close the kernel keeps sending: a slow target, or one behind a link
 // that was down, would receive the whole request long after its caller gave up.
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -19,7 +19,7 @@
 		b = b[:min(int64(len(b)), c.headLeft)]
 	}
 	c.readingSince = boottime.Now()
-	n, err := c.Conn.Read(b)
+	n, err := c.stream.Read(b)
 	if n > 0 {
 		c.readingSince = time.Time{}
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/thymewind/thymewind/strict"
 )
 
 // maxHeadBytes bounds an answer's head, maxAnswerBytes its body, in bytes.
@@ -28,11 +32,20 @@
 	return c.Conn.Write(b)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *writeRecorder) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return conn.SyscallConn()
+}
+
 // Send makes one attempt and reports whether any byte was written to the target.
 // It waits up to timeout for the answer's headers.
 func (s *Sender) Send(request *http.Request, at netip.AddrPort, timeout time.Duration) (response *http.Response, wrote bool, err error) {
 	var written atomic.Bool
-	transport := &http.Transport{
+	transport := strict.New(&http.Transport{
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		ResponseHeaderTimeout:  timeout,
@@ -44,7 +57,7 @@
 			}
 			return &writeRecorder{Conn: conn, wrote: &written}, nil
 		},
-	}
+	})
 	request.GetBody = nil
 	response, err = transport.RoundTrip(request)
 	return response, written.Load(), err
