fix: an answer's status is between 100 and 599, its version 1

A target in trouble answered with status 000.

net/http reads any three characters that make a number as a status. exchange took all below 200 for informational and read on; forward passed 000 to net/http's server, which panics. An answer of HTTP/2.0 in the bytes of HTTP/1.1 was taken too.

What it rejects is no answer, so that the request is told as one that may have run, or goes to another target where that is allowed.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/answerhead"
 	"github.com/thymewind/thymewind/readlimit"
 )
 
@@ -142,6 +143,9 @@
 		if err != nil {
 			return err
 		}
+		if err := answerhead.CheckResponse(response); err != nil {
+			return err
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return trace.BadParameter("the target answered 101 Switching Protocols, which is not supported")
 		}
