fix: a head whose field names or values break the protocol begins no answer

A target in trouble sent a head in which a field's name held a blank. Callers of both programs got it as an answer, without that field; with the blank before the colon of Content-Length or Transfer-Encoding the body was read to the end of the connection and was not the target's (the chunks with their sizes, for one).

net/http's parser takes a blank in a name, for compatibility with old servers, and does not know the field that is meant; its server leaves such fields out when it writes. Control bytes and tabs in names, and control bytes in values, it rejects already: these cases held.

answerhead rejects names that are no tokens, and values with control bytes, by httpguts, which net/http uses for what it writes.

--- a/answerhead/answerhead.go
+++ b/answerhead/answerhead.go
@@ -8,8 +8,10 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The least and the greatest status (RFC 9110, 15).
@@ -27,9 +29,19 @@
 }
 
 // Check returns why an answer can't have a status or a header, or nil.
-func Check(status int, _ http.Header) error {
+func Check(status int, header http.Header) error {
 	if status < minStatus || status > maxStatus {
 		return trace.BadParameter("the answer's status is %03d", status)
 	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return trace.BadParameter("%.40q can't be the name of a field", name)
+		}
+		if slices.ContainsFunc(values, isInvalidValue) {
+			return trace.BadParameter("field %.40q has a value with a control byte", name)
+		}
+	}
 	return nil
 }
+
+func isInvalidValue(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }
--- a/answerhead/answerhead_test.go
+++ b/answerhead/answerhead_test.go
@@ -24,6 +24,9 @@
 		{"a status with a sign", "HTTP/1.1 +20 OK\r\n", false},
 		{"status 600", "HTTP/1.1 600 Unknown\r\n", false},
 		{"another version", "HTTP/2.0 200 OK\r\n", false},
+		{"a blank in a name", "HTTP/1.1 200 OK\r\nX-Bad Name: x\r\n", false},
+		{"a blank before a colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", false},
+		{"a blank in a name of an informational head", "HTTP/1.1 103 Early Hints\r\nX-Bad Name: x\r\n", false},
 		{"version zero", "HTTP/0.9 200 OK\r\n", false},
 	}
 	for _, tt := range tests {
@@ -39,3 +42,27 @@
 		})
 	}
 }
+
+// TestCheck checks what net/http's parser does not let through, but another box may send.
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name   string
+		header http.Header
+		valid  bool
+	}{
+		{"no fields", nil, true},
+		{"a value in UTF-8", http.Header{"X-Name": {"Quezón\tCity"}}, true},
+		{"an empty name", http.Header{"": {"x"}}, false},
+		{"a control byte in a name", http.Header{"X-\x01": {"x"}}, false},
+		{"a line break in a name", http.Header{"X: y\r\nX-Other": {"x"}}, false},
+		{"a line break in a value", http.Header{"X-Name": {"x", "x\r\nX-Other: y"}}, false},
+		{"a zero byte in a value", http.Header{"X-Name": {"x\x00"}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if err := answerhead.Check(http.StatusOK, tt.header); (err == nil) != tt.valid {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/brokenanswers_test.go
+++ b/brokenanswers_test.go
@@ -15,8 +15,7 @@
 	// brokenUpload is the length of an upload in bytes that is still being sent when an early answer
 	// comes: more than the kernel holds for both sides.
 	brokenUpload = 12 << 20
-	// brokenRounds is how often each request is sent. Which of its two ends of a connection learns of a
-	// reset first varies.
+	// brokenRounds is how often each request is sent: which of a read and a write learns of a reset varies.
 	brokenRounds = 6
 )
 
