fix(table): an answer with rows that can't be decoded is not an empty list

A table service that broke off its answer to a read, or sent something that is not JSON, counted as one without rows, unless the answer said that it was JSON: a claim or a revision that is there was taken for one that does not exist.

The client ignored errors of decoding where the content type was not JSON, as a proxy on the way may refuse with a text. That is right for a refusal, of which the status is enough, but a success without its rows says nothing.

Such answers fail now.

--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -28,8 +28,12 @@
 // Fields stands for an answer's fields in Bytes.
 const Fields = "{fields}"
 
-// Text is the body of the answers that are whole but for what is wrong with them.
-const Text = "part of an answer"
+// Text is the body of the answers that are whole but for what is wrong with them. It is JSON, so that a
+// caller has no other reason to reject it.
+const Text = part + ` "of it"}`
+
+// part is what comes of it before a reset.
+const part = `{"part":`
 
 const (
 	statusLine = "HTTP/1.1 200 OK\r\n"
@@ -39,9 +43,9 @@
 
 // Answers are the ways in which an answer may be broken.
 var Answers = []Answer{
-	{Name: "reset in the upload", Bytes: statusLine + Fields + "\r\n" + Text, Early: true, Resets: true},
+	{Name: "reset in the upload", Bytes: statusLine + Fields + "\r\n" + part, Early: true, Resets: true},
 	{Name: "event stream reset in the upload", Bytes: statusLine + Fields + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", Early: true, Resets: true},
-	{Name: "reset after the upload", Bytes: statusLine + Fields + "\r\n" + Text, Resets: true},
+	{Name: "reset after the upload", Bytes: statusLine + Fields + "\r\n" + part, Resets: true},
 	{Name: "status 000", Bytes: "HTTP/1.1 000 Unknown\r\n" + Fields + length + Text},
 	{Name: "status 000 before an answer", Bytes: "HTTP/1.1 000 Unknown\r\n" + Fields + "\r\n" + whole},
 	{Name: "status 099", Bytes: "HTTP/1.1 099 Unknown\r\n" + Fields + "\r\n" + whole},
--- a/table/client.go
+++ b/table/client.go
@@ -140,7 +140,8 @@
 	if response == nil {
 		return 0, connected.Load(), err
 	}
-	if err != nil && strings.Contains(response.Header.Get("Content-Type"), "json") {
+	// A proxy on the way refuses with texts of its own, of which the status suffices.
+	if err != nil && (response.StatusCode < http.StatusMultipleChoices || strings.Contains(response.Header.Get("Content-Type"), "json")) {
 		return 0, true, err
 	}
 	return response.StatusCode, true, nil
