fix(handoff): another box's answer has a head that HTTP/1.1 allows

A box passed on what another box sent as the head of an answer, whatever it was: with no status net/http's server panics, so that the caller's connection ends without an answer, and a field with a blank in its name was left out. Such heads come from a box of an earlier release, which passes on what its target sent, as both run during a rollout.

The head of an answer is checked like a target's, that of a refusal for being one.

--- a/handoff/connection.go
+++ b/handoff/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/netip"
 	"sync"
@@ -179,6 +180,9 @@
 	if f.Head == nil {
 		return errors.New("the other box's answer has no head")
 	}
+	if err := f.Head.check(); err != nil {
+		return fmt.Errorf("the other box's answer is broken: %w", err)
+	}
 	a.Status, a.Header, a.Refused, a.attempts, a.Software = f.Head.Status, f.Head.Header, f.Head.Refused, f.Head.Attempts, f.Head.Software
 	return nil
 }
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -28,7 +28,9 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
 
+	"github.com/thymewind/thymewind/answerhead"
 	"github.com/thymewind/thymewind/boottime"
 	"github.com/thymewind/thymewind/heldbytes"
 )
@@ -170,6 +172,18 @@
 	Software *string `cbor:"5,keyasint,omitempty"`
 }
 
+// check returns why a head begins no answer that can be passed on, or nil.
+func (h *head) check() error {
+	status, least := h.Status, http.StatusOK
+	if h.Refused != nil {
+		status, least = h.Refused.Status, http.StatusBadRequest
+	}
+	if status < least {
+		return trace.BadParameter("its status is %03d", status)
+	}
+	return answerhead.Check(status, h.Header)
+}
+
 // end ends an answer. Cut says that it is not complete.
 type end struct {
 	Cut      bool `cbor:"1,keyasint,omitempty"`
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -1,10 +1,12 @@
 package handoff_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -121,6 +123,52 @@
 	}
 }
 
+// TestBrokenHeads has another box send a head that HTTP/1.1 does not allow, as one of an earlier release
+// may pass on from a target. It guards against such a head reaching a caller.
+func TestBrokenHeads(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		header http.Header
+		// refusal is the status of a refusal that is sent instead; zero for none, negative for one without a
+		// status.
+		refusal int
+		valid   bool
+	}{
+		{"an ordinary head", http.StatusOK, http.Header{"X-B": {"c"}}, 0, true},
+		{"no status", 0, nil, 0, false},
+		{"status 101", http.StatusSwitchingProtocols, nil, 0, false},
+		{"status 600", 600, nil, 0, false},
+		{"a blank in a name", http.StatusOK, http.Header{"X-Bad Name": {"c"}}, 0, false},
+		{"a line break in a value", http.StatusOK, http.Header{"X-B": {"c\r\nX-Other: d"}}, 0, false},
+		{"a refusal", 0, nil, http.StatusServiceUnavailable, true},
+		{"a refusal with a success", 0, nil, http.StatusOK, false},
+		{"a refusal without a status", 0, nil, -1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			other := node("secret", func(_ context.Context, w http.ResponseWriter, _ *handoff.Request, _ *handoff.Attempts) error {
+				if tt.refusal != 0 {
+					return errors.New("refused")
+				}
+				maps.Copy(w.Header(), tt.header)
+				w.WriteHeader(cmp.Or(tt.status, -1))
+				return nil
+			})
+			other.Refusal = func(error) handoff.Refusal {
+				return handoff.Refusal{Status: max(tt.refusal, 0), DidNotRun: true}
+			}
+			answer, err := node("secret", nil).Do(context.Background(), listen(t, other.Handler()), request())
+			if err == nil {
+				answer.Close()
+			}
+			if (err == nil) != tt.valid || errors.Is(err, handoff.ErrNotSent) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
 // TestConnectionReused has requests one after another share a connection, also after refusals.
 func TestConnectionReused(t *testing.T) {
 	var asked atomic.Int64
