fix(deliver): a planned stop passes on nothing that it may cut off

In a planned stop of a thymefront box, requests of which the last byte came late were passed on, and cut off without an answer when the process ended, those that may run only once as well. So were requests that came early and had no answer by then.

Only requests that wait in a queue were checked against the end of the stop. HTTP's Shutdown lets connections with a request under way go on, so that a body that comes slowly, or a head on a connection that was opened just before, brings a late request.

What comes after the time in which the platform notices that the box is not ready is refused at once as not run, unless it is due before the end: the caller's next try meets another box. 0.3 s before the process exits, requests whose answer has not begun get 504, which promises nothing; answers that have begun may still become whole. Those of another box are left alone: it learns of the cut and tries again what it may.

--- a/deliver/answer.go
+++ b/deliver/answer.go
@@ -21,6 +21,7 @@
 		return
 	}
 	x.headWritten = true
+	x.answering.Store(true)
 	header := x.w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
--- a/deliver/deliver.go
+++ b/deliver/deliver.go
@@ -474,6 +474,9 @@
 	// itself.
 	Admit func(ctx context.Context, account *heldbytes.Account, bytes int64, priority int) bool
 
+	// stop is set once a planned stop has begun.
+	stop atomic.Pointer[Stop]
+
 	mu sync.Mutex
 	// running are the requests that Reap checks, with the cancel function of each.
 	running map[*run]context.CancelFunc
--- a/deliver/end.go
+++ b/deliver/end.go
@@ -14,6 +14,9 @@
 	if x.ran == 0 {
 		return x.refuse(x.unavailable(x.job, "unreachable", "no target could be reached: %v", err)), nil
 	}
+	if x.stopped.Load() {
+		return refuseStopped(), nil
+	}
 	if x.ctx.Err() != nil {
 		return refusal.New(refusal.Unknown, http.StatusGatewayTimeout, "timeout", "no answer came in time"), nil
 	}
--- a/deliver/reap.go
+++ b/deliver/reap.go
@@ -41,18 +41,21 @@
 	}
 }
 
-// Reap cancels the requests whose callers have closed their connections, and those past
-// their deadlines. The HTTP server reports most disconnects, but stops looking once a
+// Reap cancels the requests whose callers have closed their connections, those past their
+// deadlines, and at the end of a planned stop those whose answer has not begun. The HTTP server reports most disconnects, but stops looking once a
 // byte of the next request has arrived; timers cover most deadlines, but stand still
 // while the machine is suspended. Call it several times a second.
 func (s *Server) Reap() {
-	now := s.Now()
+	now, stop := s.Now(), s.stop.Load()
 	for x, cancel := range s.inFlight() {
 		if x.outcome.Call.Disconnected != nil && x.outcome.Call.Disconnected() {
 			cancel()
 		}
 		x.beginBy.expire(now)
 		x.finishBy.expire(now)
+		if stop != nil && !now.Before(stop.AnswerBy) {
+			x.endForStop()
+		}
 	}
 }
 
@@ -78,6 +81,13 @@
 	}
 }
 
+// end performs the action now.
+func (l *deadline) end() {
+	if x := l.at.Load(); x != nil {
+		x.act()
+	}
+}
+
 // inFlight returns the requests in flight, with the cancel function of each.
 func (s *Server) inFlight() map[*run]context.CancelFunc {
 	s.mu.Lock()
--- a/deliver/run.go
+++ b/deliver/run.go
@@ -62,8 +62,11 @@
 	retryReserved atomic.Bool
 	// callerGone says that the caller was found to have closed its connection.
 	callerGone bool
-	// headWritten says that an answer's head was passed to the caller.
+	// headWritten says that an answer's head was passed to the caller; answering says the same for Reap.
 	headWritten bool
+	answering   atomic.Bool
+	// stopped says that the request was ended for a planned stop.
+	stopped atomic.Bool
 	// lastEventID is the last event passed on, lastEventAt when one last arrived, and late
 	// says that one arrived later than the route's goals.
 	lastEventID string
@@ -145,6 +148,9 @@
 	}
 	x.job, x.outcome.Job = job, job
 	x.admittedAt = x.Now()
+	if refused := x.refuseLate(); refused != nil {
+		return refused
+	}
 	if refused := x.readBody(job); refused != nil {
 		return refused
 	}
@@ -162,6 +168,9 @@
 		if refused := x.recheck(); refused != nil {
 			return x.refuse(refused)
 		}
+		if refused := x.refuseLate(); refused != nil {
+			return refused
+		}
 		place, err := x.Place(x.ctx, PlacementRequest{Job: x.job, Attempted: x.attempted, Unreached: x.unsent, Boxes: x.boxes, Continues: x.continues(), Software: x.software})
 		x.outcome.Waited += place.Waited
 		if err != nil {
--- a/entry/handoff.go
+++ b/entry/handoff.go
@@ -39,18 +39,13 @@
 	handedOnShare = 1.0 / 4
 )
 
-// Codes of refusals about handing on.
-const (
-	// codeLost is used by a box that does not reach the targets and has no other box serve the
-	// request.
-	codeLost = "lost"
-	// codeStopping is used by a box that is about to end.
-	codeStopping = "stopping"
-)
+// codeLost is the refusal's code of a box that does not reach the targets and has no other box serve
+// the request.
+const codeLost = "lost"
 
 // declinedCodes are the refusals that say something about the box and nothing about the request or
 // the targets, so that a third box may serve it.
-var declinedCodes = []string{codeLost, codeStopping, "stale", "no_configuration", "no_pool", "unreachable", deliver.CodeHeldMemory}
+var declinedCodes = []string{codeLost, deliver.CodeStopping, "stale", "no_configuration", "no_pool", "unreachable", deliver.CodeHeldMemory}
 
 func (d *Daemon) buildHandoff() {
 	limit := max(int(float64(d.Settings.Box.MemoryMB<<20)*handedOnShare)/handedOnBytes, 1)
@@ -241,7 +236,7 @@
 func (d *Daemon) declines(r *handoff.Request) *refusal.Refusal {
 	switch {
 	case d.stopping.Load():
-		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, codeStopping, "the box is stopping")
+		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, deliver.CodeStopping, "the box is stopping")
 	case d.version() < r.ConfigurationVersion:
 		return refusal.New(refusal.DidNotRun, http.StatusServiceUnavailable, "stale", "the box has configuration %d, not %d", d.version(), r.ConfigurationVersion)
 	}
--- a/entry/handoff_test.go
+++ b/entry/handoff_test.go
@@ -23,7 +23,7 @@
 		code   string
 		third  bool
 	}{
-		{"it stops", func(d *Daemon, _ *handoff.Request) { d.stopping.Store(true) }, codeStopping, true},
+		{"it stops", func(d *Daemon, _ *handoff.Request) { d.stopping.Store(true) }, deliver.CodeStopping, true},
 		{"its configuration is older", func(_ *Daemon, r *handoff.Request) { r.ConfigurationVersion = 2 }, "stale", true},
 		{"it can't tell whether there is a route", func(*Daemon, *handoff.Request) {}, "stale", true},
 		{"there is no route", func(d *Daemon, _ *handoff.Request) { d.noteProof(d.now()) }, "no_route", false},
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/handoff"
 	"github.com/thymewind/thymewind/hangup"
 	"github.com/thymewind/thymewind/intake"
@@ -26,6 +27,9 @@
 	maxHeaderBytes = 64 << 10
 	// shutdownMargin is how much earlier the process exits than the platform would kill it.
 	shutdownMargin = 600 * time.Millisecond
+	// stopAnswerMargin is how much earlier requests without an answer are ended, so that their callers are
+	// told.
+	stopAnswerMargin = 300 * time.Millisecond
 )
 
 // listen opens all listeners before any is served.
@@ -100,6 +104,7 @@
 	d.stopping.Store(true)
 	d.Log.Info("stopping", "kill_after", bounds.Stop)
 	d.closing.Store(true)
+	d.server.BeginStop(deliver.Stop{NoticedBy: d.now().Add(bounds.Notice), AnswerBy: end.Add(-stopAnswerMargin)})
 	time.Sleep(bounds.Notice)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(d.now()))
 	defer cancel()
--- a/entry/waiting.go
+++ b/entry/waiting.go
@@ -202,7 +202,7 @@
 	r := d.waitRequest(now, t, &m, strconv.FormatUint(m.ticket, 36))
 	if left := d.offer(now, t, w, r); left != nil {
 		if d.stopping.Load() { // Another box may have the time that this one lacks.
-			left.RetryAfter = min(left.RetryAfter, d.retryAfter("stopping", job))
+			left.RetryAfter = min(left.RetryAfter, d.retryAfter(deliver.CodeStopping, job))
 		}
 		t.rememberRefused(now, &waiter{queued: r, request: m}, left.RetryAfter)
 		t.answer(now, m, placementAnswer{err: crowded(refused.Reason, *left)})
--- a/entry/waitinghub.go
+++ b/entry/waitinghub.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/thymewind/thymewind/deliver"
 	"github.com/thymewind/thymewind/peer"
 	"github.com/thymewind/thymewind/refusal"
 	"github.com/thymewind/thymewind/waitqueue"
@@ -108,8 +109,8 @@
 
 // refuseStopping refuses a request that waits and that this box, which stops, can't see answered.
 func (d *Daemon) refuseStopping(now time.Time, t *tables, m placementRequest) {
-	refused := refusal.New(refusal.DidNotRun, 503, "stopping", "this box stops before the request could be answered")
-	t.answer(now, m, placementAnswer{err: refused.WithRetryAfter(d.retryAfter("stopping", m.ask.Job))})
+	refused := refusal.New(refusal.DidNotRun, 503, deliver.CodeStopping, "this box stops before the request could be answered")
+	t.answer(now, m, placementAnswer{err: refused.WithRetryAfter(d.retryAfter(deliver.CodeStopping, m.ask.Job))})
 }
 
 // refuseLostWait refuses a request that waited at hubs, none of which is left to ask.
--- a/internal/hostile/thymefront_test.go
+++ b/internal/hostile/thymefront_test.go
@@ -51,10 +51,19 @@
 // startPlatform starts a stand-in platform with two replicas of a service and the test's limit of bodies.
 func startPlatform(t *testing.T) *standin.Store {
 	t.Helper()
+	s, _ := startTreated(t, nil)
+	return s
+}
+
+// startTreated is startPlatform with replicas that treat requests in their own way.
+func startTreated(t *testing.T, treat func(*http.Request) int) (*standin.Store, []*standin.Replica) {
+	t.Helper()
+	var replicas []*standin.Replica
 	s := standin.NewStore()
 	t.Cleanup(s.Close)
 	for i := range 2 {
-		r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "orders", Zone: "a"}
+		r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "orders", Zone: "a", Treat: treat}
+		replicas = append(replicas, r)
 		r.Start(s)
 		t.Cleanup(r.Stop)
 	}
@@ -66,7 +75,7 @@
 			standin.Route("unsafe", "unsafe", "orders", time.Minute),
 		},
 		[]map[string]any{{"name": "cafe", "api_keys": []string{"good-key"}}})
-	return s
+	return s, replicas
 }
 
 // head returns the head of the crowd's requests.
