fix(entry): a box that has not read the rows begins streams on no further version

During a release a box that had just started, and had read the list with replicas of two versions but not yet the rows, began streams that can be resumed on either. If the row of the pool named the old version alone, the stream broke and its caller took it up at a box that could not ask the others, that box read the row, took the old version for the one that had begun the stream and went on there: a stream of two versions.

The rule that a version begins streams only once the row has it was checked against an empty set, which stands for both: there is no row yet, and the rows were not read yet.

Until the rows are read, no version of a pool with several begins such streams; they are refused as not run. A pool with one version is not held up, so that a platform that starts is not either, and neither is one that has no row. TestVersionsBeforeRowsAreRead failed: both engines began streams. Found by reading after a report of operators; it was not seen on a running fleet.

--- a/entry/list.go
+++ b/entry/list.go
@@ -51,6 +51,9 @@
 		delete(t.heldEntries, id)
 		d.unlist(now, t, id, m.afterOutage || restored)
 	}
+	if !t.ownRowsKnown { // Then it depends on how many versions a pool has.
+		t.markAllAnnounced()
+	}
 	d.refreshInUse(now, t)
 	return d.reconcileSources(now, t)
 }
--- a/entry/rewrite.go
+++ b/entry/rewrite.go
@@ -46,6 +46,9 @@
 func (d *Daemon) rewriteLostRows(now time.Time, t *tables, m ownRead) []effect {
 	before, first := t.ownRowsRevision, !t.ownRowsKnown
 	t.ownRowsKnown = true
+	if first {
+		t.markAllAnnounced()
+	}
 	t.ownRowsRevision = revision.Max(before, m.change.Known)
 	if !m.change.Snapshot || first || m.change.Known.Restores == before.Restores {
 		return nil
--- a/entry/versionsets.go
+++ b/entry/versionsets.go
@@ -181,9 +181,26 @@
 	}
 }
 
+// mayBegin reports whether a target's version may begin streams. Until this box has read whether there is
+// a row, none may of a pool with several: the row may have one of them alone, so that streams are taken
+// up as if that one had begun them.
+func (t *tables) mayBegin(x *fleet.Target) bool {
+	if !t.ownRowsKnown && len(t.fleet.SoftwareVersions(x.Pool)) > 1 {
+		return false
+	}
+	return t.versionsOf(x.Pool).May(x.Software)
+}
+
+// markAllAnnounced is markAnnounced for all targets.
+func (t *tables) markAllAnnounced() {
+	for _, id := range t.fleet.IDs() {
+		t.markAnnounced(t.fleet.Target(id))
+	}
+}
+
 // markAnnounced notes whether a target's version may begin streams.
 func (t *tables) markAnnounced(x *fleet.Target) {
-	if unannounced := !t.versionsOf(x.Pool).May(x.Software); unannounced != x.Unannounced {
+	if unannounced := !t.mayBegin(x); unannounced != x.Unannounced {
 		x.Unannounced = unannounced
 		t.markChanged(x.ID)
 	}
--- a/entry/versionsets_test.go
+++ b/entry/versionsets_test.go
@@ -100,6 +100,41 @@
 	}
 }
 
+// TestVersionsBeforeRowsAreRead has a box read a list with two versions before it has read whether there
+// is a row. It guards against a stream being begun on a version that the row lacks: another box that
+// learns no origin then takes it up as if the row's version had begun it.
+func TestVersionsBeforeRowsAreRead(t *testing.T) {
+	d := newDaemon("b1")
+	d.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	d.update(start, targetsRead{start, Targets{Snapshot: true, Listed: []fleet.Entry{versionedEngine("e0", "v1")}}, false})
+	begins := func() (list []string) {
+		for _, id := range d.tables.fleet.IDs() {
+			if !d.softwareForbids(start, &d.tables, deliver.PlacementRequest{Job: resumableJob("r1", "")}, d.tables.fleet.Target(id)) {
+				list = append(list, id)
+			}
+		}
+		return list
+	}
+	if got := begins(); !slices.Equal(got, []string{"e0"}) {
+		t.Errorf("with one version, %v begin streams", got)
+	}
+	d.update(start, targetsRead{start, Targets{Listed: []fleet.Entry{versionedEngine("e1", "v2")}}, false})
+	if got := begins(); len(got) > 0 {
+		t.Errorf("with two versions, %v begin streams", got)
+	}
+	d.update(start, ownRead{OwnRows{Snapshot: true, Known: rev(5), Rows: []table.Row{softwareRow(4, `{"versions":["v1"]}`)}}, true})
+	if got := begins(); !slices.Equal(got, []string{"e0"}) {
+		t.Errorf("once the row was read, %v begin streams", got)
+	}
+	absent := newDaemon("b1")
+	absent.update(start, operatorRead{start, Operator{Table: configuration(1)}})
+	absent.update(start, targetsRead{start, Targets{Snapshot: true, Listed: []fleet.Entry{versionedEngine("e0", "v1"), versionedEngine("e1", "v2")}}, false})
+	absent.update(start, ownRead{OwnRows{Snapshot: true, Known: rev(5)}, true})
+	if d = absent; !slices.Equal(begins(), []string{"e0", "e1"}) {
+		t.Errorf("without a row, %v begin streams", begins())
+	}
+}
+
 // TestFailedAnnouncement applies what another box wrote first, and tries again after other failures.
 func TestFailedAnnouncement(t *testing.T) {
 	other := softwareRow(6, `{"versions":["v0","v1"]}`)
