--- a/internal/hostile/thymefront_test.go
+++ b/internal/hostile/thymefront_test.go
@@ -19,21 +19,36 @@
 type frontBox struct {
 	*program
 	callers, ready, metrics, peers netip.AddrPort
+	// settings is the file of its settings.
+	settings string
 }
 
 // startFront starts a box of a platform, with a setting of the deployment.
 func startFront(t *testing.T, path string, s *standin.Store, setting string) *frontBox {
+	t.Helper()
+	return startFrontNamed(t, path, s, "entry-1", setting)
+}
+
+// startFrontNamed is startFront with a name for the box.
+func startFrontNamed(t *testing.T, path string, s *standin.Store, name, setting string) *frontBox {
 	t.Helper()
 	b := &frontBox{callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
-	file := filepath.Join(t.TempDir(), "settings.yaml")
-	text := fmt.Sprintf("name: entry-1\ndomain: a\ncallers: %v\nready: %v\nmetrics: %v\npeers: %v\nstore: {address: %v}\nbox: {memory_mb: %d, descriptors: %d}\n%s\n",
-		b.callers, b.ready, b.metrics, b.peers, s.Address(), boxMemoryMB, boxDescriptors, setting)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	b.settings = filepath.Join(t.TempDir(), "settings.yaml")
+	text := fmt.Sprintf("name: %s\ndomain: a\ncallers: %v\nready: %v\nmetrics: %v\npeers: %v\nstore: {address: %v}\nbox: {memory_mb: %d, descriptors: %d}\n%s\n",
+		name, b.callers, b.ready, b.metrics, b.peers, s.Address(), boxMemoryMB, boxDescriptors, setting)
+	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	b.program = start(t, []netip.AddrPort{b.callers, b.ready, b.metrics, b.peers}, path, "-settings", file)
+	return startFrontAt(t, path, b)
+}
+
+// startFrontAt starts a box with the settings of one that has ended or not begun.
+func startFrontAt(t *testing.T, path string, before *frontBox) *frontBox {
+	t.Helper()
+	b := *before
+	b.program = start(t, []netip.AddrPort{b.callers, b.ready, b.metrics, b.peers}, path, "-settings", b.settings)
 	eventually(t, "a request is answered", func() bool { return isOK(b.ordinary(t)) })
-	return b
+	return &b
 }
 
 // ordinary is a request that keeps to every limit.
