fix: the head of a peer's answer is bounded

cmd/thymewind called other boxes with net/http's default client, which reads up to 10 MB of a head, and goes through a proxy that the environment names. A box in trouble that sends bytes without end in place of an answer had each call keep that much; heads of all other answers end at 32 KB. Calls of peers end there too now, with and without TLS, and their heads are checked like the others. TestLongHeadOfPeer read a head of 1 MiB before.

--- a/brokencalls_test.go
+++ b/brokencalls_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/thymewind/thymewind/boxes"
@@ -80,3 +81,18 @@
 		}
 	}
 }
+
+// TestLongHeadOfPeer has another box answer with a head that is longer than any of this system's. It
+// guards against such heads filling a box's memory.
+func TestLongHeadOfPeer(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
+	}))
+	defer s.Close()
+	client := newFleet(t, 1, nil).daemons[0].d.peers.HTTP
+	response, err := client.Get(s.URL)
+	if err == nil {
+		_ = response.Body.Close()
+		t.Error("a head of 1 MiB was read")
+	}
+}
--- a/build.go
+++ b/build.go
@@ -53,7 +53,7 @@
 	retryBurst          = 20
 	messageQueueSize    = 1024
 	maxBufferedAccounts = 50000
-	// maxHeadBytes bounds the head of an answer of the table service, engines and store boxes.
+	// maxHeadBytes bounds the head of an answer of the table service, engines, store boxes and peers.
 	maxHeadBytes = 32 << 10
 )
 
@@ -173,7 +173,7 @@
 
 func (d *Daemon) buildPeers() error {
 	d.peers = peer.Node{
-		Credential: d.Settings.PeerCredential, Handle: d.answerPeer, HTTP: http.DefaultClient, Scheme: "ws",
+		Credential: d.Settings.PeerCredential, Handle: d.answerPeer, HTTP: peerClient(nil), Scheme: "ws",
 		OnSent:     func(n int) { d.metrics.peerBytes.WithLabelValues("sent").Add(float64(n)) },
 		OnReceived: func(n int) { d.metrics.peerBytes.WithLabelValues("received").Add(float64(n)) },
 	}
--- a/listen.go
+++ b/listen.go
@@ -16,6 +16,7 @@
 
 	"github.com/thymewind/thymewind/intake"
 	"github.com/thymewind/thymewind/settings"
+	"github.com/thymewind/thymewind/strict"
 )
 
 // listeners are the daemon's three servers.
@@ -123,7 +124,12 @@
 	if !pool.AppendCertsFromPEM(authority) {
 		return nil, trace.BadParameter("%s holds no certificate", s.PeerAuthority)
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
+	return peerClient(&tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}), nil
+}
+
+// peerClient returns the HTTP client for peers, over TLS if a configuration for that is given.
+func peerClient(over *tls.Config) *http.Client {
+	return &http.Client{Transport: strict.New(&http.Transport{TLSClientConfig: over, MaxResponseHeaderBytes: maxHeadBytes})}
 }
 
 // flushRemaining writes the waiting charges, with retries until its timeout.
