--- a/answerhead/answerhead.go
+++ b/answerhead/answerhead.go
@@ -1,4 +1,5 @@
-// Package answerhead tells heads of HTTP/1.1 answers from what net/http takes for one.
+// Package answerhead checks the heads of answers for what net/http's parser accepts although HTTP/1.1 does
+// not allow it.
 //
 //	response, err := http.ReadResponse(reader, request)
 //	if err == nil {
@@ -20,7 +21,7 @@
 	maxStatus = 599
 )
 
-// CheckResponse returns why a head that was read is none of HTTP/1.1, or nil.
+// CheckResponse returns why a head that was read breaks the protocol, or nil.
 func CheckResponse(response *http.Response) error {
 	if response.ProtoMajor != 1 {
 		return trace.BadParameter("the answer is of %.20q", response.Proto)
--- a/deliver/reap.go
+++ b/deliver/reap.go
@@ -42,9 +42,10 @@
 }
 
 // Reap cancels the requests whose callers have closed their connections, those past their
-// deadlines, and at the end of a planned stop those whose answer has not begun. The HTTP server reports most disconnects, but stops looking once a
-// byte of the next request has arrived; timers cover most deadlines, but stand still
-// while the machine is suspended. Call it several times a second.
+// deadlines, and at the end of a planned stop those whose answer has not begun. The HTTP server
+// reports most disconnects, but stops looking once a byte of the next request has arrived; timers
+// cover most deadlines, but stand still while the machine is suspended. Call it several times a
+// second.
 func (s *Server) Reap() {
 	now, stop := s.Now(), s.stop.Load()
 	for x, cancel := range s.inFlight() {
--- a/deliver/stop.go
+++ b/deliver/stop.go
@@ -24,7 +24,7 @@
 const CodeStopping = "stopping"
 
 // refuseLate refuses a request that comes late in a planned stop and may outlast the process, or returns
-// nil. One that was sent before has no better place.
+// nil. One that may have reached a target is not refused, as its caller must not repeat it everywhere.
 func (x *run) refuseLate() *refusal.Refusal {
 	stop := x.stop.Load()
 	if stop == nil || x.sent > 0 || x.Now().Before(stop.NoticedBy) || !x.job.Until.After(stop.AnswerBy) {
@@ -33,9 +33,10 @@
 	return x.unavailable(x.job, CodeStopping, "this box stops, maybe before the request is answered")
 }
 
-// endForStop ends a request for a planned stop, unless its answer has begun: that may still become whole.
+// endForStop ends a request for a planned stop, unless its answer has begun, which may still become whole.
+// One of another box ends with the connection: that box then tries again what it may.
 func (x *run) endForStop() {
-	if x.answering.Load() || x.outcome.Call.HandedOn != nil { // The other box learns more from the connection's end: it tries again what it may.
+	if x.answering.Load() || x.outcome.Call.HandedOn != nil {
 		return
 	}
 	x.stopped.Store(true)
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -1,5 +1,5 @@
-// Package strict is the HTTP transport of this system's calls: it fails where net/http takes for an
-// answer what is none.
+// Package strict is the HTTP transport of this system's calls. It fails for answers that net/http accepts
+// although they were cut off or break the protocol.
 //
 //	client := http.Client{Transport: strict.New(&http.Transport{MaxResponseHeaderBytes: 32 << 10})}
 package strict
@@ -18,7 +18,7 @@
 	"github.com/thymewind/thymewind/cleaneof"
 )
 
-// Transport is an http.RoundTripper.
+// Transport is an http.RoundTripper over net/http's. Make it with New.
 type Transport struct{ *http.Transport }
 
 // New returns a transport over a base, which it changes.
