test(hostile): late requests in a stop meet targets at which none hangs

Its log says why: no_target, as requests of the test hung at both targets for four seconds, so that these were taken out; the stop did not refuse them.

--- a/internal/hostile/latestop_test.go
+++ b/internal/hostile/latestop_test.go
@@ -39,7 +39,8 @@
 // TestLateInStop stops a process with SIGTERM. It guards against requests that come late in the stop
 // being passed on and cut off with the process, and against any request being cut off without an answer.
 func TestLateInStop(t *testing.T) {
-	s, replicas := startTreated(t, func(r *http.Request) int {
+	// A target that a request hangs at may be taken out; there are more of them than such requests.
+	s, replicas := startTreated(t, 8, func(r *http.Request) int {
 		if strings.HasPrefix(r.Header.Get(headers.RequestID), "hangs") {
 			return standin.Hangs
 		}
--- a/internal/hostile/thymefront_test.go
+++ b/internal/hostile/thymefront_test.go
@@ -66,17 +66,17 @@
 // startPlatform starts a stand-in platform with two replicas of a service and the test's limit of bodies.
 func startPlatform(t *testing.T) *standin.Store {
 	t.Helper()
-	s, _ := startTreated(t, nil)
+	s, _ := startTreated(t, 2, nil)
 	return s
 }
 
-// startTreated is startPlatform with replicas that treat requests in their own way.
-func startTreated(t *testing.T, treat func(*http.Request) int) (*standin.Store, []*standin.Replica) {
+// startTreated is startPlatform with any number of replicas that treat requests in their own way.
+func startTreated(t *testing.T, count int, treat func(*http.Request) int) (*standin.Store, []*standin.Replica) {
 	t.Helper()
 	var replicas []*standin.Replica
 	s := standin.NewStore()
 	t.Cleanup(s.Close)
-	for i := range 2 {
+	for i := range count {
 		r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "orders", Zone: "a", Treat: treat}
 		replicas = append(replicas, r)
 		r.Start(s)
