--- a/exchange/early_test.go
+++ b/exchange/early_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 
 	"github.com/thymewind/thymewind/exchange"
+	"github.com/thymewind/thymewind/internal/standin/broken"
 )
 
 // TestEarlyAnswersWithoutLength has targets answer without a length while the body of the request is being written,
@@ -76,6 +78,29 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// TestLegalAnswers guards against unusual answers being rejected.
+func TestLegalAnswers(t *testing.T) {
+	for _, a := range broken.Legal {
+		t.Run(a.Name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !a.Early {
+					_, _ = io.Copy(io.Discard, r.Body) // The answer is the same without it.
+				}
+				a.Send(w, "")
+			}))
+			defer s.Close()
+			body := []byte("x")
+			if !a.Early {
+				body = make([]byte, 1<<20)
+			}
+			_, got, err := ask(newClient(), netip.MustParseAddrPort(s.Listener.Addr().String()), &exchange.Request{Method: "POST", Path: "/", Host: "h", Body: body})
+			if err != nil || got != broken.Text {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
+	}
+}
+
 // TestTransferCodingOfHTTP10 has a target answer in HTTP/1.0 with a transfer coding, which that version
 // does not have. It guards against the chunks with their sizes being taken for the body.
 func TestTransferCodingOfHTTP10(t *testing.T) {
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -64,6 +64,17 @@
 	{Name: "carriage return in a field's value", Bytes: statusLine + Fields + "X-Bad: x\rX-Other: y\r\n" + length + Text},
 }
 
+// Legal are answers that are whole although they are unusual; the body of each is Text.
+var Legal = []Answer{
+	{Name: "a length", Bytes: whole},
+	{Name: "a length, in the upload", Bytes: whole, Early: true},
+	{Name: "no length, closed in order", Bytes: statusLine + Fields + "\r\n" + Text},
+	{Name: "no length, in HTTP/1.0", Bytes: "HTTP/1.0 200 OK\r\n" + Fields + "\r\n" + Text},
+	{Name: "chunks", Bytes: statusLine + Fields + "Transfer-Encoding: chunked\r\n\r\n11\r\n" + Text + "\r\n0\r\n\r\n"},
+	{Name: "chunks with a trailer", Bytes: statusLine + Fields + "Transfer-Encoding: chunked\r\n\r\n11\r\n" + Text + "\r\n0\r\nX-Sum: 1\r\n\r\n"},
+	{Name: "an informational head before it", Bytes: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + whole},
+}
+
 // Named returns the answer of a name.
 func Named(name string) (a Answer, ok bool) {
 	i := slices.IndexFunc(Answers, func(a Answer) bool { return a.Name == name })
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// TestLegalAnswers guards against unusual answers being rejected.
+func TestLegalAnswers(t *testing.T) {
+	for _, a := range broken.Legal {
+		t.Run(a.Name, func(t *testing.T) {
+			client := http.Client{Transport: strict.New(&http.Transport{})}
+			defer client.CloseIdleConnections()
+			response, err := client.Post(serve(t, a), "", strings.NewReader("x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			if got, err := io.ReadAll(response.Body); err != nil || string(got) != broken.Text {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
+	}
+}
+
 // serve sends an answer to each request to the address that it returns.
 func serve(t *testing.T, a broken.Answer) (base string) {
 	t.Helper()
